Settle the messages between the planes and the internal protocol

Cause: the planes are built side by side, so the messages between them and the connection that carries them come first.

The internal protocol is protobuf in length-prefixed frames over TCP, with an HMAC handshake in both directions, many exchanges a connection, deadlines that travel with a request, and errors that tell a request that was surely not sent from one whose fate is unknown.

Excluded: one connection for each exchange (a handshake for each lookup), and a full mesh (108,000 streams at 330 front nodes).

--- /dev/null
+++ b/internal/failure/codes.go
@@ -0,0 +1,109 @@
+package failure
+
+import "net/http"
+
+// Code names a kind of failure; codes never change their meaning.
+type Code string
+
+// Codes that any process may answer with.
+const (
+	InternalError    Code = "internal_error"
+	DeadlineExceeded Code = "deadline_exceeded"
+	Cancelled        Code = "cancelled"
+	Unavailable      Code = "unavailable"
+	UnknownRequest   Code = "unknown_request"
+	Draining         Code = "draining"
+	NotReady         Code = "not_ready"
+)
+
+// Codes about the form of a request.
+const (
+	UnknownRoute     Code = "unknown_route"
+	MethodNotAllowed Code = "method_not_allowed"
+	InvalidBody      Code = "invalid_body"
+	UnknownField     Code = "unknown_field"
+	BodyTooLarge     Code = "body_too_large"
+	MissingField     Code = "missing_field"
+	InvalidField     Code = "invalid_field"
+	Unauthorized     Code = "unauthorized"
+	Forbidden        Code = "forbidden"
+	NotFound         Code = "not_found"
+)
+
+// Codes of the data plane.
+const (
+	UnknownModel      Code = "unknown_model"
+	UnknownTool       Code = "unknown_tool"
+	UnknownProgram    Code = "unknown_program"
+	WrongContinuation Code = "wrong_continuation"
+	TurnMissing       Code = "turn_missing"
+	BudgetSpent       Code = "budget_spent"
+	BudgetHeld        Code = "budget_held"
+	SessionBusy       Code = "session_busy"
+	RequestRefused    Code = "request_refused"
+	Overloaded        Code = "overloaded"
+	RateLimited       Code = "rate_limited"
+	NoBackEnd         Code = "no_back_end"
+	BackEndFailed     Code = "back_end_failed"
+	OutcomeUnknown    Code = "outcome_unknown"
+	CallUnderWay      Code = "call_under_way"
+	NotOwner          Code = "not_owner"
+	NoAuthority       Code = "no_authority"
+	Fenced            Code = "fenced"
+	SlowReader        Code = "slow_reader"
+	AnswerMismatch    Code = "answer_mismatch"
+	LedgerUnavailable Code = "ledger_unavailable"
+	StaleView         Code = "stale_view"
+)
+
+// Codes of the control plane.
+const (
+	NotLeader       Code = "not_leader"
+	NoLeader        Code = "no_leader"
+	VersionTaken    Code = "version_taken"
+	WrongBase       Code = "wrong_base"
+	InvalidBundle   Code = "invalid_bundle"
+	InvalidOrder    Code = "invalid_order"
+	BadSignature    Code = "bad_signature"
+	NotSigned       Code = "not_signed"
+	LeaseRefused    Code = "lease_refused"
+	WrongCluster    Code = "wrong_cluster"
+	ChangeUnderWay  Code = "change_under_way"
+	StoreNotEmptied Code = "store_not_emptied"
+)
+
+var statuses = map[Code]int{
+	InternalError: http.StatusInternalServerError, DeadlineExceeded: http.StatusGatewayTimeout,
+	Cancelled: 499, Unavailable: http.StatusServiceUnavailable, UnknownRequest: http.StatusNotFound,
+	Draining: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
+	UnknownRoute: http.StatusNotFound, MethodNotAllowed: http.StatusMethodNotAllowed,
+	InvalidBody: http.StatusBadRequest, UnknownField: http.StatusBadRequest,
+	BodyTooLarge: http.StatusRequestEntityTooLarge, MissingField: http.StatusBadRequest,
+	InvalidField: http.StatusBadRequest, Unauthorized: http.StatusUnauthorized,
+	Forbidden: http.StatusForbidden, NotFound: http.StatusNotFound,
+	UnknownModel: http.StatusNotFound, UnknownTool: http.StatusNotFound,
+	UnknownProgram: http.StatusNotFound, WrongContinuation: http.StatusConflict,
+	TurnMissing: http.StatusNotFound, BudgetSpent: http.StatusPaymentRequired,
+	BudgetHeld: http.StatusTooManyRequests, SessionBusy: http.StatusConflict,
+	RequestRefused: http.StatusConflict, Overloaded: http.StatusServiceUnavailable,
+	RateLimited: http.StatusTooManyRequests, NoBackEnd: http.StatusServiceUnavailable,
+	BackEndFailed: http.StatusBadGateway, OutcomeUnknown: http.StatusBadGateway,
+	CallUnderWay: http.StatusConflict, NotOwner: http.StatusMisdirectedRequest,
+	NoAuthority: http.StatusServiceUnavailable, Fenced: http.StatusConflict,
+	SlowReader: http.StatusRequestTimeout, AnswerMismatch: http.StatusBadGateway,
+	LedgerUnavailable: http.StatusServiceUnavailable, StaleView: http.StatusServiceUnavailable,
+	NotLeader: http.StatusMisdirectedRequest, NoLeader: http.StatusServiceUnavailable,
+	VersionTaken: http.StatusConflict, WrongBase: http.StatusConflict,
+	InvalidBundle: http.StatusUnprocessableEntity, InvalidOrder: http.StatusUnprocessableEntity,
+	BadSignature: http.StatusForbidden, NotSigned: http.StatusConflict,
+	LeaseRefused: http.StatusConflict, WrongCluster: http.StatusConflict,
+	ChangeUnderWay: http.StatusConflict, StoreNotEmptied: http.StatusConflict,
+}
+
+// Status gives the HTTP status of the code.
+func (c Code) Status() int {
+	if status, known := statuses[c]; known {
+		return status
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,190 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const readBufferBytes = 64 << 10
+
+// clientConnection is the calling side of one connection.
+type clientConnection struct {
+	address    string
+	connection net.Conn
+	reader     *bufio.Reader
+	writer     *frameWriter
+	done       chan struct{}
+
+	mutex     sync.Mutex
+	exchanges map[uint64]*exchange
+	nextID    uint64
+	broken    error
+	lastUse   time.Time
+	lastHeard time.Time
+}
+
+// dial opens a connection and proves the cluster key.
+func dial(ctx context.Context, address string, options PoolOptions, counters *Counters) (*clientConnection, error) {
+	ctx, cancel := context.WithTimeout(ctx, options.DialTimeout)
+	defer cancel()
+	connection, err := options.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReaderSize(&countingReader{connection: connection, counters: counters}, readBufferBytes)
+	if err := shakeAsClient(connection, reader, options.Key, options.Node); err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
+	now := time.Now()
+	return &clientConnection{
+		address:    address,
+		connection: connection,
+		reader:     reader,
+		writer:     newFrameWriter(connection, counters),
+		done:       make(chan struct{}),
+		exchanges:  make(map[uint64]*exchange),
+		lastUse:    now,
+		lastHeard:  now,
+	}, nil
+}
+
+// begin registers an exchange and queues its request.
+func (c *clientConnection) begin(ctx context.Context, request *protocol.Request) (*exchange, error) {
+	c.mutex.Lock()
+	if c.broken != nil {
+		c.mutex.Unlock()
+		return nil, &NotSentError{Address: c.address, Cause: c.broken}
+	}
+	c.nextID++
+	e := &exchange{id: c.nextID, client: c, ctx: ctx, wake: make(chan struct{}, 1)}
+	if len(c.exchanges) == 0 {
+		c.lastHeard = time.Now()
+	}
+	c.exchanges[e.id] = e
+	c.lastUse = time.Now()
+	c.mutex.Unlock()
+
+	frame := &protocol.Frame{Kind: protocol.FrameKind_FRAME_REQUEST, Id: e.id, Request: request}
+	if deadline, has := ctx.Deadline(); has {
+		left := time.Until(deadline)
+		if left <= 0 {
+			c.forget(e.id, false)
+			return nil, &NotSentError{Address: c.address, Cause: context.DeadlineExceeded}
+		}
+		frame.TimeLeftMillis = uint32(left/time.Millisecond) + 1
+	}
+	if err := c.writer.write(frame); err != nil {
+		c.forget(e.id, false)
+		return nil, &NotSentError{Address: c.address, Cause: err}
+	}
+	return e, nil
+}
+
+// forget drops an exchange and, when asked, tells the peer.
+func (c *clientConnection) forget(id uint64, cancel bool) {
+	c.mutex.Lock()
+	_, known := c.exchanges[id]
+	delete(c.exchanges, id)
+	c.lastUse = time.Now()
+	c.mutex.Unlock()
+	if known && cancel {
+		_ = c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_CANCEL, Id: id})
+	}
+}
+
+// read delivers frames until the connection ends, and returns why it did.
+func (c *clientConnection) read() error {
+	for {
+		frame := &protocol.Frame{}
+		if err := readMessage(c.reader, MaxFrameBytes, frame); err != nil {
+			return err
+		}
+		if err := validateFrame(frame); err != nil {
+			return err
+		}
+		c.deliver(frame)
+	}
+}
+
+func (c *clientConnection) deliver(frame *protocol.Frame) {
+	c.mutex.Lock()
+	c.lastHeard = time.Now()
+	e := c.exchanges[frame.GetId()]
+	c.mutex.Unlock()
+	if e == nil {
+		return
+	}
+	switch frame.GetKind() {
+	case protocol.FrameKind_FRAME_RESPONSE:
+		if !e.deliver(frame.GetResponse()) {
+			c.forget(e.id, true)
+		}
+	case protocol.FrameKind_FRAME_END:
+		var cause error
+		if frame.GetFailure() != nil {
+			cause = &failure.Error{Failure: frame.GetFailure()}
+		}
+		e.end(cause)
+		c.forget(e.id, false)
+	}
+}
+
+// breakWith ends every exchange under way.
+func (c *clientConnection) breakWith(cause error) {
+	c.mutex.Lock()
+	if c.broken != nil {
+		c.mutex.Unlock()
+		return
+	}
+	c.broken = cause
+	exchanges := c.exchanges
+	c.exchanges = make(map[uint64]*exchange)
+	c.mutex.Unlock()
+	close(c.done)
+	c.writer.fail(cause)
+	_ = c.connection.Close()
+	for _, e := range exchanges {
+		e.end(&BrokenError{Address: c.address, Cause: cause})
+	}
+}
+
+// errSilent and errIdle tell apart a peer that does not answer and a connection no longer used.
+var (
+	errSilent = errors.New("peer is silent")
+	errIdle   = errors.New("connection is idle")
+)
+
+// watch pings while exchanges are under way, breaks a silent connection and closes an idle one.
+func (c *clientConnection) watch(idle time.Duration) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-ticker.C:
+		}
+		c.mutex.Lock()
+		busy := len(c.exchanges) > 0
+		silent := busy && time.Since(c.lastHeard) > silenceLimit
+		unused := !busy && time.Since(c.lastUse) > idle
+		c.mutex.Unlock()
+		switch {
+		case silent:
+			c.breakWith(errSilent)
+		case unused:
+			c.breakWith(errIdle)
+		case busy:
+			_ = c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_PING})
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/exchange.go
@@ -0,0 +1,106 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// exchange is the calling side of one request: a bounded queue of answers.
+type exchange struct {
+	id     uint64
+	client *clientConnection
+	ctx    context.Context
+
+	mutex   sync.Mutex
+	answers []*protocol.Response
+	ended   bool
+	cause   error
+	wake    chan struct{}
+}
+
+// deliver queues an answer; it reports false when the receiver fell too far behind.
+func (e *exchange) deliver(answer *protocol.Response) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.ended {
+		return true
+	}
+	if len(e.answers) >= answerQueue {
+		e.ended = true
+		e.cause = failure.New(failure.SlowReader, protocol.Outcome_UNKNOWN, "answers were not read in time")
+		e.signal()
+		return false
+	}
+	e.answers = append(e.answers, answer)
+	e.signal()
+	return true
+}
+
+// end closes the queue; the answers delivered before are still received.
+func (e *exchange) end(cause error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.ended {
+		return
+	}
+	e.ended = true
+	e.cause = cause
+	e.signal()
+}
+
+func (e *exchange) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *exchange) take() (answer *protocol.Response, ended bool, cause error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if len(e.answers) > 0 {
+		answer = e.answers[0]
+		e.answers[0] = nil
+		e.answers = e.answers[1:]
+		return answer, false, nil
+	}
+	return nil, e.ended, e.cause
+}
+
+// Receive implements Stream.
+func (e *exchange) Receive() (*protocol.Response, error) {
+	for {
+		answer, ended, cause := e.take()
+		if answer != nil {
+			return answer, nil
+		}
+		if ended {
+			if cause == nil {
+				return nil, io.EOF
+			}
+			return nil, cause
+		}
+		select {
+		case <-e.wake:
+		case <-e.ctx.Done():
+			return nil, e.ctx.Err()
+		}
+	}
+}
+
+// Close implements Stream.
+func (e *exchange) Close() {
+	e.mutex.Lock()
+	ended := e.ended
+	e.ended = true
+	if e.cause == nil && !ended {
+		e.cause = context.Canceled
+	}
+	e.answers = nil
+	e.mutex.Unlock()
+	e.client.forget(e.id, !ended)
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,68 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const lengthBytes = 4
+
+// appendFrame encodes a message after its four-byte big-endian length.
+func appendFrame(buffer []byte, message proto.Message) ([]byte, error) {
+	start := len(buffer)
+	buffer = append(buffer, 0, 0, 0, 0)
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, message)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode frame")
+	}
+	size := len(buffer) - start - lengthBytes
+	if size > MaxFrameBytes {
+		return nil, &FrameError{Reason: "message larger than a frame may be"}
+	}
+	binary.BigEndian.PutUint32(buffer[start:], uint32(size))
+	return buffer, nil
+}
+
+// readMessage reads one length-prefixed message, refusing lengths over limit before it reads on.
+func readMessage(reader *bufio.Reader, limit uint32, message proto.Message) error {
+	var prefix [lengthBytes]byte
+	if _, err := io.ReadFull(reader, prefix[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(prefix[:])
+	if size > limit {
+		return &FrameError{Reason: "length over the limit"}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(reader, body); err != nil {
+		return errors.Wrap(err, "truncated frame")
+	}
+	if err := proto.Unmarshal(body, message); err != nil {
+		return &FrameError{Reason: err.Error()}
+	}
+	return nil
+}
+
+// validateFrame checks what every frame must carry.
+func validateFrame(frame *protocol.Frame) error {
+	switch frame.GetKind() {
+	case protocol.FrameKind_FRAME_REQUEST:
+		if frame.GetRequest().GetBody() == nil {
+			return &FrameError{Reason: "request without a body"}
+		}
+	case protocol.FrameKind_FRAME_RESPONSE:
+		if frame.GetResponse().GetBody() == nil {
+			return &FrameError{Reason: "response without a body"}
+		}
+	case protocol.FrameKind_FRAME_END, protocol.FrameKind_FRAME_CANCEL, protocol.FrameKind_FRAME_PING:
+	default:
+		return &FrameError{Reason: "unknown kind"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/pool.go
@@ -0,0 +1,201 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// PoolOptions configure a Pool; zero values take the defaults.
+type PoolOptions struct {
+	// Key is the cluster key.
+	Key []byte
+	// Node names the calling process to its peers.
+	Node string
+	// IdleTimeout closes a connection without exchanges.
+	IdleTimeout time.Duration
+	// DialTimeout bounds connecting and the handshake.
+	DialTimeout time.Duration
+	// Dial opens a connection; it is net.Dialer over TCP by default.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (o *PoolOptions) fill() {
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.Dial == nil {
+		dialer := &net.Dialer{}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+}
+
+// Pool calls peers, one connection an address, opened on demand.
+type Pool struct {
+	options  PoolOptions
+	counters Counters
+	routines sync.WaitGroup
+
+	mutex    sync.Mutex
+	slots    map[string]*slot
+	onBroken []func(address string)
+	closed   bool
+}
+
+// slot holds the connection to one address; its mutex makes concurrent callers share one dial.
+type slot struct {
+	mutex      sync.Mutex
+	connection *clientConnection
+}
+
+// NewPool makes an empty pool.
+func NewPool(options PoolOptions) *Pool {
+	options.fill()
+	return &Pool{options: options, slots: make(map[string]*slot)}
+}
+
+// Counters counts the traffic of all connections of the pool.
+func (p *Pool) Counters() *Counters { return &p.counters }
+
+// OnBroken registers a function that is told the address of each connection
+// that broke while it was in use or whose peer fell silent. It must not block.
+func (p *Pool) OnBroken(notify func(address string)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.onBroken = append(p.onBroken, notify)
+}
+
+// Call implements Caller.
+func (p *Pool) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	if _, has := ctx.Deadline(); !has {
+		bounded, cancel := context.WithTimeout(ctx, defaultCallDeadline)
+		defer cancel()
+		ctx = bounded
+	}
+	stream, err := p.Open(ctx, address, request)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	answer, err := stream.Receive()
+	if errors.Is(err, io.EOF) {
+		return nil, &EmptyAnswerError{Address: address}
+	}
+	return answer, err
+}
+
+// Open implements Caller.
+func (p *Pool) Open(ctx context.Context, address string, request *protocol.Request) (Stream, error) {
+	connection, err := p.connect(ctx, address)
+	if err != nil {
+		return nil, &NotSentError{Address: address, Cause: err}
+	}
+	opened, err := connection.begin(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return opened, nil
+}
+
+func (p *Pool) slot(address string) (*slot, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return nil, &ClosedError{}
+	}
+	s := p.slots[address]
+	if s == nil {
+		s = &slot{}
+		p.slots[address] = s
+	}
+	return s, nil
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*clientConnection, error) {
+	s, err := p.slot(address)
+	if err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.connection != nil {
+		return s.connection, nil
+	}
+	connection, err := dial(ctx, address, p.options, &p.counters)
+	if err != nil {
+		return nil, err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		_ = connection.connection.Close()
+		return nil, &ClosedError{}
+	}
+	s.connection = connection
+	p.routines.Add(3)
+	go p.runReader(s, connection)
+	go p.runWriter(connection)
+	go func() {
+		defer p.routines.Done()
+		connection.watch(p.options.IdleTimeout)
+	}()
+	return connection, nil
+}
+
+func (p *Pool) runWriter(connection *clientConnection) {
+	defer p.routines.Done()
+	if err := connection.writer.run(connection.done); err != nil {
+		connection.breakWith(err)
+	}
+}
+
+func (p *Pool) runReader(s *slot, connection *clientConnection) {
+	defer p.routines.Done()
+	connection.breakWith(connection.read())
+	s.mutex.Lock()
+	if s.connection == connection {
+		s.connection = nil
+	}
+	s.mutex.Unlock()
+	connection.mutex.Lock()
+	cause := connection.broken
+	connection.mutex.Unlock()
+	if errors.Is(cause, errIdle) || errors.HasType(cause, (*ClosedError)(nil)) {
+		return
+	}
+	p.mutex.Lock()
+	notify := p.onBroken
+	p.mutex.Unlock()
+	for _, each := range notify {
+		each(connection.address)
+	}
+}
+
+// Close breaks all connections and waits for their goroutines.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	p.closed = true
+	slots := p.slots
+	p.slots = make(map[string]*slot)
+	p.mutex.Unlock()
+	for _, s := range slots {
+		s.mutex.Lock()
+		connection := s.connection
+		s.mutex.Unlock()
+		if connection != nil {
+			connection.breakWith(&ClosedError{})
+		}
+	}
+	p.routines.Wait()
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,254 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// serverSilence closes connections of peers that neither ask nor ping; it is longer than any pool's idle time.
+const serverSilence = 150 * time.Second
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	// Key is the cluster key.
+	Key []byte
+	// OnRefused is told of each connection whose handshake failed.
+	OnRefused func(remote net.Addr, err error)
+}
+
+// Server serves the connections of one listener.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	options  ServerOptions
+	counters Counters
+	ctx      context.Context
+	cancel   context.CancelFunc
+	routines sync.WaitGroup
+
+	mutex       sync.Mutex
+	connections map[net.Conn]struct{}
+	closed      bool
+}
+
+// NewServer makes a server that Start sets going.
+func NewServer(listener net.Listener, handler Handler, options ServerOptions) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		listener:    listener,
+		handler:     handler,
+		options:     options,
+		ctx:         ctx,
+		cancel:      cancel,
+		connections: make(map[net.Conn]struct{}),
+	}
+}
+
+// Counters counts the traffic of all connections of the server.
+func (s *Server) Counters() *Counters { return &s.counters }
+
+// Start accepts connections in the background until Close.
+func (s *Server) Start() {
+	s.routines.Add(1)
+	go func() {
+		defer s.routines.Done()
+		for {
+			connection, err := s.listener.Accept()
+			if err != nil {
+				if s.ctx.Err() != nil {
+					return
+				}
+				continue
+			}
+			if !s.track(connection) {
+				return
+			}
+			go s.serveConnection(connection)
+		}
+	}()
+}
+
+func (s *Server) track(connection net.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		_ = connection.Close()
+		return false
+	}
+	s.connections[connection] = struct{}{}
+	s.routines.Add(1)
+	return true
+}
+
+func (s *Server) untrack(connection net.Conn) {
+	_ = connection.Close()
+	s.mutex.Lock()
+	delete(s.connections, connection)
+	s.mutex.Unlock()
+	s.routines.Done()
+}
+
+// Close stops accepting, cancels the requests under way and waits for their handlers.
+func (s *Server) Close() {
+	s.mutex.Lock()
+	s.closed = true
+	for connection := range s.connections {
+		_ = connection.Close()
+	}
+	s.mutex.Unlock()
+	s.cancel()
+	_ = s.listener.Close()
+	s.routines.Wait()
+}
+
+func (s *Server) serveConnection(connection net.Conn) {
+	defer s.untrack(connection)
+	reader := bufio.NewReaderSize(&countingReader{connection: connection, counters: &s.counters}, readBufferBytes)
+	if _, err := shakeAsServer(connection, reader, s.options.Key); err != nil {
+		if s.options.OnRefused != nil {
+			s.options.OnRefused(connection.RemoteAddr(), err)
+		}
+		return
+	}
+	served := newServedConnection(s, connection)
+	defer served.finish()
+	served.read(reader)
+}
+
+// servedConnection is the serving side of one connection.
+type servedConnection struct {
+	server     *Server
+	connection net.Conn
+	writer     *frameWriter
+	ctx        context.Context
+	cancel     context.CancelFunc
+	routines   sync.WaitGroup
+
+	mutex   sync.Mutex
+	cancels map[uint64]context.CancelFunc
+}
+
+func newServedConnection(server *Server, connection net.Conn) *servedConnection {
+	ctx, cancel := context.WithCancel(server.ctx)
+	served := &servedConnection{
+		server:     server,
+		connection: connection,
+		writer:     newFrameWriter(connection, &server.counters),
+		ctx:        ctx,
+		cancel:     cancel,
+		cancels:    make(map[uint64]context.CancelFunc),
+	}
+	served.routines.Add(1)
+	go func() {
+		defer served.routines.Done()
+		if err := served.writer.run(ctx.Done()); err != nil {
+			served.writer.fail(err)
+			_ = connection.Close()
+		}
+	}()
+	return served
+}
+
+// finish cancels the handlers of the connection and waits for them.
+func (c *servedConnection) finish() {
+	c.writer.fail(&ClosedError{})
+	_ = c.connection.Close()
+	c.cancel()
+	c.routines.Wait()
+}
+
+func (c *servedConnection) read(reader *bufio.Reader) {
+	for {
+		if err := c.connection.SetReadDeadline(time.Now().Add(serverSilence)); err != nil {
+			return
+		}
+		frame := &protocol.Frame{}
+		if err := readMessage(reader, MaxFrameBytes, frame); err != nil {
+			return
+		}
+		if err := validateFrame(frame); err != nil {
+			return
+		}
+		if !c.dispatch(frame) {
+			return
+		}
+	}
+}
+
+func (c *servedConnection) dispatch(frame *protocol.Frame) bool {
+	switch frame.GetKind() {
+	case protocol.FrameKind_FRAME_PING:
+		return c.writer.write(frame) == nil
+	case protocol.FrameKind_FRAME_CANCEL:
+		c.mutex.Lock()
+		cancel := c.cancels[frame.GetId()]
+		c.mutex.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+		return true
+	case protocol.FrameKind_FRAME_REQUEST:
+		return c.begin(frame)
+	default:
+		return false
+	}
+}
+
+func (c *servedConnection) begin(frame *protocol.Frame) bool {
+	id := frame.GetId()
+	c.mutex.Lock()
+	_, repeated := c.cancels[id]
+	full := len(c.cancels) >= maxConcurrentPerConnection
+	c.mutex.Unlock()
+	if repeated {
+		return false
+	}
+	if full {
+		refusal := failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, "too many requests on one connection",
+			failure.WithRetryAfter(time.Second))
+		return c.end(id, refusal) == nil
+	}
+	ctx, cancel := c.requestContext(frame)
+	c.mutex.Lock()
+	c.cancels[id] = cancel
+	c.mutex.Unlock()
+	c.routines.Add(1)
+	go c.serve(ctx, cancel, id, frame.GetRequest())
+	return true
+}
+
+func (c *servedConnection) requestContext(frame *protocol.Frame) (context.Context, context.CancelFunc) {
+	if left := frame.GetTimeLeftMillis(); left > 0 {
+		return context.WithTimeout(c.ctx, time.Duration(left)*time.Millisecond)
+	}
+	return context.WithCancel(c.ctx)
+}
+
+func (c *servedConnection) serve(ctx context.Context, cancel context.CancelFunc, id uint64, request *protocol.Request) {
+	defer c.routines.Done()
+	defer cancel()
+	err := c.server.handler.Serve(ctx, request, func(response *protocol.Response) error {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		return c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_RESPONSE, Id: id, Response: response})
+	})
+	c.mutex.Lock()
+	delete(c.cancels, id)
+	c.mutex.Unlock()
+	_ = c.end(id, err)
+}
+
+func (c *servedConnection) end(id uint64, err error) error {
+	frame := &protocol.Frame{Kind: protocol.FrameKind_FRAME_END, Id: id}
+	if err != nil {
+		frame.Failure = failure.From(err)
+	}
+	return c.writer.write(frame)
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,247 @@
+package wire_test
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type handlerFunc func(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error
+
+func (f handlerFunc) Serve(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+	return f(ctx, request, send)
+}
+
+var testKey = []byte("a key of the test cluster")
+
+func startServer(t *testing.T, handler wire.Handler) (address string, server *wire.Server) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server = wire.NewServer(listener, handler, wire.ServerOptions{Key: testKey})
+	server.Start()
+	t.Cleanup(server.Close)
+	return listener.Addr().String(), server
+}
+
+func startPool(t *testing.T, key []byte) *wire.Pool {
+	t.Helper()
+	pool := wire.NewPool(wire.PoolOptions{Key: key, Node: "test"})
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func explain(id string) *protocol.Request {
+	return &protocol.Request{Body: &protocol.Request_Explain{Explain: &protocol.ExplainRequest{RequestId: id}}}
+}
+
+func explained(id string) *protocol.Response {
+	return &protocol.Response{Body: &protocol.Response_Explain{Explain: &protocol.ExplainResponse{
+		Explanations: []*protocol.Explanation{{RequestId: id}},
+	}}}
+}
+
+func echo(_ context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+	return send(explained(request.GetExplain().GetRequestId()))
+}
+
+func TestConcurrentCallsGetTheirOwnAnswers(t *testing.T) {
+	address, _ := startServer(t, handlerFunc(echo))
+	pool := startPool(t, testKey)
+	failures := make(chan error, 200)
+	for i := range 200 {
+		go func() {
+			id := string(rune('a'+i%26)) + time.Duration(i).String()
+			answer, err := pool.Call(context.Background(), address, explain(id))
+			if err == nil && answer.GetExplain().GetExplanations()[0].GetRequestId() != id {
+				err = errors.New("answers crossed")
+			}
+			failures <- err
+		}()
+	}
+	for range 200 {
+		if err := <-failures; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestStreamsKeepTheirOrderAndEnd(t *testing.T) {
+	address, _ := startServer(t, handlerFunc(func(_ context.Context, _ *protocol.Request, send func(*protocol.Response) error) error {
+		for i := range 1000 {
+			if err := send(explained(time.Duration(i).String())); err != nil {
+				return err
+			}
+		}
+		return nil
+	}))
+	stream, err := startPool(t, testKey).Open(context.Background(), address, explain("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	for i := range 1000 {
+		answer, err := stream.Receive()
+		if err != nil || answer.GetExplain().GetExplanations()[0].GetRequestId() != time.Duration(i).String() {
+			t.Fatalf("answer %d: %v %v", i, answer, err)
+		}
+	}
+	if _, err := stream.Receive(); !errors.Is(err, io.EOF) {
+		t.Fatalf("expected the end, got %v", err)
+	}
+}
+
+func TestFailuresKeepTheirType(t *testing.T) {
+	address, _ := startServer(t, handlerFunc(func(context.Context, *protocol.Request, func(*protocol.Response) error) error {
+		return failure.New(failure.NotLeader, protocol.Outcome_NOT_RUN, "ask another")
+	}))
+	_, err := startPool(t, testKey).Call(context.Background(), address, explain("x"))
+	if !failure.Is(err, failure.NotLeader) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestClosingAStreamCancelsTheHandler(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	address, _ := startServer(t, handlerFunc(func(ctx context.Context, _ *protocol.Request, _ func(*protocol.Response) error) error {
+		close(began)
+		<-ctx.Done()
+		close(ended)
+		return ctx.Err()
+	}))
+	stream, err := startPool(t, testKey).Open(context.Background(), address, explain("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	stream.Close()
+	<-ended
+}
+
+func TestABrokenConnectionIsNotMistakenForARefusal(t *testing.T) {
+	began := make(chan struct{})
+	address, server := startServer(t, handlerFunc(func(ctx context.Context, _ *protocol.Request, _ func(*protocol.Response) error) error {
+		close(began)
+		<-ctx.Done()
+		return ctx.Err()
+	}))
+	pool := startPool(t, testKey)
+	told := make(chan string, 1)
+	pool.OnBroken(func(broken string) { told <- broken })
+	stream, err := pool.Open(context.Background(), address, explain("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	server.Close()
+	var broken *wire.BrokenError
+	if _, err := stream.Receive(); !errors.As(err, &broken) {
+		t.Fatalf("got %v", err)
+	}
+	if got := <-told; got != address {
+		t.Fatalf("told of %s", got)
+	}
+	var notSent *wire.NotSentError
+	if _, err := pool.Call(context.Background(), address, explain("y")); !errors.As(err, &notSent) {
+		t.Fatalf("a dead peer gave %v", err)
+	}
+}
+
+func TestAWrongKeyIsRefusedInBothDirections(t *testing.T) {
+	served := false
+	address, _ := startServer(t, handlerFunc(func(context.Context, *protocol.Request, func(*protocol.Response) error) error {
+		served = true
+		return nil
+	}))
+	var notSent *wire.NotSentError
+	if _, err := startPool(t, []byte("another")).Call(context.Background(), address, explain("x")); !errors.As(err, &notSent) {
+		t.Fatalf("got %v", err)
+	}
+	if served {
+		t.Fatal("a request was served without the key")
+	}
+}
+
+// record keeps what a client sent, so that it can be replayed.
+type record struct {
+	net.Conn
+	sent []byte
+}
+
+func (r *record) Write(data []byte) (int, error) {
+	r.sent = append(r.sent, data...)
+	return r.Conn.Write(data)
+}
+
+func TestReplayedTruncatedAndOversizedBytesServeNothing(t *testing.T) {
+	count := 0
+	address, server := startServer(t, handlerFunc(func(_ context.Context, _ *protocol.Request, send func(*protocol.Response) error) error {
+		count++
+		return send(explained("x"))
+	}))
+	var recorded *record
+	pool := wire.NewPool(wire.PoolOptions{Key: testKey, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		recorded = &record{Conn: connection}
+		return recorded, err
+	}})
+	if _, err := pool.Call(context.Background(), address, explain("x")); err != nil {
+		t.Fatal(err)
+	}
+	pool.Close()
+	oversized := binary.BigEndian.AppendUint32(nil, 1<<31)
+	for name, bytes := range map[string][]byte{
+		"replayed": recorded.sent, "truncated": recorded.sent[:20], "oversized": oversized, "empty": nil,
+	} {
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := connection.Write(bytes); err != nil {
+			t.Fatal(err)
+		}
+		if err := connection.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, connection)
+		_ = connection.Close()
+		if count != 1 {
+			t.Fatalf("%s bytes were served", name)
+		}
+	}
+	server.Close()
+}
+
+func TestADeadlineTravelsWithTheRequest(t *testing.T) {
+	left := make(chan time.Duration, 1)
+	address, _ := startServer(t, handlerFunc(func(ctx context.Context, _ *protocol.Request, send func(*protocol.Response) error) error {
+		deadline, has := ctx.Deadline()
+		if !has {
+			return errors.New("no deadline")
+		}
+		left <- time.Until(deadline)
+		return send(explained("x"))
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := startPool(t, testKey).Call(ctx, address, explain("x")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-left; got > time.Minute+time.Second || got <= 0 {
+		t.Fatalf("deadline arrived as %v", got)
+	}
+}
--- /dev/null
+++ b/internal/wire/writer.go
@@ -0,0 +1,114 @@
+package wire
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Counters count the traffic of a pool or server, in bytes and frames.
+type Counters struct {
+	SentBytes     atomic.Uint64
+	ReceivedBytes atomic.Uint64
+	SentFrames    atomic.Uint64
+}
+
+// frameWriter gathers the frames of all exchanges on a connection and writes
+// what has gathered in one call, so that many small frames cost one system call.
+type frameWriter struct {
+	connection net.Conn
+	counters   *Counters
+
+	mutex   sync.Mutex
+	pending []byte
+	spare   []byte
+	failed  error
+	wake    chan struct{}
+}
+
+func newFrameWriter(connection net.Conn, counters *Counters) *frameWriter {
+	return &frameWriter{connection: connection, counters: counters, wake: make(chan struct{}, 1)}
+}
+
+// write queues one frame. It fails when the connection is broken or the peer
+// reads so slowly that maxPendingBytes wait.
+func (w *frameWriter) write(message proto.Message) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.failed != nil {
+		return w.failed
+	}
+	if len(w.pending) > maxPendingBytes {
+		return &FrameError{Reason: "peer reads too slowly"}
+	}
+	extended, err := appendFrame(w.pending, message)
+	if err != nil {
+		return err
+	}
+	w.pending = extended
+	w.counters.SentFrames.Add(1)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// run writes until the connection fails or done is closed.
+func (w *frameWriter) run(done <-chan struct{}) error {
+	for {
+		select {
+		case <-done:
+			return nil
+		case <-w.wake:
+		}
+		if err := w.flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func (w *frameWriter) flush() error {
+	w.mutex.Lock()
+	batch := w.pending
+	w.pending = w.spare[:0]
+	w.spare = nil
+	w.mutex.Unlock()
+	if len(batch) > 0 {
+		if err := w.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := w.connection.Write(batch); err != nil {
+			return err
+		}
+		w.counters.SentBytes.Add(uint64(len(batch)))
+	}
+	w.mutex.Lock()
+	w.spare = batch
+	w.mutex.Unlock()
+	return nil
+}
+
+// fail makes every later write return err.
+func (w *frameWriter) fail(err error) {
+	w.mutex.Lock()
+	if w.failed == nil {
+		w.failed = err
+	}
+	w.mutex.Unlock()
+}
+
+// countingReader counts what is read from a connection.
+type countingReader struct {
+	connection net.Conn
+	counters   *Counters
+}
+
+func (r *countingReader) Read(buffer []byte) (int, error) {
+	count, err := r.connection.Read(buffer)
+	r.counters.ReceivedBytes.Add(uint64(count))
+	return count, err
+}
