Serve on after a handler's panic; wait after a failed accept

Cause: a panic in a handler of the internal protocol ended the process, and a listener out of file descriptors spun. Both were found by reading; the two tests failed (crash, endless loop) before the change and pass after it: go test -race ./internal/wire (ok).

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
@@ -14,12 +18,17 @@
 // serverSilence closes connections of peers that neither ask nor ping; it is longer than any pool's idle time.
 const serverSilence = 150 * time.Second
 
+// acceptPause is the wait after an accept that failed.
+const acceptPause = 50 * time.Millisecond
+
 // ServerOptions configure a Server.
 type ServerOptions struct {
 	// Key is the cluster key.
 	Key []byte
 	// OnRefused is told of each connection whose handshake failed.
 	OnRefused func(remote net.Addr, err error)
+	// OnPanic is told of each handler that panicked, with its stack.
+	OnPanic func(recovered any, stack []byte)
 }
 
 // Server serves the connections of one listener.
@@ -61,7 +70,7 @@
 		for {
 			connection, err := s.listener.Accept()
 			if err != nil {
-				if s.ctx.Err() != nil {
+				if !s.pauseAfter(err) {
 					return
 				}
 				continue
@@ -74,6 +83,22 @@
 	}()
 }
 
+// pauseAfter waits a moment after a failed accept, as when file descriptors have
+// run out; it reports false once the server or its listener was closed.
+func (s *Server) pauseAfter(err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	pause := time.NewTimer(acceptPause)
+	defer pause.Stop()
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-pause.C:
+		return true
+	}
+}
+
 func (s *Server) track(connection net.Conn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -233,16 +258,31 @@
 func (c *servedConnection) serve(ctx context.Context, cancel context.CancelFunc, id uint64, request *protocol.Request) {
 	defer c.routines.Done()
 	defer cancel()
-	err := c.server.handler.Serve(ctx, request, func(response *protocol.Response) error {
+	err := c.handle(ctx, id, request)
+	c.mutex.Lock()
+	delete(c.cancels, id)
+	c.mutex.Unlock()
+	_ = c.end(id, err)
+}
+
+// handle runs the handler; a panic ends this one exchange with an internal
+// error whose outcome is unknown, and no other exchange of the process.
+func (c *servedConnection) handle(ctx context.Context, id uint64, request *protocol.Request) (err error) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			c.server.counters.Panics.Add(1)
+			err = failure.New(failure.InternalError, protocol.Outcome_UNKNOWN, fmt.Sprint("handler panicked: ", recovered))
+			if c.server.options.OnPanic != nil {
+				c.server.options.OnPanic(recovered, debug.Stack())
+			}
+		}
+	}()
+	return c.server.handler.Serve(ctx, request, func(response *protocol.Response) error {
 		if err := ctx.Err(); err != nil {
 			return err
 		}
 		return c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_RESPONSE, Id: id, Response: response})
 	})
-	c.mutex.Lock()
-	delete(c.cancels, id)
-	c.mutex.Unlock()
-	_ = c.end(id, err)
 }
 
 func (c *servedConnection) end(id uint64, err error) error {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -245,3 +245,49 @@
 		t.Fatalf("deadline arrived as %v", got)
 	}
 }
+
+func TestAPanickingHandlerEndsOnlyItsOwnExchange(t *testing.T) {
+	address, server := startServer(t, handlerFunc(func(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+		if request.GetExplain().GetRequestId() == "bad" {
+			panic("a fault in the handler")
+		}
+		return echo(ctx, request, send)
+	}))
+	pool := startPool(t, testKey)
+	_, err := pool.Call(context.Background(), address, explain("bad"))
+	if !failure.Is(err, failure.InternalError) || failure.From(err).GetOutcome() != protocol.Outcome_UNKNOWN {
+		t.Fatalf("got %v", err)
+	}
+	if _, err := pool.Call(context.Background(), address, explain("good")); err != nil {
+		t.Fatal(err)
+	}
+	if server.Counters().Panics.Load() != 1 {
+		t.Fatal("the panic was not counted")
+	}
+}
+
+// exhaustedListener fails to accept for ever, as when file descriptors have run out.
+type exhaustedListener struct {
+	net.Listener
+	tries chan struct{}
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	select {
+	case l.tries <- struct{}{}:
+	default:
+	}
+	return nil, errors.New("too many open files")
+}
+
+func TestAListenerThatFailsForEverStillCloses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	exhausted := &exhaustedListener{Listener: listener, tries: make(chan struct{}, 1)}
+	server := wire.NewServer(exhausted, handlerFunc(echo), wire.ServerOptions{Key: testKey})
+	server.Start()
+	<-exhausted.tries
+	server.Close()
+}
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -14,6 +14,8 @@
 	SentBytes     atomic.Uint64
 	ReceivedBytes atomic.Uint64
 	SentFrames    atomic.Uint64
+	// Panics counts handlers that panicked; a pool has none.
+	Panics atomic.Uint64
 }
 
 // frameWriter gathers the frames of all exchanges on a connection and writes
