--- /dev/null
+++ b/internal/storage/errors.go
@@ -0,0 +1,84 @@
+package storage
+
+import (
+	"fmt"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// CorruptError reports that data which had been durable is damaged or absent.
+// The folder must not be used further: the process rebuilds from its replicas.
+type CorruptError struct {
+	Path   string
+	Offset int64
+	Reason string
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("storage: %s is corrupt at byte %d: %s", e.Path, e.Offset, e.Reason)
+}
+
+// FailedError reports a write or sync that failed. The log that returned it
+// returns it for ever: what was written since the last good Sync may be lost,
+// and trying again could report success without it.
+type FailedError struct {
+	Operation string
+	Path      string
+	Cause     error
+}
+
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("storage: %s %s failed: %v", e.Operation, e.Path, e.Cause)
+}
+
+// Unwrap returns the error of the file system.
+func (e *FailedError) Unwrap() error { return e.Cause }
+
+// DiskFull says whether the cause was a lack of room.
+func (e *FailedError) DiskFull() bool {
+	return errors.Is(e.Cause, syscall.ENOSPC) || errors.Is(e.Cause, syscall.EDQUOT)
+}
+
+// RecordSizeError reports a record that is empty or over LogOptions.MaximumRecordBytes. Nothing was written.
+type RecordSizeError struct {
+	Size    int
+	Maximum int
+}
+
+func (e *RecordSizeError) Error() string {
+	return fmt.Sprintf("storage: record of %d bytes, 1 to %d allowed", e.Size, e.Maximum)
+}
+
+// PositionError reports a position that names no record of the log.
+type PositionError struct {
+	Position Position
+}
+
+func (e *PositionError) Error() string {
+	return fmt.Sprintf("storage: no record at segment %d byte %d", e.Position.Segment, e.Position.Offset)
+}
+
+// ClosedError reports the use of a closed log or group committer.
+type ClosedError struct{}
+
+func (e *ClosedError) Error() string { return "storage: closed" }
+
+// QueueFullError reports that too many bytes wait for a sync. Nothing was written.
+type QueueFullError struct {
+	PendingBytes int
+	Maximum      int
+}
+
+func (e *QueueFullError) Error() string {
+	return fmt.Sprintf("storage: %d bytes wait for a sync, limit %d", e.PendingBytes, e.Maximum)
+}
+
+// FolderLockedError reports that another process uses the data folder.
+type FolderLockedError struct {
+	Path string
+}
+
+func (e *FolderLockedError) Error() string {
+	return fmt.Sprintf("storage: folder %s is used by another process", e.Path)
+}
--- /dev/null
+++ b/internal/storage/folderlock.go
@@ -0,0 +1,34 @@
+package storage
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// LockFileName is the name of the lock file in a data folder.
+const LockFileName = "lock"
+
+// LockFolder takes the data folder at path, made if absent, for this process. The lock ends
+// with Close or with the process. It returns *FolderLockedError when another process holds it.
+func LockFolder(path string) (io.Closer, error) {
+	if err := (OSFilesystem{}).MakeFolder(path); err != nil {
+		return nil, err
+	}
+	file, err := os.OpenFile(filepath.Join(path, LockFileName), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	err = unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	if err == nil {
+		return file, nil
+	}
+	closeErr := file.Close()
+	if errors.Is(err, unix.EWOULDBLOCK) {
+		return nil, &FolderLockedError{Path: path}
+	}
+	return nil, errors.WithStack(errors.CombineErrors(err, closeErr))
+}
--- /dev/null
+++ b/internal/storage/groupcommit_test.go
@@ -0,0 +1,88 @@
+package storage_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+var _ = Describe("GroupCommitter", func() {
+	It("given many writers, then all records are durable and syncs are shared", func() {
+		disk := newDisk(1)
+		log := open(disk, storage.LogOptions{SegmentBytes: 4000})
+		shared := 0
+		committer := storage.NewGroupCommitter(log, storage.GroupCommitterOptions{OnSync: func(requests int) {
+			shared = max(shared, requests)
+		}})
+		var writers sync.WaitGroup
+		for writer := range 64 {
+			writers.Go(func() {
+				defer GinkgoRecover()
+				for number := range 20 {
+					record := payload(writer*100 + number)
+					positions, err := committer.Append(context.Background(), record, []byte("second"))
+					Expect(err).NotTo(HaveOccurred())
+					Expect(log.Read(positions[0])).To(Equal(record))
+				}
+			})
+		}
+		writers.Wait()
+		committer.Close()
+		Expect(shared).To(BeNumerically(">", 1))
+		disk.LosePower()
+		Expect(replayed(open(disk, storage.LogOptions{}))).To(HaveLen(64 * 20 * 2))
+	})
+
+	It("given a failed sync, then all that wait and all that come later hear of it", func() {
+		disk := newDisk(1)
+		committer := storage.NewGroupCommitter(open(disk, storage.LogOptions{}), storage.GroupCommitterOptions{})
+		disk.FailSyncs(0, 1)
+		var failed *storage.FailedError
+		for range 3 {
+			_, err := committer.Append(context.Background(), []byte("x"))
+			Expect(errors.As(err, &failed)).To(BeTrue())
+		}
+		committer.Close()
+		_, err := committer.Append(context.Background(), []byte("x"))
+		Expect(err).To(BeAssignableToTypeOf(&storage.ClosedError{}))
+	})
+
+	It("given a request with one wrong record, then none of it is written and others go on", func() {
+		disk := newDisk(1)
+		log := open(disk, storage.LogOptions{})
+		committer := storage.NewGroupCommitter(log, storage.GroupCommitterOptions{})
+		_, err := committer.Append(context.Background(), []byte("a"), nil)
+		Expect(err).To(BeAssignableToTypeOf(&storage.RecordSizeError{}))
+		_, err = committer.Append(context.Background(), []byte("b"))
+		Expect(err).NotTo(HaveOccurred())
+		committer.Close()
+		Expect(replayed(log)).To(Equal([]string{"b"}))
+	})
+
+	It("given more pending bytes than allowed, then refuses at once", func() {
+		disk := newDisk(1)
+		release := make(chan struct{})
+		entered := make(chan struct{}, 8)
+		committer := storage.NewGroupCommitter(open(disk, storage.LogOptions{}), storage.GroupCommitterOptions{
+			MaximumPendingBytes: 10,
+			OnSync:              func(int) { entered <- struct{}{}; <-release },
+		})
+		ignore := func([]storage.Position, error) {}
+		committer.AppendAsync([][]byte{[]byte("held")}, ignore)
+		<-entered
+		committer.AppendAsync([][]byte{[]byte("12345678")}, ignore)
+		_, err := committer.Append(context.Background(), []byte("12345678"))
+		Expect(err).To(BeAssignableToTypeOf(&storage.QueueFullError{}))
+		cancelled, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = committer.Append(cancelled, []byte("1"))
+		Expect(err).To(MatchError(context.Canceled))
+		close(release)
+		committer.Close()
+	})
+})
--- /dev/null
+++ b/internal/storage/identity.go
@@ -0,0 +1,144 @@
+package storage
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+const (
+	identityName      = "identity"
+	maximumIdentity   = 1 << 10
+	identityBodyStart = "rosestand-identity 1\nid %s\nstarts %d\n"
+	identityFormat    = identityBodyStart + "crc %08x\n"
+)
+
+// Identity tells one life of a data folder from another.
+type Identity struct {
+	// StorageID is made once for an empty folder. A process whose folder was emptied has another one.
+	StorageID string
+	// Fresh is true when this start made the StorageID: the process remembers no vote and no promise.
+	Fresh bool
+	// Starts counts the starts on this folder, this one included. It is durable before OpenIdentity returns.
+	Starts uint64
+}
+
+// OpenIdentity reads the identity of a data folder, or makes one with a random StorageID for a folder without log and
+// snapshots, and counts the start. It returns *CorruptError when the identity is damaged, or
+// absent although data is there.
+func OpenIdentity(filesystem Filesystem, folder string) (Identity, error) {
+	return OpenIdentityWith(filesystem, folder, uuid.NewString)
+}
+
+// OpenIdentityWith is OpenIdentity with a given source of StorageIDs, for repeatable simulations.
+func OpenIdentityWith(filesystem Filesystem, folder string, newStorageID func() string) (Identity, error) {
+	if err := filesystem.MakeFolder(folder); err != nil {
+		return Identity{}, err
+	}
+	identity, found, err := readIdentity(filesystem, folder)
+	if err != nil {
+		return Identity{}, err
+	}
+	if !found {
+		if err := requireNoData(filesystem, folder, true); err != nil {
+			return Identity{}, err
+		}
+		identity = Identity{StorageID: newStorageID(), Fresh: true}
+	}
+	identity.Starts++
+	return identity, writeIdentity(filesystem, folder, identity)
+}
+
+func readIdentity(filesystem Filesystem, folder string) (Identity, bool, error) {
+	path := filepath.Join(folder, identityName)
+	file, err := filesystem.Open(path)
+	if isAbsent(err) {
+		return Identity{}, false, nil
+	}
+	if err != nil {
+		return Identity{}, false, err
+	}
+	content, err := readWhole(file, maximumIdentity)
+	if err := errors.CombineErrors(err, file.Close()); err != nil {
+		return Identity{}, false, err
+	}
+	identity, valid := parseIdentity(string(content))
+	if !valid {
+		return Identity{}, false, &CorruptError{Path: path, Reason: "identity is damaged"}
+	}
+	return identity, true, nil
+}
+
+func readWhole(file File, maximum int64) ([]byte, error) {
+	size, err := file.Size()
+	if err != nil {
+		return nil, err
+	}
+	content := make([]byte, min(size, maximum))
+	if len(content) == 0 {
+		return content, nil
+	}
+	_, err = file.ReadAt(content, 0)
+	return content, errors.WithStack(err)
+}
+
+func parseIdentity(content string) (Identity, bool) {
+	var identity Identity
+	var sum uint32
+	if _, err := fmt.Sscanf(content, identityFormat, &identity.StorageID, &identity.Starts, &sum); err != nil {
+		return Identity{}, false
+	}
+	return identity, content == formatIdentity(identity)
+}
+
+func formatIdentity(identity Identity) string {
+	body := fmt.Sprintf(identityBodyStart, identity.StorageID, identity.Starts)
+	return body + fmt.Sprintf("crc %08x\n", checksum([]byte(body)))
+}
+
+func writeIdentity(filesystem Filesystem, folder string, identity Identity) error {
+	path := filepath.Join(folder, identityName)
+	temporary := path + temporarySuffix
+	file, err := filesystem.Create(temporary)
+	if err != nil {
+		return &FailedError{Operation: "create", Path: temporary, Cause: err}
+	}
+	_, err = file.WriteAt([]byte(formatIdentity(identity)), 0)
+	if err == nil {
+		err = file.Sync()
+	}
+	err = errors.CombineErrors(err, file.Close())
+	if err == nil {
+		err = filesystem.Rename(temporary, path)
+	}
+	if err == nil {
+		err = filesystem.SyncFolder(folder)
+	}
+	if err != nil {
+		return &FailedError{Operation: "write", Path: path, Cause: err}
+	}
+	return nil
+}
+
+// requireNoData returns *CorruptError when the folder, or one right under it, holds segments or snapshots.
+func requireNoData(filesystem Filesystem, folder string, descend bool) error {
+	entries, err := filesystem.List(folder)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		path := filepath.Join(folder, entry.Name)
+		if entry.Folder && descend {
+			if err := requireNoData(filesystem, path, false); err != nil {
+				return err
+			}
+		}
+		if strings.HasSuffix(entry.Name, segmentSuffix) || strings.HasSuffix(entry.Name, snapshotSuffix) {
+			return &CorruptError{Path: path, Reason: "data without an identity file"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/logopen.go
@@ -0,0 +1,228 @@
+package storage
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const segmentSuffix = ".log"
+
+func segmentName(number uint64) string { return fmt.Sprintf("%016x%s", number, segmentSuffix) }
+
+// OpenLog opens the log in a folder, made if absent. It cuts a torn tail, which only records that were
+// never synced can be part of, and returns *CorruptError when a durable record is damaged or
+// a segment is absent. What it leaves is synced, so a record once replayed stays.
+func OpenLog(filesystem Filesystem, folder string, options LogOptions) (*Log, error) {
+	log := &Log{filesystem: filesystem, folder: folder, options: options.withDefaults()}
+	if err := filesystem.MakeFolder(folder); err != nil {
+		return nil, err
+	}
+	numbers, err := listNumbered(filesystem, folder, segmentSuffix)
+	if err != nil {
+		return nil, err
+	}
+	if err := log.openSegments(numbers); err != nil {
+		return nil, errors.CombineErrors(err, log.Close())
+	}
+	return log, nil
+}
+
+// listNumbered returns the ascending numbers of the files named by a number and the suffix.
+func listNumbered(filesystem Filesystem, folder, suffix string) ([]uint64, error) {
+	entries, err := filesystem.List(folder)
+	if err != nil {
+		return nil, err
+	}
+	var numbers []uint64
+	for _, entry := range entries {
+		digits, found := strings.CutSuffix(entry.Name, suffix)
+		if !found || entry.Folder || len(digits) != 16 {
+			continue
+		}
+		number, err := strconv.ParseUint(digits, 16, 64)
+		if err != nil {
+			continue
+		}
+		numbers = append(numbers, number)
+	}
+	return numbers, nil
+}
+
+func (l *Log) openSegments(numbers []uint64) error {
+	for place, number := range numbers {
+		if place > 0 && number != numbers[place-1]+1 {
+			missing := filepath.Join(l.folder, segmentName(numbers[place-1]+1))
+			return &CorruptError{Path: missing, Reason: "segment is absent"}
+		}
+		if err := l.openSegment(number, place == len(numbers)-1); err != nil {
+			return err
+		}
+	}
+	if len(l.segments) == 0 {
+		return l.addSegment(1)
+	}
+	newest := l.newest()
+	if err := newest.file.Sync(); err != nil {
+		return l.fail("sync", newest.path, err)
+	}
+	if err := l.filesystem.SyncFolder(l.folder); err != nil {
+		return l.fail("sync folder of", newest.path, err)
+	}
+	return nil
+}
+
+func (l *Log) openSegment(number uint64, last bool) error {
+	path := filepath.Join(l.folder, segmentName(number))
+	file, err := l.filesystem.Open(path)
+	if err != nil {
+		return err
+	}
+	opened := &segmentFile{number: number, path: path, file: file}
+	var previous *segmentFile
+	if len(l.segments) > 0 {
+		previous = l.newest()
+	}
+	l.segments = append(l.segments, opened)
+	size, err := file.Size()
+	if err != nil {
+		return err
+	}
+	scan, err := scanSegment(file, number, size, l.options.MaximumRecordBytes)
+	if err != nil {
+		return err
+	}
+	if previous != nil && scan.end > 0 && scan.previousLength != previous.size {
+		return &CorruptError{Path: previous.path, Offset: previous.size, Reason: "finished segment has another length"}
+	}
+	whole := scan.end == size && scan.end >= segmentHeaderBytes
+	if whole && !last {
+		opened.written, opened.size, opened.durable = size, size, size
+		return nil
+	}
+	if !last {
+		return &CorruptError{Path: path, Offset: scan.end, Reason: "damaged record in a finished segment"}
+	}
+	if scan.durableBehind {
+		return &CorruptError{Path: path, Offset: scan.end, Reason: "damaged record that had been synced"}
+	}
+	l.cut += size - scan.end
+	if err := l.cutTail(opened, scan.end, previous); err != nil {
+		return err
+	}
+	return l.rewriteTail(opened, scan.knownDurable)
+}
+
+// rewriteTail writes again what no record knew to be durable, and syncs it. A sync that failed for a former process may have
+// left content in the page cache that is not on the disk, and that a sync alone would not write any more.
+func (l *Log) rewriteTail(opened *segmentFile, start int64) error {
+	tail := make([]byte, opened.size-start)
+	if len(tail) == 0 {
+		return nil
+	}
+	if _, err := opened.file.ReadAt(tail, start); err != nil {
+		return errors.Wrapf(err, "read %s", opened.path)
+	}
+	if _, err := opened.file.WriteAt(tail, start); err != nil {
+		return l.fail("write", opened.path, err)
+	}
+	return nil
+}
+
+// cutTail drops what is behind end and makes that durable, so that no record of the old tail can follow a new one.
+func (l *Log) cutTail(opened *segmentFile, end int64, previous *segmentFile) error {
+	if size, err := opened.file.Size(); err != nil || size == end && end >= segmentHeaderBytes {
+		opened.written, opened.size, opened.durable = end, end, end
+		return err
+	}
+	if err := opened.file.Truncate(end); err != nil {
+		return l.fail("cut", opened.path, err)
+	}
+	if end < segmentHeaderBytes {
+		var previousLength int64
+		if previous != nil {
+			previousLength = previous.size
+		}
+		if _, err := opened.file.WriteAt(segmentHeader(opened.number, previousLength), 0); err != nil {
+			return l.fail("write", opened.path, err)
+		}
+		end = segmentHeaderBytes
+	}
+	if err := opened.file.Sync(); err != nil {
+		return l.fail("sync", opened.path, err)
+	}
+	opened.written, opened.size, opened.durable = end, end, end
+	return nil
+}
+
+type segmentScan struct {
+	// end is where the valid prefix ends; zero when the segment header is damaged.
+	end int64
+	// knownDurable is how far the last valid record says that the segment was durable.
+	knownDurable int64
+	// previousLength is what the segment header says of the segment before.
+	previousLength int64
+	// durableBehind says that a record behind end knew the bytes at end to be durable.
+	durableBehind bool
+}
+
+func scanSegment(file File, number uint64, size int64, maximumRecordBytes int) (segmentScan, error) {
+	reader := newRecordReader(file, number, size, maximumRecordBytes)
+	header, err := reader.bytes(0, segmentHeaderBytes)
+	if err != nil {
+		return segmentScan{}, err
+	}
+	var scan segmentScan
+	previousLength, valid := parseSegmentHeader(number, header)
+	if valid {
+		scan.previousLength = previousLength
+		scan.end, err = reader.validPrefix()
+		scan.knownDurable = reader.durableOffset
+		if err != nil {
+			return segmentScan{}, err
+		}
+	}
+	if scan.end == size {
+		return scan, nil
+	}
+	scan.durableBehind, err = reader.knownDurable(scan.end)
+	return scan, err
+}
+
+// validPrefix returns the offset behind the last record before the first damaged one.
+func (r *recordReader) validPrefix() (int64, error) {
+	offset := int64(segmentHeaderBytes)
+	for {
+		payload, err := r.record(offset)
+		if err != nil || payload == nil {
+			return offset, err
+		}
+		offset += recordHeaderBytes + int64(len(payload))
+	}
+}
+
+// knownDurable looks at each byte behind offset for a record header that was written after offset had been synced.
+func (r *recordReader) knownDurable(offset int64) (bool, error) {
+	for candidate := max(offset, segmentHeaderBytes); candidate+recordHeaderBytes <= r.size; candidate++ {
+		data, err := r.bytes(candidate, recordHeaderBytes)
+		if err != nil {
+			return false, err
+		}
+		// Cheap test first: most bytes are no header.
+		if int64(binary.LittleEndian.Uint64(data[4:])) > candidate {
+			continue
+		}
+		header, valid := parseHeader(Position{Segment: r.number, Offset: candidate}, data)
+		if valid && header.durableOffset > offset {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func isAbsent(err error) bool { return errors.Is(err, fs.ErrNotExist) }
--- /dev/null
+++ b/internal/storage/logread.go
@@ -0,0 +1,191 @@
+package storage
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+const readWindowBytes = 256 << 10
+
+// recordReader reads records of one segment through a window that moves forward.
+type recordReader struct {
+	file               io.ReaderAt
+	number             uint64
+	size               int64
+	maximumRecordBytes int
+	window             []byte
+	windowStart        int64
+	// durableOffset is what the last valid record says of the bytes before it.
+	durableOffset int64
+}
+
+func newRecordReader(file io.ReaderAt, number uint64, size int64, maximumRecordBytes int) *recordReader {
+	return &recordReader{file: file, number: number, size: size, maximumRecordBytes: maximumRecordBytes}
+}
+
+// bytes returns up to length bytes at offset, fewer at the end of the segment. They are valid until the next call.
+func (r *recordReader) bytes(offset int64, length int) ([]byte, error) {
+	length = int(min(int64(length), max(r.size-offset, 0)))
+	start := offset - r.windowStart
+	if start < 0 || start+int64(length) > int64(len(r.window)) {
+		if err := r.fill(offset, length); err != nil {
+			return nil, err
+		}
+		start = 0
+	}
+	return r.window[start : start+int64(length)], nil
+}
+
+func (r *recordReader) fill(offset int64, length int) error {
+	wanted := int(min(int64(max(length, readWindowBytes)), r.size-offset))
+	if cap(r.window) < wanted {
+		r.window = make([]byte, wanted)
+	}
+	r.window = r.window[:wanted]
+	r.windowStart = offset
+	read, err := r.file.ReadAt(r.window, offset)
+	if read == wanted {
+		return nil
+	}
+	r.window = r.window[:0]
+	if err == nil || errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return errors.Wrapf(err, "read %d bytes at %d", wanted, offset)
+}
+
+// record returns the payload at offset, or nil when no valid record is there.
+func (r *recordReader) record(offset int64) ([]byte, error) {
+	data, err := r.bytes(offset, recordHeaderBytes)
+	if err != nil {
+		return nil, err
+	}
+	header, valid := parseHeader(Position{Segment: r.number, Offset: offset}, data)
+	if !valid || int64(header.length) > int64(r.maximumRecordBytes) {
+		return nil, nil
+	}
+	if offset+recordHeaderBytes+int64(header.length) > r.size {
+		return nil, nil
+	}
+	payload, err := r.bytes(offset+recordHeaderBytes, int(header.length))
+	if err != nil || checksum(payload) != header.payloadSum {
+		return nil, err
+	}
+	r.durableOffset = header.durableOffset
+	return payload, nil
+}
+
+// Read returns the record at a position, durable or not. It returns *PositionError for a
+// position outside the log and *CorruptError when the record is damaged.
+func (l *Log) Read(position Position) ([]byte, error) {
+	segment, size, err := l.readable(position)
+	if err != nil {
+		return nil, err
+	}
+	var header [recordHeaderBytes]byte
+	if _, err := segment.file.ReadAt(header[:], position.Offset); err != nil {
+		return nil, errors.Wrapf(err, "read %s", segment.path)
+	}
+	parsed, valid := parseHeader(position, header[:])
+	if !valid || position.Offset+recordHeaderBytes+int64(parsed.length) > size {
+		return nil, &CorruptError{Path: segment.path, Offset: position.Offset, Reason: "damaged record header"}
+	}
+	payload := make([]byte, parsed.length)
+	if _, err := segment.file.ReadAt(payload, position.Offset+recordHeaderBytes); err != nil {
+		return nil, errors.Wrapf(err, "read %s", segment.path)
+	}
+	if checksum(payload) != parsed.payloadSum {
+		return nil, &CorruptError{Path: segment.path, Offset: position.Offset, Reason: "damaged record"}
+	}
+	return payload, nil
+}
+
+// readable finds the segment of a position and gives its buffered end to the file.
+func (l *Log) readable(position Position) (*segmentFile, int64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.closed {
+		return nil, 0, &ClosedError{}
+	}
+	first := l.segments[0].number
+	if position.Segment < first || position.Segment > l.newest().number {
+		return nil, 0, &PositionError{Position: position}
+	}
+	segment := l.segments[position.Segment-first]
+	if position.Offset < segmentHeaderBytes || position.Offset+recordHeaderBytes > segment.size {
+		return nil, 0, &PositionError{Position: position}
+	}
+	if position.Offset >= segment.written {
+		if err := l.usable(); err != nil {
+			return nil, 0, err
+		}
+		if err := l.flush(); err != nil {
+			return nil, 0, err
+		}
+	}
+	return segment, segment.size, nil
+}
+
+// Replay visits the records from a position on, up to those written before the call. The
+// zero Position stands for the first record. The bytes handed to visit are valid during the call only. An
+// error of visit ends the replay and is returned.
+func (l *Log) Replay(from Position, visit func(Position, []byte) error) error {
+	views, err := l.views(from.Segment)
+	if err != nil {
+		return err
+	}
+	for _, view := range views {
+		offset := int64(segmentHeaderBytes)
+		if view.segment.number == from.Segment {
+			offset = max(offset, from.Offset)
+		}
+		if err := l.replaySegment(view, offset, visit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type segmentView struct {
+	segment *segmentFile
+	size    int64
+}
+
+func (l *Log) views(from uint64) ([]segmentView, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err := l.usable(); err != nil {
+		return nil, err
+	}
+	if err := l.flush(); err != nil {
+		return nil, err
+	}
+	var views []segmentView
+	for _, segment := range l.segments {
+		if segment.number >= from {
+			views = append(views, segmentView{segment: segment, size: segment.written})
+		}
+	}
+	return views, nil
+}
+
+func (l *Log) replaySegment(view segmentView, offset int64, visit func(Position, []byte) error) error {
+	number := view.segment.number
+	reader := newRecordReader(view.segment.file, number, view.size, l.options.MaximumRecordBytes)
+	for offset < view.size {
+		payload, err := reader.record(offset)
+		if err != nil {
+			return err
+		}
+		if payload == nil {
+			return &CorruptError{Path: view.segment.path, Offset: offset, Reason: "damaged record"}
+		}
+		length := int64(len(payload))
+		if err := visit(Position{Segment: number, Offset: offset}, payload); err != nil {
+			return err
+		}
+		offset += recordHeaderBytes + length
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/osfilesystem.go
@@ -0,0 +1,110 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	folderMode = 0o750
+	fileMode   = 0o640
+)
+
+// OSFilesystem is the file system of the operating system.
+type OSFilesystem struct{}
+
+var _ Filesystem = OSFilesystem{}
+
+// MakeFolder creates a folder and its parents and syncs the folder above each one it made.
+func (f OSFilesystem) MakeFolder(path string) error {
+	if info, err := os.Stat(path); err == nil && info.IsDir() {
+		return nil
+	}
+	parent := filepath.Dir(path)
+	if parent != path {
+		if err := f.MakeFolder(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, folderMode); err != nil && !errors.Is(err, os.ErrExist) {
+		return errors.WithStack(err)
+	}
+	return f.SyncFolder(parent)
+}
+
+// List returns the entries of a folder sorted by name.
+func (OSFilesystem) List(folder string) ([]Entry, error) {
+	found, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	entries := make([]Entry, 0, len(found))
+	for _, entry := range found {
+		entries = append(entries, Entry{Name: entry.Name(), Folder: entry.IsDir()})
+	}
+	return entries, nil
+}
+
+// Create makes an empty file.
+func (OSFilesystem) Create(path string) (File, error) {
+	return openOSFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
+}
+
+// Open opens an existing file.
+func (OSFilesystem) Open(path string) (File, error) {
+	return openOSFile(path, os.O_RDWR)
+}
+
+// Rename replaces the file at the new path.
+func (OSFilesystem) Rename(from, to string) error {
+	return errors.WithStack(os.Rename(from, to))
+}
+
+// Remove deletes a file.
+func (OSFilesystem) Remove(path string) error {
+	return errors.WithStack(os.Remove(path))
+}
+
+// SyncFolder syncs the names of a folder.
+func (OSFilesystem) SyncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	err = folder.Sync()
+	return errors.WithStack(errors.CombineErrors(err, folder.Close()))
+}
+
+type osFile struct {
+	*os.File
+}
+
+func openOSFile(path string, flags int) (File, error) {
+	file, err := os.OpenFile(path, flags, fileMode)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return osFile{File: file}, nil
+}
+
+// Size returns the length in bytes.
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	return info.Size(), nil
+}
+
+// Sync writes content and length to the disk; times of access and change may lag behind.
+func (f osFile) Sync() error {
+	for {
+		err := unix.Fdatasync(int(f.Fd()))
+		if !errors.Is(err, unix.EINTR) {
+			return errors.WithStack(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/storage/simdisk/disk.go
@@ -0,0 +1,272 @@
+package simdisk
+
+import (
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// SectorBytes is the unit that a loss of power keeps or drops as one.
+const SectorBytes = 512
+
+// StaleHandleError reports the use of a file that was opened before the process or the disk was lost.
+type StaleHandleError struct{ Path string }
+
+func (e *StaleHandleError) Error() string { return "simdisk: stale handle of " + e.Path }
+
+// SyncFailedError is the injected failure of a sync.
+type SyncFailedError struct{ Path string }
+
+func (e *SyncFailedError) Error() string { return "simdisk: sync of " + e.Path + " failed" }
+
+// Counters says what happened to a disk.
+type Counters struct {
+	Syncs        int
+	FailedSyncs  int
+	PowerLosses  int
+	TornFiles    int
+	LostBytes    int64
+	DiskLosses   int
+	FullWrites   int
+	DamagedBytes int
+}
+
+// Disk is one simulated disk. It is safe for concurrent use; it is deterministic when used from one goroutine.
+type Disk struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+
+	folders map[string]bool
+	names   map[string]*inode
+	// durableNames are the names after the last folder sync, and nameChanges what came since, in order.
+	durableNames map[string]*inode
+	nameChanges  []nameChange
+
+	generation  int
+	capacity    int64
+	syncsToFail int
+	syncsToPass int
+	storageIDs  int
+	counters    Counters
+}
+
+// nameChange binds a name to a file, or to none, and frees the former name of a renamed file.
+type nameChange struct {
+	path   string
+	node   *inode
+	former string
+}
+
+var _ storage.Filesystem = (*Disk)(nil)
+
+// New makes an empty disk without a bound on its size.
+func New(random *rand.Rand) *Disk {
+	disk := &Disk{random: random}
+	disk.erase()
+	return disk
+}
+
+func (d *Disk) erase() {
+	d.folders = map[string]bool{"/": true, ".": true}
+	d.names = map[string]*inode{}
+	d.durableNames = map[string]*inode{}
+	d.nameChanges = nil
+	d.generation++
+}
+
+// NewStorageID makes a repeatable identity for storage.OpenIdentityWith.
+func (d *Disk) NewStorageID() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.storageIDs++
+	return fmt.Sprintf("disk-%016x-%d", d.random.Uint64(), d.storageIDs)
+}
+
+// MakeFolder creates a folder and its parents durably.
+func (d *Disk) MakeFolder(path string) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for path = filepath.Clean(path); !d.folders[path]; path = filepath.Dir(path) {
+		d.folders[path] = true
+	}
+	return nil
+}
+
+// List returns the entries of a folder sorted by name.
+func (d *Disk) List(folder string) ([]storage.Entry, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	folder = filepath.Clean(folder)
+	if !d.folders[folder] {
+		return nil, absent("list", folder)
+	}
+	var entries []storage.Entry
+	for path := range d.names {
+		if filepath.Dir(path) == folder {
+			entries = append(entries, storage.Entry{Name: filepath.Base(path)})
+		}
+	}
+	for path := range d.folders {
+		if filepath.Dir(path) == folder && path != folder {
+			entries = append(entries, storage.Entry{Name: filepath.Base(path), Folder: true})
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Name < entries[j].Name })
+	return entries, nil
+}
+
+// Create makes an empty file, or cuts an existing one to nothing.
+func (d *Disk) Create(path string) (storage.File, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	path = filepath.Clean(path)
+	if !d.folders[filepath.Dir(path)] {
+		return nil, absent("create", path)
+	}
+	node, found := d.names[path]
+	if found {
+		node.truncate(0)
+	} else {
+		node = &inode{}
+		d.change(nameChange{path: path, node: node})
+	}
+	return d.handle(path, node), nil
+}
+
+// Open opens an existing file.
+func (d *Disk) Open(path string) (storage.File, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	path = filepath.Clean(path)
+	node, found := d.names[path]
+	if !found {
+		return nil, absent("open", path)
+	}
+	return d.handle(path, node), nil
+}
+
+// Rename replaces the file at the new path. A loss of power before SyncFolder keeps either both changes of name or none.
+func (d *Disk) Rename(from, to string) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	from, to = filepath.Clean(from), filepath.Clean(to)
+	node, found := d.names[from]
+	if !found {
+		return absent("rename", from)
+	}
+	d.change(nameChange{path: to, node: node, former: from})
+	return nil
+}
+
+// Remove deletes a file.
+func (d *Disk) Remove(path string) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	path = filepath.Clean(path)
+	if _, found := d.names[path]; !found {
+		return absent("remove", path)
+	}
+	d.change(nameChange{path: path})
+	return nil
+}
+
+// SyncFolder makes the names in a folder durable.
+func (d *Disk) SyncFolder(path string) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	path = filepath.Clean(path)
+	if !d.folders[path] {
+		return absent("sync", path)
+	}
+	if d.syncFails() {
+		return &SyncFailedError{Path: path}
+	}
+	var later []nameChange
+	for _, change := range d.nameChanges {
+		if filepath.Dir(change.path) == path {
+			d.keepName(change)
+		} else {
+			later = append(later, change)
+		}
+	}
+	d.nameChanges = later
+	return nil
+}
+
+func (d *Disk) change(change nameChange) {
+	apply(d.names, change)
+	d.nameChanges = append(d.nameChanges, change)
+}
+
+func (d *Disk) keepName(change nameChange) { apply(d.durableNames, change) }
+
+func apply(names map[string]*inode, change nameChange) {
+	if change.former != "" {
+		delete(names, change.former)
+	}
+	if change.node == nil {
+		delete(names, change.path)
+		return
+	}
+	names[change.path] = change.node
+}
+
+func (d *Disk) handle(path string, node *inode) storage.File {
+	return &handle{disk: d, path: path, node: node, generation: d.generation}
+}
+
+// syncFails counts a sync and says whether it is one that was chosen to fail.
+func (d *Disk) syncFails() bool {
+	d.counters.Syncs++
+	if d.syncsToFail == 0 {
+		return false
+	}
+	if d.syncsToPass > 0 {
+		d.syncsToPass--
+		return false
+	}
+	d.syncsToFail--
+	d.counters.FailedSyncs++
+	return true
+}
+
+func (d *Disk) used() int64 {
+	var total int64
+	for _, node := range d.names {
+		total += int64(len(node.content))
+	}
+	return total
+}
+
+func absent(operation, path string) error {
+	return &fs.PathError{Op: operation, Path: path, Err: syscall.ENOENT}
+}
+
+// Files returns the paths of all files under a folder, sorted.
+func (d *Disk) Files(folder string) []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	prefix := strings.TrimSuffix(filepath.Clean(folder), "/") + "/"
+	var paths []string
+	for path := range d.names {
+		if strings.HasPrefix(path, prefix) {
+			paths = append(paths, path)
+		}
+	}
+	sort.Strings(paths)
+	return paths
+}
+
+// Counters returns what happened so far.
+func (d *Disk) Counters() Counters {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.counters
+}
--- /dev/null
+++ b/internal/storage/simdisk/faults.go
@@ -0,0 +1,148 @@
+package simdisk
+
+import (
+	"path/filepath"
+	"sort"
+)
+
+// Kill ends the process that used the disk: its handles go stale, written content stays.
+func (d *Disk) Kill() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.generation++
+}
+
+// LosePower ends the process and loses what was not synced: of the changes of names a
+// beginning of random length stays, and of each file random sectors, a torn one among them.
+func (d *Disk) LosePower() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.generation++
+	d.counters.PowerLosses++
+	kept := d.random.IntN(len(d.nameChanges) + 1)
+	for _, change := range d.nameChanges[:kept] {
+		d.keepName(change)
+	}
+	d.nameChanges = nil
+	d.names = map[string]*inode{}
+	settled := map[*inode]bool{}
+	for _, path := range sortedNames(d.durableNames) {
+		node := d.durableNames[path]
+		d.names[path] = node
+		if !settled[node] {
+			settled[node] = true
+			d.settle(node)
+		}
+	}
+}
+
+// settle makes a file what the disk has of it after a loss of power.
+func (d *Disk) settle(node *inode) {
+	if len(node.dirty) > 0 {
+		d.counters.TornFiles++
+		before := len(node.content)
+		d.tear(node)
+		d.counters.LostBytes += int64(max(before-len(node.durable), 0))
+	}
+	node.content = append([]byte(nil), node.durable...)
+	clear(node.dirty)
+}
+
+// tear moves a random part of the dirty sectors to the durable content.
+func (d *Disk) tear(node *inode) {
+	sectors := make([]int, 0, len(node.dirty))
+	for sector := range node.dirty {
+		sectors = append(sectors, sector)
+	}
+	sort.Ints(sectors)
+	size := d.tornSize(len(node.durable), len(node.content))
+	keepOneIn := 1 + d.random.IntN(4)
+	resize(node, size)
+	for _, sector := range sectors {
+		start := sector * SectorBytes
+		if start >= size || start >= len(node.content) || d.random.IntN(keepOneIn) != 0 {
+			continue
+		}
+		end := min(start+SectorBytes, size, len(node.content))
+		if d.random.IntN(8) == 0 {
+			end = start + d.random.IntN(end-start+1)
+		}
+		copy(node.durable[start:end], node.content[start:end])
+	}
+}
+
+// tornSize chooses a length between the durable and the written one, often one of both.
+func (d *Disk) tornSize(durable, written int) int {
+	low, high := min(durable, written), max(durable, written)
+	switch d.random.IntN(3) {
+	case 0:
+		return durable
+	case 1:
+		return written
+	default:
+		return low + d.random.IntN(high-low+1)
+	}
+}
+
+func resize(node *inode, size int) {
+	if size <= len(node.durable) {
+		node.durable = node.durable[:size]
+		return
+	}
+	node.durable = append(node.durable, make([]byte, size-len(node.durable))...)
+}
+
+// Lose loses the whole disk and puts an empty one in its place.
+func (d *Disk) Lose() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.erase()
+	d.counters.DiskLosses++
+	d.syncsToFail, d.syncsToPass = 0, 0
+}
+
+// FailSyncs lets the next pass syncs of files or folders succeed and the count after them fail.
+func (d *Disk) FailSyncs(pass, count int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.syncsToPass, d.syncsToFail = pass, count
+}
+
+// SetCapacity bounds the bytes of all files; zero takes the bound away.
+func (d *Disk) SetCapacity(bytes int64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.capacity = bytes
+}
+
+// Used returns the bytes of all files.
+func (d *Disk) Used() int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.used()
+}
+
+// Damage flips the bits of mask in one durable byte of a file and says whether there is such a byte.
+func (d *Disk) Damage(path string, offset int64, mask byte) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	node, found := d.names[filepath.Clean(path)]
+	if !found || offset < 0 || offset >= int64(len(node.content)) {
+		return false
+	}
+	node.content[offset] ^= mask
+	if offset < int64(len(node.durable)) {
+		node.durable[offset] ^= mask
+	}
+	d.counters.DamagedBytes++
+	return true
+}
+
+func sortedNames(names map[string]*inode) []string {
+	paths := make([]string, 0, len(names))
+	for path := range names {
+		paths = append(paths, path)
+	}
+	sort.Strings(paths)
+	return paths
+}
--- /dev/null
+++ b/internal/storage/simdisk/file.go
@@ -0,0 +1,159 @@
+package simdisk
+
+import (
+	"io"
+	"syscall"
+)
+
+// inode is the content of a file as programs see it and as the disk would keep it.
+type inode struct {
+	content []byte
+	durable []byte
+	// dirty marks the sectors that differ or may differ from durable.
+	dirty map[int]bool
+}
+
+func (n *inode) write(data []byte, offset int64) {
+	end := int(offset) + len(data)
+	if end > len(n.content) {
+		n.markDirty(len(n.content), end)
+		n.content = append(n.content, make([]byte, end-len(n.content))...)
+	}
+	copy(n.content[offset:], data)
+	n.markDirty(int(offset), end)
+}
+
+func (n *inode) truncate(size int64) {
+	old := len(n.content)
+	if int(size) > old {
+		n.write(make([]byte, int(size)-old), int64(old))
+		return
+	}
+	n.content = n.content[:size:size]
+	n.markDirty(int(size), max(old, len(n.durable)))
+}
+
+func (n *inode) markDirty(start, end int) {
+	if n.dirty == nil {
+		n.dirty = map[int]bool{}
+	}
+	for sector := start / SectorBytes; sector*SectorBytes < end; sector++ {
+		n.dirty[sector] = true
+	}
+}
+
+func (n *inode) sync() {
+	if len(n.durable) > len(n.content) {
+		n.durable = n.durable[:len(n.content)]
+	}
+	if len(n.durable) < len(n.content) {
+		n.durable = append(n.durable, make([]byte, len(n.content)-len(n.durable))...)
+	}
+	for sector := range n.dirty {
+		start := sector * SectorBytes
+		if start < len(n.content) {
+			end := min(start+SectorBytes, len(n.content))
+			copy(n.durable[start:end], n.content[start:end])
+		}
+	}
+	clear(n.dirty)
+}
+
+// handle is an open file of one process life.
+type handle struct {
+	disk       *Disk
+	path       string
+	node       *inode
+	generation int
+	closed     bool
+}
+
+// lock takes the disk's mutex; the caller unlocks it also after an error.
+func (h *handle) lock() error {
+	h.disk.mutex.Lock()
+	if h.closed || h.generation != h.disk.generation {
+		return &StaleHandleError{Path: h.path}
+	}
+	return nil
+}
+
+// ReadAt reads what was written, synced or not.
+func (h *handle) ReadAt(data []byte, offset int64) (int, error) {
+	err := h.lock()
+	defer h.disk.mutex.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	if offset >= int64(len(h.node.content)) {
+		return 0, io.EOF
+	}
+	read := copy(data, h.node.content[offset:])
+	if read < len(data) {
+		return read, io.EOF
+	}
+	return read, nil
+}
+
+// WriteAt writes; on a full disk it writes what fits and returns ENOSPC.
+func (h *handle) WriteAt(data []byte, offset int64) (int, error) {
+	err := h.lock()
+	defer h.disk.mutex.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	growth := offset + int64(len(data)) - int64(len(h.node.content))
+	if h.disk.capacity > 0 && growth > 0 && h.disk.used()+growth > h.disk.capacity {
+		room := max(h.disk.capacity-h.disk.used(), 0)
+		fits := max(int64(len(data))-growth+room, 0)
+		h.node.write(data[:fits], offset)
+		h.disk.counters.FullWrites++
+		return int(fits), syscall.ENOSPC
+	}
+	h.node.write(data, offset)
+	return len(data), nil
+}
+
+// Size returns the length in bytes.
+func (h *handle) Size() (int64, error) {
+	err := h.lock()
+	defer h.disk.mutex.Unlock()
+	return int64(len(h.node.content)), err
+}
+
+// Truncate sets the length.
+func (h *handle) Truncate(size int64) error {
+	err := h.lock()
+	defer h.disk.mutex.Unlock()
+	if err == nil {
+		h.node.truncate(size)
+	}
+	return err
+}
+
+// Sync makes the content durable. A sync chosen to fail forgets what was dirty, as operating systems do, so that the next one
+// succeeds without it.
+func (h *handle) Sync() error {
+	err := h.lock()
+	defer h.disk.mutex.Unlock()
+	if err != nil {
+		return err
+	}
+	if h.disk.syncFails() {
+		h.disk.tear(h.node)
+		clear(h.node.dirty)
+		return &SyncFailedError{Path: h.path}
+	}
+	h.node.sync()
+	return nil
+}
+
+// Close ends the handle; it syncs nothing.
+func (h *handle) Close() error {
+	err := h.lock()
+	defer h.disk.mutex.Unlock()
+	h.closed = true
+	if _, stale := err.(*StaleHandleError); stale {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/storage/snapshot.go
@@ -0,0 +1,209 @@
+package storage
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"hash/crc32"
+	"io"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A snapshot file is magic (8), number (8), content, content length (8) and CRC32C of all before (4), little-endian.
+const (
+	snapshotMagic        = "RSTSNP\x00\x01"
+	snapshotHeaderBytes  = 16
+	snapshotTrailerBytes = 12
+	snapshotSuffix       = ".snapshot"
+	temporarySuffix      = ".tmp"
+	snapshotBufferBytes  = 256 << 10
+)
+
+func snapshotName(number uint64) string { return fmt.Sprintf("%016x%s", number, snapshotSuffix) }
+
+// SaveSnapshot writes a snapshot under a temporary name, syncs and renames it, and syncs the folder. After it
+// returns nil the snapshot is durable; after an error the one before is still the newest, or this
+// one is whole.
+func SaveSnapshot(filesystem Filesystem, folder string, number uint64, write func(io.Writer) error) error {
+	if err := filesystem.MakeFolder(folder); err != nil {
+		return err
+	}
+	path := filepath.Join(folder, snapshotName(number))
+	temporary := path + temporarySuffix
+	if err := writeSnapshotFile(filesystem, temporary, number, write); err != nil {
+		return errors.CombineErrors(err, removeIfPresent(filesystem, temporary))
+	}
+	if err := filesystem.Rename(temporary, path); err != nil {
+		return &FailedError{Operation: "rename", Path: temporary, Cause: err}
+	}
+	if err := filesystem.SyncFolder(folder); err != nil {
+		return &FailedError{Operation: "sync folder of", Path: path, Cause: err}
+	}
+	return nil
+}
+
+func removeIfPresent(filesystem Filesystem, path string) error {
+	if err := filesystem.Remove(path); err != nil && !isAbsent(err) {
+		return err
+	}
+	return nil
+}
+
+// summedWriter writes to a file from its start and sums what it wrote.
+type summedWriter struct {
+	file   File
+	offset int64
+	sum    hash.Hash32
+}
+
+func (w *summedWriter) Write(data []byte) (int, error) {
+	written, err := w.file.WriteAt(data, w.offset)
+	w.offset += int64(written)
+	_, _ = w.sum.Write(data[:written])
+	return written, err
+}
+
+func writeSnapshotFile(filesystem Filesystem, path string, number uint64, write func(io.Writer) error) error {
+	file, err := filesystem.Create(path)
+	if err != nil {
+		return &FailedError{Operation: "create", Path: path, Cause: err}
+	}
+	err = writeSnapshotContent(file, number, write)
+	if err == nil {
+		err = file.Sync()
+	}
+	err = errors.CombineErrors(err, file.Close())
+	if err != nil {
+		return &FailedError{Operation: "write", Path: path, Cause: err}
+	}
+	return nil
+}
+
+func writeSnapshotContent(file File, number uint64, write func(io.Writer) error) error {
+	summed := &summedWriter{file: file, sum: crc32.New(castagnoli)}
+	buffered := bufio.NewWriterSize(summed, snapshotBufferBytes)
+	header := binary.LittleEndian.AppendUint64([]byte(snapshotMagic), number)
+	if _, err := buffered.Write(header); err != nil {
+		return err
+	}
+	if err := write(buffered); err != nil {
+		return err
+	}
+	if err := buffered.Flush(); err != nil {
+		return err
+	}
+	length := uint64(summed.offset - snapshotHeaderBytes)
+	if _, err := summed.Write(binary.LittleEndian.AppendUint64(nil, length)); err != nil {
+		return err
+	}
+	_, err := summed.Write(binary.LittleEndian.AppendUint32(nil, summed.sum.Sum32()))
+	return err
+}
+
+// LoadNewestSnapshot checks the snapshot with the highest number and hands its content to read. It
+// returns *CorruptError when that snapshot is damaged: older ones may lack the log that followed them. Temporary
+// files left by a crash are removed. A folder without snapshots gives found false.
+func LoadNewestSnapshot(filesystem Filesystem, folder string, read func(number uint64, content io.Reader) error) (number uint64, found bool, err error) {
+	if err := filesystem.MakeFolder(folder); err != nil {
+		return 0, false, err
+	}
+	if err := removeTemporary(filesystem, folder); err != nil {
+		return 0, false, err
+	}
+	numbers, err := listNumbered(filesystem, folder, snapshotSuffix)
+	if err != nil || len(numbers) == 0 {
+		return 0, false, err
+	}
+	// A rename seen here may not be durable yet when the process alone was restarted.
+	if err := filesystem.SyncFolder(folder); err != nil {
+		return 0, false, err
+	}
+	number = numbers[len(numbers)-1]
+	return number, true, loadSnapshot(filesystem, filepath.Join(folder, snapshotName(number)), number, read)
+}
+
+func removeTemporary(filesystem Filesystem, folder string) error {
+	entries, err := filesystem.List(folder)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if !strings.HasSuffix(entry.Name, snapshotSuffix+temporarySuffix) {
+			continue
+		}
+		if err := filesystem.Remove(filepath.Join(folder, entry.Name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func loadSnapshot(filesystem Filesystem, path string, number uint64, read func(uint64, io.Reader) error) error {
+	file, err := filesystem.Open(path)
+	if err != nil {
+		return err
+	}
+	length, err := checkSnapshot(file, path, number)
+	if err == nil {
+		content := io.NewSectionReader(file, snapshotHeaderBytes, length)
+		err = read(number, bufio.NewReaderSize(content, snapshotBufferBytes))
+	}
+	return errors.CombineErrors(err, file.Close())
+}
+
+// checkSnapshot returns the length of the content.
+func checkSnapshot(file File, path string, number uint64) (int64, error) {
+	size, err := file.Size()
+	if err != nil {
+		return 0, err
+	}
+	length := size - snapshotHeaderBytes - snapshotTrailerBytes
+	if length < 0 {
+		return 0, &CorruptError{Path: path, Offset: size, Reason: "snapshot is too short"}
+	}
+	header := make([]byte, snapshotHeaderBytes)
+	if _, err := file.ReadAt(header, 0); err != nil {
+		return 0, errors.Wrapf(err, "read %s", path)
+	}
+	if string(header[:8]) != snapshotMagic || binary.LittleEndian.Uint64(header[8:]) != number {
+		return 0, &CorruptError{Path: path, Reason: "snapshot header is damaged"}
+	}
+	trailer := make([]byte, snapshotTrailerBytes)
+	if _, err := file.ReadAt(trailer, size-snapshotTrailerBytes); err != nil {
+		return 0, errors.Wrapf(err, "read %s", path)
+	}
+	sum := crc32.New(castagnoli)
+	if _, err := io.Copy(sum, io.NewSectionReader(file, 0, size-4)); err != nil {
+		return 0, errors.Wrapf(err, "read %s", path)
+	}
+	if binary.LittleEndian.Uint64(trailer) != uint64(length) || binary.LittleEndian.Uint32(trailer[8:]) != sum.Sum32() {
+		return 0, &CorruptError{Path: path, Offset: size - snapshotTrailerBytes, Reason: "snapshot checksum differs"}
+	}
+	return length, nil
+}
+
+// RemoveSnapshotsBefore deletes the snapshots with numbers below number.
+func RemoveSnapshotsBefore(filesystem Filesystem, folder string, number uint64) error {
+	numbers, err := listNumbered(filesystem, folder, snapshotSuffix)
+	if err != nil {
+		return err
+	}
+	removed := false
+	for _, old := range numbers {
+		if old >= number {
+			continue
+		}
+		if err := filesystem.Remove(filepath.Join(folder, snapshotName(old))); err != nil {
+			return err
+		}
+		removed = true
+	}
+	if !removed {
+		return nil
+	}
+	return filesystem.SyncFolder(folder)
+}
--- /dev/null
+++ b/internal/storage/snapshot_test.go
@@ -0,0 +1,154 @@
+package storage_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+func save(filesystem storage.Filesystem, number uint64, content string) error {
+	return storage.SaveSnapshot(filesystem, folder, number, func(writer io.Writer) error {
+		_, err := io.WriteString(writer, content)
+		return err
+	})
+}
+
+func load(filesystem storage.Filesystem) (number uint64, content string, found bool, err error) {
+	number, found, err = storage.LoadNewestSnapshot(filesystem, folder, func(_ uint64, reader io.Reader) error {
+		data, err := io.ReadAll(reader)
+		content = string(data)
+		return err
+	})
+	return number, content, found, err
+}
+
+var _ = Describe("Snapshot", func() {
+	It("given an empty folder, then finds none", func() {
+		_, _, found, err := load(newDisk(1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeFalse())
+	})
+
+	It("given several, then loads the newest, also after old ones are removed", func() {
+		disk := newDisk(1)
+		Expect(save(disk, 9, "nine")).To(Succeed())
+		Expect(save(disk, 10, "")).To(Succeed())
+		Expect(save(disk, 300, strings.Repeat("long", 100_000))).To(Succeed())
+		Expect(storage.RemoveSnapshotsBefore(disk, folder, 300)).To(Succeed())
+		Expect(disk.Files(folder)).To(HaveLen(1))
+		number, content, found, err := load(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeTrue())
+		Expect(number).To(BeNumerically("==", 300))
+		Expect(content).To(HaveLen(400_000))
+	})
+
+	It("given a loss of power at any sync, then the newest saved one is whole", func() {
+		for seed := range uint64(200) {
+			disk := newDisk(seed)
+			Expect(save(disk, 1, "old")).To(Succeed())
+			disk.FailSyncs(int(seed%3), 1)
+			err := save(disk, 2, strings.Repeat("new", 1000))
+			disk.FailSyncs(0, 0)
+			disk.LosePower()
+			number, content, _, loadErr := load(disk)
+			Expect(loadErr).NotTo(HaveOccurred())
+			if err == nil {
+				Expect(number).To(BeNumerically("==", 2))
+			}
+			if number == 1 {
+				Expect(content).To(Equal("old"))
+			} else {
+				Expect(content).To(Equal(strings.Repeat("new", 1000)))
+			}
+		}
+	})
+
+	It("given a writer that fails, then keeps the one before and leaves no file", func() {
+		disk := newDisk(1)
+		Expect(save(disk, 1, "old")).To(Succeed())
+		broken := errors.New("broken")
+		err := storage.SaveSnapshot(disk, folder, 2, func(io.Writer) error { return broken })
+		Expect(errors.Is(err, broken)).To(BeTrue())
+		Expect(disk.Files(folder)).To(HaveLen(1))
+	})
+
+	It("given any flipped byte, then is a typed loss", func() {
+		disk := newDisk(1)
+		Expect(save(disk, 7, "content")).To(Succeed())
+		path := disk.Files(folder)[0]
+		for offset := int64(0); disk.Damage(path, offset, 0x40); offset++ {
+			_, _, _, err := load(disk)
+			var corrupt *storage.CorruptError
+			Expect(errors.As(err, &corrupt)).To(BeTrue(), "byte %d", offset)
+			disk.Damage(path, offset, 0x40)
+		}
+		_, content, _, err := load(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(content).To(Equal("content"))
+	})
+})
+
+var _ = Describe("Identity", func() {
+	const home = "/data"
+
+	It("given restarts and losses of power, then stays and counts starts", func() {
+		disk := newDisk(3)
+		first, err := storage.OpenIdentity(disk, home)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Fresh).To(BeTrue())
+		for start := uint64(2); start < 20; start++ {
+			disk.LosePower()
+			again, err := storage.OpenIdentity(disk, home)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(again).To(Equal(storage.Identity{StorageID: first.StorageID, Starts: start}))
+		}
+	})
+
+	It("given a lost disk, then is another one", func() {
+		disk := newDisk(3)
+		first, err := storage.OpenIdentity(disk, home)
+		Expect(err).NotTo(HaveOccurred())
+		disk.Lose()
+		second, err := storage.OpenIdentity(disk, home)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Fresh).To(BeTrue())
+		Expect(second.StorageID).NotTo(Equal(first.StorageID))
+	})
+
+	It("given a log without an identity or a damaged identity, then is a typed loss", func() {
+		disk := newDisk(3)
+		open(disk, storage.LogOptions{})
+		var corrupt *storage.CorruptError
+		_, err := storage.OpenIdentity(disk, home)
+		Expect(errors.As(err, &corrupt)).To(BeTrue())
+
+		disk.Lose()
+		_, err = storage.OpenIdentity(disk, home)
+		Expect(err).NotTo(HaveOccurred())
+		for offset := int64(0); disk.Damage("/data/identity", offset, 2); offset++ {
+			_, err = storage.OpenIdentity(disk, home)
+			Expect(errors.As(err, &corrupt)).To(BeTrue(), "byte %d", offset)
+			disk.Damage("/data/identity", offset, 2)
+		}
+	})
+})
+
+var _ = Describe("LockFolder", func() {
+	It("given a held lock, then refuses a second until it is released", func() {
+		path := GinkgoT().TempDir()
+		lock, err := storage.LockFolder(path)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = storage.LockFolder(path)
+		Expect(err).To(BeAssignableToTypeOf(&storage.FolderLockedError{}))
+		Expect(lock.Close()).To(Succeed())
+		lock, err = storage.LockFolder(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lock.Close()).To(Succeed())
+	})
+})
--- /dev/null
+++ b/internal/storage/storagebench/bench.go
@@ -0,0 +1,137 @@
+// Package storagebench measures how many appends a second the segmented log makes durable, with
+// one sync shared by all waiting writers and with one sync each as the baseline.
+package storagebench
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// WriterCounts are the numbers of waiting writers that the project reports.
+var WriterCounts = []int{1, 16, 256}
+
+const (
+	highestMicros     = 60_000_000
+	significantDigits = 3
+)
+
+// Options say what to measure.
+type Options struct {
+	// Folder is where a log is made and removed again; it decides which disk is measured.
+	Folder      string
+	Writers     int
+	RecordBytes int
+	Duration    time.Duration
+	// SyncEach gives each append a sync of its own: the baseline.
+	SyncEach bool
+}
+
+// Result is one measurement.
+type Result struct {
+	Writers          int
+	SyncEach         bool
+	Appends          int64
+	Syncs            int64
+	AppendsPerSecond float64
+	P50              time.Duration
+	P99              time.Duration
+}
+
+// Run appends from Options.Writers goroutines, each waiting for its record to be durable, for Options.Duration.
+func Run(options Options) (result Result, err error) {
+	folder, err := os.MkdirTemp(options.Folder, "storagebench-")
+	if err != nil {
+		return Result{}, errors.WithStack(err)
+	}
+	defer func() { err = errors.CombineErrors(err, os.RemoveAll(folder)) }()
+	log, err := storage.OpenLog(storage.OSFilesystem{}, filepath.Join(folder, "log"), storage.LogOptions{})
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { err = errors.CombineErrors(err, log.Close()) }()
+	measured := &measurement{options: options, histogram: hdrhistogram.New(1, highestMicros, significantDigits)}
+	appendOne, stop := measured.appender(log)
+	started := time.Now()
+	measured.runWriters(appendOne, started.Add(options.Duration))
+	elapsed := time.Since(started)
+	stop()
+	return measured.result(elapsed), measured.err
+}
+
+type measurement struct {
+	options   Options
+	syncs     int64
+	mutex     sync.Mutex
+	histogram *hdrhistogram.Histogram
+	err       error
+}
+
+// appender returns the function that makes one record durable, and one that ends its goroutine.
+func (m *measurement) appender(log *storage.Log) (appendOne func([]byte) error, stop func()) {
+	if m.options.SyncEach {
+		var turn sync.Mutex
+		return func(record []byte) error {
+			turn.Lock()
+			defer turn.Unlock()
+			m.syncs++
+			if _, err := log.Write(record); err != nil {
+				return err
+			}
+			return log.Sync()
+		}, func() {}
+	}
+	committer := storage.NewGroupCommitter(log, storage.GroupCommitterOptions{OnSync: func(int) { m.syncs++ }})
+	return func(record []byte) error {
+		_, err := committer.Append(context.Background(), record)
+		return err
+	}, committer.Close
+}
+
+func (m *measurement) runWriters(appendOne func([]byte) error, end time.Time) {
+	var writers sync.WaitGroup
+	for range m.options.Writers {
+		writers.Go(func() {
+			histogram := hdrhistogram.New(1, highestMicros, significantDigits)
+			err := m.writeUntil(end, appendOne, histogram)
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
+			m.histogram.Merge(histogram)
+			m.err = errors.CombineErrors(m.err, err)
+		})
+	}
+	writers.Wait()
+}
+
+func (m *measurement) writeUntil(end time.Time, appendOne func([]byte) error, histogram *hdrhistogram.Histogram) error {
+	record := make([]byte, m.options.RecordBytes)
+	for started := time.Now(); started.Before(end); started = time.Now() {
+		if err := appendOne(record); err != nil {
+			return err
+		}
+		if err := histogram.RecordValue(max(time.Since(started).Microseconds(), 1)); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+func (m *measurement) result(elapsed time.Duration) Result {
+	appends := m.histogram.TotalCount()
+	return Result{
+		Writers:          m.options.Writers,
+		SyncEach:         m.options.SyncEach,
+		Appends:          appends,
+		Syncs:            m.syncs,
+		AppendsPerSecond: float64(appends) / elapsed.Seconds(),
+		P50:              time.Duration(m.histogram.ValueAtQuantile(50)) * time.Microsecond,
+		P99:              time.Duration(m.histogram.ValueAtQuantile(99)) * time.Microsecond,
+	}
+}
