--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,356 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// simulatedMember is a node with its disk, clock and applied commands.
+type simulatedMember struct {
+	id      uint64
+	node    *Node
+	rate    float64
+	frozen  bool
+	down    bool
+	applied []uint64
+
+	hardState *protocol.HardState
+	snapshot  *protocol.SnapshotMetadata
+	state     []byte
+	entries   []*protocol.Entry
+}
+
+type delivery struct {
+	due     int64
+	message *protocol.ConsensusMessage
+}
+
+type committedEntry struct {
+	term uint64
+	data string
+}
+
+// simulatedCluster runs members over a network that loses, delays, doubles and cuts, with
+// clocks of different speeds, and checks the rules of the protocol after each step.
+type simulatedCluster struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     int64 // milliseconds
+	members map[uint64]*simulatedMember
+	network []delivery
+	loss    float64
+	cut     map[[2]uint64]bool
+
+	leaders   map[uint64]uint64
+	committed map[uint64]committedEntry
+	logged    map[[2]uint64]committedEntry
+	highest   uint64
+	reads     map[uint64]uint64
+	nextRead  uint64
+	command   uint64
+	elections int
+	installs  int
+	leased    int
+	served    int
+	changes   int
+	slowUntil int64
+	restarts  int
+}
+
+const simulatedChunkBytes = 256
+
+var simulationStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newSimulatedCluster(t *testing.T, seed uint64, voters, learners int) *simulatedCluster {
+	cluster := &simulatedCluster{
+		t: t, random: rand.New(rand.NewPCG(seed, 7)), members: map[uint64]*simulatedMember{},
+		cut: map[[2]uint64]bool{}, leaders: map[uint64]uint64{}, committed: map[uint64]committedEntry{},
+		reads: map[uint64]uint64{}, logged: map[[2]uint64]committedEntry{},
+	}
+	configuration := &protocol.CoreConfiguration{}
+	for id := 1; id <= voters+learners; id++ {
+		configuration.Members = append(configuration.Members, &protocol.CoreMember{Id: uint64(id), Voter: id <= voters})
+	}
+	data, _ := proto.Marshal(configuration)
+	first := &protocol.Entry{Term: 1, Index: 1, Kind: protocol.EntryKind_ENTRY_CONFIGURATION, Data: data}
+	for _, configured := range configuration.GetMembers() {
+		member := &simulatedMember{
+			id: configured.GetId(), rate: 0.97 + 0.06*cluster.random.Float64(),
+			hardState: &protocol.HardState{Term: 1, Commit: 1}, entries: []*protocol.Entry{first},
+		}
+		cluster.members[member.id] = member
+		cluster.start(member)
+	}
+	return cluster
+}
+
+func (c *simulatedCluster) fail(format string, arguments ...any) {
+	c.t.Helper()
+	c.t.Fatalf("at %d ms: %s", c.now, fmt.Sprintf(format, arguments...))
+}
+
+func (m *simulatedMember) clock(now int64) time.Time {
+	return simulationStart.Add(time.Duration(float64(now) * m.rate * float64(time.Millisecond)))
+}
+
+func (c *simulatedCluster) start(member *simulatedMember) {
+	node, err := New(Config{
+		ID: member.id, Random: rand.New(rand.NewPCG(c.random.Uint64(), member.id)),
+		RetainedEntries: 4, SnapshotChunkBytes: simulatedChunkBytes, MaxInflight: 16,
+	}, InitialState{HardState: member.hardState, Snapshot: member.snapshot, Entries: member.entries}, member.clock(c.now))
+	if err != nil {
+		c.fail("member %d does not start: %v", member.id, err)
+	}
+	member.node, member.down = node, false
+	member.applied = decodeState(member.state)
+}
+
+func (c *simulatedCluster) ids() []uint64 {
+	var ids []uint64
+	for id := range c.members {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// step advances the time by five milliseconds and runs everybody.
+func (c *simulatedCluster) step() {
+	c.now += 5
+	c.deliver()
+	for _, id := range c.ids() {
+		member := c.members[id]
+		if member.down || member.frozen {
+			continue
+		}
+		member.node.Tick(member.clock(c.now))
+		c.carryOut(member)
+	}
+	c.checkLeases()
+}
+
+func (c *simulatedCluster) deliver() {
+	waiting := c.network
+	c.network = nil
+	sort.SliceStable(waiting, func(i, j int) bool { return waiting[i].due < waiting[j].due })
+	for _, sent := range waiting {
+		member := c.members[sent.message.GetTo()]
+		if sent.due > c.now || member != nil && member.frozen {
+			c.network = append(c.network, sent)
+			continue
+		}
+		if member == nil || member.down || c.cut[[2]uint64{sent.message.GetFrom(), sent.message.GetTo()}] {
+			continue
+		}
+		if err := member.node.Step(sent.message, member.clock(c.now)); err != nil {
+			c.fail("member %d refuses a message: %v", member.id, err)
+		}
+		c.carryOut(member)
+	}
+}
+
+func (c *simulatedCluster) send(message *protocol.ConsensusMessage) {
+	copies := 1
+	switch draw := c.random.Float64(); {
+	case draw < c.loss:
+		copies = 0
+	case draw < c.loss+0.02:
+		copies = 2
+	}
+	for range copies {
+		delay := 1 + c.random.Int64N(10)
+		if c.now < c.slowUntil || c.random.Float64() < 0.02 {
+			delay += c.random.Int64N(1500)
+		}
+
+		c.network = append(c.network, delivery{due: c.now + delay, message: message})
+	}
+}
+
+// carryOut does what the member's output asks for; a crash may come after any write.
+func (c *simulatedCluster) carryOut(member *simulatedMember) {
+	for member.node.HasReady() {
+		ready := member.node.Ready()
+		if c.loss > 0 && ready.MustSync && c.random.Float64() < 0.002 {
+			c.crashWhileWriting(member, ready)
+			return
+		}
+		c.checkMatching(member, ready.Entries)
+		member.persist(ready, len(ready.Entries), true)
+		if ready.Snapshot != nil {
+			member.applied = decodeState(ready.Snapshot.Data)
+			c.installs++
+		}
+		var stale []uint64
+		for _, message := range ready.Messages {
+			if !member.fillChunk(message) {
+				stale = append(stale, message.GetTo())
+				continue
+			}
+			c.send(message)
+		}
+		for _, entry := range ready.Committed {
+			c.apply(member, entry)
+		}
+		for _, read := range ready.Reads {
+			c.checkRead(member, read)
+		}
+		member.node.Advance(ready, member.clock(c.now))
+		for _, id := range stale {
+			member.node.RestartSnapshot(id, member.clock(c.now))
+		}
+		c.checkLeader(member)
+		c.maybeCompact(member)
+	}
+}
+
+// persist keeps a beginning of the writes.
+func (m *simulatedMember) persist(ready Ready, entries int, hardState bool) {
+	if ready.Snapshot != nil {
+		m.snapshot, m.state, m.entries = ready.Snapshot.Metadata, ready.Snapshot.Data, nil
+	}
+	for _, entry := range ready.Entries[:entries] {
+		m.entries = append(m.entries[:entry.GetIndex()-m.snapshot.GetIndex()-1:entry.GetIndex()-m.snapshot.GetIndex()-1], entry)
+	}
+	if hardState && ready.HardState != nil {
+		m.hardState = ready.HardState
+	}
+}
+
+func (c *simulatedCluster) crashWhileWriting(member *simulatedMember, ready Ready) {
+	if ready.Snapshot == nil {
+		member.persist(ready, c.random.IntN(len(ready.Entries)+1), false)
+	}
+	member.down = true
+}
+
+func (m *simulatedMember) fillChunk(message *protocol.ConsensusMessage) bool {
+	if message.GetKind() != protocol.ConsensusMessageKind_SNAPSHOT_CHUNK {
+		return true
+	}
+	if message.GetSnapshot().GetIndex() != m.snapshot.GetIndex() {
+		return false
+	}
+	start := min(int(message.GetChunkOffset()), len(m.state))
+	end := min(start+simulatedChunkBytes, len(m.state))
+	message.Chunk, message.ChunkLast = m.state[start:end], end == len(m.state)
+	return true
+}
+
+func (c *simulatedCluster) maybeCompact(member *simulatedMember) {
+	status := member.node.Status()
+	if status.Applied-status.SnapshotIndex < 50 {
+		return
+	}
+	metadata := member.node.SnapshotMetadata()
+	kept := member.entries[metadata.GetIndex()-member.snapshot.GetIndex():]
+	member.entries = append([]*protocol.Entry(nil), kept...)
+	member.snapshot, member.state = metadata, encodeState(member.applied)
+	member.node.Compact(metadata)
+}
+
+func encodeState(applied []uint64) []byte {
+	var state []byte
+	for _, command := range applied {
+		state = binary.BigEndian.AppendUint64(state, command)
+	}
+	return state
+}
+
+func decodeState(state []byte) (applied []uint64) {
+	for ; len(state) >= 8; state = state[8:] {
+		applied = append(applied, binary.BigEndian.Uint64(state))
+	}
+	return applied
+}
+
+// apply checks state machine safety: all members apply the same entry at an index.
+func (c *simulatedCluster) apply(member *simulatedMember, entry *protocol.Entry) {
+	want, known := c.committed[entry.GetIndex()]
+	got := committedEntry{term: entry.GetTerm(), data: string(entry.GetData())}
+	if known && want != got {
+		c.fail("member %d applies another entry at %d", member.id, entry.GetIndex())
+	}
+	c.committed[entry.GetIndex()] = got
+	c.highest = max(c.highest, entry.GetIndex())
+	if entry.GetKind() == protocol.EntryKind_ENTRY_COMMAND {
+		member.applied = append(member.applied, binary.BigEndian.Uint64(entry.GetData()))
+	}
+}
+
+// checkMatching checks log matching: entries with one index and term are equal and follow equal
+// logs, which holds when each follows an entry of the same term.
+func (c *simulatedCluster) checkMatching(member *simulatedMember, entries []*protocol.Entry) {
+	for _, entry := range entries {
+		before, held := member.node.log.termAt(entry.GetIndex() - 1)
+		if !held {
+			continue
+		}
+		position := [2]uint64{entry.GetIndex(), entry.GetTerm()}
+		got := committedEntry{term: before, data: string(entry.GetData())}
+		if want, known := c.logged[position]; known && want != got {
+			c.fail("member %d logs another entry at %d in term %d", member.id, entry.GetIndex(), entry.GetTerm())
+		}
+		c.logged[position] = got
+	}
+}
+
+// checkLeader checks election safety and leader completeness.
+func (c *simulatedCluster) checkLeader(member *simulatedMember) {
+	if member.node.Role() != Leader {
+		return
+	}
+	term := member.node.Term()
+	known, seen := c.leaders[term]
+	if seen && known != member.id {
+		c.fail("members %d and %d lead term %d", known, member.id, term)
+	}
+	if seen {
+		return
+	}
+	c.leaders[term] = member.id
+	c.elections++
+	for index, entry := range c.committed {
+		own, held := member.node.log.termAt(index)
+		if entry.term < term && index > member.node.log.baseIndex && (!held || own != entry.term) {
+			c.fail("leader %d of term %d lacks committed entry %d", member.id, term, index)
+		}
+	}
+}
+
+// checkLeases checks that no two members, frozen ones too, hold a lease at one moment.
+func (c *simulatedCluster) checkLeases() {
+	var holder uint64
+	for _, id := range c.ids() {
+		member := c.members[id]
+		now := member.clock(c.now)
+		if member.down || !now.Before(member.node.LeaseEnds(now)) {
+			continue
+		}
+		if holder != 0 {
+			c.fail("members %d and %d hold the lease", holder, id)
+		}
+		holder = id
+	}
+	if holder != 0 {
+		c.leased++
+	}
+}
+
+func (c *simulatedCluster) checkRead(member *simulatedMember, read ReadResult) {
+	if read.Failed {
+		return
+	}
+	c.served++
+	if read.Index < c.reads[read.ID] {
+		c.fail("a read at member %d sees %d, but %d was applied before it", member.id, read.Index, c.reads[read.ID])
+	}
+}
--- /dev/null
+++ b/internal/consensus/configuration.go
@@ -0,0 +1,155 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Voters returns the ids of the voters, sorted.
+func Voters(configuration *protocol.CoreConfiguration) []uint64 {
+	var voters []uint64
+	for _, member := range configuration.GetMembers() {
+		if member.GetVoter() {
+			voters = append(voters, member.GetId())
+		}
+	}
+	slices.Sort(voters)
+	return voters
+}
+
+// Member returns the member of that id, or nil.
+func Member(configuration *protocol.CoreConfiguration, id uint64) *protocol.CoreMember {
+	for _, member := range configuration.GetMembers() {
+		if member.GetId() == id {
+			return member
+		}
+	}
+	return nil
+}
+
+// Quorum is the number of voters that make a majority.
+func Quorum(voters int) int { return voters/2 + 1 }
+
+// checkChange refuses a change of more than one member or one that leaves no voter.
+func checkChange(before, after *protocol.CoreConfiguration) error {
+	if len(Voters(after)) == 0 {
+		return &InvalidChangeError{Reason: "no voter is left"}
+	}
+	seen := map[uint64]bool{}
+	changed := 0
+	for _, member := range after.GetMembers() {
+		if member.GetId() == 0 || seen[member.GetId()] {
+			return &InvalidChangeError{Reason: "a member id is zero or stands twice"}
+		}
+		seen[member.GetId()] = true
+		former := Member(before, member.GetId())
+		if former == nil && member.GetVoter() {
+			return &InvalidChangeError{Reason: "a new member must begin as a learner"}
+		}
+		if former == nil || !proto.Equal(former, member) {
+			changed++
+		}
+	}
+	for _, member := range before.GetMembers() {
+		if !seen[member.GetId()] {
+			changed++
+		}
+	}
+	if changed != 1 {
+		return &InvalidChangeError{Reason: "exactly one member must change"}
+	}
+	return nil
+}
+
+// configurationHistory holds the configuration of the snapshot and those of the log after it;
+// the newest counts, committed or not.
+type configurationHistory struct {
+	states []configurationState
+}
+
+type configurationState struct {
+	index         uint64
+	configuration *protocol.CoreConfiguration
+}
+
+func (h *configurationHistory) reset(snapshot *protocol.SnapshotMetadata) {
+	configuration := snapshot.GetConfiguration()
+	if configuration == nil {
+		configuration = &protocol.CoreConfiguration{}
+	}
+	h.states = []configurationState{{index: snapshot.GetIndex(), configuration: configuration}}
+}
+
+// observe takes in an appended entry. The error is a *StateError.
+func (h *configurationHistory) observe(entry *protocol.Entry) error {
+	if entry.GetKind() != protocol.EntryKind_ENTRY_CONFIGURATION {
+		return nil
+	}
+	configuration := &protocol.CoreConfiguration{}
+	if err := proto.Unmarshal(entry.GetData(), configuration); err != nil {
+		return &StateError{Reason: "a configuration entry cannot be read: " + err.Error(), Index: entry.GetIndex()}
+	}
+	h.states = append(h.states, configurationState{index: entry.GetIndex(), configuration: configuration})
+	return nil
+}
+
+// truncate forgets configurations from index on.
+func (h *configurationHistory) truncate(index uint64) {
+	for len(h.states) > 1 && h.states[len(h.states)-1].index >= index {
+		h.states = h.states[:len(h.states)-1]
+	}
+}
+
+// compact forgets configurations that a later one at or below index replaces.
+func (h *configurationHistory) compact(index uint64) {
+	for len(h.states) > 1 && h.states[1].index <= index {
+		h.states = h.states[1:]
+	}
+}
+
+func (h *configurationHistory) latest() configurationState { return h.states[len(h.states)-1] }
+
+// at returns the configuration in force at index.
+func (h *configurationHistory) at(index uint64) *protocol.CoreConfiguration {
+	for position := len(h.states) - 1; position > 0; position-- {
+		if h.states[position].index <= index {
+			return h.states[position].configuration
+		}
+	}
+	return h.states[0].configuration
+}
+
+func (n *Node) configuration() *protocol.CoreConfiguration {
+	return n.configurations.latest().configuration
+}
+
+func (n *Node) isVoter() bool {
+	return Member(n.configuration(), n.config.ID).GetVoter()
+}
+
+// ProposeConfiguration appends a membership change of one member. Only one may be uncommitted,
+// and only after an entry of the leader's own term is committed. Errors: *NotLeaderError,
+// *TransferringError, *ChangePendingError, *InvalidChangeError.
+func (n *Node) ProposeConfiguration(next *protocol.CoreConfiguration, now time.Time) (index uint64, err error) {
+	if err := n.canPropose(); err != nil {
+		return 0, err
+	}
+	if waits := max(n.termStart, n.configurations.latest().index); waits > n.log.commit {
+		return 0, &ChangePendingError{Index: waits}
+	}
+	if err := checkChange(n.configuration(), next); err != nil {
+		return 0, err
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	if err != nil {
+		return 0, &InvalidChangeError{Reason: err.Error()}
+	}
+	index = n.appendOwn(protocol.EntryKind_ENTRY_CONFIGURATION, data)
+	n.syncPeers(now)
+	n.broadcastAppend(now)
+	return index, nil
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,142 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func (n *Node) resetElectionDeadline(now time.Time) {
+	spread := time.Duration(n.config.Random.Int64N(int64(n.config.ElectionTimeout)))
+	n.electionDeadline = now.Add(n.config.ElectionTimeout + spread)
+}
+
+// hearLeader notes a message of the leader of this term: the promise not to vote starts anew.
+func (n *Node) hearLeader(leader uint64, now time.Time) {
+	n.leader = leader
+	n.refuseVotesUntil = now.Add(n.config.ElectionTimeout)
+	n.resetElectionDeadline(now)
+}
+
+// refusesVotes reports whether a leader's lease may rest on this node.
+func (n *Node) refusesVotes(now time.Time) bool {
+	if n.role == Leader {
+		return now.Before(n.LeaseEnds(now))
+	}
+	return now.Before(n.refuseVotesUntil)
+}
+
+func (n *Node) becomeFollower(term, leader uint64, now time.Time) {
+	if term > n.term {
+		n.term, n.vote = term, 0
+	}
+	if n.role == Leader {
+		n.failReads()
+	}
+	if n.role != Follower {
+		n.resetElectionDeadline(now)
+	}
+	n.role, n.leader = Follower, leader
+	n.votes, n.peers, n.rounds = nil, nil, nil
+	n.transfer = transferState{}
+	n.transferCampaign = false
+}
+
+// campaign stands for election, as PreCandidate without a new term or as Candidate with one.
+func (n *Node) campaign(role Role, now time.Time) {
+	n.role, n.leader = role, 0
+	n.incoming = incomingSnapshot{}
+	n.votes = map[uint64]bool{n.config.ID: true}
+	n.resetElectionDeadline(now)
+	kind, term := protocol.ConsensusMessageKind_PRE_VOTE, n.term+1
+	if role == Candidate {
+		n.term++
+		n.vote = n.config.ID
+		kind, term = protocol.ConsensusMessageKind_VOTE, n.term
+	}
+	for _, voter := range Voters(n.configuration()) {
+		if voter == n.config.ID {
+			continue
+		}
+		n.send(&protocol.ConsensusMessage{
+			Kind: kind, To: voter, Term: term, Transfer: n.transferCampaign,
+			LogIndex: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+		})
+	}
+	n.countVotes(now)
+}
+
+func (n *Node) countVotes(now time.Time) {
+	voters := Voters(n.configuration())
+	granted, refused := 0, 0
+	for _, voter := range voters {
+		if grant, answered := n.votes[voter]; grant {
+			granted++
+		} else if answered {
+			refused++
+		}
+	}
+	quorum := Quorum(len(voters))
+	switch {
+	case granted >= quorum && n.role == PreCandidate:
+		n.campaign(Candidate, now)
+	case granted >= quorum:
+		n.becomeLeader(now)
+	case refused > len(voters)-quorum:
+		n.becomeFollower(n.term, 0, now)
+	}
+}
+
+func (n *Node) becomeLeader(now time.Time) {
+	n.role, n.leader, n.votes = Leader, n.config.ID, nil
+	n.transferCampaign = false
+	n.transfer = transferState{}
+	n.rounds, n.peers, n.reads = nil, nil, nil
+	n.uncommittedBytes = 0
+	n.syncPeers(now)
+	n.termStart = n.appendOwn(protocol.EntryKind_ENTRY_EMPTY, nil)
+	n.broadcastHeartbeat(now)
+}
+
+func (n *Node) stepPreVote(message *protocol.ConsensusMessage, now time.Time) {
+	grant := message.GetTerm() > n.term && !n.refusesVotes(now) &&
+		n.log.upToDate(message.GetLogIndex(), message.GetLogTerm())
+	answer := &protocol.ConsensusMessage{
+		Kind: protocol.ConsensusMessageKind_PRE_VOTE_RESPONSE, To: message.GetFrom(), Reject: !grant,
+	}
+	if grant {
+		// The term asked for, so that the pre-candidate knows which question was answered.
+		answer.Term = message.GetTerm()
+	}
+	n.send(answer)
+}
+
+func (n *Node) stepVote(message *protocol.ConsensusMessage, now time.Time) {
+	grant := (n.vote == 0 || n.vote == message.GetFrom()) && (n.role == Follower || n.role == PreCandidate) &&
+		n.log.upToDate(message.GetLogIndex(), message.GetLogTerm())
+	if grant {
+		n.becomeFollower(n.term, 0, now)
+		n.vote = message.GetFrom()
+		n.resetElectionDeadline(now)
+	}
+	n.send(&protocol.ConsensusMessage{
+		Kind: protocol.ConsensusMessageKind_VOTE_RESPONSE, To: message.GetFrom(), Reject: !grant,
+	})
+}
+
+func (n *Node) stepPreVoteResponse(message *protocol.ConsensusMessage, now time.Time) {
+	answersThis := message.GetReject() || message.GetTerm() == n.term+1
+	if n.role != PreCandidate || !answersThis {
+		return
+	}
+	n.votes[message.GetFrom()] = !message.GetReject()
+	n.countVotes(now)
+}
+
+func (n *Node) stepVoteResponse(message *protocol.ConsensusMessage, now time.Time) {
+	if n.role != Candidate {
+		return
+	}
+	n.votes[message.GetFrom()] = !message.GetReject()
+	n.countVotes(now)
+}
--- /dev/null
+++ b/internal/consensus/faults_test.go
@@ -0,0 +1,183 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// propose lets every member that thinks it leads take a command, a read and at times a change.
+func (c *simulatedCluster) propose(membership bool) {
+	for _, id := range c.ids() {
+		member := c.members[id]
+		if member.down || member.frozen || member.node.Role() != Leader {
+			continue
+		}
+		now := member.clock(c.now)
+		c.nextRead++
+		c.reads[c.nextRead] = c.highest
+		_ = member.node.Read(c.nextRead, now)
+		c.command++
+		_, _, _ = member.node.Propose([][]byte{binary.BigEndian.AppendUint64(nil, c.command)}, now)
+		if membership {
+			c.changeMembership(member, now)
+		}
+		c.carryOut(member)
+	}
+}
+
+// changeMembership flips the vote of a random member, or hands leadership over.
+func (c *simulatedCluster) changeMembership(leader *simulatedMember, now time.Time) {
+	configuration, _ := leader.node.Configuration()
+	target := configuration.GetMembers()[c.random.IntN(len(configuration.GetMembers()))]
+	if c.random.IntN(4) == 0 {
+		_ = leader.node.Transfer(target.GetId(), now)
+		return
+	}
+	next := proto.Clone(configuration).(*protocol.CoreConfiguration)
+	Member(next, target.GetId()).Voter = !target.GetVoter()
+	if len(Voters(next)) < 3 {
+		return
+	}
+	if _, err := leader.node.ProposeConfiguration(next, now); err == nil {
+		c.changes++
+	}
+}
+
+// disturb brings about one random fault, or mends some. Half of the faults go for a leader.
+func (c *simulatedCluster) disturb() {
+	ids := c.ids()
+	member, other := c.members[ids[c.random.IntN(len(ids))]], ids[c.random.IntN(len(ids))]
+	if c.random.IntN(2) == 0 {
+		member = c.leaderOr(member)
+	}
+	switch c.random.IntN(10) {
+	case 0:
+		member.down = true
+	case 1:
+		member.frozen = true
+	case 2, 3:
+		c.cut[[2]uint64{member.id, other}] = true
+	case 4:
+		for _, id := range ids {
+			c.cut[[2]uint64{member.id, id}] = true
+		}
+	case 5:
+		c.slowUntil = c.now + c.random.Int64N(2000)
+	case 6:
+		for _, id := range ids {
+			if id != member.id && !c.members[id].down {
+				c.restarts++
+				c.start(c.members[id])
+			}
+		}
+	case 7:
+		c.cut = map[[2]uint64]bool{}
+	default:
+		c.wakeAll()
+	}
+}
+
+func (c *simulatedCluster) leaderOr(member *simulatedMember) *simulatedMember {
+	for _, id := range c.ids() {
+		if other := c.members[id]; !other.down && other.node.Role() == Leader {
+			return other
+		}
+	}
+	return member
+}
+
+// wakeAll restarts who is down and lets who is frozen go on; a frozen one serves requests before
+// it looks at its clock.
+func (c *simulatedCluster) wakeAll() {
+	for _, id := range c.ids() {
+		member := c.members[id]
+		if member.down {
+			c.restarts++
+			c.start(member)
+		}
+		if member.frozen {
+			member.frozen = false
+			c.propose(false)
+		}
+	}
+}
+
+func (c *simulatedCluster) heal() {
+	c.loss, c.cut = 0, map[[2]uint64]bool{}
+	for _, id := range c.ids() {
+		member := c.members[id]
+		member.frozen = false
+		if member.down {
+			c.start(member)
+		}
+	}
+}
+
+// settle runs until all members applied the same and a new command besides.
+func (c *simulatedCluster) settle() {
+	c.heal()
+	target := c.highest + 1
+	for range 4000 {
+		c.step()
+		if c.now%50 == 0 {
+			c.propose(false)
+		}
+		if c.allApplied(target) {
+			return
+		}
+	}
+	for _, id := range c.ids() {
+		c.t.Logf("member %d: %+v", id, c.members[id].node.Status())
+	}
+	c.fail("members do not catch up with entry %d after the faults", target)
+}
+
+func (c *simulatedCluster) allApplied(index uint64) bool {
+	for _, member := range c.members {
+		if member.node.Applied() < index {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRandomFaultsKeepTheRules(t *testing.T) {
+	total := simulatedCluster{}
+	for seed := uint64(1); seed <= 60; seed++ {
+		cluster := newSimulatedCluster(t, seed, 3+int(seed%2)*2, 2)
+		cluster.loss = 0.05 * float64(seed%4)
+		for round := 1; round <= 8000 && !t.Failed(); round++ {
+			cluster.step()
+			// A quiet time lets every log be up to date, so that anybody might win an election.
+			if quiet := round/500%2 == 1; round%4 == 0 && !quiet || round%200 == 0 {
+				cluster.propose(round%100 == 0)
+			}
+			if round%150 == 0 {
+				cluster.disturb()
+			}
+		}
+		cluster.settle()
+		total.elections += cluster.elections
+		total.installs += cluster.installs
+		total.leased += cluster.leased
+		total.served += cluster.served
+		total.changes += cluster.changes
+		total.restarts += cluster.restarts
+		total.highest += cluster.highest
+	}
+	t.Logf("elections %d, installs %d, steps with a lease %d, reads %d, changes %d, restarts %d, entries %d",
+		total.elections, total.installs, total.leased, total.served, total.changes, total.restarts, total.highest)
+	for name, count := range map[string]int{
+		"elections": total.elections, "snapshot installs": total.installs, "steps with a lease": total.leased,
+		"reads": total.served, "membership changes": total.changes, "restarts": total.restarts,
+	} {
+		if count < 60 {
+			t.Errorf("the run provoked only %d %s", count, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/consensus/fuzz_test.go
@@ -0,0 +1,49 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// FuzzStep feeds one member any messages: it may refuse them, but it never panics, goes back in
+// term, commit or application, or commits what it does not hold.
+func FuzzStep(f *testing.F) {
+	for kind := range protocol.ConsensusMessageKind_name {
+		message := &protocol.ConsensusMessage{
+			Kind: protocol.ConsensusMessageKind(kind), From: 2, To: 1, Term: 2, LogIndex: 1, LogTerm: 1, Commit: 9, ChunkLast: true,
+			Entries:  []*protocol.Entry{{Index: 2, Term: 2, Kind: protocol.EntryKind_ENTRY_COMMAND}},
+			Snapshot: &protocol.SnapshotMetadata{Index: 7, Term: 2},
+		}
+		data, _ := proto.Marshal(message)
+		f.Add(data, data, uint8(3), true)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte, wait uint8, lead bool) {
+		s := newScript(t, 3, 0)
+		if lead {
+			s.elect(1)
+		}
+		node := s.nodes[1]
+		for _, data := range [][]byte{first, second, first} {
+			message := &protocol.ConsensusMessage{}
+			if proto.Unmarshal(data, message) != nil {
+				continue
+			}
+			before := node.Status()
+			_ = node.Step(message, s.now)
+			s.now = s.now.Add(time.Duration(wait) * 10 * time.Millisecond)
+			node.Tick(s.now)
+			for node.HasReady() {
+				ready := node.Ready()
+				node.Advance(ready, s.now)
+			}
+			after := node.Status()
+			if after.Term < before.Term || after.Commit < before.Commit || after.Applied < before.Applied || after.Commit > after.LastIndex {
+				t.Fatalf("from %+v to %+v", before, after)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/consensus/log.go
@@ -0,0 +1,137 @@
+package consensus
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// entryLog holds the entries after a base. Entries are immutable once appended.
+type entryLog struct {
+	// The entry before the first kept one.
+	baseIndex, baseTerm uint64
+	entries             []*protocol.Entry
+	// stable is the last index that is durable here.
+	stable  uint64
+	commit  uint64
+	applied uint64
+	// snapshot is the newest durable snapshot; nil when there is none.
+	snapshot *protocol.SnapshotMetadata
+}
+
+// reset starts the log anew at a snapshot.
+func (l *entryLog) reset(snapshot *protocol.SnapshotMetadata) {
+	index, term := snapshot.GetIndex(), snapshot.GetTerm()
+	*l = entryLog{
+		baseIndex: index, baseTerm: term, stable: index, commit: index, applied: index, snapshot: snapshot,
+	}
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return l.baseTerm
+	}
+	return l.entries[len(l.entries)-1].GetTerm()
+}
+
+// termAt returns the term of an entry, or false when the log does not hold it.
+func (l *entryLog) termAt(index uint64) (uint64, bool) {
+	switch {
+	case index == l.baseIndex:
+		return l.baseTerm, true
+	case index < l.baseIndex || index > l.lastIndex():
+		return 0, false
+	default:
+		return l.entries[index-l.baseIndex-1].GetTerm(), true
+	}
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	own, found := l.termAt(index)
+	return found && own == term
+}
+
+// upToDate reports whether a log that ends with the given entry holds all that this one may
+// have committed.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	return term > l.lastTerm() || term == l.lastTerm() && index >= l.lastIndex()
+}
+
+// merge stores entries that follow a matching one. It returns the first index that changed,
+// or zero when all were there.
+func (l *entryLog) merge(entries []*protocol.Entry) uint64 {
+	for position, entry := range entries {
+		if l.matches(entry.GetIndex(), entry.GetTerm()) {
+			continue
+		}
+		l.truncate(entry.GetIndex())
+		l.entries = append(l.entries, entries[position:]...)
+		return entry.GetIndex()
+	}
+	return 0
+}
+
+// truncate drops the entries from index on.
+func (l *entryLog) truncate(index uint64) {
+	if index > l.lastIndex() {
+		return
+	}
+	kept := l.entries[:index-l.baseIndex-1]
+	// The capacity ends with the length, so that what was handed out is never overwritten.
+	l.entries = kept[:len(kept):len(kept)]
+	l.stable = min(l.stable, index-1)
+}
+
+// from returns entries from index on, at least one when there is any, up to about maxBytes.
+func (l *entryLog) from(index, through uint64, maxBytes int) []*protocol.Entry {
+	through = min(through, l.lastIndex())
+	if index > through {
+		return nil
+	}
+	all := l.entries[index-l.baseIndex-1 : through-l.baseIndex]
+	size := 0
+	for position, entry := range all {
+		size += proto.Size(entry)
+		if size > maxBytes && position > 0 {
+			return all[:position:position]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+// compact drops entries below a durable snapshot, but for the newest retained ones.
+func (l *entryLog) compact(snapshot *protocol.SnapshotMetadata, retained uint64, retainedBytes int) {
+	l.snapshot = snapshot
+	index := snapshot.GetIndex()
+	for size := 0; index > l.baseIndex && snapshot.GetIndex()-index < retained; index-- {
+		size += len(l.entries[index-l.baseIndex-1].GetData())
+		if size > retainedBytes {
+			break
+		}
+	}
+	if index <= l.baseIndex {
+		return
+	}
+	term, _ := l.termAt(index)
+	kept := l.entries[index-l.baseIndex:]
+	l.entries = append(make([]*protocol.Entry, 0, len(kept)), kept...)
+	l.baseIndex, l.baseTerm = index, term
+}
+
+// conflictHint is the last index that may match a leader whose log disagrees at index.
+func (l *entryLog) conflictHint(index uint64) uint64 {
+	if index > l.lastIndex() {
+		return l.lastIndex()
+	}
+	term, found := l.termAt(index)
+	for found && index > l.commit {
+		index--
+		before, ok := l.termAt(index)
+		if !ok || before != term {
+			break
+		}
+	}
+	return index
+}
--- /dev/null
+++ b/internal/consensus/node_test.go
@@ -0,0 +1,343 @@
+package consensus
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// script runs members by hand: the test moves the time and decides which messages arrive.
+type script struct {
+	t       *testing.T
+	now     time.Time
+	nodes   map[uint64]*Node
+	durable map[uint64]*InitialState
+	// held keeps the messages that pass is false for.
+	pass func(*protocol.ConsensusMessage) bool
+	held []*protocol.ConsensusMessage
+}
+
+func newScript(t *testing.T, voters, learners int) *script {
+	s := &script{t: t, now: simulationStart, nodes: map[uint64]*Node{}, durable: map[uint64]*InitialState{}, pass: passAll}
+	configuration := &protocol.CoreConfiguration{}
+	for id := 1; id <= voters+learners; id++ {
+		configuration.Members = append(configuration.Members, &protocol.CoreMember{Id: uint64(id), Voter: id <= voters})
+	}
+	data, _ := proto.Marshal(configuration)
+	for _, member := range configuration.GetMembers() {
+		s.durable[member.GetId()] = &InitialState{
+			HardState: &protocol.HardState{Term: 1, Commit: 1},
+			Entries:   []*protocol.Entry{{Term: 1, Index: 1, Kind: protocol.EntryKind_ENTRY_CONFIGURATION, Data: data}},
+		}
+		s.restart(member.GetId())
+	}
+	return s
+}
+
+func passAll(*protocol.ConsensusMessage) bool { return true }
+
+func passNone(*protocol.ConsensusMessage) bool { return false }
+
+func (s *script) restart(id uint64) {
+	node, err := New(Config{ID: id, Random: rand.New(rand.NewPCG(id, 1))}, *s.durable[id], s.now)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.nodes[id] = node
+}
+
+// run carries out all output and delivers what passes until nothing is left.
+func (s *script) run() {
+	for moved := true; moved; {
+		moved = false
+		for id := uint64(1); id <= uint64(len(s.nodes)); id++ {
+			for s.nodes[id].HasReady() {
+				moved = true
+				s.carryOut(id)
+			}
+		}
+	}
+}
+
+func (s *script) carryOut(id uint64) Ready {
+	ready, disk := s.nodes[id].Ready(), s.durable[id]
+	for _, entry := range ready.Entries {
+		disk.Entries = append(disk.Entries[:entry.GetIndex()-1:entry.GetIndex()-1], entry)
+	}
+	if ready.HardState != nil {
+		disk.HardState = ready.HardState
+	}
+	s.nodes[id].Advance(ready, s.now)
+	for _, message := range ready.Messages {
+		if s.pass(message) {
+			s.deliver(message)
+		} else {
+			s.held = append(s.held, message)
+		}
+	}
+	return ready
+}
+
+func (s *script) deliver(message *protocol.ConsensusMessage) {
+	if err := s.nodes[message.GetTo()].Step(message, s.now); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// release delivers what was held, and everything from now on.
+func (s *script) release() {
+	s.pass = passAll
+	held := s.held
+	s.held = nil
+	for _, message := range held {
+		s.deliver(message)
+	}
+	s.run()
+}
+
+// elect makes a member leader, long after the others heard of any.
+func (s *script) elect(id uint64) *Node {
+	s.t.Helper()
+	// A leader without answers steps down first.
+	for range 2 {
+		s.now = s.now.Add(10 * DefaultElectionTimeout)
+		s.nodes[id].Tick(s.now)
+	}
+	s.run()
+	if s.nodes[id].Role() != Leader {
+		s.t.Fatalf("member %d is %v", id, s.nodes[id].Role())
+	}
+	return s.nodes[id]
+}
+
+func (s *script) vote(kind protocol.ConsensusMessageKind, from, to uint64, term uint64) *protocol.ConsensusMessage {
+	last := s.nodes[from].log
+	return &protocol.ConsensusMessage{
+		Kind: kind, From: from, To: to, Term: term, LogIndex: last.lastIndex(), LogTerm: last.lastTerm(),
+	}
+}
+
+func TestMemberRefusesToVote(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(*script)
+		wait    time.Duration
+		granted bool
+	}{
+		"right after hearing the leader":            {func(*script) {}, 0, false},
+		"just before the election timeout":          {func(*script) {}, DefaultElectionTimeout - time.Millisecond, false},
+		"after the election timeout":                {func(*script) {}, DefaultElectionTimeout, true},
+		"right after a restart":                     {func(s *script) { s.restart(2) }, 0, false},
+		"one election timeout after a restart":      {func(s *script) { s.restart(2) }, DefaultElectionTimeout, true},
+		"restarted just before its promise ran out": {func(s *script) { s.now = s.now.Add(900 * time.Millisecond); s.restart(2) }, 200 * time.Millisecond, false},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, 3, 0)
+			s.elect(1)
+			tt.prepare(s)
+			s.now = s.now.Add(tt.wait)
+			term := s.nodes[2].Term()
+			for _, kind := range []protocol.ConsensusMessageKind{protocol.ConsensusMessageKind_PRE_VOTE, protocol.ConsensusMessageKind_VOTE} {
+				s.deliver(s.vote(kind, 3, 2, term+1))
+				granted := false
+				for _, answer := range s.nodes[2].Ready().Messages {
+					granted = granted || !answer.GetReject()
+				}
+				if granted != tt.granted {
+					t.Errorf("%v: granted %v, want %v", kind, granted, tt.granted)
+				}
+			}
+			if moved := s.nodes[2].Term() != term; moved != tt.granted {
+				t.Errorf("the term moved from %d to %d", term, s.nodes[2].Term())
+			}
+		})
+	}
+}
+
+func TestVoteIsDurableBeforeItIsSent(t *testing.T) {
+	s := newScript(t, 3, 0)
+	s.now = s.now.Add(2 * DefaultElectionTimeout)
+	s.pass = passNone
+	// The term is known and durable before the vote is asked for.
+	s.deliver(&protocol.ConsensusMessage{Kind: protocol.ConsensusMessageKind_VOTE_RESPONSE, From: 1, To: 2, Term: 2, Reject: true})
+	s.carryOut(2)
+	s.deliver(s.vote(protocol.ConsensusMessageKind_VOTE, 3, 2, 2))
+	ready := s.carryOut(2)
+	if !ready.MustSync || ready.HardState.GetVotedFor() != 3 || len(ready.Messages) != 1 || ready.Messages[0].GetReject() {
+		t.Fatalf("the vote is not saved with its answer: %+v", ready)
+	}
+	s.restart(2)
+	s.now = s.now.Add(2 * DefaultElectionTimeout)
+	s.deliver(s.vote(protocol.ConsensusMessageKind_VOTE, 1, 2, 2))
+	if answer := s.nodes[2].Ready().Messages[0]; !answer.GetReject() {
+		t.Error("two votes in one term")
+	}
+}
+
+func TestLeaseCountsFromSending(t *testing.T) {
+	s := newScript(t, 3, 0)
+	leader := s.elect(1)
+	length := DefaultElectionTimeout - DefaultElectionTimeout/driftShare
+	s.pass = func(m *protocol.ConsensusMessage) bool { return m.GetFrom() == 1 }
+	s.now = s.now.Add(500 * time.Millisecond)
+	sent := s.now
+	leader.Tick(s.now)
+	s.run()
+	if ends := leader.LeaseEnds(s.now); !ends.Before(sent.Add(length)) {
+		t.Errorf("the lease grew before an answer: %v", ends.Sub(sent))
+	}
+	s.now = s.now.Add(300 * time.Millisecond)
+	s.release()
+	if ends := leader.LeaseEnds(s.now); !ends.Equal(sent.Add(length)) {
+		t.Errorf("the lease ends %v after the sending, want %v", ends.Sub(sent), length)
+	}
+}
+
+func TestLeaderWithoutMajorityStepsDown(t *testing.T) {
+	s := newScript(t, 3, 0)
+	leader := s.elect(1)
+	s.pass = passNone
+	s.now = s.now.Add(DefaultElectionTimeout)
+	leader.Tick(s.now)
+	if leader.Role() != Follower {
+		t.Errorf("the leader is still %v", leader.Role())
+	}
+}
+
+func TestTransferGivesUpTheLeaseForTheTerm(t *testing.T) {
+	s := newScript(t, 3, 0)
+	leader := s.elect(1)
+	s.pass = func(m *protocol.ConsensusMessage) bool {
+		return m.GetKind() != protocol.ConsensusMessageKind_TIMEOUT_NOW
+	}
+	if err := leader.Transfer(2, s.now); err != nil {
+		t.Fatal(err)
+	}
+	s.run()
+	var transferring *TransferringError
+	if _, _, err := leader.Propose([][]byte{nil}, s.now); !errors.As(err, &transferring) {
+		t.Errorf("a proposal during the transfer gives %v", err)
+	}
+	if !leader.LeaseEnds(s.now).IsZero() {
+		t.Error("the lease goes on after the target was told to stand")
+	}
+	s.now = s.now.Add(DefaultElectionTimeout)
+	leader.Tick(s.now)
+	if leader.Role() != Follower {
+		t.Error("the leader goes on after a transfer that may still succeed")
+	}
+	s.release()
+	if s.nodes[2].Role() != Leader || s.nodes[2].Term() != 3 {
+		t.Errorf("the target is %v of term %d", s.nodes[2].Role(), s.nodes[2].Term())
+	}
+}
+
+func TestEntriesOfEarlierTermsCommitWithTheLeadersOwn(t *testing.T) {
+	s := newScript(t, 3, 0)
+	leader := s.elect(1)
+	s.pass = passNone
+	if _, _, err := leader.Propose([][]byte{[]byte("old")}, s.now); err != nil {
+		t.Fatal(err)
+	}
+	s.run()
+	s.held, s.pass = nil, passAll
+	old := leader.log.lastIndex()
+	// The same member leads again; its own first entry reaches nobody yet.
+	s.pass = func(m *protocol.ConsensusMessage) bool { return m.GetKind() != protocol.ConsensusMessageKind_APPEND }
+	leader = s.elect(1)
+	term := leader.Term()
+	leader.Step(&protocol.ConsensusMessage{Kind: protocol.ConsensusMessageKind_APPEND_RESPONSE, From: 2, To: 1, Term: term, LogIndex: old}, s.now)
+	s.run()
+	if leader.log.commit >= old {
+		t.Error("an entry of an earlier term was committed by counting")
+	}
+	leader.Step(&protocol.ConsensusMessage{Kind: protocol.ConsensusMessageKind_APPEND_RESPONSE, From: 2, To: 1, Term: term, LogIndex: old + 1}, s.now)
+	s.run()
+	if leader.log.commit != old+1 {
+		t.Errorf("commit is %d, want %d", leader.log.commit, old+1)
+	}
+}
+
+func TestMembershipChangesOneAtATime(t *testing.T) {
+	s := newScript(t, 3, 1)
+	s.pass = func(m *protocol.ConsensusMessage) bool { return m.GetKind() != protocol.ConsensusMessageKind_APPEND }
+	leader := s.elect(1)
+	before, _ := leader.Configuration()
+	change := func(edit func(*protocol.CoreConfiguration)) error {
+		next := proto.Clone(before).(*protocol.CoreConfiguration)
+		edit(next)
+		_, err := leader.ProposeConfiguration(next, s.now)
+		return err
+	}
+	promote := func(c *protocol.CoreConfiguration) { Member(c, 4).Voter = true }
+	var pending *ChangePendingError
+	if err := change(promote); !errors.As(err, &pending) {
+		t.Errorf("before an entry of the term is committed: %v", err)
+	}
+	s.release()
+	var invalid *InvalidChangeError
+	for name, edit := range map[string]func(*protocol.CoreConfiguration){
+		"two voters at once": func(c *protocol.CoreConfiguration) { Member(c, 4).Voter, Member(c, 3).Voter = true, false },
+		"a new voter": func(c *protocol.CoreConfiguration) {
+			c.Members = append(c.Members, &protocol.CoreMember{Id: 9, Voter: true})
+		},
+		"nothing":     func(*protocol.CoreConfiguration) {},
+		"nobody left": func(c *protocol.CoreConfiguration) { c.Members = nil },
+	} {
+		if err := change(edit); !errors.As(err, &invalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	s.pass = passNone
+	if err := change(promote); err != nil {
+		t.Fatal(err)
+	}
+	if err := change(func(c *protocol.CoreConfiguration) { Member(c, 3).Voter = false }); !errors.As(err, &pending) {
+		t.Errorf("while another change is uncommitted: %v", err)
+	}
+	s.run()
+	s.release()
+	if got := len(Voters(s.nodes[4].configuration())); got != 4 {
+		t.Errorf("the new voter knows %d voters", got)
+	}
+}
+
+func TestLeaderLeavesWhenItsRemovalIsCommitted(t *testing.T) {
+	s := newScript(t, 3, 0)
+	leader := s.elect(1)
+	configuration, _ := leader.Configuration()
+	next := proto.Clone(configuration).(*protocol.CoreConfiguration)
+	next.Members = next.GetMembers()[1:]
+	if _, err := leader.ProposeConfiguration(next, s.now); err != nil {
+		t.Fatal(err)
+	}
+	s.run()
+	if leader.Role() != Follower || s.nodes[2].log.commit != s.nodes[2].log.lastIndex() {
+		t.Errorf("the removed leader is %v; member 2 committed %d of %d", leader.Role(), s.nodes[2].log.commit, s.nodes[2].log.lastIndex())
+	}
+	s.now = s.now.Add(20 * DefaultElectionTimeout)
+	leader.Tick(s.now)
+	if leader.Role() != Follower {
+		t.Error("a removed member stands for election")
+	}
+}
+
+func TestNewRefusesDamagedState(t *testing.T) {
+	entry := func(index, term uint64) *protocol.Entry { return &protocol.Entry{Index: index, Term: term} }
+	for name, initial := range map[string]InitialState{
+		"gap":            {Entries: []*protocol.Entry{entry(1, 1), entry(3, 1)}},
+		"falling term":   {Entries: []*protocol.Entry{entry(1, 2), entry(2, 1)}},
+		"lost commit":    {Entries: []*protocol.Entry{entry(1, 1)}, HardState: &protocol.HardState{Term: 1, Commit: 2}},
+		"before a start": {Snapshot: &protocol.SnapshotMetadata{Index: 5, Term: 1}, Entries: []*protocol.Entry{entry(5, 1)}},
+	} {
+		var damaged *StateError
+		if _, err := New(Config{ID: 1, Random: rand.New(rand.NewPCG(1, 1))}, initial, simulationStart); !errors.As(err, &damaged) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/consensus/replication.go
@@ -0,0 +1,237 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func (n *Node) canPropose() error {
+	if n.role != Leader {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if n.transfer.target != 0 {
+		return &TransferringError{Target: n.transfer.target}
+	}
+	return nil
+}
+
+// Propose appends commands and returns the index of the first one and the term of all. Errors:
+// *NotLeaderError, *TransferringError, *OverloadedError, *CommandSizeError; none of the commands
+// is appended then.
+func (n *Node) Propose(commands [][]byte, now time.Time) (index, term uint64, err error) {
+	if err := n.canPropose(); err != nil {
+		return 0, 0, err
+	}
+	if err := n.checkRoom(commands); err != nil {
+		return 0, 0, err
+	}
+	index = n.log.lastIndex() + 1
+	for _, command := range commands {
+		n.appendOwn(protocol.EntryKind_ENTRY_COMMAND, command)
+	}
+	n.broadcastAppend(now)
+	return index, n.term, nil
+}
+
+func (n *Node) checkRoom(commands [][]byte) error {
+	size := n.uncommittedBytes
+	for _, command := range commands {
+		if len(command) > n.config.MaxCommandBytes {
+			return &CommandSizeError{Size: len(command), Maximum: n.config.MaxCommandBytes}
+		}
+		size += len(command)
+	}
+	waiting := n.log.lastIndex() - n.log.commit
+	if waiting+uint64(len(commands)) > n.config.MaxUncommitted || size > n.config.MaxUncommittedBytes {
+		return &OverloadedError{Waiting: waiting}
+	}
+	return nil
+}
+
+// commitTo moves the leader's commit and frees the room that the entries took.
+func (n *Node) commitTo(index uint64) {
+	for _, entry := range n.log.from(n.log.commit+1, index, int(^uint(0)>>1)) {
+		if entry.GetTerm() == n.term {
+			n.uncommittedBytes -= len(entry.GetData())
+		}
+	}
+	n.log.commit = index
+}
+
+// appendOwn appends an entry of this leader. It counts for the commit once it is durable here.
+func (n *Node) appendOwn(kind protocol.EntryKind, data []byte) uint64 {
+	entry := &protocol.Entry{Term: n.term, Index: n.log.lastIndex() + 1, Kind: kind, Data: data}
+	n.log.entries = append(n.log.entries, entry)
+	n.uncommittedBytes += len(data)
+	// An own configuration was marshalled here, so that it can be read.
+	_ = n.configurations.observe(entry)
+	return entry.GetIndex()
+}
+
+func (n *Node) broadcastAppend(now time.Time) {
+	for _, peer := range n.peers {
+		n.sendAppend(peer, now)
+	}
+}
+
+// sendAppend sends what the member still needs and may be sent now.
+func (n *Node) sendAppend(peer *progress, now time.Time) {
+	if peer.state == installing || peer.state == probing && peer.waiting {
+		return
+	}
+	if peer.next-1 < n.log.baseIndex {
+		n.startSnapshot(peer, now)
+		return
+	}
+	if entries := n.entriesFor(peer); len(entries) > 0 {
+		n.emitAppend(peer, entries)
+	}
+}
+
+func (n *Node) entriesFor(peer *progress) []*protocol.Entry {
+	return n.log.from(peer.next, peer.match+n.config.MaxInflight, n.config.MaxAppendBytes)
+}
+
+func (n *Node) emitAppend(peer *progress, entries []*protocol.Entry) {
+	previous := peer.next - 1
+	term, _ := n.log.termAt(previous)
+	n.send(&protocol.ConsensusMessage{
+		Kind: protocol.ConsensusMessageKind_APPEND, To: peer.id, Round: n.round,
+		LogIndex: previous, LogTerm: term, Entries: entries, Commit: n.log.commit,
+	})
+	if peer.state == replicating {
+		peer.next += uint64(len(entries))
+		return
+	}
+	peer.waiting = true
+}
+
+// sendHeartbeat sends an append in every case; it carries entries where some
+// wait and the member is alive.
+func (n *Node) sendHeartbeat(peer *progress, now time.Time) {
+	if peer.state != installing && peer.next-1 < n.log.baseIndex {
+		n.startSnapshot(peer, now)
+	}
+	if peer.state == installing {
+		// Index zero matches any log.
+		n.send(&protocol.ConsensusMessage{
+			Kind: protocol.ConsensusMessageKind_APPEND, To: peer.id, Round: n.round,
+		})
+		n.resendChunk(peer, now)
+		return
+	}
+	var entries []*protocol.Entry
+	if now.Sub(peer.heard) < n.config.ElectionTimeout {
+		// A silent member gets entries once it answers: they would pile up on the way to it.
+		entries = n.entriesFor(peer)
+	}
+	n.emitAppend(peer, entries)
+}
+
+func (n *Node) stepAppend(message *protocol.ConsensusMessage, now time.Time) error {
+	if n.role == Leader {
+		return &StateError{Reason: "another leader in the same term", Index: message.GetLogIndex()}
+	}
+	if n.role != Follower {
+		n.becomeFollower(n.term, message.GetFrom(), now)
+	}
+	n.hearLeader(message.GetFrom(), now)
+	previous, previousTerm, entries := n.skipCommitted(message)
+	answer := &protocol.ConsensusMessage{
+		Kind: protocol.ConsensusMessageKind_APPEND_RESPONSE, To: message.GetFrom(), Round: message.GetRound(),
+	}
+	if !n.log.matches(previous, previousTerm) {
+		answer.Reject, answer.LogIndex, answer.RejectHint = true, previous, n.log.conflictHint(previous)
+		n.send(answer)
+		return nil
+	}
+	if err := n.storeEntries(entries); err != nil {
+		return err
+	}
+	answer.LogIndex = previous + uint64(len(entries))
+	n.log.commit = max(n.log.commit, min(message.GetCommit(), answer.GetLogIndex()))
+	n.send(answer)
+	return nil
+}
+
+// skipCommitted drops the part of an append that this node has committed already.
+func (n *Node) skipCommitted(message *protocol.ConsensusMessage) (index, term uint64, entries []*protocol.Entry) {
+	index, term, entries = message.GetLogIndex(), message.GetLogTerm(), message.GetEntries()
+	if index >= n.log.commit {
+		return index, term, entries
+	}
+	skipped := min(n.log.commit-index, uint64(len(entries)))
+	term, _ = n.log.termAt(n.log.commit)
+	return n.log.commit, term, entries[skipped:]
+}
+
+func (n *Node) storeEntries(entries []*protocol.Entry) error {
+	first := n.log.merge(entries)
+	if first == 0 {
+		return nil
+	}
+	n.configurations.truncate(first)
+	for _, entry := range n.log.entries[first-n.log.baseIndex-1:] {
+		if err := n.configurations.observe(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) stepAppendResponse(message *protocol.ConsensusMessage, now time.Time) {
+	peer := n.peer(message.GetFrom())
+	if n.role != Leader || peer == nil {
+		return
+	}
+	if message.GetLogIndex() > n.log.lastIndex() {
+		// No correct member acknowledges what this leader never had.
+		return
+	}
+	n.noteAnswer(peer, message.GetRound(), now)
+	if message.GetReject() {
+		n.handleRejection(peer, message, now)
+		return
+	}
+	news := peer.acknowledge(message.GetLogIndex())
+	switch {
+	case peer.state == installing && peer.match >= n.log.baseIndex:
+		peer.probe(peer.match + 1)
+		n.sendAppend(peer, now)
+	case peer.state == probing && peer.next-1 == message.GetLogIndex():
+		peer.state, peer.waiting = replicating, false
+	}
+	if news && n.advanceCommit(now) {
+		return
+	}
+	n.sendAppend(peer, now)
+	n.continueTransfer(now)
+}
+
+func (n *Node) handleRejection(peer *progress, message *protocol.ConsensusMessage, now time.Time) {
+	rejected := message.GetLogIndex()
+	stale := rejected <= peer.match || peer.state == installing ||
+		peer.state == probing && rejected != peer.next-1
+	if stale {
+		return
+	}
+	peer.probe(min(rejected, message.GetRejectHint()+1))
+	n.sendAppend(peer, now)
+}
+
+// advanceCommit commits what a majority holds, as far as the entry there is of this term. It
+// reports whether the node stopped being leader, since it committed its own removal.
+func (n *Node) advanceCommit(now time.Time) bool {
+	index := n.quorumMatch()
+	if term, _ := n.log.termAt(index); index <= n.log.commit || term != n.term {
+		return false
+	}
+	n.commitTo(index)
+	if n.isVoter() || n.configurations.latest().index > n.log.commit {
+		return false
+	}
+	n.broadcastHeartbeat(now)
+	n.becomeFollower(n.term, 0, now)
+	return true
+}
--- /dev/null
+++ b/internal/consensus/status.go
@@ -0,0 +1,79 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Status is a view of a node. Contacts are filled in by the leader only.
+type Status struct {
+	ID, Term, Leader uint64
+	Role             Role
+	Commit, Applied  uint64
+	FirstIndex       uint64
+	LastIndex        uint64
+	SnapshotIndex    uint64
+	// TermStart is the leader's first entry: once it is applied the state holds all that
+	// earlier leaders committed.
+	TermStart     uint64
+	Transferring  bool
+	Configuration *protocol.CoreConfiguration
+	// ConfigurationIndex is where Configuration stands in the log; it may be uncommitted.
+	ConfigurationIndex uint64
+	Contacts           []Contact
+}
+
+// Contact is what the leader knows of another member.
+type Contact struct {
+	ID    uint64
+	Match uint64
+	Voter bool
+	// Heard is when it last answered, or when it was first sent to.
+	Heard time.Time
+}
+
+// Status describes the node.
+func (n *Node) Status() Status {
+	latest := n.configurations.latest()
+	status := Status{
+		ID: n.config.ID, Term: n.term, Leader: n.leader, Role: n.role,
+		Commit: n.log.commit, Applied: n.log.applied,
+		FirstIndex: n.log.baseIndex + 1, LastIndex: n.log.lastIndex(),
+		SnapshotIndex: n.log.snapshot.GetIndex(), TermStart: n.termStart,
+		Transferring: n.transfer.target != 0, Configuration: latest.configuration,
+		ConfigurationIndex: latest.index,
+	}
+	for _, peer := range n.peers {
+		status.Contacts = append(status.Contacts, Contact{
+			ID: peer.id, Match: peer.match, Voter: peer.voter, Heard: peer.heard,
+		})
+	}
+	return status
+}
+
+// HardState returns what must be durable of the term, the vote and the commit.
+func (n *Node) HardState() *protocol.HardState { return n.hardState() }
+
+// Role returns the role.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.term }
+
+// Leader returns the id of the leader of this term, or zero while none is known.
+func (n *Node) Leader() uint64 { return n.leader }
+
+// Entries returns the entries in memory from index on; they must not be changed.
+func (n *Node) Entries(index uint64) []*protocol.Entry {
+	return n.log.from(max(index, n.log.baseIndex+1), n.log.lastIndex(), int(^uint(0)>>1))
+}
+
+// Applied returns the last applied index.
+func (n *Node) Applied() uint64 { return n.log.applied }
+
+// Configuration returns the newest configuration and its index; it may be uncommitted.
+func (n *Node) Configuration() (*protocol.CoreConfiguration, uint64) {
+	latest := n.configurations.latest()
+	return latest.configuration, latest.index
+}
--- /dev/null
+++ b/internal/consensus/step.go
@@ -0,0 +1,109 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Step takes a message of another member. Messages for another id and of unknown kinds are
+// ignored. The error is a *StateError: the sender broke the rules of the log and nothing changed.
+func (n *Node) Step(message *protocol.ConsensusMessage, now time.Time) error {
+	if message.GetTo() != n.config.ID || message.GetFrom() == n.config.ID || message.GetTerm() == 0 {
+		return nil
+	}
+	if err := checkEntries(message); err != nil {
+		return err
+	}
+	switch {
+	case message.GetTerm() < n.term:
+		n.answerStale(message)
+		return nil
+	case !n.enterTerm(message, now):
+		return nil
+	}
+	return n.dispatch(message, now)
+}
+
+// enterTerm moves to the message's term where it must. It returns false when the message is
+// not to be handled at all.
+func (n *Node) enterTerm(message *protocol.ConsensusMessage, now time.Time) bool {
+	newer := message.GetTerm() > n.term
+	switch message.GetKind() {
+	case protocol.ConsensusMessageKind_PRE_VOTE:
+		return true
+	case protocol.ConsensusMessageKind_PRE_VOTE_RESPONSE:
+		if newer && message.GetReject() {
+			n.becomeFollower(message.GetTerm(), 0, now)
+			return false
+		}
+		return true
+	case protocol.ConsensusMessageKind_VOTE:
+		// The promise to the leader holds against new terms too, or a removed or
+		// cut-off member could end a lease.
+		if n.refusesVotes(now) && !message.GetTransfer() {
+			return false
+		}
+	case protocol.ConsensusMessageKind_TIMEOUT_NOW:
+		return !newer && n.dispatchable()
+	}
+	if newer {
+		n.becomeFollower(message.GetTerm(), 0, now)
+	}
+	return true
+}
+
+func (n *Node) dispatchable() bool { return n.role == Follower && n.isVoter() }
+
+func (n *Node) dispatch(message *protocol.ConsensusMessage, now time.Time) error {
+	switch message.GetKind() {
+	case protocol.ConsensusMessageKind_PRE_VOTE:
+		n.stepPreVote(message, now)
+	case protocol.ConsensusMessageKind_PRE_VOTE_RESPONSE:
+		n.stepPreVoteResponse(message, now)
+	case protocol.ConsensusMessageKind_VOTE:
+		n.stepVote(message, now)
+	case protocol.ConsensusMessageKind_VOTE_RESPONSE:
+		n.stepVoteResponse(message, now)
+	case protocol.ConsensusMessageKind_APPEND:
+		return n.stepAppend(message, now)
+	case protocol.ConsensusMessageKind_APPEND_RESPONSE:
+		n.stepAppendResponse(message, now)
+	case protocol.ConsensusMessageKind_SNAPSHOT_CHUNK:
+		return n.stepSnapshotChunk(message, now)
+	case protocol.ConsensusMessageKind_SNAPSHOT_CHUNK_RESPONSE:
+		n.stepSnapshotChunkResponse(message, now)
+	case protocol.ConsensusMessageKind_TIMEOUT_NOW:
+		n.transferCampaign = true
+		n.campaign(Candidate, now)
+	}
+	return nil
+}
+
+// answerStale tells the sender of an old term which term is in force.
+func (n *Node) answerStale(message *protocol.ConsensusMessage) {
+	answer := &protocol.ConsensusMessage{To: message.GetFrom(), Reject: true}
+	switch message.GetKind() {
+	case protocol.ConsensusMessageKind_PRE_VOTE:
+		answer.Kind = protocol.ConsensusMessageKind_PRE_VOTE_RESPONSE
+	case protocol.ConsensusMessageKind_VOTE:
+		answer.Kind = protocol.ConsensusMessageKind_VOTE_RESPONSE
+	case protocol.ConsensusMessageKind_APPEND, protocol.ConsensusMessageKind_SNAPSHOT_CHUNK:
+		answer.Kind = protocol.ConsensusMessageKind_APPEND_RESPONSE
+	default:
+		return
+	}
+	n.send(answer)
+}
+
+// checkEntries refuses an append whose entries have a gap, a falling term or one above the sender's.
+func checkEntries(message *protocol.ConsensusMessage) error {
+	index, term := message.GetLogIndex(), message.GetLogTerm()
+	for _, entry := range message.GetEntries() {
+		if entry.GetIndex() != index+1 || entry.GetTerm() < term || entry.GetTerm() > message.GetTerm() {
+			return &StateError{Reason: "an append has a gap or a wrong term", Index: entry.GetIndex()}
+		}
+		index, term = entry.GetIndex(), entry.GetTerm()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/consensus/transfer.go
@@ -0,0 +1,63 @@
+package consensus
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// transferState is a handing over of leadership. Once sent is set the lease is given up for
+// the rest of the term: the target's election passes by the promises that the lease rests on.
+type transferState struct {
+	target   uint64
+	deadline time.Time
+	sent     bool
+}
+
+// Transfer hands leadership to a voter: proposals are refused until it has every entry and is
+// told to stand for election. A transfer that takes longer than an election timeout is dropped,
+// or ends this leadership when the target was already told. Errors: *NotLeaderError,
+// *TransferringError, *InvalidChangeError.
+func (n *Node) Transfer(target uint64, now time.Time) error {
+	if err := n.canPropose(); err != nil {
+		return err
+	}
+	peer := n.peer(target)
+	if peer == nil || !peer.voter {
+		return &InvalidChangeError{Reason: "leadership cannot go to " + strconv.FormatUint(target, 10) + ", which is no other voter"}
+	}
+	n.transfer = transferState{target: target, deadline: now.Add(n.config.ElectionTimeout)}
+	n.continueTransfer(now)
+	return nil
+}
+
+func (n *Node) continueTransfer(now time.Time) {
+	if n.transfer.target == 0 || n.transfer.sent {
+		return
+	}
+	peer := n.peer(n.transfer.target)
+	if peer == nil {
+		n.transfer = transferState{}
+		return
+	}
+	if peer.match < n.log.lastIndex() {
+		n.sendAppend(peer, now)
+		return
+	}
+	n.transfer.sent = true
+	n.send(&protocol.ConsensusMessage{Kind: protocol.ConsensusMessageKind_TIMEOUT_NOW, To: peer.id})
+}
+
+// transferExpired reports whether the leader must step down since its target, already told to
+// stand, has not taken over. A transfer that never got so far is dropped.
+func (n *Node) transferExpired(now time.Time) bool {
+	if n.transfer.target == 0 || now.Before(n.transfer.deadline) {
+		return false
+	}
+	if n.transfer.sent {
+		return true
+	}
+	n.transfer = transferState{}
+	return false
+}
--- /dev/null
+++ b/internal/core/replica/api.go
@@ -0,0 +1,81 @@
+// Package replica drives the consensus state machine: it owns the log and the snapshots of a
+// core process, carries its messages, applies committed commands and keeps the membership.
+package replica
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// StateMachine is what the log's commands are applied to. All calls come from the replica's
+// one owner goroutine.
+type StateMachine interface {
+	// Apply carries out one committed command, in log order, and returns its result.
+	Apply(index uint64, command []byte) (result []byte)
+	// Snapshot writes the whole state.
+	Snapshot(writer io.Writer) error
+	// Restore replaces the state by one that Snapshot wrote.
+	Restore(reader io.Reader) error
+}
+
+// Clock gives the time, on a monotonic scale, and timers. Tests put in their own.
+type Clock interface {
+	Now() time.Time
+	// NewTimer returns a timer that fires once after the given time.
+	NewTimer(after time.Duration) Timer
+}
+
+// Timer is a one-shot timer of a Clock.
+type Timer interface {
+	C() <-chan time.Time
+	Stop()
+}
+
+// Options of a Replica. Zero values of numbers take the defaults named with each.
+type Options struct {
+	// Self names this process: name, internal address, HTTP address, zone. Its id and voter flag are ignored.
+	Self *protocol.CoreMember
+	// Founders are the internal addresses of the processes that found a new cluster together.
+	Founders []string
+	// Seeds are internal addresses of other processes, of any kind.
+	Seeds []string
+	// TargetVoters is the number of voters the leader keeps. Default 3.
+	TargetVoters int
+	// ElectionTimeout is the shortest silence after which a member stands for election. Default 1 s.
+	ElectionTimeout time.Duration
+	// HeartbeatInterval is the time between heartbeat rounds of the leader. Default 100 ms.
+	HeartbeatInterval time.Duration
+	// ReplaceVoterAfter is how long a voter may be silent before a standby takes its place. Default 10 s.
+	ReplaceVoterAfter time.Duration
+	// SnapshotEntries is the number of applied entries between snapshots. Default 4096.
+	SnapshotEntries uint64
+	// SnapshotBytes is the size of applied commands after which a snapshot is taken though they
+	// are fewer than SnapshotEntries. Default 16 MiB.
+	SnapshotBytes int
+	// SnapshotChunkBytes is the size of one piece of a transferred snapshot. Default 256 KiB.
+	SnapshotChunkBytes int
+
+	// Folder is the folder, inside Filesystem, that holds the log, the snapshots and the identity.
+	Folder     string
+	Filesystem storage.Filesystem
+	Caller     wire.Caller
+	Machine    StateMachine
+	// Clock defaults to the machine's monotonic clock.
+	Clock Clock
+	// Random drives election timeouts, the member's id and the cluster's id. Default: seeded by the runtime.
+	Random *rand.Rand
+	// Logger may be nil.
+	Logger *log.Logger
+	// Registerer takes the replica's metrics; it may be nil.
+	Registerer prometheus.Registerer
+	// OnFatal is called once when storage failed: the replica has stopped and the process must end.
+	OnFatal func(error)
+}
--- /dev/null
+++ b/internal/core/replica/errors.go
@@ -0,0 +1,85 @@
+package replica
+
+import "fmt"
+
+// NotLeaderError says that this process does not lead; the request has surely not run.
+type NotLeaderError struct {
+	// LeaderAddress is the internal address of the leader, or empty when none is known.
+	LeaderAddress string
+	// LeaderHTTPAddress is the HTTP address of the leader, or empty when none is known.
+	LeaderHTTPAddress string
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.LeaderAddress == "" {
+		return "not the leader; no leader is known"
+	}
+	return "not the leader; the leader is at " + e.LeaderAddress
+}
+
+// UnknownOutcomeError says that a proposal may or may not be committed. Cause is the reason
+// the replica stopped waiting for it.
+type UnknownOutcomeError struct{ Cause error }
+
+// Error implements error.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("outcome of the proposal is unknown: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// LeadershipLostError is the cause of an unknown outcome when the leader stepped down.
+type LeadershipLostError struct{ Term uint64 }
+
+// Error implements error.
+func (e *LeadershipLostError) Error() string {
+	return fmt.Sprintf("leadership of term %d was lost", e.Term)
+}
+
+// OverloadedError says that a queue of the replica is full; the request has surely not run.
+type OverloadedError struct{ Queue string }
+
+// Error implements error.
+func (e *OverloadedError) Error() string { return "queue " + e.Queue + " is full" }
+
+// StoppedError says that the replica is not running; the request has surely not run.
+type StoppedError struct{}
+
+// Error implements error.
+func (e *StoppedError) Error() string { return "the replica is stopped" }
+
+// MemberUnknownError says that the configuration has no such member.
+type MemberUnknownError struct{ Member string }
+
+// Error implements error.
+func (e *MemberUnknownError) Error() string { return "no core member " + e.Member }
+
+// MemberInUseError refuses to join under the name of a member that is alive under another id.
+type MemberInUseError struct{ Name string }
+
+// Error implements error.
+func (e *MemberInUseError) Error() string {
+	return "core member " + e.Name + " is alive under another id"
+}
+
+// ClusterMismatchError refuses a message or a member of another cluster.
+type ClusterMismatchError struct{ Own, Other string }
+
+// Error implements error.
+func (e *ClusterMismatchError) Error() string {
+	return fmt.Sprintf("cluster %s is not this cluster %s", e.Other, e.Own)
+}
+
+// UnsafeChangeError refuses a membership change that would leave no live majority.
+type UnsafeChangeError struct{ Reason string }
+
+// Error implements error.
+func (e *UnsafeChangeError) Error() string { return "unsafe membership change: " + e.Reason }
+
+// CorruptStateError says that the log and the snapshots do not fit together: data was lost.
+type CorruptStateError struct{ Reason string }
+
+// Error implements error.
+func (e *CorruptStateError) Error() string { return "core data folder is damaged: " + e.Reason }
--- /dev/null
+++ b/internal/core/replica/harness_test.go
@@ -0,0 +1,326 @@
+package replica
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage/simdisk"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// journal is a state machine that keeps its commands.
+type journal struct {
+	mutex    sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(_ uint64, command []byte) []byte {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.commands = append(j.commands, string(command))
+	return fmt.Appendf(nil, "%d", len(j.commands))
+}
+
+func (j *journal) Snapshot(writer io.Writer) error {
+	for _, command := range j.all() {
+		if _, err := fmt.Fprintln(writer, command); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (j *journal) Restore(reader io.Reader) error {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.commands = nil
+	lines := bufio.NewScanner(reader)
+	for lines.Scan() {
+		j.commands = append(j.commands, lines.Text())
+	}
+	return lines.Err()
+}
+
+func (j *journal) all() []string {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return append([]string(nil), j.commands...)
+}
+
+// machine is a core machine: an address, a disk and, while it runs, a replica.
+type machine struct {
+	fleet   *fleet
+	name    string
+	zone    string
+	address string
+	disk    *simdisk.Disk
+	replica *Replica
+	state   *journal
+	fatal   chan error
+}
+
+// fleet is a network of machines in one process and in virtual time.
+type fleet struct {
+	t        *testing.T
+	options  Options
+	seeds    []string
+	founders []string
+
+	mutex    sync.Mutex
+	machines map[string]*machine
+	cut      map[string]bool
+	started  uint64
+}
+
+// story runs a test in a bubble of virtual time that ends when all goroutines have ended.
+func story(t *testing.T, run func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{
+			t: t, machines: map[string]*machine{}, cut: map[string]bool{},
+			options: Options{SnapshotEntries: 50, SnapshotChunkBytes: 512},
+		}
+		defer f.stopAll()
+		run(f)
+	})
+}
+
+func (f *fleet) machine(number int) *machine {
+	address := fmt.Sprintf("127.0.0.1:%d", 7000+number)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.machines[address] == nil {
+		f.machines[address] = &machine{
+			fleet: f, name: fmt.Sprintf("core-%d", number), zone: fmt.Sprintf("zone-%d", number%3), address: address,
+			disk: simdisk.New(rand.New(rand.NewPCG(uint64(number), 3))),
+		}
+	}
+	return f.machines[address]
+}
+
+// found starts machines 1 to count as founders and waits until all are voters.
+func (f *fleet) found(count int) *machine {
+	f.t.Helper()
+	for number := 1; number <= count; number++ {
+		f.founders = append(f.founders, f.machine(number).address)
+	}
+	for number := 1; number <= count; number++ {
+		f.machine(number).start()
+	}
+	f.eventually("all founders are voters", func() bool {
+		leader := f.leader()
+		return leader != nil && len(leader.voters()) == count
+	})
+	return f.leader()
+}
+
+func (m *machine) start() {
+	m.fleet.t.Helper()
+	if err := m.tryStart(); err != nil {
+		m.fleet.t.Fatalf("%s does not start: %v", m.name, err)
+	}
+}
+
+func (m *machine) tryStart() error {
+	f := m.fleet
+	f.started++
+	options := f.options
+	options.Self = &protocol.CoreMember{Name: m.name, Address: m.address, HttpAddress: "http-" + m.address, Zone: m.zone}
+	options.Founders, options.Seeds = f.founders, f.seeds
+	if options.Filesystem == nil {
+		options.Folder, options.Filesystem = "core", m.disk
+	}
+	options.Caller = &caller{fleet: f, from: m.address}
+	state, fatal := &journal{}, make(chan error, 1)
+	options.Machine = state
+	options.Random = rand.New(rand.NewPCG(f.started, 11))
+	options.OnFatal = func(err error) { fatal <- err }
+	replica, err := New(options)
+	if err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	m.replica, m.state, m.fatal = replica, state, fatal
+	f.mutex.Unlock()
+	return replica.Start(context.Background())
+}
+
+// crash ends the process at once and loses what was not synced.
+func (m *machine) crash() {
+	m.fleet.setCut(m.address, true)
+	m.disk.LosePower()
+	m.halt()
+	m.fleet.setCut(m.address, false)
+}
+
+// halt ends the process without handing anything over.
+func (m *machine) halt() {
+	m.fleet.mutex.Lock()
+	replica := m.replica
+	m.replica = nil
+	m.fleet.mutex.Unlock()
+	if replica == nil {
+		return
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = replica.Stop(ended)
+}
+
+// move gives a stopped machine another address.
+func (m *machine) move(number int) string {
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
+	delete(m.fleet.machines, m.address)
+	m.address = fmt.Sprintf("127.0.0.1:%d", 7000+number)
+	m.fleet.machines[m.address] = m
+	return m.address
+}
+
+func (m *machine) voters() (names []string) {
+	for _, member := range m.replica.Status().GetConfiguration().GetMembers() {
+		if member.GetVoter() {
+			names = append(names, member.GetName())
+		}
+	}
+	return names
+}
+
+func (m *machine) propose(command string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, _, err := m.replica.Propose(ctx, []byte(command))
+	return err
+}
+
+func (f *fleet) setCut(address string, cut bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cut[address] = cut
+}
+
+func (f *fleet) running() (running []*machine) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for number := 1; number <= 9; number++ {
+		m := f.machines[fmt.Sprintf("127.0.0.1:%d", 7000+number)]
+		if m != nil && m.replica != nil {
+			running = append(running, m)
+		}
+	}
+	return running
+}
+
+// leader returns the one machine that leads under its lease, and fails when there are two.
+func (f *fleet) leader() *machine {
+	f.t.Helper()
+	var leader *machine
+	for _, m := range f.running() {
+		if !m.replica.IsLeader() {
+			continue
+		}
+		if leader != nil {
+			f.t.Fatalf("%s and %s both lead", leader.name, m.name)
+		}
+		leader = m
+	}
+	return leader
+}
+
+func (f *fleet) waitForLeader() *machine {
+	f.t.Helper()
+	f.eventually("there is a leader", func() bool { return f.leader() != nil })
+	return f.leader()
+}
+
+// pass lets virtual time go on, checking at each step that not two lead.
+func (f *fleet) pass(duration time.Duration) {
+	f.t.Helper()
+	const step = 10 * time.Millisecond
+	for ; duration > 0; duration -= step {
+		<-time.NewTimer(step).C
+		synctest.Wait()
+		f.leader()
+	}
+}
+
+// eventually passes virtual time until the condition holds, for a minute at most.
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for range 6000 {
+		if condition() {
+			return
+		}
+		f.pass(10 * time.Millisecond)
+	}
+	for _, m := range f.running() {
+		f.t.Logf("%s: %v", m.name, m.replica.Status())
+	}
+	f.t.Fatalf("not in a minute: %s", what)
+}
+
+// agree waits until all running machines have applied exactly these commands.
+func (f *fleet) agree(commands []string) {
+	f.t.Helper()
+	f.eventually(fmt.Sprintf("all have %d commands", len(commands)), func() bool {
+		for _, m := range f.running() {
+			if !slices.Equal(m.state.all(), commands) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *fleet) stopAll() {
+	for _, m := range f.running() {
+		m.halt()
+	}
+}
+
+// caller delivers requests to the replicas of a fleet.
+type caller struct {
+	fleet *fleet
+	from  string
+}
+
+func (c *caller) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	c.fleet.mutex.Lock()
+	m := c.fleet.machines[address]
+	var target *Replica
+	if m != nil && !c.fleet.cut[address] && !c.fleet.cut[c.from] {
+		target = m.replica
+	}
+	c.fleet.mutex.Unlock()
+	if target == nil {
+		return nil, &wire.NotSentError{Address: address, Cause: errUnreachable}
+	}
+	var copied protocol.Request
+	data, err := proto.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := proto.Unmarshal(bytes.Clone(data), &copied); err != nil {
+		return nil, err
+	}
+	return target.ServeWire(ctx, &copied)
+}
+
+func (c *caller) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
+	return nil, errUnreachable
+}
--- /dev/null
+++ b/internal/core/replica/owner.go
@@ -0,0 +1,303 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// ticksPerHeartbeat is how often the clock is looked at in a heartbeat interval.
+	ticksPerHeartbeat = 4
+	// maxBatch bounds what is taken from a queue before the log is written.
+	maxBatch      = 512
+	maxBatchBytes = 1 << 20
+)
+
+// owner is everything that belongs to the one goroutine that runs the consensus node.
+type owner struct {
+	replica   *Replica
+	node      *consensus.Node
+	clusterID string
+	transport *transport
+	waiters   waiters
+	snapshots snapshots
+
+	configurationIndex uint64
+	leadingTerm        uint64
+	leadingSince       time.Time
+	heardLeader        time.Time
+	nextPlan           time.Time
+	transferWaiters    []chan error
+	failure            error
+}
+
+func (o *owner) init(replica *Replica, clusterID string, initial consensus.InitialState) error {
+	o.replica, o.clusterID = replica, clusterID
+	o.transport = newTransport(replica.options.Caller, replica.options.ElectionTimeout, replica.metrics)
+	o.snapshots = snapshots{saved: make(chan savedSnapshot, 1)}
+	o.waiters = newWaiters()
+	return o.buildNode(initial)
+}
+
+func (o *owner) buildNode(initial consensus.InitialState) error {
+	options := o.replica.options
+	node, err := consensus.New(consensus.Config{
+		ID: o.replica.self.GetId(), ElectionTimeout: options.ElectionTimeout,
+		HeartbeatInterval: options.HeartbeatInterval, SnapshotChunkBytes: options.SnapshotChunkBytes, MaxCommandBytes: MaxCommandBytes,
+		Random: rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64())),
+	}, initial, o.now())
+	if err != nil {
+		return err
+	}
+	o.node = node
+	o.heardLeader = o.now()
+	o.publish()
+	return nil
+}
+
+func (o *owner) now() time.Time { return o.replica.options.Clock.Now() }
+
+// run serves until the replica stops or its storage fails.
+func (o *owner) run() {
+	defer o.finish()
+	interval := o.replica.options.HeartbeatInterval / ticksPerHeartbeat
+	timer := o.replica.options.Clock.NewTimer(0)
+	defer func() { timer.Stop() }()
+	for o.failure == nil {
+		select {
+		case <-o.replica.stop:
+			return
+		case message := <-o.replica.inbound:
+			o.step(message)
+		case proposal := <-o.replica.proposals:
+			o.propose(proposal)
+		case request := <-o.replica.requests:
+			request()
+		case saved := <-o.snapshots.saved:
+			o.snapshotSaved(saved)
+		case <-timer.C():
+			timer = o.replica.options.Clock.NewTimer(interval)
+		}
+		o.takeWaiting()
+		o.node.Tick(o.now())
+		o.advance()
+		o.planMembership()
+		o.advance()
+		o.publish()
+	}
+}
+
+// takeWaiting takes what else waits in the queues, so that one sync serves all of it.
+func (o *owner) takeWaiting() {
+	for range maxBatch {
+		select {
+		case message := <-o.replica.inbound:
+			o.step(message)
+		case proposal := <-o.replica.proposals:
+			o.propose(proposal)
+		case request := <-o.replica.requests:
+			request()
+		default:
+			return
+		}
+	}
+}
+
+// step hands a message to the node. The time is taken after the message was received: a
+// promise that counts from an earlier time would end too soon.
+func (o *owner) step(message *protocol.ConsensusMessage) {
+	if message.GetTo() != o.replica.self.GetId() {
+		return
+	}
+	if o.clusterID == "" {
+		o.adopt(message.GetClusterId())
+	}
+	if message.GetClusterId() != o.clusterID {
+		return
+	}
+	o.transport.learn(message.GetFrom(), message.GetFromAddress())
+	if err := o.node.Step(message, o.now()); err != nil {
+		o.replica.logWarning("consensus message refused", "from", message.GetFrom(), "error", err)
+	}
+}
+
+// adopt joins a cluster whose leader addressed this empty member by its random id.
+func (o *owner) adopt(clusterID string) {
+	if clusterID == "" {
+		return
+	}
+	if err := o.replica.disk.writeAndSync(clusterRecord(clusterID)); err != nil {
+		o.fail(err)
+		return
+	}
+	o.clusterID = clusterID
+	o.replica.logInfo("joined a cluster", "cluster", clusterID)
+}
+
+// advance carries out the node's output until there is none, and takes a snapshot when one is due.
+func (o *owner) advance() {
+	o.carryOut()
+	if o.failure == nil {
+		o.maybeSnapshot()
+	}
+}
+
+func (o *owner) carryOut() {
+	for o.failure == nil && o.node.HasReady() {
+		ready := o.node.Ready()
+		if err := o.persist(ready); err != nil {
+			o.fail(err)
+			return
+		}
+		stale := o.sendAll(ready.Messages)
+		o.apply(ready.Committed)
+		o.waiters.confirm(ready.Reads)
+		o.node.Advance(ready, o.now())
+		for _, member := range stale {
+			o.node.RestartSnapshot(member, o.now())
+		}
+		o.waiters.applied(o.node.Applied())
+	}
+	o.fitConfiguration()
+}
+
+func (o *owner) persist(ready consensus.Ready) error {
+	if ready.Snapshot != nil {
+		if err := o.installSnapshot(ready); err != nil {
+			return err
+		}
+	}
+	if len(ready.Entries) == 0 && ready.HardState == nil {
+		return nil
+	}
+	o.replica.metrics.batches.Inc()
+	return o.replica.disk.save(ready)
+}
+
+// sendAll sends messages and returns the members whose snapshot must begin anew.
+func (o *owner) sendAll(messages []*protocol.ConsensusMessage) (stale []uint64) {
+	for _, message := range messages {
+		if message.GetKind() == protocol.ConsensusMessageKind_SNAPSHOT_CHUNK && !o.fillChunk(message) {
+			stale = append(stale, message.GetTo())
+			continue
+		}
+		message.ClusterId, message.FromAddress = o.clusterID, o.replica.self.GetAddress()
+		o.transport.send(message)
+	}
+	return stale
+}
+
+func (o *owner) apply(entries []*protocol.Entry) {
+	for _, entry := range entries {
+		o.snapshots.appliedBytes += len(entry.GetData())
+		var result []byte
+		if entry.GetKind() == protocol.EntryKind_ENTRY_COMMAND {
+			result = o.replica.options.Machine.Apply(entry.GetIndex(), entry.GetData())
+		}
+		o.waiters.resolve(entry, result)
+	}
+}
+
+// fitConfiguration lets the transport follow the membership.
+func (o *owner) fitConfiguration() {
+	configuration, index := o.node.Configuration()
+	if index != o.configurationIndex {
+		o.configurationIndex = index
+		o.transport.fit(configuration)
+	}
+}
+
+// publish shows the state to other goroutines and notes changes of leadership.
+func (o *owner) publish() {
+	now, status := o.now(), o.node.Status()
+	if status.Role != consensus.Leader || status.Term != o.leadingTerm {
+		o.leadingSince = time.Time{}
+		o.waiters.leadershipLost(o.leadingTerm, o.replica.notLeader())
+	}
+	if status.Role == consensus.Leader && status.Term != o.leadingTerm {
+		o.leadingTerm = status.Term
+		o.replica.metrics.leaderships.Inc()
+		o.replica.logInfo("became leader", "term", status.Term)
+	}
+	leaseEnds := o.node.LeaseEnds(now)
+	if status.Role == consensus.Leader && o.leadingSince.IsZero() && status.Applied >= status.TermStart && now.Before(leaseEnds) {
+		o.leadingSince = now
+	}
+	if status.Leader != 0 {
+		o.heardLeader = now
+	}
+	o.finishTransfers(&status)
+	o.replica.metrics.observe(&status)
+	o.replica.view.Store(&view{
+		clusterID: o.clusterID, status: status, leaseEnds: leaseEnds,
+		leadingSince: o.leadingSince, heardLeader: o.heardLeader,
+		leaderAddress: o.leaderAddress(&status),
+	})
+}
+
+func (o *owner) leaderAddress(status *consensus.Status) string {
+	if status.Leader == status.ID {
+		return o.replica.self.GetAddress()
+	}
+	return o.transport.addresses[status.Leader]
+}
+
+// found makes this member the first voter of a new cluster.
+func (o *owner) found() {
+	if o.clusterID != "" {
+		return
+	}
+	founder := proto.Clone(o.replica.self).(*protocol.CoreMember)
+	founder.Voter = true
+	entry, err := foundingEntry(founder)
+	if err != nil {
+		o.fail(err)
+		return
+	}
+	clusterID := randomName(o.replica.options.Random)
+	if err := o.replica.disk.writeAndSync(foundingRecord(clusterID, founder)); err != nil {
+		o.fail(err)
+		return
+	}
+	o.clusterID = clusterID
+	initial := consensus.InitialState{HardState: foundingHardState(), Entries: []*protocol.Entry{entry}}
+	if err := o.buildNode(initial); err != nil {
+		o.fail(err)
+		return
+	}
+	o.replica.logInfo("founded a cluster", "cluster", clusterID)
+}
+
+// fail stops the member: after a failed write nothing more may be promised.
+func (o *owner) fail(err error) {
+	if o.failure != nil {
+		return
+	}
+	o.failure = err
+	if o.replica.options.Logger != nil {
+		o.replica.options.Logger.Error("core storage failed", "error", err)
+	}
+	if o.replica.options.OnFatal != nil {
+		go o.replica.options.OnFatal(err)
+	}
+}
+
+// finish answers whoever waits and ends the senders.
+func (o *owner) finish() {
+	o.leadingSince = time.Time{}
+	shown := *o.replica.view.Load()
+	shown.leaseEnds, shown.leadingSince = time.Time{}, time.Time{}
+	o.replica.view.Store(&shown)
+	close(o.replica.stopped)
+	o.waiters.stop()
+	for _, waiter := range o.transferWaiters {
+		waiter <- &StoppedError{}
+	}
+	o.transport.close()
+	o.snapshots.wait()
+}
--- /dev/null
+++ b/internal/core/replica/plan.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// caughtUpEntries is how many entries a learner may lag and still count as caught up.
+const caughtUpEntries = 64
+
+// membershipView is what a leader knows when it decides about its members.
+type membershipView struct {
+	configuration *protocol.CoreConfiguration
+	self          uint64
+	lastIndex     uint64
+	contacts      map[uint64]consensus.Contact
+	now           time.Time
+	targetVoters  int
+	// aliveWithin is the silence below which a member counts as alive, goneAfter the one from
+	// which it is to be replaced.
+	aliveWithin, goneAfter time.Duration
+}
+
+// change is one step of membership and why it is taken.
+type change struct {
+	configuration *protocol.CoreConfiguration
+	reason        string
+}
+
+// planChange decides the next membership change, or nil. Voters are added before the ones they
+// replace are removed, and none is removed unless a majority of the rest is alive.
+func planChange(view *membershipView) *change {
+	decisions := []func(*membershipView) *change{
+		promoteStandby, removeReplacedVoter, removeSupersededLearner, demoteSurplusVoter,
+	}
+	for _, decide := range decisions {
+		if found := decide(view); found != nil {
+			return found
+		}
+	}
+	return nil
+}
+
+func (v *membershipView) silence(id uint64) time.Duration {
+	if id == v.self {
+		return 0
+	}
+	return v.now.Sub(v.contacts[id].Heard)
+}
+
+func (v *membershipView) alive(id uint64) bool { return v.silence(id) < v.aliveWithin }
+
+// superseded reports whether a later member has the same name: the machine lost its disk and
+// came back as a new member.
+func (v *membershipView) superseded(member *protocol.CoreMember) bool {
+	if member.GetId() == v.self {
+		return false
+	}
+	after := false
+	for _, other := range v.configuration.GetMembers() {
+		if after && other.GetName() == member.GetName() {
+			return true
+		}
+		after = after || other.GetId() == member.GetId()
+	}
+	return false
+}
+
+func (v *membershipView) lost(member *protocol.CoreMember) bool {
+	return v.superseded(member) && !v.alive(member.GetId()) || v.silence(member.GetId()) >= v.goneAfter
+}
+
+func (v *membershipView) voters() (voters []*protocol.CoreMember) {
+	for _, member := range v.configuration.GetMembers() {
+		if member.GetVoter() {
+			voters = append(voters, member)
+		}
+	}
+	return voters
+}
+
+// zones counts the voters that are not lost in each zone.
+func (v *membershipView) zones() map[string]int {
+	zones := map[string]int{}
+	for _, voter := range v.voters() {
+		if !v.lost(voter) {
+			zones[voter.GetZone()]++
+		}
+	}
+	return zones
+}
+
+// promoteStandby makes a caught-up learner a voter while there are too few that are not lost,
+// preferring a zone without one.
+func promoteStandby(view *membershipView) *change {
+	kept := 0
+	for _, voter := range view.voters() {
+		if !view.lost(voter) {
+			kept++
+		}
+	}
+	if kept >= view.targetVoters {
+		return nil
+	}
+	zones := view.zones()
+	var best *protocol.CoreMember
+	for _, member := range view.configuration.GetMembers() {
+		if member.GetVoter() || !view.caughtUp(member.GetId()) {
+			continue
+		}
+		if best == nil || zones[member.GetZone()] < zones[best.GetZone()] {
+			best = member
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return &change{configuration: withVoter(view.configuration, best.GetId(), true), reason: "promote " + best.GetName()}
+}
+
+func (v *membershipView) caughtUp(id uint64) bool {
+	contact, known := v.contacts[id]
+	return known && v.alive(id) && contact.Match > 0 && contact.Match+caughtUpEntries >= v.lastIndex
+}
+
+// removeReplacedVoter removes a lost voter once there are voters enough without it.
+func removeReplacedVoter(view *membershipView) *change {
+	voters := view.voters()
+	if len(voters) <= view.targetVoters {
+		return nil
+	}
+	for _, voter := range voters {
+		if view.lost(voter) && view.safeWithout(voter.GetId()) {
+			return &change{configuration: withoutMember(view.configuration, voter.GetId()), reason: "remove lost voter " + voter.GetName()}
+		}
+	}
+	return nil
+}
+
+// safeWithout reports whether a majority of the voters that stay is alive.
+func (v *membershipView) safeWithout(id uint64) bool {
+	stay, alive := 0, 0
+	for _, voter := range v.voters() {
+		if voter.GetId() == id {
+			continue
+		}
+		stay++
+		if v.alive(voter.GetId()) {
+			alive++
+		}
+	}
+	return stay > 0 && alive >= consensus.Quorum(stay)
+}
+
+func removeSupersededLearner(view *membershipView) *change {
+	for _, member := range view.configuration.GetMembers() {
+		if !member.GetVoter() && view.superseded(member) && !view.alive(member.GetId()) {
+			return &change{configuration: withoutMember(view.configuration, member.GetId()), reason: "remove former " + member.GetName()}
+		}
+	}
+	return nil
+}
+
+// demoteSurplusVoter makes one voter a standby when there are more than wanted and all are
+// alive, as after a lost one came back; one that shares its zone goes first, never the leader.
+func demoteSurplusVoter(view *membershipView) *change {
+	voters := view.voters()
+	if len(voters) <= view.targetVoters {
+		return nil
+	}
+	zones := view.zones()
+	var best *protocol.CoreMember
+	for _, voter := range voters {
+		if !view.alive(voter.GetId()) {
+			return nil
+		}
+		if voter.GetId() == view.self {
+			continue
+		}
+		if best == nil || zones[voter.GetZone()] >= zones[best.GetZone()] {
+			best = voter
+		}
+	}
+	return &change{configuration: withVoter(view.configuration, best.GetId(), false), reason: "demote " + best.GetName()}
+}
+
+func cloneConfiguration(configuration *protocol.CoreConfiguration) *protocol.CoreConfiguration {
+	return proto.Clone(configuration).(*protocol.CoreConfiguration)
+}
+
+func withVoter(configuration *protocol.CoreConfiguration, id uint64, voter bool) *protocol.CoreConfiguration {
+	next := cloneConfiguration(configuration)
+	consensus.Member(next, id).Voter = voter
+	return next
+}
+
+func withoutMember(configuration *protocol.CoreConfiguration, id uint64) *protocol.CoreConfiguration {
+	next := cloneConfiguration(configuration)
+	kept := next.Members[:0]
+	for _, member := range next.GetMembers() {
+		if member.GetId() != id {
+			kept = append(kept, member)
+		}
+	}
+	next.Members = kept
+	return next
+}
+
+// withMember adds a learner, or replaces what is known of a member but not its vote.
+func withMember(configuration *protocol.CoreConfiguration, member *protocol.CoreMember) *protocol.CoreConfiguration {
+	next := cloneConfiguration(configuration)
+	added := proto.Clone(member).(*protocol.CoreMember)
+	added.Voter = false
+	for position, existing := range next.GetMembers() {
+		if existing.GetId() == member.GetId() {
+			added.Voter = existing.GetVoter()
+			next.Members[position] = added
+			return next
+		}
+	}
+	next.Members = append(next.Members, added)
+	return next
+}
--- /dev/null
+++ b/internal/core/replica/plan_test.go
@@ -0,0 +1,116 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// planned describes one member of a table: its name, zone, vote, silence in seconds and lag.
+type planned struct {
+	name, zone string
+	voter      bool
+	silent     int
+	lag        uint64
+}
+
+func TestPlanChange(t *testing.T) {
+	const last = 1000
+	a, b, c := planned{name: "a", zone: "1", voter: true}, planned{name: "b", zone: "2", voter: true}, planned{name: "c", zone: "3", voter: true}
+	deadC := planned{name: "c", zone: "3", voter: true, silent: 11}
+	cases := []struct {
+		name    string
+		members []planned
+		want    string
+	}{
+		{"nothing to do", []planned{a, b, c}, ""},
+		{"a founder alone keeps itself", []planned{a}, ""},
+		{"too few voters", []planned{a, {name: "d", zone: "1"}}, "promote d"},
+		{"a learner that lags waits", []planned{a, {name: "d", zone: "1", lag: 500}}, ""},
+		{"a silent learner waits", []planned{a, {name: "d", zone: "1", silent: 3}}, ""},
+		{"a zone without a voter goes first", []planned{a, b, {name: "d", zone: "1"}, {name: "e", zone: "3"}}, "promote e"},
+		{"standbys stay when there are voters enough", []planned{a, b, c, {name: "d", zone: "3"}}, ""},
+		{"a silent voter is waited for", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 9}, {name: "d", zone: "3"}}, ""},
+		{"a lost voter without standby stays", []planned{a, b, deadC}, ""},
+		{"the standby is added first", []planned{a, b, deadC, {name: "d", zone: "3"}}, "promote d"},
+		{"then the lost voter is removed", []planned{a, b, deadC, {name: "d", zone: "3", voter: true}}, "remove lost voter c"},
+		{"but not without a live majority of the rest", []planned{a, {name: "b", voter: true, silent: 5}, deadC, {name: "d", voter: true, silent: 5}}, ""},
+		{"a replaced machine need not be waited for", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 3}, {name: "c", zone: "3"}}, "promote c"},
+		{"a replaced voter goes when its successor votes", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 3}, {name: "c", zone: "3", voter: true}}, "remove lost voter c"},
+		{"a replaced learner goes", []planned{a, b, c, {name: "d", silent: 3}, {name: "d"}}, "remove former d"},
+		{"a live member is never taken for replaced", []planned{a, b, c, {name: "d"}, {name: "d"}}, ""},
+		{"one too many is demoted, from a shared zone", []planned{a, b, c, {name: "d", zone: "2", voter: true}}, "demote d"},
+		{"nobody is demoted while one is silent", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 3}, {name: "d", zone: "2", voter: true}}, ""},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			view := &membershipView{
+				configuration: &protocol.CoreConfiguration{}, self: 1, lastIndex: last, now: now,
+				contacts: map[uint64]consensus.Contact{}, targetVoters: 3, aliveWithin: 2 * time.Second, goneAfter: 10 * time.Second,
+			}
+			for position, member := range tt.members {
+				id := uint64(position + 1)
+				view.configuration.Members = append(view.configuration.Members, &protocol.CoreMember{
+					Id: id, Name: member.name, Zone: member.zone, Voter: member.voter,
+				})
+				if id != view.self {
+					view.contacts[id] = consensus.Contact{ID: id, Match: last - member.lag, Heard: now.Add(-time.Duration(member.silent) * time.Second)}
+				}
+			}
+			reason := ""
+			if next := planChange(view); next != nil {
+				reason = next.reason
+			}
+			if reason != tt.want {
+				t.Errorf("planned %q, want %q", reason, tt.want)
+			}
+		})
+	}
+}
+
+func TestRecoveredLog(t *testing.T) {
+	entry := func(index, term uint64) *protocol.CoreRecord {
+		return entryRecords([]*protocol.Entry{{Index: index, Term: term}})[0]
+	}
+	mark := func(index, term uint64) *protocol.CoreRecord {
+		return compactedRecord(&protocol.SnapshotMetadata{Index: index, Term: term})
+	}
+	cases := map[string]struct {
+		records []*protocol.CoreRecord
+		want    string
+	}{
+		"plain":                                 {[]*protocol.CoreRecord{entry(1, 1), entry(2, 1)}, "0: 1/1 2/1"},
+		"a newer entry replaces and cuts":       {[]*protocol.CoreRecord{entry(1, 1), entry(2, 1), entry(3, 1), entry(2, 2)}, "0: 1/1 2/2"},
+		"a copy replaces nothing":               {[]*protocol.CoreRecord{entry(1, 1), entry(2, 1), entry(3, 1), entry(2, 1)}, "0: 1/1 2/1 3/1"},
+		"entries after a snapshot stay":         {[]*protocol.CoreRecord{entry(1, 1), entry(2, 1), entry(3, 1), mark(2, 1)}, "2: 3/1"},
+		"entries of another history go":         {[]*protocol.CoreRecord{entry(1, 1), entry(2, 1), entry(3, 1), mark(2, 3)}, "2:"},
+		"a snapshot beyond the log":             {[]*protocol.CoreRecord{entry(1, 1), mark(7, 3), entry(8, 3)}, "7: 8/3"},
+		"copies in a segment begun but not cut": {[]*protocol.CoreRecord{entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1), mark(2, 1), entry(3, 1)}, "2: 3/1 4/1"},
+		"entries below the base are old":        {[]*protocol.CoreRecord{mark(5, 2), entry(4, 2), entry(6, 2)}, "5: 6/2"},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			state := &recovered{}
+			for _, record := range tt.records {
+				if err := state.take(record); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got := fmt.Sprintf("%d:", state.baseIndex)
+			for _, kept := range state.entries {
+				got += fmt.Sprintf(" %d/%d", kept.GetIndex(), kept.GetTerm())
+			}
+			if got != tt.want {
+				t.Errorf("recovered %q, want %q", got, tt.want)
+			}
+		})
+	}
+	state := &recovered{}
+	if err := state.take(entry(2, 1)); err == nil {
+		t.Error("a gap is taken for a log")
+	}
+}
--- /dev/null
+++ b/internal/core/replica/replica.go
@@ -0,0 +1,232 @@
+package replica
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// Defaults of Options.
+const (
+	DefaultTargetVoters      = 3
+	DefaultReplaceVoterAfter = 10 * time.Second
+	DefaultSnapshotEntries   = 4096
+	DefaultSnapshotBytes     = 16 << 20
+
+	inboundQueue  = 4096
+	proposalQueue = 4096
+	requestQueue  = 1024
+)
+
+// Replica is one member of the core's consensus group. It is safe for use by many goroutines.
+type Replica struct {
+	options Options
+	metrics *metrics
+	disk    *disk
+	self    *protocol.CoreMember
+
+	inbound   chan *protocol.ConsensusMessage
+	proposals chan *proposal
+	requests  chan func()
+	stop      chan struct{}
+	stopped   chan struct{}
+	stopOnce  sync.Once
+	running   sync.WaitGroup
+	started   atomic.Bool
+
+	background context.Context
+	cancel     context.CancelFunc
+
+	view  atomic.Pointer[view]
+	owner owner
+}
+
+// New opens the data folder and restores the state machine from the newest snapshot. An error
+// is a *CorruptStateError, a *consensus.StateError or one of package storage. The commands
+// committed after the snapshot are applied from Start on.
+func New(options Options) (*Replica, error) {
+	options = options.withDefaults()
+	identity, err := storage.OpenIdentityWith(options.Filesystem, options.Folder, func() string {
+		return randomName(options.Random)
+	})
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := newMetrics(options.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	disk, err := openDisk(options.Filesystem, options.Folder)
+	if err != nil {
+		return nil, err
+	}
+	replica := &Replica{
+		options: options, metrics: metrics, disk: disk,
+		self:      proto.Clone(options.Self).(*protocol.CoreMember),
+		inbound:   make(chan *protocol.ConsensusMessage, inboundQueue),
+		proposals: make(chan *proposal, proposalQueue),
+		requests:  make(chan func(), requestQueue),
+		stop:      make(chan struct{}),
+		stopped:   make(chan struct{}),
+	}
+	replica.self.Id, replica.self.Voter = memberID(identity.StorageID), false
+	if err := replica.open(); err != nil {
+		_ = disk.close()
+		return nil, err
+	}
+	return replica, nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.TargetVoters <= 0 {
+		o.TargetVoters = DefaultTargetVoters
+	}
+	if o.ElectionTimeout <= 0 {
+		o.ElectionTimeout = consensus.DefaultElectionTimeout
+	}
+	if o.HeartbeatInterval <= 0 {
+		o.HeartbeatInterval = consensus.DefaultHeartbeatInterval
+	}
+	if o.ReplaceVoterAfter <= 0 {
+		o.ReplaceVoterAfter = DefaultReplaceVoterAfter
+	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if o.SnapshotBytes <= 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
+	if o.SnapshotChunkBytes <= 0 {
+		o.SnapshotChunkBytes = consensus.DefaultSnapshotChunkBytes
+	}
+	if o.Clock == nil {
+		o.Clock = systemClock{}
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return o
+}
+
+// open recovers the node and the state machine.
+func (r *Replica) open() error {
+	snapshot, state, err := r.disk.loadSnapshot()
+	if err != nil {
+		return err
+	}
+	clusterID, initial, err := r.disk.recover(snapshot)
+	if err != nil {
+		return err
+	}
+	if snapshot != nil {
+		if err := restoreMachine(r.options.Machine, state); err != nil {
+			return err
+		}
+	}
+	return r.owner.init(r, clusterID, initial)
+}
+
+// Start begins to serve: it joins or founds a cluster when the folder holds none.
+func (r *Replica) Start(context.Context) error {
+	if r.started.Swap(true) {
+		return &StoppedError{}
+	}
+	r.background, r.cancel = context.WithCancel(context.Background())
+	r.running.Add(2)
+	go func() {
+		defer r.running.Done()
+		r.owner.run()
+	}()
+	go func() {
+		defer r.running.Done()
+		r.keepJoined(r.background)
+	}()
+	return nil
+}
+
+// Stop ends the replica and closes its log; a leader hands leadership over first, while ctx lasts.
+func (r *Replica) Stop(ctx context.Context) error {
+	if !r.started.Load() {
+		r.stopOnce.Do(func() { close(r.stop); close(r.stopped) })
+		return r.disk.close()
+	}
+	if r.view.Load().status.Role == consensus.Leader {
+		// Where no other voter can take over, the others elect one after this one is silent.
+		_ = r.TransferLeadership(ctx, "")
+	}
+	r.stopOnce.Do(func() { close(r.stop) })
+	r.cancel()
+	r.running.Wait()
+	return r.disk.close()
+}
+
+// IsLeader reports whether this process leads, has applied all that earlier leaders committed,
+// and its leader lease runs at this moment.
+func (r *Replica) IsLeader() bool {
+	view := r.view.Load()
+	return !view.leadingSince.IsZero() && r.options.Clock.Now().Before(view.leaseEnds)
+}
+
+// LeaderSince is the monotonic time at which this process became a leader that had applied all
+// that earlier leaders committed; zero when it is none.
+func (r *Replica) LeaderSince() time.Time { return r.view.Load().leadingSince }
+
+// Leader returns the member that leads as far as this process knows, or nil.
+func (r *Replica) Leader() *protocol.CoreMember {
+	return r.view.Load().leader()
+}
+
+// ID returns the random id of this member, made with its data folder.
+func (r *Replica) ID() uint64 { return r.self.GetId() }
+
+// do runs a function on the owner goroutine and waits for it.
+func (r *Replica) do(ctx context.Context, run func()) error {
+	done := make(chan struct{})
+	select {
+	case <-r.stopped:
+		return &StoppedError{}
+	default:
+	}
+	select {
+	case r.requests <- func() { run(); close(done) }:
+	default:
+		r.metrics.overloads.Inc()
+		return &OverloadedError{Queue: "requests"}
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return &UnknownOutcomeError{Cause: ctx.Err()}
+	case <-r.stopped:
+	}
+	select {
+	case <-done:
+		return nil
+	default:
+		return &StoppedError{}
+	}
+}
+
+// memberID derives the id from the identity of the data folder, so that an emptied folder is
+// another member.
+func memberID(storageID string) uint64 {
+	sum := sha256.Sum256([]byte(storageID))
+	return max(1, binary.BigEndian.Uint64(sum[:8]))
+}
+
+func randomName(random *rand.Rand) string {
+	name := binary.BigEndian.AppendUint64(nil, random.Uint64())
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(name, random.Uint64()))
+}
--- /dev/null
+++ b/internal/core/replica/replica_test.go
@@ -0,0 +1,404 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func TestFoundersFormOneCluster(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		var commands []string
+		for number := range 20 {
+			command := fmt.Sprint("set ", number)
+			if err := leader.propose(command); err != nil {
+				t.Fatal(err)
+			}
+			commands = append(commands, command)
+		}
+		f.agree(commands)
+		for _, m := range f.running() {
+			if m.replica.Status().GetClusterId() != leader.replica.Status().GetClusterId() {
+				t.Errorf("%s is in another cluster", m.name)
+			}
+			var notLeader *NotLeaderError
+			if err := m.propose("x"); m != leader && (!errors.As(err, &notLeader) || notLeader.LeaderAddress != leader.address) {
+				t.Errorf("%s answers %v", m.name, err)
+			}
+		}
+	})
+}
+
+func TestFounderWaitsForEveryOtherFounder(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.founders = []string{f.machine(1).address, f.machine(2).address, f.machine(3).address}
+		f.machine(1).start()
+		f.machine(2).start()
+		f.pass(20 * time.Second)
+		if !f.machine(1).replica.Status().GetEmpty() {
+			t.Error("a founder founded without hearing all others")
+		}
+		f.machine(3).start()
+		f.eventually("a cluster of three", func() bool { l := f.leader(); return l != nil && len(l.voters()) == 3 })
+	})
+}
+
+func TestFounderWithoutItsDiskFoundsNoSecondCluster(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		cluster, lost := f.leader().replica.Status().GetClusterId(), f.machine(1)
+		former := lost.replica.ID()
+		lost.crash()
+		lost.disk.Lose()
+		f.machine(2).crash()
+		f.machine(3).crash()
+		lost.start()
+		f.pass(20 * time.Second)
+		if !lost.replica.Status().GetEmpty() {
+			t.Fatal("the founder founded again while the others were away")
+		}
+		f.machine(2).start()
+		f.machine(3).start()
+		f.eventually("it is a voter under a new id", func() bool {
+			leader := f.leader()
+			return leader != nil && slices.Equal(sorted(leader.voters()), []string{"core-1", "core-2", "core-3"}) &&
+				len(leader.replica.Status().GetConfiguration().GetMembers()) == 3 &&
+				consensus.Member(leader.replica.Status().GetConfiguration(), former) == nil
+		})
+		if got := lost.replica.Status().GetClusterId(); got != cluster || lost.replica.ID() == former {
+			t.Errorf("cluster %s and id %d, want cluster %s and another id", got, lost.replica.ID(), cluster)
+		}
+	})
+}
+
+func sorted(names []string) []string {
+	slices.Sort(names)
+	return names
+}
+
+func TestAcknowledgedCommandsSurviveLossOfPowerEverywhere(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		var acknowledged []string
+		for round := range 6 {
+			leader := f.waitForLeader()
+			for number := range 60 {
+				command := fmt.Sprintf("order %d.%d", round, number)
+				if err := leader.propose(command); err != nil {
+					t.Fatal(err)
+				}
+				acknowledged = append(acknowledged, command)
+			}
+			for number := 1; number <= 3; number++ {
+				f.machine(number).crash()
+			}
+			for number := 1; number <= 3; number++ {
+				f.machine(number).start()
+			}
+		}
+		f.waitForLeader()
+		f.agree(acknowledged)
+		status := f.leader().replica.Status()
+		if status.GetFirstIndex() < 200 {
+			t.Errorf("the log still begins at %d", status.GetFirstIndex())
+		}
+	})
+}
+
+func TestCutOffLeaderStopsBeforeTheNextOne(t *testing.T) {
+	story(t, func(f *fleet) {
+		old := f.found(3)
+		if err := old.propose("before"); err != nil {
+			t.Fatal(err)
+		}
+		f.setCut(old.address, true)
+		var unknown *UnknownOutcomeError
+		if err := old.propose("into the cut"); !errors.As(err, &unknown) {
+			t.Errorf("a proposal into the cut gives %v", err)
+		}
+		next := f.waitForLeader()
+		if next == old || old.replica.IsLeader() {
+			t.Fatal("the cut-off leader still leads")
+		}
+		if err := old.replica.Barrier(context.Background()); err == nil {
+			t.Error("the cut-off leader confirms a read")
+		}
+		if err := next.propose("after"); err != nil {
+			t.Fatal(err)
+		}
+		f.setCut(old.address, false)
+		f.agree([]string{"before", "after"})
+	})
+}
+
+func TestBarrierShowsWhatWasCommitted(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		for number := range 10 {
+			if err := leader.propose(fmt.Sprint(number)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := leader.replica.TransferLeadership(context.Background(), ""); err != nil {
+			t.Fatal(err)
+		}
+		next := f.waitForLeader()
+		if next == leader {
+			t.Fatal("leadership did not move")
+		}
+		if err := next.replica.Barrier(context.Background()); err != nil || len(next.state.all()) != 10 {
+			t.Errorf("barrier %v with %d commands", err, len(next.state.all()))
+		}
+		if next.replica.LeaderSince().IsZero() || !leader.replica.LeaderSince().IsZero() {
+			t.Error("LeaderSince does not follow the leader")
+		}
+	})
+}
+
+func TestStandbyTakesThePlaceOfALostVoter(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		f.seeds = []string{f.machine(2).address}
+		f.machine(4).start()
+		f.eventually("the standby is a learner", func() bool { return len(f.leader().replica.Status().GetConfiguration().GetMembers()) == 4 })
+		lost := f.machine(1)
+		lost.crash()
+		crashed := time.Now()
+		f.eventually("the standby votes", func() bool {
+			leader := f.leader()
+			return leader != nil && slices.Equal(sorted(leader.voters()), []string{"core-2", "core-3", "core-4"})
+		})
+		if waited := time.Since(crashed); waited < DefaultReplaceVoterAfter || waited > 2*DefaultReplaceVoterAfter {
+			t.Errorf("the standby took over after %v", waited)
+		}
+		lost.start()
+		f.eventually("the lost voter is back as a standby", func() bool {
+			leader := f.leader()
+			return leader != nil && len(leader.replica.Status().GetConfiguration().GetMembers()) == 4
+		})
+		if voters := f.leader().voters(); len(voters) != 3 || slices.Contains(voters, lost.name) {
+			t.Errorf("voters are %v", voters)
+		}
+	})
+}
+
+func TestNewMemberTakesASnapshotInPieces(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		var commands []string
+		for number := range 1500 {
+			command := fmt.Sprintf("a command with some length to it, number %d", number)
+			if err := leader.propose(command); err != nil {
+				t.Fatal(err)
+			}
+			commands = append(commands, command)
+		}
+		f.seeds = []string{leader.address}
+		f.machine(4).start()
+		f.agree(commands)
+		f.machine(4).crash()
+		f.machine(4).start()
+		f.agree(commands)
+		if leader.replica.Status().GetFirstIndex() == 1 {
+			t.Error("the log was never shortened")
+		}
+	})
+}
+
+func TestOperatorAddsAndRemovesMembers(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		ctx := context.Background()
+		f.machine(4).start()
+		added, err := f.leader().replica.AddMember(ctx, f.machine(4).address)
+		if err != nil || added.GetName() != "core-4" {
+			t.Fatalf("add: %v, %v", added, err)
+		}
+		if _, err := f.leader().replica.AddMember(ctx, f.machine(4).address); err != nil {
+			t.Errorf("the same order again: %v", err)
+		}
+		leader := f.leader()
+		var notLeader *NotLeaderError
+		if err := leader.replica.RemoveMember(ctx, leader.name); !errors.As(err, &notLeader) {
+			t.Errorf("removing the leader: %v", err)
+		}
+		f.eventually("another leads", func() bool { next := f.leader(); return next != nil && next != leader })
+		for range 2 {
+			if err := f.leader().replica.RemoveMember(ctx, leader.name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var unknown *MemberUnknownError
+		if err := f.leader().replica.RemoveMember(ctx, "nobody"); !errors.As(err, &unknown) {
+			t.Errorf("removing nobody: %v", err)
+		}
+		f.pass(30 * time.Second)
+		if members := f.leader().replica.Status().GetConfiguration().GetMembers(); len(members) != 3 || len(f.leader().voters()) != 3 {
+			t.Errorf("members are %v", members)
+		}
+		if _, err := f.leader().replica.AddMember(ctx, leader.address); err != nil {
+			t.Errorf("an operator takes the member back: %v", err)
+		}
+	})
+}
+
+func TestRemovalThatLeavesNoLiveMajorityIsRefused(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		dead, alive := f.machine(1), f.machine(2)
+		if dead == leader {
+			dead = f.machine(3)
+		}
+		if alive == leader {
+			alive = f.machine(3)
+		}
+		dead.crash()
+		f.pass(3 * time.Second)
+		var unsafe *UnsafeChangeError
+		if err := leader.replica.RemoveMember(context.Background(), alive.name); !errors.As(err, &unsafe) {
+			t.Errorf("removing the last live follower: %v", err)
+		}
+	})
+}
+
+func TestFailedSyncStopsTheMember(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		leader.disk.FailSyncs(0, 1)
+		if err := leader.propose("not durable here"); err == nil {
+			t.Error("a command was acknowledged after a failed sync")
+		}
+		if err := <-leader.fatal; err == nil || leader.replica.IsLeader() {
+			t.Errorf("after a failed sync: %v", err)
+		}
+		if err := leader.propose("again"); err == nil {
+			t.Error("the failed member goes on")
+		}
+	})
+}
+
+func TestNothingIsAcknowledgedBeforeAMajorityIsDurable(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		for _, m := range f.running() {
+			if m != leader {
+				m.disk.FailSyncs(0, 1)
+			}
+		}
+		var unknown *UnknownOutcomeError
+		if err := leader.propose("durable at the leader only"); !errors.As(err, &unknown) {
+			t.Errorf("two failed syncs of three give %v", err)
+		}
+	})
+}
+
+func TestOtherClustersAreRefused(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(1)
+		for cluster, refused := range map[string]bool{"another": true, leader.replica.Status().GetClusterId(): false} {
+			message := &protocol.ConsensusMessage{
+				Kind: protocol.ConsensusMessageKind_VOTE, From: 99, To: leader.replica.ID(), Term: 1000, ClusterId: cluster,
+			}
+			_, err := leader.replica.ServeWire(context.Background(), &protocol.Request{Body: &protocol.Request_Consensus{Consensus: message}})
+			if (err != nil) != refused {
+				t.Errorf("cluster %q: %v", cluster, err)
+			}
+		}
+	})
+}
+
+func TestMemberAtANewAddressIsFound(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		moved := f.machine(1)
+		if moved == leader {
+			moved = f.machine(2)
+		}
+		moved.crash()
+		address := moved.move(9)
+		moved.start()
+		f.eventually("the configuration names the new address", func() bool {
+			l := f.leader()
+			return l != nil && consensus.Member(l.replica.Status().GetConfiguration(), moved.replica.ID()).GetAddress() == address
+		})
+		if err := f.leader().propose("x"); err != nil {
+			t.Fatal(err)
+		}
+		f.agree([]string{"x"})
+	})
+}
+
+func TestClusterSurvivesNewAddressesEverywhere(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		if err := f.leader().propose("x"); err != nil {
+			t.Fatal(err)
+		}
+		moved := f.running()
+		for _, m := range moved {
+			m.crash()
+		}
+		for position, m := range moved {
+			f.seeds = append(f.seeds, m.move(position+5))
+		}
+		for _, m := range moved {
+			m.start()
+		}
+		f.eventually("the configuration names the new addresses", func() bool {
+			leader := f.leader()
+			if leader == nil {
+				return false
+			}
+			for _, member := range leader.replica.Status().GetConfiguration().GetMembers() {
+				if !slices.Contains(f.seeds, member.GetAddress()) {
+					return false
+				}
+			}
+			return true
+		})
+		f.agree([]string{"x"})
+	})
+}
+
+func TestServiceIsBackSoonAfterARestartOfAll(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		for range 5 {
+			for _, m := range f.running() {
+				m.crash()
+			}
+			for number := 1; number <= 3; number++ {
+				f.machine(number).start()
+			}
+			began := time.Now()
+			f.waitForLeader()
+			if waited := time.Since(began); waited > 6*time.Second {
+				t.Errorf("no leader for %v", waited)
+			}
+		}
+	})
+}
+
+func TestLargeCommands(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.options.SnapshotBytes = 1 << 20
+		leader := f.found(1)
+		var size *consensus.CommandSizeError
+		if err := leader.propose(string(make([]byte, MaxCommandBytes+1))); !errors.As(err, &size) {
+			t.Errorf("a command beyond the bound: %v", err)
+		}
+		for range 40 {
+			if err := leader.propose(string(slices.Repeat([]byte("x"), 1<<18))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.eventually("ten megabytes in 40 commands lead to a snapshot", func() bool { return leader.replica.Status().GetFirstIndex() > 1 })
+	})
+}
--- /dev/null
+++ b/internal/core/replica/snapshots.go
@@ -0,0 +1,136 @@
+package replica
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// cachedSnapshotFor is how long a snapshot that is being transferred stays in memory after the
+// last piece was read from it.
+const cachedSnapshotFor = 30 * time.Second
+
+// snapshots is the owner's view of snapshots being taken and transferred.
+type snapshots struct {
+	saving bool
+	saved  chan savedSnapshot
+	cached *protocol.SnapshotMetadata
+	data   []byte
+	used   time.Time
+	// appliedBytes is the size of the entries applied since the last snapshot was taken.
+	appliedBytes int
+}
+
+type savedSnapshot struct {
+	metadata *protocol.SnapshotMetadata
+	err      error
+}
+
+// wait lets a snapshot that is being written finish, so that the disk can be closed.
+func (s *snapshots) wait() {
+	if s.saving {
+		<-s.saved
+	}
+}
+
+// maybeSnapshot takes a snapshot once enough entries are applied. The state is written to
+// memory here and to the disk beside the owner goroutine.
+func (o *owner) maybeSnapshot() {
+	o.dropCachedSnapshot()
+	status, options := o.node.Status(), o.replica.options
+	due := status.Applied-status.SnapshotIndex >= options.SnapshotEntries || o.snapshots.appliedBytes >= options.SnapshotBytes
+	if o.snapshots.saving || !due {
+		return
+	}
+	var state bytes.Buffer
+	if err := options.Machine.Snapshot(&state); err != nil {
+		o.fail(err)
+		return
+	}
+	metadata := o.node.SnapshotMetadata()
+	o.replica.metrics.snapshotBytes.Set(float64(state.Len()))
+	o.snapshots.saving, o.snapshots.appliedBytes = true, 0
+	disk, saved := o.replica.disk, o.snapshots.saved
+	go func() {
+		saved <- savedSnapshot{metadata: metadata, err: disk.saveSnapshot(metadata, state.Bytes())}
+	}()
+}
+
+// snapshotSaved shortens the log under a snapshot that has become durable.
+func (o *owner) snapshotSaved(saved savedSnapshot) {
+	o.snapshots.saving = false
+	if saved.err != nil {
+		o.fail(saved.err)
+		return
+	}
+	o.replica.metrics.snapshots.Inc()
+	if saved.metadata.GetIndex() <= o.node.Status().SnapshotIndex {
+		return
+	}
+	// Everything the node holds must be durable before it is copied into the new segment.
+	o.carryOut()
+	if o.failure != nil {
+		return
+	}
+	entries := o.node.Entries(saved.metadata.GetIndex() + 1)
+	if err := o.replica.disk.compact(o.clusterID, saved.metadata, entries, o.node.HardState()); err != nil {
+		o.fail(err)
+		return
+	}
+	o.node.Compact(saved.metadata)
+}
+
+// installSnapshot replaces the whole state by one received from the leader. The state machine
+// goes first: a state that it cannot restore must not become durable.
+func (o *owner) installSnapshot(ready consensus.Ready) error {
+	received := ready.Snapshot
+	if err := restoreMachine(o.replica.options.Machine, received.Data); err != nil {
+		return err
+	}
+	if err := o.replica.disk.saveSnapshot(received.Metadata, received.Data); err != nil {
+		return err
+	}
+	o.replica.metrics.installed.Inc()
+	o.snapshots.appliedBytes = 0
+	hardState := ready.HardState
+	if hardState == nil {
+		hardState = o.node.HardState()
+	}
+	return o.replica.disk.compact(o.clusterID, received.Metadata, nil, hardState)
+}
+
+// fillChunk puts the piece at the message's offset into it. It returns false when the snapshot
+// that the message names is no longer there.
+func (o *owner) fillChunk(message *protocol.ConsensusMessage) bool {
+	cache := &o.snapshots
+	if cache.cached.GetIndex() != message.GetSnapshot().GetIndex() && !o.loadSnapshot(message.GetSnapshot()) {
+		return false
+	}
+	cache.used = o.now()
+	size := uint64(len(cache.data))
+	start := min(message.GetChunkOffset(), size)
+	end := min(start+uint64(o.replica.options.SnapshotChunkBytes), size)
+	message.Chunk, message.ChunkLast = cache.data[start:end], end == size
+	return true
+}
+
+func (o *owner) loadSnapshot(wanted *protocol.SnapshotMetadata) bool {
+	metadata, data, err := o.replica.disk.loadSnapshot()
+	if err != nil {
+		o.fail(err)
+		return false
+	}
+	if metadata.GetIndex() != wanted.GetIndex() {
+		return false
+	}
+	o.snapshots.cached, o.snapshots.data = metadata, data
+	return true
+}
+
+func (o *owner) dropCachedSnapshot() {
+	if o.snapshots.cached != nil && o.now().Sub(o.snapshots.used) > cachedSnapshotFor {
+		o.snapshots.cached, o.snapshots.data = nil, nil
+	}
+}
--- /dev/null
+++ b/internal/core/replica/transport.go
@@ -0,0 +1,130 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const sendQueue = 128
+
+// transport sends messages to members, one goroutine for each address. A full queue loses its
+// oldest message, which the protocol makes up for.
+type transport struct {
+	caller  wire.Caller
+	timeout time.Duration
+	metrics *metrics
+
+	context context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	// All belong to the replica's owner goroutine. configured is what the configuration says,
+	// addresses what is used.
+	queues                map[string]chan *protocol.ConsensusMessage
+	addresses, configured map[uint64]string
+}
+
+func newTransport(caller wire.Caller, timeout time.Duration, metrics *metrics) *transport {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &transport{
+		caller: caller, timeout: timeout, metrics: metrics, context: ctx, cancel: cancel,
+		queues: map[string]chan *protocol.ConsensusMessage{}, addresses: map[uint64]string{},
+		configured: map[uint64]string{},
+	}
+}
+
+// learn notes where a member sent from; that is newer than what the configuration says.
+func (t *transport) learn(member uint64, address string) {
+	if address != "" {
+		t.addresses[member] = address
+	}
+}
+
+// fit forgets addresses and ends senders that no member of the configuration needs.
+func (t *transport) fit(configuration *protocol.CoreConfiguration) {
+	for _, member := range configuration.GetMembers() {
+		id, address := member.GetId(), member.GetAddress()
+		if t.addresses[id] == "" || t.configured[id] != address {
+			t.addresses[id] = address
+		}
+		t.configured[id] = address
+	}
+	members, needed := map[uint64]bool{}, map[string]bool{}
+	for _, member := range configuration.GetMembers() {
+		members[member.GetId()] = true
+		needed[t.addresses[member.GetId()]] = true
+	}
+	for id := range t.addresses {
+		if !members[id] {
+			delete(t.addresses, id)
+			delete(t.configured, id)
+		}
+	}
+	for address, queue := range t.queues {
+		if !needed[address] {
+			close(queue)
+			delete(t.queues, address)
+		}
+	}
+}
+
+func (t *transport) send(message *protocol.ConsensusMessage) {
+	address := t.addresses[message.GetTo()]
+	if address == "" {
+		return
+	}
+	queue := t.queues[address]
+	if queue == nil {
+		queue = make(chan *protocol.ConsensusMessage, sendQueue)
+		t.queues[address] = queue
+		t.running.Add(1)
+		go t.deliver(address, queue)
+	}
+	for {
+		select {
+		case queue <- message:
+			return
+		default:
+		}
+		select {
+		case <-queue:
+			t.metrics.dropped.Inc()
+		default:
+		}
+	}
+}
+
+func (t *transport) deliver(address string, queue <-chan *protocol.ConsensusMessage) {
+	defer t.running.Done()
+	for {
+		select {
+		case <-t.context.Done():
+			return
+		case message, open := <-queue:
+			if !open {
+				return
+			}
+			t.call(address, message)
+		}
+	}
+}
+
+func (t *transport) call(address string, message *protocol.ConsensusMessage) {
+	ctx, cancel := context.WithTimeout(t.context, t.timeout)
+	defer cancel()
+	request := &protocol.Request{Body: &protocol.Request_Consensus{Consensus: message}}
+	if _, err := t.caller.Call(ctx, address, request); err != nil {
+		t.metrics.sendFailures.Inc()
+		return
+	}
+	t.metrics.sent.Inc()
+}
+
+func (t *transport) close() {
+	t.cancel()
+	t.running.Wait()
+}
--- /dev/null
+++ b/internal/core/replica/view.go
@@ -0,0 +1,76 @@
+package replica
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// view is what the owner goroutine shows to the others; immutable.
+type view struct {
+	clusterID    string
+	status       consensus.Status
+	leaseEnds    time.Time
+	leadingSince time.Time
+	// leaderAddress is where the leader was last heard, if anywhere.
+	leaderAddress string
+	// heardLeader is when this member last followed a leader or led.
+	heardLeader time.Time
+}
+
+func (v *view) leader() *protocol.CoreMember {
+	if v.status.Leader == 0 {
+		return nil
+	}
+	leader := consensus.Member(v.status.Configuration, v.status.Leader)
+	if leader == nil || v.leaderAddress == "" || v.leaderAddress == leader.GetAddress() {
+		return leader
+	}
+	// It moved, and the configuration does not say so yet.
+	moved := proto.Clone(leader).(*protocol.CoreMember)
+	moved.Address = v.leaderAddress
+	return moved
+}
+
+func (v *view) notLeader() *NotLeaderError {
+	leader := v.leader()
+	if v.status.Role == consensus.Leader {
+		// It leads without a lease; there is nobody better to name.
+		leader = nil
+	}
+	return &NotLeaderError{LeaderAddress: leader.GetAddress(), LeaderHTTPAddress: leader.GetHttpAddress()}
+}
+
+// Status describes this member.
+func (r *Replica) Status() *protocol.CoreStatusResponse {
+	view, now := r.view.Load(), r.options.Clock.Now()
+	status := &protocol.CoreStatusResponse{
+		Name: r.self.GetName(), Id: r.self.GetId(), Self: r.self,
+		Term: view.status.Term, Leader: view.status.Leader, Commit: view.status.Commit,
+		Applied: view.status.Applied, FirstIndex: view.status.FirstIndex,
+		Configuration: view.status.Configuration, ClusterId: view.clusterID,
+		Empty: view.clusterID == "", LeaderLease: r.IsLeader(),
+	}
+	for _, contact := range view.status.Contacts {
+		status.Contacts = append(status.Contacts, &protocol.CoreMemberContact{
+			Id: contact.ID, Match: contact.Match, SilentMillis: uint64(now.Sub(contact.Heard) / time.Millisecond),
+		})
+	}
+	return status
+}
+
+func (r *Replica) locateCore() *protocol.LocateCoreResponse {
+	view := r.view.Load()
+	leader := view.leader()
+	response := &protocol.LocateCoreResponse{
+		LeaderAddress: leader.GetAddress(), LeaderHttpAddress: leader.GetHttpAddress(),
+		Term: view.status.Term, ClusterId: view.clusterID,
+	}
+	for _, member := range view.status.Configuration.GetMembers() {
+		response.CoreAddresses = append(response.CoreAddresses, member.GetAddress())
+	}
+	return response
+}
--- /dev/null
+++ b/internal/core/replica/waiters.go
@@ -0,0 +1,144 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// waiters are the callers that wait for an entry or a read; they belong to the owner goroutine.
+type waiters struct {
+	term      uint64
+	proposals map[uint64]chan proposalResult
+	reads     map[uint64]chan error
+	nextRead  uint64
+	// confirmed reads wait until their index is applied.
+	confirmed []confirmedRead
+}
+
+type confirmedRead struct {
+	index uint64
+	done  chan error
+}
+
+func newWaiters() waiters {
+	return waiters{proposals: map[uint64]chan proposalResult{}, reads: map[uint64]chan error{}}
+}
+
+// Barrier returns once the state machine has applied everything that was committed when it was
+// called, proved under the leader lease or by a heartbeat round. Errors as of Propose, or ctx's.
+func (r *Replica) Barrier(ctx context.Context) error {
+	if r.view.Load().status.Role != consensus.Leader {
+		return r.notLeader()
+	}
+	done := make(chan error, 1)
+	select {
+	case <-r.stopped:
+		return &StoppedError{}
+	default:
+	}
+	select {
+	case r.requests <- func() { r.owner.read(done) }:
+	default:
+		r.metrics.overloads.Inc()
+		return &OverloadedError{Queue: "requests"}
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.stopped:
+		return &StoppedError{}
+	}
+}
+
+func (o *owner) read(done chan error) {
+	o.waiters.nextRead++
+	id := o.waiters.nextRead
+	if err := o.node.Read(id, o.now()); err != nil {
+		done <- o.replica.notLeader()
+		return
+	}
+	o.waiters.reads[id] = done
+}
+
+// confirm takes the node's answers to reads.
+func (w *waiters) confirm(results []consensus.ReadResult) {
+	for _, result := range results {
+		done := w.reads[result.ID]
+		delete(w.reads, result.ID)
+		if done == nil {
+			continue
+		}
+		if result.Failed {
+			done <- &NotLeaderError{}
+			continue
+		}
+		w.confirmed = append(w.confirmed, confirmedRead{index: result.Index, done: done})
+	}
+}
+
+// applied answers the confirmed reads up to index.
+func (w *waiters) applied(index uint64) {
+	kept := w.confirmed[:0]
+	for _, read := range w.confirmed {
+		if read.index > index {
+			kept = append(kept, read)
+			continue
+		}
+		read.done <- nil
+	}
+	w.confirmed = kept
+}
+
+// resolve answers the proposal that became this entry. An entry of another term at its index
+// means that the proposal was replaced and will never be committed.
+func (w *waiters) resolve(entry *protocol.Entry, result []byte) {
+	index := entry.GetIndex()
+	done := w.proposals[index]
+	if done == nil {
+		return
+	}
+	delete(w.proposals, index)
+	if entry.GetTerm() != w.term {
+		done <- proposalResult{err: &NotLeaderError{}}
+		return
+	}
+	done <- proposalResult{data: result, index: index}
+}
+
+// expect notes that an entry of the term answers done. Waiters of an earlier term are answered first.
+func (w *waiters) expect(term, index uint64, done chan proposalResult) {
+	if term != w.term {
+		w.leadershipLost(w.term, &NotLeaderError{})
+		w.term = term
+	}
+	w.proposals[index] = done
+}
+
+// leadershipLost answers the proposals of a term that this member no longer leads: the next
+// leader may or may not have them. Reads that wait to be applied are safe to ask again.
+func (w *waiters) leadershipLost(term uint64, notLeader error) {
+	for index, done := range w.proposals {
+		delete(w.proposals, index)
+		done <- proposalResult{err: &UnknownOutcomeError{Cause: &LeadershipLostError{Term: term}}}
+	}
+	for _, read := range w.confirmed {
+		read.done <- notLeader
+	}
+	w.confirmed = nil
+}
+
+func (w *waiters) stop() {
+	for _, done := range w.proposals {
+		done <- proposalResult{err: &UnknownOutcomeError{Cause: &StoppedError{}}}
+	}
+	for _, done := range w.reads {
+		done <- &StoppedError{}
+	}
+	for _, read := range w.confirmed {
+		read.done <- &StoppedError{}
+	}
+}
