--- /dev/null
+++ b/internal/bundle/bundle_test.go
@@ -0,0 +1,312 @@
+package bundle_test
+
+import (
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func TestParseNamesThePathOfEveryFault(t *testing.T) {
+	tests := []struct {
+		name, document string
+		unknown        bool
+		paths          []string
+	}{
+		{"unknown fields", `{"version":1,"routes":[{"name":"a"},{"flavor":"m"}],"shade":2}`, true, []string{"routes[1].flavor", "shade"}},
+		{"unknown in a policy", `{"limits":{"max_qeued":1}}`, true, []string{"limits.max_qeued"}},
+		{"wrong type", "{\n \"version\": 1,\n \"scheduling\": {\"subset_size\": \"many\"}}", false, []string{"scheduling.subset_size"}},
+		{"wrong enum", `{"scheduling":{"algorithm":"BEST"}}`, false, []string{"scheduling.algorithm"}},
+		{"field twice", `{"routes":[{"name":"a","name":"b"}]}`, false, []string{"routes[0].name"}},
+		{"field twice under both names", `{"base_version":1,"baseVersion":2}`, false, []string{"baseVersion"}},
+		{"map value", `{"groups":[{"name":"g","zone_weights":{"z1":"x"}}]}`, false, []string{"groups[0].zone_weights[z1]"}},
+		{"cut off", `{"routes":[{"name":`, false, []string{"routes[0].name"}},
+		{"two values", `{} {}`, false, []string{""}},
+		{"empty", ``, false, []string{""}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := bundle.Parse([]byte(test.document))
+			var parse *bundle.ParseError
+			if !errors.As(err, &parse) {
+				t.Fatalf("got %v", err)
+			}
+			var paths []string
+			for _, fault := range parse.Faults {
+				paths = append(paths, fault.GetPath())
+			}
+			if fmt.Sprint(paths) != fmt.Sprint(test.paths) || parse.Unknown != test.unknown {
+				t.Fatalf("got %q unknown=%v: %v", paths, parse.Unknown, err)
+			}
+		})
+	}
+}
+
+func TestFormatAndParseRoundTrip(t *testing.T) {
+	encoded, err := bundle.Format(bundle.Default(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := bundle.Parse(encoded)
+	if err != nil || !proto.Equal(parsed, bundle.Default(3)) {
+		t.Fatalf("got %v, %v", parsed, err)
+	}
+}
+
+func TestDefaultBundleHasNoFaults(t *testing.T) {
+	merged, faults := bundle.Check(nil, bundle.Default(1))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	index := bundle.NewIndex(merged)
+	if route := index.Tool(bundle.TenantCaroni, bundle.ToolValvePlan); !route.GetNonRepeatable() {
+		t.Fatalf("valve plans must not be repeatable: %v", route)
+	}
+	if index.Model(bundle.TenantMenon, bundle.ModelClimateAdvisor) != nil || !index.KnownModel(bundle.ModelClimateAdvisor) {
+		t.Fatal("a tenant's own route must not serve another tenant")
+	}
+}
+
+func TestCheckListsAllFaultsAtOnce(t *testing.T) {
+	faulty := &protocol.Bundle{
+		Routes: []*protocol.Route{
+			{Name: "a", Model: "m", Tool: "t", Group: "g"},
+			{Name: "a", Model: "m", Group: "absent"},
+			{Name: "b", Group: "g", NonRepeatable: true},
+			{Name: "c", Tenant: "nobody", Model: "m2", Group: "g"},
+			{Name: "d", Model: "m2", Group: "g"},
+			{Name: "e", Model: "m2", Group: "g"},
+		},
+		Groups:        []*protocol.ServerGroup{{Name: "g", ZoneWeights: map[string]uint32{"z": bundle.MaxZoneWeight + 1}}, {}},
+		Tenants:       []*protocol.TenantPolicy{{Name: "t", CredentialSha256: "XY", RequestsPerSecond: -1}},
+		Scheduling:    &protocol.SchedulingPolicy{Algorithm: 77, LoadBound: 0.5},
+		Limits:        &protocol.LimitPolicy{RetryPercent: 101},
+		SignOffKeys:   []*protocol.SignOffKey{{Name: "k", PublicKey: "00"}},
+		RemovedRoutes: []string{"x"},
+	}
+	merged, faults := bundle.Check(nil, faulty)
+	if merged != nil {
+		t.Fatal("a faulty bundle was merged")
+	}
+	found := map[string]string{}
+	for _, fault := range faults {
+		found[fault.GetPath()] = fault.GetMessage()
+	}
+	for _, path := range []string{
+		"version", "routes[0]", "routes[1].name", "routes[1].group", "routes[2]", "routes[2].non_repeatable", "routes[3].tenant",
+		"routes[5]", "groups[0].zone_weights[z]", "groups[1].name", "tenants[0].credential_sha256",
+		"tenants[0].requests_per_second", "scheduling.algorithm", "scheduling.load_bound", "limits.retry_percent",
+		"sign_off_keys[0].public_key", "removed_routes",
+	} {
+		if found[path] == "" {
+			t.Errorf("no fault at %s; got %v", path, found)
+		}
+	}
+}
+
+func TestCheckOfAPartialBundleNamesEntriesOfTheBase(t *testing.T) {
+	base, _ := bundle.Check(nil, bundle.Default(1))
+	_, faults := bundle.Check(base, &protocol.Bundle{
+		Version: 2, BaseVersion: 1, Partial: true,
+		RemovedGroups: []string{bundle.GroupAdvisors, "absent"},
+	})
+	text := fmt.Sprint(faults)
+	for _, expected := range []string{"routes[name=caroni-climate-advisor].group", "removed_groups[1]"} {
+		if !strings.Contains(text, expected) {
+			t.Errorf("%s is missing in %s", expected, text)
+		}
+	}
+}
+
+func TestDigestIgnoresOrderAndSeesContent(t *testing.T) {
+	first, second := bundle.Default(1), bundle.Default(1)
+	second.Routes[0], second.Routes[1] = second.Routes[1], second.Routes[0]
+	if bundle.Digest(first) != bundle.Digest(second) {
+		t.Fatal("order changed the digest")
+	}
+	second.Limits.MaxQueued++
+	if bundle.Digest(first) == bundle.Digest(second) {
+		t.Fatal("content did not change the digest")
+	}
+}
+
+// TestEncodingIsReadableProtobuf keeps the canonical encoding inside the wire format.
+func TestEncodingIsReadableProtobuf(t *testing.T) {
+	original := bundle.Default(9)
+	original.Groups[0].ZoneWeights = map[string]uint32{"z2": 2, "z1": 0, "z3": 9}
+	decoded := &protocol.Bundle{}
+	if err := proto.Unmarshal(bundle.Encode(original), decoded); err != nil {
+		t.Fatal(err)
+	}
+	if bundle.Digest(decoded) != bundle.Digest(original) || len(decoded.GetRoutes()) != len(original.GetRoutes()) ||
+		decoded.GetGroups()[0].GetZoneWeights()["z3"] != 9 {
+		t.Fatalf("lost content: %v", decoded)
+	}
+}
+
+func TestSignatures(t *testing.T) {
+	public, private, err := ed25519.GenerateKey(rand.NewChaCha8([32]byte{1}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys, err := bundle.ParseKeys([]string{"ann:" + hex.EncodeToString(public)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	digest := bundle.Digest(bundle.Default(1))
+	signature := bundle.Sign(private, digest)
+	if err := bundle.Verify(keys, "ann", digest, signature); err != nil {
+		t.Fatal(err)
+	}
+	for name, err := range map[string]error{
+		"other key":    bundle.Verify(keys, "bob", digest, signature),
+		"other digest": bundle.Verify(keys, "ann", bundle.Digest(bundle.Default(2)), signature),
+		"malformed":    bundle.Verify(keys, "ann", digest, "zz"),
+	} {
+		var refused *bundle.SignatureError
+		if !errors.As(err, &refused) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	for _, text := range []string{"ann", "ann:00", ":" + hex.EncodeToString(public)} {
+		if _, err := bundle.ParseKeys([]string{text}); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+// drawBundle makes a merged bundle out of a small space, so that steps often meet the same names.
+func drawBundle(t *rapid.T, version uint64, label string) *protocol.Bundle {
+	made := &protocol.Bundle{Version: version, Limits: &protocol.LimitPolicy{MaxQueued: rapid.Uint32Range(0, 2).Draw(t, label+"queued")}}
+	for i := range 3 {
+		name := fmt.Sprintf("g%d", i)
+		weight := rapid.Uint32Range(0, 2).Draw(t, label+name)
+		made.Groups = append(made.Groups, &protocol.ServerGroup{Name: name, ZoneWeights: map[string]uint32{"z": weight}})
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, label+"routes") {
+		group := fmt.Sprintf("g%d", rapid.IntRange(0, 2).Draw(t, label+"group"))
+		name := fmt.Sprintf("r%d", i+rapid.IntRange(0, 2).Draw(t, label+"shift")*10)
+		made.Routes = append(made.Routes, &protocol.Route{Name: name, Model: name, Group: group})
+	}
+	merged, faults := bundle.Check(nil, made)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return merged
+}
+
+func TestStepsAndDeltasLeadToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawBundle(t, 1, "from"), drawBundle(t, 2, "to")
+		candidate := drawBundle(t, 3, "candidate")
+		step, possible := bundle.Step(from, to)
+		if !possible {
+			t.Fatal("no step")
+		}
+		if merged := bundle.Merge(from, step); !proto.Equal(merged, to) {
+			t.Fatalf("step leads to %v, not %v", merged, to)
+		}
+		whole := &protocol.Configuration{
+			Version: 20, Active: to, ActiveDigest: bundle.Digest(to), Candidate: candidate, CandidateDigest: bundle.Digest(candidate),
+			Rollout: &protocol.Rollout{CandidateVersion: 3},
+		}
+		delta, _ := bundle.MakeDelta(10, []*protocol.Bundle{step}, whole)
+		applied, err := bundle.ApplyDelta(&protocol.Configuration{Version: 10, Active: from, ActiveDigest: bundle.Digest(from)}, delta)
+		if err != nil || !proto.Equal(applied, whole) {
+			t.Fatalf("delta leads to %v, %v", applied, err)
+		}
+		if difference := bundle.Compare(from, to); difference.Empty() != (bundle.Digest(bundle.Merge(from, &protocol.Bundle{Partial: true, Version: 2})) == bundle.Digest(to)) {
+			t.Fatalf("difference %v", difference)
+		}
+	})
+}
+
+func TestDeltaThatDoesNotFitIsRefused(t *testing.T) {
+	active, _ := bundle.Check(nil, bundle.Default(1))
+	held := &protocol.Configuration{Version: 10, Active: active, ActiveDigest: bundle.Digest(active)}
+	step := &protocol.Bundle{Version: 2, BaseVersion: 1, Partial: true, Limits: &protocol.LimitPolicy{MaxQueued: 1}}
+	wrongBase := proto.CloneOf(step)
+	wrongBase.BaseVersion = 7
+	for name, delta := range map[string]*protocol.ConfigurationDelta{
+		"other base":   {BaseVersion: 9, Version: 20},
+		"other bundle": {BaseVersion: 10, Version: 20, ActiveSteps: []*protocol.Bundle{wrongBase}},
+		"other digest": {BaseVersion: 10, Version: 20, ActiveSteps: []*protocol.Bundle{step}, ActiveDigest: "00"},
+	} {
+		var refused *bundle.DeltaError
+		if _, err := bundle.ApplyDelta(held, delta); !errors.As(err, &refused) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestFirstTokenQuantile(t *testing.T) {
+	buckets := make([]uint64, bundle.FirstTokenBuckets())
+	if bundle.FirstTokenQuantile(buckets, 0.95) != 0 {
+		t.Fatal("a quantile without samples")
+	}
+	for range 90 {
+		buckets[bundle.FirstTokenBucket(80)]++
+	}
+	for range 10 {
+		buckets[bundle.FirstTokenBucket(1500)]++
+	}
+	if p95 := bundle.FirstTokenQuantile(buckets, 0.95); p95 < 1000 || p95 > 2000 {
+		t.Fatalf("p95 is %v", p95)
+	}
+	if p50 := bundle.FirstTokenQuantile(buckets, 0.5); p50 < 50 || p50 > 100 {
+		t.Fatalf("p50 is %v", p50)
+	}
+}
+
+// manyRoutes is a merged bundle with a given number of routes, in the shape of Menon's.
+func manyRoutes(count int) *protocol.Bundle {
+	whole := &protocol.Bundle{Version: 1, Groups: []*protocol.ServerGroup{{Name: "assistants"}}}
+	for i := range count {
+		tenant := fmt.Sprintf("tenant-%03d", i%490)
+		if i < 490 {
+			whole.Tenants = append(whole.Tenants, &protocol.TenantPolicy{Name: tenant})
+		}
+		model := fmt.Sprintf("model-%02d", i/490)
+		whole.Routes = append(whole.Routes, &protocol.Route{Name: fmt.Sprintf("%s-%s", tenant, model), Tenant: tenant, Model: model, Group: "assistants"})
+	}
+	merged, faults := bundle.Check(nil, whole)
+	if len(faults) > 0 {
+		panic(faults)
+	}
+	return merged
+}
+
+func BenchmarkTenThousandRoutes(b *testing.B) {
+	whole := manyRoutes(10_000)
+	partial := &protocol.Bundle{Version: 2, BaseVersion: 1, Partial: true, Routes: []*protocol.Route{{Name: "extra", Model: "extra", Group: "assistants"}}}
+	b.Run("digest", func(b *testing.B) {
+		for b.Loop() {
+			bundle.Digest(whole)
+		}
+	})
+	b.Run("check partial", func(b *testing.B) {
+		for b.Loop() {
+			bundle.Check(whole, partial)
+		}
+	})
+	b.Run("index", func(b *testing.B) {
+		for b.Loop() {
+			bundle.NewIndex(whole)
+		}
+	})
+	index := bundle.NewIndex(whole)
+	b.Run("lookup", func(b *testing.B) {
+		for b.Loop() {
+			index.Model("tenant-007", "model-11")
+		}
+	})
+}
--- /dev/null
+++ b/internal/bundle/compare.go
@@ -0,0 +1,63 @@
+package bundle
+
+import "github.com/rosestand/rosestand/internal/protocol"
+
+// NamedChanges lists the entries of one list that differ between two bundles.
+type NamedChanges struct {
+	Added   []string `json:"added,omitempty"`
+	Removed []string `json:"removed,omitempty"`
+	Changed []string `json:"changed,omitempty"`
+}
+
+// Empty reports that nothing differs.
+func (c NamedChanges) Empty() bool { return len(c.Added)+len(c.Removed)+len(c.Changed) == 0 }
+
+// Difference says how one merged bundle differs from another.
+type Difference struct {
+	From              uint64       `json:"from"`
+	To                uint64       `json:"to"`
+	Routes            NamedChanges `json:"routes"`
+	Groups            NamedChanges `json:"groups"`
+	Tenants           NamedChanges `json:"tenants"`
+	SignOffKeys       NamedChanges `json:"sign_off_keys"`
+	SchedulingChanged bool         `json:"scheduling_changed"`
+	RecoveryChanged   bool         `json:"recovery_changed"`
+	LimitsChanged     bool         `json:"limits_changed"`
+}
+
+// Empty reports that the bundles have the same content.
+func (d Difference) Empty() bool {
+	return d.Routes.Empty() && d.Groups.Empty() && d.Tenants.Empty() && d.SignOffKeys.Empty() &&
+		!d.SchedulingChanged && !d.RecoveryChanged && !d.LimitsChanged
+}
+
+// Compare lists what differs between two merged bundles.
+func Compare(from, to *protocol.Bundle) Difference {
+	return Difference{
+		From: from.GetVersion(), To: to.GetVersion(),
+		Routes:            compareNamed(from.GetRoutes(), to.GetRoutes()),
+		Groups:            compareNamed(from.GetGroups(), to.GetGroups()),
+		Tenants:           compareNamed(from.GetTenants(), to.GetTenants()),
+		SignOffKeys:       compareNamed(from.GetSignOffKeys(), to.GetSignOffKeys()),
+		SchedulingChanged: !equal(from.GetScheduling(), to.GetScheduling()),
+		RecoveryChanged:   !equal(from.GetRecovery(), to.GetRecovery()),
+		LimitsChanged:     !equal(from.GetLimits(), to.GetLimits()),
+	}
+}
+
+func compareNamed[T namedMessage](from, to []T) NamedChanges {
+	held := make(map[string]bool, len(from))
+	for _, entry := range from {
+		held[entry.GetName()] = true
+	}
+	given, removed := stepNamed(from, to)
+	changes := NamedChanges{Removed: removed}
+	for _, entry := range given {
+		if held[entry.GetName()] {
+			changes.Changed = append(changes.Changed, entry.GetName())
+		} else {
+			changes.Added = append(changes.Added, entry.GetName())
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/controlstate/benchmark_test.go
@@ -0,0 +1,51 @@
+package controlstate_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// BenchmarkPutAndSign measures an operator's change of one route of 10,000, as a core process applies it.
+func BenchmarkPutAndSign(b *testing.B) {
+	RegisterTestingT(b)
+	w := newWorld()
+	w.accepted("", put(wide(1, 10_000)))
+	w.accepted("", w.sign(1, nil))
+	version := uint64(1)
+	for b.Loop() {
+		version++
+		w.accepted(fmt.Sprintf("put-%d", version), put(oneRoute(version)))
+		w.accepted(fmt.Sprintf("sign-%d", version), w.sign(version, nil))
+	}
+}
+
+// BenchmarkSnapshot measures a snapshot and its restore with 10,000 routes and a month of orders (1,400 a day).
+func BenchmarkSnapshot(b *testing.B) {
+	RegisterTestingT(b)
+	w := newWorld()
+	w.accepted("", put(wide(1, 10_000)))
+	w.accepted("", w.sign(1, nil))
+	empty := proto.Size(w.state.Snapshot())
+	const orders = 30 * 1400
+	for i := range orders {
+		w.accepted(fmt.Sprintf("%08d-0000-4000-8000-000000000000", i), drain("model-1", 0))
+	}
+	var size int
+	for b.Loop() {
+		encoded, err := proto.Marshal(w.state.Snapshot())
+		Expect(err).NotTo(HaveOccurred())
+		decoded := &protocol.ControlState{}
+		Expect(proto.Unmarshal(encoded, decoded)).To(Succeed())
+		_, err = controlstate.Restore(decoded)
+		Expect(err).NotTo(HaveOccurred())
+		size = len(encoded)
+	}
+	b.ReportMetric(float64(size), "bytes")
+	b.ReportMetric(float64(size-empty)/orders, "bytes/order")
+}
--- /dev/null
+++ b/internal/controlstate/bundles.go
@@ -0,0 +1,223 @@
+package controlstate
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// keptOldBundles is the number of merged bundles kept that are older than the one in force.
+	keptOldBundles = 32
+	// keptSteps is the number of configuration changes that deltas can reach back.
+	keptSteps = 256
+)
+
+func (s *State) record(version uint64) *BundleRecord {
+	record, _ := s.bundles.Get(versionKey(version))
+	return record
+}
+
+func (s *State) setRecord(version uint64, record *BundleRecord) {
+	s.bundles, _, _ = s.bundles.Insert(versionKey(version), record)
+}
+
+// setState replaces the status of a version by one in another state.
+func (s *State) setState(version uint64, state protocol.BundleState) {
+	record := s.record(version)
+	status := proto.CloneOf(record.Status)
+	status.State = state
+	s.setRecord(version, &BundleRecord{Status: status, Merged: record.Merged})
+}
+
+// putBundle takes a submission under the next number. The same content sent
+// again under its number is acknowledged again, other content is refused.
+func (s *State) putBundle(index uint64, submitted *protocol.Bundle) *protocol.CommandResult {
+	version := submitted.GetVersion()
+	digest := bundle.Digest(submitted)
+	if winner := s.record(version); winner != nil {
+		if winner.Status.GetSubmittedDigest() == digest {
+			return acceptBundle(winner.Status.GetAcceptedIndex(), winner.Status)
+		}
+		result := refuse(codeVersionTaken, fmt.Sprintf("version %d was taken by other content", version))
+		result.Refusal.Winner = winner.Status
+		return result
+	}
+	faults := s.numberFaults(version)
+	base, baseFault := s.baseOf(submitted)
+	if baseFault != nil {
+		return refuse(codeWrongBase, "the bundle is not built on the newest version", append(faults, baseFault)...)
+	}
+	merged, contentFaults := bundle.Check(base, submitted)
+	if faults = append(faults, contentFaults...); len(faults) > 0 {
+		return refuse(codeInvalidBundle, fmt.Sprintf("the bundle has %d faults", len(faults)), faults...)
+	}
+	status := &protocol.BundleStatus{
+		Version:         version,
+		State:           protocol.BundleState_ACCEPTED,
+		SubmittedDigest: digest,
+		MergedDigest:    bundle.Digest(merged),
+		BaseVersion:     submitted.GetBaseVersion(),
+		AcceptedIndex:   index,
+	}
+	s.setRecord(version, &BundleRecord{Status: status, Merged: merged})
+	s.held = append(s.held, version)
+	s.newest = version
+	return acceptBundle(index, status)
+}
+
+func (s *State) numberFaults(version uint64) []*protocol.Fault {
+	if version == 0 || version == s.newest+1 {
+		return nil
+	}
+	return []*protocol.Fault{fault("version", fmt.Sprintf("the next version is %d", s.newest+1))}
+}
+
+// baseOf finds the merged bundle that a partial one builds on: the newest, or
+// the newest that was not withdrawn.
+func (s *State) baseOf(submitted *protocol.Bundle) (*protocol.Bundle, *protocol.Fault) {
+	if !submitted.GetPartial() {
+		return nil, nil
+	}
+	if s.newest == 0 {
+		return nil, fault("base_version", "there is no bundle yet to build on; send a whole one")
+	}
+	expected := s.newestNotWithdrawn()
+	if base := submitted.GetBaseVersion(); base == 0 || (base != s.newest && base != expected) {
+		return nil, fault("base_version", fmt.Sprintf("is %d, the newest version is %d", base, expected))
+	}
+	return s.record(submitted.GetBaseVersion()).Merged, nil
+}
+
+func (s *State) newestNotWithdrawn() uint64 {
+	for i := len(s.held) - 1; i >= 0; i-- {
+		if s.record(s.held[i]).Status.GetState() != protocol.BundleState_WITHDRAWN {
+			return s.held[i]
+		}
+	}
+	return s.newest
+}
+
+func (s *State) keysInForce() []*protocol.SignOffKey {
+	if keys := s.configuration.GetActive().GetSignOffKeys(); len(keys) > 0 {
+		return keys
+	}
+	return s.firstKeys
+}
+
+// seedKeys takes the first keys from the settings, until a bundle was put in force with them.
+func (s *State) seedKeys(index uint64, command *protocol.SeedSignOffKeysCommand) *protocol.CommandResult {
+	if s.configuration.GetActive() == nil || len(s.firstKeys) == 0 {
+		s.firstKeys = command.GetKeys()
+	}
+	return accept(index)
+}
+
+// signBundle checks a sign-off and puts the bundle in force, or makes it the candidate of a roll-out.
+func (s *State) signBundle(index uint64, command *protocol.SignBundleCommand) *protocol.CommandResult {
+	record := s.record(command.GetVersion())
+	if record == nil {
+		return refuse(codeNotFound, fmt.Sprintf("there is no bundle %d", command.GetVersion()), fault("version", "is not taken"))
+	}
+	status := record.Status
+	if status.GetSignature() != "" && status.GetSignature() == command.GetSignature() && status.GetSignedBy() == command.GetKeyName() {
+		return acceptBundle(status.GetSignedIndex(), status)
+	}
+	if err := bundle.Verify(s.keysInForce(), command.GetKeyName(), status.GetMergedDigest(), command.GetSignature()); err != nil {
+		return refuse(codeBadSignature, err.Error(), fault("signature", err.Error()))
+	}
+	if status.GetSignature() != "" {
+		return acceptBundle(status.GetSignedIndex(), status)
+	}
+	if active := s.configuration.GetActive().GetVersion(); command.GetVersion() < active {
+		return refuse(codeInvalidOrder, fmt.Sprintf("bundle %d is in force; an older one never is again", active),
+			fault("version", "is older than the bundle in force"))
+	}
+	if refusal := s.refuseFirstRollout(command); refusal != nil {
+		return refusal
+	}
+	signed := proto.CloneOf(status)
+	signed.State = protocol.BundleState_SIGNED
+	signed.SignedBy, signed.Signature, signed.SignedIndex = command.GetKeyName(), command.GetSignature(), index
+	s.setRecord(command.GetVersion(), &BundleRecord{Status: signed, Merged: record.Merged})
+	if command.GetRollout() == nil {
+		s.putInForce(index, command.GetVersion())
+	} else {
+		s.setCandidate(index, rolloutOf(command.GetRollout(), command.GetVersion()))
+	}
+	return acceptBundle(index, signed)
+}
+
+// refuseFirstRollout checks the roll-out that comes with a sign-off, if any.
+func (s *State) refuseFirstRollout(command *protocol.SignBundleCommand) *protocol.CommandResult {
+	rollout := command.GetRollout()
+	if rollout == nil {
+		return nil
+	}
+	if named := rollout.GetCandidateVersion(); named != 0 && named != command.GetVersion() {
+		return refuse(codeInvalidOrder, "the roll-out names another bundle", fault("rollout.candidate_version", "must be the version signed, or absent"))
+	}
+	return s.refuseRollout(rolloutOf(rollout, command.GetVersion()), "rollout.")
+}
+
+func rolloutOf(rollout *protocol.Rollout, version uint64) *protocol.Rollout {
+	named := proto.CloneOf(rollout)
+	named.CandidateVersion = version
+	return named
+}
+
+// putInForce makes a signed version the active one and ends a roll-out that it overtakes.
+func (s *State) putInForce(index, version uint64) {
+	former := s.configuration
+	record := s.record(version)
+	next := &protocol.Configuration{Version: index, Active: record.Merged, ActiveDigest: record.Status.GetMergedDigest()}
+	if candidate := former.GetCandidate(); candidate.GetVersion() > version {
+		next.Candidate, next.CandidateDigest, next.Rollout = candidate, former.GetCandidateDigest(), former.GetRollout()
+	} else if candidate != nil && candidate.GetVersion() < version {
+		s.setState(candidate.GetVersion(), protocol.BundleState_WITHDRAWN)
+	}
+	s.configuration = next
+	s.addStep(former, next)
+	s.dropOldBundles(version)
+}
+
+// addStep remembers how the active bundle changed, for deltas.
+func (s *State) addStep(former, next *protocol.Configuration) {
+	step := &protocol.ConfigurationStep{FromVersion: former.GetVersion(), ToVersion: next.GetVersion()}
+	if former.GetActive() != next.GetActive() {
+		if former.GetActive() == nil {
+			s.steps = nil
+			return
+		}
+		partial, possible := bundle.Step(former.GetActive(), next.GetActive())
+		if !possible || proto.Size(partial) > proto.Size(next.GetActive())/2 {
+			s.steps = nil
+			return
+		}
+		step.Step = partial
+	}
+	if former.GetVersion() == 0 {
+		return
+	}
+	if len(s.steps) >= keptSteps {
+		s.steps = slices.Clone(s.steps[len(s.steps)-keptSteps+1:])
+	}
+	s.steps = append(s.steps, step)
+}
+
+// dropOldBundles forgets the content of versions far behind the one in force; their status is kept for ever.
+func (s *State) dropOldBundles(active uint64) {
+	older, _ := slices.BinarySearch(s.held, active)
+	excess := older - keptOldBundles
+	if excess <= 0 {
+		return
+	}
+	for _, version := range s.held[:excess] {
+		s.setRecord(version, &BundleRecord{Status: s.record(version).Status})
+	}
+	s.held = slices.Clone(s.held[excess:])
+}
--- /dev/null
+++ b/internal/controlstate/delivery_test.go
@@ -0,0 +1,110 @@
+package controlstate_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func restoreError(snapshot *protocol.ControlState) error {
+	_, err := controlstate.Restore(snapshot)
+	return err
+}
+
+// wide is a whole bundle with many routes.
+func wide(version uint64, routes int) *protocol.Bundle {
+	made := &protocol.Bundle{Version: version, Groups: []*protocol.ServerGroup{{Name: "assistants"}}}
+	for i := range 490 {
+		made.Tenants = append(made.Tenants, &protocol.TenantPolicy{Name: fmt.Sprintf("tenant-%03d", i)})
+	}
+	for i := range routes {
+		tenant, model := fmt.Sprintf("tenant-%03d", i%490), fmt.Sprintf("model-%02d", i/490)
+		made.Routes = append(made.Routes, &protocol.Route{Name: tenant + "-" + model, Tenant: tenant, Model: model, Group: "assistants"})
+	}
+	return made
+}
+
+func oneRoute(version uint64) *protocol.Bundle {
+	name := fmt.Sprintf("extra-%d", version)
+	return &protocol.Bundle{
+		Version: version, BaseVersion: version - 1, Partial: true,
+		Routes: []*protocol.Route{{Name: name, Model: name, Group: "assistants"}},
+	}
+}
+
+var _ = Describe("delivery of a bundle of 10,000 routes", func() {
+	It("gives by delta, from any version held, what the whole says", func() {
+		w := newWorld()
+		w.accepted("", put(wide(1, 10_000)))
+		w.accepted("", w.sign(1, nil))
+		held := []*protocol.Configuration{w.state.View().Configuration}
+		for version := uint64(2); version <= 6; version++ {
+			w.accepted("", put(oneRoute(version)))
+			if version == 4 {
+				continue // Its content comes into force with the next one.
+			}
+			w.accepted("", w.sign(version, nil))
+			held = append(held, w.state.View().Configuration)
+		}
+		w.accepted("", put(oneRoute(7)))
+		w.accepted("", w.sign(7, &protocol.Rollout{ShareBasisPoints: 100}))
+		for round := range 2 {
+			view := w.state.View()
+			for _, configuration := range held {
+				whole, delta := view.ConfigurationSince(configuration.GetVersion())
+				Expect(whole).To(BeNil(), "round %d", round)
+				Expect(proto.Size(delta)).To(BeNumerically("<", 2000))
+				applied, err := bundle.ApplyDelta(configuration, delta)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(proto.Equal(applied, view.Configuration)).To(BeTrue())
+			}
+			w.restart()
+		}
+		whole, delta := w.state.View().ConfigurationSince(0)
+		Expect(delta).To(BeNil())
+		Expect(proto.Equal(whole, w.state.View().Configuration)).To(BeTrue())
+	})
+
+	It("sends the whole where a delta would be no smaller", func() {
+		w := newWorld()
+		w.accepted("", put(wide(1, 1000)))
+		w.accepted("", w.sign(1, nil))
+		known := w.state.View().Configuration.GetVersion()
+		w.accepted("", put(bundle.Default(2)))
+		w.accepted("", w.sign(2, nil))
+		whole, delta := w.state.View().ConfigurationSince(known)
+		Expect(delta).To(BeNil())
+		Expect(whole.GetActive().GetVersion()).To(BeEquivalentTo(2))
+	})
+
+	It("measures what is sent", func() {
+		w := newWorld()
+		w.accepted("", put(wide(1, 10_000)))
+		w.accepted("", w.sign(1, nil))
+		known := w.state.View().Configuration.GetVersion()
+		w.accepted("", put(oneRoute(2)))
+		w.accepted("", w.sign(2, nil))
+		_, delta := w.state.View().ConfigurationSince(known)
+		for i := range 330 {
+			w.accepted("", join(front(i, 1)))
+		}
+		for i := range 600 {
+			w.accepted("", upsert(&protocol.BackEnd{
+				Id: fmt.Sprintf("model-server-%03d", i), Kind: protocol.BackEndKind_MODEL_SERVER, State: protocol.BackEndState_READY,
+				Address: fmt.Sprintf("10.0.%d.%d:9000", i/200, i%200), Zone: fmt.Sprintf("z%d", i%6), Region: fmt.Sprintf("r%d", i%3),
+				Group: "assistants", Models: []string{"booking-assistant", "climate-advisor"}, Incarnation: 1764650000000 + uint64(i), Capacity: 64,
+			}))
+		}
+		view := w.state.View()
+		GinkgoWriter.Printf("bytes: delta of one route of 10,000: %d; whole: %d; membership of 330: %d; back ends of 600: %d; snapshot: %d\n",
+			proto.Size(delta), proto.Size(view.Configuration), proto.Size(view.Membership), proto.Size(view.BackEnds), proto.Size(w.state.Snapshot()))
+		Expect(proto.Size(delta)).To(BeNumerically("<", 500))
+		Expect(proto.Size(view.Configuration)).To(BeNumerically("<", 1<<20))
+	})
+})
--- /dev/null
+++ b/internal/controlstate/membership.go
@@ -0,0 +1,100 @@
+package controlstate
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func compareNodes(node *protocol.Node, name string) int { return cmp.Compare(node.GetName(), name) }
+
+// joinNode takes a node into the view, or its new incarnation or attributes. A
+// new incarnation under the same name or address ends the former one at once.
+func (s *State) joinNode(index uint64, node *protocol.Node) *protocol.CommandResult {
+	if refusal := s.refuseNode(node); refusal != nil {
+		return refusal
+	}
+	at, found := slices.BinarySearchFunc(s.membership.GetNodes(), node.GetName(), compareNodes)
+	if found && proto.Equal(s.membership.GetNodes()[at], node) {
+		return accept(s.membership.GetVersion())
+	}
+	nodes := make([]*protocol.Node, 0, len(s.membership.GetNodes())+1)
+	for _, other := range s.membership.GetNodes() {
+		if other.GetName() != node.GetName() && other.GetAddress() != node.GetAddress() {
+			nodes = append(nodes, other)
+		}
+	}
+	at, _ = slices.BinarySearchFunc(nodes, node.GetName(), compareNodes)
+	s.membership = &protocol.MembershipView{Version: index, Nodes: slices.Insert(nodes, at, node)}
+	if node.GetKind() == protocol.NodeKind_STORE {
+		s.noteStorage(index, node)
+	}
+	return accept(index)
+}
+
+func (s *State) refuseNode(node *protocol.Node) *protocol.CommandResult {
+	var faults []*protocol.Fault
+	if node.GetName() == "" {
+		faults = append(faults, fault("node.name", "must be set"))
+	}
+	if node.GetAddress() == "" {
+		faults = append(faults, fault("node.address", "must be set"))
+	}
+	if kind := node.GetKind(); kind != protocol.NodeKind_FRONT && kind != protocol.NodeKind_STORE {
+		faults = append(faults, fault("node.kind", "must be FRONT or STORE"))
+	}
+	if node.GetKind() == protocol.NodeKind_STORE && node.GetStorageId() == "" {
+		faults = append(faults, fault("node.storage_id", "must be set for a store"))
+	}
+	if len(faults) > 0 {
+		return refuse(codeInvalidOrder, "the node has faults", faults...)
+	}
+	for _, other := range s.membership.GetNodes() {
+		if refusal := refuseAgainst(node, other); refusal != nil {
+			return refusal
+		}
+	}
+	if node.GetKind() == protocol.NodeKind_STORE && s.isRetired(node) {
+		return refuse(codeLeaseRefused, fmt.Sprintf("store %q was retired", node.GetName()))
+	}
+	return nil
+}
+
+// refuseAgainst says whether a node of the view stands in the way of a joining one.
+func refuseAgainst(node, other *protocol.Node) *protocol.CommandResult {
+	switch {
+	case other.GetName() == node.GetName() && other.GetIncarnation() > node.GetIncarnation():
+		return refuse(codeLeaseRefused, fmt.Sprintf("a later incarnation of %q holds the lease", node.GetName()),
+			fault("node.incarnation", fmt.Sprintf("is older than %d", other.GetIncarnation())))
+	case other.GetName() != node.GetName() && other.GetAddress() == node.GetAddress() && other.GetIncarnation() >= node.GetIncarnation():
+		return refuse(codeLeaseRefused, fmt.Sprintf("%q holds the lease at this address", other.GetName()),
+			fault("node.address", "belongs to a later incarnation of another node"))
+	default:
+		return nil
+	}
+}
+
+func (s *State) removeNode(index uint64, command *protocol.RemoveNodeCommand) *protocol.CommandResult {
+	at, found := slices.BinarySearchFunc(s.membership.GetNodes(), command.GetName(), compareNodes)
+	if !found || s.membership.GetNodes()[at].GetIncarnation() != command.GetIncarnation() {
+		return accept(s.membership.GetVersion())
+	}
+	nodes := slices.Delete(slices.Clone(s.membership.GetNodes()), at, at+1)
+	s.membership = &protocol.MembershipView{Version: index, Nodes: nodes}
+	return accept(index)
+}
+
+// Node finds a node of the view by name; nil when it holds no lease.
+func (v *View) Node(name string) *protocol.Node { return findNode(v.Membership, name) }
+
+func findNode(membership *protocol.MembershipView, name string) *protocol.Node {
+	at, found := slices.BinarySearchFunc(membership.GetNodes(), name, compareNodes)
+	if !found {
+		return nil
+	}
+	return membership.GetNodes()[at]
+}
--- /dev/null
+++ b/internal/controlstate/orders.go
@@ -0,0 +1,60 @@
+package controlstate
+
+import (
+	"crypto/sha256"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Codes of refusals; they are codes of package failure.
+const (
+	codeInvalidOrder    = failure.InvalidOrder
+	codeInvalidBundle   = failure.InvalidBundle
+	codeVersionTaken    = failure.VersionTaken
+	codeWrongBase       = failure.WrongBase
+	codeNotFound        = failure.NotFound
+	codeBadSignature    = failure.BadSignature
+	codeNotSigned       = failure.NotSigned
+	codeChangeUnderWay  = failure.ChangeUnderWay
+	codeLeaseRefused    = failure.LeaseRefused
+	codeStoreNotEmptied = failure.StoreNotEmptied
+)
+
+type contentSum [16]byte
+
+// orderEntry remembers an order for ever: operators may send it again after any number of changes.
+type orderEntry struct {
+	digest contentSum
+	result *protocol.CommandResult
+}
+
+// contentDigest covers what the order asks for, without its id and time.
+func contentDigest(command *protocol.Command) contentSum {
+	var encoded []byte
+	if put := command.GetPutBundle(); put != nil {
+		encoded = append([]byte("put "), bundle.Digest(put.GetBundle())...)
+	} else {
+		content := &protocol.Command{Body: command.GetBody()}
+		encoded = bundle.EncodeMessage(content)
+	}
+	sum := sha256.Sum256(encoded)
+	return contentSum(sum[:len(contentSum{})])
+}
+
+func accept(index uint64) *protocol.CommandResult {
+	return &protocol.CommandResult{Accepted: true, Index: index}
+}
+
+func acceptBundle(index uint64, status *protocol.BundleStatus) *protocol.CommandResult {
+	return &protocol.CommandResult{Accepted: true, Index: index, Bundle: status}
+}
+
+func refuse(code failure.Code, message string, faults ...*protocol.Fault) *protocol.CommandResult {
+	return &protocol.CommandResult{Refusal: &protocol.Refusal{Code: string(code), Message: message, Faults: faults}}
+}
+
+func fault(path, message string) *protocol.Fault {
+	return &protocol.Fault{Path: path, Message: message}
+}
--- /dev/null
+++ b/internal/controlstate/placement.go
@@ -0,0 +1,233 @@
+package controlstate
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	maxShards   = 65_536
+	maxReplicas = 7
+)
+
+// editPlacement returns a copy of the placement whose epoch is index; its shards are still the former ones.
+func (s *State) editPlacement(index uint64) *protocol.Placement {
+	former := s.placement
+	return &protocol.Placement{
+		Epoch:    index,
+		Shards:   slices.Clone(former.GetShards()),
+		Emptying: slices.Clone(former.GetEmptying()),
+		Emptied:  slices.Clone(former.GetEmptied()),
+		Retired:  slices.Clone(former.GetRetired()),
+	}
+}
+
+// editShard replaces a shard by a copy under the placement's epoch and returns the copy.
+func editShard(placement *protocol.Placement, at int) *protocol.ShardPlacement {
+	shard := proto.CloneOf(placement.GetShards()[at])
+	shard.Epoch = placement.GetEpoch()
+	placement.Shards[at] = shard
+	return shard
+}
+
+// initializePlacement makes the first table once there are stores enough in distinct zones.
+func (s *State) initializePlacement(index uint64, command *protocol.InitializePlacementCommand) *protocol.CommandResult {
+	if len(s.placement.GetShards()) > 0 {
+		return accept(s.placement.GetEpoch())
+	}
+	shards, replicas := command.GetShardCount(), int(command.GetReplicaCount())
+	if shards == 0 || shards > maxShards || replicas == 0 || replicas > maxReplicas {
+		return refuse(codeInvalidOrder, "the numbers of shards and replicas are out of range")
+	}
+	stores := usableStores(s.placement, s.membership.GetNodes())
+	if zones := countZones(stores); zones < replicas {
+		return refuse(codeInvalidOrder, fmt.Sprintf("stores in %d distinct zones are needed, there are %d", replicas, zones))
+	}
+	placement := s.editPlacement(index)
+	loads := map[string]int{}
+	for number := range shards {
+		shard := &protocol.ShardPlacement{Shard: number, Epoch: index}
+		for range replicas {
+			store := pickStore(stores, shard.GetCurrent(), loads, zonesByStore(stores))
+			loads[store.GetName()]++
+			shard.Current = append(shard.Current, &protocol.Replica{
+				Store: store.GetName(), StorageId: store.GetStorageId(), State: protocol.ReplicaState_REPLICA_ACTIVE,
+			})
+		}
+		placement.Shards = append(placement.Shards, shard)
+	}
+	s.placement = placement
+	return accept(index)
+}
+
+// moveShard begins one step of a move: the next replicas are the current ones
+// with one replaced. An empty list gives up a move that is under way.
+func (s *State) moveShard(index uint64, command *protocol.MoveShardCommand) *protocol.CommandResult {
+	at := int(command.GetShard())
+	if at >= len(s.placement.GetShards()) {
+		return refuse(codeNotFound, fmt.Sprintf("there is no shard %d", at), fault("shard", "is unknown"))
+	}
+	shard := s.placement.GetShards()[at]
+	if command.GetExpectedEpoch() != shard.GetEpoch() {
+		return refuse(codeChangeUnderWay, "the shard changed meanwhile", fault("expected_epoch", fmt.Sprintf("the shard's epoch is %d", shard.GetEpoch())))
+	}
+	if len(command.GetNext()) == 0 {
+		return s.giveUpMove(index, at)
+	}
+	if len(shard.GetNext()) > 0 {
+		return refuse(codeChangeUnderWay, "the shard is being moved")
+	}
+	next, refusal := s.nextReplicas(index, shard, command.GetNext())
+	if refusal != nil {
+		return refusal
+	}
+	placement := s.editPlacement(index)
+	editShard(placement, at).Next = next
+	s.placement = placement
+	return accept(index)
+}
+
+func (s *State) giveUpMove(index uint64, at int) *protocol.CommandResult {
+	if len(s.placement.GetShards()[at].GetNext()) == 0 {
+		return accept(s.placement.GetEpoch())
+	}
+	placement := s.editPlacement(index)
+	editShard(placement, at).Next = nil
+	s.finishEmptying(placement)
+	s.placement = placement
+	return accept(index)
+}
+
+// nextReplicas checks a proposed set: as many as now, one of them new, and a majority of it able to vote at once.
+func (s *State) nextReplicas(index uint64, shard *protocol.ShardPlacement, wanted []*protocol.Replica) ([]*protocol.Replica, *protocol.CommandResult) {
+	if len(wanted) != len(shard.GetCurrent()) {
+		return nil, refuse(codeInvalidOrder, "the number of replicas must stay the same", fault("next", "has another length"))
+	}
+	next := make([]*protocol.Replica, 0, len(wanted))
+	added, active := 0, 0
+	for i, replica := range wanted {
+		path := fmt.Sprintf("next[%d].store", i)
+		if findReplica(next, replica.GetStore()) != nil {
+			return nil, refuse(codeInvalidOrder, "a store is named twice", fault(path, "is named twice"))
+		}
+		if kept := findReplica(shard.GetCurrent(), replica.GetStore()); kept != nil {
+			next = append(next, kept)
+			if kept.GetState() == protocol.ReplicaState_REPLICA_ACTIVE {
+				active++
+			}
+			continue
+		}
+		node := findNode(s.membership, replica.GetStore())
+		if node.GetKind() != protocol.NodeKind_STORE || !usable(s.placement, node) {
+			return nil, refuse(codeInvalidOrder, "the store cannot take a shard", fault(path, "is not a store that can take a shard"))
+		}
+		added++
+		next = append(next, &protocol.Replica{
+			Store: node.GetName(), StorageId: node.GetStorageId(),
+			State: protocol.ReplicaState_REPLICA_REBUILDING, RebuildingSince: index,
+		})
+	}
+	if added != 1 {
+		return nil, refuse(codeInvalidOrder, "a step replaces exactly one replica", fault("next", "must have one new store"))
+	}
+	if active <= len(next)/2 {
+		return nil, refuse(codeChangeUnderWay, "the replicas that stay are no majority yet", fault("next", "too many replicas are rebuilding"))
+	}
+	return next, nil
+}
+
+func findReplica(replicas []*protocol.Replica, store string) *protocol.Replica {
+	for _, replica := range replicas {
+		if replica.GetStore() == store {
+			return replica
+		}
+	}
+	return nil
+}
+
+// noteStorage marks the replicas of a store that came back with another data
+// folder: they vote for nothing until they are copied anew.
+func (s *State) noteStorage(index uint64, node *protocol.Node) {
+	var placement *protocol.Placement
+	for at, shard := range s.placement.GetShards() {
+		if !lostFolder(shard.GetCurrent(), node) && !lostFolder(shard.GetNext(), node) {
+			continue
+		}
+		if placement == nil {
+			placement = s.editPlacement(index)
+		}
+		edited := editShard(placement, at)
+		rebuild(edited.GetCurrent(), node, index)
+		rebuild(edited.GetNext(), node, index)
+	}
+	if placement != nil {
+		s.placement = placement
+	}
+}
+
+func lostFolder(replicas []*protocol.Replica, node *protocol.Node) bool {
+	replica := findReplica(replicas, node.GetName())
+	return replica != nil && replica.GetStorageId() != node.GetStorageId()
+}
+
+func rebuild(replicas []*protocol.Replica, node *protocol.Node, index uint64) {
+	if lostFolder(replicas, node) {
+		replica := findReplica(replicas, node.GetName())
+		replica.StorageId = node.GetStorageId()
+		replica.State = protocol.ReplicaState_REPLICA_REBUILDING
+		replica.RebuildingSince = index
+	}
+}
+
+// shardCopied makes a rebuilt replica vote again and ends the move that waited for it.
+func (s *State) shardCopied(index uint64, command *protocol.ShardCopiedCommand) *protocol.CommandResult {
+	at := int(command.GetShard())
+	if at >= len(s.placement.GetShards()) {
+		return refuse(codeNotFound, fmt.Sprintf("there is no shard %d", at), fault("shard", "is unknown"))
+	}
+	shard := s.placement.GetShards()[at]
+	replica := findReplica(shard.GetNext(), command.GetStore())
+	if replica == nil {
+		replica = findReplica(shard.GetCurrent(), command.GetStore())
+	}
+	switch {
+	case replica == nil || replica.GetStorageId() != command.GetStorageId():
+		return refuse(codeInvalidOrder, "the store holds no such replica", fault("storage_id", "is not that of a replica"))
+	case replica.GetState() == protocol.ReplicaState_REPLICA_ACTIVE:
+		return accept(s.placement.GetEpoch())
+	case command.GetEpoch() < replica.GetRebuildingSince():
+		return refuse(codeInvalidOrder, "the copy began before the replica was to rebuild; copy again",
+			fault("epoch", fmt.Sprintf("must be at least %d", replica.GetRebuildingSince())))
+	}
+	placement := s.editPlacement(index)
+	edited := editShard(placement, at)
+	activate(edited.GetCurrent(), command.GetStore())
+	activate(edited.GetNext(), command.GetStore())
+	if moveComplete(edited) {
+		edited.Current, edited.Next = edited.GetNext(), nil
+		s.finishEmptying(placement)
+	}
+	s.placement = placement
+	return accept(index)
+}
+
+func activate(replicas []*protocol.Replica, store string) {
+	if replica := findReplica(replicas, store); replica != nil {
+		replica.State = protocol.ReplicaState_REPLICA_ACTIVE
+		replica.RebuildingSince = 0
+	}
+}
+
+// moveComplete reports that every replica which the move adds has been copied.
+func moveComplete(shard *protocol.ShardPlacement) bool {
+	for _, replica := range shard.GetNext() {
+		if findReplica(shard.GetCurrent(), replica.GetStore()) == nil && replica.GetState() != protocol.ReplicaState_REPLICA_ACTIVE {
+			return false
+		}
+	}
+	return len(shard.GetNext()) > 0
+}
--- /dev/null
+++ b/internal/controlstate/rollout.go
@@ -0,0 +1,109 @@
+package controlstate
+
+import (
+	"fmt"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func (s *State) setRollout(index uint64, command *protocol.SetRolloutCommand) *protocol.CommandResult {
+	switch command.GetAction() {
+	case protocol.RolloutAction_ROLLOUT_SET:
+		if refusal := s.refuseRollout(command.GetRollout(), ""); refusal != nil {
+			return refusal
+		}
+		s.setCandidate(index, command.GetRollout())
+		return acceptBundle(index, s.record(command.GetRollout().GetCandidateVersion()).Status)
+	case protocol.RolloutAction_ROLLOUT_PROMOTE:
+		return s.promote(index, command.GetRollout().GetCandidateVersion())
+	case protocol.RolloutAction_ROLLOUT_WITHDRAW:
+		return s.withdraw(index, command.GetRollout().GetCandidateVersion())
+	default:
+		return refuse(codeInvalidOrder, "unknown action", fault("action", "must be set, promote or withdraw"))
+	}
+}
+
+// refuseRollout checks that a roll-out may begin or change; prefix leads the paths of its faults.
+func (s *State) refuseRollout(rollout *protocol.Rollout, prefix string) *protocol.CommandResult {
+	if faults := bundle.CheckRollout(rollout); len(faults) > 0 {
+		for _, found := range faults {
+			found.Path = prefix + found.GetPath()
+		}
+		return refuse(codeInvalidOrder, "the roll-out has faults", faults...)
+	}
+	path := prefix + "candidate_version"
+	version := rollout.GetCandidateVersion()
+	record, active := s.record(version), s.configuration.GetActive()
+	switch {
+	case record == nil:
+		return refuse(codeNotFound, fmt.Sprintf("there is no bundle %d", version), fault(path, "is not taken"))
+	case active == nil:
+		return refuse(codeInvalidOrder, "there is no bundle in force to compare with", fault(path, "sign the first bundle without a roll-out"))
+	case version <= active.GetVersion():
+		return refuse(codeInvalidOrder, fmt.Sprintf("bundle %d is in force; the candidate must be newer", active.GetVersion()),
+			fault(path, "is not newer than the bundle in force"))
+	case record.Status.GetState() == protocol.BundleState_WITHDRAWN:
+		return refuse(codeInvalidOrder, fmt.Sprintf("bundle %d was withdrawn; send it again under a new number", version), fault(path, "was withdrawn"))
+	case record.Status.GetState() == protocol.BundleState_ACCEPTED && prefix == "":
+		return refuse(codeNotSigned, fmt.Sprintf("bundle %d is not signed off", version), fault(path, "is not signed off"))
+	}
+	if other := s.configuration.GetCandidate(); other != nil && other.GetVersion() != version {
+		return refuse(codeChangeUnderWay, fmt.Sprintf("bundle %d is being rolled out; promote or withdraw it first", other.GetVersion()),
+			fault(path, "another candidate is being rolled out"))
+	}
+	return nil
+}
+
+func (s *State) setCandidate(index uint64, rollout *protocol.Rollout) {
+	record := s.record(rollout.GetCandidateVersion())
+	s.replaceConfiguration(&protocol.Configuration{
+		Version: index,
+		Active:  s.configuration.GetActive(), ActiveDigest: s.configuration.GetActiveDigest(),
+		Candidate: record.Merged, CandidateDigest: record.Status.GetMergedDigest(),
+		Rollout: rollout,
+	})
+}
+
+func (s *State) replaceConfiguration(next *protocol.Configuration) {
+	former := s.configuration
+	s.configuration = next
+	s.addStep(former, next)
+}
+
+// promote puts the candidate in force. A version of zero means whichever is the candidate.
+func (s *State) promote(index, version uint64) *protocol.CommandResult {
+	candidate := s.configuration.GetCandidate().GetVersion()
+	if candidate == 0 || (version != 0 && version != candidate) {
+		if version != 0 && version == s.configuration.GetActive().GetVersion() {
+			return acceptBundle(s.configuration.GetVersion(), s.record(version).Status)
+		}
+		return s.refuseNoCandidate(version)
+	}
+	s.putInForce(index, candidate)
+	return acceptBundle(index, s.record(candidate).Status)
+}
+
+// withdraw ends the roll-out; the candidate is never put in force.
+func (s *State) withdraw(index, version uint64) *protocol.CommandResult {
+	candidate := s.configuration.GetCandidate().GetVersion()
+	if candidate == 0 || (version != 0 && version != candidate) {
+		if record := s.record(version); record != nil && record.Status.GetState() == protocol.BundleState_WITHDRAWN {
+			return acceptBundle(index, record.Status)
+		}
+		return s.refuseNoCandidate(version)
+	}
+	s.setState(candidate, protocol.BundleState_WITHDRAWN)
+	s.replaceConfiguration(&protocol.Configuration{
+		Version: index,
+		Active:  s.configuration.GetActive(), ActiveDigest: s.configuration.GetActiveDigest(),
+	})
+	return acceptBundle(index, s.record(candidate).Status)
+}
+
+func (s *State) refuseNoCandidate(version uint64) *protocol.CommandResult {
+	if version == 0 {
+		return refuse(codeInvalidOrder, "no bundle is being rolled out")
+	}
+	return refuse(codeInvalidOrder, fmt.Sprintf("bundle %d is not being rolled out", version), fault("candidate_version", "is not the candidate"))
+}
--- /dev/null
+++ b/internal/controlstate/snapshot.go
@@ -0,0 +1,166 @@
+package controlstate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Snapshot writes the whole state into one message. Merged bundles are written
+// as steps from the version before them where that is possible, and the
+// results of orders without the digests that their bundle's status holds.
+func (s *State) Snapshot() *protocol.ControlState {
+	snapshot := &protocol.ControlState{
+		Index:         s.index,
+		ClusterId:     s.clusterID,
+		Configuration: s.configuration,
+		Membership:    s.membership,
+		BackEnds:      s.backEnds,
+		Placement:     s.placement,
+		Steps:         s.steps,
+		FirstKeys:     s.firstKeys,
+	}
+	for version := uint64(1); version <= s.newest; version++ {
+		if record := s.record(version); record != nil {
+			snapshot.Bundles = append(snapshot.Bundles, record.Status)
+		}
+	}
+	snapshot.MergedBundles = s.encodeMerged()
+	for _, id := range slices.Sorted(maps.Keys(s.orders)) {
+		entry := s.orders[id]
+		snapshot.Orders = append(snapshot.Orders, &protocol.OrderRecord{
+			OrderId: id, Result: shortened(entry.result), ContentDigest: entry.digest[:],
+		})
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.drained)) {
+		snapshot.Drained = append(snapshot.Drained, &protocol.DrainedBackEnd{Id: id, Incarnation: s.drained[id]})
+	}
+	return snapshot
+}
+
+func (s *State) encodeMerged() []*protocol.Bundle {
+	var encoded []*protocol.Bundle
+	var previous *protocol.Bundle
+	for _, version := range s.held {
+		merged := s.record(version).Merged
+		stored := merged
+		if previous != nil {
+			if step, possible := bundle.Step(previous, merged); possible {
+				stored = step
+			}
+		}
+		encoded = append(encoded, stored)
+		previous = merged
+	}
+	return encoded
+}
+
+// shortened leaves out of a result what the status of its bundle says as well.
+func shortened(result *protocol.CommandResult) *protocol.CommandResult {
+	if result.GetBundle() == nil {
+		return result
+	}
+	short := proto.CloneOf(result)
+	short.Bundle.SubmittedDigest, short.Bundle.MergedDigest, short.Bundle.Signature = "", "", ""
+	return short
+}
+
+// lengthened undoes shortened.
+func (s *State) lengthened(result *protocol.CommandResult) *protocol.CommandResult {
+	record := s.record(result.GetBundle().GetVersion())
+	if result.GetBundle() == nil || record == nil {
+		return result
+	}
+	result.Bundle.SubmittedDigest = record.Status.GetSubmittedDigest()
+	result.Bundle.MergedDigest = record.Status.GetMergedDigest()
+	if result.Bundle.GetState() != protocol.BundleState_ACCEPTED {
+		result.Bundle.Signature = record.Status.GetSignature()
+	}
+	return result
+}
+
+// SnapshotError says that a snapshot contradicts itself.
+type SnapshotError struct {
+	Reason string
+}
+
+func (e *SnapshotError) Error() string { return "control snapshot is damaged: " + e.Reason }
+
+// Restore makes a state from a snapshot; the error is a *SnapshotError.
+func Restore(snapshot *protocol.ControlState) (*State, error) {
+	s := New()
+	s.index = snapshot.GetIndex()
+	s.clusterID = snapshot.GetClusterId()
+	s.steps = snapshot.GetSteps()
+	s.firstKeys = snapshot.GetFirstKeys()
+	s.membership = orEmpty(snapshot.GetMembership())
+	s.backEnds = orEmpty(snapshot.GetBackEnds())
+	s.placement = orEmpty(snapshot.GetPlacement())
+	for _, status := range snapshot.GetBundles() {
+		s.setRecord(status.GetVersion(), &BundleRecord{Status: status})
+		s.newest = max(s.newest, status.GetVersion())
+	}
+	if err := s.decodeMerged(snapshot.GetMergedBundles()); err != nil {
+		return nil, err
+	}
+	s.configuration = s.shared(orEmpty(snapshot.GetConfiguration()))
+	for _, order := range snapshot.GetOrders() {
+		if len(order.GetContentDigest()) != len(contentSum{}) {
+			return nil, &SnapshotError{Reason: fmt.Sprintf("order %q has no digest", order.GetOrderId())}
+		}
+		s.orders[order.GetOrderId()] = &orderEntry{digest: contentSum(order.GetContentDigest()), result: s.lengthened(order.GetResult())}
+	}
+	for _, drained := range snapshot.GetDrained() {
+		s.drained[drained.GetId()] = drained.GetIncarnation()
+	}
+	return s, nil
+}
+
+func orEmpty[T any](message *T) *T {
+	if message == nil {
+		return new(T)
+	}
+	return message
+}
+
+// decodeMerged rebuilds the merged bundles. The digest of the last one is
+// checked, which covers the chain of steps that led to it.
+func (s *State) decodeMerged(stored []*protocol.Bundle) error {
+	var previous *protocol.Bundle
+	for _, part := range stored {
+		merged := bundle.Merge(previous, part)
+		record := s.record(merged.GetVersion())
+		if record == nil || (part.GetPartial() && part.GetBaseVersion() != previous.GetVersion()) {
+			return &SnapshotError{Reason: fmt.Sprintf("bundle %d does not follow the one before it", merged.GetVersion())}
+		}
+		s.setRecord(merged.GetVersion(), &BundleRecord{Status: record.Status, Merged: merged})
+		s.held = append(s.held, merged.GetVersion())
+		previous = merged
+	}
+	if previous != nil && bundle.Digest(previous) != s.record(previous.GetVersion()).Status.GetMergedDigest() {
+		return &SnapshotError{Reason: fmt.Sprintf("digest of bundle %d differs", previous.GetVersion())}
+	}
+	return nil
+}
+
+// shared makes the configuration refer to the merged bundles that the records hold.
+func (s *State) shared(stored *protocol.Configuration) *protocol.Configuration {
+	configuration := &protocol.Configuration{
+		Version: stored.GetVersion(),
+		Active:  stored.GetActive(), ActiveDigest: stored.GetActiveDigest(),
+		Candidate: stored.GetCandidate(), CandidateDigest: stored.GetCandidateDigest(),
+		Rollout: stored.GetRollout(),
+	}
+	if record := s.record(stored.GetActive().GetVersion()); record != nil && record.Merged != nil {
+		configuration.Active = record.Merged
+	}
+	if record := s.record(stored.GetCandidate().GetVersion()); record != nil && record.Merged != nil {
+		configuration.Candidate = record.Merged
+	}
+	return configuration
+}
--- /dev/null
+++ b/internal/controlstate/stores.go
@@ -0,0 +1,82 @@
+package controlstate
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// emptyStore orders that all shards leave a store.
+func (s *State) emptyStore(index uint64, store string) *protocol.CommandResult {
+	switch {
+	case slices.Contains(s.placement.GetEmptying(), store), slices.Contains(s.placement.GetEmptied(), store), retiredName(s.placement, store):
+		return accept(s.placement.GetEpoch())
+	case findNode(s.membership, store).GetKind() != protocol.NodeKind_STORE && !holdsShard(s.placement, store):
+		return refuse(codeNotFound, fmt.Sprintf("there is no store %q", store), fault("store", "is unknown"))
+	}
+	placement := s.editPlacement(index)
+	placement.Emptying = append(placement.Emptying, store)
+	slices.Sort(placement.Emptying)
+	s.finishEmptying(placement)
+	s.placement = placement
+	return accept(index)
+}
+
+// finishEmptying acknowledges as empty each store that no shard names any more.
+func (s *State) finishEmptying(placement *protocol.Placement) {
+	left := placement.Emptying[:0]
+	for _, store := range placement.Emptying {
+		if holdsShard(placement, store) {
+			left = append(left, store)
+			continue
+		}
+		placement.Emptied = append(placement.Emptied, store)
+	}
+	placement.Emptying = left
+	slices.Sort(placement.Emptied)
+}
+
+func holdsShard(placement *protocol.Placement, store string) bool {
+	for _, shard := range placement.GetShards() {
+		if findReplica(shard.GetCurrent(), store) != nil || findReplica(shard.GetNext(), store) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// retireStore ends an emptied store for good: its data folder gets no lease again.
+func (s *State) retireStore(index uint64, store string) *protocol.CommandResult {
+	at, emptied := slices.BinarySearch(s.placement.GetEmptied(), store)
+	if !emptied {
+		if retiredName(s.placement, store) {
+			return accept(s.placement.GetEpoch())
+		}
+		return refuse(codeStoreNotEmptied, fmt.Sprintf("store %q is not acknowledged as empty", store), fault("store", "must be emptied first"))
+	}
+	node := findNode(s.membership, store)
+	placement := s.editPlacement(index)
+	placement.Emptied = slices.Delete(placement.Emptied, at, at+1)
+	placement.Retired = append(placement.Retired, &protocol.Replica{Store: store, StorageId: node.GetStorageId()})
+	s.placement = placement
+	if node != nil {
+		s.removeNode(index, &protocol.RemoveNodeCommand{Name: store, Incarnation: node.GetIncarnation(), Reason: "retired"})
+	}
+	return accept(index)
+}
+
+func retiredName(placement *protocol.Placement, store string) bool {
+	return findReplica(placement.GetRetired(), store) != nil
+}
+
+// isRetired reports whether the node runs on a retired data folder; one that
+// was retired while away is known by its name alone.
+func (s *State) isRetired(node *protocol.Node) bool {
+	for _, retired := range s.placement.GetRetired() {
+		if retired.GetStore() == node.GetName() && (retired.GetStorageId() == "" || retired.GetStorageId() == node.GetStorageId()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controlstate/suite_test.go
@@ -0,0 +1,131 @@
+package controlstate_test
+
+import (
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func TestControlState(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control state")
+}
+
+// world applies commands under rising log indexes.
+type world struct {
+	state   *controlstate.State
+	index   uint64
+	private ed25519.PrivateKey
+}
+
+// newWorld has the key of ann seeded.
+func newWorld() *world {
+	public, private, err := ed25519.GenerateKey(rand.NewChaCha8([32]byte{7}))
+	Expect(err).NotTo(HaveOccurred())
+	w := &world{state: controlstate.New(), private: private}
+	w.apply("", &protocol.Command{Body: &protocol.Command_SeedSignOffKeys{SeedSignOffKeys: &protocol.SeedSignOffKeysCommand{
+		Keys: []*protocol.SignOffKey{{Name: "ann", PublicKey: hex.EncodeToString(public)}},
+	}}})
+	return w
+}
+
+func (w *world) apply(order string, command *protocol.Command) *protocol.CommandResult {
+	w.index++
+	sent := proto.CloneOf(command)
+	sent.OrderId = order
+	return w.state.Apply(w.index, sent)
+}
+
+func (w *world) accepted(order string, command *protocol.Command) *protocol.CommandResult {
+	GinkgoHelper()
+	result := w.apply(order, command)
+	Expect(result.GetAccepted()).To(BeTrue(), result.String())
+	return result
+}
+
+func (w *world) refused(order string, command *protocol.Command) *protocol.Refusal {
+	GinkgoHelper()
+	result := w.apply(order, command)
+	Expect(result.GetAccepted()).To(BeFalse(), result.String())
+	return result.GetRefusal()
+}
+
+// restart takes the state through an encoded snapshot.
+func (w *world) restart() {
+	GinkgoHelper()
+	encoded, err := proto.Marshal(w.state.Snapshot())
+	Expect(err).NotTo(HaveOccurred())
+	decoded := &protocol.ControlState{}
+	Expect(proto.Unmarshal(encoded, decoded)).To(Succeed())
+	w.state, err = controlstate.Restore(decoded)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func put(submitted *protocol.Bundle) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_PutBundle{PutBundle: &protocol.PutBundleCommand{Bundle: submitted}}}
+}
+
+// queued is a partial bundle that only sets one limit.
+func queued(version uint64, limit uint32) *protocol.Bundle {
+	return &protocol.Bundle{Version: version, BaseVersion: version - 1, Partial: true, Limits: &protocol.LimitPolicy{MaxQueued: limit}}
+}
+
+// sign signs a version that was put; the roll-out may be nil.
+func (w *world) sign(version uint64, rollout *protocol.Rollout) *protocol.Command {
+	digest := w.state.View().Bundle(version).Status.GetMergedDigest()
+	return &protocol.Command{Body: &protocol.Command_SignBundle{SignBundle: &protocol.SignBundleCommand{
+		Version: version, KeyName: "ann", Signature: bundle.Sign(w.private, digest), Rollout: rollout,
+	}}}
+}
+
+func rollout(action protocol.RolloutAction, version uint64, share uint32) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_SetRollout{SetRollout: &protocol.SetRolloutCommand{
+		Action: action, Rollout: &protocol.Rollout{CandidateVersion: version, ShareBasisPoints: share},
+	}}}
+}
+
+func join(node *protocol.Node) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_JoinNode{JoinNode: &protocol.JoinNodeCommand{Node: node}}}
+}
+
+func store(number int, incarnation uint64, storage string) *protocol.Node {
+	return &protocol.Node{
+		Name: fmt.Sprintf("store-%d", number), Kind: protocol.NodeKind_STORE, Incarnation: incarnation,
+		Address: fmt.Sprintf("127.0.0.1:%d", 7000+number), Zone: fmt.Sprintf("z%d", number), StorageId: storage,
+	}
+}
+
+func front(number int, incarnation uint64) *protocol.Node {
+	return &protocol.Node{
+		Name: fmt.Sprintf("front-%d", number), Kind: protocol.NodeKind_FRONT, Incarnation: incarnation,
+		Address: fmt.Sprintf("127.0.0.1:%d", 8000+number), Zone: "z1",
+	}
+}
+
+func emptyStore(name string) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_EmptyStore{EmptyStore: &protocol.EmptyStoreCommand{Store: name}}}
+}
+
+func retireStore(name string) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_RetireStore{RetireStore: &protocol.RetireStoreCommand{Store: name}}}
+}
+
+func upsert(backEnd *protocol.BackEnd) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_UpsertBackEnd{UpsertBackEnd: &protocol.UpsertBackEndCommand{BackEnd: backEnd}}}
+}
+
+func drain(id string, incarnation uint64) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_DrainBackEnd{DrainBackEnd: &protocol.DrainBackEndCommand{Id: id, Incarnation: incarnation}}}
+}
+
+func codes(refusal *protocol.Refusal) string { return refusal.GetCode() }
--- /dev/null
+++ b/internal/core/answers.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"encoding/json"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// refusedError is a refused order on its way to the operator.
+type refusedError struct {
+	refusal *protocol.Refusal
+}
+
+func (e *refusedError) Error() string { return e.refusal.GetCode() + ": " + e.refusal.GetMessage() }
+
+// errorBody is the JSON body of every failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code             string          `json:"code"`
+	Message          string          `json:"message"`
+	Path             string          `json:"path,omitempty"`
+	Outcome          string          `json:"outcome"`
+	RetryAfterMillis uint32          `json:"retry_after_millis,omitempty"`
+	Faults           []faultBody     `json:"faults,omitempty"`
+	Winner           json.RawMessage `json:"winner,omitempty"`
+}
+
+type faultBody struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+var outcomeNames = map[protocol.Outcome]string{
+	protocol.Outcome_NOT_RUN: "not_run",
+	protocol.Outcome_UNKNOWN: "unknown",
+	protocol.Outcome_RAN:     "ran",
+}
+
+// encode writes a protobuf message as JSON with the field names of the .proto files.
+func encode(message proto.Message) (json.RawMessage, error) {
+	encoded, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(message)
+	return encoded, errors.Wrap(err, "encode answer")
+}
+
+// protoAnswer answers with one protobuf message.
+func protoAnswer(message proto.Message) (*answer, error) {
+	document, err := encode(message)
+	if err != nil {
+		return nil, err
+	}
+	return &answer{status: http.StatusOK, document: document}, nil
+}
+
+func encodeList[T proto.Message](messages []T) ([]json.RawMessage, error) {
+	encoded := make([]json.RawMessage, len(messages))
+	for i, message := range messages {
+		document, err := encode(message)
+		if err != nil {
+			return nil, err
+		}
+		encoded[i] = document
+	}
+	return encoded, nil
+}
+
+func (s *Service) writeAnswer(writer http.ResponseWriter, result *answer) {
+	s.metrics.requests.WithLabelValues("ok").Inc()
+	writeJSON(writer, result.status, result.document)
+}
+
+func writeJSON(writer http.ResponseWriter, status int, document any) {
+	encoded, err := json.Marshal(document)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_, _ = writer.Write(append(encoded, '\n'))
+}
+
+// writeError answers with a typed failure; a follower sends the operator on to the leader.
+func (s *Service) writeError(writer http.ResponseWriter, request *http.Request, err error) {
+	detail, status := describe(err)
+	if detail.Code == string(failure.NotLeader) {
+		detail, status = s.sendOn(writer, request)
+	}
+	s.metrics.requests.WithLabelValues(detail.Code).Inc()
+	if detail.RetryAfterMillis > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(detail.RetryAfterMillis)/1000))))
+	}
+	writeJSON(writer, status, errorBody{Error: detail})
+}
+
+// sendOn sets the leader's address, or says that there is no leader.
+func (s *Service) sendOn(writer http.ResponseWriter, request *http.Request) (errorDetail, int) {
+	leader := s.consensus.Leader()
+	own := s.consensus.Status().GetId()
+	if leader.GetHttpAddress() == "" || leader.GetId() == own {
+		return describe(failure.New(failure.NoLeader, protocol.Outcome_NOT_RUN, "the core has no leader at present", failure.WithRetryAfter(retryWait)))
+	}
+	writer.Header().Set("Location", "http://"+hostOf(leader.GetHttpAddress())+request.URL.RequestURI())
+	detail, _ := describe(failure.New(failure.NotLeader, protocol.Outcome_NOT_RUN, "the leader is "+leader.GetName()))
+	return detail, http.StatusTemporaryRedirect
+}
+
+func hostOf(address string) string {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return net.JoinHostPort(strings.Trim(host, "[]"), port)
+}
+
+// describe gives the body and the HTTP status of an error.
+func describe(err error) (errorDetail, int) {
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return describeRefusal(refused.refusal)
+	}
+	var malformed *bundle.ParseError
+	if errors.As(err, &malformed) {
+		return describeMalformed(malformed)
+	}
+	problem := failure.From(err)
+	return errorDetail{
+		Code: problem.GetCode(), Message: problem.GetMessage(), Path: problem.GetPath(),
+		Outcome: outcomeNames[problem.GetOutcome()], RetryAfterMillis: problem.GetRetryAfterMillis(),
+	}, int(problem.GetStatus())
+}
+
+func describeRefusal(refusal *protocol.Refusal) (errorDetail, int) {
+	detail := errorDetail{
+		Code: refusal.GetCode(), Message: refusal.GetMessage(),
+		Outcome: outcomeNames[protocol.Outcome_NOT_RUN],
+		Faults:  faultBodies(refusal.GetFaults()),
+	}
+	if len(detail.Faults) > 0 {
+		detail.Path = detail.Faults[0].Path
+	}
+	if refusal.GetWinner() != nil {
+		if winner, err := encode(refusal.GetWinner()); err == nil {
+			detail.Winner = winner
+		}
+	}
+	return detail, failure.Code(refusal.GetCode()).Status()
+}
+
+func describeMalformed(malformed *bundle.ParseError) (errorDetail, int) {
+	code := failure.InvalidBody
+	if malformed.Unknown {
+		code = failure.UnknownField
+	}
+	return errorDetail{
+		Code: string(code), Message: malformed.Error(), Path: malformed.Faults[0].GetPath(),
+		Outcome: outcomeNames[protocol.Outcome_NOT_RUN],
+		Faults:  faultBodies(malformed.Faults),
+	}, code.Status()
+}
+
+func faultBodies(faults []*protocol.Fault) []faultBody {
+	bodies := make([]faultBody, len(faults))
+	for i, found := range faults {
+		bodies[i] = faultBody{Path: found.GetPath(), Message: found.GetMessage()}
+	}
+	return bodies
+}
--- /dev/null
+++ b/internal/core/consensus.go
@@ -0,0 +1,26 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Consensus is what the control plane needs of its replica; *replica.Replica implements it.
+type Consensus interface {
+	// Propose returns the result of a command once it is committed and applied.
+	Propose(ctx context.Context, command []byte) (result []byte, index uint64, err error)
+	// Barrier returns once all that was committed when it was called is applied here.
+	Barrier(ctx context.Context) error
+	// IsLeader is true only while this process leads and its leader lease runs.
+	IsLeader() bool
+	// LeaderSince is when the present leadership of this process began; zero when it does not lead.
+	LeaderSince() time.Time
+	// Leader is the member that leads as far as this process knows, or nil.
+	Leader() *protocol.CoreMember
+	Status() *protocol.CoreStatusResponse
+	ServeWire(ctx context.Context, request *protocol.Request) (*protocol.Response, error)
+	AddMember(ctx context.Context, address string) (*protocol.CoreMember, error)
+	RemoveMember(ctx context.Context, name string) error
+}
--- /dev/null
+++ b/internal/core/drain_test.go
@@ -0,0 +1,108 @@
+package core_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// drained is the outcome of a drain that runs beside the test.
+type drained struct {
+	Version uint64
+	Err     error
+}
+
+func (m *member) drain(id string) <-chan drained {
+	outcome := make(chan drained, 1)
+	go func() {
+		answer, err := m.call(&protocol.Request{Body: &protocol.Request_DrainBackEnd{DrainBackEnd: &protocol.DrainBackEndRequest{Id: id, Incarnation: 1}}})
+		outcome <- drained{Version: answer.GetDrainBackEnd().GetViewVersion(), Err: err}
+	}()
+	return outcome
+}
+
+var _ = Describe("the drain of a back end", func() {
+	var f *fleet
+	var leader *member
+	f1, f2 := frontNode("f1", 1), frontNode("f2", 1)
+	BeforeEach(func() {
+		f = newFleet(2, nil)
+		leader = f.lead(f.members[0])
+		f.advance(6 * time.Second)
+		leader.heartbeat(modelServer("m1"))
+		leader.renew(f1, leader.machine.View().Versions())
+		leader.renew(f2, leader.machine.View().Versions())
+	})
+	// begin starts a drain and waits until the log has it.
+	begin := func() <-chan drained {
+		GinkgoHelper()
+		outcome := leader.drain("m1")
+		Eventually(func() protocol.BackEndState { return leader.machine.View().BackEnd("m1").GetState() }).Should(Equal(protocol.BackEndState_DRAINING))
+		f.advance(50 * time.Millisecond)
+		return outcome
+	}
+
+	It("is acknowledged only when every front node has the view in force", func() {
+		outcome := begin()
+		Expect(outcome).NotTo(Receive())
+		leader.renew(f1, leader.machine.View().Versions())
+		f.advance(50 * time.Millisecond)
+		Expect(outcome).NotTo(Receive())
+		leader.renew(f2, leader.machine.View().Versions())
+		var got drained
+		Eventually(outcome).Should(Receive(&got))
+		Expect(got.Err).NotTo(HaveOccurred())
+		Expect(got.Version).To(Equal(leader.machine.View().BackEnds.GetVersion()))
+	})
+
+	It("takes a poll of the incarnation under the lease as confirmed, but not that of another", func() {
+		outcome := begin()
+		leader.renew(f1, leader.machine.View().Versions())
+		_, err := leader.poll(frontNode("f2", 7), leader.machine.View().Versions(), 0)
+		Expect(err).NotTo(HaveOccurred())
+		f.advance(50 * time.Millisecond)
+		Expect(outcome).NotTo(Receive())
+		_, err = leader.poll(f2, leader.machine.View().Versions(), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(outcome).Should(Receive(HaveField("Err", BeNil())))
+	})
+
+	It("is acknowledged when the lease of a silent front node has run out", func() {
+		outcome := begin()
+		for range 4 {
+			f.advance(time.Second)
+			leader.renew(f1, leader.machine.View().Versions())
+		}
+		Expect(outcome).NotTo(Receive())
+		f.advance(1500 * time.Millisecond)
+		Eventually(outcome).Should(Receive(HaveField("Err", BeNil())))
+	})
+
+	It("waits under a new leader, who knows no confirmations", func() {
+		outcome := begin()
+		next := f.lead(f.members[1])
+		var got drained
+		Eventually(outcome).Should(Receive(&got))
+		Expect(failure.Is(got.Err, failure.NotLeader)).To(BeTrue())
+		again := next.drain("m1")
+		next.renew(f1, next.machine.View().Versions())
+		f.advance(time.Second)
+		Expect(again).NotTo(Receive())
+		next.renew(f2, next.machine.View().Versions())
+		Eventually(again).Should(Receive(HaveField("Err", BeNil())))
+	})
+
+	It("of one that is gone waits for the view without it", func() {
+		f.advance(5 * time.Second)
+		leader.renew(f1, leader.machine.View().Versions())
+		f.advance(200 * time.Millisecond)
+		Expect(leader.machine.View().BackEnd("m1")).To(BeNil())
+		leader.renew(f1, leader.machine.View().Versions())
+		f.advance(time.Second)
+		Eventually(leader.drain("m1")).Should(Receive(HaveField("Err", BeNil())))
+	})
+})
--- /dev/null
+++ b/internal/core/drains.go
@@ -0,0 +1,107 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// drain waits until no front node under a lease may still send to a back end.
+type drain struct {
+	version uint64
+	result  chan error
+}
+
+// drainBackEnd marks a back end as draining and returns once every front node
+// whose lease runs has confirmed a view that says so. The result is the first
+// one of the order; its index is a view version with the back end draining or gone.
+func (s *Service) drainBackEnd(ctx context.Context, orderID string, command *protocol.DrainBackEndCommand) (*protocol.CommandResult, error) {
+	result, err := s.proposer.propose(ctx, &protocol.Command{
+		OrderId: orderID,
+		Body:    &protocol.Command_DrainBackEnd{DrainBackEnd: command},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !result.GetAccepted() {
+		return result, nil
+	}
+	return result, s.owner.awaitDrain(ctx, result.GetIndex())
+}
+
+func (o *owner) awaitDrain(ctx context.Context, version uint64) error {
+	waiting := &drain{version: version, result: make(chan error, 1)}
+	asked := o.ask(ctx, func(now time.Time) {
+		if !o.leads() {
+			waiting.result <- notLeaderFailure()
+			return
+		}
+		o.drains = append(o.drains, waiting)
+		o.checkDrains(now)
+	})
+	if !asked {
+		return contextFailure(ctx)
+	}
+	select {
+	case err := <-waiting.result:
+		return err
+	case <-ctx.Done():
+		o.ask(o.ctx, func(time.Time) { o.dropDrain(waiting) })
+		return contextFailure(ctx)
+	case <-o.ctx.Done():
+		return notLeaderFailure()
+	}
+}
+
+func (o *owner) dropDrain(gone *drain) {
+	for at, waiting := range o.drains {
+		if waiting == gone {
+			o.drains = append(o.drains[:at], o.drains[at+1:]...)
+			return
+		}
+	}
+}
+
+// checkDrains answers the drains that nobody stands in the way of any more.
+func (o *owner) checkDrains(now time.Time) {
+	if len(o.drains) == 0 || !o.leads() {
+		return
+	}
+	confirmed := o.confirmedBackEnds(now)
+	left := o.drains[:0]
+	for _, waiting := range o.drains {
+		if confirmed < waiting.version {
+			left = append(left, waiting)
+			continue
+		}
+		waiting.result <- nil
+		o.metrics.drains.WithLabelValues("acknowledged").Inc()
+	}
+	clear(o.drains[len(left):])
+	o.drains = left
+}
+
+// confirmedBackEnds is the oldest back-end view that a front node under a lease may act on.
+func (o *owner) confirmedBackEnds(now time.Time) uint64 {
+	oldest := ^uint64(0)
+	for _, node := range o.machine.View().Membership.GetNodes() {
+		if node.GetKind() != protocol.NodeKind_FRONT || !now.Before(o.nodes.expiry(node.GetName(), node.GetIncarnation())) {
+			continue
+		}
+		held := o.nodes.find(node.GetName(), node.GetIncarnation())
+		if held == nil {
+			return 0
+		}
+		oldest = min(oldest, held.backEnds)
+	}
+	return oldest
+}
+
+func (o *owner) failDrains() {
+	for _, waiting := range o.drains {
+		waiting.result <- notLeaderFailure()
+		o.metrics.drains.WithLabelValues("interrupted").Inc()
+	}
+	o.drains = nil
+}
--- /dev/null
+++ b/internal/core/fleet_test.go
@@ -0,0 +1,306 @@
+package core_test
+
+import (
+	"bytes"
+	"context"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/rosestand/rosestand/internal/core"
+	"github.com/rosestand/rosestand/internal/core/replica"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func TestCore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core")
+}
+
+// virtualClock moves only when it is told to.
+type virtualClock struct {
+	mutex  sync.Mutex
+	now    time.Time
+	timers []*virtualTimer
+}
+
+type virtualTimer struct {
+	clock *virtualClock
+	due   time.Time
+	fired chan time.Time
+}
+
+func newClock() *virtualClock { return &virtualClock{now: time.Unix(1_764_650_000, 0)} }
+
+func (c *virtualClock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.now
+}
+
+func (c *virtualClock) NewTimer(after time.Duration) replica.Timer {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	timer := &virtualTimer{clock: c, due: c.now.Add(after), fired: make(chan time.Time, 1)}
+	if after <= 0 {
+		timer.fired <- c.now
+		return timer
+	}
+	c.timers = append(c.timers, timer)
+	return timer
+}
+
+func (t *virtualTimer) C() <-chan time.Time { return t.fired }
+
+func (t *virtualTimer) Stop() {
+	t.clock.mutex.Lock()
+	defer t.clock.mutex.Unlock()
+	t.clock.timers = slices.DeleteFunc(t.clock.timers, func(other *virtualTimer) bool { return other == t })
+}
+
+func (c *virtualClock) step(by time.Duration) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.now = c.now.Add(by)
+	waiting := c.timers[:0]
+	for _, timer := range c.timers {
+		if timer.due.After(c.now) {
+			waiting = append(waiting, timer)
+			continue
+		}
+		timer.fired <- c.now
+	}
+	c.timers = waiting
+	return c.now
+}
+
+// fleet is a core of several members over one log in memory; one of them leads or none does.
+type fleet struct {
+	clock   *virtualClock
+	mutex   sync.Mutex
+	index   uint64
+	leader  *member
+	members []*member
+}
+
+// member implements core.Consensus.
+type member struct {
+	fleet   *fleet
+	core    *protocol.CoreMember
+	machine *core.Machine
+	service *core.Service
+	since   time.Time
+	// loseAnswers makes Propose apply the command and then lose the answer.
+	loseAnswers bool
+	// dropProposals makes Propose lose the command itself.
+	dropProposals bool
+}
+
+func newFleet(size int, configure func(*core.Options)) *fleet {
+	known := goleak.IgnoreCurrent()
+	f := &fleet{clock: newClock()}
+	for i := range size {
+		m := &member{fleet: f, machine: core.NewMachine(nil), core: &protocol.CoreMember{
+			Id: uint64(i + 1), Name: string(rune('a' + i)), HttpAddress: "127.0.0.1:" + string(rune('1'+i)) + "000",
+		}}
+		options := core.Options{Consensus: m, Machine: m.machine, Clock: f.clock}
+		if configure != nil {
+			configure(&options)
+		}
+		m.service = core.New(options)
+		f.members = append(f.members, m)
+	}
+	for _, m := range f.members {
+		m.service.Start()
+	}
+	DeferCleanup(func() {
+		for _, m := range f.members {
+			m.service.Stop()
+		}
+		Expect(goleak.Find(known)).To(Succeed())
+	})
+	return f
+}
+
+// lead makes one member the leader, or none when given nil.
+func (f *fleet) lead(m *member) *member {
+	f.mutex.Lock()
+	f.leader = m
+	if m != nil {
+		m.since = f.clock.now
+	}
+	f.mutex.Unlock()
+	f.advance(50 * time.Millisecond)
+	return m
+}
+
+// advance moves the clock in steps of the owners' tick and lets each of them finish its work.
+func (f *fleet) advance(by time.Duration) {
+	GinkgoHelper()
+	for by > 0 {
+		by -= 50 * time.Millisecond
+		now := f.clock.step(50 * time.Millisecond)
+		f.settle(now)
+	}
+}
+
+// settle waits until every owner has worked through its tick at now and what came of it.
+func (f *fleet) settle(now time.Time) {
+	GinkgoHelper()
+	for _, m := range f.members {
+		for tries := 0; !m.service.Settled(now); tries++ {
+			Expect(tries).To(BeNumerically("<", 1_000_000), "the owner does not settle")
+			runtime.Gosched()
+		}
+	}
+}
+
+// set changes members under the lock that proposals take.
+func (f *fleet) set(change func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change()
+}
+
+func (m *member) leads() bool { return m.fleet.leader == m }
+
+func (m *member) Propose(ctx context.Context, command []byte) ([]byte, uint64, error) {
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
+	if err := ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	if !m.leads() {
+		return nil, 0, &replica.NotLeaderError{}
+	}
+	if m.dropProposals {
+		return nil, 0, &replica.UnknownOutcomeError{Cause: context.DeadlineExceeded}
+	}
+	m.fleet.index++
+	var result []byte
+	for _, other := range m.fleet.members {
+		applied := other.machine.Apply(m.fleet.index, command)
+		if other == m {
+			result = applied
+		}
+	}
+	if m.loseAnswers {
+		return nil, 0, &replica.UnknownOutcomeError{Cause: &replica.LeadershipLostError{}}
+	}
+	return result, m.fleet.index, nil
+}
+
+func (m *member) Barrier(context.Context) error {
+	if !m.IsLeader() {
+		return &replica.NotLeaderError{}
+	}
+	return nil
+}
+
+func (m *member) IsLeader() bool {
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
+	return m.leads()
+}
+
+func (m *member) LeaderSince() time.Time {
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
+	if !m.leads() {
+		return time.Time{}
+	}
+	return m.since
+}
+
+func (m *member) Leader() *protocol.CoreMember {
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
+	if m.fleet.leader == nil {
+		return nil
+	}
+	return m.fleet.leader.core
+}
+
+func (m *member) Status() *protocol.CoreStatusResponse {
+	return &protocol.CoreStatusResponse{Name: m.core.GetName(), Id: m.core.GetId()}
+}
+
+func (m *member) ServeWire(context.Context, *protocol.Request) (*protocol.Response, error) {
+	return &protocol.Response{Body: &protocol.Response_CoreStatus{CoreStatus: m.Status()}}, nil
+}
+
+func (m *member) AddMember(_ context.Context, address string) (*protocol.CoreMember, error) {
+	return &protocol.CoreMember{Name: "added", Address: address}, nil
+}
+
+func (m *member) RemoveMember(_ context.Context, name string) error {
+	return &replica.MemberUnknownError{Member: name}
+}
+
+// call makes one request of a node; err is what the peer would get.
+func (m *member) call(request *protocol.Request) (*protocol.Response, error) {
+	var answered *protocol.Response
+	err := m.service.Serve(context.Background(), request, func(response *protocol.Response) error {
+		answered = response
+		return nil
+	})
+	return answered, err
+}
+
+func (m *member) renew(node *protocol.Node, inForce *protocol.ControlVersions) bool {
+	GinkgoHelper()
+	answer, err := m.call(&protocol.Request{Body: &protocol.Request_RenewLease{RenewLease: &protocol.RenewLeaseRequest{Node: node, InForce: inForce}}})
+	Expect(err).NotTo(HaveOccurred())
+	return answer.GetRenewLease().GetGranted()
+}
+
+func (m *member) poll(node *protocol.Node, known *protocol.ControlVersions, wait uint32) (*protocol.PollControlResponse, error) {
+	answer, err := m.call(&protocol.Request{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{
+		Node: node.GetName(), Incarnation: node.GetIncarnation(), Known: known, WaitMillis: wait,
+	}}})
+	return answer.GetPollControl(), err
+}
+
+func (m *member) heartbeat(backEnds ...*protocol.BackEnd) {
+	GinkgoHelper()
+	relay := &protocol.RelayHeartbeatsRequest{}
+	for _, backEnd := range backEnds {
+		relay.Heartbeats = append(relay.Heartbeats, &protocol.BackEndHeartbeat{BackEnd: backEnd})
+	}
+	_, err := m.call(&protocol.Request{Body: &protocol.Request_RelayHeartbeats{RelayHeartbeats: relay}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// restart takes the member's machine through a snapshot.
+func (m *member) restart() {
+	GinkgoHelper()
+	var snapshot bytes.Buffer
+	Expect(m.machine.Snapshot(&snapshot)).To(Succeed())
+	Expect(m.machine.Restore(&snapshot)).To(Succeed())
+}
+
+func (m *member) names() []string {
+	var names []string
+	for _, node := range m.machine.View().Membership.GetNodes() {
+		names = append(names, node.GetName())
+	}
+	return names
+}
+
+func frontNode(name string, incarnation uint64) *protocol.Node {
+	return &protocol.Node{Name: name, Kind: protocol.NodeKind_FRONT, Incarnation: incarnation, Address: "10.0.0.1:" + name, Zone: "z1"}
+}
+
+func storeNode(name, zone string) *protocol.Node {
+	return &protocol.Node{Name: name, Kind: protocol.NodeKind_STORE, Incarnation: 1, Address: "10.0.1.1:" + name, Zone: zone, StorageId: "disk"}
+}
+
+func modelServer(id string) *protocol.BackEnd {
+	return &protocol.BackEnd{Id: id, Address: "10.1.0.1:" + id, Incarnation: 1, State: protocol.BackEndState_READY, Kind: protocol.BackEndKind_MODEL_SERVER}
+}
--- /dev/null
+++ b/internal/core/handler.go
@@ -0,0 +1,196 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	heartbeatIntervalSeconds = 1
+	// relayConcurrency bounds the changes of one relayed batch that are proposed at a time.
+	relayConcurrency = 16
+	maxHeartbeats    = 4096
+)
+
+// Serve answers one request of a node or of another core process.
+func (s *Service) Serve(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+	response, err := s.answer(ctx, request)
+	if err != nil {
+		return err
+	}
+	return send(response)
+}
+
+func (s *Service) answer(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
+	switch body := request.GetBody().(type) {
+	case *protocol.Request_Consensus, *protocol.Request_JoinCore, *protocol.Request_CoreStatus, *protocol.Request_LocateCore:
+		response, err := s.consensus.ServeWire(ctx, request)
+		if err != nil {
+			return nil, consensusFailure(err)
+		}
+		return response, nil
+	case *protocol.Request_RenewLease:
+		renewed, err := s.renewLease(ctx, body.RenewLease)
+		return &protocol.Response{Body: &protocol.Response_RenewLease{RenewLease: renewed}}, err
+	case *protocol.Request_PollControl:
+		polled, err := s.pollControl(ctx, body.PollControl)
+		return &protocol.Response{Body: &protocol.Response_PollControl{PollControl: polled}}, err
+	case *protocol.Request_RelayHeartbeats:
+		err := s.relayHeartbeats(ctx, body.RelayHeartbeats.GetHeartbeats())
+		relayed := &protocol.RelayHeartbeatsResponse{IntervalSeconds: heartbeatIntervalSeconds}
+		return &protocol.Response{Body: &protocol.Response_RelayHeartbeats{RelayHeartbeats: relayed}}, err
+	case *protocol.Request_DrainBackEnd:
+		drained, err := s.serveDrain(ctx, body.DrainBackEnd)
+		return &protocol.Response{Body: &protocol.Response_DrainBackEnd{DrainBackEnd: drained}}, err
+	case *protocol.Request_ShardCopied:
+		err := s.shardCopied(ctx, body.ShardCopied)
+		return &protocol.Response{Body: &protocol.Response_ShardCopied{ShardCopied: &protocol.ShardCopiedResponse{}}}, err
+	case *protocol.Request_ReportArms:
+		err := s.reportArms(ctx, body.ReportArms)
+		return &protocol.Response{Body: &protocol.Response_ReportArms{ReportArms: &protocol.ReportArmsResponse{}}}, err
+	case *protocol.Request_Propose:
+		result, _, err := s.consensus.Propose(ctx, body.Propose.GetCommand())
+		if err != nil {
+			return nil, consensusFailure(err)
+		}
+		return &protocol.Response{Body: &protocol.Response_Propose{Propose: &protocol.ProposeResponse{Result: result}}}, nil
+	default:
+		return nil, failure.New(failure.UnknownRequest, protocol.Outcome_NOT_RUN, "a core process does not serve this request")
+	}
+}
+
+// relayHeartbeats renews back ends that say nothing new and writes changes to the log.
+func (s *Service) relayHeartbeats(ctx context.Context, heartbeats []*protocol.BackEndHeartbeat) error {
+	if err := s.requireLeader(); err != nil {
+		return err
+	}
+	if len(heartbeats) > maxHeartbeats {
+		return failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "too many heartbeats at once", failure.WithPath("heartbeats"))
+	}
+	changes, err := s.touchBackEnds(ctx, heartbeats)
+	if err != nil {
+		return err
+	}
+	group, grouped := errgroup.WithContext(ctx)
+	group.SetLimit(relayConcurrency)
+	for _, heartbeat := range changes {
+		group.Go(func() error { return s.upsertBackEnd(grouped, heartbeat.GetBackEnd()) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	_, err = s.touchBackEnds(ctx, changes)
+	return err
+}
+
+// touchBackEnds renews the back ends that the view already holds as announced and returns the others.
+func (s *Service) touchBackEnds(ctx context.Context, heartbeats []*protocol.BackEndHeartbeat) ([]*protocol.BackEndHeartbeat, error) {
+	var changes []*protocol.BackEndHeartbeat
+	if len(heartbeats) == 0 {
+		return nil, nil
+	}
+	asked := s.owner.ask(ctx, func(now time.Time) {
+		view := s.machine.View()
+		for _, heartbeat := range heartbeats {
+			backEnd := heartbeat.GetBackEnd()
+			if !view.Holds(backEnd) || !s.owner.backEnds.renew(backEnd.GetId(), backEnd.GetIncarnation(), now) {
+				changes = append(changes, heartbeat)
+				continue
+			}
+			s.metrics.backEndLeases.WithLabelValues("renewed").Inc()
+		}
+	})
+	if !asked {
+		return nil, contextFailure(ctx)
+	}
+	return changes, nil
+}
+
+// upsertBackEnd writes a change to the log. A refused announcement, as of an
+// older incarnation, is counted and passed over so that it does not fail the batch.
+func (s *Service) upsertBackEnd(ctx context.Context, backEnd *protocol.BackEnd) error {
+	result, err := s.proposer.propose(ctx, &protocol.Command{
+		Body: &protocol.Command_UpsertBackEnd{UpsertBackEnd: &protocol.UpsertBackEndCommand{BackEnd: backEnd}},
+	})
+	if err != nil {
+		return err
+	}
+	if !result.GetAccepted() {
+		s.metrics.backEndLeases.WithLabelValues("refused").Inc()
+		return nil
+	}
+	s.metrics.backEndLeases.WithLabelValues("changed").Inc()
+	return nil
+}
+
+func (s *Service) serveDrain(ctx context.Context, request *protocol.DrainBackEndRequest) (*protocol.DrainBackEndResponse, error) {
+	if request.GetId() == "" {
+		return nil, failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "must be set", failure.WithPath("id"))
+	}
+	result, err := s.drainBackEnd(ctx, "", &protocol.DrainBackEndCommand{Id: request.GetId(), Incarnation: request.GetIncarnation()})
+	if err != nil {
+		return nil, err
+	}
+	return &protocol.DrainBackEndResponse{ViewVersion: result.GetIndex()}, nil
+}
+
+func (s *Service) shardCopied(ctx context.Context, request *protocol.ShardCopiedRequest) error {
+	result, err := s.proposer.propose(ctx, &protocol.Command{Body: &protocol.Command_ShardCopied{
+		ShardCopied: &protocol.ShardCopiedCommand{
+			Store: request.GetStore(), StorageId: request.GetStorageId(), Shard: request.GetShard(), Epoch: request.GetEpoch(),
+		},
+	}})
+	if err != nil {
+		return err
+	}
+	if !result.GetAccepted() {
+		return refusalFailure(result.GetRefusal())
+	}
+	return nil
+}
+
+// reportArms sums samples and withdraws the candidate when its guard's limits are crossed.
+func (s *Service) reportArms(ctx context.Context, request *protocol.ReportArmsRequest) error {
+	if err := s.requireLeader(); err != nil {
+		return err
+	}
+	var crossed string
+	var rollout *protocol.Rollout
+	asked := s.owner.ask(ctx, func(time.Time) {
+		configuration := s.machine.View().Configuration
+		s.owner.arms.add(configuration, request.GetSamples())
+		rollout = configuration.GetRollout()
+		crossed = s.owner.arms.crossed(rollout)
+	})
+	if !asked {
+		return contextFailure(ctx)
+	}
+	if crossed == "" {
+		return nil
+	}
+	return s.withdrawByGuard(ctx, rollout, crossed)
+}
+
+func (s *Service) withdrawByGuard(ctx context.Context, rollout *protocol.Rollout, reason string) error {
+	result, err := s.proposer.propose(ctx, &protocol.Command{Body: &protocol.Command_SetRollout{
+		SetRollout: &protocol.SetRolloutCommand{
+			Action:  protocol.RolloutAction_ROLLOUT_WITHDRAW,
+			Rollout: &protocol.Rollout{CandidateVersion: rollout.GetCandidateVersion()},
+			Reason:  reason,
+		},
+	}})
+	if err != nil {
+		return errors.Wrap(err, "withdraw by guard")
+	}
+	if result.GetAccepted() {
+		s.metrics.guards.Inc()
+		s.logger.Warn("candidate withdrawn", "version", rollout.GetCandidateVersion(), "reason", reason)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/lease_test.go
@@ -0,0 +1,160 @@
+package core_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var _ = Describe("leases", func() {
+	var f *fleet
+	var leader *member
+	BeforeEach(func() {
+		f = newFleet(3, nil)
+		leader = f.lead(f.members[0])
+	})
+
+	It("are written to the log once and renewed in memory", func() {
+		Expect(leader.renew(frontNode("f1", 1), nil)).To(BeTrue())
+		index := f.index
+		for range 20 {
+			f.advance(time.Second)
+			Expect(leader.renew(frontNode("f1", 1), nil)).To(BeTrue())
+		}
+		Expect(f.index).To(Equal(index))
+		Expect(leader.names()).To(Equal([]string{"f1"}))
+	})
+
+	It("outlive the holder's own count and end soon after", func() {
+		f.advance(6 * time.Second)
+		leader.renew(frontNode("f1", 1), nil)
+		f.advance(5 * time.Second)
+		Expect(leader.names()).To(Equal([]string{"f1"}))
+		f.advance(300 * time.Millisecond)
+		Expect(leader.names()).To(BeEmpty())
+	})
+
+	It("are given back by the same incarnation after they ended", func() {
+		leader.renew(frontNode("f1", 1), nil)
+		f.advance(12 * time.Second)
+		Expect(leader.names()).To(BeEmpty())
+		Expect(leader.renew(frontNode("f1", 1), nil)).To(BeTrue())
+		Expect(leader.names()).To(Equal([]string{"f1"}))
+	})
+
+	It("are refused to an older incarnation", func() {
+		Expect(leader.renew(frontNode("f1", 2), nil)).To(BeTrue())
+		Expect(leader.renew(frontNode("f1", 1), nil)).To(BeFalse())
+		Expect(leader.renew(frontNode("f1", 3), nil)).To(BeTrue())
+	})
+
+	It("end at once when released", func() {
+		leader.renew(frontNode("f1", 1), nil)
+		_, err := leader.call(&protocol.Request{Body: &protocol.Request_RenewLease{
+			RenewLease: &protocol.RenewLeaseRequest{Node: frontNode("f1", 1), Release: true},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(leader.names()).To(BeEmpty())
+	})
+
+	It("are not ended by a new leader before a whole length has passed since its beginning", func() {
+		leader.renew(frontNode("f1", 1), nil)
+		f.advance(4 * time.Second)
+		next := f.lead(f.members[1])
+		f.advance(5 * time.Second)
+		Expect(next.names()).To(Equal([]string{"f1"}))
+		f.advance(400 * time.Millisecond)
+		Expect(next.names()).To(BeEmpty())
+	})
+
+	It("are given a whole length when the same leader leads again after a gap", func() {
+		leader.renew(frontNode("f1", 1), nil)
+		f.lead(nil)
+		f.advance(20 * time.Second)
+		f.lead(leader)
+		f.advance(5 * time.Second)
+		Expect(leader.names()).To(Equal([]string{"f1"}))
+	})
+
+	It("are not ended for the time in which the leader itself was stalled", func() {
+		leader.renew(frontNode("f1", 1), nil)
+		f.settle(f.clock.step(30 * time.Second))
+		f.advance(5 * time.Second)
+		Expect(leader.names()).To(Equal([]string{"f1"}))
+		f.advance(500 * time.Millisecond)
+		Expect(leader.names()).To(BeEmpty())
+	})
+
+	It("are refused while it is unknown whether the removal takes effect", func() {
+		leader.renew(frontNode("f1", 1), nil)
+		f.set(func() { leader.dropProposals = true })
+		f.advance(5500 * time.Millisecond)
+		Expect(leader.names()).To(Equal([]string{"f1"}))
+		Expect(leader.renew(frontNode("f1", 1), nil)).To(BeFalse())
+		f.set(func() { leader.dropProposals = false })
+		f.advance(2 * time.Second)
+		Expect(leader.names()).To(BeEmpty())
+		Expect(leader.renew(frontNode("f1", 1), nil)).To(BeTrue())
+	})
+
+	It("are given back after a removal that took effect although its answer was lost", func() {
+		leader.renew(frontNode("f1", 1), nil)
+		f.set(func() { leader.loseAnswers = true })
+		f.advance(5500 * time.Millisecond)
+		f.set(func() { leader.loseAnswers = false })
+		Expect(leader.names()).To(BeEmpty())
+		Expect(leader.renew(frontNode("f1", 1), nil)).To(BeTrue())
+		f.advance(4 * time.Second)
+		Expect(leader.names()).To(Equal([]string{"f1"}))
+	})
+
+	It("are granted by no follower", func() {
+		for _, request := range []*protocol.Request{
+			{Body: &protocol.Request_RenewLease{RenewLease: &protocol.RenewLeaseRequest{Node: frontNode("f1", 1)}}},
+			{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{}}},
+			{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{Fresh: true}}},
+			{Body: &protocol.Request_RelayHeartbeats{RelayHeartbeats: &protocol.RelayHeartbeatsRequest{}}},
+			{Body: &protocol.Request_DrainBackEnd{DrainBackEnd: &protocol.DrainBackEndRequest{Id: "x"}}},
+			{Body: &protocol.Request_ShardCopied{ShardCopied: &protocol.ShardCopiedRequest{}}},
+			{Body: &protocol.Request_ReportArms{ReportArms: &protocol.ReportArmsRequest{}}},
+			{Body: &protocol.Request_Propose{Propose: &protocol.ProposeRequest{}}},
+		} {
+			_, err := f.members[2].call(request)
+			Expect(failure.Is(err, failure.NotLeader)).To(BeTrue(), "%v: %v", request, err)
+		}
+		_, err := leader.call(&protocol.Request{Body: &protocol.Request_Ledger{}})
+		Expect(failure.Is(err, failure.UnknownRequest)).To(BeTrue())
+	})
+})
+
+var _ = Describe("back ends", func() {
+	It("stay while their heartbeats come and go five seconds after the last", func() {
+		f := newFleet(1, nil)
+		leader := f.lead(f.members[0])
+		f.advance(6 * time.Second)
+		leader.heartbeat(modelServer("m1"), modelServer("m2"))
+		index := f.index
+		for range 10 {
+			f.advance(time.Second)
+			leader.heartbeat(modelServer("m1"))
+		}
+		Expect(f.index).To(Equal(index+1), "only the loss of m2 is written")
+		Expect(leader.machine.View().BackEnd("m1")).NotTo(BeNil())
+		Expect(leader.machine.View().BackEnd("m2")).To(BeNil())
+	})
+
+	It("are not ended by a new leader before five seconds have passed", func() {
+		f := newFleet(2, nil)
+		f.lead(f.members[0]).heartbeat(modelServer("m1"))
+		f.advance(4 * time.Second)
+		next := f.lead(f.members[1])
+		f.advance(4900 * time.Millisecond)
+		Expect(next.machine.View().BackEnd("m1")).NotTo(BeNil())
+		f.advance(200 * time.Millisecond)
+		Expect(next.machine.View().BackEnd("m1")).To(BeNil())
+	})
+})
--- /dev/null
+++ b/internal/core/machine.go
@@ -0,0 +1,160 @@
+package core
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Machine applies the control log to the control state and publishes an
+// immutable view after each command. Apply, Snapshot and Restore are called by
+// the replica's one owner goroutine; Current may be called from any.
+type Machine struct {
+	state   *controlstate.State
+	current atomic.Pointer[published]
+	// leading is true while this process leads; only the leader logs what changed.
+	leading atomic.Bool
+	logger  *log.Logger
+}
+
+// published is a view together with the signal that a newer one took its place.
+type published struct {
+	view *controlstate.View
+	// changed is closed when a section of the view has changed.
+	changed chan struct{}
+	deltas  atomic.Pointer[cachedDelta]
+}
+
+// cachedDelta is the answer to the known version that was asked for last; most nodes hold the same one.
+type cachedDelta struct {
+	known uint64
+	whole *protocol.Configuration
+	delta *protocol.ConfigurationDelta
+}
+
+// NewMachine makes a machine with an empty state; logger may be nil.
+func NewMachine(logger *log.Logger) *Machine {
+	machine := &Machine{state: controlstate.New(), logger: orDiscard(logger)}
+	machine.current.Store(&published{view: machine.state.View(), changed: make(chan struct{})})
+	return machine
+}
+
+// Apply carries out one committed command and returns its encoded CommandResult.
+func (m *Machine) Apply(index uint64, command []byte) []byte {
+	decoded := &protocol.Command{}
+	var result *protocol.CommandResult
+	if err := proto.Unmarshal(command, decoded); err != nil {
+		result = &protocol.CommandResult{Refusal: &protocol.Refusal{Code: string(failure.InvalidOrder), Message: "the command cannot be decoded"}}
+	} else {
+		result = m.state.Apply(index, decoded)
+		m.publish()
+		if m.leading.Load() {
+			m.logChange(decoded, result)
+		}
+	}
+	encoded, err := proto.Marshal(result)
+	if err != nil {
+		m.logger.Error("encode result", "index", index, "error", err)
+	}
+	return encoded
+}
+
+// publish puts the new view in place and wakes whoever waits for a change of a section.
+func (m *Machine) publish() {
+	former := m.current.Load()
+	view := m.state.View()
+	if proto.Equal(former.view.Versions(), view.Versions()) {
+		next := &published{view: view, changed: former.changed}
+		next.deltas.Store(former.deltas.Load())
+		m.current.Store(next)
+		return
+	}
+	m.current.Store(&published{view: view, changed: make(chan struct{})})
+	close(former.changed)
+}
+
+// View returns the newest view.
+func (m *Machine) View() *controlstate.View { return m.current.Load().view }
+
+// Snapshot writes the whole state.
+func (m *Machine) Snapshot(writer io.Writer) error {
+	encoded, err := proto.Marshal(m.state.Snapshot())
+	if err != nil {
+		return errors.Wrap(err, "encode control state")
+	}
+	_, err = writer.Write(encoded)
+	return errors.Wrap(err, "write control state")
+}
+
+// Restore replaces the state by one that Snapshot wrote.
+func (m *Machine) Restore(reader io.Reader) error {
+	encoded, err := io.ReadAll(reader)
+	if err != nil {
+		return errors.Wrap(err, "read control state")
+	}
+	snapshot := &protocol.ControlState{}
+	if err := proto.Unmarshal(encoded, snapshot); err != nil {
+		return errors.Wrap(err, "decode control state")
+	}
+	state, err := controlstate.Restore(snapshot)
+	if err != nil {
+		return err
+	}
+	m.state = state
+	m.publish()
+	return nil
+}
+
+// configurationSince answers from the cache when the same version was asked for before.
+func (p *published) configurationSince(known uint64) (*protocol.Configuration, *protocol.ConfigurationDelta) {
+	if cached := p.deltas.Load(); cached != nil && cached.known == known {
+		return cached.whole, cached.delta
+	}
+	whole, delta := p.view.ConfigurationSince(known)
+	p.deltas.Store(&cachedDelta{known: known, whole: whole, delta: delta})
+	return whole, delta
+}
+
+// logChange writes a line for each change that operators care about.
+func (m *Machine) logChange(command *protocol.Command, result *protocol.CommandResult) {
+	if !result.GetAccepted() {
+		m.logger.Debug("order refused", "code", result.GetRefusal().GetCode(), "message", result.GetRefusal().GetMessage())
+		return
+	}
+	switch body := command.GetBody().(type) {
+	case *protocol.Command_PutBundle:
+		m.logger.Info("bundle accepted", "version", result.GetBundle().GetVersion())
+	case *protocol.Command_SignBundle:
+		m.logger.Info("bundle signed off", "version", result.GetBundle().GetVersion(), "key", body.SignBundle.GetKeyName())
+	case *protocol.Command_SetRollout:
+		m.logger.Info("roll-out changed", "action", body.SetRollout.GetAction(), "version", result.GetBundle().GetVersion(), "reason", body.SetRollout.GetReason())
+	case *protocol.Command_JoinNode:
+		m.logger.Info("node joined", "name", body.JoinNode.GetNode().GetName(), "incarnation", body.JoinNode.GetNode().GetIncarnation())
+	case *protocol.Command_RemoveNode:
+		m.logger.Info("node removed", "name", body.RemoveNode.GetName(), "reason", body.RemoveNode.GetReason())
+	case *protocol.Command_RemoveBackEnd:
+		m.logger.Info("back end removed", "id", body.RemoveBackEnd.GetId())
+	case *protocol.Command_DrainBackEnd:
+		m.logger.Info("back end draining", "id", body.DrainBackEnd.GetId())
+	case *protocol.Command_InitializePlacement:
+		m.logger.Info("placement initialized", "shards", body.InitializePlacement.GetShardCount())
+	case *protocol.Command_EmptyStore:
+		m.logger.Info("store is being emptied", "store", body.EmptyStore.GetStore())
+	case *protocol.Command_RetireStore:
+		m.logger.Info("store retired", "store", body.RetireStore.GetStore())
+	}
+}
+
+func orDiscard(logger *log.Logger) *log.Logger {
+	if logger != nil {
+		return logger
+	}
+	return log.New(io.Discard)
+}
--- /dev/null
+++ b/internal/core/module.go
@@ -0,0 +1,139 @@
+package core
+
+import (
+	"context"
+	"path/filepath"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gin-gonic/gin"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/core/replica"
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// dataSubfolder holds the control log and its snapshots inside the data folder.
+const dataSubfolder = "core"
+
+// Module assembles the control plane. It needs what package daemon supplies and
+// provides the wire.Handler of the process.
+func Module(settings *protocol.CoreSettings) fx.Option {
+	return fx.Module("core",
+		fx.Supply(settings),
+		fx.Provide(
+			NewMachine,
+			newReplica,
+			newService,
+			func(service *Service) wire.Handler { return service },
+		),
+		fx.Invoke(serveOperators, runReplica, runService),
+	)
+}
+
+func newReplica(settings *protocol.CoreSettings, machine *Machine, process *daemon.Process, caller wire.Caller,
+	logger *log.Logger, registerer prometheus.Registerer,
+) (*replica.Replica, error) {
+	self := process.Self
+	return replica.New(replica.Options{
+		Self: &protocol.CoreMember{
+			Name: self.GetName(), Address: self.GetAddress(), HttpAddress: self.GetHttpAddress(), Zone: self.GetZone(),
+		},
+		Founders:          settings.GetFounders(),
+		Seeds:             settings.GetNode().GetSeeds(),
+		TargetVoters:      int(settings.GetTargetVoters()),
+		ElectionTimeout:   millis(settings.GetElectionTimeoutMillis()),
+		HeartbeatInterval: millis(settings.GetHeartbeatMillis()),
+		ReplaceVoterAfter: millis(settings.GetReplaceVoterMillis()),
+		SnapshotEntries:   uint64(settings.GetSnapshotEntries()),
+		Folder:            filepath.Join(settings.GetNode().GetDataFolder(), dataSubfolder),
+		Filesystem:        storage.OSFilesystem{},
+		Caller:            caller,
+		Machine:           machine,
+		Logger:            logger,
+		Registerer:        registerer,
+		OnFatal:           process.Fail,
+	})
+}
+
+func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
+func newService(settings *protocol.CoreSettings, machine *Machine, consensus *replica.Replica,
+	logger *log.Logger, registerer prometheus.Registerer,
+) (*Service, error) {
+	keys, err := bundle.ParseKeys(settings.GetSignOffKeys())
+	if err != nil {
+		return nil, err
+	}
+	tokens := &Tokens{}
+	if path := settings.GetOperatorTokenFile(); path != "" {
+		if tokens, err = LoadTokens(path); err != nil {
+			return nil, err
+		}
+	}
+	return New(Options{
+		Consensus:    consensus,
+		Machine:      machine,
+		Clock:        systemClock{},
+		Lease:        millis(settings.GetLeaseMillis()),
+		ShardCount:   settings.GetShardCount(),
+		ReplicaCount: settings.GetReplicaCount(),
+		FirstKeys:    keys,
+		Tokens:       tokens,
+		Logger:       logger,
+		Registerer:   registerer,
+	}), nil
+}
+
+// serveOperators gives every path that the daemon itself does not serve to the dispatch of the service.
+func serveOperators(engine *gin.Engine, service *Service) {
+	engine.NoRoute(gin.WrapH(service))
+}
+
+// runReplica starts the replica; it stops last, so that leadership is handed over while nodes are still served.
+func runReplica(lifecycle fx.Lifecycle, consensus *replica.Replica) {
+	lifecycle.Append(fx.Hook{OnStart: consensus.Start, OnStop: consensus.Stop})
+}
+
+func runService(lifecycle fx.Lifecycle, service *Service, consensus *replica.Replica, process *daemon.Process) {
+	process.Readiness.AddCheck("leader", func() string {
+		if consensus.Leader() == nil {
+			return "the core has no leader that this process knows"
+		}
+		return ""
+	})
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			service.Start()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			service.Stop()
+			return nil
+		},
+	})
+}
+
+// systemClock is the machine's monotonic clock.
+type systemClock struct{}
+
+// Now returns the time with its monotonic reading.
+func (systemClock) Now() time.Time { return time.Now() }
+
+// NewTimer returns a timer that fires once.
+func (systemClock) NewTimer(after time.Duration) replica.Timer {
+	return systemTimer{timer: time.NewTimer(after)}
+}
+
+type systemTimer struct{ timer *time.Timer }
+
+// C is where the timer fires.
+func (t systemTimer) C() <-chan time.Time { return t.timer.C }
+
+// Stop keeps the timer from firing.
+func (t systemTimer) Stop() { t.timer.Stop() }
--- /dev/null
+++ b/internal/core/owner.go
@@ -0,0 +1,255 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/rosestand/rosestand/internal/core/replica"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// stallLimit is how late a tick may be before the owner takes itself for stalled.
+	stallLimit = time.Second
+	// leaseMargin is added to each lease at the leader, so that it outlives the holder's own count.
+	leaseMargin = 250 * time.Millisecond
+	// endingRetry is the wait before a removal is proposed again.
+	endingRetry = time.Second
+	// backEndExpiry is how long a back end stays in the view without a heartbeat.
+	backEndExpiry = 5 * time.Second
+	commandQueue  = 1024
+)
+
+// leadership is one unbroken time in which this process leads.
+type leadership struct {
+	since time.Time
+	// lost is closed when it ends.
+	lost chan struct{}
+}
+
+// owner is the goroutine that owns what a leader keeps in memory: leases of
+// nodes and back ends, drains that wait, sums of roll-out arms and the state of
+// the reconciler. It works through a queue of commands and a tick.
+type owner struct {
+	clock     replica.Clock
+	consensus Consensus
+	machine   *Machine
+	proposer  *proposer
+	logger    *log.Logger
+	metrics   *metrics
+
+	queue   chan func(now time.Time)
+	ctx     context.Context
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+	leading atomic.Pointer[leadership]
+
+	lastTick    time.Time
+	leaderSince time.Time
+	nodes       *leaseTable
+	backEnds    *leaseTable
+	drains      []*drain
+	arms        *armTable
+	reconciler  *reconciler
+	// underWay counts the tasks that work began and whose end the owner has not seen.
+	underWay int
+}
+
+func (o *owner) start() {
+	o.ctx, o.stop = context.WithCancel(context.Background())
+	o.lastTick = o.clock.Now()
+	timer := o.clock.NewTimer(tickInterval)
+	o.workers.Go(func() { o.run(timer) })
+}
+
+func (o *owner) close() {
+	o.stop()
+	o.workers.Wait()
+}
+
+func (o *owner) run(timer replica.Timer) {
+	defer o.endLeadership()
+	defer func() { timer.Stop() }()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case command := <-o.queue:
+			now := o.clock.Now()
+			o.observeLeadership(now)
+			command(now)
+		case <-timer.C():
+			timer = o.clock.NewTimer(tickInterval)
+			o.tick(o.clock.Now())
+		}
+	}
+}
+
+// ask runs a command on the owner and waits for it; it reports false when the context or the owner ended first.
+func (o *owner) ask(ctx context.Context, command func(now time.Time)) bool {
+	done := make(chan struct{})
+	wrapped := func(now time.Time) {
+		command(now)
+		close(done)
+	}
+	select {
+	case o.queue <- wrapped:
+	case <-ctx.Done():
+		return false
+	case <-o.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-o.ctx.Done():
+		return false
+	}
+}
+
+// work runs a task beside the owner; after, if any, runs on the owner with what the task returned.
+func (o *owner) work(task func(ctx context.Context) error, after func(now time.Time, err error)) {
+	o.underWay++
+	o.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, proposeTimeout)
+		defer cancel()
+		err := task(ctx)
+		ended := func(now time.Time) {
+			o.underWay--
+			after(now, err)
+		}
+		select {
+		case o.queue <- ended:
+		case <-o.ctx.Done():
+		}
+	})
+}
+
+// observeLeadership notices that leadership began, ended or changed hands in
+// between. Each beginning gives every lease a whole length.
+func (o *owner) observeLeadership(now time.Time) {
+	leads, since := o.consensus.IsLeader(), o.consensus.LeaderSince()
+	held := o.leading.Load()
+	if held != nil && (!leads || !since.Equal(o.leaderSince)) {
+		o.endLeadership()
+		held = nil
+	}
+	if held == nil && leads {
+		o.beginLeadership(now, since)
+	}
+}
+
+func (o *owner) beginLeadership(now, since time.Time) {
+	o.leaderSince = since
+	o.nodes.reset(now)
+	o.backEnds.reset(now)
+	o.arms.reset()
+	o.reconciler.reset()
+	o.leading.Store(&leadership{since: now, lost: make(chan struct{})})
+	o.machine.leading.Store(true)
+	o.metrics.leading.Set(1)
+	o.logger.Info("leading", "term", o.consensus.Status().GetTerm())
+}
+
+func (o *owner) endLeadership() {
+	held := o.leading.Swap(nil)
+	if held == nil {
+		return
+	}
+	close(held.lost)
+	o.failDrains()
+	o.machine.leading.Store(false)
+	o.metrics.leading.Set(0)
+	o.logger.Info("no longer leading")
+}
+
+// leads reports whether this process leads at this moment, as the owner and the replica both see it.
+func (o *owner) leads() bool { return o.leading.Load() != nil && o.consensus.IsLeader() }
+
+func (o *owner) tick(now time.Time) {
+	o.observeLeadership(now)
+	stalled := now.Sub(o.lastTick) > stallLimit
+	o.lastTick = now
+	if !o.leads() {
+		return
+	}
+	if stalled {
+		o.nodes.extend(now)
+		o.backEnds.extend(now)
+	}
+	o.sweepLeases()
+	o.endNodeLeases(now)
+	o.endBackEndLeases(now)
+	o.checkDrains(now)
+	o.reconcile(now)
+	o.observeView()
+}
+
+// sweepLeases forgets the leases of what is not in the view any more.
+func (o *owner) sweepLeases() {
+	view := o.machine.View()
+	o.nodes.sweep(func(name string) (uint64, bool) {
+		node := view.Node(name)
+		return node.GetIncarnation(), node != nil
+	})
+	o.backEnds.sweep(func(id string) (uint64, bool) {
+		backEnd := view.BackEnd(id)
+		return backEnd.GetIncarnation(), backEnd != nil
+	})
+}
+
+// endNodeLeases proposes the removal of nodes whose lease ran out.
+func (o *owner) endNodeLeases(now time.Time) {
+	for _, node := range o.machine.View().Membership.GetNodes() {
+		name, incarnation := node.GetName(), node.GetIncarnation()
+		if !o.nodes.beginEnding(name, incarnation, now) {
+			continue
+		}
+		o.metrics.leases.WithLabelValues("expired").Inc()
+		remove := &protocol.RemoveNodeCommand{Name: name, Incarnation: incarnation, Reason: "lease ran out"}
+		o.work(func(ctx context.Context) error {
+			_, err := o.proposer.propose(ctx, &protocol.Command{Body: &protocol.Command_RemoveNode{RemoveNode: remove}})
+			return err
+		}, func(time.Time, error) {
+			o.nodes.proposed(name, incarnation)
+			o.sweepLeases()
+		})
+	}
+}
+
+// endBackEndLeases proposes the removal of back ends whose heartbeats stopped.
+func (o *owner) endBackEndLeases(now time.Time) {
+	for _, backEnd := range o.machine.View().BackEnds.GetBackEnds() {
+		id, incarnation := backEnd.GetId(), backEnd.GetIncarnation()
+		if !o.backEnds.beginEnding(id, incarnation, now) {
+			continue
+		}
+		o.metrics.backEndLeases.WithLabelValues("expired").Inc()
+		remove := &protocol.RemoveBackEndCommand{Id: id, Incarnation: incarnation}
+		o.work(func(ctx context.Context) error {
+			_, err := o.proposer.propose(ctx, &protocol.Command{Body: &protocol.Command_RemoveBackEnd{RemoveBackEnd: remove}})
+			return err
+		}, func(time.Time, error) {
+			o.backEnds.proposed(id, incarnation)
+			o.sweepLeases()
+		})
+	}
+}
+
+func (o *owner) observeView() {
+	view := o.machine.View()
+	o.metrics.versions.WithLabelValues("configuration").Set(float64(view.Configuration.GetVersion()))
+	o.metrics.versions.WithLabelValues("membership").Set(float64(view.Membership.GetVersion()))
+	o.metrics.versions.WithLabelValues("back_ends").Set(float64(view.BackEnds.GetVersion()))
+	o.metrics.versions.WithLabelValues("placement").Set(float64(view.Placement.GetEpoch()))
+	o.metrics.ordersKept.Set(float64(view.Orders))
+	o.metrics.nodes.Set(float64(len(view.Membership.GetNodes())))
+	o.metrics.backEnds.Set(float64(len(view.BackEnds.GetBackEnds())))
+}
--- /dev/null
+++ b/internal/core/poll_test.go
@@ -0,0 +1,89 @@
+package core_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+type polled struct {
+	answer *protocol.PollControlResponse
+	err    error
+}
+
+func (m *member) pollBeside(known *protocol.ControlVersions, wait uint32) <-chan polled {
+	outcome := make(chan polled, 1)
+	go func() {
+		answer, err := m.poll(frontNode("f1", 1), known, wait)
+		outcome <- polled{answer: answer, err: err}
+	}()
+	return outcome
+}
+
+var _ = Describe("polls", func() {
+	var f *fleet
+	var leader *member
+	BeforeEach(func() {
+		f = newFleet(2, nil)
+		leader = f.lead(f.members[0])
+		leader.renew(frontNode("f1", 1), nil)
+	})
+
+	It("are answered at once with every section that is newer, and with no other", func() {
+		leader.heartbeat(modelServer("m1"))
+		answer, err := leader.poll(frontNode("f1", 1), nil, 10_000)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetMembership().GetNodes()).To(HaveLen(1))
+		Expect(answer.GetBackEnds().GetBackEnds()).To(HaveLen(1))
+		known := leader.machine.View().Versions()
+		known.BackEnds = 0
+		answer, err = leader.poll(frontNode("f1", 1), known, 10_000)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetMembership()).To(BeNil())
+		Expect(answer.GetBackEnds().GetBackEnds()).To(HaveLen(1))
+	})
+
+	It("are held back until something changes", func() {
+		outcome := leader.pollBeside(leader.machine.View().Versions(), 10_000)
+		Consistently(outcome, "20ms").ShouldNot(Receive())
+		leader.renew(frontNode("f2", 1), nil)
+		var got polled
+		Eventually(outcome).Should(Receive(&got))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.answer.GetMembership().GetNodes()).To(HaveLen(2))
+	})
+
+	It("are answered without sections when the time asked for has passed", func() {
+		f.advance(time.Second)
+		outcome := leader.pollBeside(leader.machine.View().Versions(), 2000)
+		Eventually(f.clock.waiting).Should(Equal(3))
+		leader.renew(frontNode("f1", 1), nil)
+		f.advance(1900 * time.Millisecond)
+		Expect(outcome).NotTo(Receive())
+		f.advance(200 * time.Millisecond)
+		var got polled
+		Eventually(outcome).Should(Receive(&got))
+		Expect(proto.Equal(got.answer, &protocol.PollControlResponse{})).To(BeTrue())
+	})
+
+	It("are let go when the leadership ends", func() {
+		outcome := leader.pollBeside(leader.machine.View().Versions(), 10_000)
+		Eventually(f.clock.waiting).Should(Equal(3))
+		f.lead(f.members[1])
+		var got polled
+		Eventually(outcome).Should(Receive(&got))
+		Expect(failure.Is(got.err, failure.NotLeader)).To(BeTrue())
+	})
+})
+
+// waiting counts the timers that have not fired.
+func (c *virtualClock) waiting() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.timers)
+}
--- /dev/null
+++ b/internal/core/service.go
@@ -0,0 +1,125 @@
+// Package core is the control plane: it keeps the control state on the
+// replicated log, grants leases to nodes, delivers configuration and views to
+// them, places shards on stores and serves operators over HTTP.
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rosestand/rosestand/internal/core/replica"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Defaults of the options.
+const (
+	DefaultLease        = 5 * time.Second
+	DefaultShardCount   = 64
+	DefaultReplicaCount = 3
+)
+
+// Options of a Service. Zero numbers take the defaults.
+type Options struct {
+	Consensus Consensus
+	Machine   *Machine
+	Clock     replica.Clock
+	// Lease is the length of a node's lease.
+	Lease        time.Duration
+	ShardCount   uint32
+	ReplicaCount uint32
+	// FirstKeys are the sign-off keys of the settings.
+	FirstKeys []*protocol.SignOffKey
+	// Tokens are the credentials of operators.
+	Tokens *Tokens
+	// Logger and Registerer may be nil.
+	Logger     *log.Logger
+	Registerer prometheus.Registerer
+}
+
+// Service is the control plane of one core process. It answers requests of
+// nodes as a wire.Handler and of operators as an http.Handler.
+type Service struct {
+	consensus Consensus
+	machine   *Machine
+	clock     replica.Clock
+	lease     time.Duration
+	proposer  *proposer
+	owner     *owner
+	tokens    *Tokens
+	metrics   *metrics
+	logger    *log.Logger
+	// dispatchTable lists the routes of operators.
+	dispatchTable []operatorRoute
+}
+
+// New makes a service; Start sets it to work.
+func New(options Options) *Service {
+	if options.Lease == 0 {
+		options.Lease = DefaultLease
+	}
+	if options.ShardCount == 0 {
+		options.ShardCount = DefaultShardCount
+	}
+	if options.ReplicaCount == 0 {
+		options.ReplicaCount = DefaultReplicaCount
+	}
+	if options.Tokens == nil {
+		options.Tokens = &Tokens{}
+	}
+	service := &Service{
+		consensus: options.Consensus,
+		machine:   options.Machine,
+		clock:     options.Clock,
+		lease:     options.Lease,
+		proposer:  &proposer{consensus: options.Consensus, clock: options.Clock},
+		tokens:    options.Tokens,
+		metrics:   newMetrics(options.Registerer),
+		logger:    orDiscard(options.Logger),
+	}
+	service.dispatchTable = service.routes()
+	service.owner = &owner{
+		clock:     options.Clock,
+		consensus: options.Consensus,
+		machine:   options.Machine,
+		proposer:  service.proposer,
+		logger:    service.logger,
+		metrics:   service.metrics,
+		queue:     make(chan func(time.Time), commandQueue),
+		nodes:     newLeaseTable(options.Lease + leaseMargin),
+		backEnds:  newLeaseTable(backEndExpiry),
+		arms:      newArmTable(),
+		reconciler: &reconciler{
+			firstKeys:    options.FirstKeys,
+			shardCount:   options.ShardCount,
+			replicaCount: options.ReplicaCount,
+			absentStores: map[string]time.Time{},
+		},
+	}
+	return service
+}
+
+// Start sets the owner of the leader's tables to work.
+func (s *Service) Start() { s.owner.start() }
+
+// Stop ends the owner and whatever waits on it.
+func (s *Service) Stop() { s.owner.close() }
+
+// requireLeader fails unless this process leads at this moment.
+func (s *Service) requireLeader() error {
+	if !s.owner.leads() {
+		return notLeaderFailure()
+	}
+	return nil
+}
+
+// contextFailure says why an exchange with the owner ended early.
+func contextFailure(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return &failure.Error{Failure: failure.From(err)}
+	}
+	return notLeaderFailure()
+}
