--- /dev/null
+++ b/internal/ledger/call.go
@@ -0,0 +1,118 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// ApplyCall decides an operation on the record of a call that may not be
+// repeated; record is nil while there is none. It returns the changed record, or
+// nil when nothing changes.
+//
+// BeginCall is decided on the call's register only. The register lets one
+// attempt win, whatever its epoch, so a call never runs twice. The epoch is
+// checked apart: the store reads the program's register after the intent is
+// chosen and answers LEDGER_OK only when the epoch was in force at that read, so
+// the permission to issue the call precedes every later claim of the session.
+func ApplyCall(record *protocol.CallRecord, operation *protocol.LedgerOperation, now time.Time) (*protocol.CallRecord, *protocol.LedgerResult) {
+	switch body := operation.GetBody().(type) {
+	case *protocol.LedgerOperation_BeginCall:
+		return beginCall(record, operation.GetProgram(), body.BeginCall, now)
+	case *protocol.LedgerOperation_FinishCall:
+		return finishCall(record, body.FinishCall, now)
+	case *protocol.LedgerOperation_RefuseCall:
+		return refuseCall(record, operation.GetProgram(), body.RefuseCall, now)
+	default:
+		return nil, Answer(protocol.LedgerStatus_LEDGER_STATUS_UNSPECIFIED)
+	}
+}
+
+func callResult(status protocol.LedgerStatus, record *protocol.CallRecord) *protocol.LedgerResult {
+	return &protocol.LedgerResult{Status: status, Call: record, Epoch: record.GetEpoch()}
+}
+
+func beginCall(record *protocol.CallRecord, program string, begin *protocol.BeginCall, now time.Time) (*protocol.CallRecord, *protocol.LedgerResult) {
+	switch record.GetState() {
+	case protocol.CallState_CALL_DONE, protocol.CallState_CALL_NOT_RUN:
+		return nil, callResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, record)
+	case protocol.CallState_CALL_INTENT:
+		if record.GetAttempt() == begin.GetAttempt() && record.GetEpoch() == begin.GetEpoch() {
+			return nil, callResult(protocol.LedgerStatus_LEDGER_OK, record)
+		}
+		return nil, callResult(protocol.LedgerStatus_LEDGER_CALL_UNDER_WAY, record)
+	}
+	changed := &protocol.CallRecord{
+		Program:         program,
+		RequestId:       begin.GetRequestId(),
+		Session:         begin.GetSession(),
+		Epoch:           begin.GetEpoch(),
+		Tool:            begin.GetTool(),
+		State:           protocol.CallState_CALL_INTENT,
+		Attempt:         begin.GetAttempt(),
+		UpdatedAtMillis: now.UnixMilli(),
+	}
+	return changed, callResult(protocol.LedgerStatus_LEDGER_OK, changed)
+}
+
+// finishCall records what became of a call. No epoch is asked for: the call
+// ran, and a later owner is better off with its outcome than without.
+func finishCall(record *protocol.CallRecord, finish *protocol.FinishCall, now time.Time) (*protocol.CallRecord, *protocol.LedgerResult) {
+	switch {
+	case record.GetState() == protocol.CallState_CALL_STATE_UNSPECIFIED:
+		return nil, Answer(protocol.LedgerStatus_LEDGER_NOT_RESERVED)
+	case record.GetState() == protocol.CallState_CALL_NOT_RUN:
+		return nil, callResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, record)
+	case record.GetAttempt() != finish.GetAttempt():
+		return nil, callResult(protocol.LedgerStatus_LEDGER_FENCED, record)
+	case record.GetState() == protocol.CallState_CALL_DONE:
+		return nil, callResult(protocol.LedgerStatus_LEDGER_OK, record)
+	}
+	changed := copyCall(record, now)
+	changed.State = protocol.CallState_CALL_DONE
+	changed.Status = finish.GetStatus()
+	changed.Body = finish.GetBody()
+	changed.ContentType = finish.GetContentType()
+	return changed, callResult(protocol.LedgerStatus_LEDGER_OK, changed)
+}
+
+// refuseCall marks a call as not run. It loses against an intent, unless the
+// attempt that wrote the intent takes it back.
+func refuseCall(record *protocol.CallRecord, program string, refuse *protocol.RefuseCall, now time.Time) (*protocol.CallRecord, *protocol.LedgerResult) {
+	switch record.GetState() {
+	case protocol.CallState_CALL_NOT_RUN:
+		return nil, callResult(protocol.LedgerStatus_LEDGER_OK, record)
+	case protocol.CallState_CALL_DONE:
+		return nil, callResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, record)
+	case protocol.CallState_CALL_INTENT:
+		if refuse.GetAttempt() == "" || refuse.GetAttempt() != record.GetAttempt() {
+			return nil, callResult(protocol.LedgerStatus_LEDGER_CALL_UNDER_WAY, record)
+		}
+		changed := copyCall(record, now)
+		changed.State = protocol.CallState_CALL_NOT_RUN
+		return changed, callResult(protocol.LedgerStatus_LEDGER_OK, changed)
+	}
+	changed := &protocol.CallRecord{
+		Program:         program,
+		RequestId:       refuse.GetRequestId(),
+		State:           protocol.CallState_CALL_NOT_RUN,
+		UpdatedAtMillis: now.UnixMilli(),
+	}
+	return changed, callResult(protocol.LedgerStatus_LEDGER_OK, changed)
+}
+
+func copyCall(record *protocol.CallRecord, now time.Time) *protocol.CallRecord {
+	return &protocol.CallRecord{
+		Program:         record.GetProgram(),
+		RequestId:       record.GetRequestId(),
+		Session:         record.GetSession(),
+		Epoch:           record.GetEpoch(),
+		Tool:            record.GetTool(),
+		State:           record.GetState(),
+		Status:          record.GetStatus(),
+		Body:            record.GetBody(),
+		UpdatedAtMillis: now.UnixMilli(),
+		Attempt:         record.GetAttempt(),
+		ContentType:     record.GetContentType(),
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,81 @@
+// Package ledger decides every change of a program's record and of a call's
+// record. It does no I/O: a record and an operation go in, the changed record
+// and the answer come out. Stores replicate the records as compare-and-set
+// registers; since an operation may be applied again after a lost answer, every
+// change is idempotent under its identifiers.
+//
+// Source: design page, program ledger.
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// KeepingTime is how long a finished request is remembered at least. A turn
+// that is kept for longer prolongs it for its request.
+const KeepingTime = 24 * time.Hour
+
+// maxIdentifierBytes bounds every identifier of an operation.
+const maxIdentifierBytes = 512
+
+// InvalidOperationError names the field of an operation that no store may apply.
+type InvalidOperationError struct {
+	Path   string
+	Reason string
+}
+
+func (e *InvalidOperationError) Error() string {
+	return fmt.Sprintf("invalid ledger operation: %s: %s", e.Path, e.Reason)
+}
+
+// ShardOf gives the shard of a program among count shards. Registers of calls
+// and kept turns lie in the shard of their program.
+func ShardOf(program string, count int) uint32 {
+	if count <= 0 {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(program) % uint64(count))
+}
+
+// Answer is a result without details.
+func Answer(status protocol.LedgerStatus) *protocol.LedgerResult {
+	return &protocol.LedgerResult{Status: status}
+}
+
+// IsRead reports whether the operation changes nothing.
+func IsRead(operation *protocol.LedgerOperation) bool {
+	switch operation.GetBody().(type) {
+	case *protocol.LedgerOperation_ReadProgram, *protocol.LedgerOperation_ReadTurns:
+		return true
+	default:
+		return false
+	}
+}
+
+// CallOf gives the request id of the call that the operation is about, or an
+// empty text when it is about the program.
+func CallOf(operation *protocol.LedgerOperation) string {
+	switch body := operation.GetBody().(type) {
+	case *protocol.LedgerOperation_BeginCall:
+		return body.BeginCall.GetRequestId()
+	case *protocol.LedgerOperation_FinishCall:
+		return body.FinishCall.GetRequestId()
+	case *protocol.LedgerOperation_RefuseCall:
+		return body.RefuseCall.GetRequestId()
+	default:
+		return ""
+	}
+}
+
+func addWithoutOverflow(a, b uint64) uint64 {
+	sum := a + b
+	if sum < a {
+		return ^uint64(0)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,250 @@
+package ledger_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+// step is one operation, the status it must answer with, and a further look at the answer.
+type step struct {
+	name  string
+	do    *protocol.LedgerOperation
+	want  protocol.LedgerStatus
+	after time.Duration
+	check func(*protocol.ProgramRecord, *protocol.LedgerResult) bool
+}
+
+func open(tenant string, budget uint64) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_OpenProgram{OpenProgram: &protocol.OpenProgram{Tenant: tenant, Budget: budget}}}
+}
+
+func finishedAs(outcome protocol.RequestOutcome, tokens uint64) func(*protocol.ProgramRecord, *protocol.LedgerResult) bool {
+	return func(_ *protocol.ProgramRecord, result *protocol.LedgerResult) bool {
+		return result.GetFinished().GetOutcome() == outcome && result.GetFinished().GetTokens() == tokens
+	}
+}
+
+func settled(tokens uint64) func(*protocol.ProgramRecord, *protocol.LedgerResult) bool {
+	return func(record *protocol.ProgramRecord, _ *protocol.LedgerResult) bool { return record.GetSettled() == tokens }
+}
+
+const (
+	ok               = protocol.LedgerStatus_LEDGER_OK
+	fenced           = protocol.LedgerStatus_LEDGER_FENCED
+	alreadyFinished  = protocol.LedgerStatus_LEDGER_ALREADY_FINISHED
+	alreadyReserved  = protocol.LedgerStatus_LEDGER_ALREADY_RESERVED
+	unknownProgram   = protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM
+	wrongContinued   = protocol.LedgerStatus_LEDGER_WRONG_CONTINUATION
+	notReserved      = protocol.LedgerStatus_LEDGER_NOT_RESERVED
+	callUnderWay     = protocol.LedgerStatus_LEDGER_CALL_UNDER_WAY
+	outcomeSettled   = protocol.RequestOutcome_OUTCOME_SETTLED
+	outcomeCharged   = protocol.RequestOutcome_OUTCOME_CHARGED
+	outcomeNotRun    = protocol.RequestOutcome_OUTCOME_NOT_RUN
+	unknownSession   = protocol.LedgerStatus_LEDGER_UNKNOWN_SESSION
+	budgetHeld       = protocol.LedgerStatus_LEDGER_BUDGET_HELD
+	budgetSpent      = protocol.LedgerStatus_LEDGER_BUDGET_SPENT
+	longAfterKeeping = ledger.KeepingTime + time.Hour
+)
+
+func TestProgramRules(t *testing.T) {
+	stories := map[string][]step{
+		"a program is opened once and belongs to one tenant": {
+			{do: &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ReadProgram{}}, want: unknownProgram},
+			{do: open("t", 7), want: ok},
+			{do: open("t", 9), want: ok, check: func(_ *protocol.ProgramRecord, r *protocol.LedgerResult) bool { return r.GetProgram().GetBudget() == 7 }},
+			{do: open("other", 9), want: unknownProgram},
+		},
+		"a turn is reserved, settled and repeated with the same answer": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+			{do: settle("r", "s", 1, 4, "t1", ""), want: ok, check: settled(4)},
+			{do: settle("r", "s", 1, 4, "t1", ""), want: ok, check: finishedAs(outcomeSettled, 4)},
+			{do: settle("r", "s", 1, 4, "t2", ""), want: alreadyFinished},
+			{do: reserve("r", "s", 1, 10, ""), want: alreadyFinished, check: finishedAs(outcomeSettled, 4)},
+		},
+		"a turn is never charged above its ceiling": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+			{do: settle("r", "s", 1, 99, "t1", ""), want: ok, check: settled(10)},
+		},
+		"a held budget is not a spent one": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: claim("s2", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, propertyBudget, ""), want: ok},
+			{do: reserve("r2", "s2", 1, 1, ""), want: budgetHeld},
+			{do: settle("r", "s", 1, propertyBudget-1, "t1", ""), want: ok},
+			{do: reserve("r2", "s2", 1, 50, ""), want: ok},
+			{do: settle("r2", "s2", 1, 50, "t2", ""), want: ok, check: settled(propertyBudget + 49)},
+			{do: reserve("r3", "s2", 1, 1, "t2"), want: budgetSpent},
+		},
+		"a new owner fences the old one and charges what it left open": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+			{do: claim("s", "b", 1), want: ok, check: settled(10)},
+			{do: settle("r", "s", 1, 4, "t1", ""), want: alreadyFinished, check: finishedAs(outcomeCharged, 10)},
+			{do: reserve("r2", "s", 1, 10, ""), want: fenced, check: func(_ *protocol.ProgramRecord, r *protocol.LedgerResult) bool { return r.GetEpoch() == 2 }},
+			{do: release("r3", "s", 1, 0), want: fenced},
+			{do: reserve("r2", "s", 2, 10, ""), want: ok},
+		},
+		"a claim leaves the reservations of other sessions alone": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: claim("s2", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+			{do: claim("s2", "b", 1), want: ok, check: settled(0)},
+			{do: settle("r", "s", 1, 4, "t1", ""), want: ok},
+		},
+		"a later incarnation fences the former one of the same name": {
+			{do: claim("s", "a", 2), want: ok},
+			{do: claim("s", "a", 1), want: fenced},
+			{do: claim("s", "a", 3), want: ok, check: func(_ *protocol.ProgramRecord, r *protocol.LedgerResult) bool { return r.GetEpoch() == 2 }},
+		},
+		"a tombstone wins only over a request that never began": {
+			{do: refuse("r", "s"), want: ok},
+			{do: claim("s", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, 10, ""), want: alreadyFinished, check: finishedAs(outcomeNotRun, 0)},
+			{do: reserve("r2", "s", 1, 10, ""), want: ok},
+			{do: refuse("r2", "s"), want: alreadyReserved},
+			{do: settle("r2", "s", 1, 1, "t1", ""), want: ok},
+			{do: refuse("r2", "s"), want: alreadyFinished, check: finishedAs(outcomeSettled, 1)},
+		},
+		"a released request is never run, even when its reservation comes late": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: release("r", "s", 1, 0), want: ok, check: finishedAs(outcomeNotRun, 0)},
+			{do: reserve("r", "s", 1, 10, ""), want: alreadyFinished},
+			{do: reserve("r2", "s", 1, 10, ""), want: ok},
+			{do: release("r2", "s", 1, 3), want: ok, check: finishedAs(outcomeCharged, 3)},
+			{do: release("r2", "s", 1, 3), want: ok},
+			{do: release("r3", "s", 1, 3), want: notReserved},
+		},
+		"a session continues its own last turn": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, 10, "unheard-of"), want: wrongContinued},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+			{do: settle("r", "s", 1, 1, "t1", "t0"), want: wrongContinued},
+			{do: settle("r", "s", 1, 1, "t1", ""), want: ok},
+			{do: reserve("r2", "s", 1, 10, ""), want: wrongContinued, check: func(_ *protocol.ProgramRecord, r *protocol.LedgerResult) bool { return r.GetLastTurn() == "t1" }},
+			{do: reserve("r2", "s", 1, 10, "t1"), want: ok},
+			{do: claim("helper", "a", 1), want: ok},
+			{do: reserve("r3", "helper", 1, 10, "t1"), want: ok},
+		},
+		"a session has one turn under way": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+			{do: reserve("r", "s", 1, 11, ""), want: alreadyReserved},
+			{do: reserve("r2", "s", 1, 10, ""), want: alreadyReserved},
+			{do: reserve("r3", "nobody", 1, 10, ""), want: unknownSession},
+		},
+		"an outcome is forgotten after its keeping time only": {
+			{do: claim("s", "a", 1), want: ok},
+			{do: refuse("r", "s"), want: ok},
+			{do: claim("s2", "a", 1), want: ok, after: ledger.KeepingTime - time.Hour},
+			{do: reserve("r", "s", 1, 10, ""), want: alreadyFinished},
+			{do: claim("s3", "a", 1), want: ok, after: longAfterKeeping},
+			{do: reserve("r", "s", 1, 10, ""), want: ok},
+		},
+	}
+	for name, steps := range stories {
+		t.Run(name, func(t *testing.T) {
+			var record *protocol.ProgramRecord
+			for number, step := range steps {
+				after, result := ledger.Apply(record, step.do, now.Add(step.after))
+				if after != nil {
+					record = after
+				}
+				if result.GetStatus() != step.want {
+					t.Fatalf("step %d: %v answered %v, wanted %v", number, step.do, result, step.want)
+				}
+				if step.check != nil && !step.check(record, result) {
+					t.Fatalf("step %d: %v answered %v and left %v", number, step.do, result, record)
+				}
+			}
+		})
+	}
+}
+
+func begin(request, attempt string, epoch uint64) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_BeginCall{BeginCall: &protocol.BeginCall{RequestId: request, Session: "s", Epoch: epoch, Attempt: attempt, Tool: "valve"}}}
+}
+
+func finish(request, attempt string, status uint32) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_FinishCall{FinishCall: &protocol.FinishCall{RequestId: request, Attempt: attempt, Status: status, Body: []byte("done")}}}
+}
+
+func refuseCall(request, attempt string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_RefuseCall{RefuseCall: &protocol.RefuseCall{RequestId: request, Attempt: attempt}}}
+}
+
+func TestCallRules(t *testing.T) {
+	stories := map[string][]step{
+		"one attempt wins and its outcome answers every repeat": {
+			{do: begin("r", "a1", 1), want: ok},
+			{do: begin("r", "a1", 1), want: ok},
+			{do: begin("r", "a2", 2), want: callUnderWay},
+			{do: finish("r", "a2", 200), want: fenced},
+			{do: finish("r", "a1", 200), want: ok},
+			{do: finish("r", "a1", 500), want: ok, check: func(_ *protocol.ProgramRecord, r *protocol.LedgerResult) bool { return r.GetCall().GetStatus() == 200 }},
+			{do: begin("r", "a2", 2), want: alreadyFinished, check: func(_ *protocol.ProgramRecord, r *protocol.LedgerResult) bool {
+				return string(r.GetCall().GetBody()) == "done"
+			}},
+			{do: refuseCall("r", ""), want: alreadyFinished},
+		},
+		"a tombstone loses against an intent of another attempt": {
+			{do: begin("r", "a1", 1), want: ok},
+			{do: refuseCall("r", ""), want: callUnderWay},
+			{do: refuseCall("r", "a2"), want: callUnderWay},
+			{do: refuseCall("r", "a1"), want: ok},
+			{do: begin("r", "a1", 1), want: alreadyFinished},
+			{do: finish("r", "a1", 200), want: alreadyFinished},
+		},
+		"a refused call is never begun": {
+			{do: finish("r", "a1", 200), want: notReserved},
+			{do: refuseCall("r", ""), want: ok},
+			{do: refuseCall("r", ""), want: ok},
+			{do: begin("r", "a1", 1), want: alreadyFinished},
+		},
+	}
+	for name, steps := range stories {
+		t.Run(name, func(t *testing.T) {
+			var record *protocol.CallRecord
+			for number, step := range steps {
+				after, result := ledger.ApplyCall(record, step.do, now)
+				if after != nil {
+					record = after
+				}
+				if result.GetStatus() != step.want || step.check != nil && !step.check(nil, result) {
+					t.Fatalf("step %d: %v answered %v, wanted %v", number, step.do, result, step.want)
+				}
+			}
+		})
+	}
+}
+
+func TestValidateNamesTheFieldAtFault(t *testing.T) {
+	foreign := settle("r", "s", 1, 1, "t1", "")
+	foreign.GetSettleTurn().Turn.Program = "other"
+	for path, operation := range map[string]*protocol.LedgerOperation{
+		"program":                   {Body: &protocol.LedgerOperation_ReadProgram{}},
+		"body":                      {Program: "p"},
+		"reserve_turn.request_id":   reserve("", "s", 1, 1, ""),
+		"settle_turn.turn.id":       settle("r", "s", 1, 1, "", ""),
+		"settle_turn.turn.program":  foreign,
+		"begin_call.attempt":        begin("r", "", 1),
+		"claim_session.owner":       claim("s", "", 1),
+		"refuse_request.request_id": refuse("", "s"),
+	} {
+		var invalid *ledger.InvalidOperationError
+		if err := ledger.Validate(operation); !errors.As(err, &invalid) || invalid.Path != path {
+			t.Errorf("%v: got %v, wanted a fault at %s", operation, err, path)
+		}
+	}
+	if err := ledger.Validate(settle("r", "s", 1, 1, "t1", "")); err != nil {
+		t.Errorf("refused a good operation: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/ledger/program.go
@@ -0,0 +1,147 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Apply decides an operation on a program's record; record is nil while the
+// program has none. It returns the changed record, or nil when nothing changes.
+// The record given is not written to. Operations on calls and turns are not
+// decided here and answer LEDGER_STATUS_UNSPECIFIED.
+func Apply(record *protocol.ProgramRecord, operation *protocol.LedgerOperation, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+	switch body := operation.GetBody().(type) {
+	case *protocol.LedgerOperation_OpenProgram:
+		return openProgram(record, operation.GetProgram(), body.OpenProgram, now)
+	case *protocol.LedgerOperation_ClaimSession:
+		return claimSession(record, operation.GetProgram(), body.ClaimSession, now)
+	case *protocol.LedgerOperation_ReserveTurn:
+		return reserveTurn(record, body.ReserveTurn, now)
+	case *protocol.LedgerOperation_SettleTurn:
+		return settleTurn(record, body.SettleTurn, now)
+	case *protocol.LedgerOperation_ReleaseTurn:
+		return releaseTurn(record, body.ReleaseTurn, now)
+	case *protocol.LedgerOperation_RefuseRequest:
+		return refuseRequest(record, operation.GetProgram(), body.RefuseRequest, now)
+	case *protocol.LedgerOperation_ReadProgram:
+		return nil, readProgram(record)
+	default:
+		return nil, Answer(protocol.LedgerStatus_LEDGER_STATUS_UNSPECIFIED)
+	}
+}
+
+func readProgram(record *protocol.ProgramRecord) *protocol.LedgerResult {
+	if !isOpen(record) {
+		return Answer(protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM)
+	}
+	return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_OK, Program: record}
+}
+
+func openProgram(record *protocol.ProgramRecord, program string, open *protocol.OpenProgram, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+	if isOpen(record) {
+		if record.GetTenant() != open.GetTenant() {
+			return nil, Answer(protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM)
+		}
+		return nil, readProgram(record)
+	}
+	changed := newDraft(program, record, now)
+	changed.Tenant = open.GetTenant()
+	changed.Budget = open.GetBudget()
+	return changed.ProgramRecord, readProgram(changed.ProgramRecord)
+}
+
+// claimSession fences every former owner of the session. A process that was
+// replaced by a later incarnation of itself may not claim.
+func claimSession(record *protocol.ProgramRecord, program string, claim *protocol.ClaimSession, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+	if isOpen(record) && claim.GetTenant() != "" && claim.GetTenant() != record.GetTenant() {
+		return nil, Answer(protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM)
+	}
+	if !isOpen(record) && claim.GetTenant() == "" {
+		return nil, Answer(protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM)
+	}
+	session := findSession(record, claim.GetSession())
+	if session != nil && session.GetOwner() == claim.GetOwner() {
+		if session.GetOwnerIncarnation() == claim.GetOwnerIncarnation() {
+			return nil, claimResult(record, session)
+		}
+		if session.GetOwnerIncarnation() > claim.GetOwnerIncarnation() {
+			return nil, fenced(session)
+		}
+	}
+	changed := newDraft(program, record, now)
+	if !isOpen(record) {
+		changed.Tenant = claim.GetTenant()
+		changed.Budget = claim.GetBudget()
+	}
+	chargeOpenReservations(changed, claim.GetSession())
+	claimed := &protocol.SessionRecord{
+		Session:          claim.GetSession(),
+		Epoch:            session.GetEpoch() + 1,
+		Owner:            claim.GetOwner(),
+		OwnerIncarnation: claim.GetOwnerIncarnation(),
+		LastTurn:         session.GetLastTurn(),
+		Turns:            session.GetTurns(),
+	}
+	changed.putSession(claimed)
+	return changed.ProgramRecord, claimResult(changed.ProgramRecord, claimed)
+}
+
+// chargeOpenReservations charges what a lost owner may have passed on: the whole ceiling.
+func chargeOpenReservations(changed *draft, session string) {
+	var open []*protocol.Reservation
+	for _, reservation := range changed.Reservations {
+		if reservation.GetSession() == session {
+			open = append(open, reservation)
+		}
+	}
+	for _, reservation := range open {
+		changed.finish(&protocol.FinishedRequest{
+			RequestId: reservation.GetRequestId(),
+			Session:   session,
+			Outcome:   protocol.RequestOutcome_OUTCOME_CHARGED,
+			Tokens:    reservation.GetCeiling(),
+		}, 0)
+	}
+}
+
+func claimResult(record *protocol.ProgramRecord, session *protocol.SessionRecord) *protocol.LedgerResult {
+	return &protocol.LedgerResult{
+		Status:   protocol.LedgerStatus_LEDGER_OK,
+		Epoch:    session.GetEpoch(),
+		Program:  record,
+		LastTurn: session.GetLastTurn(),
+	}
+}
+
+func fenced(session *protocol.SessionRecord) *protocol.LedgerResult {
+	return &protocol.LedgerResult{
+		Status:   protocol.LedgerStatus_LEDGER_FENCED,
+		Epoch:    session.GetEpoch(),
+		LastTurn: session.GetLastTurn(),
+	}
+}
+
+// checkEpoch returns the session when the epoch named is in force, or else the refusal.
+func checkEpoch(record *protocol.ProgramRecord, session string, epoch uint64) (*protocol.SessionRecord, *protocol.LedgerResult) {
+	if !isOpen(record) {
+		return nil, Answer(protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM)
+	}
+	known := findSession(record, session)
+	if known == nil {
+		return nil, Answer(protocol.LedgerStatus_LEDGER_UNKNOWN_SESSION)
+	}
+	if known.GetEpoch() != epoch {
+		return nil, fenced(known)
+	}
+	return known, nil
+}
+
+// CheckEpoch tells whether an owner may act for a session: LEDGER_OK, or the refusal.
+func CheckEpoch(record *protocol.ProgramRecord, session string, epoch uint64) *protocol.LedgerResult {
+	known, refusal := checkEpoch(record, session, epoch)
+	if refusal != nil {
+		return refusal
+	}
+	return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_OK, Epoch: known.GetEpoch()}
+}
--- /dev/null
+++ b/internal/ledger/property_test.go
@@ -0,0 +1,169 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const propertyBudget = 100
+
+// machine applies random operations of some owners and keeps what they were promised.
+type machine struct {
+	record   *protocol.ProgramRecord
+	now      time.Time
+	outcomes map[string]*protocol.FinishedRequest
+	epochs   map[string]uint64
+	largest  uint64
+	turns    int
+}
+
+func (m *machine) apply(t *rapid.T, operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	operation.Program = "p"
+	before := proto.CloneOf(m.record)
+	after, result := ledger.Apply(m.record, operation, m.now)
+	if !proto.Equal(before, m.record) {
+		t.Fatalf("the record given was written to by %v", operation)
+	}
+	if after != nil {
+		m.record = after
+		again, repeated := ledger.Apply(m.record, operation, m.now.Add(time.Second))
+		if again != nil || repeated.GetStatus() != result.GetStatus() || repeated.GetEpoch() != result.GetEpoch() {
+			t.Fatalf("%v was not idempotent: %v then %v", operation, result, repeated)
+		}
+	}
+	m.check(t)
+	return result
+}
+
+// check looks at what must hold after every operation.
+func (m *machine) check(t *rapid.T) {
+	var charged uint64
+	for _, finished := range m.record.GetFinished() {
+		charged += finished.GetTokens()
+		if known := m.outcomes[finished.GetRequestId()]; known != nil && !proto.Equal(known, finished) {
+			t.Fatalf("outcome changed from %v to %v", known, finished)
+		}
+		m.outcomes[finished.GetRequestId()] = finished
+	}
+	if charged != m.record.GetSettled() {
+		t.Fatalf("settled %d but outcomes sum up to %d", m.record.GetSettled(), charged)
+	}
+	held := m.record.GetSettled()
+	open := map[string]bool{}
+	for _, reservation := range m.record.GetReservations() {
+		held += reservation.GetCeiling()
+		if open[reservation.GetSession()] {
+			t.Fatalf("two reservations of %s", reservation.GetSession())
+		}
+		open[reservation.GetSession()] = true
+		if m.outcomes[reservation.GetRequestId()] != nil {
+			t.Fatalf("%s is reserved and finished", reservation.GetRequestId())
+		}
+	}
+	if held >= propertyBudget+m.largest && m.largest > 0 {
+		t.Fatalf("%d tokens settled or held with a budget of %d and turns of at most %d", held, propertyBudget, m.largest)
+	}
+	for _, session := range m.record.GetSessions() {
+		if session.GetEpoch() < m.epochs[session.GetSession()] {
+			t.Fatalf("epoch of %s stepped back", session.GetSession())
+		}
+		m.epochs[session.GetSession()] = session.GetEpoch()
+	}
+}
+
+func TestAnyOrderOfOperationsKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{now: time.Unix(1_000_000, 0), outcomes: map[string]*protocol.FinishedRequest{}, epochs: map[string]uint64{}}
+		session := rapid.SampledFrom([]string{"s1", "s2", "s3"})
+		owner := rapid.SampledFrom([]string{"front-1", "front-2"})
+		request := rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("r%d", rapid.IntRange(0, 12).Draw(t, "request")) })
+		tokens := rapid.Uint64Range(0, 40)
+		epoch := func(t *rapid.T, of string) uint64 {
+			if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+				return rapid.Uint64Range(0, 3).Draw(t, "epoch")
+			}
+			return m.epochs[of]
+		}
+		last := func(of string) string {
+			for _, known := range m.record.GetSessions() {
+				if known.GetSession() == of {
+					return known.GetLastTurn()
+				}
+			}
+			return ""
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				of := session.Draw(t, "session")
+				result := m.apply(t, claim(of, owner.Draw(t, "owner"), rapid.Uint64Range(1, 3).Draw(t, "incarnation")))
+				if result.GetStatus() == protocol.LedgerStatus_LEDGER_OK && result.GetEpoch() != m.epochs[of] {
+					t.Fatalf("claimed epoch %d but %d is in force", result.GetEpoch(), m.epochs[of])
+				}
+			},
+			"reserve": func(t *rapid.T) {
+				of, ceiling := session.Draw(t, "session"), tokens.Draw(t, "ceiling")
+				before := m.record.GetSettled()
+				m.largest = max(m.largest, ceiling)
+				result := m.apply(t, reserve(request.Draw(t, "request"), of, epoch(t, of), ceiling, last(of)))
+				if result.GetStatus() == protocol.LedgerStatus_LEDGER_BUDGET_SPENT && before < propertyBudget {
+					t.Fatalf("said to be spent with %d of %d", before, propertyBudget)
+				}
+			},
+			"settle": func(t *rapid.T) {
+				of := session.Draw(t, "session")
+				m.turns++
+				m.apply(t, settle(request.Draw(t, "request"), of, epoch(t, of), tokens.Draw(t, "tokens"), fmt.Sprintf("t%d", m.turns), last(of)))
+			},
+			"release": func(t *rapid.T) {
+				of := session.Draw(t, "session")
+				m.apply(t, release(request.Draw(t, "request"), of, epoch(t, of), tokens.Draw(t, "tokens")))
+			},
+			"refuse": func(t *rapid.T) {
+				asked := request.Draw(t, "request")
+				was := m.outcomes[asked]
+				result := m.apply(t, refuse(asked, session.Draw(t, "session")))
+				if result.GetStatus() == protocol.LedgerStatus_LEDGER_OK && was != nil && was.GetOutcome() != protocol.RequestOutcome_OUTCOME_NOT_RUN {
+					t.Fatalf("refused %s, which had ended as %v", asked, was.GetOutcome())
+				}
+			},
+		})
+	})
+}
+
+func claim(session, owner string, incarnation uint64) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ClaimSession{ClaimSession: &protocol.ClaimSession{
+		Session: session, Owner: owner, OwnerIncarnation: incarnation, Tenant: "t", Budget: propertyBudget,
+	}}}
+}
+
+func reserve(request, session string, epoch, ceiling uint64, previous string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: &protocol.ReserveTurn{
+		RequestId: request, Session: session, Epoch: epoch, Ceiling: ceiling, PreviousTurn: previous,
+	}}}
+}
+
+func settle(request, session string, epoch, tokens uint64, turn, previous string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: &protocol.SettleTurn{
+		RequestId: request, Session: session, Epoch: epoch, Tokens: tokens,
+		Turn: &protocol.Turn{Id: turn, Program: "p", Session: session, RequestId: request, PreviousTurn: previous},
+	}}}
+}
+
+func release(request, session string, epoch, tokens uint64) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ReleaseTurn{ReleaseTurn: &protocol.ReleaseTurn{
+		RequestId: request, Session: session, Epoch: epoch, Tokens: tokens,
+	}}}
+}
+
+func refuse(request, session string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_RefuseRequest{RefuseRequest: &protocol.RefuseRequest{
+		RequestId: request, Session: session,
+	}}}
+}
--- /dev/null
+++ b/internal/ledger/validate.go
@@ -0,0 +1,89 @@
+package ledger
+
+import "github.com/rosestand/rosestand/internal/protocol"
+
+// Validate returns an *InvalidOperationError when an identifier is missing or
+// too long, or when a settled turn is not the turn of its request.
+func Validate(operation *protocol.LedgerOperation) error {
+	if err := checkIdentifier("program", operation.GetProgram()); err != nil {
+		return err
+	}
+	switch body := operation.GetBody().(type) {
+	case *protocol.LedgerOperation_OpenProgram:
+		return checkIdentifier("open_program.tenant", body.OpenProgram.GetTenant())
+	case *protocol.LedgerOperation_ClaimSession:
+		return checkIdentifiers(
+			"claim_session.session", body.ClaimSession.GetSession(),
+			"claim_session.owner", body.ClaimSession.GetOwner())
+	case *protocol.LedgerOperation_ReserveTurn:
+		return checkIdentifiers(
+			"reserve_turn.request_id", body.ReserveTurn.GetRequestId(),
+			"reserve_turn.session", body.ReserveTurn.GetSession())
+	case *protocol.LedgerOperation_SettleTurn:
+		return validateSettle(operation.GetProgram(), body.SettleTurn)
+	case *protocol.LedgerOperation_ReleaseTurn:
+		return checkIdentifiers(
+			"release_turn.request_id", body.ReleaseTurn.GetRequestId(),
+			"release_turn.session", body.ReleaseTurn.GetSession())
+	case *protocol.LedgerOperation_RefuseRequest:
+		return checkIdentifier("refuse_request.request_id", body.RefuseRequest.GetRequestId())
+	case *protocol.LedgerOperation_ReadProgram:
+		return nil
+	case *protocol.LedgerOperation_ReadTurns:
+		return checkIdentifier("read_turns.last_turn", body.ReadTurns.GetLastTurn())
+	case *protocol.LedgerOperation_BeginCall:
+		return checkIdentifiers(
+			"begin_call.request_id", body.BeginCall.GetRequestId(),
+			"begin_call.session", body.BeginCall.GetSession(),
+			"begin_call.attempt", body.BeginCall.GetAttempt())
+	case *protocol.LedgerOperation_FinishCall:
+		return checkIdentifiers(
+			"finish_call.request_id", body.FinishCall.GetRequestId(),
+			"finish_call.attempt", body.FinishCall.GetAttempt())
+	case *protocol.LedgerOperation_RefuseCall:
+		return checkIdentifier("refuse_call.request_id", body.RefuseCall.GetRequestId())
+	default:
+		return &InvalidOperationError{Path: "body", Reason: "missing"}
+	}
+}
+
+func validateSettle(program string, settle *protocol.SettleTurn) error {
+	if err := checkIdentifiers(
+		"settle_turn.request_id", settle.GetRequestId(),
+		"settle_turn.session", settle.GetSession(),
+		"settle_turn.turn.id", settle.GetTurn().GetId(),
+	); err != nil {
+		return err
+	}
+	turn := settle.GetTurn()
+	switch {
+	case turn.GetProgram() != program:
+		return &InvalidOperationError{Path: "settle_turn.turn.program", Reason: "is of another program"}
+	case turn.GetSession() != settle.GetSession():
+		return &InvalidOperationError{Path: "settle_turn.turn.session", Reason: "is of another session"}
+	case turn.GetRequestId() != settle.GetRequestId():
+		return &InvalidOperationError{Path: "settle_turn.turn.request_id", Reason: "is of another request"}
+	default:
+		return nil
+	}
+}
+
+// checkIdentifiers takes pairs of path and value.
+func checkIdentifiers(pairs ...string) error {
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if err := checkIdentifier(pairs[i], pairs[i+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkIdentifier(path, value string) error {
+	if value == "" {
+		return &InvalidOperationError{Path: path, Reason: "missing"}
+	}
+	if len(value) > maxIdentifierBytes {
+		return &InvalidOperationError{Path: path, Reason: "longer than an identifier may be"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/register/acceptor.go
@@ -0,0 +1,85 @@
+package register
+
+import "github.com/rosestand/rosestand/internal/protocol"
+
+// State is what one replica holds of one register.
+type State struct {
+	// Promised is the lowest ballot that may still be accepted.
+	Promised Ballot
+	// Accepted is the ballot of Value; zero when nothing was accepted.
+	Accepted Ballot
+	Value    []byte
+	// Learned says that the value was copied from another replica. It counts
+	// when a new proposer looks for the newest value, but it is no vote for it.
+	Learned bool
+}
+
+// StateOf reads a state from its message.
+func StateOf(message *protocol.RegisterState) State {
+	return State{
+		Promised: BallotOf(message.GetPromised()),
+		Accepted: BallotOf(message.GetAccepted()),
+		Value:    message.GetValue(),
+		Learned:  message.GetLearned(),
+	}
+}
+
+// Message gives the state of a key as a message.
+func (s State) Message(key *protocol.RegisterKey) *protocol.RegisterState {
+	return &protocol.RegisterState{
+		Key:      key,
+		Promised: s.Promised.Message(),
+		Accepted: s.Accepted.Message(),
+		Value:    s.Value,
+		Learned:  s.Learned,
+	}
+}
+
+// Prepare decides a prepare request. When changed, the new state must be
+// durable before the answer leaves; an answer must also never leave before an
+// earlier state of the register that it shows is durable. A zero ballot reads
+// and promises nothing.
+func (s State) Prepare(ballot Ballot) (next State, answer *protocol.PrepareResponse, changed bool) {
+	answer = &protocol.PrepareResponse{
+		Accepted: s.Accepted.Message(),
+		Value:    s.Value,
+		Learned:  s.Learned,
+	}
+	if ballot.IsZero() || ballot.Less(s.Promised) {
+		answer.Seen = s.Promised.Message()
+		return s, answer, false
+	}
+	answer.Promised = true
+	if ballot == s.Promised {
+		return s, answer, false
+	}
+	s.Promised = ballot
+	return s, answer, true
+}
+
+// Accept decides an accept request; nextBallot, when not zero, is promised
+// along with the value. The rules for durability are those of Prepare.
+func (s State) Accept(ballot Ballot, value []byte, nextBallot Ballot) (next State, answer *protocol.AcceptResponse, changed bool) {
+	if ballot == s.Accepted && !s.Learned {
+		return s, &protocol.AcceptResponse{Accepted: true}, false
+	}
+	if ballot.IsZero() || ballot.Less(s.Promised) {
+		return s, &protocol.AcceptResponse{Seen: s.Promised.Message()}, false
+	}
+	accepted := State{Promised: maxBallot(ballot, nextBallot), Accepted: ballot, Value: value}
+	return accepted, &protocol.AcceptResponse{Accepted: true}, true
+}
+
+// Learn takes over what another replica accepted, for rebuilds, moves and
+// repairs. A learned value is no vote, but the promise rises to its ballot: a
+// proposer below it would build on a value that is newer than its own proposal.
+func (s State) Learn(accepted Ballot, value []byte) (next State, changed bool) {
+	if !s.Accepted.Less(accepted) {
+		return s, false
+	}
+	s.Promised = maxBallot(s.Promised, accepted)
+	s.Accepted = accepted
+	s.Value = value
+	s.Learned = true
+	return s, true
+}
--- /dev/null
+++ b/internal/register/shard.go
@@ -0,0 +1,53 @@
+package register
+
+import "github.com/rosestand/rosestand/internal/protocol"
+
+// Role is what a store may do for a shard under the placement in force.
+type Role int
+
+const (
+	// RoleNone holds no replica of the shard.
+	RoleNone Role = iota
+	// RoleRebuilding lost its data and votes for nothing until it is copied anew.
+	RoleRebuilding
+	// RoleJoining votes from the beginning, beside the full majority of the
+	// replicas that it will replace, but cannot say yet what does not exist.
+	RoleJoining
+	// RoleActive votes and serves.
+	RoleActive
+)
+
+// RoleOf tells the role of a store in a shard. A store that is named with
+// another storage id has lost the data that the placement speaks of.
+func RoleOf(placement *protocol.ShardPlacement, store, storageID string) Role {
+	if replica := findReplica(placement.GetCurrent(), store); replica != nil {
+		if replica.GetStorageId() != storageID || replica.GetState() == protocol.ReplicaState_REPLICA_REBUILDING {
+			return RoleRebuilding
+		}
+		return RoleActive
+	}
+	if replica := findReplica(placement.GetNext(), store); replica != nil && replica.GetStorageId() == storageID {
+		return RoleJoining
+	}
+	return RoleNone
+}
+
+func findReplica(replicas []*protocol.Replica, store string) *protocol.Replica {
+	for _, replica := range replicas {
+		if replica.GetStore() == store {
+			return replica
+		}
+	}
+	return nil
+}
+
+// EpochOf gives the epoch that requests about the shard must name.
+func EpochOf(placement *protocol.Placement, shard *protocol.ShardPlacement) uint64 {
+	if shard.GetEpoch() != 0 {
+		return shard.GetEpoch()
+	}
+	return placement.GetEpoch()
+}
+
+// Votes reports whether a store in this role may answer prepare and accept requests.
+func (r Role) Votes() bool { return r == RoleActive || r == RoleJoining }
--- /dev/null
+++ b/internal/store/copy.go
@@ -0,0 +1,211 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
+)
+
+const (
+	// copyRetry is the pause before shards that could not be copied are tried again.
+	copyRetry = time.Second
+	// pageAttempts bounds the tries of one page.
+	pageAttempts = 5
+	reportTime   = 5 * time.Second
+)
+
+// copyShards copies the shards that this store rebuilds or joins, one after the other, and
+// tells the core of each. It goes on telling until the placement says so.
+func (s *Store) copyShards() {
+	for {
+		for _, view := range s.watch.current.Load().shards {
+			if !view.WaitsForCopy(s.options.Self.GetName(), s.options.Self.GetStorageId()) {
+				continue
+			}
+			if err := s.copyShard(view); err != nil {
+				s.options.Logger.Debug("shard not copied yet", "shard", view.Shard, "error", err)
+				continue
+			}
+			s.reportCopied(view)
+		}
+		if !s.waitOr(copyRetry, s.copyPoke) {
+			return
+		}
+	}
+}
+
+// copyShard reads the shard from enough replicas of the current set.
+func (s *Store) copyShard(view register.ShardView) error {
+	begun, err := s.copyState(view.Shard)
+	if err != nil || begun.copied {
+		return err
+	}
+	left := view.SourcesNeeded()
+	var failed error
+	for _, source := range view.Quorum.Current {
+		if left == 0 {
+			break
+		}
+		if source == s.options.Self.GetName() {
+			continue
+		}
+		if err := s.copyFrom(view.Shard, source, begun.generation); err != nil {
+			failed = errors.CombineErrors(failed, err)
+			continue
+		}
+		left--
+	}
+	if left > 0 {
+		return errors.CombineErrors(&CopyError{Shard: view.Shard, Reason: "not enough complete replicas"}, failed)
+	}
+	return s.markCopied(view.Shard, begun.generation)
+}
+
+// copyState says how far the copy of a shard is.
+type copyState struct {
+	generation uint64
+	copied     bool
+}
+
+func (s *Store) copyState(shard uint32) (copyState, error) {
+	g := s.group(shard)
+	return ask(g, func() copyState {
+		table := g.table(shard)
+		return copyState{generation: table.generation, copied: table.copied}
+	})
+}
+
+// markCopied ends a copy unless the table was emptied meanwhile.
+func (s *Store) markCopied(shard uint32, generation uint64) error {
+	g := s.group(shard)
+	same, err := ask(g, func() bool {
+		table := g.table(shard)
+		table.copied = table.generation == generation
+		return table.copied
+	})
+	if err != nil {
+		return err
+	}
+	if !same {
+		return &CopyError{Shard: shard, Reason: "the placement changed meanwhile"}
+	}
+	s.metrics.copied.Inc()
+	return nil
+}
+
+// copyFrom reads one replica page by page, no faster than the settings allow.
+func (s *Store) copyFrom(shard uint32, source string, generation uint64) error {
+	var after []byte
+	for {
+		page, err := s.fetchPage(shard, source, &protocol.FetchShardRequest{Shard: shard, After: after})
+		if err != nil {
+			return err
+		}
+		if err := s.takePage(shard, generation, page); err != nil {
+			return err
+		}
+		size := uint64(proto.Size(page))
+		s.metrics.copiedBytes.Add(float64(size))
+		if page.GetLast() {
+			return nil
+		}
+		after = page.GetNext()
+		if !s.wait(time.Duration(size * uint64(time.Second) / s.options.copyBytesPerSecond())) {
+			return &StoppedError{}
+		}
+	}
+}
+
+// fetchPage asks for a page under the placement epoch in force, again if it changes meanwhile.
+func (s *Store) fetchPage(shard uint32, source string, request *protocol.FetchShardRequest) (*protocol.FetchShardResponse, error) {
+	var last error
+	for attempt := range pageAttempts {
+		request.PlacementEpoch = s.shardView(shard).Epoch
+		ctx, cancel := context.WithTimeout(s.ctx, s.options.PeerTimeout)
+		response, err := s.peers.call(ctx, source, &protocol.Request{Body: &protocol.Request_FetchShard{FetchShard: request}})
+		cancel()
+		page := response.GetFetchShard()
+		switch {
+		case err != nil:
+			last = err
+		case page == nil:
+			return nil, &AnswerError{Store: source}
+		case page.GetRefusal() != notRefused:
+			last = &CopyError{Shard: shard, Source: source, Reason: page.GetRefusal().String()}
+		default:
+			return page, nil
+		}
+		if !s.wait(firstRetryWait << (2 * attempt)) {
+			break
+		}
+	}
+	return nil, last
+}
+
+// takePage writes a page and waits until it is durable.
+func (s *Store) takePage(shard uint32, generation uint64, page *protocol.FetchShardResponse) error {
+	g := s.group(shard)
+	durable := make(chan error, 1)
+	g.mailbox.post(func() {
+		table := g.table(shard)
+		if table.generation != generation {
+			durable <- &CopyError{Shard: shard, Reason: "the placement changed meanwhile"}
+			return
+		}
+		g.learnPage(shard, page, func(int, int) { durable <- nil })
+	})
+	select {
+	case err := <-durable:
+		return err
+	case <-s.stopped:
+		return &StoppedError{}
+	}
+}
+
+// learnPage takes over registers and turns and calls done, once all are
+// durable, with how many of each were new.
+func (g *group) learnPage(shard uint32, page *protocol.FetchShardResponse, done func(registers, turns int)) {
+	table := g.table(shard)
+	now := g.store.options.Clock.Now()
+	left, learned, kept := 1, 0, 0
+	release := func() {
+		if left--; left == 0 {
+			done(learned, kept)
+		}
+	}
+	for _, turn := range page.GetTurns() {
+		_, known := table.turns[turnKeyOf(turn.GetProgram(), turn.GetId())]
+		if known || (turnEntry{keepUntil: keepUntil(turn)}).expired(now) {
+			continue
+		}
+		left++
+		kept++
+		g.keepTurn(shard, turn, release)
+	}
+	left++
+	g.learn(shard, page.GetRegisters(), func(count int) {
+		learned = count
+		release()
+	})
+	release()
+}
+
+// reportCopied tells the core; the placement says when it has taken it in.
+func (s *Store) reportCopied(view register.ShardView) {
+	ctx, cancel := context.WithTimeout(s.ctx, reportTime)
+	defer cancel()
+	_, err := s.options.Core.CallCore(ctx, &protocol.Request{Body: &protocol.Request_ShardCopied{ShardCopied: &protocol.ShardCopiedRequest{
+		Store:     s.options.Self.GetName(),
+		StorageId: s.options.Self.GetStorageId(),
+		Shard:     view.Shard,
+		Epoch:     view.Epoch,
+	}}})
+	if err != nil {
+		s.options.Logger.Debug("copied shard not reported yet", "shard", view.Shard, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/store/errors.go
@@ -0,0 +1,54 @@
+package store
+
+import "fmt"
+
+// RecordError says that stored bytes are no record of this program's format.
+type RecordError struct {
+	Cause error
+}
+
+func (e *RecordError) Error() string { return "unreadable store record: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// LogError says that a log of the store failed, for instance on a full disk; the process must stop.
+type LogError struct {
+	Log   string
+	Cause error
+}
+
+func (e *LogError) Error() string { return fmt.Sprintf("log of %s failed: %v", e.Log, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *LogError) Unwrap() error { return e.Cause }
+
+// CopyError says that a shard could not be copied now; it is tried again.
+type CopyError struct {
+	Shard  uint32
+	Source string
+	Reason string
+}
+
+func (e *CopyError) Error() string {
+	return fmt.Sprintf("copy of shard %d from %s: %s", e.Shard, e.Source, e.Reason)
+}
+
+// AnswerError says that a peer answered with a message of another kind than asked for.
+type AnswerError struct {
+	Store string
+}
+
+func (e *AnswerError) Error() string { return "answer of another kind from store " + e.Store }
+
+// PeerNotLiveError says that a store has no lease, or that too many requests to it are under way.
+type PeerNotLiveError struct {
+	Store string
+}
+
+func (e *PeerNotLiveError) Error() string { return "store not reachable now: " + e.Store }
+
+// StoppedError says that the store was stopped while something waited for it.
+type StoppedError struct{}
+
+func (e *StoppedError) Error() string { return "the store stops" }
--- /dev/null
+++ b/internal/store/fleet_test.go
@@ -0,0 +1,484 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/ledgerclient"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage/simdisk"
+	"github.com/rosestand/rosestand/internal/store"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const (
+	shardCount   = 4
+	segmentBytes = 16 << 10
+	// patience bounds how long a test looks for something that must come.
+	patience = 20 * time.Second
+)
+
+func TestStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store")
+}
+
+// testClock moves only when a test says so.
+type testClock struct {
+	mutex  sync.Mutex
+	now    time.Time
+	timers map[int]testTimer
+	next   int
+}
+
+type testTimer struct {
+	at  time.Time
+	run func()
+}
+
+func newTestClock() *testClock {
+	return &testClock{now: time.Unix(1_800_000_000, 0), timers: map[int]testTimer{}}
+}
+
+func (c *testClock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.now
+}
+
+func (c *testClock) AfterFunc(wait time.Duration, run func()) func() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.next++
+	number := c.next
+	c.timers[number] = testTimer{at: c.now.Add(wait), run: run}
+	return func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		delete(c.timers, number)
+	}
+}
+
+func (c *testClock) advance(by time.Duration) {
+	c.mutex.Lock()
+	c.now = c.now.Add(by)
+	var due []int
+	for number, timer := range c.timers {
+		if !timer.at.After(c.now) {
+			due = append(due, number)
+		}
+	}
+	sort.Ints(due)
+	var runs []func()
+	for _, number := range due {
+		runs = append(runs, c.timers[number].run)
+		delete(c.timers, number)
+	}
+	c.mutex.Unlock()
+	for _, run := range runs {
+		run()
+	}
+	runtime.Gosched()
+}
+
+// member is one store of the fleet with its disk, which outlives the process.
+type member struct {
+	name    string
+	disk    *simdisk.Disk
+	self    *protocol.Node
+	store   *store.Store
+	failure chan error
+	starts  uint64
+	emptied int
+}
+
+// fleet is an in-memory cluster of stores; it is its own core.
+type fleet struct {
+	clock   *testClock
+	members map[string]*member
+	names   []string
+
+	mutex     sync.Mutex
+	view      *corelink.View
+	cut       map[string]bool
+	intercept func(to string, request *protocol.Request)
+}
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{clock: newTestClock(), members: map[string]*member{}, names: names, cut: map[string]bool{}, view: &corelink.View{}}
+	for number, name := range names {
+		f.members[name] = &member{name: name, disk: simdisk.New(rand.New(rand.NewPCG(uint64(number), 7)))}
+		f.start(name)
+	}
+	placement := &protocol.Placement{}
+	for shard := range uint32(shardCount) {
+		placed := &protocol.ShardPlacement{Shard: shard}
+		for _, name := range names[:3] {
+			placed.Current = append(placed.Current, f.replica(name, protocol.ReplicaState_REPLICA_ACTIVE))
+		}
+		placement.Shards = append(placement.Shards, placed)
+	}
+	f.publish(placement.GetShards()...)
+	DeferCleanup(f.stop)
+	return f
+}
+
+func (f *fleet) replica(name string, state protocol.ReplicaState) *protocol.Replica {
+	return &protocol.Replica{Store: name, StorageId: f.members[name].self.GetStorageId(), State: state}
+}
+
+func (f *fleet) start(name string) {
+	m := f.members[name]
+	m.starts++
+	folder, err := store.OpenFolder(m.disk, "data", segmentBytes)
+	Expect(err).NotTo(HaveOccurred())
+	m.self = &protocol.Node{Name: name, Kind: protocol.NodeKind_STORE, Incarnation: m.starts, Address: name}
+	m.failure = make(chan error, 1)
+	m.store, err = store.New(store.Options{
+		Self: m.self, Caller: &network{fleet: f, from: name}, Core: &link{fleet: f}, Clock: f.clock, Groups: 2,
+		PeerTimeout: 100 * time.Millisecond, Logger: log.New(io.Discard), Fatal: func(err error) { m.failure <- err }, Seed: m.starts,
+	}, folder)
+	Expect(err).NotTo(HaveOccurred())
+	m.store.Start()
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.members {
+		if m.store != nil {
+			_ = m.store.Stop()
+		}
+	}
+}
+
+// stopOne ends one process; what it had not synced is lost when power is.
+func (f *fleet) stopOne(name string, powerLoss bool) {
+	m := f.members[name]
+	f.setCut(name, true)
+	_ = m.store.Stop()
+	m.store = nil
+	if powerLoss {
+		m.disk.LosePower()
+	}
+}
+
+func (f *fleet) restart(name string) {
+	f.start(name)
+	f.setCut(name, false)
+	f.publish()
+}
+
+// loseDisk empties a store's disk and starts it again, and tells the core's placement of it.
+func (f *fleet) loseDisk(name string) {
+	f.stopOne(name, false)
+	f.members[name].disk.Lose()
+	f.start(name)
+	f.setCut(name, false)
+	var changed []*protocol.ShardPlacement
+	for _, placed := range f.View().Placement.GetShards() {
+		placed = proto.CloneOf(placed)
+		for place, held := range placed.GetCurrent() {
+			if held.GetStore() == name {
+				placed.Current[place] = f.replica(name, protocol.ReplicaState_REPLICA_REBUILDING)
+			}
+		}
+		changed = append(changed, placed)
+	}
+	f.publish(changed...)
+}
+
+func (f *fleet) setCut(name string, cut bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cut[name] = cut
+}
+
+// publish puts a placement with changed shards in force, under the next epoch.
+func (f *fleet) publish(changed ...*protocol.ShardPlacement) {
+	f.mutex.Lock()
+	before := f.view.Placement
+	placement := &protocol.Placement{Epoch: before.GetEpoch() + 1, Shards: append([]*protocol.ShardPlacement(nil), before.GetShards()...)}
+	for _, placed := range changed {
+		placed.Epoch = placement.GetEpoch()
+		if int(placed.GetShard()) < len(placement.GetShards()) {
+			placement.Shards[placed.GetShard()] = placed
+		} else {
+			placement.Shards = append(placement.Shards, placed)
+		}
+	}
+	var nodes []*protocol.Node
+	for _, name := range f.names {
+		nodes = append(nodes, f.members[name].self)
+	}
+	f.view = &corelink.View{Placement: placement, Membership: &protocol.MembershipView{Version: placement.GetEpoch(), Nodes: nodes}}
+	f.mutex.Unlock()
+	for _, m := range f.members {
+		if m.store != nil {
+			m.store.ViewChanged()
+		}
+	}
+}
+
+func (f *fleet) View() *corelink.View {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view
+}
+
+// move begins to replace a store by another in one shard.
+func (f *fleet) move(shard uint32, from, to string) {
+	placed := proto.CloneOf(f.View().Placement.GetShards()[shard])
+	for _, held := range placed.GetCurrent() {
+		if held.GetStore() == from {
+			placed.Next = append(placed.Next, f.replica(to, protocol.ReplicaState_REPLICA_REBUILDING))
+		} else {
+			placed.Next = append(placed.Next, proto.CloneOf(held))
+		}
+	}
+	f.publish(placed)
+}
+
+// shardCopied does what the core does when a store reports a copied shard.
+func (f *fleet) shardCopied(copied *protocol.ShardCopiedRequest) {
+	placed := proto.CloneOf(f.View().Placement.GetShards()[copied.GetShard()])
+	if placed.GetEpoch() != copied.GetEpoch() {
+		return
+	}
+	if len(placed.GetNext()) > 0 {
+		placed.Current, placed.Next = placed.GetNext(), nil
+	}
+	for _, held := range placed.GetCurrent() {
+		if held.GetStore() == copied.GetStore() && held.GetStorageId() == copied.GetStorageId() {
+			held.State = protocol.ReplicaState_REPLICA_ACTIVE
+		}
+	}
+	f.publish(placed)
+}
+
+// until lets time pass until the condition holds.
+func (f *fleet) until(condition func() bool) {
+	GinkgoHelper()
+	ends := time.Now().Add(patience)
+	for !condition() {
+		Expect(time.Now().Before(ends)).To(BeTrue(), "it never came")
+		f.clock.advance(50 * time.Millisecond)
+	}
+}
+
+// inForce reports whether every store that can be reached acts under the placement published last.
+func (f *fleet) inForce() bool {
+	for name, m := range f.members {
+		if !f.cut[name] && m.store.Status().GetPlacementEpoch() != f.View().Placement.GetEpoch() {
+			return false
+		}
+	}
+	return true
+}
+
+// whole reports whether no shard is copied any more.
+func (f *fleet) whole() bool {
+	for _, placed := range f.View().Placement.GetShards() {
+		if len(placed.GetNext()) > 0 {
+			return false
+		}
+		for _, held := range placed.GetCurrent() {
+			if held.GetState() != protocol.ReplicaState_REPLICA_ACTIVE {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (f *fleet) client() *ledgerclient.Client {
+	return ledgerclient.New(&network{fleet: f}, f.View, ledgerclient.Options{
+		Deadline: patience,
+		Wait:     func(_ context.Context, wait time.Duration) { f.clock.advance(wait) },
+	})
+}
+
+// do sends an operation as a front node does, while time passes.
+func (f *fleet) do(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	GinkgoHelper()
+	return f.await(func() (*protocol.LedgerResult, error) { return f.client().Do(context.Background(), operation) })
+}
+
+// ask sends an operation to one store only.
+func (f *fleet) ask(name string, limit time.Duration, operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	GinkgoHelper()
+	shard := ledger.ShardOf(operation.GetProgram(), shardCount)
+	operation = proto.CloneOf(operation)
+	operation.PlacementEpoch = f.View().Placement.GetShards()[shard].GetEpoch()
+	return f.await(func() (*protocol.LedgerResult, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		response, err := (&network{fleet: f}).Call(ctx, name, &protocol.Request{Body: &protocol.Request_Ledger{Ledger: operation}})
+		return response.GetLedger(), err
+	})
+}
+
+func (f *fleet) await(run func() (*protocol.LedgerResult, error)) *protocol.LedgerResult {
+	GinkgoHelper()
+	type answer struct {
+		result *protocol.LedgerResult
+		err    error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		result, err := run()
+		answers <- answer{result, err}
+	}()
+	for {
+		select {
+		case got := <-answers:
+			Expect(got.err).NotTo(HaveOccurred())
+			return got.result
+		default:
+			f.clock.advance(time.Millisecond)
+		}
+	}
+}
+
+// network passes requests to the stores in this process.
+type network struct {
+	fleet *fleet
+	from  string
+}
+
+func (n *network) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	n.fleet.mutex.Lock()
+	to := n.fleet.members[address]
+	cut := n.fleet.cut[address] || n.fleet.cut[n.from]
+	intercept := n.fleet.intercept
+	n.fleet.mutex.Unlock()
+	if cut || to.store == nil {
+		return nil, &wire.NotSentError{Address: address, Cause: errors.New("cut")}
+	}
+	if intercept != nil {
+		intercept(address, request)
+	}
+	var answer *protocol.Response
+	err := to.store.Serve(ctx, proto.CloneOf(request), func(response *protocol.Response) error {
+		answer = proto.CloneOf(response)
+		return nil
+	})
+	return answer, err
+}
+
+func (n *network) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
+	return nil, errors.New("stores are not streamed to")
+}
+
+// link is a store's link to the core, which the fleet plays itself.
+type link struct{ fleet *fleet }
+
+func (l *link) View() *corelink.View                     { return l.fleet.View() }
+func (l *link) Ready() bool                              { return true }
+func (l *link) LocateCore() *protocol.LocateCoreResponse { return &protocol.LocateCoreResponse{} }
+
+func (l *link) CallCore(_ context.Context, request *protocol.Request) (*protocol.Response, error) {
+	l.fleet.shardCopied(request.GetShardCopied())
+	return &protocol.Response{}, nil
+}
+
+// program drives one session through its turns.
+type program struct {
+	fleet    *fleet
+	name     string
+	epoch    uint64
+	turns    []string
+	requests int
+	// padding lengthens the text of each turn.
+	padding string
+}
+
+func (f *fleet) program(name string) *program {
+	GinkgoHelper()
+	p := &program{fleet: f, name: name}
+	p.claim("front-1", 1)
+	return p
+}
+
+func (p *program) claim(owner string, incarnation uint64) {
+	GinkgoHelper()
+	result := p.fleet.do(&protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ClaimSession{ClaimSession: &protocol.ClaimSession{
+		Session: p.name, Owner: owner, OwnerIncarnation: incarnation, Tenant: "tenant", Budget: 1_000_000,
+	}}})
+	Expect(result.GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
+	p.epoch = result.GetEpoch()
+}
+
+func (p *program) last() string {
+	if len(p.turns) == 0 {
+		return ""
+	}
+	return p.turns[len(p.turns)-1]
+}
+
+func (p *program) reserve() *protocol.LedgerOperation {
+	p.requests++
+	return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: &protocol.ReserveTurn{
+		RequestId: fmt.Sprintf("%s-r%d", p.name, p.requests), Session: p.name, Epoch: p.epoch, Ceiling: 10, PreviousTurn: p.last(),
+	}}}
+}
+
+func (p *program) settle() *protocol.LedgerOperation {
+	request := fmt.Sprintf("%s-r%d", p.name, p.requests)
+	return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: &protocol.SettleTurn{
+		RequestId: request, Session: p.name, Epoch: p.epoch, Tokens: 7, Turn: &protocol.Turn{
+			Id: "turn_" + request, Program: p.name, Session: p.name, RequestId: request, PreviousTurn: p.last(),
+			KeptAtMillis: p.fleet.clock.Now().UnixMilli(), Output: []*protocol.Item{{Role: "assistant", Text: request + p.padding}},
+		},
+	}}}
+}
+
+func (p *program) takeTurn() {
+	GinkgoHelper()
+	Expect(p.fleet.do(p.reserve()).GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
+	p.finishTurn()
+}
+
+func (p *program) finishTurn() {
+	GinkgoHelper()
+	operation := p.settle()
+	Expect(p.fleet.do(operation).GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
+	p.turns = append(p.turns, operation.GetSettleTurn().GetTurn().GetId())
+}
+
+func (p *program) readTurns(last string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReadTurns{ReadTurns: &protocol.ReadTurns{LastTurn: last}}}
+}
+
+// expectKept reads everything that was acknowledged.
+func (p *program) expectKept() {
+	GinkgoHelper()
+	record := p.fleet.do(&protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReadProgram{}})
+	Expect(record.GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
+	Expect(record.GetProgram().GetSettled()).To(BeNumerically(">=", 7*len(p.turns)))
+	history := p.fleet.do(p.readTurns(p.last()))
+	Expect(history.GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
+	Expect(history.GetTurns()).To(HaveLen(len(p.turns)))
+	for place, turn := range history.GetTurns() {
+		Expect(turn.GetId()).To(Equal(p.turns[len(p.turns)-1-place]))
+	}
+}
+
+var _ = BeforeEach(func() {
+	ignored := goleak.IgnoreCurrent()
+	DeferCleanup(func() { Eventually(func() error { return goleak.Find(ignored) }).Should(Succeed()) })
+})
--- /dev/null
+++ b/internal/store/follow.go
@@ -0,0 +1,67 @@
+package store
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/register"
+)
+
+// wait returns after the time has passed, or false when the store stops.
+func (s *Store) wait(duration time.Duration) bool {
+	return s.waitOr(duration, nil)
+}
+
+// waitOr is wait that ends early when it is poked.
+func (s *Store) waitOr(duration time.Duration, poke <-chan struct{}) bool {
+	passed := make(chan struct{})
+	stop := s.options.Clock.AfterFunc(duration, func() { close(passed) })
+	select {
+	case <-passed:
+		return true
+	case <-poke:
+		stop()
+		return true
+	case <-s.stopped:
+		stop()
+		return false
+	}
+}
+
+// followPlacement hands every new placement to the groups.
+func (s *Store) followPlacement() {
+	for {
+		if current, changed := s.watch.refresh(); changed {
+			s.options.Logger.Info("placement in force", "epoch", current.epoch)
+			for _, group := range s.groups {
+				group.mailbox.post(func() { group.applyPlacement(current) })
+			}
+			signal(s.copyPoke)
+		}
+		select {
+		case <-s.poke:
+		case <-s.stopped:
+			return
+		}
+	}
+}
+
+// applyPlacement brings the tables of the group's shards under a new placement.
+func (g *group) applyPlacement(current *topology) {
+	for _, view := range current.shards {
+		if g.store.group(view.Shard) != g {
+			continue
+		}
+		g.applyView(g.table(view.Shard), view)
+	}
+}
+
+func (g *group) applyView(table *shardTable, view register.ShardView) {
+	before := table.view
+	table.view = view
+	if view.Role == register.RoleActive {
+		table.copied = false
+	}
+	if view.StartsEmpty(before) && (view.Role != register.RoleNone || !table.isEmpty()) {
+		g.dropShard(table, func() {})
+	}
+}
--- /dev/null
+++ b/internal/store/group.go
@@ -0,0 +1,167 @@
+package store
+
+import (
+	"math/rand/v2"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// group owns the tables of some shards. All fields are used by its one
+// goroutine only; others post commands to its mailbox.
+type group struct {
+	store     *Store
+	mailbox   *mailbox
+	shards    map[uint32]*shardTable
+	unsynced  map[*entry]*unsynced
+	proposals map[registerKey]*proposal
+	ballots   *register.Ballots
+	random    *rand.Rand
+	// proposers holds one copy of each proposer's name, since every register names two.
+	proposers map[string]string
+	keeping   map[turnKey][]func()
+}
+
+func newGroup(store *Store, number int) *group {
+	return &group{
+		store:     store,
+		mailbox:   newMailbox(),
+		shards:    map[uint32]*shardTable{},
+		unsynced:  map[*entry]*unsynced{},
+		proposals: map[registerKey]*proposal{},
+		ballots:   register.NewBallots(store.proposerName),
+		random:    rand.New(rand.NewPCG(store.options.Seed, uint64(number))),
+		proposers: map[string]string{},
+		keeping:   map[turnKey][]func(){},
+	}
+}
+
+// ask runs a command on the group's goroutine and waits for what it returns. It
+// must not be called by that goroutine. The error is a *StoppedError.
+func ask[A any](g *group, command func() A) (A, error) {
+	answers := make(chan A, 1)
+	g.mailbox.post(func() { answers <- command() })
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-g.store.stopped:
+		var none A
+		return none, &StoppedError{}
+	}
+}
+
+// table gives the table of a shard, empty when this store holds nothing of it.
+func (g *group) table(shard uint32) *shardTable {
+	known := g.shards[shard]
+	if known == nil {
+		known = newShardTable(shard)
+		g.shards[shard] = known
+	}
+	return known
+}
+
+// restore takes one record of the log or snapshot at the start.
+func (g *group) restore(record *protocol.StoreRecord) {
+	table := g.table(record.GetShard())
+	switch body := record.GetBody().(type) {
+	case *protocol.StoreRecord_Register:
+		table.entry(keyOf(body.Register.GetKey())).state = g.intern(register.StateOf(body.Register))
+	case *protocol.StoreRecord_Drop:
+		clear(table.registers)
+	}
+}
+
+// intern shares the names of proposers among all registers.
+func (g *group) intern(state register.State) register.State {
+	state.Promised.Proposer = g.internName(state.Promised.Proposer)
+	state.Accepted.Proposer = g.internName(state.Accepted.Proposer)
+	return state
+}
+
+func (g *group) internName(name string) string {
+	known, found := g.proposers[name]
+	if !found {
+		g.proposers[name] = name
+		return name
+	}
+	return known
+}
+
+// copyRegisters gives the states of all registers for a snapshot.
+func (g *group) copyRegisters() []*protocol.StoreRecord {
+	var records []*protocol.StoreRecord
+	for shard, table := range g.shards {
+		for key, held := range table.registers {
+			records = append(records, registerRecord(shard, key, held.state))
+		}
+	}
+	return records
+}
+
+func registerRecord(shard uint32, key registerKey, state register.State) *protocol.StoreRecord {
+	return &protocol.StoreRecord{
+		Shard: shard,
+		Body:  &protocol.StoreRecord_Register{Register: state.Message(key.message())},
+	}
+}
+
+// put replaces the state of a register and calls done once it is durable.
+func (g *group) put(table *shardTable, key registerKey, held *entry, state register.State, done func()) {
+	held.state = g.intern(state)
+	pending := g.unsynced[held]
+	if pending == nil {
+		pending = &unsynced{}
+		g.unsynced[held] = pending
+	}
+	pending.writes++
+	pending.waiting = append(pending.waiting, done)
+	due := pending.released + len(pending.waiting)
+	g.appendRegister(registerRecord(table.view.Shard, key, held.state), func() {
+		g.synced(held, due)
+	})
+}
+
+// synced releases the answers that waited for a write of the register.
+func (g *group) synced(held *entry, due int) {
+	pending := g.unsynced[held]
+	pending.writes--
+	count := due - pending.released
+	ready := pending.waiting[:count]
+	if pending.writes == 0 {
+		ready = pending.waiting
+		delete(g.unsynced, held)
+	} else {
+		pending.waiting = pending.waiting[count:]
+		pending.released = due
+	}
+	for _, done := range ready {
+		done()
+	}
+}
+
+// whenDurable calls done once the state that is shown now is durable.
+func (g *group) whenDurable(held *entry, done func()) {
+	if pending := g.unsynced[held]; pending != nil {
+		pending.waiting = append(pending.waiting, done)
+		return
+	}
+	done()
+}
+
+// appendRegister writes a record to the register log and calls done on the
+// group's goroutine once it is durable. A failed log ends the store.
+func (g *group) appendRegister(record *protocol.StoreRecord, done func()) {
+	encoded, err := encodeRecord(record)
+	if err != nil {
+		g.store.fail(err)
+		return
+	}
+	g.store.registerCommits.AppendAsync([][]byte{encoded}, func(_ []storage.Position, err error) {
+		if err != nil {
+			g.store.fail(&LogError{Log: registerFolder, Cause: err})
+			return
+		}
+		g.mailbox.post(done)
+	})
+}
--- /dev/null
+++ b/internal/store/ledger.go
@@ -0,0 +1,136 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
+)
+
+// retryAfter is what callers are told when the store cannot serve them now.
+const retryAfter = 500 * time.Millisecond
+
+// serveLedger applies one operation as proposer.
+func (s *Store) serveLedger(ctx context.Context, message *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	if err := ledger.Validate(message); err != nil {
+		var invalid *ledger.InvalidOperationError
+		errors.As(err, &invalid)
+		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, invalid.Reason, failure.WithPath(invalid.Path))
+	}
+	shard := s.shardOf(message.GetProgram())
+	if shard.Epoch == 0 || shard.Epoch == message.GetPlacementEpoch() && !shard.Role.Votes() {
+		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "this store does not serve the shard now",
+			failure.WithRetryAfter(retryAfter))
+	}
+	if shard.Epoch != message.GetPlacementEpoch() {
+		return wrongPlacement(shard.Epoch), nil
+	}
+	if body, ok := message.GetBody().(*protocol.LedgerOperation_ReadTurns); ok {
+		return s.readTurns(ctx, shard, message.GetProgram(), body.ReadTurns)
+	}
+	return s.propose(ctx, shard, message)
+}
+
+func wrongPlacement(epoch uint64) *protocol.LedgerResult {
+	return &protocol.LedgerResult{
+		Status:         protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT,
+		PlacementEpoch: epoch,
+	}
+}
+
+// propose hands an operation to the owner of its shard and waits.
+func (s *Store) propose(ctx context.Context, shard register.ShardView, message *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	left := DefaultOperationTime
+	if ends, bounded := ctx.Deadline(); bounded {
+		left = time.Until(ends)
+	}
+	deadline := s.options.Clock.Now().Add(left)
+	answer := make(chan *protocol.LedgerResult, 1)
+	op := &operation{
+		message:  message,
+		deadline: deadline,
+		reply:    func(result *protocol.LedgerResult) { answer <- result },
+	}
+	g := s.group(shard.Shard)
+	g.mailbox.post(func() { g.begin(shard, op) })
+	select {
+	case result := <-answer:
+		s.metrics.results.WithLabelValues(result.GetStatus().String()).Inc()
+		return result, nil
+	case <-ctx.Done():
+		return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE), nil
+	case <-s.stopped:
+		return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE), nil
+	}
+}
+
+// begin starts an operation on the group's goroutine.
+func (g *group) begin(shard register.ShardView, op *operation) {
+	program := registerKey{program: op.message.GetProgram()}
+	switch body := op.message.GetBody().(type) {
+	case *protocol.LedgerOperation_SettleTurn:
+		g.keepOnMajority(shard, body.SettleTurn.GetTurn(), op.deadline, func(status protocol.LedgerStatus) {
+			switch status {
+			case protocol.LedgerStatus_LEDGER_OK:
+				g.propose(shard, program, op)
+			case protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT:
+				op.reply(wrongPlacement(g.store.shardView(shard.Shard).Epoch))
+			default:
+				op.reply(ledger.Answer(status))
+			}
+		})
+	case *protocol.LedgerOperation_BeginCall:
+		g.beginCall(shard, op, body.BeginCall)
+	default:
+		g.propose(shard, registerKey{program: op.message.GetProgram(), call: ledger.CallOf(op.message)}, op)
+	}
+}
+
+// beginCall writes the intent between two looks at the session's epoch. Only
+// the second one decides: it reads the program's register after the intent is
+// chosen, so an answer LEDGER_OK is ordered before every later claim, and an
+// owner that was fenced meanwhile never issues. The first one spares a request
+// whose owner is fenced already an intent that nobody would act on.
+func (g *group) beginCall(shard register.ShardView, op *operation, begin *protocol.BeginCall) {
+	g.checkEpoch(shard, op, begin, func() {
+		key := registerKey{program: op.message.GetProgram(), call: begin.GetRequestId()}
+		intent := &operation{message: op.message, deadline: op.deadline, reply: func(result *protocol.LedgerResult) {
+			if result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+				op.reply(result)
+				return
+			}
+			g.checkEpoch(shard, op, begin, func() { op.reply(result) })
+		}}
+		g.propose(shard, key, intent)
+	})
+}
+
+// checkEpoch reads the program's register from a majority and goes on when the
+// epoch of the call is in force; else it answers the refusal.
+func (g *group) checkEpoch(shard register.ShardView, op *operation, begin *protocol.BeginCall, inForce func()) {
+	read := &operation{
+		message: &protocol.LedgerOperation{
+			Program: op.message.GetProgram(),
+			Body:    &protocol.LedgerOperation_ReadProgram{ReadProgram: &protocol.ReadProgram{}},
+		},
+		deadline: op.deadline,
+		reply: func(result *protocol.LedgerResult) {
+			if result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+				op.reply(result)
+				return
+			}
+			check := ledger.CheckEpoch(result.GetProgram(), begin.GetSession(), begin.GetEpoch())
+			if check.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+				op.reply(check)
+				return
+			}
+			inForce()
+		},
+	}
+	g.propose(shard, registerKey{program: op.message.GetProgram()}, read)
+}
--- /dev/null
+++ b/internal/store/maintain.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/register"
+)
+
+// maintain writes snapshots, collects turns and keeps the gauges, once in a while.
+func (s *Store) maintain() {
+	collectAt := s.options.Clock.Now().Add(collectInterval)
+	for s.wait(maintenanceInterval) {
+		s.ViewChanged()
+		held := s.counts()
+		s.metrics.observe(held)
+		if err := s.saveSnapshots(held); err != nil {
+			s.failUnlessStopped(err)
+			return
+		}
+		now := s.options.Clock.Now()
+		if now.Before(collectAt) {
+			continue
+		}
+		collectAt = now.Add(collectInterval)
+		if err := s.collect(now); err != nil {
+			s.failUnlessStopped(err)
+			return
+		}
+	}
+}
+
+// saveSnapshots writes what a start would otherwise read from long logs.
+func (s *Store) saveSnapshots(held counts) error {
+	if s.folder.registers.Size() > max(snapshotSegments*s.options.segmentBytes(), snapshotGrowth*held.registerBytes) {
+		if err := s.saveRegisters(); err != nil {
+			return err
+		}
+		s.metrics.snapshots.Inc()
+	}
+	if s.folder.turns.End().Segment >= s.indexedSegment+turnIndexSegments {
+		return s.saveTurnIndex()
+	}
+	return nil
+}
+
+// failUnlessStopped ends the store unless the error only says that it stops already.
+func (s *Store) failUnlessStopped(err error) {
+	var stopped *StoppedError
+	if !errors.As(err, &stopped) {
+		s.fail(err)
+	}
+}
+
+// collect removes turns whose keeping time has ended, and log segments without any other.
+func (s *Store) collect(now time.Time) error {
+	first := s.turnSegments.firstNeeded(s.folder.turns.FirstSegment(), s.folder.turns.End().Segment, now)
+	for _, group := range s.groups {
+		if _, err := ask(group, func() bool { group.collectTurns(first, now); return true }); err != nil {
+			return err
+		}
+	}
+	if err := s.folder.turns.RemoveBefore(first); err != nil {
+		return &LogError{Log: turnFolder, Cause: err}
+	}
+	return nil
+}
+
+// counts is what a store holds.
+type counts struct {
+	registers, turns uint64
+	registerBytes    int64
+	active, copying  uint32
+	proposals        int
+}
+
+// counts sums up all groups; those of a store that stops are left out.
+func (s *Store) counts() counts {
+	var total counts
+	for _, group := range s.groups {
+		held, _ := ask(group, group.counts)
+		total.registers += held.registers
+		total.registerBytes += held.registerBytes
+		total.turns += held.turns
+		total.active += held.active
+		total.copying += held.copying
+		total.proposals += held.proposals
+	}
+	return total
+}
+
+func (g *group) counts() counts {
+	held := counts{proposals: len(g.proposals)}
+	for _, table := range g.shards {
+		held.registers += uint64(len(table.registers))
+		held.turns += uint64(len(table.turns))
+		for key, entry := range table.registers {
+			held.registerBytes += int64(len(entry.state.Value) + len(key.program) + len(key.call))
+		}
+		switch table.view.Role {
+		case register.RoleActive:
+			held.active++
+		case register.RoleRebuilding, register.RoleJoining:
+			held.copying++
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/internal/store/registers.go
@@ -0,0 +1,73 @@
+package store
+
+import (
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
+)
+
+// registerKey names one register; call is empty for the program's own.
+type registerKey struct {
+	program string
+	call    string
+}
+
+func keyOf(message *protocol.RegisterKey) registerKey {
+	return registerKey{program: message.GetProgram(), call: message.GetCall()}
+}
+
+func (k registerKey) message() *protocol.RegisterKey {
+	return &protocol.RegisterKey{Program: k.program, Call: k.call}
+}
+
+func (k registerKey) less(other registerKey) bool {
+	if k.program != other.program {
+		return k.program < other.program
+	}
+	return k.call < other.call
+}
+
+// entry is one register held by this replica.
+type entry struct {
+	state register.State
+	// headEpoch is the placement epoch under which this store's own change of
+	// the value was chosen last; zero when another store may have changed it since.
+	headEpoch uint64
+}
+
+// unsynced holds back the answers that show a state of a register which is not durable yet.
+type unsynced struct {
+	writes int
+	// waiting are called in order; released counts those that were called before them.
+	waiting  []func()
+	released int
+}
+
+// shardTable holds what this replica has of one shard.
+type shardTable struct {
+	view      register.ShardView
+	registers map[registerKey]*entry
+	turns     map[turnKey]turnEntry
+	// copied says that a joining or rebuilding replica holds everything and waits for the core to say so.
+	copied bool
+	// generation rises whenever the table is emptied, so that a copy under way is given up.
+	generation uint64
+}
+
+func newShardTable(shard uint32) *shardTable {
+	return &shardTable{
+		view:      register.ShardView{Shard: shard},
+		registers: map[registerKey]*entry{},
+		turns:     map[turnKey]turnEntry{},
+	}
+}
+
+func (t *shardTable) isEmpty() bool { return len(t.registers) == 0 && len(t.turns) == 0 }
+
+func (t *shardTable) entry(key registerKey) *entry {
+	known := t.registers[key]
+	if known == nil {
+		known = &entry{}
+		t.registers[key] = known
+	}
+	return known
+}
--- /dev/null
+++ b/internal/store/replica.go
@@ -0,0 +1,89 @@
+package store
+
+import (
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
+)
+
+const notRefused = protocol.ReplicaRefusal_REPLICA_REFUSAL_UNSPECIFIED
+
+// prepare answers a prepare request through reply, on the group's goroutine.
+func (g *group) prepare(request *protocol.PrepareRequest, reply func(*protocol.PrepareResponse)) {
+	table := g.table(request.GetShard())
+	if refusal := table.view.Refusal(request.GetPlacementEpoch()); refusal != notRefused {
+		reply(&protocol.PrepareResponse{Refusal: refusal, PlacementEpoch: table.view.Epoch})
+		return
+	}
+	key := keyOf(request.GetKey())
+	ballot := register.BallotOf(request.GetBallot())
+	held := table.registers[key]
+	if held == nil {
+		if ballot.IsZero() {
+			reply(&protocol.PrepareResponse{})
+			return
+		}
+		held = table.entry(key)
+	}
+	next, answer, changed := held.state.Prepare(ballot)
+	if !changed {
+		g.whenDurable(held, func() { reply(answer) })
+		return
+	}
+	g.put(table, key, held, next, func() { reply(answer) })
+}
+
+// accept answers an accept request through reply, on the group's goroutine.
+func (g *group) accept(request *protocol.AcceptRequest, reply func(*protocol.AcceptResponse)) {
+	table := g.table(request.GetShard())
+	if refusal := table.view.Refusal(request.GetPlacementEpoch()); refusal != notRefused {
+		reply(&protocol.AcceptResponse{Refusal: refusal, PlacementEpoch: table.view.Epoch})
+		return
+	}
+	key := keyOf(request.GetKey())
+	held := table.entry(key)
+	next, answer, changed := held.state.Accept(
+		register.BallotOf(request.GetBallot()), request.GetValue(), register.BallotOf(request.GetNextBallot()))
+	if !changed {
+		g.whenDurable(held, func() { reply(answer) })
+		return
+	}
+	g.put(table, key, held, next, func() { reply(answer) })
+}
+
+// learn takes over what another replica accepted.
+func (g *group) learn(shard uint32, states []*protocol.RegisterState, done func(learned int)) {
+	table := g.table(shard)
+	learned, left := 0, 1
+	release := func() {
+		if left--; left == 0 {
+			done(learned)
+		}
+	}
+	for _, message := range states {
+		state := register.StateOf(message)
+		if state.Accepted.IsZero() {
+			continue
+		}
+		key := keyOf(message.GetKey())
+		held := table.entry(key)
+		next, changed := held.state.Learn(state.Accepted, state.Value)
+		if changed {
+			learned++
+			left++
+			g.put(table, key, held, next, release)
+		}
+	}
+	release()
+}
+
+// dropShard forgets a shard durably, before the store may join it anew.
+func (g *group) dropShard(table *shardTable, done func()) {
+	table.registers = map[registerKey]*entry{}
+	table.turns = map[turnKey]turnEntry{}
+	table.copied = false
+	table.generation++
+	g.appendRegister(&protocol.StoreRecord{
+		Shard: table.view.Shard,
+		Body:  &protocol.StoreRecord_Drop{Drop: &protocol.DropShard{}},
+	}, done)
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,315 @@
+package store_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/store"
+)
+
+const (
+	ok          = protocol.LedgerStatus_LEDGER_OK
+	fenced      = protocol.LedgerStatus_LEDGER_FENCED
+	missing     = protocol.LedgerStatus_LEDGER_TURN_MISSING
+	unavailable = protocol.LedgerStatus_LEDGER_UNAVAILABLE
+	shortTime   = 300 * time.Millisecond
+)
+
+var _ = Describe("a fleet of stores", func() {
+	It("given turns settled, when every store loses power at once, then all that was acknowledged is there", func() {
+		f := newFleet("a", "b", "c")
+		programs := []*program{f.program("p1"), f.program("p2"), f.program("p3")}
+		for range 5 {
+			for _, p := range programs {
+				p.takeTurn()
+			}
+		}
+		for _, name := range f.names {
+			f.stopOne(name, true)
+		}
+		for _, name := range f.names {
+			f.restart(name)
+		}
+		for _, p := range programs {
+			p.expectKept()
+			p.takeTurn()
+		}
+	})
+
+	It("given long logs, then snapshots stand in for them, and a restart reads everything back", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		p.padding = strings.Repeat("x", 4000)
+		for range 100 {
+			p.takeTurn()
+		}
+		f.until(func() bool {
+			return hasSnapshot(f.members["a"].disk.Files("data/registers")) && hasSnapshot(f.members["a"].disk.Files("data/turns"))
+		})
+		for range 20 {
+			p.takeTurn()
+		}
+		for _, name := range f.names {
+			f.stopOne(name, true)
+		}
+		for _, name := range f.names {
+			f.restart(name)
+			f.until(func() bool { return f.members[name].store.Status().GetTurns() == 120 })
+		}
+		p.takeTurn()
+		record := f.do(&protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReadProgram{}}).GetProgram()
+		Expect(record.GetSettled()).To(BeEquivalentTo(7 * 121))
+	})
+
+	It("given one store down, then turns go on, and it catches up from what it reads", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		f.stopOne("a", true)
+		p.takeTurn()
+		p.takeTurn()
+		f.restart("a")
+		f.stopOne("b", false)
+		p.expectKept()
+		f.until(func() bool { return f.members["a"].store.Status().GetTurns() == 2 })
+		Expect(f.members["a"].store.Status().GetRepaired()).To(BeNumerically(">=", 2))
+	})
+
+	It("given a store that missed changes, when it scrubs, then it holds them without being asked", func() {
+		f := newFleet("a", "b", "c")
+		f.setCut("c", true)
+		for number := range 6 {
+			f.program(fmt.Sprintf("p%d", number)).takeTurn()
+		}
+		f.setCut("c", false)
+		Expect(f.members["c"].store.Status().GetTurns()).To(BeZero())
+		go f.members["c"].store.ScrubOnce()
+		f.until(func() bool {
+			status := f.members["c"].store.Status()
+			return status.GetTurns() == 6 && status.GetRegisters() == 6
+		})
+	})
+
+	It("given a lost disk, when it is rebuilt and a second disk is lost right after, then nothing is lost", func() {
+		f := newFleet("a", "b", "c")
+		var programs []*program
+		for number := range 8 {
+			p := f.program(fmt.Sprintf("p%d", number))
+			p.takeTurn()
+			p.takeTurn()
+			programs = append(programs, p)
+		}
+		for _, lost := range []string{"a", "b", "c", "a"} {
+			before := f.members[lost].self.GetStorageId()
+			f.loseDisk(lost)
+			Expect(f.members[lost].self.GetStorageId()).NotTo(Equal(before))
+			f.until(f.whole)
+			programs[0].takeTurn()
+		}
+		for _, p := range programs {
+			p.expectKept()
+		}
+	})
+
+	It("given an emptied store and one cut off, then it votes for nothing and answers unavailable, never missing", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		p.takeTurn()
+		f.setCut("b", true)
+		f.loseDisk("a")
+		f.until(f.inForce)
+		Expect(f.ask("c", shortTime, p.reserve()).GetStatus()).To(Equal(unavailable))
+		Expect(f.ask("c", shortTime, p.readTurns("turn_never")).GetStatus()).To(Equal(unavailable))
+		p.requests--
+		f.setCut("b", false)
+		f.until(f.whole)
+		p.takeTurn()
+		p.expectKept()
+	})
+
+	It("given a turn that nobody has, then it is missing only while a majority says so", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		p.takeTurn()
+		Expect(f.do(p.readTurns("turn_never")).GetStatus()).To(Equal(missing))
+		f.setCut("b", true)
+		Expect(f.ask("a", shortTime, p.readTurns("turn_never")).GetStatus()).To(Equal(missing))
+		f.setCut("c", true)
+		Expect(f.ask("a", shortTime, p.readTurns("turn_never")).GetStatus()).To(Equal(unavailable))
+	})
+
+	It("given writers, when every shard moves from one store to another, then no acknowledged turn is lost", func() {
+		f := newFleet("a", "b", "c", "d")
+		var programs []*program
+		for number := range 6 {
+			programs = append(programs, f.program(fmt.Sprintf("p%d", number)))
+		}
+		var ended atomic.Bool
+		var writers sync.WaitGroup
+		for _, p := range programs {
+			writers.Go(func() {
+				defer GinkgoRecover()
+				for !ended.Load() && len(p.turns) < 200 {
+					p.takeTurn()
+				}
+			})
+		}
+		for shard := range uint32(shardCount) {
+			f.move(shard, "a", "d")
+			f.until(f.whole)
+		}
+		ended.Store(true)
+		writers.Wait()
+		f.until(func() bool { return f.members["a"].store.Status().GetRegisters() == 0 })
+		f.stopOne("a", false)
+		f.stopOne("b", false)
+		f.restart("b")
+		for _, p := range programs {
+			p.expectKept()
+		}
+	})
+
+	It("given an operation planned under another placement, then it is refused with the epoch in force", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		shard := ledger.ShardOf("p", shardCount)
+		old := f.View().Placement.GetShards()[shard].GetEpoch()
+		f.loseDisk("c")
+		f.until(f.whole)
+		operation := p.reserve()
+		operation.PlacementEpoch = old
+		inForce := f.View().Placement.GetShards()[shard].GetEpoch()
+		f.until(func() bool {
+			response, err := (&network{fleet: f}).Call(GinkgoT().Context(), "a", &protocol.Request{Body: &protocol.Request_Ledger{Ledger: operation}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.GetLedger().GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT))
+			return response.GetLedger().GetPlacementEpoch() == inForce
+		})
+	})
+
+	It("given a failed sync, then the store stops and nothing is acknowledged by it", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		f.setCut("b", true)
+		f.members["a"].disk.FailSyncs(0, 1000)
+		Expect(f.ask("a", shortTime, p.reserve()).GetStatus()).To(Equal(unavailable))
+		f.until(func() bool { return len(f.members["a"].failure) == 1 })
+	})
+
+	It("given turns past their keeping time, when they are collected, then their segments go and they are missing", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		for range 400 {
+			p.takeTurn()
+		}
+		files := len(f.members["a"].disk.Files("data/turns"))
+		Expect(files).To(BeNumerically(">", 2))
+		f.clock.advance(ledger.KeepingTime + 10*time.Minute)
+		f.until(func() bool { return len(f.members["a"].disk.Files("data/turns")) == 1 })
+		f.until(func() bool { return f.do(p.readTurns(p.last())).GetStatus() == missing })
+	})
+})
+
+var _ = Describe("a call that may not be repeated", func() {
+	begin := func(p *program, attempt string) *protocol.LedgerOperation {
+		return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_BeginCall{BeginCall: &protocol.BeginCall{
+			RequestId: "call-1", Session: p.name, Epoch: p.epoch, Attempt: attempt, Tool: "valve",
+		}}}
+	}
+
+	It("given an intent, then no other attempt may issue the call and its outcome answers repeats", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		Expect(f.do(begin(p, "one")).GetStatus()).To(Equal(ok))
+		Expect(f.do(begin(p, "two")).GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_CALL_UNDER_WAY))
+		Expect(f.do(&protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_FinishCall{
+			FinishCall: &protocol.FinishCall{RequestId: "call-1", Attempt: "one", Status: 201},
+		}}).GetStatus()).To(Equal(ok))
+		repeated := f.do(begin(p, "two"))
+		Expect(repeated.GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED))
+		Expect(repeated.GetCall().GetStatus()).To(BeEquivalentTo(201))
+	})
+
+	It("given a new owner, then the old owner's call is fenced and leaves no intent", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		late := begin(p, "old")
+		p.claim("front-2", 1)
+		Expect(f.do(late).GetStatus()).To(Equal(fenced))
+		Expect(f.do(begin(p, "new")).GetStatus()).To(Equal(ok))
+	})
+
+	It("given a claim that lands while the old owner's intent is written, then the old owner may not issue", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		var once sync.Once
+		var claimed protocol.LedgerStatus
+		f.mutex.Lock()
+		f.intercept = func(_ string, request *protocol.Request) {
+			if request.GetAccept().GetKey().GetCall() == "" {
+				return
+			}
+			once.Do(func() {
+				response, err := (&network{fleet: f}).Call(GinkgoT().Context(), "b", &protocol.Request{Body: &protocol.Request_Ledger{
+					Ledger: &protocol.LedgerOperation{
+						Program: p.name, PlacementEpoch: f.View().Placement.GetShards()[ledger.ShardOf(p.name, shardCount)].GetEpoch(),
+						Body: &protocol.LedgerOperation_ClaimSession{ClaimSession: &protocol.ClaimSession{
+							Session: p.name, Owner: "front-2", OwnerIncarnation: 1,
+						}},
+					},
+				}})
+				if err == nil {
+					claimed = response.GetLedger().GetStatus()
+				}
+			})
+		}
+		f.mutex.Unlock()
+		f.setCut("c", true)
+		Expect(f.ask("a", patience, begin(p, "old")).GetStatus()).To(Equal(fenced))
+		Expect(claimed).To(Equal(ok))
+	})
+})
+
+var _ = Describe("the data folder of a store", func() {
+	It("given a damaged record, then the store begins anew under another storage id", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		for range 100 {
+			p.takeTurn()
+		}
+		before := f.members["a"].self.GetStorageId()
+		f.stopOne("a", false)
+		segments := f.members["a"].disk.Files("data/registers")
+		Expect(f.members["a"].disk.Damage(segments[0], 200, 0xff)).To(BeTrue())
+		folder, err := store.OpenFolder(f.members["a"].disk, "data", segmentBytes)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(folder.Lost).To(HaveOccurred())
+		Expect(folder.StorageID).NotTo(Equal(before))
+		Expect(folder.Close()).To(Succeed())
+	})
+
+	It("given logs that are gone although the identity is there, then the store begins anew under another storage id", func() {
+		f := newFleet("a", "b", "c")
+		before := f.members["a"].self.GetStorageId()
+		f.stopOne("a", false)
+		for _, file := range f.members["a"].disk.Files("data/registers") {
+			Expect(f.members["a"].disk.Remove(file)).To(Succeed())
+		}
+		folder, err := store.OpenFolder(f.members["a"].disk, "data", segmentBytes)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(folder.StorageID).NotTo(Equal(before))
+		Expect(folder.Close()).To(Succeed())
+	})
+})
+
+func hasSnapshot(files []string) bool {
+	return slices.ContainsFunc(files, func(file string) bool { return strings.HasSuffix(file, ".snapshot") })
+}
--- /dev/null
+++ b/internal/store/storebench/bench.go
@@ -0,0 +1,225 @@
+package storebench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// turnsOfProgram is how many turns a program has before the next one begins.
+	turnsOfProgram  = 20
+	longestMicros   = int64(60 * time.Second / time.Microsecond)
+	histogramDigits = 3
+	turnCeiling     = 1000
+
+	inFlightByDefault  = 128
+	turnBytesByDefault = 2000
+)
+
+// Options describe one measurement.
+type Options struct {
+	// Folder holds the data; a temporary folder of the system when empty.
+	Folder string
+	// InFlight is the number of programs with an operation under way at any time.
+	InFlight int
+	// Warmup is not counted; Duration is.
+	Warmup, Duration time.Duration
+	// TurnBytes is the size of the text of each kept turn.
+	TurnBytes int
+	// Empty moves all shards of one store to a fourth one during the measurement.
+	Empty bool
+}
+
+func (o *Options) fill() {
+	if o.InFlight <= 0 {
+		o.InFlight = inFlightByDefault
+	}
+	if o.Warmup <= 0 {
+		o.Warmup = time.Second
+	}
+	if o.Duration <= 0 {
+		o.Duration = 5 * time.Second
+	}
+	if o.TurnBytes <= 0 {
+		o.TurnBytes = turnBytesByDefault
+	}
+}
+
+// Result is what a measurement found. A reserve and a settle are one register change each.
+type Result struct {
+	Changes          int64
+	ChangesPerSecond float64
+	// Latency of one change as its caller sees it.
+	Median, P99, Longest time.Duration
+	ReserveP99           time.Duration
+	SettleP99            time.Duration
+	// Failed counts operations that did not answer LEDGER_OK.
+	Failed int64
+	// MovedShards is how many shards were moved while measuring.
+	MovedShards int
+}
+
+func (r *Result) String() string {
+	return fmt.Sprintf("%.0f changes/s, p50 %v, p99 %v (reserve %v, settle %v), longest %v, failed %d, moved shards %d",
+		r.ChangesPerSecond, r.Median, r.P99, r.ReserveP99, r.SettleP99, r.Longest, r.Failed, r.MovedShards)
+}
+
+// Run measures changes of program registers on three stores.
+func Run(ctx context.Context, options Options) (*Result, error) {
+	options.fill()
+	folder, err := os.MkdirTemp(options.Folder, "storebench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make data folder")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	stores := replicaCount
+	if options.Empty {
+		stores++
+	}
+	f, err := startFleet(folder, stores)
+	if err != nil {
+		return nil, err
+	}
+	result := measure(ctx, f, options)
+	return result, f.stop()
+}
+
+// recorder collects what one caller measured.
+type recorder struct {
+	reserve, settle *hdrhistogram.Histogram
+	failed          int64
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		reserve: hdrhistogram.New(1, longestMicros, histogramDigits),
+		settle:  hdrhistogram.New(1, longestMicros, histogramDigits),
+	}
+}
+
+func measure(ctx context.Context, f *fleet, options Options) *Result {
+	begins := time.Now().Add(options.Warmup)
+	ends := begins.Add(options.Duration)
+	recorders := make([]*recorder, options.InFlight)
+	var callers sync.WaitGroup
+	for number := range options.InFlight {
+		recorders[number] = newRecorder()
+		caller := &caller{
+			fleet: f, recorder: recorders[number], number: number, begins: begins,
+			text: strings.Repeat("x", options.TurnBytes), turns: turnsOfProgram,
+		}
+		callers.Go(func() { caller.run(ctx, ends) })
+	}
+	moved := 0
+	if options.Empty {
+		moved = f.emptyFirst(ctx, begins, ends)
+	}
+	callers.Wait()
+	return summarize(recorders, options.Duration, moved)
+}
+
+// emptyFirst moves every shard of the first store to the last one, one after the other.
+func (f *fleet) emptyFirst(ctx context.Context, begins, ends time.Time) int {
+	time.Sleep(time.Until(begins))
+	moved := 0
+	for shard := range uint32(shardCount) {
+		f.core.moveShard(shard, f.stores[0].self.GetName(), f.stores[len(f.stores)-1].self)
+		for f.core.moving() > 0 {
+			if ctx.Err() != nil || time.Now().After(ends) {
+				return moved
+			}
+			time.Sleep(time.Millisecond)
+		}
+		moved++
+	}
+	return moved
+}
+
+func summarize(recorders []*recorder, duration time.Duration, moved int) *Result {
+	total, reserve, settle := newRecorder().reserve, newRecorder().reserve, newRecorder().settle
+	result := &Result{MovedShards: moved}
+	for _, each := range recorders {
+		reserve.Merge(each.reserve)
+		settle.Merge(each.settle)
+		result.Failed += each.failed
+	}
+	total.Merge(reserve)
+	total.Merge(settle)
+	micros := func(value int64) time.Duration { return time.Duration(value) * time.Microsecond }
+	result.Changes = total.TotalCount()
+	result.ChangesPerSecond = float64(result.Changes) / duration.Seconds()
+	result.Median = micros(total.ValueAtQuantile(50))
+	result.P99 = micros(total.ValueAtQuantile(99))
+	result.Longest = micros(total.Max())
+	result.ReserveP99 = micros(reserve.ValueAtQuantile(99))
+	result.SettleP99 = micros(settle.ValueAtQuantile(99))
+	return result
+}
+
+// caller drives one program after the other, one operation at a time.
+type caller struct {
+	fleet    *fleet
+	recorder *recorder
+	number   int
+	begins   time.Time
+	text     string
+	programs int
+	turns    int
+}
+
+func (c *caller) run(ctx context.Context, ends time.Time) {
+	for time.Now().Before(ends) && ctx.Err() == nil {
+		c.programs++
+		c.runProgram(ctx, fmt.Sprintf("program-%d-%d", c.number, c.programs), ends)
+	}
+}
+
+func (c *caller) runProgram(ctx context.Context, program string, ends time.Time) {
+	session := program + "-session"
+	claimed := c.do(ctx, nil, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_ClaimSession{
+		ClaimSession: &protocol.ClaimSession{
+			Session: session, Owner: "front", OwnerIncarnation: 1, Tenant: "bench", Budget: turnCeiling * uint64(c.turns),
+		},
+	}})
+	previous := ""
+	for turn := 0; turn < c.turns && time.Now().Before(ends); turn++ {
+		request := fmt.Sprintf("%s-request-%d", program, turn)
+		c.do(ctx, c.recorder.reserve, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_ReserveTurn{
+			ReserveTurn: &protocol.ReserveTurn{
+				RequestId: request, Session: session, Epoch: claimed.GetEpoch(), Ceiling: turnCeiling, PreviousTurn: previous,
+			},
+		}})
+		kept := &protocol.Turn{
+			Id: "turn_" + request, Program: program, Session: session, PreviousTurn: previous, RequestId: request,
+			Output:       []*protocol.Item{{Role: "assistant", Text: c.text}},
+			KeptAtMillis: time.Now().UnixMilli(),
+		}
+		c.do(ctx, c.recorder.settle, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_SettleTurn{
+			SettleTurn: &protocol.SettleTurn{
+				RequestId: request, Session: session, Epoch: claimed.GetEpoch(), Tokens: turnCeiling / 2, Turn: kept,
+			},
+		}})
+		previous = kept.GetId()
+	}
+}
+
+// do makes one operation and records it when it began after the warm-up.
+func (c *caller) do(ctx context.Context, into *hdrhistogram.Histogram, operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	began := time.Now()
+	result, err := c.fleet.client.Do(ctx, operation)
+	if err != nil || result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+		c.recorder.failed++
+	} else if into != nil && began.After(c.begins) {
+		_ = into.RecordValue(min(max(time.Since(began).Microseconds(), 1), longestMicros))
+	}
+	return result
+}
--- /dev/null
+++ b/internal/store/storebench/bench_test.go
@@ -0,0 +1,47 @@
+package storebench_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/store/storebench"
+)
+
+// BenchmarkLedger reports register changes on three stores with real syncs.
+func BenchmarkLedger(b *testing.B) {
+	for b.Loop() {
+		result, err := storebench.Run(b.Context(), storebench.Options{Folder: b.TempDir(), Duration: 5 * time.Second})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Log(result)
+		b.ReportMetric(result.ChangesPerSecond, "changes/s")
+		b.ReportMetric(float64(result.P99.Microseconds())/1000, "p99-ms")
+	}
+}
+
+// BenchmarkLedgerWhileEmptying measures the same while every shard of one store moves to another.
+func BenchmarkLedgerWhileEmptying(b *testing.B) {
+	for b.Loop() {
+		result, err := storebench.Run(b.Context(), storebench.Options{Folder: b.TempDir(), Duration: 10 * time.Second, Empty: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Log(result)
+		b.ReportMetric(result.ChangesPerSecond, "changes/s")
+		b.ReportMetric(float64(result.P99.Microseconds())/1000, "p99-ms")
+		b.ReportMetric(float64(result.MovedShards), "moved-shards")
+	}
+}
+
+// BenchmarkMemory reports the heap of one replica of a long program.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		memory, err := storebench.MeasureMemory(b.Context(), b.TempDir(), 500, 55)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Log(memory)
+		b.ReportMetric(memory.BytesOfProgram, "bytes/program")
+	}
+}
--- /dev/null
+++ b/internal/store/storebench/fleet.go
@@ -0,0 +1,185 @@
+// Package storebench measures the program ledger: three stores in one process,
+// over real TCP on 127.0.0.1 and real synced files, with only the core faked.
+package storebench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/ledgerclient"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+	"github.com/rosestand/rosestand/internal/store"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// shardCount is the number of shards of a cluster by default.
+const shardCount = 64
+
+// replicaCount is the number of replicas of a shard by default.
+const replicaCount = 3
+
+var clusterKey = []byte("storebench cluster key")
+
+// fleet is some stores with a fixed core in front of them.
+type fleet struct {
+	core   *fixedCore
+	stores []*node
+	pool   *wire.Pool
+	client *ledgerclient.Client
+}
+
+// node is one store with its listener and its connections.
+type node struct {
+	self     *protocol.Node
+	store    *store.Store
+	server   *wire.Server
+	pool     *wire.Pool
+	registry *prometheus.Registry
+}
+
+// startFleet starts stores with data folders under folder. The first
+// replicaCount of them hold all shards.
+func startFleet(folder string, stores int) (*fleet, error) {
+	f := &fleet{core: &fixedCore{}, pool: wire.NewPool(wire.PoolOptions{Key: clusterKey, Node: "bench"})}
+	f.core.view.Store(&corelink.View{})
+	for number := range stores {
+		started, err := f.startNode(folder, number)
+		if err != nil {
+			return nil, errors.CombineErrors(err, f.stop())
+		}
+		f.stores = append(f.stores, started)
+	}
+	f.core.begin(f.nodes())
+	for _, started := range f.stores {
+		f.core.subscribe(started.store.ViewChanged)
+	}
+	f.client = ledgerclient.New(f.pool, f.core.View, ledgerclient.Options{})
+	return f, nil
+}
+
+func (f *fleet) startNode(folder string, number int) (*node, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	name := fmt.Sprintf("store-%d", number+1)
+	opened, err := store.OpenFolder(storage.OSFilesystem{}, filepath.Join(folder, name), store.DefaultSegmentBytes)
+	if err != nil {
+		return nil, errors.CombineErrors(err, listener.Close())
+	}
+	made := &node{
+		self:     &protocol.Node{Name: name, Kind: protocol.NodeKind_STORE, Incarnation: 1, Address: listener.Addr().String()},
+		pool:     wire.NewPool(wire.PoolOptions{Key: clusterKey, Node: name}),
+		registry: prometheus.NewRegistry(),
+	}
+	made.store, err = store.New(store.Options{
+		Self:       made.self,
+		Caller:     made.pool,
+		Core:       f.core,
+		Logger:     log.New(io.Discard),
+		Registerer: made.registry,
+		Seed:       uint64(number),
+	}, opened)
+	if err != nil {
+		return nil, errors.CombineErrors(err, listener.Close())
+	}
+	made.server = wire.NewServer(listener, made.store, wire.ServerOptions{Key: clusterKey})
+	made.store.Start()
+	made.server.Start()
+	return made, nil
+}
+
+func (f *fleet) nodes() []*protocol.Node {
+	var nodes []*protocol.Node
+	for _, started := range f.stores {
+		nodes = append(nodes, started.self)
+	}
+	return nodes
+}
+
+func (f *fleet) stop() error {
+	f.pool.Close()
+	var err error
+	for _, started := range f.stores {
+		started.server.Close()
+		err = errors.CombineErrors(err, started.store.Stop())
+		started.pool.Close()
+	}
+	return err
+}
+
+// fixedCore grants every lease and holds the placement in memory. It takes the
+// steps of a move that a core would take.
+type fixedCore struct {
+	view atomic.Pointer[corelink.View]
+
+	mutex       sync.Mutex
+	subscribers []func()
+	epoch       uint64
+}
+
+func (c *fixedCore) View() *corelink.View { return c.view.Load() }
+
+func (c *fixedCore) Ready() bool { return true }
+
+func (c *fixedCore) LocateCore() *protocol.LocateCoreResponse { return &protocol.LocateCoreResponse{} }
+
+// CallCore takes the report of a copied shard.
+func (c *fixedCore) CallCore(_ context.Context, request *protocol.Request) (*protocol.Response, error) {
+	if copied := request.GetShardCopied(); copied != nil {
+		c.shardCopied(copied)
+	}
+	return &protocol.Response{Body: &protocol.Response_ShardCopied{ShardCopied: &protocol.ShardCopiedResponse{}}}, nil
+}
+
+func (c *fixedCore) subscribe(changed func()) {
+	c.mutex.Lock()
+	c.subscribers = append(c.subscribers, changed)
+	c.mutex.Unlock()
+	changed()
+}
+
+func (c *fixedCore) begin(nodes []*protocol.Node) {
+	placement := &protocol.Placement{}
+	for shard := range uint32(shardCount) {
+		placed := &protocol.ShardPlacement{Shard: shard}
+		for place := range replicaCount {
+			held := nodes[(int(shard)+place)%replicaCount]
+			placed.Current = append(placed.Current, &protocol.Replica{
+				Store: held.GetName(), StorageId: held.GetStorageId(), State: protocol.ReplicaState_REPLICA_ACTIVE,
+			})
+		}
+		placement.Shards = append(placement.Shards, placed)
+	}
+	c.publish(&corelink.View{
+		Membership: &protocol.MembershipView{Version: 1, Nodes: nodes},
+		Placement:  placement,
+	}, placement.GetShards())
+}
+
+// publish puts a view in force under the next epoch, which is that of the shards that changed.
+func (c *fixedCore) publish(view *corelink.View, changed []*protocol.ShardPlacement) {
+	c.mutex.Lock()
+	c.epoch++
+	view.Placement.Epoch = c.epoch
+	for _, shard := range changed {
+		shard.Epoch = c.epoch
+	}
+	subscribers := append([]func(){}, c.subscribers...)
+	c.view.Store(view)
+	c.mutex.Unlock()
+	for _, notify := range subscribers {
+		notify()
+	}
+}
--- /dev/null
+++ b/internal/store/storebench/memory.go
@@ -0,0 +1,100 @@
+package storebench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Memory is what programs under way take in a store.
+type Memory struct {
+	Programs, Turns int
+	// BytesOfProgram is the heap that one replica of a program takes in one
+	// store, with its register and the index entries of its turns.
+	BytesOfProgram float64
+}
+
+func (m *Memory) String() string {
+	return fmt.Sprintf("%.0f bytes a program of %d turns in each of its %d replicas (%d programs)",
+		m.BytesOfProgram, m.Turns, replicaCount, m.Programs)
+}
+
+// MeasureMemory runs programs of so many turns and compares the heap before and after.
+func MeasureMemory(ctx context.Context, folder string, programs, turns int) (*Memory, error) {
+	data, err := os.MkdirTemp(folder, "storebench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make data folder")
+	}
+	defer func() { _ = os.RemoveAll(data) }()
+	f, err := startFleet(data, replicaCount)
+	if err != nil {
+		return nil, err
+	}
+	// The first programs fill the buffers that stay, so that the second half gives the slope.
+	failed := f.runPrograms(ctx, "first", programs, turns)
+	before := heapBytes()
+	failed += f.runPrograms(ctx, "measured", programs, turns)
+	after := heapBytes()
+	if err := f.stop(); err != nil {
+		return nil, err
+	}
+	if failed > 0 {
+		return nil, &FailedOperationsError{Count: failed}
+	}
+	return &Memory{
+		Programs:       programs,
+		Turns:          turns,
+		BytesOfProgram: float64(after-before) / float64(programs*replicaCount),
+	}, nil
+}
+
+// FailedOperationsError says that operations of a measurement were not answered with LEDGER_OK.
+type FailedOperationsError struct {
+	Count int64
+}
+
+func (e *FailedOperationsError) Error() string { return fmt.Sprintf("%d operations failed", e.Count) }
+
+// runPrograms runs programs to their last turn and gives the number of failed operations.
+func (f *fleet) runPrograms(ctx context.Context, prefix string, programs, turns int) int64 {
+	numbers := make(chan int)
+	go func() {
+		defer close(numbers)
+		for number := range programs {
+			numbers <- number
+		}
+	}()
+	var callers sync.WaitGroup
+	recorders := make([]*recorder, inFlightByDefault)
+	for number := range recorders {
+		recorders[number] = newRecorder()
+		caller := &caller{
+			fleet: f, recorder: recorders[number], begins: time.Now(), text: strings.Repeat("x", turnBytesByDefault), turns: turns,
+		}
+		callers.Go(func() {
+			for program := range numbers {
+				caller.runProgram(ctx, fmt.Sprintf("%s-%d", prefix, program), time.Now().Add(time.Hour))
+			}
+		})
+	}
+	callers.Wait()
+	var failed int64
+	for _, each := range recorders {
+		failed += each.failed
+	}
+	return failed
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/internal/store/turnindex.go
@@ -0,0 +1,159 @@
+package store
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// turnKey is a 128-bit hash of program and turn id; the record on disk has both in full.
+type turnKey struct {
+	high, low uint64
+}
+
+func turnKeyOf(program, id string) turnKey {
+	joined := make([]byte, 0, len(program)+len(id)+2)
+	joined = append(joined, program...)
+	joined = append(joined, 0)
+	joined = append(joined, id...)
+	high := xxhash.Sum64(joined)
+	return turnKey{high: high, low: xxhash.Sum64(append(joined, 1))}
+}
+
+func (k turnKey) less(other turnKey) bool {
+	if k.high != other.high {
+		return k.high < other.high
+	}
+	return k.low < other.low
+}
+
+// turnEntry says where a turn lies in the log, in few bytes since there are millions.
+type turnEntry struct {
+	segment uint32
+	offset  uint32
+	// keepUntil is in Unix seconds, rounded up.
+	keepUntil uint32
+}
+
+func (e turnEntry) position() storage.Position {
+	return storage.Position{Segment: uint64(e.segment), Offset: int64(e.offset)}
+}
+
+func (e turnEntry) expired(now time.Time) bool {
+	return int64(e.keepUntil) < now.Add(-expirySlack).Unix()
+}
+
+// keepUntil gives the end of a turn's keeping time in Unix seconds.
+func keepUntil(turn *protocol.Turn) uint32 {
+	millis := turn.GetKeepUntilMillis()
+	if millis == 0 {
+		millis = turn.GetKeptAtMillis() + ledger.KeepingTime.Milliseconds()
+	}
+	return uint32(min((millis+999)/1000, int64(^uint32(0))))
+}
+
+// segmentExpiry remembers for each segment of the turn log when its last turn ends.
+type segmentExpiry struct {
+	mutex sync.Mutex
+	ends  map[uint64]uint32
+}
+
+func (s *segmentExpiry) note(entry turnEntry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ends == nil {
+		s.ends = map[uint64]uint32{}
+	}
+	s.ends[uint64(entry.segment)] = max(s.ends[uint64(entry.segment)], entry.keepUntil)
+}
+
+// firstNeeded gives the oldest segment from first on, below newest, that holds a turn still kept.
+func (s *segmentExpiry) firstNeeded(first, newest uint64, now time.Time) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for ; first < newest; first++ {
+		if ends := s.ends[first]; ends != 0 && !(turnEntry{keepUntil: ends}).expired(now) {
+			break
+		}
+		delete(s.ends, first)
+	}
+	return first
+}
+
+// loadTurns rebuilds the index from its copy on disk and the log after it.
+func (s *Store) loadTurns() error {
+	segment, err := s.loadTurnIndex()
+	if err != nil {
+		return err
+	}
+	return s.folder.turns.Replay(storage.Position{Segment: segment}, func(position storage.Position, encoded []byte) error {
+		record, err := decodeRecord(encoded)
+		if err == nil {
+			turn := record.GetTurn()
+			s.restoreTurn(record.GetShard(), turnKeyOf(turn.GetProgram(), turn.GetId()), turnEntryAt(position, turn))
+		}
+		return err
+	})
+}
+
+func turnEntryAt(position storage.Position, turn *protocol.Turn) turnEntry {
+	return turnEntry{
+		segment:   uint32(position.Segment),
+		offset:    uint32(position.Offset),
+		keepUntil: keepUntil(turn),
+	}
+}
+
+// keepTurn writes a turn and calls done on the group's goroutine once it is
+// durable here. A turn that is kept already is not written again.
+func (g *group) keepTurn(shard uint32, turn *protocol.Turn, done func()) {
+	table := g.table(shard)
+	key := turnKeyOf(turn.GetProgram(), turn.GetId())
+	if _, kept := table.turns[key]; kept {
+		done()
+		return
+	}
+	if _, underWay := g.keeping[key]; underWay {
+		g.keeping[key] = append(g.keeping[key], done)
+		return
+	}
+	encoded, err := encodeRecord(&protocol.StoreRecord{Shard: shard, Body: &protocol.StoreRecord_Turn{Turn: turn}})
+	if err != nil {
+		g.store.fail(err)
+		return
+	}
+	g.keeping[key] = []func(){done}
+	g.store.turnCommits.AppendAsync([][]byte{encoded}, func(positions []storage.Position, err error) {
+		if err != nil {
+			g.store.fail(&LogError{Log: turnFolder, Cause: err})
+			return
+		}
+		g.mailbox.post(func() { g.turnKept(table, key, turnEntryAt(positions[0], turn)) })
+	})
+}
+
+func (g *group) turnKept(table *shardTable, key turnKey, entry turnEntry) {
+	table.turns[key] = entry
+	g.store.turnSegments.note(entry)
+	waiting := g.keeping[key]
+	delete(g.keeping, key)
+	for _, done := range waiting {
+		done()
+	}
+}
+
+// collectTurns drops the entries of segments before first, and expired ones.
+func (g *group) collectTurns(first uint64, now time.Time) {
+	for _, table := range g.shards {
+		for key, entry := range table.turns {
+			if uint64(entry.segment) < first || entry.expired(now) {
+				delete(table.turns, key)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/turnsnapshot.go
@@ -0,0 +1,126 @@
+package store
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// turnIndexSegments is how many segments of turns a start may have to read
+// before the index is written beside the log anew.
+const turnIndexSegments = 16
+
+// indexRecordBytes is the size of one entry of the turn index on disk: shard,
+// key, segment, offset and end of the keeping time, big-endian.
+const indexRecordBytes = 4 + 16 + 12
+
+// saveTurnIndex writes the places of all turns, so that a start need not read the turns themselves.
+func (s *Store) saveTurnIndex() error {
+	segment, err := s.folder.turns.Rotate()
+	if err != nil {
+		return &LogError{Log: turnFolder, Cause: err}
+	}
+	if err := storage.SaveSnapshot(s.folder.filesystem, s.folder.turnPath(), segment, s.writeTurnIndex); err != nil {
+		return &LogError{Log: turnFolder, Cause: err}
+	}
+	s.indexedSegment = segment
+	err = storage.RemoveSnapshotsBefore(s.folder.filesystem, s.folder.turnPath(), segment)
+	return errors.Wrap(err, "remove old turn index")
+}
+
+// writeTurnIndex asks for one shard at a time, so that no owner is held up for long.
+func (s *Store) writeTurnIndex(writer io.Writer) error {
+	for _, group := range s.groups {
+		shards, err := ask(group, group.shardNumbers)
+		if err != nil {
+			return err
+		}
+		for _, shard := range shards {
+			encoded, err := ask(group, func() []byte { return group.table(shard).encodeIndex() })
+			if err != nil {
+				return err
+			}
+			if _, err := writer.Write(encoded); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (g *group) shardNumbers() []uint32 {
+	var shards []uint32
+	for shard := range g.shards {
+		shards = append(shards, shard)
+	}
+	return shards
+}
+
+func (t *shardTable) encodeIndex() []byte {
+	encoded := make([]byte, 0, len(t.turns)*indexRecordBytes)
+	for key, entry := range t.turns {
+		encoded = binary.BigEndian.AppendUint32(encoded, t.view.Shard)
+		encoded = binary.BigEndian.AppendUint64(encoded, key.high)
+		encoded = binary.BigEndian.AppendUint64(encoded, key.low)
+		encoded = binary.BigEndian.AppendUint32(encoded, entry.segment)
+		encoded = binary.BigEndian.AppendUint32(encoded, entry.offset)
+		encoded = binary.BigEndian.AppendUint32(encoded, entry.keepUntil)
+	}
+	return encoded
+}
+
+// loadTurnIndex reads the newest index and returns the first segment that it does
+// not cover. A damaged index is no loss: the log itself has everything.
+func (s *Store) loadTurnIndex() (segment uint64, err error) {
+	segment, found, err := storage.LoadNewestSnapshot(s.folder.filesystem, s.folder.turnPath(), s.readTurnIndex)
+	var corrupt *storage.CorruptError
+	if errors.As(err, &corrupt) || err == nil && !found {
+		s.forgetTurns()
+		return 0, nil
+	}
+	s.indexedSegment = segment
+	return segment, err
+}
+
+func (s *Store) forgetTurns() {
+	for _, group := range s.groups {
+		for _, table := range group.shards {
+			table.turns = map[turnKey]turnEntry{}
+		}
+	}
+}
+
+func (s *Store) readTurnIndex(_ uint64, content io.Reader) error {
+	reader := bufio.NewReader(content)
+	first := s.folder.turns.FirstSegment()
+	var record [indexRecordBytes]byte
+	for {
+		if _, err := io.ReadFull(reader, record[:]); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return &RecordError{Cause: err}
+		}
+		shard := binary.BigEndian.Uint32(record[:])
+		key := turnKey{high: binary.BigEndian.Uint64(record[4:]), low: binary.BigEndian.Uint64(record[12:])}
+		entry := turnEntry{
+			segment:   binary.BigEndian.Uint32(record[20:]),
+			offset:    binary.BigEndian.Uint32(record[24:]),
+			keepUntil: binary.BigEndian.Uint32(record[28:]),
+		}
+		if uint64(entry.segment) >= first {
+			s.restoreTurn(shard, key, entry)
+		}
+	}
+}
+
+// restoreTurn fills the index at the start, while no goroutine runs.
+func (s *Store) restoreTurn(shard uint32, key turnKey, entry turnEntry) {
+	if !entry.expired(s.options.Clock.Now()) {
+		s.group(shard).table(shard).turns[key] = entry
+	}
+	s.turnSegments.note(entry)
+}
