--- /dev/null
+++ b/internal/corelink/fakecore_test.go
@@ -0,0 +1,203 @@
+package corelink_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const (
+	seedAddress  = "10.0.0.9:1"
+	firstLeader  = "10.0.0.1:1"
+	secondLeader = "10.0.0.2:1"
+	leaseMillis  = 5000
+)
+
+// fakeCore is a core in memory. It holds polls back in virtual time.
+type fakeCore struct {
+	mutex   sync.Mutex
+	leader  string
+	term    uint64
+	down    map[string]bool
+	delay   time.Duration
+	refuse  bool
+	latest  *protocol.PollControlResponse
+	changed chan struct{}
+	// deadPolls lets polls that are held back never be answered.
+	deadPolls bool
+	// broken breaks the connection of that many calls after they were served.
+	broken int
+
+	renewals []*protocol.RenewLeaseRequest
+	polls    []*protocol.PollControlRequest
+	counts   map[string]int
+}
+
+func newFakeCore() *fakeCore {
+	return &fakeCore{
+		leader: firstLeader, term: 1, down: make(map[string]bool), changed: make(chan struct{}), counts: make(map[string]int),
+		latest: &protocol.PollControlResponse{Membership: &protocol.MembershipView{Version: 7}},
+	}
+}
+
+func (c *fakeCore) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
+	return nil, &wire.NotSentError{}
+}
+
+func (c *fakeCore) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	c.mutex.Lock()
+	down, delay := c.down[address], c.delay
+	c.mutex.Unlock()
+	if down {
+		return nil, &wire.NotSentError{Address: address, Cause: context.DeadlineExceeded}
+	}
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return c.serve(ctx, address, request)
+}
+
+func (c *fakeCore) serve(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	if request.GetLocateCore() != nil {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return &protocol.Response{Body: &protocol.Response_LocateCore{LocateCore: &protocol.LocateCoreResponse{
+			LeaderAddress: c.leader, CoreAddresses: []string{firstLeader, secondLeader}, Term: c.term, ClusterId: "cluster",
+		}}}, nil
+	}
+	c.mutex.Lock()
+	leads := address == c.leader
+	c.mutex.Unlock()
+	if !leads {
+		return nil, failure.New(failure.NotLeader, protocol.Outcome_NOT_RUN, "another process leads")
+	}
+	if poll := request.GetPollControl(); poll != nil {
+		return c.poll(ctx, poll)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	response := c.answer(request)
+	if c.broken > 0 {
+		c.broken--
+		return nil, &wire.BrokenError{Address: address, Cause: context.Canceled}
+	}
+	return response, nil
+}
+
+func (c *fakeCore) answer(request *protocol.Request) *protocol.Response {
+	switch body := request.GetBody().(type) {
+	case *protocol.Request_RenewLease:
+		c.renewals = append(c.renewals, proto.CloneOf(body.RenewLease))
+		return &protocol.Response{Body: &protocol.Response_RenewLease{RenewLease: &protocol.RenewLeaseResponse{
+			Granted: !c.refuse, DurationMillis: leaseMillis,
+			Latest: &protocol.ControlVersions{
+				Membership: c.latest.GetMembership().GetVersion(), Configuration: c.latest.GetConfiguration().GetVersion(),
+			},
+		}}}
+	case *protocol.Request_ReportArms:
+		c.counts["report_arms"]++
+		return &protocol.Response{Body: &protocol.Response_ReportArms{ReportArms: &protocol.ReportArmsResponse{}}}
+	default:
+		c.counts["other"]++
+		return &protocol.Response{Body: &protocol.Response_CoreStatus{CoreStatus: &protocol.CoreStatusResponse{}}}
+	}
+}
+
+func (c *fakeCore) poll(ctx context.Context, poll *protocol.PollControlRequest) (*protocol.Response, error) {
+	c.mutex.Lock()
+	c.polls = append(c.polls, proto.CloneOf(poll))
+	news, changed, dead := c.newer(poll.GetKnown()), c.changed, c.deadPolls
+	c.mutex.Unlock()
+	wait := time.NewTimer(time.Duration(poll.GetWaitMillis()) * time.Millisecond)
+	defer wait.Stop()
+	for news == nil && !poll.GetFresh() {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-wait.C:
+			news = &protocol.PollControlResponse{}
+		case <-changed:
+			if dead {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			c.mutex.Lock()
+			news, changed = c.newer(poll.GetKnown()), c.changed
+			c.mutex.Unlock()
+		}
+	}
+	if news == nil {
+		news = &protocol.PollControlResponse{}
+	}
+	return &protocol.Response{Body: &protocol.Response_PollControl{PollControl: news}}, nil
+}
+
+// newer is what a node with the versions given does not have; nil when there is nothing.
+func (c *fakeCore) newer(known *protocol.ControlVersions) *protocol.PollControlResponse {
+	news, found := &protocol.PollControlResponse{}, false
+	if membership := c.latest.GetMembership(); membership.GetVersion() > known.GetMembership() {
+		news.Membership, found = membership, true
+	}
+	if configuration := c.latest.GetConfiguration(); configuration.GetVersion() > known.GetConfiguration() {
+		if delta := c.latest.GetConfigurationDelta(); delta.GetBaseVersion() == known.GetConfiguration() && delta != nil {
+			news.ConfigurationDelta = delta
+		} else {
+			news.Configuration = configuration
+		}
+		found = true
+	}
+	if !found {
+		return nil
+	}
+	return news
+}
+
+// publish makes a new state known to the polls that are held back.
+func (c *fakeCore) publish(change func(*protocol.PollControlResponse)) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.latest = proto.CloneOf(c.latest)
+	change(c.latest)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *fakeCore) set(change func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	change()
+}
+
+func (c *fakeCore) lastRenewal() *protocol.RenewLeaseRequest {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.renewals) == 0 {
+		return nil
+	}
+	return c.renewals[len(c.renewals)-1]
+}
+
+func (c *fakeCore) renewalCount() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.renewals)
+}
+
+func (c *fakeCore) lastPoll() *protocol.PollControlRequest {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.polls) == 0 {
+		return nil
+	}
+	return c.polls[len(c.polls)-1]
+}
--- /dev/null
+++ b/internal/corelink/link_test.go
@@ -0,0 +1,279 @@
+package corelink_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// The tests run in a bubble of virtual time: waiting costs nothing and nothing depends on the wall clock.
+
+// given runs a test with a started link to a fake core; the bubble ends only when all goroutines have.
+func given(t *testing.T, then func(g *WithT, core *fakeCore, link *corelink.Link)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		core := newFakeCore()
+		link := newLink(core)
+		g := NewWithT(t)
+		g.Expect(link.Start(context.Background())).To(Succeed())
+		defer func() { _ = link.Stop(context.Background()) }()
+		pass(time.Second)
+		then(g, core, link)
+	})
+}
+
+func newLink(core *fakeCore) *corelink.Link {
+	return corelink.New(corelink.Options{
+		Self:   &protocol.Node{Name: "front-1", Kind: protocol.NodeKind_FRONT, Incarnation: 5, Address: "10.0.0.5:1"},
+		Seeds:  []string{seedAddress, "10.0.0.8:1"},
+		Caller: core, Logger: log.New(io.Discard),
+	})
+}
+
+// pass lets virtual time go by.
+func pass(duration time.Duration) {
+	<-time.After(duration)
+	synctest.Wait()
+}
+
+func TestGivenOnlySeedsWhenStartedThenItIsReadyWithAFreshView(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		g.Expect(link.Ready()).To(BeTrue())
+		g.Expect(link.View().Membership.GetVersion()).To(BeEquivalentTo(7))
+		g.Expect(core.polls[0].GetFresh()).To(BeTrue())
+		g.Expect(link.LocateCore().GetLeaderAddress()).To(Equal(firstLeader))
+		g.Expect(link.LocateCore().GetClusterId()).To(Equal("cluster"))
+	})
+}
+
+func TestGivenALeaseWhenTimePassesThenItIsRenewedEachSecond(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		before := core.renewalCount()
+		pass(10 * time.Second)
+		g.Expect(core.renewalCount() - before).To(BeNumerically("~", 10, 1))
+		g.Expect(link.HasAuthority()).To(BeTrue())
+		g.Expect(link.Self().GetIncarnation()).To(BeEquivalentTo(5))
+	})
+}
+
+func TestGivenSlowAnswersThenAuthorityIsCountedFromTheSending(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.set(func() { core.delay = 800 * time.Millisecond })
+		pass(5 * time.Second)
+		g.Expect(time.Until(link.AuthorityEnds())).To(BeNumerically("<=", 3700*time.Millisecond))
+		g.Expect(link.HasAuthority()).To(BeTrue())
+	})
+}
+
+func TestGivenASilentCoreThenAuthorityEndsAndComesBackUnderANewIncarnation(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.set(func() { core.down = map[string]bool{firstLeader: true, secondLeader: true} })
+		pass(4900 * time.Millisecond)
+		g.Expect(link.HasAuthority()).To(BeFalse())
+		g.Expect(link.Ready()).To(BeFalse())
+		core.set(func() { core.down = nil })
+		pass(3 * time.Second)
+		g.Expect(link.Ready()).To(BeTrue())
+		g.Expect(link.Self().GetIncarnation()).To(BeNumerically(">", 5))
+		g.Expect(core.lastRenewal().GetNode().GetIncarnation()).To(Equal(link.Self().GetIncarnation()))
+	})
+}
+
+// A node that is heard but hears nothing must not keep its ranges of the ring.
+func TestGivenAnswersThatNeverArriveThenItStopsAskingForALease(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.set(func() { core.broken = 1 << 30 })
+		pass(7 * time.Second)
+		g.Expect(link.HasAuthority()).To(BeFalse())
+		heard := core.renewalCount()
+		pass(20 * time.Second)
+		g.Expect(core.renewalCount()).To(Equal(heard))
+		core.set(func() { core.broken = 0 })
+		pass(3 * time.Second)
+		g.Expect(link.Ready()).To(BeTrue())
+	})
+}
+
+func TestGivenARefusedLeaseThenAuthorityEndsAtOnce(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.set(func() { core.refuse = true })
+		pass(1100 * time.Millisecond)
+		g.Expect(link.HasAuthority()).To(BeFalse())
+		g.Expect(link.Self().GetIncarnation()).To(BeNumerically(">", 5))
+	})
+}
+
+func TestGivenAnotherLeaderThenItIsFoundAndAuthorityIsKept(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.set(func() { core.leader, core.term = secondLeader, 2 })
+		pass(10 * time.Second)
+		g.Expect(link.HasAuthority()).To(BeTrue())
+		g.Expect(link.LocateCore().GetLeaderAddress()).To(Equal(secondLeader))
+		g.Expect(link.Self().GetIncarnation()).To(BeEquivalentTo(5))
+	})
+}
+
+func TestGivenAnOlderViewThenNothingStepsBack(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.publish(func(state *protocol.PollControlResponse) { state.Membership = &protocol.MembershipView{Version: 9} })
+		pass(100 * time.Millisecond)
+		g.Expect(link.View().Membership.GetVersion()).To(BeEquivalentTo(9))
+		core.publish(func(state *protocol.PollControlResponse) { state.Membership = &protocol.MembershipView{Version: 8} })
+		pass(15 * time.Second)
+		g.Expect(link.View().Membership.GetVersion()).To(BeEquivalentTo(9))
+	})
+}
+
+// A poll whose connection went dead is given up when a renewal shows that there is something new.
+func TestGivenADeadPollThenTheNewViewIsReadAllTheSame(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.set(func() { core.deadPolls = true })
+		// The poll under way began before; one more change makes the next one a dead one.
+		core.publish(func(state *protocol.PollControlResponse) { state.Membership = &protocol.MembershipView{Version: 9} })
+		pass(100 * time.Millisecond)
+		core.publish(func(state *protocol.PollControlResponse) { state.Membership = &protocol.MembershipView{Version: 10} })
+		pass(3500 * time.Millisecond)
+		g.Expect(link.View().Membership.GetVersion()).To(BeEquivalentTo(10))
+		g.Expect(link.HasAuthority()).To(BeTrue())
+	})
+}
+
+func TestGivenAViewThatCannotBeReadThenAuthorityEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, core := NewWithT(t), newFakeCore()
+		link := newLink(core)
+		blocked := make(chan struct{})
+		link.Subscribe(func(view *corelink.View) {
+			if view.Membership.GetVersion() == 9 {
+				<-blocked
+			}
+		})
+		g.Expect(link.Start(context.Background())).To(Succeed())
+		pass(time.Second)
+		core.publish(func(state *protocol.PollControlResponse) { state.Membership = &protocol.MembershipView{Version: 9} })
+		pass(6500 * time.Millisecond)
+		g.Expect(link.HasAuthority()).To(BeFalse())
+		close(blocked)
+		pass(3 * time.Second)
+		g.Expect(link.Ready()).To(BeTrue())
+		g.Expect(link.Stop(context.Background())).To(Succeed())
+	})
+}
+
+func configuration(version uint64, routes ...string) *protocol.Configuration {
+	active := &protocol.Bundle{Version: version}
+	for _, name := range routes {
+		active.Routes = append(active.Routes, &protocol.Route{Name: name, Model: name, Group: "group"})
+	}
+	return &protocol.Configuration{Version: version, Active: active, ActiveDigest: bundle.Digest(active)}
+}
+
+func TestGivenADeltaThenItIsAppliedAndAWrongOneIsAskedForAsAWhole(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.publish(func(state *protocol.PollControlResponse) { state.Configuration = configuration(10, "one") })
+		pass(100 * time.Millisecond)
+		g.Expect(link.View().Configuration.GetVersion()).To(BeEquivalentTo(10))
+
+		next := configuration(11, "one", "two")
+		step, fits := bundle.Step(configuration(10, "one").GetActive(), next.GetActive())
+		g.Expect(fits).To(BeTrue())
+		core.publish(func(state *protocol.PollControlResponse) {
+			state.Configuration = next
+			state.ConfigurationDelta = &protocol.ConfigurationDelta{
+				BaseVersion: 10, Version: 11, ActiveSteps: []*protocol.Bundle{step}, ActiveDigest: next.GetActiveDigest(),
+			}
+		})
+		pass(100 * time.Millisecond)
+		g.Expect(link.View().Configuration.GetActive().GetRoutes()).To(HaveLen(2))
+
+		last := configuration(12, "three")
+		core.publish(func(state *protocol.PollControlResponse) {
+			state.Configuration = last
+			state.ConfigurationDelta = &protocol.ConfigurationDelta{BaseVersion: 11, Version: 12, ActiveDigest: last.GetActiveDigest(), ActiveSteps: []*protocol.Bundle{step}}
+		})
+		pass(time.Second)
+		g.Expect(link.View().Configuration.GetVersion()).To(BeEquivalentTo(12))
+		g.Expect(link.View().Configuration.GetActive().GetRoutes()).To(HaveLen(1))
+	})
+}
+
+func TestGivenAWholeConfigurationWithAnotherDigestThenItIsNotPutInForce(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.publish(func(state *protocol.PollControlResponse) {
+			state.Configuration = configuration(10, "one")
+			state.Configuration.ActiveDigest = "00"
+		})
+		pass(time.Second)
+		g.Expect(link.View().Configuration).To(BeNil())
+		g.Expect(link.HasAuthority()).To(BeTrue())
+	})
+}
+
+func TestGivenASubscriberThenAViewIsConfirmedOnlyWhenItIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, core := NewWithT(t), newFakeCore()
+		link := newLink(core)
+		var seen []uint64
+		blocked := make(chan struct{})
+		link.Subscribe(func(view *corelink.View) {
+			seen = append(seen, view.Membership.GetVersion())
+			if view.Membership.GetVersion() == 7 {
+				<-blocked
+			}
+		})
+		g.Expect(link.Start(context.Background())).To(Succeed())
+		pass(2500 * time.Millisecond)
+		g.Expect(core.lastRenewal().GetInForce().GetMembership()).To(BeZero())
+		close(blocked)
+		pass(2 * time.Second)
+		g.Expect(core.lastRenewal().GetInForce().GetMembership()).To(BeEquivalentTo(7))
+		g.Expect(core.lastPoll().GetKnown().GetMembership()).To(BeEquivalentTo(7))
+		g.Expect(seen).To(Equal([]uint64{0, 7}))
+		g.Expect(link.Stop(context.Background())).To(Succeed())
+	})
+}
+
+func TestGivenADrainThenItIsTold(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		link.SetDraining(true)
+		pass(10 * time.Millisecond)
+		g.Expect(core.lastRenewal().GetNode().GetDraining()).To(BeTrue())
+	})
+}
+
+func TestGivenAStopThenTheLeaseIsReleasedAndAuthorityEnds(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		g.Expect(link.Stop(context.Background())).To(Succeed())
+		g.Expect(core.lastRenewal().GetRelease()).To(BeTrue())
+		g.Expect(link.HasAuthority()).To(BeFalse())
+		pass(3 * time.Second)
+		g.Expect(core.lastRenewal().GetRelease()).To(BeTrue())
+	})
+}
+
+func TestGivenABrokenConnectionThenOnlyWhatIsIdempotentIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, core := NewWithT(t), newFakeCore()
+		link := newLink(core)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		core.set(func() { core.broken = 1 })
+		_, err := link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_ReportArms{ReportArms: &protocol.ReportArmsRequest{}}})
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(core.counts["report_arms"]).To(Equal(1))
+		core.set(func() { core.broken = 1 })
+		_, err = link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_CoreStatus{CoreStatus: &protocol.CoreStatusRequest{}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(core.counts["other"]).To(Equal(2))
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/corelink/locator.go
@@ -0,0 +1,228 @@
+package corelink
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const (
+	locateTimeout    = time.Second
+	firstRetryDelay  = 25 * time.Millisecond
+	longestRetry     = time.Second
+	maxCoreAddresses = 16
+)
+
+// CoreNotFoundError says that no process asked knows a leader of the core.
+type CoreNotFoundError struct {
+	Asked int
+}
+
+func (e *CoreNotFoundError) Error() string {
+	return "no process asked knows the leader of the core"
+}
+
+// locator finds the leader of the core by asking core processes known before and the seeds.
+type locator struct {
+	caller  wire.Caller
+	self    *protocol.Node
+	seeds   []string
+	metrics *metrics
+	// current is replaced as a whole; its messages are never changed.
+	current atomic.Pointer[protocol.LocateCoreResponse]
+}
+
+func newLocator(caller wire.Caller, self *protocol.Node, seeds []string, metrics *metrics) *locator {
+	l := &locator{caller: caller, self: self, seeds: slices.Clone(seeds), metrics: metrics}
+	l.current.Store(&protocol.LocateCoreResponse{})
+	return l
+}
+
+func (l *locator) known() *protocol.LocateCoreResponse {
+	return l.current.Load()
+}
+
+// forget drops the leader when it is still the one that failed.
+func (l *locator) forget(address string) {
+	current := l.current.Load()
+	if current.GetLeaderAddress() != address {
+		return
+	}
+	l.current.CompareAndSwap(current, &protocol.LocateCoreResponse{
+		CoreAddresses: current.GetCoreAddresses(),
+		Term:          current.GetTerm(),
+		ClusterId:     current.GetClusterId(),
+	})
+}
+
+// leader returns the leader's address, asking for it when it is not known.
+func (l *locator) leader(ctx context.Context) (string, error) {
+	if address := l.known().GetLeaderAddress(); address != "" {
+		return address, nil
+	}
+	return l.locate(ctx)
+}
+
+// locate asks all processes it may ask at once and takes the answer with the highest term.
+// It returns as soon as one names a leader of a term not older than the one known.
+func (l *locator) locate(ctx context.Context) (string, error) {
+	l.metrics.locates.Inc()
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	addresses := l.addresses()
+	answers := make(chan *protocol.LocateCoreResponse, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- l.ask(ctx, address) }()
+	}
+	for range addresses {
+		answer := <-answers
+		if answer == nil {
+			continue
+		}
+		if l.learn(answer) {
+			return l.known().GetLeaderAddress(), nil
+		}
+	}
+	return "", &CoreNotFoundError{Asked: len(addresses)}
+}
+
+// addresses lists cores known before, then the seeds, without this process itself.
+func (l *locator) addresses() []string {
+	all := append(slices.Clone(l.known().GetCoreAddresses()), l.seeds...)
+	unique := make([]string, 0, len(all))
+	for _, address := range all {
+		if address != "" && address != l.self.GetAddress() && !slices.Contains(unique, address) {
+			unique = append(unique, address)
+		}
+	}
+	return unique
+}
+
+func (l *locator) ask(ctx context.Context, address string) *protocol.LocateCoreResponse {
+	request := &protocol.Request{Body: &protocol.Request_LocateCore{LocateCore: &protocol.LocateCoreRequest{}}}
+	response, err := l.caller.Call(ctx, address, request)
+	if err != nil {
+		return nil
+	}
+	return response.GetLocateCore()
+}
+
+// learn takes an answer in and reports whether it named a leader that is no older than the one known.
+// An answer of an older term still adds core addresses.
+func (l *locator) learn(answer *protocol.LocateCoreResponse) bool {
+	for {
+		current := l.current.Load()
+		next := &protocol.LocateCoreResponse{
+			LeaderAddress:     current.GetLeaderAddress(),
+			LeaderHttpAddress: current.GetLeaderHttpAddress(),
+			CoreAddresses:     mergeAddresses(answer, current),
+			Term:              current.GetTerm(),
+			ClusterId:         current.GetClusterId(),
+		}
+		if next.GetClusterId() == "" {
+			next.ClusterId = answer.GetClusterId()
+		}
+		leads := answer.GetLeaderAddress() != "" && answer.GetTerm() >= current.GetTerm()
+		if leads {
+			next.LeaderAddress = answer.GetLeaderAddress()
+			next.LeaderHttpAddress = answer.GetLeaderHttpAddress()
+			next.Term = answer.GetTerm()
+		}
+		if l.current.CompareAndSwap(current, next) {
+			return leads
+		}
+	}
+}
+
+// mergeAddresses puts the newer list first and keeps the total bounded.
+func mergeAddresses(answer, current *protocol.LocateCoreResponse) []string {
+	newer, older := answer.GetCoreAddresses(), current.GetCoreAddresses()
+	if answer.GetTerm() < current.GetTerm() {
+		newer, older = older, newer
+	}
+	merged := make([]string, 0, len(newer)+len(older))
+	for _, address := range append(slices.Clone(newer), older...) {
+		if address != "" && !slices.Contains(merged, address) && len(merged) < maxCoreAddresses {
+			merged = append(merged, address)
+		}
+	}
+	return merged
+}
+
+// CallCore sends a request to the leader of the core. It looks for another
+// leader and tries again, with jittered backoff until the context ends, when
+// the process asked does not lead or could not be reached. A connection that
+// broke while the request was under way is tried again only for requests that
+// the core takes twice with the effect of once.
+func (l *Link) CallCore(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = firstRetryDelay
+	wait.MaxInterval = longestRetry
+	var last error
+	for {
+		response, again, err := l.tryCore(ctx, request)
+		if err == nil || !again {
+			return response, err
+		}
+		last = err
+		select {
+		case <-ctx.Done():
+			return nil, errors.CombineErrors(last, ctx.Err())
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func (l *Link) tryCore(ctx context.Context, request *protocol.Request) (response *protocol.Response, again bool, err error) {
+	address, err := l.locator.leader(ctx)
+	if err != nil {
+		return nil, ctx.Err() == nil, err
+	}
+	response, err = l.options.Caller.Call(ctx, address, request)
+	if err == nil {
+		return response, false, nil
+	}
+	var closed *wire.ClosedError
+	if errors.As(err, &closed) {
+		return nil, false, err
+	}
+	if ctx.Err() != nil {
+		// A leader that let a whole deadline pass may be cut off; ask again who leads.
+		l.locator.forget(address)
+		return nil, false, err
+	}
+	again = mayRetry(err, request)
+	if again || isConnectionError(err) {
+		l.locator.forget(address)
+	}
+	return nil, again, err
+}
+
+func mayRetry(err error, request *protocol.Request) bool {
+	var notSent *wire.NotSentError
+	if errors.As(err, &notSent) || failure.Is(err, failure.NotLeader) || failure.Is(err, failure.NoLeader) {
+		return true
+	}
+	return isConnectionError(err) && isIdempotent(request)
+}
+
+func isConnectionError(err error) bool {
+	var notSent *wire.NotSentError
+	var broken *wire.BrokenError
+	return errors.As(err, &notSent) || errors.As(err, &broken)
+}
+
+// isIdempotent reports whether the core takes the request twice with the effect
+// of once. Counts of roll-out arms are the one kind that would be added twice.
+func isIdempotent(request *protocol.Request) bool {
+	_, counts := request.GetBody().(*protocol.Request_ReportArms)
+	return !counts
+}
--- /dev/null
+++ b/internal/corelink/owner.go
@@ -0,0 +1,251 @@
+package corelink
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/lease"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// owner holds the state of a link; only its goroutine touches it.
+type owner struct {
+	link   *Link
+	holder *lease.Holder
+	self   *protocol.Node
+	ctx    context.Context
+
+	// contacted is true while answers of the core arrive.
+	contacted  bool
+	renewing   bool
+	renewAgain bool
+	released   bool
+	renewWait  time.Duration
+	renewTimer *time.Timer
+
+	polling     bool
+	pollStarted time.Time
+	cancelPoll  context.CancelFunc
+	pollWait    time.Duration
+	// wantWhole asks for the whole configuration after a delta did not fit.
+	wantWhole bool
+	// wantFresh asks for a linearizable answer, after start and after authority was lost.
+	wantFresh bool
+	pollTimer *time.Timer
+}
+
+func newOwner(link *Link) *owner {
+	self := proto.CloneOf(link.options.Self)
+	return &owner{
+		link: link,
+		holder: lease.NewHolder(self.GetIncarnation(), lease.Options{
+			Margin:    link.options.LeaseMargin,
+			ViewLimit: link.options.ViewLimit,
+		}),
+		self:       self,
+		wantFresh:  true,
+		renewTimer: time.NewTimer(0),
+		pollTimer:  stoppedTimer(),
+	}
+}
+
+// stoppedTimer fires only after a Reset.
+func stoppedTimer() *time.Timer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
+}
+
+func (o *owner) run(ctx context.Context) {
+	o.ctx = ctx
+	defer o.renewTimer.Stop()
+	defer o.pollTimer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-o.link.commands:
+			command(o)
+		case <-o.renewTimer.C:
+			o.renew()
+		case <-o.pollTimer.C:
+			o.poll()
+		}
+	}
+}
+
+// post hands a result to the owner goroutine.
+func (l *Link) post(ctx context.Context, command func(*owner)) {
+	select {
+	case l.commands <- command:
+	case <-ctx.Done():
+	}
+}
+
+// renew sends one renewal; the answer comes back as renewed.
+func (o *owner) renew() {
+	if o.released {
+		return
+	}
+	if o.renewing {
+		o.renewAgain = true
+		return
+	}
+	renewal, lapsed := o.holder.Send(time.Now())
+	if lapsed {
+		o.lapsed()
+	}
+	if !o.contacted {
+		o.contact()
+		return
+	}
+	o.renewing = true
+	ctx, link, request := o.ctx, o.link, renewRequest(o.self, o.link.inForce.Load(), false)
+	link.workers.Go(func() {
+		call, cancel := context.WithTimeout(ctx, max(link.options.RenewInterval, shortestRenewTimeout))
+		defer cancel()
+		response, err := link.CallCore(call, request)
+		link.post(ctx, func(o *owner) { o.renewed(renewal, response.GetRenewLease(), err) })
+	})
+}
+
+// contact shows that answers of the core arrive before a lease is asked for. A
+// node that the core hears but that does not hear the core would otherwise keep
+// a lease, and with it its ranges of the ring, without ever acting on it.
+func (o *owner) contact() {
+	o.renewing = true
+	ctx, link := o.ctx, o.link
+	sentAt, timeout := time.Now(), max(link.options.RenewInterval, shortestRenewTimeout)
+	link.workers.Go(func() {
+		call, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		request := &protocol.Request{Body: &protocol.Request_CoreStatus{CoreStatus: &protocol.CoreStatusRequest{}}}
+		_, err := link.CallCore(call, request)
+		// An answer that lay here while the process was frozen shows nothing.
+		link.post(ctx, func(o *owner) { o.contactMade(err == nil && time.Since(sentAt) <= timeout) })
+	})
+}
+
+func (o *owner) contactMade(answered bool) {
+	o.renewing = false
+	if answered {
+		o.contacted = true
+		o.renewTimer.Reset(0)
+		return
+	}
+	o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
+	o.renewTimer.Reset(jitter(o.renewWait))
+}
+
+// lapsed begins a new incarnation after authority ended.
+func (o *owner) lapsed() {
+	o.link.metrics.lapses.Inc()
+	o.link.logger.Warn("authority lost; coming back under a new incarnation", "incarnation", o.holder.Incarnation())
+	o.self = proto.CloneOf(o.self)
+	o.self.Incarnation = o.holder.Incarnation()
+	o.contacted = false
+	o.link.fresh.Store(false)
+	o.wantFresh = true
+	o.publishAuthority()
+}
+
+func (o *owner) renewed(renewal lease.Renewal, answer *protocol.RenewLeaseResponse, err error) {
+	o.renewing = false
+	now := time.Now()
+	o.contacted = err == nil || o.holder.Held(now)
+	switch {
+	case o.released:
+		return
+	case failure.Is(err, failure.LeaseRefused), err == nil && !answer.GetGranted():
+		o.refused(now, renewal)
+	case err != nil:
+		o.link.metrics.renewals.WithLabelValues("failed").Inc()
+		o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
+		o.renewTimer.Reset(jitter(o.renewWait))
+	default:
+		o.granted(now, renewal, answer)
+	}
+	if o.renewAgain {
+		o.renewAgain = false
+		o.renewTimer.Reset(0)
+	}
+}
+
+func (o *owner) granted(now time.Time, renewal lease.Renewal, answer *protocol.RenewLeaseResponse) {
+	o.renewWait = 0
+	had := o.link.HasAuthority()
+	duration := time.Duration(answer.GetDurationMillis()) * time.Millisecond
+	if !o.holder.Granted(now, renewal, duration, answer.GetLatest().GetMembership()) {
+		// The answer came too late to count; ask anew at once.
+		o.link.metrics.renewals.WithLabelValues("late").Inc()
+		o.renewTimer.Reset(0)
+		return
+	}
+	o.link.metrics.renewals.WithLabelValues("granted").Inc()
+	o.publishAuthority()
+	if !had {
+		o.link.logger.Info("lease held", "incarnation", renewal.Incarnation, "duration", duration)
+	}
+	o.renewTimer.Reset(max(0, renewal.SentAt.Add(o.link.options.RenewInterval).Sub(now)))
+	if o.wantFresh || o.pollIsOverdue(now, answer.GetLatest()) {
+		o.pollFresh()
+	}
+}
+
+// pollIsOverdue reports whether the core named something newer than the view
+// although a poll has been under way for longer than an answer takes, as when its connection went dead.
+func (o *owner) pollIsOverdue(now time.Time, latest *protocol.ControlVersions) bool {
+	held := o.link.View().Versions()
+	behind := latest.GetConfiguration() > held.GetConfiguration() || latest.GetMembership() > held.GetMembership() ||
+		latest.GetBackEnds() > held.GetBackEnds() || latest.GetPlacement() > held.GetPlacement()
+	return behind && o.polling && now.Sub(o.pollStarted) > o.link.options.RenewInterval
+}
+
+func (o *owner) refused(now time.Time, renewal lease.Renewal) {
+	o.link.metrics.renewals.WithLabelValues("refused").Inc()
+	o.holder.Refused(now, renewal)
+	o.lapsed()
+	o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
+	o.renewTimer.Reset(jitter(o.renewWait))
+}
+
+// release ends authority and returns the request that tells the core so.
+func (o *owner) release() *protocol.Request {
+	o.released = true
+	o.holder.Released()
+	o.publishAuthority()
+	return renewRequest(o.self, o.link.inForce.Load(), true)
+}
+
+func (o *owner) setDraining(draining bool) {
+	if o.self.GetDraining() == draining {
+		return
+	}
+	o.self = proto.CloneOf(o.self)
+	o.self.Draining = draining
+	o.publishAuthority()
+	o.renew()
+}
+
+func (o *owner) publishAuthority() {
+	o.link.authority.Store(&Authority{Self: o.self, Ends: o.holder.Ends()})
+}
+
+func renewRequest(self *protocol.Node, inForce *View, release bool) *protocol.Request {
+	return &protocol.Request{Body: &protocol.Request_RenewLease{RenewLease: &protocol.RenewLeaseRequest{
+		Node:    self,
+		InForce: inForce.Versions(),
+		Release: release,
+	}}}
+}
+
+// nextWait doubles a wait between the first retry delay and the limit.
+func nextWait(wait, limit time.Duration) time.Duration {
+	if wait == 0 {
+		return firstRetryDelay
+	}
+	return min(2*wait, limit)
+}
--- /dev/null
+++ b/internal/directory/answer.go
@@ -0,0 +1,211 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// answered takes the answer to a call in, or its failure.
+func (d *Directory) answered(event Answered) {
+	done := d.calls[event.Call]
+	if done == nil {
+		return
+	}
+	delete(d.calls, event.Call)
+	if done.peer.call == event.Call {
+		done.peer.call = 0
+		d.wake(done.peer)
+	}
+	d.notePeer(done.peer, event.Response != nil)
+	switch done.kind {
+	case callLookup:
+		d.lookupAnswered(done, event.Response.GetLookupSession())
+	case callNew:
+		d.newAnswered(done, event.Response.GetRegisterSessions())
+	case callRegister:
+		d.registerAnswered(done, event)
+	case callUnregister:
+		d.unregisterAnswered(done, event)
+	case callDisplaced:
+		d.displacedAnswered(done, event)
+	case callAsk:
+		// The peer answers with a registration of its own; the gain asks again until it comes.
+	}
+}
+
+// notePeer makes a peer suspect when a call failed, and clears it when one was answered.
+func (d *Directory) notePeer(peer *peer, answered bool) {
+	if answered {
+		peer.failures = 0
+		return
+	}
+	peer.failures++
+	peer.notBefore = d.at.Now.Add(d.backoff(peer.failures, longestBackoff))
+}
+
+// peerBroken makes the peer at an address suspect: nothing is sent to it for a
+// moment. Only the lease decides whether it is gone.
+func (d *Directory) peerBroken(address string) {
+	for _, peer := range d.peers {
+		if peer.member.Address == address && peer.failures == 0 {
+			d.notePeer(peer, false)
+		}
+	}
+}
+
+// backoff doubles the policy's retry delay with each failure up to a limit, with jitter.
+func (d *Directory) backoff(failures int, longest time.Duration) time.Duration {
+	wait := d.policy.RetryDelay
+	for range min(failures-1, 10) {
+		wait *= 2
+	}
+	return d.jitter(min(wait, longest))
+}
+
+// jitter returns between half and the whole of a duration.
+func (d *Directory) jitter(wait time.Duration) time.Duration {
+	half := wait / 2
+	return half + time.Duration(d.options.Random.Int64N(int64(half)+1))
+}
+
+func (d *Directory) registerAnswered(done *call, event Answered) {
+	answer := event.Response.GetRegisterSessions()
+	if answer == nil {
+		d.requeue(done)
+		return
+	}
+	results := make(map[string]*protocol.RegistrationResult, len(answer.GetResults()))
+	for _, result := range answer.GetResults() {
+		results[result.GetSession()] = result
+	}
+	var waits []time.Duration
+	for _, waiting := range done.items {
+		if waiting.call != event.Call || !d.live(waiting, done.peer) {
+			continue
+		}
+		if wait, settled := d.settleItem(waiting, results[waiting.session]); settled {
+			waits = append(waits, wait)
+		}
+	}
+	d.noteView(done.peer, refusedAny(answer.GetResults()))
+	if len(waits) > 0 {
+		d.emit(Reregistered{Waits: waits})
+	}
+	d.noteCompletion(done, answer.GetViewVersion())
+}
+
+// settleItem applies the result of one item. It returns how long a session of the salvage list waited when it was accepted.
+func (d *Directory) settleItem(waiting *item, result *protocol.RegistrationResult) (time.Duration, bool) {
+	status := result.GetStatus()
+	if status != protocol.DirectoryStatus_DIRECTORY_OK && status != protocol.DirectoryStatus_DUPLICATE_ACTIVATION {
+		d.stats.IncorrectPartition++
+		d.target(waiting)
+		return 0, false
+	}
+	if d.handOff[waiting.session] == waiting {
+		d.stats.HandedOff++
+		delete(d.handOff, waiting.session)
+		return 0, false
+	}
+	accepted := d.settleSalvage(waiting, result)
+	return d.at.Now.Sub(waiting.since), accepted
+}
+
+// settleSalvage takes a session off the salvage list on success or refusal.
+func (d *Directory) settleSalvage(waiting *item, result *protocol.RegistrationResult) bool {
+	delete(d.salvage, waiting.session)
+	session := d.owned[waiting.session]
+	if session == nil {
+		return false
+	}
+	if result.GetStatus() == protocol.DirectoryStatus_DUPLICATE_ACTIVATION {
+		d.stats.Duplicates++
+		d.remember(result.GetCurrent())
+		d.giveUp(session, YieldDuplicate, false)
+		return false
+	}
+	d.stats.Salvaged++
+	session.confirmed = true
+	d.continueResolve(waiting.session)
+	return true
+}
+
+// refusedAny reports whether an answer shows that the peer does not take itself for the holder.
+func refusedAny(results []*protocol.RegistrationResult) bool {
+	return slices.ContainsFunc(results, func(result *protocol.RegistrationResult) bool {
+		return result.GetStatus() == protocol.DirectoryStatus_INCORRECT_PARTITION
+	})
+}
+
+// noteView keeps a peer whose view differs from being asked again at once.
+func (d *Directory) noteView(peer *peer, differs bool) {
+	if !differs {
+		peer.refusals = 0
+		return
+	}
+	peer.refusals++
+	peer.notBefore = d.at.Now.Add(d.backoff(peer.refusals, longestViewBackoff))
+}
+
+// noteCompletion ends the debt of a completion once the peer's view is the one that it was said for.
+// A peer that is behind does not know yet what it gained and is told again; one that is ahead
+// may have gained more, for which completion is owed under its view.
+func (d *Directory) noteCompletion(done *call, peerVersion uint64) {
+	if !done.complete || done.peer.due == 0 || done.peer.due > done.view {
+		return
+	}
+	switch {
+	case peerVersion < done.peer.due:
+		d.noteView(done.peer, true)
+	case peerVersion > d.view.Version:
+		done.peer.due = peerVersion
+	default:
+		done.peer.due = 0
+	}
+}
+
+// requeue puts the items of a call back that got no answer.
+func (d *Directory) requeue(done *call) {
+	for _, waiting := range done.items {
+		if d.live(waiting, done.peer) {
+			d.target(waiting)
+		}
+	}
+}
+
+func (d *Directory) unregisterAnswered(done *call, event Answered) {
+	answer := event.Response.GetUnregisterSessions()
+	if answer == nil {
+		d.requeue(done)
+		return
+	}
+	refused := make(map[string]bool)
+	for _, result := range answer.GetResults() {
+		refused[result.GetSession()] = result.GetStatus() == protocol.DirectoryStatus_INCORRECT_PARTITION
+	}
+	for _, waiting := range done.items {
+		if waiting.call != event.Call || !d.live(waiting, done.peer) {
+			continue
+		}
+		if refused[waiting.session] {
+			d.stats.IncorrectPartition++
+			d.target(waiting)
+			continue
+		}
+		d.settleWithdrawal(waiting)
+	}
+	d.noteView(done.peer, refusedAny(answer.GetResults()))
+}
+
+func (d *Directory) settleWithdrawal(waiting *item) {
+	delete(d.leaving, waiting.session)
+	d.continueResolve(waiting.session)
+}
+
+func (d *Directory) displacedAnswered(done *call, event Answered) {
+	if event.Response == nil && d.peers[done.peer.member.Name] == done.peer {
+		done.peer.displaced = append(done.displaced, done.peer.displaced...)
+	}
+}
--- /dev/null
+++ b/internal/directory/fleet_test.go
@@ -0,0 +1,220 @@
+package directory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+)
+
+const (
+	places  = 4
+	step    = 5 * time.Millisecond
+	quiet   = 3 * time.Second
+	waiting = 2 * time.Second
+)
+
+// fleet is a number of directories in memory, on a virtual clock, that call each other at once.
+type fleet struct {
+	now     time.Time
+	version uint64
+	nodes   map[string]*member
+	names   []string
+	// intercept may answer a call in place of its target; handled false lets it through.
+	intercept func(from, to string, request *protocol.Request) (response *protocol.Response, handled bool)
+	sent      []*protocol.Request
+}
+
+// member is one node of the fleet.
+type member struct {
+	fleet     *fleet
+	self      ring.Member
+	directory *directory.Directory
+	authority bool
+	draining  bool
+	gone      bool
+	resolved  map[uint64]directory.Resolved
+	yielded   []directory.Yielded
+	ticket    uint64
+}
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), version: 10, nodes: make(map[string]*member)}
+	for _, name := range names {
+		f.add(name)
+	}
+	f.publish(names...)
+	f.settle()
+	return f
+}
+
+func (f *fleet) add(name string) *member {
+	return f.addWith(name, directory.Policy{})
+}
+
+func (f *fleet) addWith(name string, policy directory.Policy) *member {
+	self := ring.Member{Name: name, Address: name + ":1", Incarnation: f.version}
+	added := &member{
+		fleet: f, self: self, authority: true, resolved: make(map[uint64]directory.Resolved),
+		directory: directory.New(directory.Options{Self: self, Policy: policy, Random: rand.New(rand.NewPCG(1, 2))}),
+	}
+	f.nodes[name] = added
+	f.names = append(f.names, name)
+	slices.Sort(f.names)
+	return added
+}
+
+// view is the present membership under the next version.
+func (f *fleet) view() directory.View {
+	f.version++
+	var fronts []directory.Front
+	for _, name := range f.names {
+		if node := f.nodes[name]; !node.gone {
+			fronts = append(fronts, directory.Front{Member: node.self, Draining: node.draining})
+		}
+	}
+	return directory.NewView(f.version, fronts, places)
+}
+
+// publish brings the present membership to some nodes; the others see it with a later one or never.
+func (f *fleet) publish(names ...string) directory.View {
+	view := f.view()
+	f.deliver(view, names...)
+	return view
+}
+
+func (f *fleet) deliver(view directory.View, names ...string) {
+	for _, name := range names {
+		f.nodes[name].handle(directory.ViewChanged{View: view})
+	}
+}
+
+// settle lets time pass until everything that was under way has come to an end.
+func (f *fleet) settle() { f.advance(quiet) }
+
+func (f *fleet) advance(time time.Duration) {
+	for range int(time / step) {
+		f.now = f.now.Add(step)
+		for _, name := range f.names {
+			if node := f.nodes[name]; !node.gone {
+				node.handle(directory.Ticked{})
+			}
+		}
+	}
+}
+
+func (m *member) at() directory.Moment {
+	return directory.Moment{Now: m.fleet.now, Authority: m.authority && !m.gone}
+}
+
+func (m *member) handle(event directory.Event) { m.execute(m.directory.Handle(m.at(), event)) }
+
+func (m *member) execute(commands []directory.Command) {
+	for _, command := range commands {
+		switch command := command.(type) {
+		case directory.Send:
+			m.handle(directory.Answered{Call: command.Call, Response: m.fleet.call(m.self.Name, command)})
+		case directory.Resolved:
+			m.resolved[command.Ticket] = command
+		case directory.Yielded:
+			m.yielded = append(m.yielded, command)
+		}
+	}
+}
+
+func (f *fleet) call(from string, command directory.Send) *protocol.Response {
+	f.sent = append(f.sent, command.Request)
+	if f.intercept != nil {
+		if response, handled := f.intercept(from, command.Name, command.Request); handled {
+			return response
+		}
+	}
+	target := f.nodes[command.Name]
+	if target == nil || target.gone || !target.authority {
+		return nil
+	}
+	return target.serve(command.Request)
+}
+
+func (m *member) serve(request *protocol.Request) *protocol.Response {
+	switch body := request.GetBody().(type) {
+	case *protocol.Request_LookupSession:
+		return &protocol.Response{Body: &protocol.Response_LookupSession{LookupSession: m.directory.ServeLookup(m.at(), body.LookupSession)}}
+	case *protocol.Request_RegisterSessions:
+		answer, commands := m.directory.ServeRegister(m.at(), body.RegisterSessions)
+		m.execute(commands)
+		return &protocol.Response{Body: &protocol.Response_RegisterSessions{RegisterSessions: answer}}
+	case *protocol.Request_UnregisterSessions:
+		answer, commands := m.directory.ServeUnregister(m.at(), body.UnregisterSessions)
+		m.execute(commands)
+		return &protocol.Response{Body: &protocol.Response_UnregisterSessions{UnregisterSessions: answer}}
+	}
+	return nil
+}
+
+// ask begins to resolve a session.
+func (m *member) ask(session string) uint64 {
+	m.ticket++
+	m.handle(directory.ResolveRequested{Ticket: m.ticket, Session: session, Program: "program", Deadline: m.fleet.now.Add(waiting)})
+	return m.ticket
+}
+
+// resolve asks and lets time pass until there is an answer.
+func (m *member) resolve(session string) directory.Resolved {
+	ticket := m.ask(session)
+	for range int(2 * waiting / step) {
+		if answer, found := m.resolved[ticket]; found {
+			return answer
+		}
+		m.fleet.advance(step)
+	}
+	panic("no answer to a resolve")
+}
+
+func (m *member) owns(session string) bool {
+	owned, _ := m.directory.Owns(session)
+	return owned
+}
+
+// registeredOwner is the owner that a node has registered for a session.
+func (m *member) registeredOwner(session string) string {
+	for _, registration := range m.directory.Registrations() {
+		if registration.GetSession() == session {
+			return registration.GetOwner()
+		}
+	}
+	return ""
+}
+
+// reincarnate is what the shell does when authority was lost.
+func (m *member) reincarnate() {
+	m.self.Incarnation = m.fleet.version + 1000
+	m.handle(directory.Reincarnated{Incarnation: m.self.Incarnation})
+}
+
+// heldBy finds a session whose holder among the members is the one named, and, with successor, whose next holder is that one.
+func heldBy(members []string, holder, successor string) string {
+	find := func(without string) *ring.Ring {
+		var list []ring.Member
+		for _, name := range members {
+			if name != without {
+				list = append(list, ring.Member{Name: name, Address: name + ":1"})
+			}
+		}
+		return ring.New(list, places)
+	}
+	all, rest := find(""), find(holder)
+	for i := range 100_000 {
+		session := fmt.Sprintf("session-%d", i)
+		first, _ := all.Holder(ring.Key(session))
+		next, _ := rest.Holder(ring.Key(session))
+		if first.Name == holder && (successor == "" || next.Name == successor) {
+			return session
+		}
+	}
+	panic("no such session")
+}
--- /dev/null
+++ b/internal/directory/resolve.go
@@ -0,0 +1,367 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+)
+
+// resolve is one session whose owner is being found out, for any number of tickets.
+type resolve struct {
+	session  string
+	program  string
+	key      uint64
+	tickets  []uint64
+	deadline time.Time
+	// notBefore is when to try again; zero while an answer or a confirmation is awaited.
+	notBefore time.Time
+	attempts  int
+	call      uint64
+	// sequence is that of the registration last sent.
+	sequence uint64
+	// ambiguous is true after a first registration whose answer was lost.
+	ambiguous bool
+	cacheHit  bool
+}
+
+func (d *Directory) resolveRequested(event ResolveRequested) {
+	if running := d.resolves[event.Session]; running != nil {
+		running.tickets = append(running.tickets, event.Ticket)
+		if event.Deadline.After(running.deadline) {
+			running.deadline = event.Deadline
+		}
+		d.tickets[event.Ticket] = running
+		return
+	}
+	started := &resolve{
+		session: event.Session, program: event.Program, key: ring.Key(event.Session),
+		tickets: []uint64{event.Ticket}, deadline: event.Deadline,
+	}
+	d.resolves[event.Session] = started
+	d.tickets[event.Ticket] = started
+	d.step(started)
+}
+
+func (d *Directory) resolveCancelled(ticket uint64) {
+	running := d.tickets[ticket]
+	if running == nil {
+		return
+	}
+	delete(d.tickets, ticket)
+	running.tickets = slices.DeleteFunc(running.tickets, func(each uint64) bool { return each == ticket })
+	if len(running.tickets) == 0 {
+		d.abandon(running)
+	}
+}
+
+// abandon ends a resolve that nobody waits for. A first registration whose
+// answer is not known may have been taken, so it is seen through on the salvage list.
+func (d *Directory) abandon(running *resolve) {
+	delete(d.resolves, running.session)
+	registering := d.calls[running.call]
+	underWay := running.call != 0 && registering != nil && registering.kind == callNew
+	if (underWay || running.ambiguous) && d.owned[running.session] == nil {
+		d.salvageSession(d.own(running.session, running.program, running.sequence, false))
+	}
+}
+
+// continueResolves goes on with every resolve whose delay has passed.
+func (d *Directory) continueResolves() {
+	for _, session := range sortedKeys(d.resolves) {
+		running := d.resolves[session]
+		if running != nil && running.call == 0 && !d.at.Now.Before(running.notBefore) {
+			d.step(running)
+		}
+	}
+}
+
+// continueResolve goes on with the resolve of a session after its state changed here.
+func (d *Directory) continueResolve(session string) {
+	if running := d.resolves[session]; running != nil && running.call == 0 {
+		d.step(running)
+	}
+}
+
+func (d *Directory) expireResolves() {
+	for _, session := range sortedKeys(d.resolves) {
+		if running := d.resolves[session]; !d.at.Now.Before(running.deadline) {
+			d.fail(running, failure.Unavailable)
+		}
+	}
+}
+
+// step decides what a resolve does next.
+func (d *Directory) step(running *resolve) {
+	running.notBefore = time.Time{}
+	if session := d.owned[running.session]; session != nil {
+		// A session that is being given up is looked up once its last turn is settled.
+		if session.confirmed && session.leaving == "" {
+			d.finish(running, d.ownerHere(running))
+		}
+		return
+	}
+	if d.leaving[running.session] != nil {
+		return
+	}
+	if owner, found := d.cached(running); found {
+		d.stats.CacheHits++
+		d.finish(running, owner)
+		return
+	}
+	holder, found := d.view.holder(running.key)
+	switch {
+	case !found:
+		d.retry(running)
+	case d.isSelf(holder):
+		d.lookupHere(running)
+	case holder.Name == d.self.Name:
+		// The view has an earlier incarnation of this node; the next one decides.
+		d.retry(running)
+	default:
+		d.lookupThere(running, holder)
+	}
+}
+
+// cached returns the owner in the cache while the view still has it.
+func (d *Directory) cached(running *resolve) (Owner, bool) {
+	registration, found := d.cache.Get(running.session)
+	if !found {
+		return Owner{}, false
+	}
+	if !d.ownerInView(registration) {
+		d.cache.Remove(running.session)
+		return Owner{}, false
+	}
+	running.cacheHit = true
+	return d.ownerOf(running, registration), true
+}
+
+func (d *Directory) lookupHere(running *resolve) {
+	if !d.at.Authority {
+		d.fail(running, failure.NoAuthority)
+		return
+	}
+	d.stats.LocalLookups++
+	status, registration := d.lookup(running.session, d.view.Version)
+	switch status {
+	case protocol.DirectoryStatus_DIRECTORY_OK:
+		d.found(running, registration)
+	case protocol.DirectoryStatus_DIRECTORY_NOT_FOUND:
+		d.registerHere(running)
+	default:
+		d.stats.Settling++
+		d.retry(running)
+	}
+}
+
+// registerHere takes a session in whose partition this node holds itself.
+func (d *Directory) registerHere(running *resolve) {
+	if d.draining || !d.view.Has(d.self.Name, d.self.Incarnation) {
+		d.failDraining(running)
+		return
+	}
+	session := d.own(running.session, running.program, d.nextSequence(), true)
+	d.partition[running.session] = &entry{registration: d.registrationOf(session), key: running.key, seen: d.view.Version}
+	d.finish(running, d.ownerHere(running))
+}
+
+// lookupThere asks the holder; while it is suspect the resolve waits.
+func (d *Directory) lookupThere(running *resolve, holder ring.Member) {
+	to := d.peer(holder)
+	if to.failures > 0 && d.at.Now.Before(to.notBefore) {
+		running.notBefore = to.notBefore
+		return
+	}
+	d.stats.RemoteLookups++
+	running.call = d.emitCall(&call{kind: callLookup, peer: to, resolve: running}, &protocol.Request{
+		Body: &protocol.Request_LookupSession{LookupSession: &protocol.LookupSessionRequest{
+			Session: running.session, ViewVersion: d.view.Version,
+		}},
+	})
+}
+
+func (d *Directory) lookupAnswered(done *call, answer *protocol.LookupSessionResponse) {
+	running := done.resolve
+	if d.resolves[running.session] != running {
+		return
+	}
+	running.call = 0
+	switch answer.GetStatus() {
+	case protocol.DirectoryStatus_DIRECTORY_OK:
+		d.found(running, answer.GetRegistration())
+	case protocol.DirectoryStatus_DIRECTORY_NOT_FOUND:
+		d.registerThere(running, done.peer)
+	default:
+		d.countRefusal(answer.GetStatus())
+		d.retry(running)
+	}
+}
+
+// found takes a registration in that a holder knows.
+func (d *Directory) found(running *resolve, registration *protocol.Registration) {
+	if registration.GetOwner() == d.self.Name && registration.GetOwnerIncarnation() == d.self.Incarnation {
+		d.adopt(running)
+		return
+	}
+	if !d.ownerInView(registration) {
+		// Either view is behind; the next one decides.
+		d.retry(running)
+		return
+	}
+	d.remember(registration)
+	d.finish(running, d.ownerOf(running, registration))
+}
+
+// adopt owns a session that a holder has registered for this node, as after a lost answer.
+func (d *Directory) adopt(running *resolve) {
+	if d.draining {
+		d.withdrawOwn(running.session, running.program)
+		return
+	}
+	d.salvageSession(d.own(running.session, running.program, d.nextSequence(), false))
+	d.continueResolve(running.session)
+}
+
+// registerThere asks the holder, which knows no owner, to register this node.
+func (d *Directory) registerThere(running *resolve, to *peer) {
+	if d.draining {
+		d.failDraining(running)
+		return
+	}
+	if !d.at.Authority {
+		d.fail(running, failure.NoAuthority)
+		return
+	}
+	running.sequence = d.nextSequence()
+	registration := &protocol.Registration{
+		Session: running.session, Program: running.program, Owner: d.self.Name,
+		OwnerIncarnation: d.self.Incarnation, ViewVersion: d.view.Version, Sequence: running.sequence,
+	}
+	request := &protocol.RegisterSessionsRequest{
+		ViewVersion: d.view.Version, Cause: protocol.RegistrationCause_CAUSE_NEW,
+		Registrations: []*protocol.Registration{registration}, From: d.self.Name,
+	}
+	running.call = d.emitCall(&call{kind: callNew, peer: to, resolve: running}, &protocol.Request{
+		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
+	})
+}
+
+func (d *Directory) newAnswered(done *call, answer *protocol.RegisterSessionsResponse) {
+	running := done.resolve
+	if d.resolves[running.session] != running {
+		return
+	}
+	running.call = 0
+	if done.incarnation != d.self.Incarnation {
+		d.retry(running)
+		return
+	}
+	if answer == nil || len(answer.GetResults()) != 1 {
+		running.ambiguous = true
+		d.retry(running)
+		return
+	}
+	result := answer.GetResults()[0]
+	switch result.GetStatus() {
+	case protocol.DirectoryStatus_DIRECTORY_OK:
+		d.registered(running, done.peer)
+	case protocol.DirectoryStatus_DUPLICATE_ACTIVATION:
+		d.found(running, result.GetCurrent())
+	default:
+		d.countRefusal(result.GetStatus())
+		d.retry(running)
+	}
+}
+
+// registered owns the session, at once when the answer came from its present holder.
+func (d *Directory) registered(running *resolve, by *peer) {
+	holder, _ := d.view.holder(running.key)
+	if holder == by.member && d.peers[holder.Name] == by && !d.draining {
+		d.own(running.session, running.program, running.sequence, true)
+		d.finish(running, d.ownerHere(running))
+		return
+	}
+	session := d.own(running.session, running.program, running.sequence, false)
+	if d.draining {
+		d.giveUp(session, YieldDrain, true)
+		return
+	}
+	d.salvageSession(session)
+	d.continueResolve(running.session)
+}
+
+func (d *Directory) countRefusal(status protocol.DirectoryStatus) {
+	switch status {
+	case protocol.DirectoryStatus_INCORRECT_PARTITION:
+		d.stats.IncorrectPartition++
+	case protocol.DirectoryStatus_DIRECTORY_SETTLING:
+		d.stats.Settling++
+	}
+}
+
+// retry tries again after a delay with jitter.
+func (d *Directory) retry(running *resolve) {
+	running.attempts++
+	wait := settleRetryDelay
+	for range min(running.attempts-1, 3) {
+		wait *= 2
+	}
+	running.notBefore = d.at.Now.Add(d.jitter(wait))
+}
+
+// remember caches an owner.
+func (d *Directory) remember(registration *protocol.Registration) {
+	if registration.GetOwner() != "" && registration.GetOwner() != d.self.Name {
+		d.cache.Add(registration.GetSession(), registration)
+	}
+}
+
+func (d *Directory) ownerHere(running *resolve) Owner {
+	return d.ownerOf(running, &protocol.Registration{Owner: d.self.Name, OwnerIncarnation: d.self.Incarnation})
+}
+
+func (d *Directory) ownerOf(running *resolve, registration *protocol.Registration) Owner {
+	owner := Owner{
+		Name: registration.GetOwner(), Incarnation: registration.GetOwnerIncarnation(),
+		Address: d.view.byName[registration.GetOwner()].Address,
+		Local:   registration.GetOwner() == d.self.Name, ViewVersion: d.view.Version, CacheHit: running.cacheHit,
+	}
+	if owner.Local {
+		owner.Address = d.self.Address
+	}
+	if holder, found := d.view.holder(running.key); found {
+		owner.PartitionHolder = holder.Name
+	}
+	return owner
+}
+
+func (d *Directory) finish(running *resolve, owner Owner) {
+	delete(d.resolves, running.session)
+	for _, ticket := range running.tickets {
+		delete(d.tickets, ticket)
+		d.emit(Resolved{Ticket: ticket, Owner: owner})
+	}
+}
+
+func (d *Directory) failDraining(running *resolve) {
+	if d.draining {
+		d.fail(running, failure.Draining)
+		return
+	}
+	d.retry(running)
+}
+
+// fail gives a resolve up. Nothing was run; the caller is told when to come back.
+func (d *Directory) fail(running *resolve, code failure.Code) {
+	d.abandon(running)
+	for _, ticket := range running.tickets {
+		delete(d.tickets, ticket)
+		d.emit(Resolved{Ticket: ticket, Code: code, RetryAfter: failRetryAfter})
+	}
+}
+
+// failRetryAfter is what callers are told when an owner could not be found: about the time a view takes to change.
+const failRetryAfter = time.Second
--- /dev/null
+++ b/internal/directory/salvage.go
@@ -0,0 +1,314 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+)
+
+// item is one registration or withdrawal on its way to a holder. It stays on
+// its list until the present holder accepts or refuses it.
+type item struct {
+	session      string
+	key          uint64
+	registration *protocol.Registration
+	since        time.Time
+	target       *peer
+	// call is the call that carries the item; zero while it is queued.
+	call uint64
+}
+
+// peer is what this node has to tell another one. One call is under way at a time.
+type peer struct {
+	member    ring.Member
+	queue     []*item
+	displaced []*protocol.Registration
+	// due is the view version for which completion is owed; zero when it is not.
+	due uint64
+	// ask is true while the peer is to be asked to register again.
+	ask  bool
+	call uint64
+	// failures counts calls without an answer in a row; while it is not zero the peer is suspect.
+	failures int
+	// refusals counts answers in a row that showed another view than this node's.
+	refusals  int
+	notBefore time.Time
+}
+
+func (p *peer) hasWork(viewVersion uint64) bool {
+	return len(p.queue) > 0 || len(p.displaced) > 0 || p.owes(viewVersion) || p.ask
+}
+
+// owes reports whether completion is owed under a view that this node has.
+func (p *peer) owes(viewVersion uint64) bool {
+	return p.due > 0 && p.due <= viewVersion
+}
+
+type callKind int
+
+const (
+	callLookup callKind = iota
+	callNew
+	callRegister
+	callUnregister
+	callDisplaced
+	callAsk
+)
+
+// call is one request under way.
+type call struct {
+	kind callKind
+	peer *peer
+	// view is the version named in the request.
+	view      uint64
+	items     []*item
+	displaced []*protocol.Registration
+	complete  bool
+	resolve   *resolve
+	// incarnation is this node's at the time of the call.
+	incarnation uint64
+}
+
+func (d *Directory) peer(member ring.Member) *peer {
+	found := d.peers[member.Name]
+	if found == nil || found.member != member {
+		found = &peer{member: member}
+		d.peers[member.Name] = found
+	}
+	return found
+}
+
+// salvageMoved puts own sessions whose holder changed on the salvage list. Under
+// the end-sessions policy those whose holder was lost are given up instead.
+func (d *Directory) salvageMoved(former View) {
+	for _, name := range sortedKeys(d.owned) {
+		session := d.owned[name]
+		before, had := former.holder(session.key)
+		after, _ := d.view.holder(session.key)
+		if session.leaving != "" || before == after {
+			continue
+		}
+		lost := had && !d.view.Has(before.Name, before.Incarnation)
+		if d.policy.EndSessions && lost {
+			d.giveUp(session, YieldEnded, false)
+			continue
+		}
+		d.salvageSession(session)
+	}
+}
+
+func (d *Directory) salvageSession(session *ownedSession) {
+	if d.salvage[session.name] == nil {
+		d.salvage[session.name] = &item{session: session.name, key: session.key, since: d.at.Now}
+	}
+	waiting := d.salvage[session.name]
+	waiting.registration = d.registrationOf(session)
+	d.target(waiting)
+}
+
+// retarget sends items on whose holder changed.
+func (d *Directory) retarget() {
+	for _, list := range []map[string]*item{d.salvage, d.handOff, d.leaving} {
+		for _, name := range sortedKeys(list) {
+			waiting := list[name]
+			if waiting == nil {
+				continue
+			}
+			holder, found := d.view.holder(waiting.key)
+			if !found || waiting.target == nil || waiting.target.member != holder || d.peers[holder.Name] != waiting.target {
+				d.target(waiting)
+			}
+		}
+	}
+}
+
+// target queues an item for the present holder of its key, or settles it here when that is this node.
+func (d *Directory) target(waiting *item) {
+	waiting.call = 0
+	waiting.target = nil
+	holder, found := d.view.holder(waiting.key)
+	if !found {
+		return
+	}
+	if d.isSelf(holder) {
+		d.settleHere(waiting)
+		return
+	}
+	if holder.Name == d.self.Name {
+		// The view has an earlier incarnation of this node; the next one decides.
+		return
+	}
+	waiting.target = d.peer(holder)
+	waiting.target.queue = append(waiting.target.queue, waiting)
+	d.wake(waiting.target)
+}
+
+// settleHere takes an item as holder.
+func (d *Directory) settleHere(waiting *item) {
+	switch {
+	case d.leaving[waiting.session] == waiting:
+		d.withdraw(waiting.registration)
+		d.settleWithdrawal(waiting)
+	case d.salvage[waiting.session] == waiting:
+		result := d.register(waiting.registration, protocol.RegistrationCause_CAUSE_SALVAGE, d.view.Version)
+		if result.GetStatus() == protocol.DirectoryStatus_INCORRECT_PARTITION {
+			// The view does not have this node's incarnation yet; a later one will.
+			return
+		}
+		d.settleSalvage(waiting, result)
+	case d.handOff[waiting.session] == waiting:
+		d.register(waiting.registration, protocol.RegistrationCause_CAUSE_HAND_OFF, d.view.Version)
+		delete(d.handOff, waiting.session)
+	}
+}
+
+// live reports whether the item is still on its list and meant for the peer.
+func (d *Directory) live(waiting *item, to *peer) bool {
+	if waiting.target != to {
+		return false
+	}
+	session := waiting.session
+	return d.salvage[session] == waiting || d.handOff[session] == waiting || d.leaving[session] == waiting
+}
+
+// pump begins the next call to each peer that has work, no call under way and no delay to keep.
+func (d *Directory) pump() {
+	if len(d.working) == 0 || !d.at.Authority {
+		return
+	}
+	for _, name := range sortedKeys(d.working) {
+		to := d.working[name]
+		if d.peers[name] != to || to.call != 0 || !to.hasWork(d.view.Version) {
+			delete(d.working, name)
+			continue
+		}
+		if !d.at.Now.Before(to.notBefore) {
+			d.sendNext(to)
+		}
+	}
+}
+
+// wake has the next pump look at a peer.
+func (d *Directory) wake(to *peer) {
+	d.working[to.member.Name] = to
+}
+
+// sendNext sends withdrawals first, then registrations, notices and questions.
+func (d *Directory) sendNext(to *peer) {
+	to.queue = slices.DeleteFunc(to.queue, func(waiting *item) bool {
+		return waiting.call != 0 || !d.live(waiting, to)
+	})
+	if batch := d.take(to, d.leaving); len(batch) > 0 {
+		d.sendUnregister(to, batch)
+		return
+	}
+	if batch := d.take(to, d.handOff); len(batch) > 0 {
+		d.sendRegister(to, batch, protocol.RegistrationCause_CAUSE_HAND_OFF)
+		return
+	}
+	if batch := d.take(to, d.salvage); len(batch) > 0 || to.owes(d.view.Version) {
+		d.sendRegister(to, batch, protocol.RegistrationCause_CAUSE_SALVAGE)
+		return
+	}
+	if len(to.displaced) > 0 {
+		d.sendDisplaced(to)
+		return
+	}
+	if to.ask {
+		d.sendAsk(to)
+	}
+}
+
+// take removes up to a batch of one list's items from the queue.
+func (d *Directory) take(to *peer, list map[string]*item) []*item {
+	var batch []*item
+	to.queue = slices.DeleteFunc(to.queue, func(waiting *item) bool {
+		if len(batch) == d.policy.BatchSize || list[waiting.session] != waiting {
+			return false
+		}
+		batch = append(batch, waiting)
+		return true
+	})
+	return batch
+}
+
+func registrationsOf(batch []*item) []*protocol.Registration {
+	registrations := make([]*protocol.Registration, len(batch))
+	for i, waiting := range batch {
+		registrations[i] = waiting.registration
+	}
+	return registrations
+}
+
+func (d *Directory) sendRegister(to *peer, batch []*item, cause protocol.RegistrationCause) {
+	complete := to.owes(d.view.Version) && len(to.queue) == 0
+	request := &protocol.RegisterSessionsRequest{
+		ViewVersion: d.view.Version, Cause: cause, Registrations: registrationsOf(batch),
+		From: d.self.Name, Complete: complete,
+	}
+	d.send(&call{kind: callRegister, peer: to, items: batch, complete: complete}, &protocol.Request{
+		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
+	})
+}
+
+func (d *Directory) sendUnregister(to *peer, batch []*item) {
+	request := &protocol.UnregisterSessionsRequest{Registrations: registrationsOf(batch), ViewVersion: d.view.Version}
+	d.send(&call{kind: callUnregister, peer: to, items: batch}, &protocol.Request{
+		Body: &protocol.Request_UnregisterSessions{UnregisterSessions: request},
+	})
+}
+
+func (d *Directory) sendDisplaced(to *peer) {
+	request := &protocol.UnregisterSessionsRequest{Registrations: to.displaced, ViewVersion: d.view.Version}
+	d.send(&call{kind: callDisplaced, peer: to, displaced: to.displaced}, &protocol.Request{
+		Body: &protocol.Request_UnregisterSessions{UnregisterSessions: request},
+	})
+	to.displaced = nil
+}
+
+func (d *Directory) sendAsk(to *peer) {
+	to.ask = false
+	d.stats.ResendRequests++
+	request := &protocol.RegisterSessionsRequest{ViewVersion: d.view.Version, From: d.self.Name, Resend: true}
+	d.send(&call{kind: callAsk, peer: to}, &protocol.Request{
+		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
+	})
+}
+
+// send emits a background call; it is the only one to its peer.
+func (d *Directory) send(sent *call, request *protocol.Request) {
+	number := d.emitCall(sent, request)
+	sent.peer.call = number
+	for _, waiting := range sent.items {
+		waiting.call = number
+	}
+}
+
+func (d *Directory) emitCall(sent *call, request *protocol.Request) uint64 {
+	d.lastCall++
+	sent.view = d.view.Version
+	sent.incarnation = d.self.Incarnation
+	d.calls[d.lastCall] = sent
+	d.emit(Send{Call: d.lastCall, Name: sent.peer.member.Name, Address: sent.peer.member.Address, Request: request})
+	return d.lastCall
+}
+
+// resend answers a holder that waits for this node: everything owned there is registered again.
+func (d *Directory) resend(from string, version uint64) {
+	front, found := d.view.byName[from]
+	if !found || d.view.Version < version {
+		return
+	}
+	for _, name := range sortedKeys(d.owned) {
+		session := d.owned[name]
+		holder, _ := d.view.holder(session.key)
+		if holder == front.Member && session.leaving == "" && d.salvage[name] == nil {
+			d.salvageSession(session)
+		}
+	}
+	holder := d.peer(front.Member)
+	holder.due = max(holder.due, d.view.Version)
+	d.wake(holder)
+}
--- /dev/null
+++ b/internal/directory/salvage_test.go
@@ -0,0 +1,222 @@
+package directory_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// takeIn lets a node own sessions of which the holder named holds at least one.
+func takeIn(fleet *fleet, owner, holder string, count int) []string {
+	var held []string
+	for i := 0; len(held) < count; i++ {
+		session := fmt.Sprintf("taken-%s-%d", owner, i)
+		if fleet.nodes[owner].resolve(session).Owner.PartitionHolder == holder {
+			held = append(held, session)
+		}
+	}
+	return held
+}
+
+func registrations(fleet *fleet, cause protocol.RegistrationCause) (requests, sessions int) {
+	for _, request := range fleet.sent {
+		if register := request.GetRegisterSessions(); register.GetCause() == cause && len(register.GetRegistrations()) > 0 {
+			requests++
+			sessions += len(register.GetRegistrations())
+		}
+	}
+	return requests, sessions
+}
+
+var _ = Describe("the loss of a partition holder", func() {
+	It("ends no session: the owners register them again with the new holders, in batches", func() {
+		fleet := newFleet(trio...)
+		sessions := takeIn(fleet, "a", "c", 40)
+		fleet.nodes["c"].gone = true
+		fleet.sent = nil
+		fleet.publish("a", "b")
+		fleet.settle()
+		requests, registered := registrations(fleet, protocol.RegistrationCause_CAUSE_SALVAGE)
+		Expect(registered).To(BeNumerically(">", 0))
+		Expect(requests).To(BeNumerically("<=", 2))
+		Expect(fleet.nodes["a"].yielded).To(BeEmpty())
+		Expect(fleet.nodes["a"].directory.SalvageLength()).To(BeZero())
+		for _, session := range sessions {
+			Expect(fleet.nodes["b"].resolve(session).Owner.Name).To(Equal("a"))
+		}
+	})
+
+	It("keeps a session on the list, and usable, until the new holder knows that it holds the range", func() {
+		fleet := newFleet(trio...)
+		session := heldBy(trio, "c", "b")
+		owner := fleet.nodes["a"]
+		owner.resolve(session)
+		fleet.nodes["c"].gone = true
+		view := fleet.publish("a")
+		fleet.advance(500 * time.Millisecond)
+		Expect(owner.directory.OnSalvageList(session)).To(BeTrue())
+		code, _ := owner.directory.Begin(owner.at(), session)
+		Expect(code).To(BeEmpty())
+		refusals := owner.directory.Stats().IncorrectPartition
+		Expect(refusals).To(And(BeNumerically(">=", 3), BeNumerically("<=", 9)), "the delay between tries grows")
+
+		fleet.deliver(view, "b")
+		fleet.settle()
+		Expect(owner.directory.OnSalvageList(session)).To(BeFalse())
+		Expect(fleet.nodes["b"].registeredOwner(session)).To(Equal("a"))
+	})
+
+	It("leaves a session on the list through lost calls and further changes of hands", func() {
+		members := []string{"a", "b", "c", "d"}
+		fleet := newFleet(members...)
+		session := heldBy(members, "c", "b")
+		fleet.nodes["a"].resolve(session)
+		lost := true
+		fleet.intercept = func(from, _ string, _ *protocol.Request) (*protocol.Response, bool) { return nil, lost && from == "a" }
+		fleet.nodes["c"].gone = true
+		fleet.publish("a", "b", "d")
+		fleet.advance(time.Second)
+		fleet.nodes["b"].gone = true
+		fleet.publish("a", "d")
+		fleet.advance(time.Second)
+		Expect(fleet.nodes["a"].directory.OnSalvageList(session)).To(BeTrue())
+		lost = false
+		fleet.settle()
+		Expect(fleet.nodes["a"].directory.OnSalvageList(session)).To(BeFalse())
+		Expect(fleet.nodes["d"].resolve(session).Owner.Name).To(Equal("a"))
+	})
+
+	It("ends the sessions registered there under the end-sessions policy, after their turns", func() {
+		fleet := newFleet(trio...)
+		owner := fleet.nodes["a"]
+		owner.handle(directory.PolicyChanged{Policy: directory.PolicyOf(&protocol.RecoveryPolicy{SalvageMode: protocol.SalvageMode_END_SESSIONS})})
+		idle, busy := heldBy(trio, "c", "b"), heldBy(trio, "c", "a")
+		kept := heldBy(trio, "b", "")
+		for _, session := range []string{idle, busy, kept} {
+			owner.resolve(session)
+		}
+		code, _ := owner.directory.Begin(owner.at(), busy)
+		Expect(code).To(BeEmpty())
+		fleet.nodes["c"].gone = true
+		fleet.publish("a", "b")
+		fleet.settle()
+		Expect(owner.yielded).To(ConsistOf(directory.Yielded{Session: idle, Reason: directory.YieldEnded}))
+		owner.handle(directory.GrantEnded{Session: busy})
+		Expect(owner.yielded).To(ContainElement(directory.Yielded{Session: busy, Reason: directory.YieldEnded}))
+		Expect(owner.owns(kept)).To(BeTrue())
+	})
+})
+
+var _ = Describe("two owners of one session", func() {
+	// twoOwners has a and b own a session whose holder c is lost: b took it in while a could not be heard.
+	twoOwners := func(policy directory.Policy) (*fleet, string) {
+		fleet := newFleet(trio...)
+		for _, name := range trio {
+			fleet.nodes[name].handle(directory.PolicyChanged{Policy: policy})
+		}
+		session := heldBy(trio, "c", "b")
+		fleet.nodes["a"].resolve(session)
+		muted := true
+		fleet.intercept = func(from, to string, _ *protocol.Request) (*protocol.Response, bool) {
+			return nil, muted && (from == "a" || to == "a")
+		}
+		fleet.nodes["c"].gone = true
+		fleet.publish("a", "b")
+		fleet.advance(directory.DefaultSettleBound + time.Second)
+		Expect(fleet.nodes["b"].resolve(session).Owner.Local).To(BeTrue())
+		muted = false
+		return fleet, session
+	}
+
+	It("are one after the second registrant settled its turn and yielded", func() {
+		fleet, session := twoOwners(directory.PolicyOf(nil))
+		late := fleet.nodes["a"]
+		code, _ := late.directory.Begin(late.at(), session)
+		Expect(code).To(BeEmpty())
+		fleet.settle()
+		Expect(late.directory.OnSalvageList(session)).To(BeFalse(), "a refusal takes it off the list")
+		Expect(late.owns(session)).To(BeTrue(), "the turn under way is finished first")
+		code, _ = late.directory.Begin(late.at(), session)
+		Expect(code).To(Equal(failure.NotOwner), "no further turn is begun")
+		late.handle(directory.GrantEnded{Session: session})
+		Expect(late.yielded).To(ConsistOf(directory.Yielded{Session: session, Reason: directory.YieldDuplicate}))
+		Expect(late.resolve(session).Owner.Name).To(Equal("b"))
+	})
+
+	It("are one by the higher view version under that policy, whoever registers second", func() {
+		fleet, session := twoOwners(directory.Policy{HigherViewVersion: true, BatchSize: 10, RetryDelay: time.Millisecond})
+		fleet.settle()
+		Expect(fleet.nodes["a"].owns(session)).To(BeFalse())
+		Expect(fleet.nodes["b"].owns(session)).To(BeTrue())
+	})
+
+	It("are told of a lost tie also when the loser is ahead of the holder's view", func() {
+		fleet := newFleet(trio...)
+		policy := directory.Policy{HigherViewVersion: true, BatchSize: 10, RetryDelay: time.Millisecond}
+		holder, loser, winner := fleet.nodes["c"], fleet.nodes["a"], fleet.nodes["b"]
+		holder.handle(directory.PolicyChanged{Policy: policy})
+		session := heldBy(trio, "c", "")
+		loser.resolve(session)
+		// The loser comes back under a new incarnation, which all but the holder see.
+		loser.reincarnate()
+		view := fleet.publish("a", "b")
+		fleet.settle()
+		Expect(loser.directory.OnSalvageList(session)).To(BeFalse())
+		register := &protocol.RegisterSessionsRequest{
+			ViewVersion: fleet.version, Cause: protocol.RegistrationCause_CAUSE_SALVAGE, From: "b",
+			Registrations: []*protocol.Registration{{
+				Session: session, Owner: "b", OwnerIncarnation: winner.self.Incarnation, ViewVersion: fleet.version,
+			}},
+		}
+		holder.serve(&protocol.Request{Body: &protocol.Request_RegisterSessions{RegisterSessions: register}})
+		Expect(loser.owns(session)).To(BeTrue())
+		fleet.deliver(view, "c")
+		fleet.settle()
+		Expect(loser.owns(session)).To(BeFalse())
+		Expect(loser.yielded).To(ConsistOf(directory.Yielded{Session: session, Reason: directory.YieldDisplaced}))
+	})
+})
+
+var _ = Describe("a node that lost its authority", func() {
+	It("comes back with its sessions, which it may use only once they are registered again", func() {
+		fleet := newFleet(trio...)
+		node, session := fleet.nodes["a"], heldBy(trio, "c", "")
+		node.resolve(session)
+		blocked := true
+		fleet.intercept = func(from, _ string, _ *protocol.Request) (*protocol.Response, bool) {
+			return nil, blocked && from == "a"
+		}
+		node.reincarnate()
+		fleet.publish(trio...)
+		code, _ := node.directory.Begin(node.at(), session)
+		Expect(code).To(Equal(failure.NoAuthority))
+		Expect(node.directory.PartitionSize()).To(BeZero())
+		blocked = false
+		fleet.settle()
+		code, _ = node.directory.Begin(node.at(), session)
+		Expect(code).To(BeEmpty())
+		Expect(fleet.nodes["b"].resolve(session).Owner.Incarnation).To(Equal(node.self.Incarnation))
+	})
+
+	It("gives up what another node took over meanwhile", func() {
+		fleet := newFleet(trio...)
+		node, session := fleet.nodes["a"], heldBy(trio, "c", "")
+		node.resolve(session)
+		node.gone = true
+		fleet.publish("b", "c")
+		fleet.settle()
+		Expect(fleet.nodes["b"].resolve(session).Owner.Local).To(BeTrue())
+		node.gone = false
+		node.reincarnate()
+		fleet.publish(trio...)
+		fleet.settle()
+		Expect(node.owns(session)).To(BeFalse())
+		Expect(node.resolve(session).Owner.Name).To(Equal("b"))
+	})
+})
--- /dev/null
+++ b/internal/directory/view.go
@@ -0,0 +1,164 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+)
+
+// Front is one front node of a view. A draining one holds no partition and
+// takes no session in, but still owns what it has not given up.
+type Front struct {
+	ring.Member
+	Draining bool
+}
+
+// View is one version of the membership as far as the directory needs it. It
+// is immutable and may be shared between directories.
+type View struct {
+	Version uint64
+	fronts  []Front
+	byName  map[string]Front
+	ring    *ring.Ring
+}
+
+// NewView builds a view of front nodes; their order does not matter.
+func NewView(version uint64, fronts []Front, virtualPlaces int) View {
+	view := View{Version: version, fronts: slices.Clone(fronts), byName: make(map[string]Front, len(fronts))}
+	slices.SortFunc(view.fronts, func(a, b Front) int { return cmp.Compare(a.Name, b.Name) })
+	members := make([]ring.Member, 0, len(fronts))
+	for _, front := range view.fronts {
+		view.byName[front.Name] = front
+		if !front.Draining {
+			members = append(members, front.Member)
+		}
+	}
+	view.ring = ring.New(members, virtualPlaces)
+	return view
+}
+
+// ViewOf builds a view of the front nodes of a membership view.
+func ViewOf(membership *protocol.MembershipView, virtualPlaces int) View {
+	var fronts []Front
+	for _, node := range membership.GetNodes() {
+		if node.GetKind() != protocol.NodeKind_FRONT {
+			continue
+		}
+		member := ring.Member{Name: node.GetName(), Address: node.GetAddress(), Incarnation: node.GetIncarnation()}
+		fronts = append(fronts, Front{Member: member, Draining: node.GetDraining()})
+	}
+	return NewView(membership.GetVersion(), fronts, virtualPlaces)
+}
+
+// Ring is the partition ring of the view.
+func (v View) Ring() *ring.Ring { return v.ring }
+
+// Fronts lists the front nodes by name. The caller must not change it.
+func (v View) Fronts() []Front { return v.fronts }
+
+// Has reports whether the node is in the view under this incarnation.
+func (v View) Has(name string, incarnation uint64) bool {
+	front, found := v.byName[name]
+	return found && front.Incarnation == incarnation
+}
+
+// holder is the member that holds a key; false on an empty ring.
+func (v View) holder(key uint64) (ring.Member, bool) {
+	if v.ring == nil {
+		return ring.Member{}, false
+	}
+	return v.ring.Holder(key)
+}
+
+// Policy is how the directory recovers, as the bundle in force says.
+type Policy struct {
+	EndSessions       bool
+	HigherViewVersion bool
+	BatchSize         int
+	RetryDelay        time.Duration
+}
+
+// Starting values of a policy.
+const (
+	DefaultBatchSize  = 256
+	DefaultRetryDelay = 25 * time.Millisecond
+)
+
+// PolicyOf reads the policy of a bundle; nil gives the starting values.
+func PolicyOf(recovery *protocol.RecoveryPolicy) Policy {
+	policy := Policy{
+		EndSessions:       recovery.GetSalvageMode() == protocol.SalvageMode_END_SESSIONS,
+		HigherViewVersion: recovery.GetDuplicateResolution() == protocol.DuplicateResolution_HIGHER_VIEW_VERSION,
+		BatchSize:         int(recovery.GetSalvageBatchSize()),
+		RetryDelay:        time.Duration(recovery.GetSalvageRetryMillis()) * time.Millisecond,
+	}
+	if policy.BatchSize == 0 {
+		policy.BatchSize = DefaultBatchSize
+	}
+	if policy.RetryDelay == 0 {
+		policy.RetryDelay = DefaultRetryDelay
+	}
+	return policy
+}
+
+// viewChanged adopts a newer view: what this node gained begins to settle, what
+// it lost is handed off, and its own sessions whose holder changed are salvaged.
+func (d *Directory) viewChanged(next View) {
+	if next.Version <= d.view.Version {
+		return
+	}
+	former := d.view
+	d.view = next
+	changes := ring.Changes(former.ring, next.ring)
+	d.dropGonePeers()
+	d.dropGoneOwners()
+	d.tellDisplaced()
+	d.updateGains(changes)
+	d.handOffLost()
+	d.salvageMoved(former)
+	d.oweCompletion(changes)
+	d.retarget()
+	d.wakeDebtors()
+	d.continueResolves()
+}
+
+// dropGonePeers ends the state kept for nodes that left or came back under
+// another incarnation, and begins anew what waits for an answer of theirs.
+func (d *Directory) dropGonePeers() {
+	for name, peer := range d.peers {
+		if !d.view.Has(name, peer.member.Incarnation) {
+			delete(d.peers, name)
+		}
+	}
+	for _, running := range d.resolves {
+		if asked := d.calls[running.call]; asked != nil && d.peers[asked.peer.member.Name] != asked.peer {
+			running.ambiguous = running.ambiguous || asked.kind == callNew
+			delete(d.calls, running.call)
+			running.call = 0
+		}
+	}
+}
+
+// wakeDebtors looks at the peers to which completion is owed under the view just adopted.
+func (d *Directory) wakeDebtors() {
+	for _, each := range d.peers {
+		if each.due > 0 {
+			d.wake(each)
+		}
+	}
+}
+
+// oweCompletion notes each member that gained a range: it waits until this node has nothing more to register there.
+func (d *Directory) oweCompletion(changes []ring.Change) {
+	for _, change := range changes {
+		if change.To.Name == "" || change.To.Name == d.self.Name {
+			continue
+		}
+		gainer := d.peer(change.To)
+		gainer.due = max(gainer.due, d.view.Version)
+		d.wake(gainer)
+	}
+}
--- /dev/null
+++ b/internal/lease/holder_test.go
@@ -0,0 +1,200 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/lease"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const duration = 5 * time.Second
+
+func at(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+func newHolder() *lease.Holder {
+	return lease.NewHolder(1, lease.Options{Margin: 500 * time.Millisecond, ViewLimit: 5 * time.Second})
+}
+
+func TestAuthorityIsCountedFromWhenTheRenewalWasSent(t *testing.T) {
+	holder := newHolder()
+	if holder.Held(start) {
+		t.Fatal("held without a grant")
+	}
+	renewal, _ := holder.Send(at(0))
+	holder.Granted(at(900), renewal, duration, 0)
+	if want := at(4500); !holder.Ends().Equal(want) {
+		t.Fatalf("ends at %v, want %v", holder.Ends(), want)
+	}
+	if !holder.Held(at(4499)) || holder.Held(at(4500)) {
+		t.Fatal("does not end exactly at its end")
+	}
+}
+
+func TestAuthorityEndsInSilenceAndComesBackUnderANewIncarnation(t *testing.T) {
+	holder := newHolder()
+	renewal, _ := holder.Send(at(0))
+	holder.Granted(at(1), renewal, duration, 0)
+	if holder.Held(at(20_000)) {
+		t.Fatal("a frozen process woke with authority")
+	}
+	renewal, lapsed := holder.Send(at(20_000))
+	if !lapsed || renewal.Incarnation <= 1 {
+		t.Fatalf("lapsed %v, incarnation %d", lapsed, renewal.Incarnation)
+	}
+	if !holder.Granted(at(20_010), renewal, duration, 0) || !holder.Held(at(20_011)) {
+		t.Fatal("the new incarnation did not get authority")
+	}
+}
+
+func TestAnswersThatCameTooLateDoNotCount(t *testing.T) {
+	holder := newHolder()
+	first, _ := holder.Send(at(0))
+	holder.Granted(at(1), first, duration, 0)
+	second, _ := holder.Send(at(1000))
+	// The granter may have ended the lease and begun another one before it received the second renewal.
+	if holder.Granted(at(4600), second, duration, 0) || holder.Held(at(4601)) {
+		t.Fatal("authority was mended across a gap")
+	}
+	third, lapsed := holder.Send(at(4601))
+	if !lapsed || holder.Granted(at(4700), second, duration, 0) || !holder.Granted(at(4700), third, duration, 0) {
+		t.Fatal("an answer to an earlier incarnation counted, or the new one did not")
+	}
+}
+
+func TestOlderAnswersNeverShortenAuthority(t *testing.T) {
+	holder := newHolder()
+	first, _ := holder.Send(at(0))
+	second, _ := holder.Send(at(1000))
+	holder.Granted(at(1100), second, duration, 0)
+	holder.Granted(at(1200), first, duration, 0)
+	if want := at(5500); !holder.Ends().Equal(want) {
+		t.Fatalf("ends at %v, want %v", holder.Ends(), want)
+	}
+}
+
+func TestRefusalAndReleaseEndAuthorityAtOnce(t *testing.T) {
+	holder := newHolder()
+	renewal, _ := holder.Send(at(0))
+	holder.Granted(at(1), renewal, duration, 0)
+	holder.Refused(at(2), renewal)
+	if holder.Held(at(3)) || holder.Incarnation() <= 1 {
+		t.Fatal("refused and still held")
+	}
+	renewal, _ = holder.Send(at(10))
+	holder.Granted(at(11), renewal, duration, 0)
+	holder.Released()
+	if holder.Held(at(12)) || holder.Granted(at(13), renewal, duration, 0) || holder.Held(at(14)) {
+		t.Fatal("held after the release")
+	}
+}
+
+func TestAuthorityEndsWhenTheNewestViewCannotBeRead(t *testing.T) {
+	holder := newHolder()
+	holder.ViewRead(7)
+	renew := func(millis int, latest uint64) {
+		renewal, _ := holder.Send(at(millis))
+		holder.Granted(at(millis+10), renewal, duration, latest)
+	}
+	renew(0, 7)
+	// From here on the granter names a view that the node cannot read.
+	for millis := 1000; millis <= 4000; millis += 1000 {
+		renew(millis, 9)
+	}
+	if want := at(5000); !holder.Ends().Equal(want) {
+		t.Fatalf("ends at %v, want %v", holder.Ends(), want)
+	}
+	holder.ViewRead(9)
+	if want := at(8500); !holder.Ends().Equal(want) {
+		t.Fatalf("after the view was read it ends at %v, want %v", holder.Ends(), want)
+	}
+}
+
+// Under a new incarnation too, authority begins only with a view that is current.
+func TestAuthorityBeginsWithACurrentView(t *testing.T) {
+	holder := newHolder()
+	renew := func(millis int) uint64 {
+		renewal, _ := holder.Send(at(millis))
+		holder.Granted(at(millis+10), renewal, duration, 9)
+		return renewal.Incarnation
+	}
+	for millis := 0; millis <= 12_000; millis += 1000 {
+		if incarnation := renew(millis); incarnation != 1 {
+			t.Fatalf("incarnation %d without ever having had authority", incarnation)
+		}
+		if holder.Held(at(millis + 20)) {
+			t.Fatalf("held after %d ms without a view", millis)
+		}
+	}
+	holder.ViewRead(9)
+	if !holder.Held(at(12_100)) {
+		t.Fatal("no authority with a grant and a current view")
+	}
+}
+
+// An ever newer view does not end authority as long as each is read soon.
+func TestAViewThatIsOftenBehindIsNoLoss(t *testing.T) {
+	holder := newHolder()
+	for second := range 30 {
+		renewal, lapsed := holder.Send(at(second * 1000))
+		if lapsed {
+			t.Fatalf("lapsed after %d s", second)
+		}
+		holder.Granted(at(second*1000+5), renewal, duration, uint64(second+2))
+		holder.ViewRead(uint64(second + 1))
+	}
+}
+
+func TestASuspendedMachineLosesAuthorityByTheWallClock(t *testing.T) {
+	now := time.Now()
+	ends := now.Add(2 * time.Second)
+	// The monotonic clock stood still while the wall clock went on for ten seconds.
+	woken := now.Round(0).Add(10 * time.Second)
+	if lease.Before(woken, ends) {
+		t.Fatal("held after a suspension")
+	}
+	if !lease.Before(now, ends) || lease.Before(now, time.Time{}) {
+		t.Fatal("the ordinary cases are wrong")
+	}
+}
+
+// granter is the other side of the lease: it counts from when it received a renewal.
+type granter struct {
+	incarnation uint64
+	expires     time.Time
+}
+
+func (g *granter) receive(now time.Time, renewal lease.Renewal) bool {
+	if renewal.Incarnation < g.incarnation {
+		return false
+	}
+	g.incarnation, g.expires = renewal.Incarnation, now.Add(duration)
+	return true
+}
+
+// Whatever the delays and losses, the holder has no authority once the granter may give the lease to another.
+func TestTheHolderIsNeverTheLastToKnow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holder, granter := newHolder(), &granter{}
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "renewals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "pause")) * time.Millisecond)
+			renewal, _ := holder.Send(now)
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "there")) * time.Millisecond)
+			if holder.Held(now) && !now.Before(granter.expires) {
+				t.Fatalf("held at %v, lease ended at %v", now, granter.expires)
+			}
+			granted := rapid.Bool().Draw(t, "arrives") && granter.receive(now, renewal)
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "back")) * time.Millisecond)
+			if granted && rapid.Bool().Draw(t, "answered") {
+				holder.Granted(now, renewal, duration, 0)
+			}
+			if holder.Held(now) && !now.Before(granter.expires) {
+				t.Fatalf("held at %v, lease ended at %v", now, granter.expires)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/ownership/metrics.go
@@ -0,0 +1,100 @@
+package ownership
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rosestand/rosestand/internal/directory"
+)
+
+// metrics shows what the directory did; names begin with rosestand_directory_.
+type metrics struct {
+	snapshot    atomic.Pointer[snapshot]
+	failedCalls prometheus.Counter
+	waits       prometheus.Histogram
+	settled     prometheus.Histogram
+}
+
+// snapshot is a copy of the directory's counters, taken by its owner.
+type snapshot struct {
+	directory.Stats
+	owned, partition, salvage, handOff, settling int
+	viewVersion                                  uint64
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		failedCalls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rosestand_directory_failed_calls_total", Help: "Requests to other directories without an answer.",
+		}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "rosestand_directory_reregister_seconds", Help: "Time that sessions spent on the salvage list.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 15),
+		}),
+		settled: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "rosestand_directory_settle_seconds", Help: "Time until a range gained was complete.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 15),
+		}),
+	}
+	m.snapshot.Store(&snapshot{})
+	registerer.MustRegister(m.failedCalls, m.waits, m.settled)
+	m.registerCounters(registerer)
+	m.registerGauges(registerer)
+	return m
+}
+
+func (m *metrics) registerCounters(registerer prometheus.Registerer) {
+	counter := func(name, help string, labels prometheus.Labels, read func(*snapshot) uint64) {
+		registerer.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Name: "rosestand_directory_" + name, Help: help, ConstLabels: labels},
+			func() float64 { return float64(read(m.snapshot.Load())) },
+		))
+	}
+	lookups := "Session lookups by where they were answered."
+	counter("lookups_total", lookups, prometheus.Labels{"by": "cache"}, func(s *snapshot) uint64 { return s.CacheHits })
+	counter("lookups_total", lookups, prometheus.Labels{"by": "own_partition"}, func(s *snapshot) uint64 { return s.LocalLookups })
+	counter("lookups_total", lookups, prometheus.Labels{"by": "holder"}, func(s *snapshot) uint64 { return s.RemoteLookups })
+	refusals := "Refusals of other directories by status."
+	counter("refusals_total", refusals, prometheus.Labels{"status": "incorrect_partition"}, func(s *snapshot) uint64 { return s.IncorrectPartition })
+	counter("refusals_total", refusals, prometheus.Labels{"status": "duplicate_activation"}, func(s *snapshot) uint64 { return s.Duplicates })
+	counter("refusals_total", refusals, prometheus.Labels{"status": "settling"}, func(s *snapshot) uint64 { return s.Settling })
+	counter("salvaged_total", "Sessions registered again with a new holder.", nil, func(s *snapshot) uint64 { return s.Salvaged })
+	counter("handed_off_total", "Registrations passed on to the new holder of a range.", nil, func(s *snapshot) uint64 { return s.HandedOff })
+	counter("void_registrations_total", "Registrations void because authority was lost.", nil, func(s *snapshot) uint64 { return s.AuthorityLost })
+	counter("resend_requests_total", "Completions that had to be asked for.", nil, func(s *snapshot) uint64 { return s.ResendRequests })
+	for _, reason := range directory.YieldReasons {
+		counter("yields_total", "Sessions given up by reason.", prometheus.Labels{"reason": string(reason)},
+			func(s *snapshot) uint64 { return s.Yields[reason] })
+	}
+}
+
+func (m *metrics) registerGauges(registerer prometheus.Registerer) {
+	gauge := func(name, help string, read func(*snapshot) float64) {
+		registerer.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "rosestand_directory_" + name, Help: help},
+			func() float64 { return read(m.snapshot.Load()) },
+		))
+	}
+	gauge("owned_sessions", "Sessions owned.", func(s *snapshot) float64 { return float64(s.owned) })
+	gauge("partition_sessions", "Registrations held.", func(s *snapshot) float64 { return float64(s.partition) })
+	gauge("salvage_list_length", "Own sessions that wait to be registered again.", func(s *snapshot) float64 { return float64(s.salvage) })
+	gauge("hand_off_length", "Registrations that wait to be passed on.", func(s *snapshot) float64 { return float64(s.handOff) })
+	gauge("settling_views", "View changes whose ranges gained are not complete.", func(s *snapshot) float64 { return float64(s.settling) })
+	gauge("view_version", "Membership view in force.", func(s *snapshot) float64 { return float64(s.viewVersion) })
+}
+
+// publish copies the counters; only the directory's owner calls it.
+func (m *metrics) publish(d *directory.Directory) {
+	m.snapshot.Store(&snapshot{
+		Stats: d.Stats(), owned: d.OwnedCount(), partition: d.PartitionSize(), salvage: d.SalvageLength(),
+		handOff: d.HandOffLength(), settling: d.SettlingRanges(), viewVersion: d.ViewVersion(),
+	})
+}
+
+func (m *metrics) reregistered(waits []time.Duration) {
+	for _, wait := range waits {
+		m.waits.Observe(wait.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/ownership/shell.go
@@ -0,0 +1,217 @@
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+)
+
+// shell holds the directory; only the owner goroutine touches it.
+type shell struct {
+	manager   *Manager
+	ctx       context.Context
+	directory *directory.Directory
+	waiting   map[uint64]chan<- directory.Resolved
+	drained   []chan struct{}
+	policy    *protocol.RecoveryPolicy
+
+	timer  *time.Timer
+	tickAt time.Time
+	// salvaging is what the log was last told.
+	salvaging bool
+}
+
+func newShell(manager *Manager, ctx context.Context) *shell {
+	self := manager.options.Link.Authority().Self
+	return &shell{
+		manager: manager,
+		ctx:     ctx,
+		directory: directory.New(directory.Options{
+			Self: ring.Member{
+				Name: self.GetName(), Address: self.GetAddress(), Incarnation: self.GetIncarnation(),
+			},
+			Random: manager.options.Random,
+		}),
+		waiting: make(map[uint64]chan<- directory.Resolved),
+		timer:   time.NewTimer(longestTick),
+	}
+}
+
+func (s *shell) run() {
+	defer s.timer.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case command := <-s.manager.commands:
+			command(s)
+			if s.directory.Pending() {
+				s.tickWithin(shortestTick)
+			}
+		case <-s.timer.C:
+			s.handle(directory.Ticked{})
+			s.publish()
+			s.scheduleTick()
+		}
+	}
+}
+
+// tickWithin brings the next tick forward.
+func (s *shell) tickWithin(wait time.Duration) {
+	if at := time.Now().Add(wait); at.Before(s.tickAt) {
+		s.tickAt = at
+		s.timer.Reset(wait)
+	}
+}
+
+func (s *shell) scheduleTick() {
+	wait := longestTick
+	if next, pending := s.directory.NextTick(); pending {
+		wait = min(max(time.Until(next), shortestTick), longestTick)
+	}
+	s.tickAt = time.Now().Add(wait)
+	s.timer.Reset(wait)
+}
+
+// moment is the time and whether this node has authority. A new incarnation of
+// this node is told to the directory before anything else is.
+func (s *shell) moment() (directory.Moment, *corelink.Authority) {
+	authority := s.manager.options.Link.Authority()
+	at := directory.Moment{Now: time.Now(), Authority: authority.Held()}
+	if incarnation := authority.Self.GetIncarnation(); incarnation != s.directory.Self().Incarnation {
+		s.manager.logger.Warn("authority was lost; sessions are registered again", "sessions", s.directory.OwnedCount())
+		s.execute(s.directory.Handle(at, directory.Reincarnated{Incarnation: incarnation}))
+	}
+	return at, authority
+}
+
+func (s *shell) handle(event directory.Event) {
+	at, _ := s.moment()
+	s.execute(s.directory.Handle(at, event))
+}
+
+func (s *shell) viewChanged(view *corelink.View) {
+	if recovery := view.Configuration.GetActive().GetRecovery(); recovery != s.policy {
+		s.policy = recovery
+		s.handle(directory.PolicyChanged{Policy: directory.PolicyOf(recovery)})
+	}
+	if view.Membership.GetVersion() > s.directory.ViewVersion() {
+		s.handle(directory.ViewChanged{View: directory.ViewOf(view.Membership, s.manager.options.VirtualPlaces)})
+	}
+}
+
+func (s *shell) resolve(request directory.ResolveRequested, answer chan<- directory.Resolved) {
+	s.waiting[request.Ticket] = answer
+	s.handle(request)
+}
+
+func (s *shell) cancelResolve(ticket uint64) {
+	delete(s.waiting, ticket)
+	s.handle(directory.ResolveCancelled{Ticket: ticket})
+}
+
+func (s *shell) begin(session string) (*Grant, failure.Code) {
+	at, authority := s.moment()
+	code, commands := s.directory.Begin(at, session)
+	s.execute(commands)
+	if code != "" {
+		return nil, code
+	}
+	return &Grant{manager: s.manager, session: session, incarnation: authority.Self.GetIncarnation()}, ""
+}
+
+// serve answers as holder, which this node may do only with authority.
+func (s *shell) serve(request *protocol.Request) (*protocol.Response, error) {
+	at, _ := s.moment()
+	if !at.Authority {
+		return nil, notRun(failure.NoAuthority, "this node holds no lease")
+	}
+	switch body := request.GetBody().(type) {
+	case *protocol.Request_LookupSession:
+		answer := s.directory.ServeLookup(at, body.LookupSession)
+		return &protocol.Response{Body: &protocol.Response_LookupSession{LookupSession: answer}}, nil
+	case *protocol.Request_RegisterSessions:
+		answer, commands := s.directory.ServeRegister(at, body.RegisterSessions)
+		s.execute(commands)
+		return &protocol.Response{Body: &protocol.Response_RegisterSessions{RegisterSessions: answer}}, nil
+	case *protocol.Request_UnregisterSessions:
+		answer, commands := s.directory.ServeUnregister(at, body.UnregisterSessions)
+		s.execute(commands)
+		return &protocol.Response{Body: &protocol.Response_UnregisterSessions{UnregisterSessions: answer}}, nil
+	default:
+		return nil, notRun(failure.UnknownRequest, "not a request to the directory")
+	}
+}
+
+func (s *shell) drain(drained chan struct{}) {
+	s.drained = append(s.drained, drained)
+	s.handle(directory.DrainBegun{})
+	s.checkDrained()
+}
+
+func (s *shell) checkDrained() {
+	if len(s.drained) == 0 || !s.directory.Drained() {
+		return
+	}
+	for _, drained := range s.drained {
+		close(drained)
+	}
+	s.drained = nil
+}
+
+func (s *shell) execute(commands []directory.Command) {
+	for _, command := range commands {
+		switch command := command.(type) {
+		case directory.Send:
+			s.send(command)
+		case directory.Resolved:
+			s.resolved(command)
+		case directory.Yielded:
+			for _, notify := range s.manager.onYield {
+				notify(command.Session)
+			}
+		case directory.Reregistered:
+			s.manager.metrics.reregistered(command.Waits)
+		case directory.Settled:
+			s.manager.metrics.settled.Observe(command.Took.Seconds())
+		}
+	}
+	s.checkDrained()
+}
+
+func (s *shell) resolved(command directory.Resolved) {
+	if answer, found := s.waiting[command.Ticket]; found {
+		delete(s.waiting, command.Ticket)
+		answer <- command
+	}
+}
+
+// send makes the call beside the owner goroutine and queues its answer.
+func (s *shell) send(command directory.Send) {
+	manager, ctx := s.manager, s.ctx
+	manager.workers.Go(func() {
+		call, cancel := context.WithTimeout(ctx, manager.options.CallTimeout)
+		defer cancel()
+		response, err := manager.options.Caller.Call(call, command.Address, command.Request)
+		if err != nil {
+			manager.metrics.failedCalls.Inc()
+			response = nil
+		}
+		manager.post(func(s *shell) { s.handle(directory.Answered{Call: command.Call, Response: response}) })
+	})
+}
+
+// publish writes the counters out, and a line when the salvage list fills or empties.
+func (s *shell) publish() {
+	s.manager.metrics.publish(s.directory)
+	if salvaging := s.directory.SalvageLength() > 0; salvaging != s.salvaging {
+		s.salvaging = salvaging
+		s.manager.logger.Info("salvage list changed", "sessions", s.directory.SalvageLength(),
+			"view", s.directory.ViewVersion())
+	}
+}
