--- /dev/null
+++ b/internal/front/admission.go
@@ -0,0 +1,214 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/limit"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// bucketSeconds is how much of its rate a tenant may use at once.
+	bucketSeconds    = 2
+	expiryResolution = 5 * time.Millisecond
+)
+
+// tenantBuckets are one tenant's rates on this front node.
+type tenantBuckets struct {
+	requests *limit.Bucket
+	tokens   *limit.Bucket
+}
+
+// admission owns the queue, the concurrency limit, the retry budget and the tenants' rates.
+type admission struct {
+	*table
+	clock       Clock
+	queue       *limit.Queue
+	concurrency *limit.Concurrency
+	retries     *limit.RetryBudget
+	tenants     map[string]*tenantBuckets
+	waiting     map[uint64]chan limit.Decision
+	nextID      uint64
+	alarmSet    time.Time
+}
+
+func newAdmission(clock Clock) *admission {
+	concurrency := limit.NewConcurrency(0)
+	return &admission{
+		table: newTable(), clock: clock, concurrency: concurrency,
+		queue:   limit.NewQueue(0, 0, concurrency.Limit()),
+		retries: limit.NewRetryBudget(0),
+		tenants: make(map[string]*tenantBuckets),
+		waiting: make(map[uint64]chan limit.Decision),
+	}
+}
+
+// configure puts the bounds of a bundle in force.
+func (a *admission) configure(limits *protocol.LimitPolicy) {
+	a.post(func() {
+		a.concurrency.SetMost(limits.GetMaxConcurrent())
+		a.retries.SetPercent(limits.GetRetryPercent())
+		a.queue.SetBounds(limits.GetMaxQueued(), time.Duration(limits.GetMaxQueueMillis())*time.Millisecond)
+		a.deliver(a.queue.SetSlots(a.concurrency.Limit()))
+	})
+}
+
+// enter waits for a slot; the failure says why there is none.
+func (a *admission) enter(ctx context.Context, ticket limit.Ticket) *protocol.Failure {
+	decided := make(chan limit.Decision, 1)
+	running := a.post(func() {
+		a.nextID++
+		ticket.ID = a.nextID
+		a.waiting[ticket.ID] = decided
+		a.retries.Request()
+		a.deliver(a.queue.Enter(ticket, a.clock.Now()))
+		a.setAlarm()
+	})
+	if !running {
+		return stoppingFailure()
+	}
+	select {
+	case decision := <-decided:
+		return admissionFailure(decision)
+	case <-a.done:
+		return stoppingFailure()
+	case <-ctx.Done():
+	}
+	a.withdraw(&ticket, decided)
+	return failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the request ended while it waited for a slot").Failure
+}
+
+// withdraw takes a ticket out whose caller no longer waits.
+func (a *admission) withdraw(ticket *limit.Ticket, decided chan limit.Decision) {
+	a.post(func() {
+		if a.waiting[ticket.ID] != nil {
+			a.queue.Cancel(ticket.ID)
+			delete(a.waiting, ticket.ID)
+			return
+		}
+		if decision := <-decided; decision.Verdict == limit.Run {
+			a.deliver(a.queue.Leave(a.clock.Now()))
+		}
+	})
+}
+
+// leave gives a slot back.
+func (a *admission) leave() {
+	a.post(func() {
+		a.deliver(a.queue.Leave(a.clock.Now()))
+	})
+}
+
+// record tells the concurrency limit what one attempt measured.
+func (a *admission) record(sample limit.Sample) {
+	a.post(func() {
+		a.concurrency.Record(sample, a.queue.InFlight(), a.clock.Now())
+		a.deliver(a.queue.SetSlots(a.concurrency.Limit()))
+	})
+}
+
+// retry takes one retry out of the budget.
+func (a *admission) retry() bool {
+	granted := false
+	answered := a.ask(func() { granted = a.retries.Retry() })
+	return answered && granted
+}
+
+// admitTenant checks the tenant's rates, scaled to this front node's share of the fleet.
+func (a *admission) admitTenant(policy *protocol.TenantPolicy, share float64) *protocol.Failure {
+	if policy.GetRequestsPerSecond() <= 0 && policy.GetTokensPerSecond() <= 0 {
+		return nil
+	}
+	var wait time.Duration
+	allowed := true
+	a.ask(func() {
+		now := a.clock.Now()
+		buckets := a.bucketsOf(policy, share, now)
+		if allowed, wait = buckets.tokens.Take(0, now); allowed {
+			allowed, wait = buckets.requests.Take(1, now)
+		}
+	})
+	if allowed {
+		return nil
+	}
+	return failure.New(failure.RateLimited, protocol.Outcome_NOT_RUN, "the tenant's rate is used up",
+		failure.WithRetryAfter(max(wait, time.Millisecond))).Failure
+}
+
+// chargeTenant counts tokens that were passed on.
+func (a *admission) chargeTenant(policy *protocol.TenantPolicy, share float64, tokens uint64) {
+	if policy.GetTokensPerSecond() <= 0 || tokens == 0 {
+		return
+	}
+	a.post(func() {
+		now := a.clock.Now()
+		a.bucketsOf(policy, share, now).tokens.Charge(float64(tokens), now)
+	})
+}
+
+func (a *admission) bucketsOf(policy *protocol.TenantPolicy, share float64, now time.Time) *tenantBuckets {
+	requests, tokens := policy.GetRequestsPerSecond()*share, policy.GetTokensPerSecond()*share
+	buckets := a.tenants[policy.GetName()]
+	if buckets == nil {
+		buckets = &tenantBuckets{
+			requests: limit.NewBucket(requests, bucketSeconds, now),
+			tokens:   limit.NewBucket(tokens, bucketSeconds, now),
+		}
+		a.tenants[policy.GetName()] = buckets
+	}
+	buckets.requests.SetRate(requests, bucketSeconds, now)
+	buckets.tokens.SetRate(tokens, bucketSeconds, now)
+	return buckets
+}
+
+func (a *admission) deliver(decisions []limit.Decision) {
+	for _, decision := range decisions {
+		if decided := a.waiting[decision.ID]; decided != nil {
+			delete(a.waiting, decision.ID)
+			decided <- decision
+		}
+	}
+}
+
+// setAlarm expires tickets that wait too long, one alarm at a time.
+func (a *admission) setAlarm() {
+	next := a.queue.NextExpiry()
+	if next.IsZero() || !a.alarmSet.IsZero() && !next.Before(a.alarmSet) {
+		return
+	}
+	a.alarmSet = next
+	ring := a.clock.After(max(next.Sub(a.clock.Now()), expiryResolution))
+	go func() {
+		select {
+		case <-ring:
+			a.post(a.alarm)
+		case <-a.quit:
+		}
+	}()
+}
+
+func (a *admission) alarm() {
+	a.alarmSet = time.Time{}
+	a.deliver(a.queue.Expire(a.clock.Now()))
+	a.setAlarm()
+}
+
+func admissionFailure(decision limit.Decision) *protocol.Failure {
+	switch decision.Verdict {
+	case limit.Run:
+		return nil
+	case limit.RefuseLate:
+		return failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, "no slot became free in time",
+			failure.WithRetryAfter(decision.RetryAfter)).Failure
+	default:
+		return failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, "the queue is full",
+			failure.WithRetryAfter(decision.RetryAfter)).Failure
+	}
+}
+
+func stoppingFailure() *protocol.Failure {
+	return failure.New(failure.Draining, protocol.Outcome_NOT_RUN, "the front node is stopping",
+		failure.WithRetryAfter(time.Second)).Failure
+}
--- /dev/null
+++ b/internal/front/answers.go
@@ -0,0 +1,140 @@
+package front
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// responseObject is a turn as callers see it.
+type responseObject struct {
+	ID                 string          `json:"id"`
+	Object             string          `json:"object"`
+	Status             string          `json:"status"`
+	Model              string          `json:"model"`
+	Conversation       string          `json:"conversation"`
+	Program            string          `json:"program"`
+	PreviousResponseID string          `json:"previous_response_id,omitempty"`
+	Output             []outputMessage `json:"output"`
+	Usage              *usage          `json:"usage,omitempty"`
+	Rosestand          provenance      `json:"rosestand"`
+}
+
+type outputMessage struct {
+	Type    string       `json:"type"`
+	Role    string       `json:"role"`
+	Content []outputText `json:"content"`
+}
+
+type outputText struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+type usage struct {
+	InputTokens        uint64       `json:"input_tokens"`
+	InputTokensDetails inputDetails `json:"input_tokens_details"`
+	OutputTokens       uint64       `json:"output_tokens"`
+	TotalTokens        uint64       `json:"total_tokens"`
+}
+
+type inputDetails struct {
+	CachedTokens uint64 `json:"cached_tokens"`
+}
+
+// provenance says where an answer comes from.
+type provenance struct {
+	RequestID     string `json:"request_id"`
+	Nonce         string `json:"nonce,omitempty"`
+	BackEnd       string `json:"back_end,omitempty"`
+	Owner         string `json:"owner,omitempty"`
+	Epoch         uint64 `json:"epoch,omitempty"`
+	BundleVersion uint64 `json:"bundle_version,omitempty"`
+	Attempt       uint32 `json:"attempt,omitempty"`
+}
+
+// callObject is the answer of a tool call.
+type callObject struct {
+	RequestID string          `json:"request_id"`
+	Status    uint32          `json:"status"`
+	Result    json.RawMessage `json:"result"`
+	Rosestand provenance      `json:"rosestand"`
+}
+
+const (
+	statusInProgress = "in_progress"
+	statusCompleted  = "completed"
+	responseKind     = "response"
+)
+
+// turnView builds the answer of a turn from its events.
+type turnView struct {
+	request *protocol.TurnRequest
+	created *protocol.TurnCreated
+	attempt uint32
+}
+
+// see takes an event in.
+func (v *turnView) see(event *protocol.TurnEvent) {
+	v.attempt = event.GetAttempt()
+	if created := event.GetCreated(); created != nil {
+		v.created = created
+	}
+}
+
+func (v *turnView) object(status string) responseObject {
+	return responseObject{
+		ID: v.created.GetTurnId(), Object: responseKind, Status: status, Model: v.request.GetModel(),
+		Conversation: v.request.GetSession(), Program: v.request.GetProgram(), PreviousResponseID: v.request.GetPreviousTurn(),
+		Output: []outputMessage{},
+		Rosestand: provenance{
+			RequestID: v.request.GetRequestId(), BackEnd: v.created.GetBackEnd(), Owner: v.created.GetOwner(),
+			Epoch: v.created.GetEpoch(), BundleVersion: v.created.GetBundleVersion(), Attempt: v.attempt,
+		},
+	}
+}
+
+func (v *turnView) completed(done *protocol.TurnCompleted) responseObject {
+	answer := v.object(statusCompleted)
+	answer.Output = message(done.GetText())
+	answer.Usage = usageOf(done.GetInputTokens(), done.GetCachedTokens(), done.GetOutputTokens())
+	answer.Rosestand.Nonce = done.GetNonce()
+	return answer
+}
+
+func message(text string) []outputMessage {
+	return []outputMessage{{Type: "message", Role: "assistant", Content: []outputText{{Type: "output_text", Text: text}}}}
+}
+
+func usageOf(input, cached, output uint64) *usage {
+	return &usage{
+		InputTokens: input, InputTokensDetails: inputDetails{CachedTokens: cached}, OutputTokens: output, TotalTokens: input + output,
+	}
+}
+
+// keptObject is a turn as the ledger keeps it.
+func keptObject(kept *protocol.Turn) responseObject {
+	var text strings.Builder
+	for _, item := range kept.GetOutput() {
+		text.WriteString(item.GetText())
+	}
+	return responseObject{
+		ID: kept.GetId(), Object: responseKind, Status: statusCompleted, Model: kept.GetModel(), Conversation: kept.GetSession(),
+		Program: kept.GetProgram(), PreviousResponseID: kept.GetPreviousTurn(), Output: message(text.String()),
+		Usage:     usageOf(kept.GetInputTokens(), 0, kept.GetOutputTokens()),
+		Rosestand: provenance{RequestID: kept.GetRequestId(), BackEnd: kept.GetBackEnd(), Epoch: kept.GetEpoch()},
+	}
+}
+
+// resultJSON passes a tool's JSON on as it is and anything else as a text.
+func resultJSON(response *protocol.ToolCallResponse) json.RawMessage {
+	if strings.HasPrefix(response.GetContentType(), "application/json") && json.Valid(response.GetBody()) {
+		return response.GetBody()
+	}
+	text, err := json.Marshal(string(response.GetBody()))
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return text
+}
--- /dev/null
+++ b/internal/front/backends.go
@@ -0,0 +1,197 @@
+package front
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/schedule"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// loadReportLife is how long a reported load is believed.
+const loadReportLife = 2 * time.Second
+
+// backEnd is one server with what this front node knows of its load. It
+// outlives views as long as the server's incarnation does not change.
+type backEnd struct {
+	description atomic.Pointer[protocol.BackEnd]
+	inFlight    atomic.Int32
+	running     atomic.Uint32
+	queued      atomic.Uint32
+	capacity    atomic.Uint32
+	draining    atomic.Bool
+	// reportedAt is when the load was last reported, in Unix nanoseconds.
+	reportedAt atomic.Int64
+
+	mutex   sync.Mutex
+	outlier schedule.Outlier
+}
+
+func (b *backEnd) id() string { return b.description.Load().GetId() }
+
+func (b *backEnd) url(path string) string {
+	return "http://" + b.description.Load().GetAddress() + path
+}
+
+// isServerFault tells a sick server from one that is busy or refused for good reason.
+func isServerFault(fault turn.BackEndFault) bool {
+	return fault == turn.FaultNotSent || fault == turn.FaultBroken || fault == turn.FaultMismatch
+}
+
+// record takes the outcome of one attempt for outlier ejection.
+func (b *backEnd) record(fault bool, now time.Time) {
+	b.mutex.Lock()
+	b.outlier.Record(fault, now)
+	b.mutex.Unlock()
+}
+
+func (b *backEnd) health(now time.Time) (ejected bool, share float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.outlier.Ejected(now), b.outlier.Share(now)
+}
+
+// report takes in the load that rides on an answer: "running=1,queued=0,capacity=16".
+func (b *backEnd) report(header string, now time.Time) {
+	if header == "" {
+		return
+	}
+	b.reportedAt.Store(now.UnixNano())
+	for part := range strings.SplitSeq(header, ",") {
+		name, text, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "running":
+			b.running.Store(uint32(number))
+		case "queued":
+			b.queued.Store(uint32(number))
+		case "capacity":
+			b.capacity.Store(uint32(number))
+		}
+	}
+}
+
+// reported is the load that the server last told. An old report counts for
+// nothing: without traffic of its own a front node would never see it fall.
+func (b *backEnd) reported(now time.Time) (running, queued uint32) {
+	if now.UnixNano()-b.reportedAt.Load() > int64(loadReportLife) {
+		return 0, 0
+	}
+	return b.running.Load(), b.queued.Load()
+}
+
+// groupKey names what a back end can serve: a model or tool within a group.
+type groupKey struct {
+	group string
+	tool  bool
+	name  string
+}
+
+// backEnds are the servers of the view in force.
+type backEnds struct {
+	version uint64
+	byID    map[string]*backEnd
+	groups  map[groupKey][]*backEnd
+}
+
+// next builds the servers of a newer view and keeps what is known of their load.
+func (b *backEnds) next(view *protocol.BackEndView) *backEnds {
+	updated := &backEnds{
+		version: view.GetVersion(),
+		byID:    make(map[string]*backEnd, len(view.GetBackEnds())),
+		groups:  make(map[groupKey][]*backEnd),
+	}
+	for _, description := range view.GetBackEnds() {
+		server := b.keep(description)
+		updated.byID[description.GetId()] = server
+		for _, model := range description.GetModels() {
+			key := groupKey{group: description.GetGroup(), name: model}
+			updated.groups[key] = append(updated.groups[key], server)
+		}
+		for _, tool := range description.GetTools() {
+			key := groupKey{group: description.GetGroup(), tool: true, name: tool}
+			updated.groups[key] = append(updated.groups[key], server)
+		}
+	}
+	for _, servers := range updated.groups {
+		slices.SortFunc(servers, func(x, y *backEnd) int { return strings.Compare(x.id(), y.id()) })
+	}
+	return updated
+}
+
+func (b *backEnds) keep(description *protocol.BackEnd) *backEnd {
+	server := b.byID[description.GetId()]
+	if server == nil || server.description.Load().GetIncarnation() != description.GetIncarnation() {
+		server = &backEnd{}
+	}
+	server.description.Store(description)
+	server.draining.Store(description.GetState() == protocol.BackEndState_DRAINING)
+	return server
+}
+
+// candidates is the snapshot that a policy decides on.
+func candidates(servers []*backEnd, group *protocol.ServerGroup, now time.Time) []schedule.Candidate {
+	snapshot := make([]schedule.Candidate, 0, len(servers))
+	for _, server := range servers {
+		description := server.description.Load()
+		ejected, share := server.health(now)
+		capacity := description.GetCapacity()
+		if reported := server.capacity.Load(); reported > 0 {
+			capacity = reported
+		}
+		running, queued := server.reported(now)
+		snapshot = append(snapshot, schedule.Candidate{
+			ID: description.GetId(), Zone: description.GetZone(), Draining: server.draining.Load(), Ejected: ejected,
+			Capacity: capacity, InFlight: uint32(max(server.inFlight.Load(), 0)),
+			Running: running, Queued: queued,
+			Weight: zoneWeight(group, description.GetZone()) * share,
+		})
+	}
+	return snapshot
+}
+
+func zoneWeight(group *protocol.ServerGroup, zone string) float64 {
+	if weight, set := group.GetZoneWeights()[zone]; set {
+		return float64(weight)
+	}
+	return 1
+}
+
+// placement is what a request needs to be placed.
+type placement struct {
+	key   groupKey
+	index *bundle.Index
+	// affinity is the prefix shared, last the server of the session's last turn.
+	affinity string
+	last     string
+	avoid    []string
+	zone     string
+	front    string
+	sequence uint64
+}
+
+// place runs the scheduling policy of a bundle.
+func (b *backEnds) place(p placement, now time.Time) schedule.Decision {
+	group := p.index.Group(p.key.group)
+	policy := p.index.Bundle().GetScheduling()
+	request := schedule.Request{
+		Algorithm: policy.GetAlgorithm(), LoadBound: policy.GetLoadBound(), SubsetSize: policy.GetSubsetSize(),
+		Front: p.front, Zone: p.zone, ZoneLocalFirst: group.GetZoneLocalFirst(),
+		AffinityKey: p.affinity, Last: p.last, Avoid: p.avoid, Sequence: p.sequence,
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return schedule.Choose(request, candidates(b.groups[p.key], group, now), random)
+}
--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,89 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gin-gonic/gin"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/front"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time                            { return time.Now() }
+func (wallClock) After(wait time.Duration) <-chan time.Time { return time.After(wait) }
+
+// BenchmarkTurns measures turns through one front node that owns all sessions,
+// with a ledger in memory. Caller and model server run in the same process, so
+// a turn's cost here holds theirs too.
+func BenchmarkTurns(b *testing.B) {
+	gin.SetMode(gin.ReleaseMode)
+	const wordsPerTurn = 20
+	r := newRig()
+	words := make([]string, wordsPerTurn)
+	for at := range words {
+		words[at] = "word "
+	}
+	model := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		modelAnswer(words...)(writer, request)
+	}))
+	defer model.Close()
+	link := &fakeLink{view: &corelink.View{
+		Configuration: r.view.Configuration, Membership: r.view.Membership,
+		BackEnds: &protocol.BackEndView{Version: 2, BackEnds: []*protocol.BackEnd{{
+			Id: "m1", Kind: modelServer, State: protocol.BackEndState_READY, Address: strings.TrimPrefix(model.URL, "http://"),
+			Group: bundle.GroupAdvisors, Models: []string{bundle.ModelClimateAdvisor}, Incarnation: 1, Capacity: 1024,
+		}}},
+	}}
+	service := front.New(front.Options{
+		Self: &protocol.Node{Name: "f1"}, Link: link, Ledger: r.ledger, Caller: r.network, Clock: wallClock{},
+		Ownership: &fakeOwnership{self: "f1", owners: map[string]string{}, forgotten: map[string]int{}, incarnation: 1},
+		Logger:    log.New(io.Discard),
+	})
+	defer func() { _ = service.Stop(context.Background()) }()
+	engine := gin.New()
+	service.Register(engine, 1<<20)
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	defer client.CloseIdleConnections()
+	var program atomic.Uint64
+	b.SetParallelism(16)
+	b.ResetTimer()
+	b.RunParallel(func(each *testing.PB) {
+		for each.Next() {
+			body := fmt.Sprintf(`{"model":%q,"program":"p%d","input":"hello","stream":true}`, bundle.ModelClimateAdvisor, program.Add(1))
+			request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/responses", strings.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			request.Header.Set("Rosestand-Tenant", tenant)
+			response, err := client.Do(request)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			text, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if !strings.Contains(string(text), "response.completed") {
+				b.Errorf("status %d: %s", response.StatusCode, text)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "turns/s")
+}
--- /dev/null
+++ b/internal/front/decode.go
@@ -0,0 +1,77 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// DefaultMaxBodyBytes bounds HTTP bodies unless the settings say otherwise.
+const DefaultMaxBodyBytes = 8 << 20
+
+// readBody reads a bounded body.
+func readBody(request *http.Request, most int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(request.Body, most+1))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) || int64(len(body)) > most {
+		return nil, failure.New(failure.BodyTooLarge, protocol.Outcome_NOT_RUN,
+			"the body is larger than "+strconv.FormatInt(most, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, failure.New(failure.InvalidBody, protocol.Outcome_NOT_RUN, "the body cannot be read")
+	}
+	return body, nil
+}
+
+// decodeStrict reads one JSON object; path is put before the names of fields at fault.
+func decodeStrict(text []byte, path string, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return decodeFailure(err, path)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return failure.New(failure.InvalidBody, protocol.Outcome_NOT_RUN, "more follows the JSON value", failure.WithPath(path))
+	}
+	return nil
+}
+
+const unknownFieldPrefix = "json: unknown field "
+
+func decodeFailure(err error, path string) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return invalidField(joinPath(path, wrongType.Field), "must not be a "+wrongType.Value)
+	}
+	if quoted, found := strings.CutPrefix(err.Error(), unknownFieldPrefix); found {
+		name, unquoteError := strconv.Unquote(quoted)
+		if unquoteError != nil {
+			name = quoted
+		}
+		return failure.New(failure.UnknownField, protocol.Outcome_NOT_RUN, "no such field", failure.WithPath(joinPath(path, name)))
+	}
+	return failure.New(failure.InvalidBody, protocol.Outcome_NOT_RUN, "the body is not valid JSON: "+err.Error(), failure.WithPath(path))
+}
+
+func joinPath(path, name string) string {
+	if path == "" || name == "" {
+		return path + name
+	}
+	return path + "." + name
+}
+
+func invalidField(path, message string) error {
+	return failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, message, failure.WithPath(path))
+}
+
+func missingField(path string) error {
+	return failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "is required", failure.WithPath(path))
+}
--- /dev/null
+++ b/internal/front/dependencies.go
@@ -0,0 +1,63 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Link is what the front plane needs of the link to the core.
+type Link interface {
+	View() *corelink.View
+	Subscribe(subscriber func(*corelink.View))
+	Authority() *corelink.Authority
+	Ready() bool
+	CallCore(ctx context.Context, request *protocol.Request) (*protocol.Response, error)
+	LocateCore() *protocol.LocateCoreResponse
+	SetDraining(draining bool)
+}
+
+// Ledger is the client of the program ledger.
+type Ledger interface {
+	// Do carries out one operation; the result is LEDGER_UNAVAILABLE when no majority answered in time.
+	Do(ctx context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error)
+}
+
+// Grant is the permission to act as owner of a session for one turn or call.
+type Grant interface {
+	// Valid is checked at each issue and before each event.
+	Valid() bool
+	// Incarnation is this front node's incarnation under which the grant was given.
+	Incarnation() uint64
+	// End says that the turn or call is settled.
+	End()
+}
+
+// Ownership decides which front node owns a session.
+type Ownership interface {
+	Resolve(ctx context.Context, session, program string) (directory.Owner, error)
+	Forget(session string)
+	// Fenced gives a session up after the ledger refused this node's epoch of it.
+	Fenced(session string)
+	Begin(session, program string) (Grant, error)
+	ServeDirectory(ctx context.Context, request *protocol.Request) (*protocol.Response, error)
+	Drain(ctx context.Context) error
+	OnYield(yielded func(session string))
+}
+
+// Clock tells the time and waits; tests supply their own.
+type Clock interface {
+	Now() time.Time
+	After(wait time.Duration) <-chan time.Time
+}
+
+type systemClock struct{}
+
+// Now implements Clock.
+func (systemClock) Now() time.Time { return time.Now() }
+
+// After implements Clock.
+func (systemClock) After(wait time.Duration) <-chan time.Time { return time.After(wait) }
--- /dev/null
+++ b/internal/front/errors.go
@@ -0,0 +1,43 @@
+package front
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// stopError is the cause with which a turn's context is cancelled.
+type stopError struct {
+	reason turn.StopReason
+}
+
+func (e *stopError) Error() string {
+	switch e.reason {
+	case turn.StopDeadline:
+		return "the deadline passed"
+	case turn.StopAuthority:
+		return "authority was lost"
+	default:
+		return "the caller went away"
+	}
+}
+
+var (
+	errCallerGone = &stopError{reason: turn.StopCallerGone}
+	errDeadline   = &stopError{reason: turn.StopDeadline}
+	errAuthority  = &stopError{reason: turn.StopAuthority}
+)
+
+// backEndError is a failed attempt at a back end.
+type backEndError struct {
+	fault      turn.BackEndFault
+	retryAfter time.Duration
+	detail     string
+}
+
+func (e *backEndError) Error() string { return fmt.Sprintf("%s: %s", e.fault, e.detail) }
+
+func (e *backEndError) event() turn.Event {
+	return turn.BackEndFailed{Fault: e.fault, RetryAfter: e.retryAfter, Detail: e.detail}
+}
--- /dev/null
+++ b/internal/front/fx.go
@@ -0,0 +1,106 @@
+package front
+
+import (
+	"context"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/ledgerclient"
+	"github.com/rosestand/rosestand/internal/ownership"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// readyCondition is the name under which a front node's readiness is shown.
+const readyCondition = "front"
+
+// Module is the front plane. It provides the link to the core, the session
+// directory, the ledger's client, the Service and its wire.Handler, puts the
+// routes on the engine, and starts and stops all of them with the process.
+func Module(settings *protocol.FrontSettings) fx.Option {
+	return fx.Module("front",
+		fx.Supply(settings),
+		fx.Provide(
+			provideLink,
+			provideOwnership,
+			provideLedger,
+			provideService,
+			func(s *Service) wire.Handler { return s },
+		),
+		fx.Invoke(run),
+	)
+}
+
+func provideLink(process *daemon.Process, node *protocol.NodeSettings, settings *protocol.FrontSettings,
+	caller wire.Caller, logger *log.Logger, registerer prometheus.Registerer,
+) *corelink.Link {
+	return corelink.New(corelink.Options{
+		Self: process.Self, Seeds: node.GetSeeds(), Caller: caller, Logger: logger, Registerer: registerer,
+		RenewInterval: millis(settings.GetLeaseRenewMillis()),
+	})
+}
+
+func provideOwnership(settings *protocol.FrontSettings, link *corelink.Link, pool *wire.Pool,
+	logger *log.Logger, registerer prometheus.Registerer,
+) *ownership.Manager {
+	manager := ownership.New(ownership.Options{
+		Link: link, Caller: pool, VirtualPlaces: int(settings.GetVirtualPlaces()), Logger: logger, Registerer: registerer,
+	})
+	pool.OnBroken(manager.PeerBroken)
+	return manager
+}
+
+func provideLedger(caller wire.Caller, link *corelink.Link) *ledgerclient.Client {
+	return ledgerclient.New(caller, link.View, ledgerclient.Options{})
+}
+
+func provideService(process *daemon.Process, link *corelink.Link, ledger *ledgerclient.Client, manager *ownership.Manager,
+	caller wire.Caller, logger *log.Logger, registerer prometheus.Registerer,
+) *Service {
+	return New(Options{
+		Self: process.Self, Link: link, Ledger: ledger, Ownership: grantingManager{manager}, Caller: caller,
+		Logger: logger, Registerer: registerer,
+	})
+}
+
+// grantingManager lets the directory's grants be used as Grant.
+type grantingManager struct{ *ownership.Manager }
+
+// Begin implements Ownership.
+func (m grantingManager) Begin(session, program string) (Grant, error) {
+	grant, err := m.Manager.Begin(session, program)
+	if err != nil {
+		return nil, err
+	}
+	return grant, nil
+}
+
+func run(lifecycle fx.Lifecycle, settings *protocol.FrontSettings, service *Service, manager *ownership.Manager,
+	link *corelink.Link, process *daemon.Process, engine *gin.Engine,
+) {
+	service.Register(engine, settings.GetMaxBodyBytes())
+	process.Readiness.AddCheck(readyCondition, service.notReady)
+	process.OnDrain("front", service.Drain)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			if err := manager.Start(ctx); err != nil {
+				return err
+			}
+			if err := service.Start(ctx); err != nil {
+				return err
+			}
+			return link.Start(ctx)
+		},
+		OnStop: func(ctx context.Context) error {
+			err := service.Stop(ctx)
+			err = errors.CombineErrors(err, manager.Stop(ctx))
+			return errors.CombineErrors(err, link.Stop(ctx))
+		},
+	})
+}
--- /dev/null
+++ b/internal/front/http.go
@@ -0,0 +1,246 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// keyedRefusalTimeout bounds the ledger's part in a refusal before a request
+// was taken in: a final answer does not wait longer for its proof.
+const keyedRefusalTimeout = 40 * time.Millisecond
+
+// api is the HTTP surface towards callers and back ends.
+type api struct {
+	service *Service
+	maxBody int64
+}
+
+// Register puts the routes of the front plane on an engine.
+func (s *Service) Register(engine *gin.Engine, maxBodyBytes uint64) {
+	a := &api{service: s, maxBody: int64(maxBodyBytes)}
+	if a.maxBody == 0 {
+		a.maxBody = DefaultMaxBodyBytes
+	}
+	engine.POST("/v1/responses", a.postResponse)
+	engine.GET("/v1/responses/:id", a.getResponse)
+	engine.POST("/v1/tools/:tool/calls", a.postCall)
+	engine.GET("/v1/explain/:id", a.getExplanation)
+	engine.POST("/v1/backends/heartbeat", a.postHeartbeat)
+	engine.POST("/v1/backends/:id/drain", a.postDrain)
+}
+
+// postResponse serves a turn.
+func (a *api) postResponse(c *gin.Context) {
+	request, stream, policy, err := a.admitTurn(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	left := timeLeft(request.GetTimeLeftMillis())
+	ctx, cancel := context.WithTimeout(c.Request.Context(), left+answerSlack)
+	defer cancel()
+	if stream {
+		a.streamTurn(ctx, c, request, policy)
+		return
+	}
+	a.answerTurn(ctx, c, request, policy)
+}
+
+// admitTurn reads a turn and checks everything that needs no owner.
+func (a *api) admitTurn(c *gin.Context) (*protocol.TurnRequest, bool, *protocol.TenantPolicy, error) {
+	text, err := readBody(c.Request, a.maxBody)
+	if err != nil {
+		return nil, false, nil, err
+	}
+	request, stream, err := parseTurn(text, c.Request.Header)
+	if err != nil {
+		return nil, false, nil, err
+	}
+	c.Header(headerRequestID, request.GetRequestId())
+	decided := a.service.policies.Load().armOf(request.GetProgram())
+	policy, err := a.tenant(c, decided)
+	if err != nil {
+		return nil, false, nil, err
+	}
+	request.Tenant, request.Ingress = policy.GetName(), a.service.name
+	if decided.Model(request.GetTenant(), request.GetModel()) == nil {
+		return nil, false, nil, unknownModel()
+	}
+	if err := a.findConversation(c, request); err != nil {
+		return nil, false, nil, err
+	}
+	if limited := a.service.admission.admitTenant(policy, *a.service.share.Load()); limited != nil {
+		return nil, false, nil, a.refuseEarly(c, request, limited)
+	}
+	return request, stream, policy, nil
+}
+
+// findConversation asks the ledger for the conversation of the turn continued
+// from, when the caller names only that.
+func (a *api) findConversation(c *gin.Context, request *protocol.TurnRequest) error {
+	if request.GetSession() != "" {
+		return nil
+	}
+	previous, status := a.service.readTurn(c.Request.Context(), request.GetProgram(), request.GetPreviousTurn())
+	switch status {
+	case protocol.LedgerStatus_LEDGER_OK:
+		request.Session = previous.GetSession()
+		return nil
+	case protocol.LedgerStatus_LEDGER_TURN_MISSING, protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM:
+		return failure.New(failure.TurnMissing, protocol.Outcome_NOT_RUN, "the turn is not kept",
+			failure.WithPath("previous_response_id"))
+	default:
+		return a.refuseEarly(c, request, failure.From(ledgerUnavailable()))
+	}
+}
+
+func (a *api) tenant(c *gin.Context, decided arm) (*protocol.TenantPolicy, error) {
+	if decided.Bundle() == nil {
+		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no bundle is in force yet", failure.WithRetryAfter(time.Second))
+	}
+	return tenantOf(c.Request.Header, decided)
+}
+
+// refuseEarly refuses a turn before an owner has seen it. A request that may be
+// a repeat of one that ran is refused as not run only with the ledger's word.
+func (a *api) refuseEarly(c *gin.Context, request *protocol.TurnRequest, f *protocol.Failure) error {
+	if request.GetFirstSend() {
+		return &failure.Error{Failure: f}
+	}
+	decided := make(chan error, 1)
+	a.service.runs.Go(func() {
+		decided <- a.service.refuseTurn(context.WithoutCancel(c.Request.Context()), request, f, func(*protocol.Turn) error {
+			kept := failure.New(failure.RateLimited, protocol.Outcome_RAN, "the request ran before; read its turn",
+				failure.WithRetryAfter(time.Duration(f.GetRetryAfterMillis())*time.Millisecond))
+			return kept
+		})
+	})
+	select {
+	case err := <-decided:
+		return err
+	case <-a.service.clock.After(keyedRefusalTimeout):
+		return failure.New(failure.Code(f.GetCode()), protocol.Outcome_UNKNOWN, f.GetMessage(),
+			failure.WithRetryAfter(time.Duration(f.GetRetryAfterMillis())*time.Millisecond))
+	}
+}
+
+func (a *api) streamTurn(ctx context.Context, c *gin.Context, request *protocol.TurnRequest, policy *protocol.TenantPolicy) {
+	stream := newEventStream(c.Writer, request)
+	tokens := uint64(0)
+	err := a.service.relayTurn(ctx, request, func(event *protocol.TurnEvent) error {
+		tokens += uint64(event.GetDelta().GetTokens())
+		return stream.send(event)
+	})
+	a.service.admission.chargeTenant(policy, *a.service.share.Load(), tokens)
+	endStream(c, stream, err)
+}
+
+// endStream tells the caller of an error in the form that is still possible.
+func endStream(c *gin.Context, stream *eventStream, err error) {
+	switch {
+	case err == nil:
+	case stream.begun:
+		stream.fail(failure.From(err))
+	default:
+		writeError(c, err)
+	}
+}
+
+func (a *api) answerTurn(ctx context.Context, c *gin.Context, request *protocol.TurnRequest, policy *protocol.TenantPolicy) {
+	view := turnView{request: request}
+	tokens := uint64(0)
+	var last *protocol.TurnEvent
+	err := a.service.relayTurn(ctx, request, func(event *protocol.TurnEvent) error {
+		view.see(event)
+		tokens += uint64(event.GetDelta().GetTokens())
+		last = event
+		return nil
+	})
+	a.service.admission.chargeTenant(policy, *a.service.share.Load(), tokens)
+	switch {
+	case err != nil:
+		writeError(c, err)
+	case last.GetFailed() != nil:
+		writeError(c, &failure.Error{Failure: last.GetFailed()})
+	default:
+		c.JSON(http.StatusOK, view.completed(last.GetCompleted()))
+	}
+}
+
+// postCall serves a tool call.
+func (a *api) postCall(c *gin.Context) {
+	request, nonRepeatable, err := a.admitCall(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), timeLeft(request.GetTimeLeftMillis())+answerSlack)
+	defer cancel()
+	response, err := a.service.relayCall(ctx, request, nonRepeatable)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	if f := response.GetFailure(); f != nil {
+		writeError(c, &failure.Error{Failure: f})
+		return
+	}
+	c.JSON(http.StatusOK, callObject{
+		RequestID: request.GetRequestId(), Status: response.GetStatus(), Result: resultJSON(response),
+		Rosestand: provenance{
+			RequestID: request.GetRequestId(), Nonce: request.GetNonce(), BackEnd: response.GetBackEnd(),
+			Owner: response.GetOwner(), Epoch: response.GetEpoch(), BundleVersion: response.GetBundleVersion(),
+		},
+	})
+}
+
+func (a *api) admitCall(c *gin.Context) (*protocol.ToolCallRequest, bool, error) {
+	text, err := readBody(c.Request, a.maxBody)
+	if err != nil {
+		return nil, false, err
+	}
+	request, err := parseCall(text, c.Param("tool"), c.Request.Header)
+	if err != nil {
+		return nil, false, err
+	}
+	c.Header(headerRequestID, request.GetRequestId())
+	decided := a.service.policies.Load().armOf(request.GetProgram())
+	policy, err := a.tenant(c, decided)
+	if err != nil {
+		return nil, false, err
+	}
+	request.Tenant, request.Ingress = policy.GetName(), a.service.name
+	route := decided.Tool(request.GetTenant(), request.GetTool())
+	if route == nil {
+		return nil, false, unknownTool()
+	}
+	if route.GetNonRepeatable() && c.GetHeader(headerIdempotency) == "" {
+		return nil, false, missingField(headerIdempotency)
+	}
+	if limited := a.service.admission.admitTenant(policy, *a.service.share.Load()); limited != nil {
+		_, err := a.service.refuseCall(c.Request.Context(), request, route.GetNonRepeatable(), limited)
+		return nil, false, err
+	}
+	return request, route.GetNonRepeatable(), nil
+}
+
+// writeError answers with a failure, unless the caller has left.
+func writeError(c *gin.Context, err error) {
+	if c.Request.Context().Err() != nil && errors.Is(err, context.Canceled) {
+		c.Abort()
+		return
+	}
+	f := failure.From(err)
+	if f.GetStatus() == 0 {
+		f = failure.New(failure.Code(f.GetCode()), f.GetOutcome(), f.GetMessage(), failure.WithPath(f.GetPath())).Failure
+	}
+	daemon.WriteFailure(c.Writer, f)
+}
--- /dev/null
+++ b/internal/front/httpbackends.go
@@ -0,0 +1,209 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	maxBackEndNames = 1024
+	drainTimeoutAll = 30 * time.Second
+	explainTimeout  = time.Second
+	explainFanOut   = 16
+	coreRetry       = time.Second
+)
+
+// heartbeatBody is the body of POST /v1/backends/heartbeat.
+type heartbeatBody struct {
+	ID          string   `json:"id"`
+	Kind        string   `json:"kind"`
+	Address     string   `json:"address"`
+	Zone        string   `json:"zone"`
+	Region      string   `json:"region"`
+	Group       string   `json:"group"`
+	Models      []string `json:"models"`
+	Tools       []string `json:"tools"`
+	Incarnation uint64   `json:"incarnation"`
+	Capacity    uint32   `json:"capacity"`
+	State       string   `json:"state"`
+}
+
+type heartbeatAnswer struct {
+	IntervalSeconds uint32 `json:"interval_seconds"`
+}
+
+type drainRequestBody struct {
+	Incarnation uint64 `json:"incarnation"`
+}
+
+type drainAnswer struct {
+	ViewVersion uint64 `json:"view_version"`
+}
+
+var backEndStates = map[string]protocol.BackEndState{
+	"": protocol.BackEndState_READY, "READY": protocol.BackEndState_READY, "DRAINING": protocol.BackEndState_DRAINING,
+}
+
+func parseHeartbeat(text []byte) (*protocol.BackEnd, error) {
+	var body heartbeatBody
+	if err := decodeStrict(text, "", &body); err != nil {
+		return nil, err
+	}
+	kind := protocol.BackEndKind(protocol.BackEndKind_value[body.Kind])
+	state, knownState := backEndStates[body.State]
+	_, addressError := netip.ParseAddrPort(body.Address)
+	switch {
+	case body.ID == "":
+		return nil, missingField("id")
+	case len(body.ID) > maxIdentifierBytes:
+		return nil, tooLong("id")
+	case kind == protocol.BackEndKind_BACK_END_KIND_UNSPECIFIED:
+		return nil, invalidField("kind", "must be MODEL_SERVER or TOOL_SERVER")
+	case addressError != nil:
+		return nil, invalidField("address", "must be an IP address and a port")
+	case body.Group == "":
+		return nil, missingField("group")
+	case body.Incarnation == 0:
+		return nil, missingField("incarnation")
+	case kind == protocol.BackEndKind_MODEL_SERVER && len(body.Models) == 0:
+		return nil, missingField("models")
+	case kind == protocol.BackEndKind_TOOL_SERVER && len(body.Tools) == 0:
+		return nil, missingField("tools")
+	case len(body.Models)+len(body.Tools) > maxBackEndNames:
+		return nil, invalidField("models", "names too many models and tools")
+	case !knownState:
+		return nil, invalidField("state", "must be READY or DRAINING")
+	}
+	return &protocol.BackEnd{
+		Id: body.ID, Kind: kind, State: state, Address: body.Address, Zone: body.Zone, Region: body.Region, Group: body.Group,
+		Models: body.Models, Tools: body.Tools, Incarnation: body.Incarnation, Capacity: body.Capacity,
+	}, nil
+}
+
+// postHeartbeat relays a back end's heartbeat to the core.
+func (a *api) postHeartbeat(c *gin.Context) {
+	text, err := readBody(c.Request, a.maxBody)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	backEnd, err := parseHeartbeat(text)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), heartbeatTimeout+time.Second)
+	defer cancel()
+	answer := a.service.heartbeats.relay(ctx, backEnd)
+	if answer.err != nil {
+		writeError(c, coreFailure(answer.err))
+		return
+	}
+	c.JSON(http.StatusOK, heartbeatAnswer{IntervalSeconds: answer.intervalSeconds})
+}
+
+// coreFailure words an error of the way to the core; such requests may be sent again.
+func coreFailure(err error) error {
+	f := failureOf(err)
+	if f.GetOutcome() == protocol.Outcome_NOT_RUN {
+		return &failure.Error{Failure: f}
+	}
+	return failure.New(failure.Unavailable, protocol.Outcome_UNKNOWN, "the core did not answer: "+f.GetMessage(),
+		failure.WithRetryAfter(coreRetry))
+}
+
+// postDrain tells the core that a back end leaves; the answer says that no front node will send it more.
+func (a *api) postDrain(c *gin.Context) {
+	text, err := readBody(c.Request, a.maxBody)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	var body drainRequestBody
+	if err := decodeStrict(text, "", &body); err != nil {
+		writeError(c, err)
+		return
+	}
+	if body.Incarnation == 0 {
+		writeError(c, missingField("incarnation"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), drainTimeoutAll)
+	defer cancel()
+	response, err := a.service.link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_DrainBackEnd{
+		DrainBackEnd: &protocol.DrainBackEndRequest{Id: c.Param("id"), Incarnation: body.Incarnation},
+	}})
+	if err != nil {
+		writeError(c, coreFailure(err))
+		return
+	}
+	c.JSON(http.StatusOK, drainAnswer{ViewVersion: response.GetDrainBackEnd().GetViewVersion()})
+}
+
+// getExplanation gathers what the front nodes know of a request.
+func (a *api) getExplanation(c *gin.Context) {
+	id := c.Param("id")
+	found := a.service.explanations.of(id)
+	ctx, cancel := context.WithTimeout(c.Request.Context(), explainTimeout)
+	defer cancel()
+	found = append(found, a.service.askPeers(ctx, id, found)...)
+	if len(found) == 0 {
+		writeError(c, failure.New(failure.NotFound, protocol.Outcome_NOT_RUN, "no front node remembers the request", failure.WithPath("request_id")))
+		return
+	}
+	text, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(&protocol.ExplainResponse{Explanations: found})
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	c.Data(http.StatusOK, "application/json", text)
+}
+
+// askPeers asks the owners named by what is known here, or every front node when nothing is.
+func (s *Service) askPeers(ctx context.Context, id string, known []*protocol.Explanation) []*protocol.Explanation {
+	peers := s.peersFor(known)
+	answers := make([][]*protocol.Explanation, len(peers))
+	slots := make(chan struct{}, explainFanOut)
+	var asked sync.WaitGroup
+	for at, address := range peers {
+		asked.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			response, err := s.caller.Call(ctx, address, &protocol.Request{Body: &protocol.Request_Explain{
+				Explain: &protocol.ExplainRequest{RequestId: id},
+			}})
+			if err == nil {
+				answers[at] = response.GetExplain().GetExplanations()
+			}
+		})
+	}
+	asked.Wait()
+	return slices.Concat(answers...)
+}
+
+func (s *Service) peersFor(known []*protocol.Explanation) []string {
+	owners := make(map[string]bool)
+	for _, explanation := range known {
+		owners[explanation.GetOwner()] = true
+	}
+	var addresses []string
+	for _, node := range s.link.View().Membership.GetNodes() {
+		if node.GetKind() != protocol.NodeKind_FRONT || node.GetName() == s.name {
+			continue
+		}
+		if len(known) == 0 || owners[node.GetName()] {
+			addresses = append(addresses, node.GetAddress())
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/front/httpread.go
@@ -0,0 +1,218 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// resumeDeadline bounds how long a resumed stream may last.
+const resumeDeadline = longestDeadline
+
+// readQuery is what GET /v1/responses/{id} asks for.
+type readQuery struct {
+	id      string
+	program string
+	stream  bool
+	after   cursor
+}
+
+func parseReadQuery(c *gin.Context) (readQuery, error) {
+	query := readQuery{id: c.Param("id"), program: c.Query("program")}
+	if query.program == "" {
+		return query, missingField("program")
+	}
+	if text := c.Query("stream"); text != "" {
+		stream, err := strconv.ParseBool(text)
+		if err != nil {
+			return query, invalidField("stream", "must be true or false")
+		}
+		query.stream = stream
+	}
+	after := c.Query("starting_after")
+	if after == "" {
+		after = c.GetHeader("Last-Event-ID")
+	}
+	var err error
+	query.after, err = parseCursor(after)
+	return query, err
+}
+
+// parseCursor reads "sequence" of the first attempt, or "attempt-sequence" as in the id of an event.
+func parseCursor(text string) (cursor, error) {
+	if text == "" {
+		return cursor{}, nil
+	}
+	attemptText, sequenceText, found := strings.Cut(text, "-")
+	if !found {
+		attemptText, sequenceText = "1", text
+	}
+	attempt, attemptError := strconv.ParseUint(attemptText, 10, 32)
+	sequence, sequenceError := strconv.ParseUint(sequenceText, 10, 64)
+	if attemptError != nil || sequenceError != nil || attempt == 0 {
+		return cursor{}, invalidField("starting_after", "must be a sequence number or the id of an event")
+	}
+	return cursor{attempt: uint32(attempt), sequence: sequence}, nil
+}
+
+// getResponse reads a turn, or its stream again.
+func (a *api) getResponse(c *gin.Context) {
+	query, err := parseReadQuery(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	policy, err := a.tenant(c, a.service.policies.Load().armOf(query.program))
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), resumeDeadline)
+	defer cancel()
+	found, err := a.service.findTurn(ctx, query, policy.GetName())
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	if query.stream {
+		a.resume(ctx, c, query, found)
+		return
+	}
+	if found.kept == nil {
+		c.JSON(http.StatusOK, responseObject{
+			ID: query.id, Object: responseKind, Status: statusInProgress, Conversation: found.session, Program: query.program,
+			Output: []outputMessage{}, Rosestand: provenance{RequestID: found.requestID},
+		})
+		return
+	}
+	c.JSON(http.StatusOK, keptObject(found.kept))
+}
+
+// foundTurn is a turn as the ledger knows it: kept, or under way in a session.
+type foundTurn struct {
+	kept      *protocol.Turn
+	session   string
+	requestID string
+}
+
+// findTurn looks a turn up in the ledger. It is missing only when the ledger's
+// majority says so after the program's record was read.
+func (s *Service) findTurn(ctx context.Context, query readQuery, tenant string) (foundTurn, error) {
+	result := s.ledgerDo(ctx, &protocol.LedgerOperation{
+		Program: query.program, Body: &protocol.LedgerOperation_ReadProgram{ReadProgram: &protocol.ReadProgram{}},
+	})
+	switch {
+	case result.GetStatus() == protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM,
+		result.GetStatus() == protocol.LedgerStatus_LEDGER_OK && result.GetProgram().GetTenant() != tenant:
+		return foundTurn{}, failure.New(failure.UnknownProgram, protocol.Outcome_NOT_RUN, "the program is not known", failure.WithPath("program"))
+	case result.GetStatus() != protocol.LedgerStatus_LEDGER_OK:
+		return foundTurn{}, ledgerUnavailable()
+	}
+	for _, open := range result.GetProgram().GetReservations() {
+		if turn.ID(query.program, open.GetRequestId()) == query.id {
+			return foundTurn{session: open.GetSession(), requestID: open.GetRequestId()}, nil
+		}
+	}
+	kept, status := s.readTurn(ctx, query.program, query.id)
+	switch status {
+	case protocol.LedgerStatus_LEDGER_OK:
+		return foundTurn{kept: kept, session: kept.GetSession(), requestID: kept.GetRequestId()}, nil
+	case protocol.LedgerStatus_LEDGER_TURN_MISSING:
+		return foundTurn{}, failure.New(failure.TurnMissing, protocol.Outcome_NOT_RUN, "the turn is not kept", failure.WithPath("id"))
+	default:
+		return foundTurn{}, ledgerUnavailable()
+	}
+}
+
+func ledgerUnavailable() error {
+	return failure.New(failure.LedgerUnavailable, protocol.Outcome_NOT_RUN, "the ledger did not answer in time",
+		failure.WithRetryAfter(time.Second))
+}
+
+// resume streams a turn after the caller's last event: from its owner with the
+// numbers it had, or from the ledger as an attempt of its own.
+func (a *api) resume(ctx context.Context, c *gin.Context, query readQuery, found foundTurn) {
+	request := &protocol.TurnRequest{RequestId: found.requestID, Session: found.session, Program: query.program}
+	if found.kept != nil {
+		request.Model, request.PreviousTurn = found.kept.GetModel(), found.kept.GetPreviousTurn()
+	}
+	stream := newEventStream(c.Writer, request)
+	stream.last = query.after
+	stream.begin()
+	if err := stream.controller.Flush(); err != nil {
+		return
+	}
+	relayed := &relay{
+		service: a.service, request: request, deliver: stream.send, at: query.after,
+		explanation: a.service.explanations.begin(found.requestID, found.session, query.program),
+	}
+	relayed.explanation.step("resumed", fmtCursor(query.after))
+	err := a.service.resumeFromOwner(ctx, relayed, query, found)
+	if err == nil || relayed.gone != nil || ctx.Err() != nil {
+		endStream(c, stream, err)
+		return
+	}
+	endStream(c, stream, a.resumeFromLedger(ctx, relayed, query, found, err))
+}
+
+func fmtCursor(at cursor) string {
+	return strconv.FormatUint(uint64(at.attempt), 10) + "-" + strconv.FormatUint(at.sequence, 10)
+}
+
+// resumeFromOwner follows the turn at the front node that owns its session.
+func (s *Service) resumeFromOwner(ctx context.Context, r *relay, query readQuery, found foundTurn) error {
+	owner, err := s.ownership.Resolve(ctx, found.session, query.program)
+	if err != nil {
+		return err
+	}
+	if owner.Local {
+		live := s.sessions.turnOf(sessionKey{session: found.session, program: query.program}, query.id)
+		if live == nil {
+			return failure.New(failure.NotFound, protocol.Outcome_NOT_RUN, "the turn is not under way here")
+		}
+		return live.follow(ctx, query.after, r.pass)
+	}
+	stream, err := s.caller.Open(ctx, owner.Address, &protocol.Request{Body: &protocol.Request_ResumeTurn{
+		ResumeTurn: &protocol.ResumeTurnRequest{
+			TurnId: query.id, Program: query.program, Session: found.session,
+			LastAttempt: query.after.attempt, StartingAfter: query.after.sequence,
+		},
+	}})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		response, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		if err := r.pass(response.GetTurnEvent()); err != nil || r.done {
+			return err
+		}
+	}
+}
+
+// resumeFromLedger replays a kept turn. A turn that is still open in the ledger
+// but unknown to its owner is about to end; the caller is told to come back.
+func (a *api) resumeFromLedger(ctx context.Context, r *relay, query readQuery, found foundTurn, cause error) error {
+	kept := found.kept
+	if kept == nil {
+		read, status := a.service.readTurn(ctx, query.program, query.id)
+		if status != protocol.LedgerStatus_LEDGER_OK {
+			f := failureOf(cause)
+			return failure.New(failure.Unavailable, protocol.Outcome_UNKNOWN, "the turn cannot be followed now: "+f.GetMessage(),
+				failure.WithRetryAfter(time.Second))
+		}
+		kept = read
+	}
+	return r.deliverKept(kept)
+}
--- /dev/null
+++ b/internal/front/ingress.go
@@ -0,0 +1,281 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const (
+	// forwardWindow bounds how long an ingress looks for an owner that answers.
+	forwardWindow = 15 * time.Second
+	firstBackoff  = 20 * time.Millisecond
+	mostBackoff   = 500 * time.Millisecond
+	// answerSlack is how much longer than the deadline an ingress waits to hear what became of a turn.
+	answerSlack = 3 * time.Second
+)
+
+// relay brings one turn to its owner and passes the events on, in order and once each.
+type relay struct {
+	service     *Service
+	request     *protocol.TurnRequest
+	deadline    time.Time
+	deliver     func(*protocol.TurnEvent) error
+	explanation *explanation
+	at          cursor
+	done        bool
+	// gone is set when the caller can take no more events.
+	gone error
+}
+
+// outOfOrderError says that a stream skipped, repeated or spliced events.
+type outOfOrderError struct {
+	at    cursor
+	event *protocol.TurnEvent
+}
+
+func (e *outOfOrderError) Error() string {
+	return fmt.Sprintf("event %d-%d does not follow %d-%d", e.event.GetAttempt(), e.event.GetSequence(), e.at.attempt, e.at.sequence)
+}
+
+// cutStreamError says that a stream ended before the turn did.
+type cutStreamError struct{}
+
+func (e *cutStreamError) Error() string { return "the stream ended before the turn did" }
+
+// relayTurn serves a turn for a caller. Unless an error is returned, deliver
+// was given the turn's last event.
+func (s *Service) relayTurn(ctx context.Context, request *protocol.TurnRequest, deliver func(*protocol.TurnEvent) error) error {
+	left := timeLeft(request.GetTimeLeftMillis())
+	r := &relay{
+		service: s, request: request, deliver: deliver, deadline: s.clock.Now().Add(left),
+		explanation: s.explanations.begin(request.GetRequestId(), request.GetSession(), request.GetProgram()),
+	}
+	r.explanation.step("taken in", request.GetPriority().String())
+	err := r.run(ctx)
+	code := "ok"
+	if err != nil {
+		code = failure.From(err).GetCode()
+	}
+	s.metrics.turns.WithLabelValues(code).Inc()
+	return err
+}
+
+// run tries owners until one answers. A request that is sent again carries the
+// same id, so that an owner or the ledger knows it.
+func (r *relay) run(ctx context.Context) error {
+	lastTry := r.service.clock.Now().Add(forwardWindow)
+	if lastTry.After(r.deadline) {
+		lastTry = r.deadline
+	}
+	backoff := firstBackoff
+	for {
+		err := r.try(ctx)
+		if r.done {
+			return nil
+		}
+		if err == nil {
+			err = &cutStreamError{}
+		}
+		if r.gone != nil || ctx.Err() != nil {
+			return errors.CombineErrors(r.gone, err)
+		}
+		r.explanation.step("not answered", err.Error())
+		if !mayTryAgain(err) || !r.service.clock.Now().Add(backoff).Before(lastTry) {
+			return r.giveUp(ctx, err)
+		}
+		r.service.ownership.Forget(r.request.GetSession())
+		select {
+		case <-r.service.clock.After(backoff):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		backoff = min(2*backoff, mostBackoff)
+	}
+}
+
+// try brings the turn to the owner of the moment.
+func (r *relay) try(ctx context.Context) error {
+	owner, err := r.service.ownership.Resolve(ctx, r.request.GetSession(), r.request.GetProgram())
+	if err != nil {
+		return err
+	}
+	r.noteOwner(owner)
+	request := proto.CloneOf(r.request)
+	request.TimeLeftMillis = max(uint32(r.deadline.Sub(r.service.clock.Now()).Milliseconds()), 1)
+	request.LastAttempt = r.at.attempt
+	request.LookupViewVersion = owner.ViewVersion
+	if owner.Local {
+		return r.serveLocal(ctx, request)
+	}
+	return r.serveRemote(ctx, owner.Address, request)
+}
+
+func (r *relay) noteOwner(owner directory.Owner) {
+	r.explanation.note(func(record *protocol.Explanation) {
+		record.Owner, record.PartitionHolder = owner.Name, owner.PartitionHolder
+	})
+	r.explanation.step("owner found", fmt.Sprintf("%s, partition holder %s, view %d, cached %t",
+		owner.Name, owner.PartitionHolder, owner.ViewVersion, owner.CacheHit))
+}
+
+func (r *relay) serveLocal(ctx context.Context, request *protocol.TurnRequest) error {
+	live, err := r.service.beginTurn(request)
+	if err != nil {
+		return err
+	}
+	r.request.FirstSend = false
+	return live.follow(ctx, r.at, r.pass)
+}
+
+func (r *relay) serveRemote(ctx context.Context, address string, request *protocol.TurnRequest) error {
+	r.service.metrics.forwarded.Inc()
+	stream, err := r.service.caller.Open(ctx, address, &protocol.Request{Body: &protocol.Request_Turn{Turn: request}})
+	if err != nil {
+		r.sent(err)
+		return err
+	}
+	defer stream.Close()
+	for {
+		response, err := stream.Receive()
+		if errors.Is(err, io.EOF) {
+			err = &cutStreamError{}
+		}
+		if err != nil {
+			r.sent(err)
+			return err
+		}
+		r.request.FirstSend = false
+		if err := r.pass(response.GetTurnEvent()); err != nil || r.done {
+			return err
+		}
+	}
+}
+
+// sent notes that another copy of the request may exist, unless the error shows that none does.
+func (r *relay) sent(err error) {
+	var notSent *wire.NotSentError
+	if errors.As(err, &notSent) || isNotTaken(err) {
+		return
+	}
+	r.request.FirstSend = false
+}
+
+// pass gives one event to the caller, unless it was given before.
+func (r *relay) pass(event *protocol.TurnEvent) error {
+	if r.at.seen(event) {
+		return nil
+	}
+	if !r.at.follows(event) {
+		return &outOfOrderError{at: r.at, event: event}
+	}
+	if f := event.GetFailed(); f != nil && isNotTakenFailure(f) && r.at == (cursor{}) {
+		return &failure.Error{Failure: f}
+	}
+	if err := r.deliver(event); err != nil {
+		r.gone = err
+		return err
+	}
+	r.service.metrics.events.Inc()
+	r.at = cursor{attempt: event.GetAttempt(), sequence: event.GetSequence()}
+	r.done = isTerminal(event)
+	return nil
+}
+
+// mayTryAgain reports whether another owner, or the same one, may be asked.
+// The request's id keeps it from being run twice.
+func mayTryAgain(err error) bool {
+	var notSent *wire.NotSentError
+	var broken *wire.BrokenError
+	var cut *cutStreamError
+	var order *outOfOrderError
+	return errors.As(err, &notSent) || errors.As(err, &broken) || errors.As(err, &cut) || errors.As(err, &order) || isNotTaken(err)
+}
+
+// isNotTaken reports whether a front node answered that it did not take the request as owner.
+func isNotTaken(err error) bool {
+	var typed *failure.Error
+	return errors.As(err, &typed) && isNotTakenFailure(typed.Failure)
+}
+
+func isNotTakenFailure(f *protocol.Failure) bool {
+	if f.GetOutcome() != protocol.Outcome_NOT_RUN {
+		return false
+	}
+	switch failure.Code(f.GetCode()) {
+	case failure.NotOwner, failure.NoAuthority, failure.Fenced, failure.StaleView, failure.NotReady, failure.Draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// giveUp ends the caller's request with the truth about it.
+func (r *relay) giveUp(ctx context.Context, cause error) error {
+	f := proto.CloneOf(failureOf(cause))
+	if r.at != (cursor{}) {
+		f.Outcome = protocol.Outcome_RAN
+		return &failure.Error{Failure: f}
+	}
+	return r.service.refuseTurn(ctx, r.request, f, r.deliverKept)
+}
+
+func (r *relay) deliverKept(kept *protocol.Turn) error {
+	for _, event := range turn.Replay(kept, r.at.attempt+1, r.service.name, 0) {
+		if err := r.pass(event); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// failureOf words an error of the way to the owner.
+func failureOf(err error) *protocol.Failure {
+	var typed *failure.Error
+	if errors.As(err, &typed) {
+		return typed.Failure
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return failure.From(err)
+	}
+	return failure.New(failure.Unavailable, protocol.Outcome_UNKNOWN, "the session's owner did not answer: "+err.Error(),
+		failure.WithRetryAfter(time.Second)).Failure
+}
+
+// refuseTurn refuses a request truthfully: as not run when no other copy can
+// exist or the ledger took its tombstone, with the kept answer when the request
+// was settled before, and as unknown otherwise.
+func (s *Service) refuseTurn(ctx context.Context, request *protocol.TurnRequest, f *protocol.Failure, answer func(*protocol.Turn) error) error {
+	if request.GetFirstSend() {
+		f.Outcome = protocol.Outcome_NOT_RUN
+		return &failure.Error{Failure: f}
+	}
+	result := s.refuseRequest(ctx, request.GetProgram(), &protocol.RefuseRequest{
+		RequestId: request.GetRequestId(), Session: request.GetSession(),
+	})
+	finished := result.GetFinished()
+	switch {
+	case result.GetStatus() == protocol.LedgerStatus_LEDGER_OK:
+		f.Outcome = protocol.Outcome_NOT_RUN
+	case result.GetStatus() == protocol.LedgerStatus_LEDGER_ALREADY_FINISHED &&
+		finished.GetOutcome() == protocol.RequestOutcome_OUTCOME_SETTLED:
+		kept, status := s.readTurn(ctx, request.GetProgram(), finished.GetTurnId())
+		if status == protocol.LedgerStatus_LEDGER_OK {
+			return answer(kept)
+		}
+		f.Outcome = protocol.Outcome_RAN
+	default:
+		f.Outcome = protocol.Outcome_UNKNOWN
+	}
+	return &failure.Error{Failure: f}
+}
--- /dev/null
+++ b/internal/front/ledgeroperations.go
@@ -0,0 +1,77 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	ledgerTimeout = 3 * time.Second
+	historyPage   = 128
+)
+
+// ledgerDo carries out an operation. It is detached from the caller's context:
+// once sent, a change must be heard out, or its outcome would be unknown.
+func (s *Service) ledgerDo(ctx context.Context, operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	defer cancel()
+	result, err := s.ledger.Do(ctx, operation)
+	if err != nil || result == nil {
+		return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE}
+	}
+	return result
+}
+
+// readTurns follows a conversation back from its last turn, oldest turn first.
+func (s *Service) readTurns(ctx context.Context, program, lastTurn string) ([]*protocol.Turn, protocol.LedgerStatus) {
+	var newestFirst []*protocol.Turn
+	for next := lastTurn; next != ""; {
+		result := s.ledgerDo(ctx, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_ReadTurns{
+			ReadTurns: &protocol.ReadTurns{LastTurn: next, Limit: historyPage},
+		}})
+		if result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+			return nil, result.GetStatus()
+		}
+		page := result.GetTurns()
+		if len(page) == 0 {
+			return nil, protocol.LedgerStatus_LEDGER_TURN_MISSING
+		}
+		newestFirst = append(newestFirst, page...)
+		next = page[len(page)-1].GetPreviousTurn()
+	}
+	oldestFirst := make([]*protocol.Turn, 0, len(newestFirst))
+	for at := len(newestFirst) - 1; at >= 0; at-- {
+		oldestFirst = append(oldestFirst, newestFirst[at])
+	}
+	return oldestFirst, protocol.LedgerStatus_LEDGER_OK
+}
+
+// readTurn reads one kept turn.
+func (s *Service) readTurn(ctx context.Context, program, id string) (*protocol.Turn, protocol.LedgerStatus) {
+	result := s.ledgerDo(ctx, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_ReadTurns{
+		ReadTurns: &protocol.ReadTurns{LastTurn: id, Limit: 1},
+	}})
+	if result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+		return nil, result.GetStatus()
+	}
+	if len(result.GetTurns()) == 0 {
+		return nil, protocol.LedgerStatus_LEDGER_TURN_MISSING
+	}
+	return result.GetTurns()[0], protocol.LedgerStatus_LEDGER_OK
+}
+
+// refuseRequest puts the tombstone of a request.
+func (s *Service) refuseRequest(ctx context.Context, program string, refuse *protocol.RefuseRequest) *protocol.LedgerResult {
+	return s.ledgerDo(ctx, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_RefuseRequest{RefuseRequest: refuse}})
+}
+
+// historyItems joins the items of a conversation, oldest first.
+func historyItems(turns []*protocol.Turn) []*protocol.Item {
+	var items []*protocol.Item
+	for _, kept := range turns {
+		items = append(append(items, kept.GetInput()...), kept.GetOutput()...)
+	}
+	return items
+}
--- /dev/null
+++ b/internal/front/metrics.go
@@ -0,0 +1,43 @@
+package front
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the counters of the front plane.
+type metrics struct {
+	turns         *prometheus.CounterVec
+	calls         *prometheus.CounterVec
+	events        prometheus.Counter
+	forwarded     prometheus.Counter
+	retries       prometheus.Counter
+	attemptFaults *prometheus.CounterVec
+	firstToken    prometheus.Histogram
+	inProgress    prometheus.Gauge
+	heartbeats    prometheus.Counter
+	shadowDiffers prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	counter := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Namespace: "rosestand", Subsystem: "front", Name: name, Help: help}
+	}
+	m := &metrics{
+		turns:         prometheus.NewCounterVec(counter("turns_total", "Turns answered to callers, by code of the failure or ok."), []string{"code"}),
+		calls:         prometheus.NewCounterVec(counter("tool_calls_total", "Tool calls answered to callers, by code of the failure or ok."), []string{"code"}),
+		events:        prometheus.NewCounter(counter("events_total", "Stream events passed on to callers.")),
+		forwarded:     prometheus.NewCounter(counter("forwarded_total", "Requests forwarded to an owner on another front node.")),
+		retries:       prometheus.NewCounter(counter("retries_total", "Attempts made beyond the first of a request.")),
+		attemptFaults: prometheus.NewCounterVec(counter("attempt_faults_total", "Failed attempts at back ends, by fault."), []string{"fault"}),
+		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "rosestand", Subsystem: "front", Name: "first_token_seconds",
+			Help: "Time from a turn's arrival at its owner to the first token.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+		}),
+		inProgress: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "rosestand", Subsystem: "front", Name: "in_progress", Help: "Turns and calls under way as owner.",
+		}),
+		heartbeats:    prometheus.NewCounter(counter("heartbeats_total", "Heartbeats of back ends relayed to the core.")),
+		shadowDiffers: prometheus.NewCounter(counter("shadow_differs_total", "Decisions on which the shadow bundle chose otherwise.")),
+	}
+	registerer.MustRegister(m.turns, m.calls, m.events, m.forwarded, m.retries, m.attemptFaults, m.firstToken,
+		m.inProgress, m.heartbeats, m.shadowDiffers)
+	return m
+}
--- /dev/null
+++ b/internal/front/owner.go
@@ -0,0 +1,175 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/schedule"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// beginTurn starts a turn as its owner, or finds the one of the same request
+// that is under way already.
+func (s *Service) beginTurn(request *protocol.TurnRequest) (*liveTurn, error) {
+	key := sessionKey{session: request.GetSession(), program: request.GetProgram()}
+	arm := s.policies.Load().armOf(request.GetProgram())
+	route := arm.Model(request.GetTenant(), request.GetModel())
+	if route == nil {
+		return nil, unknownModel()
+	}
+	grant, err := s.ownership.Begin(key.session, key.program)
+	if err != nil {
+		return nil, err
+	}
+	deadline := s.clock.Now().Add(timeLeft(request.GetTimeLeftMillis()))
+	ctx, cancel := context.WithCancelCause(context.Background())
+	live := newLiveTurn(request, turn.ID(request.GetProgram(), request.GetRequestId()), cancel)
+	current, begun := s.sessions.begin(key, live)
+	if !begun {
+		cancel(nil)
+		grant.End()
+		return s.joinTurn(current, request)
+	}
+	run := s.newTurnRun(ctx, request, live, grant, key, arm, route, deadline)
+	s.startRun(run, cancel)
+	return live, nil
+}
+
+// joinTurn is the answer when the session has a turn under way.
+func (s *Service) joinTurn(current *liveTurn, request *protocol.TurnRequest) (*liveTurn, error) {
+	if current == nil {
+		return nil, &failure.Error{Failure: stoppingFailure()}
+	}
+	if current.requestID == request.GetRequestId() && current.tenant == request.GetTenant() {
+		return current, nil
+	}
+	return nil, failure.New(failure.SessionBusy, protocol.Outcome_NOT_RUN, "another turn of the conversation is under way",
+		failure.WithPath("conversation"), failure.WithRetryAfter(busyRetry))
+}
+
+const busyRetry = 500 * time.Millisecond
+
+func unknownModel() error {
+	return failure.New(failure.UnknownModel, protocol.Outcome_NOT_RUN, "no route serves the model", failure.WithPath("model"))
+}
+
+func timeLeft(millis uint32) time.Duration {
+	if millis == 0 {
+		return defaultDeadline
+	}
+	return min(time.Duration(millis)*time.Millisecond, longestDeadline)
+}
+
+func (s *Service) newTurnRun(ctx context.Context, request *protocol.TurnRequest, live *liveTurn, grant Grant,
+	key sessionKey, arm arm, route *protocol.Route, deadline time.Time,
+) *turnRun {
+	explanation := s.explanations.begin(request.GetRequestId(), request.GetSession(), request.GetProgram())
+	explanation.note(func(record *protocol.Explanation) {
+		record.Owner, record.BundleVersion, record.CandidateArm = s.name, arm.version(), arm.candidate
+		record.Route, record.Group = route.GetName(), route.GetGroup()
+		record.Algorithm = arm.Bundle().GetScheduling().GetAlgorithm().String()
+	})
+	explanation.step("taken by the owner", "from "+request.GetIngress())
+	return &turnRun{
+		service: s, ctx: ctx, request: request, live: live, grant: grant, key: key, arm: arm, route: route,
+		counters: s.arms.Load().of(arm.candidate), deadline: deadline, explanation: explanation, began: s.clock.Now(),
+		incarnation: grant.Incarnation(),
+		machine: turn.New(turn.Parameters{
+			Request: request, TurnID: live.turnID, Owner: s.name, Incarnation: grant.Incarnation(),
+			Budget: arm.budget(request.GetProgramBudget(), request.GetTenant()), Ceiling: arm.ceiling(request.GetMaxOutputTokens()),
+			KeepFor: time.Duration(arm.keepSeconds()) * time.Second, BundleVersion: arm.version(),
+		}),
+	}
+}
+
+// startRun drives a turn on a goroutine of its own. It ends the turn at its deadline.
+func (s *Service) startRun(run *turnRun, cancel context.CancelCauseFunc) {
+	expired := s.clock.After(run.deadline.Sub(s.clock.Now()))
+	finished := make(chan struct{})
+	s.runs.Go(func() {
+		select {
+		case <-expired:
+			cancel(errDeadline)
+		case <-s.stopped:
+			cancel(errAuthority)
+		case <-finished:
+		}
+	})
+	s.beginRun()
+	s.runs.Go(func() {
+		defer s.endRun()
+		run.run()
+		close(finished)
+		cancel(nil)
+		run.grant.End()
+	})
+}
+
+// claim returns a session's epoch; the ledger is asked only when this process does not hold it.
+func (s *Service) claim(ctx context.Context, key sessionKey, operation *protocol.ClaimSession) *protocol.LedgerResult {
+	held := s.sessions.claimOf(key, operation.GetTenant(), operation.GetOwnerIncarnation())
+	if held.known {
+		return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_OK, Epoch: held.epoch}
+	}
+	result := s.ledgerDo(ctx, &protocol.LedgerOperation{
+		Program: key.program, Body: &protocol.LedgerOperation_ClaimSession{ClaimSession: operation},
+	})
+	if result.GetStatus() == protocol.LedgerStatus_LEDGER_OK {
+		s.sessions.claimed(key, operation.GetTenant(), operation.GetOwnerIncarnation(), result.GetEpoch())
+	}
+	return result
+}
+
+// placementOf gathers what a decision needs.
+func (s *Service) placementOf(index *bundle.Index, wanted groupKey, key sessionKey, avoid []string) placement {
+	return placement{
+		key: wanted, index: index, affinity: key.program, last: s.sessions.lastBackEndOf(key), avoid: avoid,
+		zone: s.zone, front: s.name, sequence: s.sequence.Add(1),
+	}
+}
+
+// choose runs the policy and returns the server chosen, or nil.
+func (s *Service) choose(wanted placement) (*backEnd, schedule.Decision) {
+	servers := s.backEnds.Load()
+	decision := servers.place(wanted, s.clock.Now())
+	return servers.byID[decision.Chosen], decision
+}
+
+// chooseShadow notes what the shadow bundle would have chosen; nothing is run by it.
+func (s *Service) chooseShadow(shadow *bundle.Index, wanted placement, tenant string, route *protocol.Route, explanation *explanation) {
+	other := shadow.Model(tenant, route.GetModel())
+	if wanted.key.tool {
+		other = shadow.Tool(tenant, route.GetTool())
+	}
+	wanted.index, wanted.key.group = shadow, other.GetGroup()
+	_, decision := s.choose(wanted)
+	explanation.note(func(record *protocol.Explanation) {
+		record.ShadowChosen = decision.Chosen
+		if decision.Chosen != record.GetChosen() {
+			s.metrics.shadowDiffers.Inc()
+		}
+	})
+}
+
+// forgetSession drops what is held of a session; fenced says that another owner has its epoch.
+func (s *Service) forgetSession(key sessionKey, fenced bool) {
+	s.sessions.forget(key)
+	if fenced {
+		s.ownership.Fenced(key.session)
+		return
+	}
+	s.ownership.Forget(key.session)
+}
+
+func (s *Service) beginRun() {
+	s.underWay.Add(1)
+	s.metrics.inProgress.Inc()
+}
+
+func (s *Service) endRun() {
+	s.underWay.Add(-1)
+	s.metrics.inProgress.Dec()
+}
--- /dev/null
+++ b/internal/front/requests.go
@@ -0,0 +1,254 @@
+package front
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	maxIdentifierBytes = 128
+	generatedIDBytes   = 16
+	mostTimeoutMillis  = 600_000
+)
+
+// responsesBody is the body of POST /v1/responses.
+type responsesBody struct {
+	Model              string          `json:"model"`
+	Input              json.RawMessage `json:"input"`
+	PreviousResponseID string          `json:"previous_response_id"`
+	Conversation       string          `json:"conversation"`
+	Program            string          `json:"program"`
+	ProgramBudget      uint64          `json:"program_budget"`
+	Stream             bool            `json:"stream"`
+	Background         bool            `json:"background"`
+	MaxOutputTokens    uint32          `json:"max_output_tokens"`
+	Priority           string          `json:"priority"`
+	TimeoutMillis      uint32          `json:"timeout_millis"`
+}
+
+// inputItem is one element of a list of input.
+type inputItem struct {
+	Role       string `json:"role"`
+	Content    string `json:"content"`
+	ToolCallID string `json:"tool_call_id"`
+	Name       string `json:"name"`
+}
+
+// toolCallBody is the body of POST /v1/tools/{tool}/calls.
+type toolCallBody struct {
+	Program       string          `json:"program"`
+	ProgramBudget uint64          `json:"program_budget"`
+	Conversation  string          `json:"conversation"`
+	Arguments     json.RawMessage `json:"arguments"`
+	Priority      string          `json:"priority"`
+	TimeoutMillis uint32          `json:"timeout_millis"`
+}
+
+var priorities = map[string]protocol.Priority{
+	"": protocol.Priority_INTERACTIVE, "urgent": protocol.Priority_URGENT,
+	"interactive": protocol.Priority_INTERACTIVE, "probe": protocol.Priority_PROBE,
+}
+
+var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true, "tool": true}
+
+// parseTurn reads and checks the body of a turn.
+func parseTurn(text []byte, header http.Header) (*protocol.TurnRequest, bool, error) {
+	var body responsesBody
+	if err := decodeStrict(text, "", &body); err != nil {
+		return nil, false, err
+	}
+	if body.Model == "" {
+		return nil, false, missingField("model")
+	}
+	if err := checkCommon(body.Program, body.Conversation, body.Priority, body.TimeoutMillis); err != nil {
+		return nil, false, err
+	}
+	if len(body.PreviousResponseID) > maxIdentifierBytes {
+		return nil, false, tooLong("previous_response_id")
+	}
+	input, err := parseInput(body.Input)
+	if err != nil {
+		return nil, false, err
+	}
+	id, firstSend, err := requestID(header)
+	if err != nil {
+		return nil, false, err
+	}
+	request := &protocol.TurnRequest{
+		RequestId: id, Program: body.Program, Session: body.Conversation, PreviousTurn: body.PreviousResponseID,
+		Input: input, Model: body.Model, MaxOutputTokens: body.MaxOutputTokens, Priority: priorities[body.Priority],
+		TimeLeftMillis: body.TimeoutMillis, ProgramBudget: body.ProgramBudget, FirstSend: firstSend, Background: body.Background,
+	}
+	if request.Session == "" && request.PreviousTurn == "" {
+		// The same request must come to the same conversation when it is sent again.
+		request.Session = "conv_" + derivedID(body.Program, id)
+	}
+	request.Nonce, err = nonceOf(header, id)
+	return request, body.Stream, err
+}
+
+func checkCommon(program, conversation, priority string, timeoutMillis uint32) error {
+	switch {
+	case program == "":
+		return missingField("program")
+	case len(program) > maxIdentifierBytes:
+		return tooLong("program")
+	case len(conversation) > maxIdentifierBytes:
+		return tooLong("conversation")
+	case timeoutMillis > mostTimeoutMillis:
+		return invalidField("timeout_millis", fmt.Sprintf("must be at most %d", mostTimeoutMillis))
+	}
+	if _, known := priorities[priority]; !known {
+		return invalidField("priority", "must be urgent, interactive or probe")
+	}
+	return nil
+}
+
+func tooLong(path string) error {
+	return invalidField(path, fmt.Sprintf("must be at most %d bytes long", maxIdentifierBytes))
+}
+
+// parseInput reads a text or a list of items.
+func parseInput(raw json.RawMessage) ([]*protocol.Item, error) {
+	raw = bytes.TrimSpace(raw)
+	if len(raw) == 0 || bytes.Equal(raw, []byte("null")) {
+		return nil, missingField("input")
+	}
+	if raw[0] == '"' {
+		var text string
+		if err := decodeStrict(raw, "input", &text); err != nil {
+			return nil, err
+		}
+		if text == "" {
+			return nil, missingField("input")
+		}
+		return []*protocol.Item{{Role: "user", Text: text}}, nil
+	}
+	var entries []json.RawMessage
+	if err := decodeStrict(raw, "input", &entries); err != nil {
+		return nil, err
+	}
+	if len(entries) == 0 {
+		return nil, missingField("input")
+	}
+	items := make([]*protocol.Item, 0, len(entries))
+	for at, entry := range entries {
+		item, err := parseItem(entry, fmt.Sprintf("input[%d]", at))
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, item)
+	}
+	return items, nil
+}
+
+func parseItem(raw json.RawMessage, path string) (*protocol.Item, error) {
+	var item inputItem
+	if err := decodeStrict(raw, path, &item); err != nil {
+		return nil, err
+	}
+	if !roles[item.Role] {
+		return nil, invalidField(path+".role", "must be system, developer, user, assistant or tool")
+	}
+	return &protocol.Item{Role: item.Role, Text: item.Content, ToolCallId: item.ToolCallID, ToolName: item.Name}, nil
+}
+
+// parseCall reads and checks the body of a tool call.
+func parseCall(text []byte, tool string, header http.Header) (*protocol.ToolCallRequest, error) {
+	var body toolCallBody
+	if err := decodeStrict(text, "", &body); err != nil {
+		return nil, err
+	}
+	if err := checkCommon(body.Program, body.Conversation, body.Priority, body.TimeoutMillis); err != nil {
+		return nil, err
+	}
+	id, firstSend, err := requestID(header)
+	if err != nil {
+		return nil, err
+	}
+	request := &protocol.ToolCallRequest{
+		RequestId: id, Program: body.Program, Session: body.Conversation, Tool: tool, Arguments: body.Arguments,
+		Priority: priorities[body.Priority], TimeLeftMillis: body.TimeoutMillis, ProgramBudget: body.ProgramBudget, FirstSend: firstSend,
+	}
+	if request.Session == "" {
+		request.Session = "conv_" + derivedID(body.Program, id)
+	}
+	if len(request.GetArguments()) == 0 {
+		request.Arguments = []byte("{}")
+	}
+	request.Nonce, err = nonceOf(header, id)
+	return request, err
+}
+
+// requestID takes the caller's Idempotency-Key, or makes an id up of which no other copy exists.
+func requestID(header http.Header) (id string, firstSend bool, err error) {
+	key := header.Get(headerIdempotency)
+	switch {
+	case key == "":
+		return "req_" + randomID(), true, nil
+	case len(key) > maxIdentifierBytes:
+		return "", false, tooLong(headerIdempotency)
+	case strings.ContainsFunc(key, isControl):
+		return "", false, invalidField(headerIdempotency, "must not hold control characters")
+	}
+	return key, false, nil
+}
+
+func isControl(character rune) bool { return character < ' ' || character == 0x7f }
+
+// nonceOf is what back ends echo, so that answers cannot be mixed up.
+func nonceOf(header http.Header, requestID string) (string, error) {
+	nonce := header.Get(headerNonce)
+	if len(nonce) > maxIdentifierBytes {
+		return "", tooLong(headerNonce)
+	}
+	if nonce == "" {
+		return derivedID("nonce", requestID), nil
+	}
+	return nonce, nil
+}
+
+func randomID() string {
+	var random [generatedIDBytes]byte
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+func derivedID(scope, id string) string {
+	sum := sha256.Sum256([]byte(scope + "\x00" + id))
+	return hex.EncodeToString(sum[:generatedIDBytes])
+}
+
+// tenantOf checks who calls: a tenant of the bundle, with its credential when it has one.
+func tenantOf(header http.Header, decided arm) (*protocol.TenantPolicy, error) {
+	name := header.Get(headerTenant)
+	if name == "" {
+		return nil, missingField(headerTenant)
+	}
+	policy := decided.Tenant(name)
+	if policy == nil {
+		return nil, failure.New(failure.Forbidden, protocol.Outcome_NOT_RUN, "the tenant is not known", failure.WithPath(headerTenant))
+	}
+	wanted := policy.GetCredentialSha256()
+	if wanted == "" {
+		return policy, nil
+	}
+	credential, found := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(credential))
+	matches := subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(wanted)) == 1
+	if !found || !matches {
+		return nil, failure.New(failure.Unauthorized, protocol.Outcome_NOT_RUN, "the tenant's credential is missing or wrong",
+			failure.WithPath("Authorization"))
+	}
+	return policy, nil
+}
--- /dev/null
+++ b/internal/front/service.go
@@ -0,0 +1,181 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const (
+	defaultDeadline = 2 * time.Minute
+	longestDeadline = 10 * time.Minute
+	noBackEndRetry  = time.Second
+	drainPoll       = 50 * time.Millisecond
+)
+
+// Options configure a Service. Self, Link, Ledger, Ownership and Caller are required.
+type Options struct {
+	Self      *protocol.Node
+	Link      Link
+	Ledger    Ledger
+	Ownership Ownership
+	Caller    wire.Caller
+	Clock     Clock
+	// StallTimeout is how long a model server may be silent; zero means DefaultStallTimeout.
+	StallTimeout time.Duration
+	Logger       *log.Logger
+	Registerer   prometheus.Registerer
+}
+
+// Service is the front plane of one process.
+type Service struct {
+	name      string
+	zone      string
+	link      Link
+	ledger    Ledger
+	ownership Ownership
+	caller    wire.Caller
+	clock     Clock
+	logger    *log.Logger
+	metrics   *metrics
+
+	policies atomic.Pointer[policies]
+	backEnds atomic.Pointer[backEnds]
+	arms     atomic.Pointer[armSet]
+	share    atomic.Pointer[float64]
+	sequence atomic.Uint64
+	// underWay counts the turns and calls run as owner.
+	underWay atomic.Int64
+
+	client       *backEndClient
+	admission    *admission
+	sessions     *sessions
+	explanations *explanations
+	heartbeats   *heartbeats
+
+	// stopped is closed when the process gives up what is still under way.
+	stopped  chan struct{}
+	stopOnce sync.Once
+	cancel   context.CancelFunc
+	workers  sync.WaitGroup
+	runs     sync.WaitGroup
+}
+
+// New makes a service. It subscribes to the link's views; Start begins its background work.
+func New(options Options) *Service {
+	if options.Clock == nil {
+		options.Clock = systemClock{}
+	}
+	if options.Logger == nil {
+		options.Logger = log.Default()
+	}
+	if options.Registerer == nil {
+		options.Registerer = prometheus.NewRegistry()
+	}
+	s := &Service{
+		name: options.Self.GetName(), zone: options.Self.GetZone(), link: options.Link, ledger: options.Ledger,
+		ownership: options.Ownership, caller: options.Caller, clock: options.Clock, logger: options.Logger,
+		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout),
+		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
+		explanations: newExplanations(options.Clock, options.Self.GetName()),
+		stopped:      make(chan struct{}),
+	}
+	s.heartbeats = newHeartbeats(options.Link, options.Clock, s.metrics)
+	s.viewChanged(options.Link.View())
+	options.Link.Subscribe(s.viewChanged)
+	options.Ownership.OnYield(s.sessions.yielded)
+	return s
+}
+
+// viewChanged puts a view in force as one whole before it returns.
+func (s *Service) viewChanged(view *corelink.View) {
+	if held := s.policies.Load(); held == nil || held.version != view.Configuration.GetVersion() {
+		next := newPolicies(view.Configuration)
+		s.arms.Store(nextArms(s.arms.Load(), next))
+		s.policies.Store(next)
+		s.admission.configure(next.active.Bundle().GetLimits())
+	}
+	held := s.backEnds.Load()
+	if held == nil {
+		held = &backEnds{}
+	}
+	if s.backEnds.Load() == nil || held.version != view.BackEnds.GetVersion() {
+		s.backEnds.Store(held.next(view.BackEnds))
+	}
+	share := 1.0
+	if fronts := countFronts(view.Membership); fronts > 0 {
+		share = 1 / float64(fronts)
+	}
+	s.share.Store(&share)
+}
+
+func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
+func countFronts(view *protocol.MembershipView) int {
+	count := 0
+	for _, node := range view.GetNodes() {
+		if node.GetKind() == protocol.NodeKind_FRONT {
+			count++
+		}
+	}
+	return count
+}
+
+// Start begins the background work.
+func (s *Service) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	s.workers.Go(func() { s.reportArms(ctx) })
+	s.workers.Go(func() { s.heartbeats.run(ctx) })
+	return nil
+}
+
+// Drain stops new ownership at once, hands the directory over and waits until
+// nothing is under way or the context ends.
+func (s *Service) Drain(ctx context.Context) error {
+	s.link.SetDraining(true)
+	s.logger.Info("draining", "under_way", s.underWay.Load())
+	drained := s.ownership.Drain(ctx)
+	for s.underWay.Load() > 0 {
+		select {
+		case <-s.clock.After(drainPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return drained
+}
+
+// Stop gives up what is still under way and ends all goroutines.
+func (s *Service) Stop(context.Context) error {
+	s.stopOnce.Do(func() { close(s.stopped) })
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.workers.Wait()
+	s.runs.Wait()
+	s.admission.stop()
+	s.sessions.stop()
+	s.explanations.stop()
+	s.client.close()
+	return nil
+}
+
+// notReady says why the front node should get no connections; empty when it should.
+func (s *Service) notReady() string {
+	switch {
+	case !s.link.Ready():
+		return "no lease or no fresh view yet"
+	case s.policies.Load().active.Bundle() == nil:
+		return "no bundle is in force"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/front/sse.go
@@ -0,0 +1,151 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// eventWriteTimeout is how long one event may take to be written to a slow reader.
+const eventWriteTimeout = 10 * time.Second
+
+// Types of server-sent events.
+const (
+	eventCreated   = "response.created"
+	eventDelta     = "response.output_text.delta"
+	eventCompleted = "response.completed"
+	eventFailed    = "response.failed"
+)
+
+// eventStream writes the events of a turn to a caller, flushed one by one.
+type eventStream struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	view       turnView
+	last       cursor
+	begun      bool
+	buffer     []byte
+}
+
+func newEventStream(writer http.ResponseWriter, request *protocol.TurnRequest) *eventStream {
+	return &eventStream{writer: writer, controller: http.NewResponseController(writer), view: turnView{request: request}}
+}
+
+type eventHeader struct {
+	Type           string `json:"type"`
+	SequenceNumber uint64 `json:"sequence_number"`
+	Attempt        uint32 `json:"attempt"`
+}
+
+type deltaEvent struct {
+	eventHeader
+	Delta  string `json:"delta"`
+	Tokens uint32 `json:"tokens"`
+}
+
+type responseEvent struct {
+	eventHeader
+	Response responseObject `json:"response"`
+}
+
+type failedEvent struct {
+	eventHeader
+	Error errorDetail `json:"error"`
+}
+
+// send writes one event. A failure before anything was written is not written:
+// it becomes an ordinary error answer.
+func (e *eventStream) send(event *protocol.TurnEvent) error {
+	e.view.see(event)
+	if f := event.GetFailed(); f != nil && !e.begun {
+		return &failure.Error{Failure: f}
+	}
+	header := eventHeader{SequenceNumber: event.GetSequence(), Attempt: event.GetAttempt()}
+	var data any
+	switch body := event.GetBody().(type) {
+	case *protocol.TurnEvent_Created:
+		header.Type = eventCreated
+		data = responseEvent{eventHeader: header, Response: e.view.object(statusInProgress)}
+	case *protocol.TurnEvent_Delta:
+		header.Type = eventDelta
+		data = deltaEvent{eventHeader: header, Delta: body.Delta.GetText(), Tokens: body.Delta.GetTokens()}
+	case *protocol.TurnEvent_Completed:
+		header.Type = eventCompleted
+		data = responseEvent{eventHeader: header, Response: e.view.completed(body.Completed)}
+	case *protocol.TurnEvent_Failed:
+		header.Type = eventFailed
+		data = failedEvent{eventHeader: header, Error: detailOf(body.Failed)}
+	}
+	return e.write(header, data)
+}
+
+// begin sends the header of the stream.
+func (e *eventStream) begin() {
+	if e.begun {
+		return
+	}
+	e.begun = true
+	e.writer.Header().Set("Content-Type", "text/event-stream")
+	e.writer.Header().Set("Cache-Control", "no-store")
+	e.writer.WriteHeader(http.StatusOK)
+}
+
+func (e *eventStream) write(header eventHeader, data any) error {
+	text, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	e.begin()
+	e.buffer = append(e.buffer[:0], "id: "...)
+	e.buffer = strconv.AppendUint(e.buffer, uint64(header.Attempt), 10)
+	e.buffer = append(e.buffer, '-')
+	e.buffer = strconv.AppendUint(e.buffer, header.SequenceNumber, 10)
+	e.buffer = append(append(e.buffer, "\nevent: "...), header.Type...)
+	e.buffer = append(append(e.buffer, "\ndata: "...), text...)
+	e.buffer = append(e.buffer, "\n\n"...)
+	// A writer that knows no deadlines, as in tests, is never slow.
+	_ = e.controller.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	if _, err := e.writer.Write(e.buffer); err != nil {
+		return slowReader(err)
+	}
+	if err := e.controller.Flush(); err != nil {
+		return slowReader(err)
+	}
+	e.last = cursor{attempt: header.Attempt, sequence: header.SequenceNumber}
+	return nil
+}
+
+func slowReader(err error) error {
+	return failure.New(failure.SlowReader, protocol.Outcome_RAN, "the event could not be written: "+err.Error())
+}
+
+// fail ends a stream that has begun with a typed event.
+func (e *eventStream) fail(f *protocol.Failure) {
+	header := eventHeader{Type: eventFailed, SequenceNumber: e.last.sequence + 1, Attempt: max(e.last.attempt, 1)}
+	_ = e.write(header, failedEvent{eventHeader: header, Error: detailOf(f)})
+}
+
+// errorDetail is the JSON of a failure.
+type errorDetail struct {
+	Code             string `json:"code"`
+	Message          string `json:"message"`
+	Path             string `json:"path,omitempty"`
+	Outcome          string `json:"outcome"`
+	RetryAfterMillis uint32 `json:"retry_after_millis,omitempty"`
+}
+
+var outcomeNames = map[protocol.Outcome]string{
+	protocol.Outcome_OUTCOME_UNSPECIFIED: "unknown", protocol.Outcome_NOT_RUN: "not_run",
+	protocol.Outcome_UNKNOWN: "unknown", protocol.Outcome_RAN: "ran",
+}
+
+func detailOf(f *protocol.Failure) errorDetail {
+	return errorDetail{
+		Code: f.GetCode(), Message: f.GetMessage(), Path: f.GetPath(),
+		Outcome: outcomeNames[f.GetOutcome()], RetryAfterMillis: f.GetRetryAfterMillis(),
+	}
+}
--- /dev/null
+++ b/internal/front/table.go
@@ -0,0 +1,61 @@
+package front
+
+import "sync"
+
+// table is the queue of commands of one owner goroutine. What the commands
+// touch belongs to that goroutine alone.
+type table struct {
+	commands chan func()
+	quit     chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
+}
+
+const commandQueue = 1024
+
+func newTable() *table {
+	t := &table{commands: make(chan func(), commandQueue), quit: make(chan struct{}), done: make(chan struct{})}
+	go t.run()
+	return t
+}
+
+func (t *table) run() {
+	defer close(t.done)
+	for {
+		select {
+		case command := <-t.commands:
+			command()
+		case <-t.quit:
+			return
+		}
+	}
+}
+
+// post queues a command without waiting for it; it reports false once the table is stopped.
+func (t *table) post(command func()) bool {
+	select {
+	case t.commands <- command:
+		return true
+	case <-t.quit:
+		return false
+	}
+}
+
+// ask runs a command and waits for it; it reports false once the table is stopped.
+func (t *table) ask(command func()) bool {
+	finished := make(chan struct{})
+	if !t.post(func() { command(); close(finished) }) {
+		return false
+	}
+	select {
+	case <-finished:
+		return true
+	case <-t.done:
+		return false
+	}
+}
+
+func (t *table) stop() {
+	t.stopOnce.Do(func() { close(t.quit) })
+	<-t.done
+}
--- /dev/null
+++ b/internal/front/toolrun.go
@@ -0,0 +1,247 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/limit"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// callRun carries out the commands of one tool call's machine at the owner.
+type callRun struct {
+	service     *Service
+	ctx         context.Context
+	request     *protocol.ToolCallRequest
+	grant       Grant
+	key         sessionKey
+	arm         arm
+	route       *protocol.Route
+	deadline    time.Time
+	machine     *turn.CallMachine
+	explanation *explanation
+	server      *backEnd
+	answers     chan *protocol.ToolCallResponse
+}
+
+// runCall runs a tool call as owner of its session and returns its answer. The
+// outcome goes on being recorded when the caller leaves.
+func (s *Service) runCall(ctx context.Context, request *protocol.ToolCallRequest) (*protocol.ToolCallResponse, error) {
+	arm := s.policies.Load().armOf(request.GetProgram())
+	route := arm.Tool(request.GetTenant(), request.GetTool())
+	if route == nil {
+		return nil, unknownTool()
+	}
+	grant, err := s.ownership.Begin(request.GetSession(), request.GetProgram())
+	if err != nil {
+		return nil, err
+	}
+	left := timeLeft(request.GetTimeLeftMillis())
+	run := s.newCallRun(request, grant, arm, route, s.clock.Now().Add(left))
+	runContext, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	run.ctx = runContext
+	s.startCall(run, ctx, left, cancel)
+	select {
+	case answer := <-run.answers:
+		return answer, nil
+	case <-s.stopped:
+		return nil, failure.New(failure.Draining, protocol.Outcome_UNKNOWN, "the front node is stopping")
+	}
+}
+
+func unknownTool() error {
+	return failure.New(failure.UnknownTool, protocol.Outcome_NOT_RUN, "no route serves the tool", failure.WithPath("tool"))
+}
+
+func (s *Service) newCallRun(request *protocol.ToolCallRequest, grant Grant, arm arm, route *protocol.Route, deadline time.Time) *callRun {
+	explanation := s.explanations.begin(request.GetRequestId(), request.GetSession(), request.GetProgram())
+	explanation.note(func(record *protocol.Explanation) {
+		record.Owner, record.BundleVersion, record.CandidateArm = s.name, arm.version(), arm.candidate
+		record.Route, record.Group = route.GetName(), route.GetGroup()
+		record.Algorithm = arm.Bundle().GetScheduling().GetAlgorithm().String()
+	})
+	explanation.step("taken by the owner", "from "+request.GetIngress())
+	return &callRun{
+		service: s, request: request, grant: grant, arm: arm, route: route, deadline: deadline, explanation: explanation,
+		key:     sessionKey{session: request.GetSession(), program: request.GetProgram()},
+		answers: make(chan *protocol.ToolCallResponse, 1),
+		machine: turn.NewCall(turn.CallParameters{
+			Request: request, Owner: s.name, Incarnation: grant.Incarnation(), Repeatable: !route.GetNonRepeatable(),
+			Budget: arm.budget(request.GetProgramBudget(), request.GetTenant()), BundleVersion: arm.version(),
+			Attempt: uuid.NewString(),
+		}),
+	}
+}
+
+func (s *Service) startCall(run *callRun, caller context.Context, left time.Duration, cancel context.CancelCauseFunc) {
+	expired := s.clock.After(left)
+	finished := make(chan struct{})
+	s.runs.Go(func() {
+		select {
+		case <-expired:
+			cancel(errDeadline)
+		case <-caller.Done():
+			cancel(errCallerGone)
+		case <-s.stopped:
+			cancel(errAuthority)
+		case <-finished:
+		}
+	})
+	s.beginRun()
+	s.runs.Go(func() {
+		defer s.endRun()
+		run.run()
+		close(finished)
+		cancel(nil)
+		run.grant.End()
+	})
+}
+
+func (r *callRun) run() {
+	pending := r.machine.Apply(turn.Begun{}, r.now())
+	for len(pending) > 0 {
+		command := pending[0]
+		pending = pending[1:]
+		if reason := stopReason(r.ctx, r.grant); reason != 0 && turn.Interruptible(command) {
+			pending = r.machine.Apply(turn.Stopped{Reason: reason}, r.now())
+			continue
+		}
+		if event := r.execute(command); event != nil {
+			pending = append(pending, r.machine.Apply(event, r.now())...)
+		}
+	}
+	select {
+	case r.answers <- lostAnswer():
+	default:
+	}
+}
+
+// lostAnswer stands in when a machine ended without an answer; it is ignored when there was one.
+func lostAnswer() *protocol.ToolCallResponse {
+	return &protocol.ToolCallResponse{Failure: failure.New(failure.InternalError, protocol.Outcome_UNKNOWN,
+		"the call ended without an answer").Failure}
+}
+
+func (r *callRun) now() time.Time { return r.service.clock.Now() }
+
+func (r *callRun) execute(command turn.Command) turn.Event {
+	switch command := command.(type) {
+	case turn.Claim:
+		return turn.Claimed{Result: r.claim(command.Operation)}
+	case turn.Admit:
+		return r.admit()
+	case turn.Leave:
+		r.service.admission.leave()
+	case turn.Choose:
+		return r.choose(command.Avoid)
+	case turn.BeginCall:
+		return turn.CallBegun{Result: r.ledger("intent", &protocol.LedgerOperation{
+			Body: &protocol.LedgerOperation_BeginCall{BeginCall: command.Operation},
+		})}
+	case turn.FinishCall:
+		return turn.CallFinished{Result: r.ledger("outcome", &protocol.LedgerOperation{
+			Body: &protocol.LedgerOperation_FinishCall{FinishCall: command.Operation},
+		})}
+	case turn.RefuseCall:
+		return turn.CallRefused{Result: r.ledger("refuse", &protocol.LedgerOperation{
+			Body: &protocol.LedgerOperation_RefuseCall{RefuseCall: command.Operation},
+		})}
+	case turn.IssueCall:
+		return r.issue(command)
+	case turn.AskRetry:
+		granted := r.service.admission.retry()
+		r.explanation.step("retry", fmt.Sprintf("granted %t", granted))
+		return turn.RetryDecided{Granted: granted}
+	case turn.Answer:
+		r.answer(command.Response)
+	case turn.Pause:
+		return pause(r.service, r.grant, command.For)
+	case turn.ForgetSession:
+		r.service.forgetSession(r.key, command.Fenced)
+	}
+	return nil
+}
+
+func (r *callRun) claim(operation *protocol.ClaimSession) *protocol.LedgerResult {
+	result := r.service.claim(r.ctx, r.key, operation)
+	r.explanation.note(func(record *protocol.Explanation) { record.Epoch = result.GetEpoch() })
+	r.explanation.step("epoch claimed", fmt.Sprintf("%s, epoch %d", result.GetStatus(), result.GetEpoch()))
+	return result
+}
+
+func (r *callRun) ledger(name string, operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	operation.Program = r.key.program
+	result := r.service.ledgerDo(r.ctx, operation)
+	r.explanation.step("ledger "+name, result.GetStatus().String())
+	return result
+}
+
+func (r *callRun) admit() turn.Event {
+	refused := r.service.admission.enter(r.ctx, limit.Ticket{
+		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
+		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
+	})
+	if refused != nil {
+		r.explanation.step("not admitted", refused.GetMessage())
+		return turn.NotAdmitted{Failure: refused}
+	}
+	return turn.Admitted{}
+}
+
+func (r *callRun) choose(avoid []string) turn.Event {
+	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), tool: true, name: r.route.GetTool()}, r.key, avoid)
+	server, decision := r.service.choose(wanted)
+	r.explanation.decided(decision)
+	if r.arm.shadow != nil {
+		r.service.chooseShadow(r.arm.shadow, wanted, r.request.GetTenant(), r.route, r.explanation)
+	}
+	if server == nil {
+		return turn.NotChosen{Failure: failure.New(failure.NoBackEnd, protocol.Outcome_NOT_RUN,
+			"no back end of group "+r.route.GetGroup()+" can take the call", failure.WithRetryAfter(noBackEndRetry)).Failure}
+	}
+	r.server = server
+	return turn.Chosen{BackEnd: server.id()}
+}
+
+func (r *callRun) issue(command turn.IssueCall) turn.Event {
+	r.explanation.step("issued", command.BackEnd)
+	r.server.inFlight.Add(1)
+	event, err := r.service.client.call(r.ctx, backEndRequest{
+		server: r.server, path: "/v1/tools/" + url.PathEscape(r.request.GetTool()) + "/calls", body: r.request.GetArguments(),
+		requestID: r.request.GetRequestId(), session: r.request.GetSession(), nonce: r.request.GetNonce(),
+		epoch: command.Epoch, idempotencyKey: r.request.GetRequestId(),
+	})
+	r.server.inFlight.Add(-1)
+	if err == nil {
+		r.server.record(false, r.now())
+		r.explanation.step("back end finished", command.BackEnd)
+		return event
+	}
+	if reason := stopReason(r.ctx, r.grant); reason != 0 {
+		return turn.Stopped{Reason: reason}
+	}
+	var fault *backEndError
+	if !errors.As(err, &fault) {
+		fault = &backEndError{fault: turn.FaultBroken, detail: err.Error()}
+	}
+	r.server.record(isServerFault(fault.fault), r.now())
+	r.service.metrics.attemptFaults.WithLabelValues(fault.fault.String()).Inc()
+	r.explanation.step("attempt failed: "+fault.fault.String(), command.BackEnd+": "+fault.detail)
+	return fault.event()
+}
+
+func (r *callRun) answer(response *protocol.ToolCallResponse) {
+	if f := response.GetFailure(); f != nil {
+		r.explanation.step("failed", f.GetCode()+": "+f.GetMessage())
+	} else {
+		r.explanation.step("completed", fmt.Sprintf("status %d", response.GetStatus()))
+	}
+	r.answers <- response
+}
--- /dev/null
+++ b/internal/front/turnrun.go
@@ -0,0 +1,223 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/limit"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// turnRun carries out the commands of one turn's machine at the owner.
+type turnRun struct {
+	service     *Service
+	ctx         context.Context
+	request     *protocol.TurnRequest
+	live        *liveTurn
+	grant       Grant
+	key         sessionKey
+	arm         arm
+	counters    *armCounters
+	route       *protocol.Route
+	incarnation uint64
+	deadline    time.Time
+	machine     *turn.Machine
+	explanation *explanation
+
+	began      time.Time
+	history    []*protocol.Item
+	generation *generation
+	server     *backEnd
+	issuedAt   time.Time
+	firstToken bool
+	tokens     uint64
+	freed      bool
+}
+
+// run drives the machine to its end. It may outlive the readers: a turn is not
+// over before the ledger has its outcome.
+func (r *turnRun) run() {
+	pending := r.machine.Apply(turn.Begun{}, r.now())
+	for !r.machine.Done() || len(pending) > 0 {
+		if len(pending) == 0 && r.generation == nil {
+			break
+		}
+		if len(pending) == 0 {
+			pending = r.machine.Apply(r.receive(), r.now())
+			continue
+		}
+		command := pending[0]
+		pending = pending[1:]
+		if reason := r.stopReason(); reason != 0 && turn.Interruptible(command) {
+			pending = r.machine.Apply(turn.Stopped{Reason: reason}, r.now())
+			continue
+		}
+		if event := r.execute(command); event != nil {
+			pending = append(pending, r.machine.Apply(event, r.now())...)
+		}
+	}
+	r.closeGeneration()
+	r.live.end()
+	r.freeSession()
+}
+
+func (r *turnRun) now() time.Time { return r.service.clock.Now() }
+
+func (r *turnRun) stopReason() turn.StopReason { return stopReason(r.ctx, r.grant) }
+
+// stopReason says why the turn or call must end now; zero when it need not.
+func stopReason(ctx context.Context, grant Grant) turn.StopReason {
+	if !grant.Valid() {
+		return turn.StopAuthority
+	}
+	if ctx.Err() == nil {
+		return 0
+	}
+	var stopped *stopError
+	if errors.As(context.Cause(ctx), &stopped) {
+		return stopped.reason
+	}
+	return turn.StopCallerGone
+}
+
+// receive waits for the next piece of the back end's answer. Authority is
+// checked after the wait: nothing that came too late is passed on.
+func (r *turnRun) receive() turn.Event {
+	event, err := r.generation.next()
+	if reason := r.stopReason(); reason != 0 {
+		return turn.Stopped{Reason: reason}
+	}
+	if err != nil {
+		return r.attemptFailed(err)
+	}
+	switch event.(type) {
+	case turn.Token:
+		r.noteFirstToken()
+	case turn.BackEndDone:
+		r.server.record(false, r.now())
+		r.explanation.step("back end finished", r.server.id())
+	}
+	return event
+}
+
+func (r *turnRun) noteFirstToken() {
+	r.tokens++
+	if r.firstToken {
+		return
+	}
+	r.firstToken = true
+	now := r.now()
+	r.counters.firstToken(now.Sub(r.began))
+	r.service.metrics.firstToken.Observe(now.Sub(r.began).Seconds())
+	r.service.admission.record(limit.Sample{Latency: now.Sub(r.issuedAt)})
+	r.explanation.step("first token", r.server.id())
+}
+
+func (r *turnRun) attemptFailed(err error) turn.Event {
+	var fault *backEndError
+	if !errors.As(err, &fault) {
+		fault = &backEndError{fault: turn.FaultBroken, detail: err.Error()}
+	}
+	r.server.record(isServerFault(fault.fault), r.now())
+	if fault.fault == turn.FaultRefused {
+		r.service.admission.record(limit.Sample{Refused: true})
+	}
+	r.service.metrics.attemptFaults.WithLabelValues(fault.fault.String()).Inc()
+	r.explanation.step("attempt failed: "+fault.fault.String(), r.server.id()+": "+fault.detail)
+	r.closeGeneration()
+	return fault.event()
+}
+
+func (r *turnRun) closeGeneration() {
+	if r.generation == nil {
+		return
+	}
+	r.generation.close()
+	r.generation = nil
+	r.server.inFlight.Add(-1)
+}
+
+func (r *turnRun) execute(command turn.Command) turn.Event {
+	switch command := command.(type) {
+	case turn.Claim:
+		return turn.Claimed{Result: r.claim(command.Operation)}
+	case turn.ReadHistory:
+		return r.readHistory(command.LastTurn)
+	case turn.Admit:
+		return r.admit()
+	case turn.Leave:
+		r.service.admission.leave()
+	case turn.Reserve:
+		return r.reserve(command)
+	case turn.Choose:
+		return r.choose(command.Avoid)
+	case turn.Issue:
+		return r.issue(command)
+	case turn.StopBackEnd:
+		r.closeGeneration()
+	case turn.AskRetry:
+		return r.askRetry()
+	case turn.Emit:
+		r.emit(command.Event)
+	case turn.Settle:
+		return r.settle(command)
+	case turn.Release:
+		return r.release(command)
+	case turn.Refuse:
+		return turn.Refused{Result: r.service.refuseRequest(r.ctx, r.key.program, command.Operation)}
+	case turn.ReadKept:
+		kept, status := r.service.readTurn(r.ctx, r.key.program, command.TurnID)
+		return turn.KeptRead{Turn: kept, Status: status}
+	case turn.Pause:
+		return pause(r.service, r.grant, command.For)
+	case turn.Remember:
+		r.service.sessions.settled(r.key, command.Turn, r.history)
+	case turn.ForgetSession:
+		r.service.forgetSession(r.key, command.Fenced)
+	}
+	return nil
+}
+
+func (r *turnRun) emit(event *protocol.TurnEvent) {
+	if f := event.GetFailed(); f != nil {
+		r.explanation.step("failed", f.GetCode()+": "+f.GetMessage())
+	}
+	if event.GetCompleted() != nil {
+		r.explanation.step("completed", event.GetCompleted().GetTurnId())
+	}
+	if isTerminal(event) {
+		r.counters.finished(r.tokens, event.GetFailed())
+		if r.machine.Done() {
+			r.freeSession()
+		}
+	}
+	r.live.append(event)
+}
+
+// freeSession lets the next turn of the session begin. It goes before the last
+// event, because a caller may continue as soon as it has that. A turn whose end
+// the ledger has not confirmed keeps its session.
+func (r *turnRun) freeSession() {
+	if r.freed {
+		return
+	}
+	r.freed = true
+	r.service.sessions.finish(r.key, r.live)
+}
+
+// pause waits before the ledger is asked again. Lost authority ends the wait
+// for good: the next epoch charges the reservation.
+func pause(s *Service, grant Grant, wait time.Duration) turn.Event {
+	select {
+	case <-s.clock.After(wait):
+	case <-s.stopped:
+		return turn.Stopped{Reason: turn.StopAuthority}
+	}
+	if !grant.Valid() {
+		return turn.Stopped{Reason: turn.StopAuthority}
+	}
+	return turn.Waited{}
+}
--- /dev/null
+++ b/internal/front/turnsteps.go
@@ -0,0 +1,126 @@
+package front
+
+import (
+	"fmt"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/limit"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+const chatPath = "/v1/chat/completions"
+
+// claim returns the session's epoch, from the ledger only once per owned session.
+func (r *turnRun) claim(operation *protocol.ClaimSession) *protocol.LedgerResult {
+	result := r.service.claim(r.ctx, r.key, operation)
+	r.explanation.note(func(record *protocol.Explanation) { record.Epoch = result.GetEpoch() })
+	r.explanation.step("epoch claimed", fmt.Sprintf("%s, epoch %d", result.GetStatus(), result.GetEpoch()))
+	return result
+}
+
+func (r *turnRun) readHistory(lastTurn string) turn.Event {
+	if lastTurn == "" {
+		return turn.HistoryRead{Status: protocol.LedgerStatus_LEDGER_OK}
+	}
+	if held := r.service.sessions.historyOf(r.key, lastTurn); held.known {
+		r.history = held.items
+		return turn.HistoryRead{Items: held.items, Tokens: held.tokens, Status: protocol.LedgerStatus_LEDGER_OK}
+	}
+	turns, status := r.service.readTurns(r.ctx, r.key.program, lastTurn)
+	r.explanation.step("history read", fmt.Sprintf("%s, %d turns", status, len(turns)))
+	if status != protocol.LedgerStatus_LEDGER_OK {
+		return turn.HistoryRead{Status: status}
+	}
+	r.history = historyItems(turns)
+	return turn.HistoryRead{Items: r.history, Tokens: turns[len(turns)-1].GetHistoryTokens(), Status: status}
+}
+
+func (r *turnRun) admit() turn.Event {
+	refused := r.service.admission.enter(r.ctx, limit.Ticket{
+		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
+		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
+	})
+	if refused != nil {
+		r.explanation.step("not admitted", refused.GetMessage())
+		return turn.NotAdmitted{Failure: refused}
+	}
+	r.explanation.step("admitted", r.request.GetPriority().String())
+	return turn.Admitted{}
+}
+
+func (r *turnRun) reserve(command turn.Reserve) turn.Event {
+	result := r.ledger("reserve", &protocol.LedgerOperation{
+		Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: command.Operation},
+	})
+	return turn.Reserved{Result: result}
+}
+
+// ledger carries out one operation of the turn and notes how it went.
+func (r *turnRun) ledger(name string, operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	operation.Program = r.key.program
+	result := r.service.ledgerDo(r.ctx, operation)
+	r.explanation.step("ledger "+name, result.GetStatus().String())
+	return result
+}
+
+func (r *turnRun) settle(command turn.Settle) turn.Event {
+	return turn.Settled{Result: r.ledger("settle", &protocol.LedgerOperation{
+		Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: command.Operation},
+	})}
+}
+
+func (r *turnRun) release(command turn.Release) turn.Event {
+	return turn.Released{Result: r.ledger("release", &protocol.LedgerOperation{
+		Body: &protocol.LedgerOperation_ReleaseTurn{ReleaseTurn: command.Operation},
+	})}
+}
+
+func (r *turnRun) choose(avoid []string) turn.Event {
+	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), name: r.route.GetModel()}, r.key, avoid)
+	server, decision := r.service.choose(wanted)
+	r.explanation.decided(decision)
+	if r.arm.shadow != nil {
+		r.service.chooseShadow(r.arm.shadow, wanted, r.request.GetTenant(), r.route, r.explanation)
+	}
+	if server == nil {
+		r.explanation.step("no back end", r.route.GetGroup())
+		return turn.NotChosen{Failure: failure.New(failure.NoBackEnd, protocol.Outcome_NOT_RUN,
+			"no back end of group "+r.route.GetGroup()+" can take the turn", failure.WithRetryAfter(noBackEndRetry)).Failure}
+	}
+	r.server = server
+	return turn.Chosen{BackEnd: server.id()}
+}
+
+// issue sends the turn to the back end chosen; its answer is read by receive.
+func (r *turnRun) issue(command turn.Issue) turn.Event {
+	body, err := chatBody(r.request.GetModel(), command.Items, command.MaxTokens)
+	if err != nil {
+		return turn.BackEndFailed{Fault: turn.FaultNotSent, Detail: err.Error()}
+	}
+	r.issuedAt = r.now()
+	r.explanation.step("issued", fmt.Sprintf("%s, attempt %d", command.BackEnd, command.Attempt))
+	r.server.inFlight.Add(1)
+	generation, err := r.service.client.generate(r.ctx, backEndRequest{
+		server: r.server, path: chatPath, body: body, requestID: r.request.GetRequestId(),
+		session: r.request.GetSession(), nonce: r.request.GetNonce(), epoch: command.Epoch,
+	})
+	if err != nil {
+		r.server.inFlight.Add(-1)
+		if reason := r.stopReason(); reason != 0 {
+			return turn.Stopped{Reason: reason}
+		}
+		return r.attemptFailed(err)
+	}
+	r.generation = generation
+	return nil
+}
+
+func (r *turnRun) askRetry() turn.Event {
+	granted := r.service.admission.retry()
+	if granted {
+		r.service.metrics.retries.Inc()
+	}
+	r.explanation.step("retry", fmt.Sprintf("granted %t", granted))
+	return turn.RetryDecided{Granted: granted}
+}
--- /dev/null
+++ b/internal/front/wirehandler.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"context"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Serve answers the requests of peers: turns and calls to be run as owner,
+// directory requests, explanations and where the core is.
+func (s *Service) Serve(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+	switch body := request.GetBody().(type) {
+	case *protocol.Request_Turn:
+		return s.serveTurn(ctx, body.Turn, send)
+	case *protocol.Request_ResumeTurn:
+		return s.serveResume(ctx, body.ResumeTurn, send)
+	case *protocol.Request_ToolCall:
+		return s.serveCall(ctx, body.ToolCall, send)
+	case *protocol.Request_Explain:
+		return send(&protocol.Response{Body: &protocol.Response_Explain{Explain: &protocol.ExplainResponse{
+			Explanations: s.explanations.of(body.Explain.GetRequestId()),
+		}}})
+	case *protocol.Request_LocateCore:
+		return send(&protocol.Response{Body: &protocol.Response_LocateCore{LocateCore: s.link.LocateCore()}})
+	case *protocol.Request_LookupSession, *protocol.Request_RegisterSessions, *protocol.Request_UnregisterSessions:
+		response, err := s.ownership.ServeDirectory(ctx, request)
+		if err != nil {
+			return err
+		}
+		return send(response)
+	default:
+		return failure.New(failure.UnknownRequest, protocol.Outcome_NOT_RUN, "a front node does not serve this request")
+	}
+}
+
+func (s *Service) serveTurn(ctx context.Context, request *protocol.TurnRequest, send func(*protocol.Response) error) error {
+	live, err := s.beginTurn(request)
+	if err != nil {
+		return err
+	}
+	return live.follow(ctx, cursor{}, sendEvents(send))
+}
+
+func (s *Service) serveResume(ctx context.Context, request *protocol.ResumeTurnRequest, send func(*protocol.Response) error) error {
+	key := sessionKey{session: request.GetSession(), program: request.GetProgram()}
+	live := s.sessions.turnOf(key, request.GetTurnId())
+	if live == nil {
+		return failure.New(failure.NotFound, protocol.Outcome_NOT_RUN, "the turn is not under way here")
+	}
+	return live.follow(ctx, cursor{attempt: request.GetLastAttempt(), sequence: request.GetStartingAfter()}, sendEvents(send))
+}
+
+func sendEvents(send func(*protocol.Response) error) func(*protocol.TurnEvent) error {
+	return func(event *protocol.TurnEvent) error {
+		return send(&protocol.Response{Body: &protocol.Response_TurnEvent{TurnEvent: event}})
+	}
+}
+
+func (s *Service) serveCall(ctx context.Context, request *protocol.ToolCallRequest, send func(*protocol.Response) error) error {
+	response, err := s.runCall(ctx, request)
+	if err != nil {
+		return err
+	}
+	return send(&protocol.Response{Body: &protocol.Response_ToolCall{ToolCall: response}})
+}
--- /dev/null
+++ b/internal/limit/bucket.go
@@ -0,0 +1,61 @@
+package limit
+
+import "time"
+
+// Bucket is a token bucket. A rate of zero or less never limits.
+type Bucket struct {
+	rate   float64
+	burst  float64
+	level  float64
+	filled time.Time
+}
+
+// NewBucket makes a full bucket of rate tokens a second that holds burstSeconds of it, and at least one.
+func NewBucket(rate, burstSeconds float64, now time.Time) *Bucket {
+	burst := max(rate*burstSeconds, 1)
+	return &Bucket{rate: rate, burst: burst, level: burst, filled: now}
+}
+
+// SetRate changes the rate and keeps the level within the new burst.
+func (b *Bucket) SetRate(rate, burstSeconds float64, now time.Time) {
+	if rate == b.rate {
+		return
+	}
+	b.fill(now)
+	b.rate, b.burst = rate, max(rate*burstSeconds, 1)
+	b.level = min(b.level, b.burst)
+}
+
+// Take takes amount out when the bucket is not in debt, which may leave it in
+// debt: a turn's tokens are known only afterwards. It returns how long to wait otherwise.
+func (b *Bucket) Take(amount float64, now time.Time) (taken bool, wait time.Duration) {
+	if b.rate <= 0 {
+		return true, 0
+	}
+	b.fill(now)
+	if need := min(amount, 1); b.level < need {
+		return false, secondsOf((need - b.level) / b.rate)
+	}
+	b.level -= amount
+	return true, 0
+}
+
+// Charge takes amount out whatever the level is.
+func (b *Bucket) Charge(amount float64, now time.Time) {
+	if b.rate <= 0 {
+		return
+	}
+	b.fill(now)
+	b.level -= amount
+}
+
+func (b *Bucket) fill(now time.Time) {
+	if passed := now.Sub(b.filled); passed > 0 {
+		b.level = min(b.burst, b.level+b.rate*passed.Seconds())
+		b.filled = now
+	}
+}
+
+func secondsOf(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/schedule/policies.go
@@ -0,0 +1,132 @@
+package schedule
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// freeShare is the part of its slots up to which a server keeps its prefixes whatever the mean is.
+const freeShare = 0.25
+
+// place runs the policy; candidates is never empty.
+func (d *Decision) place(request Request, candidates []*Candidate, random *rand.Rand) {
+	switch request.Algorithm {
+	case protocol.SchedulingAlgorithm_LEAST_LOADED:
+		d.leastLoaded(request, candidates)
+	case protocol.SchedulingAlgorithm_POWER_OF_TWO:
+		d.powerOfTwo(candidates, random)
+	case protocol.SchedulingAlgorithm_ROUND_ROBIN:
+		d.roundRobin(request, candidates)
+	default:
+		d.prefixAffinity(request, candidates)
+	}
+}
+
+// prefixAffinity sends a session where its last turn ran, and a new one where
+// its prefix hashes to, unless that server's load with the request would be
+// over the bound; then the next server in the prefix's order takes it.
+func (d *Decision) prefixAffinity(request Request, candidates []*Candidate) {
+	order := rank(request.AffinityKey, candidates)
+	if at := slices.IndexFunc(order, func(c *Candidate) bool { return c.ID == request.Last }); at > 0 {
+		last := order[at]
+		order = slices.Insert(slices.Delete(order, at, at+1), 0, last)
+	}
+	bound := newLoadBound(request, candidates)
+	chosen := slices.IndexFunc(order, bound.allows)
+	if chosen < 0 {
+		d.leastLoaded(request, candidates)
+		return
+	}
+	for at, candidate := range order {
+		switch {
+		case at == chosen:
+			d.take(candidate, candidate.Load())
+		case at < chosen:
+			d.pass(candidate, candidate.Load(), ReasonOverBound)
+		default:
+			d.pass(candidate, candidate.Load(), ReasonLower)
+		}
+	}
+}
+
+// loadBound is how many requests affinity lets each server hold: the factor
+// times its share of all requests, rounded up. A server with most of its slots
+// free is never over the bound, since leaving its cache would gain nothing.
+type loadBound struct {
+	requestsPerSlot float64
+}
+
+func newLoadBound(request Request, candidates []*Candidate) loadBound {
+	factor := request.LoadBound
+	if factor <= 0 {
+		factor = DefaultLoadBound
+	}
+	requests, slots := 1.0, 0.0
+	for _, candidate := range candidates {
+		requests += candidate.requests()
+		slots += candidateSlots(candidate)
+	}
+	return loadBound{requestsPerSlot: factor * requests / slots}
+}
+
+func (b loadBound) allows(candidate *Candidate) bool {
+	slots := candidateSlots(candidate)
+	most := max(math.Ceil(b.requestsPerSlot*slots), math.Floor(slots*freeShare))
+	return candidate.requests()+1 <= most
+}
+
+// candidateSlots is the capacity scaled by weight.
+func candidateSlots(candidate *Candidate) float64 {
+	return float64(cmp.Or(candidate.Capacity, defaultCapacity)) * candidate.Weight
+}
+
+func (d *Decision) leastLoaded(request Request, candidates []*Candidate) {
+	order := rank(request.AffinityKey, candidates)
+	slices.SortStableFunc(order, func(a, b *Candidate) int { return cmp.Compare(a.loadWith(1), b.loadWith(1)) })
+	d.firstOf(order)
+}
+
+func (d *Decision) firstOf(order []*Candidate) {
+	d.take(order[0], order[0].Load())
+	for _, candidate := range order[1:] {
+		d.pass(candidate, candidate.Load(), ReasonLower)
+	}
+}
+
+// powerOfTwo compares two random candidates and takes the less loaded one.
+func (d *Decision) powerOfTwo(candidates []*Candidate, random *rand.Rand) {
+	if len(candidates) == 1 {
+		d.firstOf(candidates)
+		return
+	}
+	one := random.IntN(len(candidates))
+	two := random.IntN(len(candidates) - 1)
+	if two >= one {
+		two++
+	}
+	if candidates[two].loadWith(1) < candidates[one].loadWith(1) {
+		one, two = two, one
+	}
+	for at, candidate := range candidates {
+		switch at {
+		case one:
+			d.take(candidate, candidate.Load())
+		case two:
+			d.pass(candidate, candidate.Load(), ReasonLower)
+		default:
+			d.pass(candidate, candidate.Load(), ReasonNotSampled)
+		}
+	}
+}
+
+// roundRobin takes the candidates in turn, in the order of their ids.
+func (d *Decision) roundRobin(request Request, candidates []*Candidate) {
+	order := slices.Clone(candidates)
+	slices.SortFunc(order, func(a, b *Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	at := int(request.Sequence % uint64(len(order)))
+	d.firstOf(slices.Concat(order[at:], order[:at]))
+}
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,225 @@
+// Package schedule decides which back end runs the next turn or call. Every
+// policy is a pure function of a snapshot of the back ends and their loads.
+package schedule
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// DefaultLoadBound is the multiple of the mean load that prefix affinity lets one server take.
+	DefaultLoadBound = 1.25
+	// DefaultSubsetSize is the number of back ends of a group that one front node uses.
+	DefaultSubsetSize = 16
+
+	defaultCapacity = 8
+	// fullLoad is the relative load at which a server has no free slot.
+	fullLoad = 1.0
+)
+
+// Candidate is one back end of the group, as seen by this front node.
+type Candidate struct {
+	ID       string
+	Zone     string
+	Draining bool
+	// Ejected is true while outlier ejection keeps traffic off the server.
+	Ejected bool
+	// Capacity is the number of requests the server runs at once; zero is unknown.
+	Capacity uint32
+	// InFlight counts this front node's own requests at the server.
+	InFlight uint32
+	// Running and Queued are what the server last reported.
+	Running uint32
+	Queued  uint32
+	// Weight scales the share of traffic: the zone's weight times the slow return after an ejection. Zero takes none.
+	Weight float64
+}
+
+// Load is the relative load: requests at the server by its capacity and weight.
+func (c *Candidate) Load() float64 {
+	return c.loadWith(0)
+}
+
+func (c *Candidate) loadWith(extra float64) float64 {
+	return (c.requests() + extra) / candidateSlots(c)
+}
+
+// requests counts what is at the server: the newer of what it reported and what this front node sent.
+func (c *Candidate) requests() float64 {
+	return float64(max(c.InFlight, c.Running+c.Queued))
+}
+
+// Request says what is to be placed, and by which policy.
+type Request struct {
+	Algorithm  protocol.SchedulingAlgorithm
+	LoadBound  float64
+	SubsetSize uint32
+	// Front and Zone are the deciding front node's.
+	Front          string
+	Zone           string
+	ZoneLocalFirst bool
+	// AffinityKey is the prefix that requests share: the program, or the session.
+	AffinityKey string
+	// Last is the back end that ran the session's last turn, if any.
+	Last string
+	// Avoid names the back ends that already failed this request.
+	Avoid []string
+	// Sequence is the count for round robin.
+	Sequence uint64
+}
+
+// Score is one candidate's place in a decision.
+type Score struct {
+	ID    string
+	Score float64
+	// Reason says why the candidate was passed over; empty for the chosen one.
+	Reason string
+}
+
+// Decision is the outcome of a choice. Chosen is empty when no candidate may take the request.
+type Decision struct {
+	Chosen string
+	Scores []Score
+	// Spilled is true when the request left its zone because the zone was full.
+	Spilled bool
+}
+
+// Reasons for which a candidate is passed over.
+const (
+	ReasonDraining   = "draining"
+	ReasonEjected    = "ejected as an outlier"
+	ReasonAvoided    = "already failed this request"
+	ReasonNoWeight   = "weight is zero"
+	ReasonOtherZone  = "in another zone"
+	ReasonNotSubset  = "not in this front node's subset"
+	ReasonOverBound  = "load is over the bound"
+	ReasonLower      = "lower in the order"
+	ReasonNotSampled = "not sampled"
+)
+
+// Choose places one request. Random is used by power of two choices only.
+func Choose(request Request, candidates []Candidate, random *rand.Rand) Decision {
+	decision := Decision{Scores: make([]Score, 0, len(candidates))}
+	usable := decision.filter(request, candidates)
+	if len(usable) == 0 {
+		return decision
+	}
+	usable = decision.subset(request, usable)
+	local := decision.localZone(request, usable)
+	decision.place(request, local, random)
+	slices.SortFunc(decision.Scores, func(a, b Score) int { return cmp.Compare(a.ID, b.ID) })
+	return decision
+}
+
+func (d *Decision) pass(candidate *Candidate, score float64, reason string) {
+	d.Scores = append(d.Scores, Score{ID: candidate.ID, Score: score, Reason: reason})
+}
+
+func (d *Decision) take(candidate *Candidate, score float64) {
+	d.Chosen = candidate.ID
+	d.Scores = append(d.Scores, Score{ID: candidate.ID, Score: score})
+}
+
+// filter drops what may not be used. Ejection gives way when it would leave
+// nothing; draining never does.
+func (d *Decision) filter(request Request, candidates []Candidate) []*Candidate {
+	var usable, ejected []*Candidate
+	for index := range candidates {
+		candidate := &candidates[index]
+		switch {
+		case candidate.Draining:
+			d.pass(candidate, 0, ReasonDraining)
+		case slices.Contains(request.Avoid, candidate.ID):
+			d.pass(candidate, 0, ReasonAvoided)
+		case candidate.Weight <= 0:
+			d.pass(candidate, 0, ReasonNoWeight)
+		case candidate.Ejected:
+			ejected = append(ejected, candidate)
+		default:
+			usable = append(usable, candidate)
+		}
+	}
+	if len(usable) == 0 {
+		return ejected
+	}
+	for _, candidate := range ejected {
+		d.pass(candidate, 0, ReasonEjected)
+	}
+	return usable
+}
+
+// subset keeps the part of a large group that this front node uses, the same
+// one as long as the group does not change. The session's last server stays in.
+func (d *Decision) subset(request Request, usable []*Candidate) []*Candidate {
+	size := int(request.SubsetSize)
+	if size == 0 {
+		size = DefaultSubsetSize
+	}
+	if len(usable) <= size {
+		return usable
+	}
+	ranked := rank(request.Front, usable)
+	kept := ranked[:size]
+	for _, candidate := range ranked[size:] {
+		if candidate.ID == request.Last {
+			kept = append(kept[:size:size], candidate)
+			continue
+		}
+		d.pass(candidate, 0, ReasonNotSubset)
+	}
+	return kept
+}
+
+// localZone keeps the front node's own zone while one of its servers has a free slot.
+func (d *Decision) localZone(request Request, usable []*Candidate) []*Candidate {
+	if !request.ZoneLocalFirst {
+		return usable
+	}
+	var local, remote []*Candidate
+	free := false
+	for _, candidate := range usable {
+		if candidate.Zone != request.Zone {
+			remote = append(remote, candidate)
+			continue
+		}
+		local = append(local, candidate)
+		free = free || candidate.loadWith(1) <= fullLoad
+	}
+	if !free {
+		d.Spilled = len(local) > 0 && len(remote) > 0
+		return usable
+	}
+	for _, candidate := range remote {
+		d.pass(candidate, candidate.Load(), ReasonOtherZone)
+	}
+	return local
+}
+
+// rank orders candidates by rendezvous hash of the key, highest first.
+func rank(key string, candidates []*Candidate) []*Candidate {
+	type ranked struct {
+		candidate *Candidate
+		hash      uint64
+	}
+	order := make([]ranked, 0, len(candidates))
+	for _, candidate := range candidates {
+		order = append(order, ranked{candidate, xxhash.Sum64String(key + "\x00" + candidate.ID)})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if byHash := cmp.Compare(b.hash, a.hash); byHash != 0 {
+			return byHash
+		}
+		return cmp.Compare(a.candidate.ID, b.candidate.ID)
+	})
+	result := make([]*Candidate, 0, len(order))
+	for _, entry := range order {
+		result = append(result, entry.candidate)
+	}
+	return result
+}
--- /dev/null
+++ b/internal/turn/event.go
@@ -0,0 +1,144 @@
+package turn
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Event is something that happened to a turn or a tool call.
+type Event interface{ event() }
+
+// Begun starts the machine.
+type Begun struct{}
+
+// Claimed carries the ledger's answer to Claim.
+type Claimed struct{ Result *protocol.LedgerResult }
+
+// HistoryRead carries the conversation before this turn, oldest item first.
+type HistoryRead struct {
+	Items  []*protocol.Item
+	Tokens uint64
+	// Status is LEDGER_OK, or why there is no history.
+	Status protocol.LedgerStatus
+}
+
+// Admitted says that the turn has a slot.
+type Admitted struct{}
+
+// NotAdmitted says that the turn was refused a slot.
+type NotAdmitted struct{ Failure *protocol.Failure }
+
+// Reserved carries the ledger's answer to Reserve.
+type Reserved struct{ Result *protocol.LedgerResult }
+
+// Chosen names the back end for the next attempt.
+type Chosen struct{ BackEnd string }
+
+// NotChosen says that no back end could take the turn.
+type NotChosen struct{ Failure *protocol.Failure }
+
+// Token is one piece of output from the back end.
+type Token struct {
+	Text   string
+	Tokens uint32
+}
+
+// BackEndDone says that the back end finished its answer.
+type BackEndDone struct {
+	InputTokens  uint64
+	OutputTokens uint64
+	CachedTokens uint64
+	Nonce        string
+}
+
+// BackEndFault says how an attempt at a back end went wrong.
+type BackEndFault int
+
+// Faults of an attempt. Only the first two surely did not run.
+const (
+	// FaultNotSent is a failed connect: the back end never saw the request.
+	FaultNotSent BackEndFault = iota + 1
+	// FaultRefused is a 429 or 503: the back end did not run the request.
+	FaultRefused
+	// FaultBroken is a broken or garbled answer: it may have run.
+	FaultBroken
+	// FaultMismatch is an answer that belongs to another request.
+	FaultMismatch
+	// FaultFenced says that the back end has seen a newer epoch of the session.
+	FaultFenced
+	// FaultRejected is an answer of the 4xx kind: the back end did not accept the request.
+	FaultRejected
+)
+
+// String names the fault for explanations.
+func (f BackEndFault) String() string {
+	names := [...]string{"none", "not sent", "refused", "broken", "mismatched answer", "fenced", "rejected"}
+	if f < 0 || int(f) >= len(names) {
+		return "unknown"
+	}
+	return names[f]
+}
+
+// BackEndFailed ends an attempt.
+type BackEndFailed struct {
+	Fault      BackEndFault
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// RetryDecided answers AskRetry with the word of the retry budget.
+type RetryDecided struct{ Granted bool }
+
+// Settled carries the ledger's answer to Settle.
+type Settled struct{ Result *protocol.LedgerResult }
+
+// Released carries the ledger's answer to Release.
+type Released struct{ Result *protocol.LedgerResult }
+
+// Refused carries the ledger's answer to Refuse.
+type Refused struct{ Result *protocol.LedgerResult }
+
+// KeptRead carries a kept turn, or nil with the reason.
+type KeptRead struct {
+	Turn   *protocol.Turn
+	Status protocol.LedgerStatus
+}
+
+// Waited says that the pause asked for by Pause is over.
+type Waited struct{}
+
+// StopReason says why a turn is ended from outside.
+type StopReason int
+
+// Reasons to stop a turn.
+const (
+	// StopCallerGone means that nobody reads the answer any more.
+	StopCallerGone StopReason = iota + 1
+	// StopDeadline means that the caller's time is up.
+	StopDeadline
+	// StopAuthority means that the front node may no longer act as owner.
+	StopAuthority
+)
+
+// Stopped ends the turn from outside.
+type Stopped struct{ Reason StopReason }
+
+func (Begun) event()         {}
+func (Claimed) event()       {}
+func (HistoryRead) event()   {}
+func (Admitted) event()      {}
+func (NotAdmitted) event()   {}
+func (Reserved) event()      {}
+func (Chosen) event()        {}
+func (NotChosen) event()     {}
+func (Token) event()         {}
+func (BackEndDone) event()   {}
+func (BackEndFailed) event() {}
+func (RetryDecided) event()  {}
+func (Settled) event()       {}
+func (Released) event()      {}
+func (Refused) event()       {}
+func (KeptRead) event()      {}
+func (Waited) event()        {}
+func (Stopped) event()       {}
--- /dev/null
+++ b/internal/turn/machine_test.go
@@ -0,0 +1,361 @@
+package turn_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+const ceiling = 10
+
+var start = time.Unix(1000, 0)
+
+func status(s protocol.LedgerStatus) *protocol.LedgerResult {
+	return &protocol.LedgerResult{Status: s, Epoch: 3}
+}
+
+var ok = status(protocol.LedgerStatus_LEDGER_OK)
+
+// script answers each command; answers to one kind of command are used up in order, the last one stays.
+type script struct {
+	machine  *turn.Machine
+	now      time.Time
+	commands []turn.Command
+	events   []*protocol.TurnEvent
+	answers  map[string][]turn.Event
+}
+
+func newScript(request *protocol.TurnRequest) *script {
+	request.RequestId, request.Session, request.Program, request.Nonce = "r1", "s1", "p1", "n1"
+	return &script{now: start, machine: turn.New(turn.Parameters{
+		Request: request, TurnID: "turn_1", Owner: "f1", Incarnation: 7, Budget: 100, Ceiling: ceiling, KeepFor: time.Hour, BundleVersion: 4,
+	}), answers: map[string][]turn.Event{
+		"claim": {turn.Claimed{Result: ok}}, "history": {turn.HistoryRead{Status: ok.GetStatus()}}, "admit": {turn.Admitted{}},
+		"reserve": {turn.Reserved{Result: ok}}, "choose": {turn.Chosen{BackEnd: "b1"}}, "retry": {turn.RetryDecided{Granted: true}},
+		"settle": {turn.Settled{Result: ok}}, "release": {turn.Released{Result: ok}}, "refuse": {turn.Refused{Result: ok}},
+		"pause": {turn.Waited{}}, "issue": {},
+	}}
+}
+
+func (s *script) on(name string, events ...turn.Event) *script {
+	s.answers[name] = events
+	return s
+}
+
+func (s *script) take(name string) []turn.Event {
+	answers := s.answers[name]
+	if name == "issue" {
+		s.answers[name] = nil
+		return answers
+	}
+	if len(answers) > 1 {
+		s.answers[name] = answers[1:]
+	}
+	return answers[:1]
+}
+
+func commandName(command turn.Command) string {
+	switch command.(type) {
+	case turn.Claim:
+		return "claim"
+	case turn.ReadHistory:
+		return "history"
+	case turn.Admit:
+		return "admit"
+	case turn.Reserve:
+		return "reserve"
+	case turn.Choose:
+		return "choose"
+	case turn.Issue:
+		return "issue"
+	case turn.AskRetry:
+		return "retry"
+	case turn.Settle:
+		return "settle"
+	case turn.Release:
+		return "release"
+	case turn.Refuse:
+		return "refuse"
+	case turn.ReadKept:
+		return "kept"
+	case turn.Pause:
+		return "pause"
+	default:
+		return ""
+	}
+}
+
+// run answers commands until the machine is done or waits for the back end.
+func (s *script) run() *script {
+	pending := s.machine.Apply(turn.Begun{}, s.now)
+	for len(pending) > 0 {
+		command := pending[0]
+		pending = pending[1:]
+		s.commands = append(s.commands, command)
+		if emit, isEmit := command.(turn.Emit); isEmit {
+			s.events = append(s.events, emit.Event)
+		}
+		if pause, isPause := command.(turn.Pause); isPause {
+			s.now = s.now.Add(pause.For)
+		}
+		if name := commandName(command); name != "" {
+			for _, event := range s.take(name) {
+				pending = append(pending, s.machine.Apply(event, s.now)...)
+			}
+		}
+	}
+	return s
+}
+
+func (s *script) last() *protocol.TurnEvent { return s.events[len(s.events)-1] }
+
+func (s *script) count(name string) int {
+	count := 0
+	for _, command := range s.commands {
+		if commandName(command) == name {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *script) released() *protocol.ReleaseTurn {
+	for _, command := range s.commands {
+		if release, isRelease := command.(turn.Release); isRelease {
+			return release.Operation
+		}
+	}
+	return nil
+}
+
+func wantFailure(t *testing.T, s *script, code failure.Code, outcome protocol.Outcome) {
+	t.Helper()
+	f := s.last().GetFailed()
+	if f.GetCode() != string(code) || f.GetOutcome() != outcome {
+		t.Fatalf("ended with %v", s.last())
+	}
+	if !s.machine.Done() {
+		t.Fatal("the machine did not finish")
+	}
+}
+
+var (
+	token  = turn.Token{Text: "a", Tokens: 1}
+	done   = turn.BackEndDone{InputTokens: 5, OutputTokens: 2, CachedTokens: 1, Nonce: "n1"}
+	broken = turn.BackEndFailed{Fault: turn.FaultBroken, Detail: "broke"}
+	busy   = turn.BackEndFailed{Fault: turn.FaultRefused, RetryAfter: 3 * time.Second, Detail: "429"}
+)
+
+func TestATurnIsReservedIssuedSettledAndOnlyThenCompleted(t *testing.T) {
+	s := newScript(&protocol.TurnRequest{PreviousTurn: "turn_0"}).on("issue", token, token, done).run()
+	completed := s.last().GetCompleted()
+	if completed.GetText() != "aa" || completed.GetOutputTokens() != 2 || completed.GetCachedTokens() != 1 || completed.GetNonce() != "n1" {
+		t.Fatalf("completed %v", completed)
+	}
+	want := []string{"claim", "history", "admit", "reserve", "choose", "issue", "settle"}
+	var got []string
+	for _, command := range s.commands {
+		if name := commandName(command); name != "" {
+			got = append(got, name)
+		}
+	}
+	if len(got) != len(want) {
+		t.Fatalf("commands %v", got)
+	}
+	for at := range want {
+		if got[at] != want[at] {
+			t.Fatalf("commands %v", got)
+		}
+	}
+	for at, event := range s.events {
+		if event.GetAttempt() != 1 || event.GetSequence() != uint64(at+1) {
+			t.Fatalf("event %d is numbered %d-%d", at, event.GetAttempt(), event.GetSequence())
+		}
+	}
+}
+
+func TestRefusalsOfTheLedgerAreNotRunAndLeaveATombstone(t *testing.T) {
+	cases := map[protocol.LedgerStatus]failure.Code{
+		protocol.LedgerStatus_LEDGER_BUDGET_SPENT:       failure.BudgetSpent,
+		protocol.LedgerStatus_LEDGER_BUDGET_HELD:        failure.BudgetHeld,
+		protocol.LedgerStatus_LEDGER_WRONG_CONTINUATION: failure.WrongContinuation,
+		protocol.LedgerStatus_LEDGER_UNKNOWN_PROGRAM:    failure.UnknownProgram,
+	}
+	for refusal, code := range cases {
+		s := newScript(&protocol.TurnRequest{}).on("reserve", turn.Reserved{Result: status(refusal)}).run()
+		wantFailure(t, s, code, protocol.Outcome_NOT_RUN)
+		if s.count("refuse") != 1 || s.count("issue") != 0 {
+			t.Fatalf("%v: commands %v", refusal, s.commands)
+		}
+	}
+}
+
+func TestAFirstSendIsRefusedWithoutTheLedger(t *testing.T) {
+	full := failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, "full", failure.WithRetryAfter(time.Second)).Failure
+	s := newScript(&protocol.TurnRequest{FirstSend: true}).on("admit", turn.NotAdmitted{Failure: full}).run()
+	wantFailure(t, s, failure.Overloaded, protocol.Outcome_NOT_RUN)
+	if s.count("refuse")+s.count("release") != 0 || s.last().GetFailed().GetRetryAfterMillis() != 1000 {
+		t.Fatalf("commands %v", s.commands)
+	}
+}
+
+func TestARefusalThatTheLedgerDoesNotConfirmIsUnknown(t *testing.T) {
+	full := failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, "full").Failure
+	s := newScript(&protocol.TurnRequest{}).on("admit", turn.NotAdmitted{Failure: full}).
+		on("refuse", turn.Refused{Result: status(protocol.LedgerStatus_LEDGER_UNAVAILABLE)}).run()
+	wantFailure(t, s, failure.Overloaded, protocol.Outcome_UNKNOWN)
+}
+
+func finished(outcome protocol.RequestOutcome) *protocol.LedgerResult {
+	return &protocol.LedgerResult{
+		Status:   protocol.LedgerStatus_LEDGER_ALREADY_FINISHED,
+		Finished: &protocol.FinishedRequest{Outcome: outcome, TurnId: "turn_1"},
+	}
+}
+
+func TestARepeatHearsTheAnswerOfTheFirstSend(t *testing.T) {
+	kept := &protocol.Turn{Id: "turn_1", RequestId: "r1", Output: []*protocol.Item{{Text: "kept"}}, OutputTokens: 4}
+	s := newScript(&protocol.TurnRequest{}).on("reserve", turn.Reserved{Result: finished(protocol.RequestOutcome_OUTCOME_SETTLED)}).
+		on("kept", turn.KeptRead{Turn: kept}).run()
+	if s.last().GetCompleted().GetText() != "kept" || s.count("issue") != 0 {
+		t.Fatalf("answered %v", s.last())
+	}
+	s = newScript(&protocol.TurnRequest{}).on("reserve", turn.Reserved{Result: finished(protocol.RequestOutcome_OUTCOME_NOT_RUN)}).run()
+	wantFailure(t, s, failure.RequestRefused, protocol.Outcome_NOT_RUN)
+	s = newScript(&protocol.TurnRequest{}).on("reserve", turn.Reserved{Result: finished(protocol.RequestOutcome_OUTCOME_CHARGED)}).run()
+	wantFailure(t, s, failure.OutcomeUnknown, protocol.Outcome_UNKNOWN)
+}
+
+func TestOnlyWhatSurelyDidNotRunIsReleased(t *testing.T) {
+	s := newScript(&protocol.TurnRequest{}).on("issue", busy).on("retry", turn.RetryDecided{}).run()
+	wantFailure(t, s, failure.Overloaded, protocol.Outcome_NOT_RUN)
+	if s.released().GetTokens() != 0 || s.last().GetFailed().GetRetryAfterMillis() != 3000 {
+		t.Fatalf("released %v", s.released())
+	}
+	s = newScript(&protocol.TurnRequest{}).on("issue", broken).on("retry", turn.RetryDecided{}).run()
+	wantFailure(t, s, failure.BackEndFailed, protocol.Outcome_UNKNOWN)
+	if s.released().GetTokens() == 0 {
+		t.Fatal("a turn that may have run was released as not run")
+	}
+	s = newScript(&protocol.TurnRequest{}).on("issue", token, token, broken).on("retry", turn.RetryDecided{}).run()
+	wantFailure(t, s, failure.BackEndFailed, protocol.Outcome_RAN)
+	if s.released().GetTokens() != 2 {
+		t.Fatalf("released %v", s.released())
+	}
+}
+
+func TestASureRefusalAfterABrokenAttemptStaysUnknown(t *testing.T) {
+	s := newScript(&protocol.TurnRequest{}).on("issue", broken).on("choose", turn.Chosen{BackEnd: "b1"},
+		turn.NotChosen{Failure: failure.New(failure.NoBackEnd, protocol.Outcome_NOT_RUN, "none").Failure}).run()
+	wantFailure(t, s, failure.BackEndFailed, protocol.Outcome_UNKNOWN)
+}
+
+func TestABrokenAttemptIsBegunAnewUnderAHigherNumber(t *testing.T) {
+	s := newScript(&protocol.TurnRequest{LastAttempt: 2}).on("issue", token, broken)
+	s.answers["choose"] = []turn.Event{turn.Chosen{BackEnd: "b1"}, turn.Chosen{BackEnd: "b2"}}
+	s.run()
+	second := s.commands[len(s.commands)-1].(turn.Issue)
+	if second.Attempt != 4 || second.MaxTokens != ceiling-1 || second.BackEnd != "b2" {
+		t.Fatalf("second issue %+v", second)
+	}
+	if s.machine.Apply(turn.Waited{}, s.now) != nil {
+		t.Fatal("a late answer was taken")
+	}
+	events := s.machine.Apply(token, s.now)
+	created := events[0].(turn.Emit).Event
+	if created.GetCreated() == nil || created.GetAttempt() != 4 || created.GetSequence() != 1 {
+		t.Fatalf("second attempt begins with %v", created)
+	}
+	commands := s.machine.Apply(turn.BackEndDone{Nonce: "n1", OutputTokens: 1}, s.now)
+	if settle := commands[len(commands)-1].(turn.Settle).Operation; settle.GetTokens() != 2 || settle.GetTurn().GetOutputTokens() != 1 {
+		t.Fatalf("settled %v", settle)
+	}
+}
+
+func TestNothingBeyondTheCeilingIsPassedOn(t *testing.T) {
+	events := make([]turn.Event, 0, ceiling+1)
+	for range ceiling + 1 {
+		events = append(events, token)
+	}
+	s := newScript(&protocol.TurnRequest{}).on("issue", events...).run()
+	wantFailure(t, s, failure.BackEndFailed, protocol.Outcome_RAN)
+	if deltas := len(s.events) - 2; deltas != ceiling || s.released().GetTokens() != ceiling {
+		t.Fatalf("%d tokens passed on, released %v", deltas, s.released())
+	}
+}
+
+func TestAForeignNonceIsNeverPassedOn(t *testing.T) {
+	foreign := done
+	foreign.Nonce = "other"
+	s := newScript(&protocol.TurnRequest{}).on("issue", foreign).on("retry", turn.RetryDecided{}).run()
+	wantFailure(t, s, failure.AnswerMismatch, protocol.Outcome_UNKNOWN)
+	if s.count("settle") != 0 {
+		t.Fatal("a foreign answer was kept")
+	}
+}
+
+func TestStopsByWhereTheTurnStands(t *testing.T) {
+	waiting := newScript(&protocol.TurnRequest{}).on("admit", turn.Stopped{Reason: turn.StopDeadline}).run()
+	wantFailure(t, waiting, failure.DeadlineExceeded, protocol.Outcome_NOT_RUN)
+	issued := newScript(&protocol.TurnRequest{}).on("issue", turn.Stopped{Reason: turn.StopCallerGone}).run()
+	wantFailure(t, issued, failure.Cancelled, protocol.Outcome_UNKNOWN)
+	streaming := newScript(&protocol.TurnRequest{}).on("issue", token, turn.Stopped{Reason: turn.StopAuthority}, token).run()
+	wantFailure(t, streaming, failure.NoAuthority, protocol.Outcome_RAN)
+	if streaming.released().GetTokens() != 1 {
+		t.Fatalf("released %v", streaming.released())
+	}
+	early := newScript(&protocol.TurnRequest{}).on("history", turn.Stopped{Reason: turn.StopAuthority}).run()
+	wantFailure(t, early, failure.NoAuthority, protocol.Outcome_NOT_RUN)
+	if early.count("refuse") != 0 {
+		t.Fatal("a turn that another owner may run got a tombstone")
+	}
+}
+
+func TestSettleIsTriedAgainAndTheCallerIsAnsweredMeanwhile(t *testing.T) {
+	unavailable := turn.Settled{Result: status(protocol.LedgerStatus_LEDGER_UNAVAILABLE)}
+	answers := []turn.Event{}
+	for range 15 {
+		answers = append(answers, unavailable)
+	}
+	s := newScript(&protocol.TurnRequest{}).on("issue", token, done).on("settle", append(answers, turn.Settled{Result: ok})...).run()
+	wantFailure(t, s, failure.LedgerUnavailable, protocol.Outcome_RAN)
+	if s.count("settle") != 16 {
+		t.Fatalf("settled %d times", s.count("settle"))
+	}
+	few := newScript(&protocol.TurnRequest{}).on("issue", token, done).on("settle", unavailable, turn.Settled{Result: ok}).run()
+	if few.last().GetCompleted() == nil {
+		t.Fatalf("ended with %v", few.last())
+	}
+}
+
+func TestFencedAtTheLedgerGivesTheSessionUp(t *testing.T) {
+	s := newScript(&protocol.TurnRequest{}).on("reserve", turn.Reserved{Result: status(protocol.LedgerStatus_LEDGER_FENCED)}).run()
+	wantFailure(t, s, failure.Fenced, protocol.Outcome_NOT_RUN)
+	forgotten := false
+	for _, command := range s.commands {
+		if forget, isForget := command.(turn.ForgetSession); isForget {
+			forgotten = forget.Fenced
+		}
+	}
+	if !forgotten || s.count("refuse") != 0 {
+		t.Fatalf("commands %v", s.commands)
+	}
+	settled := newScript(&protocol.TurnRequest{}).on("issue", token, done).on("settle", turn.Settled{Result: status(protocol.LedgerStatus_LEDGER_FENCED)}).run()
+	wantFailure(t, settled, failure.Fenced, protocol.Outcome_RAN)
+}
+
+func TestAnUnansweredReservationIsTakenBack(t *testing.T) {
+	unavailable := status(protocol.LedgerStatus_LEDGER_UNAVAILABLE)
+	s := newScript(&protocol.TurnRequest{FirstSend: true}).on("reserve", turn.Reserved{Result: unavailable}).run()
+	wantFailure(t, s, failure.LedgerUnavailable, protocol.Outcome_NOT_RUN)
+	if s.released() == nil {
+		t.Fatal("the reservation was forgotten")
+	}
+	s = newScript(&protocol.TurnRequest{}).on("reserve", turn.Reserved{Result: unavailable}).
+		on("release", turn.Released{Result: unavailable}).on("pause", turn.Waited{}, turn.Waited{}, turn.Waited{},
+		turn.Waited{}, turn.Waited{}, turn.Waited{}, turn.Waited{}, turn.Stopped{Reason: turn.StopAuthority}).run()
+	wantFailure(t, s, failure.LedgerUnavailable, protocol.Outcome_UNKNOWN)
+}
--- /dev/null
+++ b/internal/turn/properties_test.go
@@ -0,0 +1,311 @@
+package turn_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+func drawResult(t *rapid.T) *protocol.LedgerResult {
+	result := status(protocol.LedgerStatus(max(1, rapid.IntRange(-60, 14).Draw(t, "status"))))
+	if result.GetStatus() == protocol.LedgerStatus_LEDGER_ALREADY_FINISHED {
+		result.Finished = &protocol.FinishedRequest{
+			Outcome: protocol.RequestOutcome(rapid.IntRange(1, 3).Draw(t, "outcome")), TurnId: "turn_1",
+		}
+		result.Call = &protocol.CallRecord{State: protocol.CallState(rapid.IntRange(1, 3).Draw(t, "call state")), Status: 200}
+	}
+	return result
+}
+
+func drawFault(t *rapid.T) turn.Event {
+	return turn.BackEndFailed{Fault: turn.BackEndFault(rapid.IntRange(1, 6).Draw(t, "fault")), Detail: "drawn"}
+}
+
+func drawStop(t *rapid.T) turn.Event {
+	return turn.Stopped{Reason: turn.StopReason(rapid.IntRange(1, 3).Draw(t, "reason"))}
+}
+
+// drawAnswer answers a command of either machine as a hostile world might.
+func drawAnswer(t *rapid.T, command turn.Command) turn.Event {
+	refused := failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, "drawn").Failure
+	yes := rapid.IntRange(0, 3).Draw(t, "yes") > 0
+	switch command.(type) {
+	case turn.Claim:
+		return turn.Claimed{Result: drawResult(t)}
+	case turn.ReadHistory:
+		return turn.HistoryRead{Status: drawResult(t).GetStatus()}
+	case turn.Admit:
+		if yes {
+			return turn.Admitted{}
+		}
+		return turn.NotAdmitted{Failure: refused}
+	case turn.Reserve:
+		return turn.Reserved{Result: drawResult(t)}
+	case turn.Choose:
+		if yes {
+			return turn.Chosen{BackEnd: "b"}
+		}
+		return turn.NotChosen{Failure: refused}
+	case turn.AskRetry:
+		return turn.RetryDecided{Granted: yes}
+	case turn.Settle:
+		return turn.Settled{Result: drawResult(t)}
+	case turn.Release:
+		return turn.Released{Result: drawResult(t)}
+	case turn.Refuse:
+		return turn.Refused{Result: drawResult(t)}
+	case turn.ReadKept:
+		return turn.KeptRead{Turn: &protocol.Turn{Id: "turn_1"}, Status: protocol.LedgerStatus_LEDGER_OK}
+	case turn.BeginCall:
+		return turn.CallBegun{Result: drawResult(t)}
+	case turn.FinishCall:
+		return turn.CallFinished{Result: drawResult(t)}
+	case turn.RefuseCall:
+		return turn.CallRefused{Result: drawResult(t)}
+	case turn.IssueCall:
+		if rapid.Bool().Draw(t, "done") {
+			return turn.CallDone{Status: 200, Body: []byte("{}"), ContentType: "application/json"}
+		}
+		return drawFault(t)
+	case turn.Pause:
+		if yes {
+			return turn.Waited{}
+		}
+		return turn.Stopped{Reason: turn.StopAuthority}
+	default:
+		return nil
+	}
+}
+
+// interrupted draws whether a stop goes before the command, as the front plane does it.
+func interrupted(t *rapid.T, command turn.Command) bool {
+	return turn.Interruptible(command) && rapid.IntRange(0, 40).Draw(t, "stop") == 0
+}
+
+// observer checks what a turn's readers and the ledger see.
+type observer struct {
+	t          *rapid.T
+	attempt    uint32
+	sequence   uint64
+	terminal   *protocol.TurnEvent
+	passed     uint64
+	slots      int
+	reserved   bool
+	issued     int
+	mayHaveRun bool
+	proved     bool
+	released   *protocol.ReleaseTurn
+	settled    bool
+}
+
+func (o *observer) command(command turn.Command) {
+	switch command := command.(type) {
+	case turn.Issue:
+		if !o.reserved || o.terminal != nil {
+			o.t.Fatalf("issued without a reservation")
+		}
+		o.issued++
+	case turn.Leave:
+		o.slots--
+	case turn.Release:
+		o.released = command.Operation
+	case turn.Emit:
+		o.emit(command.Event)
+	}
+}
+
+func (o *observer) emit(event *protocol.TurnEvent) {
+	if o.terminal != nil {
+		o.t.Fatalf("event %v after the last one", event)
+	}
+	if event.GetAttempt() == o.attempt && event.GetSequence() != o.sequence+1 || event.GetAttempt() < o.attempt ||
+		event.GetAttempt() > o.attempt && event.GetSequence() != 1 {
+		o.t.Fatalf("event %d-%d after %d-%d", event.GetAttempt(), event.GetSequence(), o.attempt, o.sequence)
+	}
+	o.attempt, o.sequence = event.GetAttempt(), event.GetSequence()
+	o.passed += uint64(event.GetDelta().GetTokens())
+	if event.GetCompleted() != nil || event.GetFailed() != nil {
+		o.terminal = event
+	}
+}
+
+func (o *observer) answer(event turn.Event) {
+	switch event := event.(type) {
+	case turn.Admitted:
+		o.slots++
+	case turn.Reserved:
+		o.reserved = event.Result.GetStatus() == protocol.LedgerStatus_LEDGER_OK
+	case turn.Token:
+		o.mayHaveRun = true
+	case turn.BackEndFailed:
+		o.mayHaveRun = o.mayHaveRun || event.Fault == turn.FaultBroken || event.Fault == turn.FaultMismatch
+	case turn.Settled:
+		o.settled = o.settled || event.Result.GetStatus() == protocol.LedgerStatus_LEDGER_OK ||
+			event.Result.GetFinished().GetOutcome() == protocol.RequestOutcome_OUTCOME_SETTLED
+	case turn.Released:
+		o.prove(event.Result)
+	case turn.Refused:
+		o.prove(event.Result)
+	}
+}
+
+// prove notes that the ledger has the request as not run.
+func (o *observer) prove(result *protocol.LedgerResult) {
+	o.proved = o.proved || result.GetStatus() == protocol.LedgerStatus_LEDGER_OK ||
+		result.GetFinished().GetOutcome() == protocol.RequestOutcome_OUTCOME_NOT_RUN
+}
+
+func TestNoTurnLiesWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		firstSend := rapid.Bool().Draw(t, "first send")
+		s := newScript(&protocol.TurnRequest{FirstSend: firstSend, LastAttempt: uint32(rapid.IntRange(0, 2).Draw(t, "last attempt"))})
+		o := &observer{t: t}
+		pending := s.machine.Apply(turn.Begun{}, s.now)
+		streaming := false
+		for step := 0; !s.machine.Done() || len(pending) > 0; step++ {
+			if step > 2000 {
+				t.Fatal("the turn never ends")
+			}
+			var event turn.Event
+			if len(pending) > 0 {
+				command := pending[0]
+				pending = pending[1:]
+				if interrupted(t, command) {
+					pending = s.machine.Apply(drawStop(t), s.now)
+					continue
+				}
+				o.command(command)
+				s.now = s.now.Add(10 * time.Millisecond)
+				if _, issued := command.(turn.Issue); issued {
+					streaming = true
+					continue
+				}
+				event = drawAnswer(t, command)
+			} else if streaming {
+				event = drawPiece(t)
+			}
+			if event == nil {
+				continue
+			}
+			o.answer(event)
+			if _, isToken := event.(turn.Token); !isToken {
+				streaming = streaming && !isEnd(event)
+			}
+			pending = append(pending, s.machine.Apply(event, s.now)...)
+		}
+		checkTruth(t, o, firstSend)
+	})
+}
+
+func isEnd(event turn.Event) bool {
+	switch event.(type) {
+	case turn.BackEndDone, turn.BackEndFailed, turn.Stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+func drawPiece(t *rapid.T) turn.Event {
+	switch rapid.IntRange(0, 9).Draw(t, "piece") {
+	case 0:
+		return drawFault(t)
+	case 1:
+		return done
+	case 2:
+		return drawStop(t)
+	default:
+		return token
+	}
+}
+
+func checkTruth(t *rapid.T, o *observer, firstSend bool) {
+	if o.terminal == nil {
+		t.Fatal("the readers were never answered")
+	}
+	if o.passed > ceiling {
+		t.Fatalf("%d tokens passed on under a ceiling of %d", o.passed, ceiling)
+	}
+	if o.slots != 0 {
+		t.Fatalf("%d slots kept", o.slots)
+	}
+	f := o.terminal.GetFailed()
+	if f.GetOutcome() == protocol.Outcome_NOT_RUN {
+		if o.mayHaveRun || o.passed > 0 {
+			t.Fatalf("called not run although it may have run: %v", f)
+		}
+		takenElsewhere := f.GetCode() == string(failure.Fenced) || f.GetCode() == string(failure.NoAuthority) ||
+			f.GetCode() == string(failure.RequestRefused)
+		if !firstSend && !o.proved && !takenElsewhere {
+			t.Fatalf("called not run without the ledger's word: %v", f)
+		}
+	}
+	if o.passed > 0 && f != nil && f.GetOutcome() != protocol.Outcome_RAN {
+		t.Fatalf("tokens were passed on, yet %v", f)
+	}
+	if o.passed > 0 && !o.settled && o.released != nil && o.released.GetTokens() < o.passed {
+		t.Fatalf("%d tokens passed on, %d charged", o.passed, o.released.GetTokens())
+	}
+}
+
+func TestNoCallThatMayNotBeRepeatedRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := turn.NewCall(turn.CallParameters{
+			Request: &protocol.ToolCallRequest{RequestId: "r1", Session: "s1", Tool: "valve", FirstSend: rapid.Bool().Draw(t, "first send")},
+			Owner:   "f1", Attempt: "a1",
+		})
+		now := start
+		pending := machine.Apply(turn.Begun{}, now)
+		var answer *protocol.ToolCallResponse
+		intent, mayHaveRun, done := false, 0, false
+		for step := 0; len(pending) > 0; step++ {
+			command := pending[0]
+			pending = pending[1:]
+			now = now.Add(100 * time.Millisecond)
+			if step > 500 {
+				t.Fatal("the call never ends")
+			}
+			if interrupted(t, command) {
+				pending = machine.Apply(drawStop(t), now)
+				continue
+			}
+			if response, answered := command.(turn.Answer); answered {
+				if answer != nil {
+					t.Fatal("answered twice")
+				}
+				answer = response.Response
+			}
+			event := drawAnswer(t, command)
+			if _, issue := command.(turn.IssueCall); issue {
+				if !intent || mayHaveRun > 0 {
+					t.Fatal("issued again, or without an intent")
+				}
+				fault, failed := event.(turn.BackEndFailed)
+				if !failed || fault.Fault == turn.FaultBroken || fault.Fault == turn.FaultMismatch {
+					mayHaveRun++
+				}
+				_, done = event.(turn.CallDone)
+			}
+			if begun, isBegun := event.(turn.CallBegun); isBegun {
+				intent = begun.Result.GetStatus() == protocol.LedgerStatus_LEDGER_OK
+			}
+			if event != nil {
+				pending = append(pending, machine.Apply(event, now)...)
+			}
+		}
+		if answer == nil || !machine.Done() {
+			t.Fatal("the caller was never answered")
+		}
+		if answer.GetFailure().GetOutcome() == protocol.Outcome_NOT_RUN && mayHaveRun > 0 {
+			t.Fatalf("called not run although it may have run: %v", answer)
+		}
+		if done && answer.GetFailure() != nil {
+			t.Fatalf("the tool answered, the caller heard %v", answer.GetFailure())
+		}
+	})
+}
--- /dev/null
+++ b/internal/turn/stream.go
@@ -0,0 +1,207 @@
+package turn
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func (m *Machine) issued(event Event, now time.Time) []Command {
+	switch answer := event.(type) {
+	case Token:
+		return m.token(answer, now)
+	case BackEndDone:
+		return m.finished(answer, now)
+	case BackEndFailed:
+		return m.failed(answer, now)
+	}
+	return nil
+}
+
+func (m *Machine) token(token Token, now time.Time) []Command {
+	if m.tokens+uint64(token.Tokens) > m.maxTokens {
+		// Nothing beyond the reservation is ever passed on.
+		f := failure.New(failure.BackEndFailed, protocol.Outcome_RAN, "the back end sent more tokens than it was allowed").Failure
+		return first(m.charge(f, now), StopBackEnd{})
+	}
+	var commands []Command
+	if m.sequence == 0 {
+		commands = append(commands, m.emitCreated())
+	}
+	m.tokens += uint64(token.Tokens)
+	m.passed += uint64(token.Tokens)
+	m.text.WriteString(token.Text)
+	return append(commands, m.emit(&protocol.TurnEvent{Body: &protocol.TurnEvent_Delta{
+		Delta: &protocol.TurnDelta{Text: token.Text, Tokens: token.Tokens},
+	}}))
+}
+
+func (m *Machine) finished(done BackEndDone, now time.Time) []Command {
+	request := m.parameters.Request
+	if done.Nonce != "" && request.GetNonce() != "" && done.Nonce != request.GetNonce() {
+		return m.failed(BackEndFailed{Fault: FaultMismatch, Detail: "the answer carries another request's nonce"}, now)
+	}
+	if m.maxTokens < m.parameters.Ceiling && m.tokens >= m.maxTokens {
+		// A later attempt has less room than the caller asked for; its cut answer is not a whole one.
+		f := failure.New(failure.BackEndFailed, protocol.Outcome_RAN, "the turn was begun anew and ran out of its reservation").Failure
+		return m.charge(f, now)
+	}
+	m.done = done
+	m.countUnseen(done)
+	m.settle = &protocol.SettleTurn{
+		RequestId: request.GetRequestId(), Session: request.GetSession(), Epoch: m.epoch,
+		Tokens: m.passed, Turn: m.keptTurn(now),
+	}
+	m.state = stateSettling
+	m.operationBegan, m.pause = now, firstPause
+	return append(m.leave(), Settle{Operation: m.settle})
+}
+
+// countUnseen charges output tokens that the back end counts beyond the pieces it sent.
+func (m *Machine) countUnseen(done BackEndDone) {
+	if counted := min(done.OutputTokens, m.maxTokens); counted > m.tokens {
+		m.passed += counted - m.tokens
+		m.tokens = counted
+	}
+}
+
+func (m *Machine) keptTurn(now time.Time) *protocol.Turn {
+	request := m.parameters.Request
+	return &protocol.Turn{
+		Id: m.parameters.TurnID, Program: request.GetProgram(), Session: request.GetSession(),
+		PreviousTurn: request.GetPreviousTurn(), RequestId: request.GetRequestId(), Model: request.GetModel(),
+		Input: request.GetInput(), Output: []*protocol.Item{{Role: "assistant", Text: m.text.String()}},
+		InputTokens: m.done.InputTokens, OutputTokens: m.tokens,
+		KeptAtMillis: now.UnixMilli(), KeepUntilMillis: now.Add(m.parameters.KeepFor).UnixMilli(),
+		BackEnd: m.backEnd, Epoch: m.epoch, HistoryTokens: max(m.historyTokens, m.done.InputTokens) + m.tokens,
+	}
+}
+
+// failed ends an attempt; another one may follow when the fault allows it.
+func (m *Machine) failed(fault BackEndFailed, now time.Time) []Command {
+	m.avoid = append(m.avoid, m.backEnd)
+	m.failure = m.faultFailure(fault)
+	switch fault.Fault {
+	case FaultFenced, FaultRejected:
+		return m.giveUp(now)
+	case FaultBroken, FaultMismatch:
+		if m.passed > m.parameters.Ceiling/restartShare {
+			return m.giveUp(now)
+		}
+	case FaultNotSent, FaultRefused:
+	}
+	if m.tries >= m.parameters.Attempts {
+		return m.giveUp(now)
+	}
+	m.state = stateAskingRetry
+	return []Command{AskRetry{}}
+}
+
+// faultFailure words the failure that the caller hears unless another attempt succeeds.
+func (m *Machine) faultFailure(fault BackEndFailed) *protocol.Failure {
+	outcome := protocol.Outcome_NOT_RUN
+	switch {
+	case m.passed > 0:
+		outcome = protocol.Outcome_RAN
+	case m.mayHaveRun(fault.Fault):
+		outcome = protocol.Outcome_UNKNOWN
+	}
+	m.markRun(fault.Fault)
+	code, wait := failure.BackEndFailed, time.Duration(0)
+	switch fault.Fault {
+	case FaultRefused:
+		code, wait = failure.Overloaded, max(fault.RetryAfter, busyRetry)
+	case FaultNotSent:
+		code, wait = failure.NoBackEnd, busyRetry
+	case FaultMismatch:
+		code = failure.AnswerMismatch
+	case FaultFenced:
+		code = failure.Fenced
+	case FaultRejected, FaultBroken:
+	}
+	return failure.New(code, outcome, fault.Detail, failure.WithRetryAfter(wait)).Failure
+}
+
+// mayHaveRun reports whether this fault, or one of an earlier attempt, may have let the turn run.
+func (m *Machine) mayHaveRun(fault BackEndFault) bool {
+	return m.ranEver || fault == FaultBroken || fault == FaultMismatch
+}
+
+func (m *Machine) markRun(fault BackEndFault) {
+	m.ranEver = m.mayHaveRun(fault)
+}
+
+func (m *Machine) retry(event Event, now time.Time) []Command {
+	decided, matches := event.(RetryDecided)
+	if !matches {
+		return nil
+	}
+	if !decided.Granted {
+		return m.giveUp(now)
+	}
+	m.state = stateChoosing
+	return []Command{Choose{Avoid: append([]string(nil), m.avoid...)}}
+}
+
+// giveUp ends a reserved turn: released when it surely was not run, charged otherwise.
+func (m *Machine) giveUp(now time.Time) []Command {
+	if m.ranEver || m.passed > 0 {
+		return m.charge(m.failure, now)
+	}
+	m.failure.Outcome = protocol.Outcome_NOT_RUN
+	return m.releaseWith(m.failure, 0, now)
+}
+
+// charge ends a reserved turn that ran or may have run. At least one token is
+// charged, because a release of none says that the request was not run.
+func (m *Machine) charge(f *protocol.Failure, now time.Time) []Command {
+	if m.passed > 0 {
+		f.Outcome = protocol.Outcome_RAN
+	} else {
+		f.Outcome = protocol.Outcome_UNKNOWN
+	}
+	return m.releaseWith(f, max(m.passed, chargedAtOnce), now)
+}
+
+func (m *Machine) stop(reason StopReason, now time.Time) []Command {
+	f := stopFailure(reason)
+	switch m.state {
+	case stateNew, stateClaiming, stateReading, stateAdmitting:
+		if reason == StopAuthority {
+			return m.endHere(f)
+		}
+		return m.refuse(f, now)
+	case stateReserving:
+		return m.releaseWith(f, 0, now)
+	case stateChoosing, stateAskingRetry:
+		m.failure = f
+		return m.giveUp(now)
+	case stateIssued:
+		m.ranEver = true
+		return first(m.charge(f, now), StopBackEnd{})
+	case stateSettling:
+		if reason == StopAuthority {
+			return m.notKept(failure.NoAuthority, "the turn ran but the front node lost its authority before it was kept")
+		}
+	case stateReleasing:
+		if reason == StopAuthority {
+			return first(m.end(m.unproved()), ForgetSession{})
+		}
+	case stateRefusing, stateReadingKept, stateDone:
+		// The ledger's word is awaited and ends the turn by itself.
+	}
+	return nil
+}
+
+func stopFailure(reason StopReason) *protocol.Failure {
+	switch reason {
+	case StopDeadline:
+		return failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the deadline passed").Failure
+	case StopAuthority:
+		return failure.New(failure.NoAuthority, protocol.Outcome_NOT_RUN, "the front node may no longer act as owner",
+			failure.WithRetryAfter(busyRetry)).Failure
+	case StopCallerGone:
+	}
+	return failure.New(failure.Cancelled, protocol.Outcome_NOT_RUN, "the caller went away").Failure
+}
--- /dev/null
+++ b/internal/turn/toolcall.go
@@ -0,0 +1,261 @@
+package turn
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// FailureContentType marks a recorded outcome that is a failure of this system, not a tool's answer.
+const FailureContentType = "application/vnd.rosestand.failure+json"
+
+// CallParameters are fixed when a tool call begins.
+type CallParameters struct {
+	Request     *protocol.ToolCallRequest
+	Owner       string
+	Incarnation uint64
+	Budget      uint64
+	// Repeatable calls need no intent and may be tried again after a broken answer.
+	Repeatable bool
+	// Attempt is unique to this machine; only the attempt that wrote the intent may issue the call.
+	Attempt string
+	// Attempts bounds the tries at back ends; zero means DefaultMaxAttempts.
+	Attempts      uint32
+	BundleVersion uint64
+}
+
+type callState int
+
+const (
+	callNew callState = iota
+	callClaiming
+	callAdmitting
+	callChoosing
+	callBeginning
+	callIssued
+	callAskingRetry
+	callFinishing
+	callRefusing
+	callDone
+)
+
+// CallMachine is the life of one tool call at the owner of its session.
+type CallMachine struct {
+	parameters CallParameters
+	state      callState
+	epoch      uint64
+	admitted   bool
+	intent     bool
+	// ranEver is true once an attempt may have run.
+	ranEver  bool
+	answered bool
+	backEnd  string
+	avoid    []string
+	tries    uint32
+
+	failure        *protocol.Failure
+	operationBegan time.Time
+	pause          time.Duration
+	outcome        *protocol.FinishCall
+	response       *protocol.ToolCallResponse
+}
+
+// NewCall makes the machine of one tool call.
+func NewCall(parameters CallParameters) *CallMachine {
+	if parameters.Attempts == 0 {
+		parameters.Attempts = DefaultMaxAttempts
+	}
+	return &CallMachine{parameters: parameters}
+}
+
+// Done reports whether the machine has finished.
+func (m *CallMachine) Done() bool { return m.state == callDone }
+
+// Apply takes one event and returns what to do next, in order. An event that
+// the current state does not wait for is ignored.
+func (m *CallMachine) Apply(event Event, now time.Time) []Command {
+	switch event := event.(type) {
+	case Begun:
+		return m.begin()
+	case Claimed:
+		return m.claimed(event)
+	case Admitted:
+		return m.admission()
+	case NotAdmitted:
+		return m.refuse(event.Failure)
+	case Chosen:
+		return m.chosen(event, now)
+	case NotChosen:
+		return m.notChosen(event, now)
+	case CallBegun:
+		return m.begun(event, now)
+	case CallDone:
+		return m.done(event, now)
+	case BackEndFailed:
+		return m.failed(event, now)
+	case RetryDecided:
+		return m.retry(event, now)
+	case CallFinished:
+		return m.finished(event, now)
+	case CallRefused:
+		return m.refused(event)
+	case Waited:
+		return m.waited()
+	case Stopped:
+		return m.stop(event, now)
+	}
+	return nil
+}
+
+func (m *CallMachine) begin() []Command {
+	if m.state != callNew {
+		return nil
+	}
+	m.state = callClaiming
+	request := m.parameters.Request
+	return []Command{Claim{Operation: &protocol.ClaimSession{
+		Session: request.GetSession(), Owner: m.parameters.Owner, OwnerIncarnation: m.parameters.Incarnation,
+		Tenant: request.GetTenant(), Budget: m.parameters.Budget,
+	}}}
+}
+
+func (m *CallMachine) claimed(event Claimed) []Command {
+	if m.state != callClaiming {
+		return nil
+	}
+	switch status := event.Result.GetStatus(); {
+	case status == protocol.LedgerStatus_LEDGER_FENCED:
+		return first(m.fail(ledgerFailure(status)), ForgetSession{Fenced: true})
+	case status != protocol.LedgerStatus_LEDGER_OK:
+		return m.refuse(ledgerFailure(status))
+	}
+	m.epoch = event.Result.GetEpoch()
+	m.state = callAdmitting
+	return []Command{Admit{}}
+}
+
+func (m *CallMachine) admission() []Command {
+	if m.state != callAdmitting {
+		return nil
+	}
+	m.admitted = true
+	m.state = callChoosing
+	return []Command{Choose{}}
+}
+
+// chosen writes the intent once, just before the first issue.
+func (m *CallMachine) chosen(event Chosen, now time.Time) []Command {
+	if m.state != callChoosing {
+		return nil
+	}
+	m.backEnd = event.BackEnd
+	if m.parameters.Repeatable || m.intent {
+		return m.issue()
+	}
+	m.state = callBeginning
+	m.operationBegan, m.pause = now, firstPause
+	return []Command{m.beginCommand()}
+}
+
+func (m *CallMachine) beginCommand() Command {
+	request := m.parameters.Request
+	return BeginCall{Operation: &protocol.BeginCall{
+		RequestId: request.GetRequestId(), Session: request.GetSession(), Epoch: m.epoch,
+		Tool: request.GetTool(), Attempt: m.parameters.Attempt,
+	}}
+}
+
+func (m *CallMachine) issue() []Command {
+	m.state = callIssued
+	m.tries++
+	return []Command{IssueCall{BackEnd: m.backEnd, Epoch: m.epoch}}
+}
+
+func (m *CallMachine) notChosen(event NotChosen, now time.Time) []Command {
+	if m.state != callChoosing {
+		return nil
+	}
+	if m.failure == nil {
+		m.failure = event.Failure
+	}
+	return m.giveUp(now)
+}
+
+func (m *CallMachine) begun(event CallBegun, now time.Time) []Command {
+	if m.state != callBeginning {
+		return nil
+	}
+	switch status := event.Result.GetStatus(); status {
+	case protocol.LedgerStatus_LEDGER_OK:
+		m.intent = true
+		return m.issue()
+	case protocol.LedgerStatus_LEDGER_ALREADY_FINISHED:
+		return m.recorded(event.Result.GetCall())
+	case protocol.LedgerStatus_LEDGER_CALL_UNDER_WAY, protocol.LedgerStatus_LEDGER_ALREADY_RESERVED:
+		return m.fail(failure.New(failure.OutcomeUnknown, protocol.Outcome_UNKNOWN,
+			"this call was begun before and has no outcome; it is never issued again").Failure)
+	case protocol.LedgerStatus_LEDGER_FENCED:
+		return first(m.fail(ledgerFailure(status)), ForgetSession{Fenced: true})
+	case protocol.LedgerStatus_LEDGER_UNAVAILABLE, protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT:
+		if now.Sub(m.operationBegan) < answerWindow {
+			return m.pauseAgain()
+		}
+		return m.refuse(ledgerFailure(status))
+	default:
+		return m.refuse(ledgerFailure(status))
+	}
+}
+
+// recorded answers a repeat with what the ledger holds.
+func (m *CallMachine) recorded(record *protocol.CallRecord) []Command {
+	switch {
+	case record.GetState() == protocol.CallState_CALL_NOT_RUN:
+		return m.fail(failure.New(failure.RequestRefused, protocol.Outcome_NOT_RUN,
+			"this call was refused before; send it again under a new idempotency key").Failure)
+	case record.GetState() != protocol.CallState_CALL_DONE:
+		return m.fail(failure.New(failure.OutcomeUnknown, protocol.Outcome_UNKNOWN,
+			"this call was begun before and has no outcome; it is never issued again").Failure)
+	}
+	return m.answer(RecordedAnswer(record))
+}
+
+func (m *CallMachine) done(event CallDone, now time.Time) []Command {
+	if m.state != callIssued {
+		return nil
+	}
+	m.response = &protocol.ToolCallResponse{
+		Status: event.Status, Body: event.Body, ContentType: event.ContentType, BackEnd: m.backEnd, Epoch: m.epoch,
+	}
+	if m.parameters.Repeatable {
+		return m.answer(m.response)
+	}
+	return m.record(event.Status, event.Body, event.ContentType, now)
+}
+
+// record makes the outcome durable before the caller hears it.
+func (m *CallMachine) record(status uint32, body []byte, contentType string, now time.Time) []Command {
+	m.state = callFinishing
+	m.operationBegan, m.pause = now, firstPause
+	m.outcome = &protocol.FinishCall{
+		RequestId: m.parameters.Request.GetRequestId(), Attempt: m.parameters.Attempt,
+		Status: status, Body: body, ContentType: contentType,
+	}
+	return append(m.leave(), FinishCall{Operation: m.outcome})
+}
+
+// RecordedAnswer is the answer that the ledger holds of a finished call.
+func RecordedAnswer(record *protocol.CallRecord) *protocol.ToolCallResponse {
+	if record.GetContentType() != FailureContentType {
+		return &protocol.ToolCallResponse{
+			Status: record.GetStatus(), Body: record.GetBody(), ContentType: record.GetContentType(), Epoch: record.GetEpoch(),
+		}
+	}
+	recorded := &protocol.Failure{}
+	if err := protojson.Unmarshal(record.GetBody(), recorded); err != nil {
+		recorded = failure.New(failure.InternalError, protocol.Outcome_UNKNOWN, "the recorded outcome cannot be read").Failure
+	}
+	return &protocol.ToolCallResponse{Failure: recorded}
+}
--- /dev/null
+++ b/internal/turn/toolcall_test.go
@@ -0,0 +1,144 @@
+package turn_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+var ran = turn.CallDone{Status: 200, Body: []byte(`{"a":1}`), ContentType: "application/json"}
+
+// runCall answers each command by its kind; the last answer of a kind stays.
+func runCall(repeatable bool, answers map[string][]turn.Event) (*protocol.ToolCallResponse, map[string]int) {
+	machine := turn.NewCall(turn.CallParameters{
+		Request: &protocol.ToolCallRequest{RequestId: "r1", Session: "s1", Tool: "valve"}, Owner: "f1", Attempt: "a1", Repeatable: repeatable,
+	})
+	defaults := map[string][]turn.Event{
+		"claim": {turn.Claimed{Result: ok}}, "admit": {turn.Admitted{}}, "choose": {turn.Chosen{BackEnd: "b"}},
+		"begin": {turn.CallBegun{Result: ok}}, "finish": {turn.CallFinished{Result: ok}}, "refuse": {turn.CallRefused{Result: ok}},
+		"issue": {ran}, "retry": {turn.RetryDecided{Granted: true}}, "pause": {turn.Waited{}},
+	}
+	for name, events := range answers {
+		defaults[name] = events
+	}
+	counts := map[string]int{}
+	var response *protocol.ToolCallResponse
+	now := start
+	pending := machine.Apply(turn.Begun{}, now)
+	for len(pending) > 0 {
+		command := pending[0]
+		pending = pending[1:]
+		now = now.Add(300 * time.Millisecond)
+		if answer, answered := command.(turn.Answer); answered {
+			response = answer.Response
+		}
+		name := callCommandName(command)
+		if name == "" {
+			continue
+		}
+		counts[name]++
+		events := defaults[name]
+		if len(events) > 1 {
+			defaults[name] = events[1:]
+		}
+		pending = append(pending, machine.Apply(events[0], now)...)
+	}
+	return response, counts
+}
+
+func callCommandName(command turn.Command) string {
+	switch command.(type) {
+	case turn.BeginCall:
+		return "begin"
+	case turn.FinishCall:
+		return "finish"
+	case turn.RefuseCall:
+		return "refuse"
+	case turn.IssueCall:
+		return "issue"
+	default:
+		return commandName(command)
+	}
+}
+
+func TestCallsByWhatHappensToThem(t *testing.T) {
+	unavailable := status(protocol.LedgerStatus_LEDGER_UNAVAILABLE)
+	none := turn.NotChosen{Failure: failure.New(failure.NoBackEnd, protocol.Outcome_NOT_RUN, "none").Failure}
+	underWay := status(protocol.LedgerStatus_LEDGER_CALL_UNDER_WAY)
+	recorded := func(record *protocol.CallRecord) *protocol.LedgerResult {
+		return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, Call: record}
+	}
+	cases := map[string]struct {
+		repeatable bool
+		answers    map[string][]turn.Event
+		code       failure.Code
+		outcome    protocol.Outcome
+		counts     map[string]int
+	}{
+		"runs once": {counts: map[string]int{"begin": 1, "issue": 1, "finish": 1}},
+		"is never issued again after it may have run": {
+			answers: map[string][]turn.Event{"issue": {broken}}, code: failure.OutcomeUnknown, outcome: protocol.Outcome_UNKNOWN,
+			counts: map[string]int{"issue": 1, "finish": 0},
+		},
+		"is issued again after a sure refusal, under the same intent": {
+			answers: map[string][]turn.Event{"issue": {busy, ran}}, counts: map[string]int{"begin": 1, "issue": 2, "finish": 1},
+		},
+		"has its refusal recorded once an intent stands": {
+			answers: map[string][]turn.Event{"issue": {busy}, "retry": {turn.RetryDecided{}}},
+			code:    failure.Overloaded, outcome: protocol.Outcome_NOT_RUN, counts: map[string]int{"finish": 1},
+		},
+		"cannot promise a refusal that was not recorded": {
+			answers: map[string][]turn.Event{
+				"issue": {busy}, "retry": {turn.RetryDecided{}}, "finish": {turn.CallFinished{Result: status(protocol.LedgerStatus_LEDGER_FENCED)}},
+			},
+			code: failure.Overloaded, outcome: protocol.Outcome_UNKNOWN,
+		},
+		"gets a tombstone without a server": {
+			answers: map[string][]turn.Event{"choose": {none}}, code: failure.NoBackEnd, outcome: protocol.Outcome_NOT_RUN,
+			counts: map[string]int{"begin": 0, "refuse": 1},
+		},
+		"is unknown when another attempt holds the intent": {
+			answers: map[string][]turn.Event{"begin": {turn.CallBegun{Result: underWay}}},
+			code:    failure.OutcomeUnknown, outcome: protocol.Outcome_UNKNOWN, counts: map[string]int{"issue": 0},
+		},
+		"answers from the record": {
+			answers: map[string][]turn.Event{"begin": {turn.CallBegun{Result: recorded(&protocol.CallRecord{State: protocol.CallState_CALL_DONE, Status: 200})}}},
+			counts:  map[string]int{"issue": 0},
+		},
+		"is refused by an earlier tombstone": {
+			answers: map[string][]turn.Event{"begin": {turn.CallBegun{Result: recorded(&protocol.CallRecord{State: protocol.CallState_CALL_NOT_RUN})}}},
+			code:    failure.RequestRefused, outcome: protocol.Outcome_NOT_RUN, counts: map[string]int{"issue": 0},
+		},
+		"writes the same intent again after no answer": {
+			answers: map[string][]turn.Event{"begin": {turn.CallBegun{Result: unavailable}, turn.CallBegun{Result: ok}}},
+			counts:  map[string]int{"begin": 2, "issue": 1},
+		},
+		"tries to record the outcome until the ledger answers": {
+			answers: map[string][]turn.Event{"finish": {turn.CallFinished{Result: unavailable}, turn.CallFinished{Result: unavailable}, turn.CallFinished{Result: ok}}},
+			counts:  map[string]int{"issue": 1, "finish": 3},
+		},
+		"may run again when it is repeatable": {
+			repeatable: true, answers: map[string][]turn.Event{"issue": {broken, ran}}, counts: map[string]int{"begin": 0, "issue": 2},
+		},
+		"is unknown when a repeatable one may have run": {
+			repeatable: true, answers: map[string][]turn.Event{"issue": {broken, busy}, "retry": {turn.RetryDecided{Granted: true}, turn.RetryDecided{}}},
+			code: failure.Overloaded, outcome: protocol.Outcome_UNKNOWN,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			response, counts := runCall(c.repeatable, c.answers)
+			if got := response.GetFailure(); got.GetCode() != string(c.code) || got.GetOutcome() != c.outcome {
+				t.Fatalf("answered %v", response)
+			}
+			for command, want := range c.counts {
+				if counts[command] != want {
+					t.Fatalf("%s %d times, want %d", command, counts[command], want)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/turn/toolcommand.go
@@ -0,0 +1,47 @@
+package turn
+
+import "github.com/rosestand/rosestand/internal/protocol"
+
+// BeginCall writes the intent of a non-repeatable call; answered by CallBegun.
+type BeginCall struct{ Operation *protocol.BeginCall }
+
+// FinishCall writes the outcome of a non-repeatable call; answered by CallFinished.
+type FinishCall struct{ Operation *protocol.FinishCall }
+
+// RefuseCall marks a non-repeatable call as never to be run; answered by CallRefused.
+type RefuseCall struct{ Operation *protocol.RefuseCall }
+
+// IssueCall sends the call to a back end; answered by CallDone or BackEndFailed.
+type IssueCall struct {
+	BackEnd string
+	Epoch   uint64
+}
+
+// Answer gives the caller its answer.
+type Answer struct{ Response *protocol.ToolCallResponse }
+
+// CallBegun carries the ledger's answer to BeginCall.
+type CallBegun struct{ Result *protocol.LedgerResult }
+
+// CallFinished carries the ledger's answer to FinishCall.
+type CallFinished struct{ Result *protocol.LedgerResult }
+
+// CallRefused carries the ledger's answer to RefuseCall.
+type CallRefused struct{ Result *protocol.LedgerResult }
+
+// CallDone is the tool server's answer.
+type CallDone struct {
+	Status      uint32
+	Body        []byte
+	ContentType string
+}
+
+func (BeginCall) command()  {}
+func (FinishCall) command() {}
+func (RefuseCall) command() {}
+func (IssueCall) command()  {}
+func (Answer) command()     {}
+func (CallBegun) event()    {}
+func (CallFinished) event() {}
+func (CallRefused) event()  {}
+func (CallDone) event()     {}
--- /dev/null
+++ b/internal/turn/toolending.go
@@ -0,0 +1,211 @@
+package turn
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func (m *CallMachine) failed(event BackEndFailed, now time.Time) []Command {
+	if m.state != callIssued {
+		return nil
+	}
+	m.avoid = append(m.avoid, m.backEnd)
+	unsure := event.Fault == FaultBroken || event.Fault == FaultMismatch
+	m.ranEver = m.ranEver || unsure
+	m.failure = callFailure(event)
+	if m.ranEver {
+		m.failure.Outcome = protocol.Outcome_UNKNOWN
+	}
+	final := event.Fault == FaultFenced || event.Fault == FaultRejected || unsure && !m.parameters.Repeatable
+	if final || m.tries >= m.parameters.Attempts {
+		return m.giveUp(now)
+	}
+	m.state = callAskingRetry
+	return []Command{AskRetry{}}
+}
+
+func callFailure(event BackEndFailed) *protocol.Failure {
+	switch event.Fault {
+	case FaultRefused:
+		return failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, event.Detail,
+			failure.WithRetryAfter(max(event.RetryAfter, busyRetry))).Failure
+	case FaultNotSent:
+		return failure.New(failure.NoBackEnd, protocol.Outcome_NOT_RUN, event.Detail, failure.WithRetryAfter(busyRetry)).Failure
+	case FaultFenced:
+		return failure.New(failure.Fenced, protocol.Outcome_NOT_RUN, event.Detail).Failure
+	case FaultMismatch:
+		return failure.New(failure.AnswerMismatch, protocol.Outcome_UNKNOWN, event.Detail).Failure
+	case FaultBroken:
+		return failure.New(failure.OutcomeUnknown, protocol.Outcome_UNKNOWN, event.Detail).Failure
+	default:
+		return failure.New(failure.BackEndFailed, protocol.Outcome_NOT_RUN, event.Detail).Failure
+	}
+}
+
+func (m *CallMachine) retry(event RetryDecided, now time.Time) []Command {
+	if m.state != callAskingRetry {
+		return nil
+	}
+	if !event.Granted {
+		return m.giveUp(now)
+	}
+	m.state = callChoosing
+	return []Command{Choose{Avoid: append([]string(nil), m.avoid...)}}
+}
+
+// giveUp ends a call that will not be issued again. With an intent written and
+// nothing run, the failure itself becomes the recorded outcome, so the refusal
+// holds for every later send.
+func (m *CallMachine) giveUp(now time.Time) []Command {
+	switch {
+	case m.ranEver:
+		m.failure.Outcome = protocol.Outcome_UNKNOWN
+		return m.fail(m.failure)
+	case m.intent:
+		m.failure.Outcome = protocol.Outcome_NOT_RUN
+		body, err := protojson.Marshal(m.failure)
+		if err != nil {
+			m.failure.Outcome = protocol.Outcome_UNKNOWN
+			return m.fail(m.failure)
+		}
+		m.response = &protocol.ToolCallResponse{Failure: m.failure}
+		return m.record(m.failure.GetStatus(), body, FailureContentType, now)
+	default:
+		return m.refuse(m.failure)
+	}
+}
+
+// refuse ends a call that has no intent of this attempt.
+func (m *CallMachine) refuse(f *protocol.Failure) []Command {
+	f.Outcome = protocol.Outcome_NOT_RUN
+	if m.parameters.Request.GetFirstSend() && m.state != callBeginning {
+		return m.fail(f)
+	}
+	if m.parameters.Repeatable {
+		// No record is kept of a repeatable call, so another send of it may have run.
+		f.Outcome = protocol.Outcome_UNKNOWN
+		return m.fail(f)
+	}
+	m.failure = f
+	m.state = callRefusing
+	return append(m.leave(), RefuseCall{Operation: &protocol.RefuseCall{RequestId: m.parameters.Request.GetRequestId()}})
+}
+
+func (m *CallMachine) refused(event CallRefused) []Command {
+	if m.state != callRefusing {
+		return nil
+	}
+	switch event.Result.GetStatus() {
+	case protocol.LedgerStatus_LEDGER_OK:
+		return m.fail(m.failure)
+	case protocol.LedgerStatus_LEDGER_ALREADY_FINISHED:
+		if event.Result.GetCall().GetState() == protocol.CallState_CALL_NOT_RUN {
+			return m.fail(m.failure)
+		}
+		return m.recorded(event.Result.GetCall())
+	default:
+		m.failure.Outcome = protocol.Outcome_UNKNOWN
+		return m.fail(m.failure)
+	}
+}
+
+func (m *CallMachine) finished(event CallFinished, now time.Time) []Command {
+	if m.state != callFinishing {
+		return nil
+	}
+	switch event.Result.GetStatus() {
+	case protocol.LedgerStatus_LEDGER_OK, protocol.LedgerStatus_LEDGER_ALREADY_FINISHED:
+		return m.answer(m.response)
+	case protocol.LedgerStatus_LEDGER_UNAVAILABLE, protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT:
+		return m.finishUnavailable(now)
+	default:
+		return m.answer(m.unrecorded())
+	}
+}
+
+// finishUnavailable answers the caller after a short while and keeps trying to record the outcome.
+func (m *CallMachine) finishUnavailable(now time.Time) []Command {
+	waited := now.Sub(m.operationBegan)
+	if waited >= answerWindow && !m.answered {
+		m.answered = true
+		return first(m.pauseAgain(), Answer{Response: m.unrecorded()})
+	}
+	return m.pauseAgain()
+}
+
+// unrecorded is the answer when the outcome may not be durable: a tool's
+// answer still holds, a refusal can no longer be promised.
+func (m *CallMachine) unrecorded() *protocol.ToolCallResponse {
+	if f := m.response.GetFailure(); f.GetOutcome() == protocol.Outcome_NOT_RUN {
+		f.Outcome = protocol.Outcome_UNKNOWN
+	}
+	return m.response
+}
+
+func (m *CallMachine) waited() []Command {
+	switch m.state {
+	case callBeginning:
+		return []Command{m.beginCommand()}
+	case callFinishing:
+		return []Command{FinishCall{Operation: m.outcome}}
+	default:
+		return nil
+	}
+}
+
+func (m *CallMachine) stop(event Stopped, now time.Time) []Command {
+	f := stopFailure(event.Reason)
+	switch m.state {
+	case callNew, callClaiming, callAdmitting:
+		if event.Reason == StopAuthority {
+			return first(m.fail(f), ForgetSession{})
+		}
+		return m.refuse(f)
+	case callBeginning, callChoosing, callAskingRetry:
+		m.failure = f
+		return m.giveUp(now)
+	case callIssued:
+		m.ranEver = true
+		m.failure = f
+		return first(m.giveUp(now), StopBackEnd{})
+	case callFinishing:
+		if event.Reason == StopAuthority {
+			return m.answer(m.unrecorded())
+		}
+	case callRefusing, callDone:
+	}
+	return nil
+}
+
+func (m *CallMachine) pauseAgain() []Command {
+	wait := m.pause
+	m.pause = min(2*m.pause, longestPause)
+	return []Command{Pause{For: wait}}
+}
+
+func (m *CallMachine) fail(f *protocol.Failure) []Command {
+	return m.answer(&protocol.ToolCallResponse{Failure: f})
+}
+
+func (m *CallMachine) answer(response *protocol.ToolCallResponse) []Command {
+	m.state = callDone
+	commands := m.leave()
+	if !m.answered {
+		m.answered = true
+		response.Owner, response.BundleVersion = m.parameters.Owner, m.parameters.BundleVersion
+		commands = append(commands, Answer{Response: response})
+	}
+	return append(commands, Finish{})
+}
+
+func (m *CallMachine) leave() []Command {
+	if !m.admitted {
+		return nil
+	}
+	m.admitted = false
+	return []Command{Leave{}}
+}
