--- /dev/null
+++ b/cmd/rosestand-core/main.go
@@ -0,0 +1,12 @@
+// Command rosestand-core is a core process: it keeps the replicated control state and grants leases.
+package main
+
+import (
+	"github.com/rosestand/rosestand/internal/core"
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/settings"
+)
+
+func main() {
+	daemon.Main(settings.Core, core.Module)
+}
--- /dev/null
+++ b/cmd/rosestand-front/main.go
@@ -0,0 +1,12 @@
+// Command rosestand-front is a front node: it takes requests in, owns sessions and issues their turns.
+package main
+
+import (
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/front"
+	"github.com/rosestand/rosestand/internal/settings"
+)
+
+func main() {
+	daemon.Main(settings.Front, front.Module)
+}
--- /dev/null
+++ b/cmd/rosestand-store/main.go
@@ -0,0 +1,12 @@
+// Command rosestand-store is a store: it keeps replicas of the program ledger and of kept turns.
+package main
+
+import (
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/settings"
+	"github.com/rosestand/rosestand/internal/store"
+)
+
+func main() {
+	daemon.Main(settings.Store, store.Module)
+}
--- /dev/null
+++ b/cmd/rosestand/main.go
@@ -0,0 +1,24 @@
+// Command rosestand is the operators' client of a cluster.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rosestand/rosestand/internal/operator"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := operator.Execute(ctx, operator.Environment{
+		Arguments: os.Args[1:],
+		Input:     os.Stdin,
+		Output:    os.Stdout,
+		Errors:    os.Stderr,
+		Lookup:    os.Getenv,
+	})
+	cancel()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,474 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/fx"
+	"go.uber.org/goleak"
+
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/settings"
+	"github.com/rosestand/rosestand/internal/storage"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const clusterKey = "0123456789abcdef-test-cluster-key"
+
+// syncBuffer is a buffer that a daemon may write to while a test reads it.
+type syncBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *syncBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *syncBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+// echoHandler answers every request with the name of the node.
+type echoHandler struct{ process *daemon.Process }
+
+func (h echoHandler) Serve(_ context.Context, _ *protocol.Request, send func(*protocol.Response) error) error {
+	return send(&protocol.Response{Body: &protocol.Response_CoreStatus{
+		CoreStatus: &protocol.CoreStatusResponse{Name: h.process.Self.GetName()},
+	}})
+}
+
+// fakePlane is a plane that records what happens to it.
+type fakePlane struct {
+	mutex   sync.Mutex
+	events  []string
+	onStart func(context.Context) error
+	drain   daemon.DrainHook
+}
+
+func (p *fakePlane) record(event string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.events = append(p.events, event)
+}
+
+func (p *fakePlane) recorded() []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return append([]string(nil), p.events...)
+}
+
+func (p *fakePlane) module(*protocol.StoreSettings) fx.Option {
+	return fx.Module("fake",
+		fx.Provide(func(process *daemon.Process) wire.Handler { return echoHandler{process} }),
+		fx.Invoke(func(lifecycle fx.Lifecycle, process *daemon.Process, engine *gin.Engine, _ wire.Caller) {
+			engine.POST("/echo", func(c *gin.Context) {
+				if _, err := io.Copy(io.Discard, c.Request.Body); err != nil {
+					c.Status(http.StatusBadRequest)
+				}
+			})
+			engine.GET("/panic", func(*gin.Context) { panic("a fault") })
+			process.OnDrain("fake", func(ctx context.Context) error {
+				p.record("drain")
+				if p.drain != nil {
+					return p.drain(ctx)
+				}
+				return nil
+			})
+			lifecycle.Append(fx.Hook{
+				OnStart: func(ctx context.Context) error {
+					p.record("start")
+					if p.onStart != nil {
+						return p.onStart(ctx)
+					}
+					return nil
+				},
+				OnStop: func(context.Context) error { p.record("stop"); return nil },
+			})
+		}))
+}
+
+// runningDaemon is a store daemon round a fake plane, in this process.
+type runningDaemon struct {
+	plane   *fakePlane
+	signals chan os.Signal
+	running chan *daemon.Process
+	exit    chan int
+	output  syncBuffer
+	errors  syncBuffer
+}
+
+func launch(plane *fakePlane, arguments ...string) *runningDaemon {
+	launched := &runningDaemon{
+		plane:   plane,
+		signals: make(chan os.Signal, 2),
+		running: make(chan *daemon.Process, 1),
+		exit:    make(chan int, 1),
+	}
+	go func() {
+		launched.exit <- daemon.Execute(settings.Store, launched.plane.module, daemon.Environment{
+			Arguments: arguments,
+			Output:    &launched.output,
+			Errors:    &launched.errors,
+			Signals:   launched.signals,
+			OnRunning: func(process *daemon.Process) { launched.running <- process },
+		})
+	}()
+	return launched
+}
+
+func (d *runningDaemon) terminate() int {
+	d.signals <- syscall.SIGTERM
+	return d.exitCode()
+}
+
+func (d *runningDaemon) exitCode() int {
+	var code int
+	Eventually(d.exit, "20s").Should(Receive(&code))
+	return code
+}
+
+func (d *runningDaemon) process() *daemon.Process {
+	var process *daemon.Process
+	Eventually(d.running, "20s").Should(Receive(&process), d.errors.String)
+	return process
+}
+
+// client keeps no connections, so that none outlives its test.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+
+func get(address, path string) (int, string) {
+	answer, err := client.Get("http://" + address + path)
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return answer.StatusCode, string(body)
+}
+
+var _ = Describe("a daemon", func() {
+	var folder, key string
+
+	BeforeEach(func() {
+		known := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }, "5s").Should(Succeed()) })
+		folder = GinkgoT().TempDir()
+		key = filepath.Join(folder, "cluster.key")
+		Expect(os.WriteFile(key, []byte(clusterKey+"\n"), 0o600)).To(Succeed())
+	})
+
+	arguments := func(more ...string) []string {
+		return append([]string{
+			"--name", "store-1", "--zone", "z1", "--internal-address", "127.0.0.1:0", "--http-address", "127.0.0.1:0",
+			"--seeds", "127.0.0.1:7001", "--cluster-key-file", key, "--data-folder", filepath.Join(folder, "data"),
+		}, more...)
+	}
+
+	Describe("given valid settings with free ports", func() {
+		It("resolves its addresses, answers probes, peers and metrics, and stops gently", func() {
+			running := launch(&fakePlane{}, arguments()...)
+			process := running.process()
+			Expect(process.Self.GetAddress()).NotTo(HaveSuffix(":0"))
+			Expect(process.Self.GetStorageId()).NotTo(BeEmpty())
+			Expect(process.FreshFolder).To(BeTrue())
+
+			status, body := get(process.Self.GetHttpAddress(), "/livez")
+			Expect(status).To(Equal(http.StatusOK), body)
+			status, body = get(process.Self.GetHttpAddress(), "/readyz")
+			Expect(status).To(Equal(http.StatusOK), body)
+
+			pool := wire.NewPool(wire.PoolOptions{Key: []byte(clusterKey), Node: "test"})
+			defer pool.Close()
+			answer, err := pool.Call(context.Background(), process.Self.GetAddress(),
+				&protocol.Request{Body: &protocol.Request_CoreStatus{CoreStatus: &protocol.CoreStatusRequest{}}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.GetCoreStatus().GetName()).To(Equal("store-1"))
+
+			_, metrics := get(process.Self.GetHttpAddress(), "/metrics")
+			Expect(metrics).To(ContainSubstring("rosestand_ready 1"))
+			Expect(metrics).To(MatchRegexp(`rosestand_wire_received_bytes_total\{side="server"\} [1-9]`))
+
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped), running.errors.String())
+			Expect(running.plane.recorded()).To(Equal([]string{"start", "drain", "stop"}))
+			Expect(running.errors.String()).NotTo(ContainSubstring(clusterKey))
+		})
+
+		It("refuses a peer with another cluster key and counts it", func() {
+			running := launch(&fakePlane{}, arguments()...)
+			process := running.process()
+			pool := wire.NewPool(wire.PoolOptions{Key: []byte("another key of the same length...")})
+			defer pool.Close()
+			_, err := pool.Call(context.Background(), process.Self.GetAddress(),
+				&protocol.Request{Body: &protocol.Request_LocateCore{LocateCore: &protocol.LocateCoreRequest{}}})
+			Expect(err).To(HaveOccurred())
+			Eventually(func() string {
+				_, metrics := get(process.Self.GetHttpAddress(), "/metrics")
+				return metrics
+			}).Should(ContainSubstring("rosestand_wire_refused_handshakes_total 1"))
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		})
+
+		It("gives reasons while it is not ready", func() {
+			running := launch(&fakePlane{}, arguments()...)
+			process := running.process()
+			process.Readiness.Set("lease", "no lease yet")
+			process.Readiness.AddCheck("view", func() string { return "no view yet" })
+			status, body := get(process.Self.GetHttpAddress(), "/readyz")
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			Expect(body).To(MatchJSON(`{"status":"not ready","reasons":[
+				{"condition":"lease","reason":"no lease yet"},{"condition":"view","reason":"no view yet"}]}`))
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		})
+
+		It("outlives a panic of a handler, answers it as a failure and counts it", func() {
+			running := launch(&fakePlane{}, arguments()...)
+			address := running.process().Self.GetHttpAddress()
+			status, body := get(address, "/panic")
+			Expect(status).To(Equal(http.StatusInternalServerError))
+			Expect(body).To(ContainSubstring(`"outcome":"unknown"`))
+			_, metrics := get(address, "/metrics")
+			Expect(metrics).To(ContainSubstring("rosestand_http_panics_total 1"))
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		})
+
+		It("answers unknown routes, other methods and large bodies with failures", func() {
+			running := launch(&fakePlane{}, arguments()...)
+			address := running.process().Self.GetHttpAddress()
+			codeOf := func(method, path string, body io.Reader) (int, string) {
+				request, err := http.NewRequest(method, "http://"+address+path, body)
+				Expect(err).NotTo(HaveOccurred())
+				answer, err := client.Do(request)
+				Expect(err).NotTo(HaveOccurred())
+				defer answer.Body.Close()
+				var document struct {
+					Error struct{ Code, Outcome string }
+				}
+				Expect(json.NewDecoder(answer.Body).Decode(&document)).To(Succeed())
+				Expect(document.Error.Outcome).To(Equal("not_run"))
+				return answer.StatusCode, document.Error.Code
+			}
+			status, code := codeOf(http.MethodGet, "/nowhere", nil)
+			Expect([]any{status, code}).To(Equal([]any{http.StatusNotFound, "unknown_route"}))
+			status, code = codeOf(http.MethodDelete, "/echo", nil)
+			Expect([]any{status, code}).To(Equal([]any{http.StatusMethodNotAllowed, "method_not_allowed"}))
+			status, code = codeOf(http.MethodPost, "/echo", strings.NewReader(strings.Repeat("x", 1<<20)))
+			Expect([]any{status, code}).To(Equal([]any{http.StatusRequestEntityTooLarge, "body_too_large"}))
+
+			answer, err := client.Post("http://"+address+"/echo", "", io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20))))
+			Expect(err).NotTo(HaveOccurred())
+			answer.Body.Close()
+			Expect(answer.StatusCode).To(Equal(http.StatusBadRequest), "a chunked body is cut at the bound")
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		})
+	})
+
+	Describe("given a plane that takes long to start", func() {
+		It("is live, is not ready and refuses requests until the plane has started", func() {
+			entered, release := make(chan struct{}), make(chan struct{})
+			address := freeAddress()
+			running := launch(&fakePlane{onStart: func(context.Context) error {
+				close(entered)
+				<-release
+				return nil
+			}}, arguments("--http-address", address)...)
+			Eventually(entered, "20s").Should(BeClosed())
+			status, _ := get(address, "/livez")
+			Expect(status).To(Equal(http.StatusOK))
+			status, body := get(address, "/readyz")
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			Expect(body).To(ContainSubstring("the process is starting"))
+			answer, err := client.Post("http://"+address+"/echo", "", nil)
+			Expect(err).NotTo(HaveOccurred())
+			answer.Body.Close()
+			Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(answer.Header.Get("Retry-After")).To(Equal("1"))
+			close(release)
+			running.process()
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		})
+
+		It("stops without running when the signal comes during the start", func() {
+			entered := make(chan struct{})
+			running := launch(&fakePlane{onStart: func(ctx context.Context) error {
+				close(entered)
+				<-ctx.Done()
+				return ctx.Err()
+			}}, arguments()...)
+			Eventually(entered, "20s").Should(BeClosed())
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped), running.errors.String())
+			Expect(running.plane.recorded()).NotTo(ContainElement("drain"))
+		})
+	})
+
+	Describe("given a drain that does not end", func() {
+		stuck := func(entered chan struct{}) daemon.DrainHook {
+			return func(ctx context.Context) error {
+				close(entered)
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}
+
+		It("is unready at once and stops at once at the second signal", func() {
+			entered := make(chan struct{})
+			running := launch(&fakePlane{drain: stuck(entered)}, arguments("--stop-grace-millis", "600000")...)
+			process := running.process()
+			running.signals <- syscall.SIGTERM
+			Eventually(entered, "20s").Should(BeClosed())
+			Expect(process.Draining()).To(BeClosed())
+			status, body := get(process.Self.GetHttpAddress(), "/readyz")
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			Expect(body).To(ContainSubstring("draining"))
+			Expect(running.terminate()).To(Equal(daemon.ExitFailure))
+			Expect(running.errors.String()).To(ContainSubstring("second signal"))
+		})
+
+		It("is cut short when the grace has passed", func() {
+			running := launch(&fakePlane{drain: stuck(make(chan struct{}))}, arguments("--stop-grace-millis", "20")...)
+			running.process()
+			Expect(running.terminate()).To(Equal(daemon.ExitFailure))
+			Expect(running.errors.String()).To(ContainSubstring("the grace has passed"))
+		})
+	})
+
+	Describe("given something in its way", func() {
+		It("exits at once on a port in use and names the address", func() {
+			first := launch(&fakePlane{}, arguments()...)
+			used := first.process().Self.GetHttpAddress()
+			second := launch(&fakePlane{}, arguments("--http-address", used, "--data-folder", filepath.Join(folder, "other"))...)
+			Expect(second.exitCode()).To(Equal(daemon.ExitFailure))
+			Expect(second.errors.String()).To(And(ContainSubstring("node.http_address"), ContainSubstring(used), ContainSubstring("in use")))
+			Expect(filepath.Join(folder, "other")).NotTo(BeADirectory(), "nothing is written before the ports are had")
+			Expect(first.terminate()).To(Equal(daemon.ExitStopped))
+		})
+
+		It("exits at once when another process holds the data folder", func() {
+			lock, err := storage.LockFolder(filepath.Join(folder, "data"))
+			Expect(err).NotTo(HaveOccurred())
+			defer lock.Close()
+			refused := launch(&fakePlane{}, arguments()...)
+			Expect(refused.exitCode()).To(Equal(daemon.ExitFailure))
+			Expect(refused.errors.String()).To(ContainSubstring("used by another process"))
+			Expect(refused.plane.recorded()).To(BeEmpty())
+		})
+
+		It("exits with the failure of a plane that cannot start", func() {
+			failing := launch(&fakePlane{onStart: func(context.Context) error { return errors.New("no log") }}, arguments()...)
+			Expect(failing.exitCode()).To(Equal(daemon.ExitFailure))
+			Expect(failing.errors.String()).To(ContainSubstring("no log"))
+		})
+
+		It("exits when a running plane reports that it cannot go on", func() {
+			running := launch(&fakePlane{}, arguments()...)
+			running.process().Fail(errors.New("sync failed"))
+			Expect(running.exitCode()).To(Equal(daemon.ExitFailure))
+			Expect(running.errors.String()).To(ContainSubstring("sync failed"))
+		})
+	})
+
+	Describe("given a data folder from an earlier start", func() {
+		It("keeps its identity and takes a larger incarnation even when the clock went back", func() {
+			first := launch(&fakePlane{}, arguments()...)
+			before := first.process().Self
+			Expect(first.terminate()).To(Equal(daemon.ExitStopped))
+			later := before.GetIncarnation() + 1_000_000_000
+			path := filepath.Join(folder, "data", "incarnation")
+			Expect(os.WriteFile(path, []byte(strconv.FormatUint(later, 10)), 0o600)).To(Succeed())
+			second := launch(&fakePlane{}, arguments()...)
+			process := second.process()
+			Expect(process.Self.GetStorageId()).To(Equal(before.GetStorageId()))
+			Expect(process.FreshFolder).To(BeFalse())
+			Expect(process.Self.GetIncarnation()).To(Equal(later + 1))
+			Expect(second.terminate()).To(Equal(daemon.ExitStopped))
+		})
+	})
+
+	Describe("given wrong settings", func() {
+		DescribeTable("exits with 2 and starts nothing",
+			func(more []string, text string) {
+				refused := launch(&fakePlane{}, arguments(more...)...)
+				Expect(refused.exitCode()).To(Equal(daemon.ExitSettings))
+				Expect(refused.errors.String()).To(ContainSubstring(text))
+				Expect(refused.plane.recorded()).To(BeEmpty())
+			},
+			Entry("a name in place of an IP", []string{"--http-address", "localhost:80"}, "node.http_address"),
+			Entry("an unknown flag", []string{"--nonsense"}, "unknown flag"),
+			Entry("a flag of another type", []string{"--segment-bytes", "many"}, "segment-bytes"),
+			Entry("a positional argument", []string{"now"}, "unknown command"),
+			Entry("a settings file that is not there", []string{"--settings", "/nonexistent/settings.json"}, "read /nonexistent"),
+			Entry("a key file that is not there", []string{"--cluster-key-file", "/nonexistent/key"}, "node.cluster_key_file"),
+			Entry("a profiler that others can reach", []string{"--debug-address", "10.0.0.1:6060"}, "node.debug_address"),
+		)
+
+		It("lists the faults of files together with those of the settings", func() {
+			refused := launch(&fakePlane{}, arguments("--cluster-key-file", "/nonexistent/key", "--zone", "a zone")...)
+			Expect(refused.exitCode()).To(Equal(daemon.ExitSettings))
+			Expect(refused.errors.String()).To(And(ContainSubstring("2 faults"), ContainSubstring("node.zone"), ContainSubstring("node.cluster_key_file")))
+		})
+
+		It("refuses a key that is too short", func() {
+			Expect(os.WriteFile(key, []byte("short"), 0o600)).To(Succeed())
+			Expect(launch(&fakePlane{}, arguments()...).exitCode()).To(Equal(daemon.ExitSettings))
+		})
+	})
+
+	Describe("given a request to look at its settings", func() {
+		It("checks them without starting", func() {
+			checked := launch(&fakePlane{}, arguments("--check-config")...)
+			Expect(checked.exitCode()).To(Equal(daemon.ExitStopped))
+			Expect(checked.output.String()).To(Equal("settings are valid\n"))
+			Expect(checked.plane.recorded()).To(BeEmpty())
+		})
+
+		It("prints them with defaults and without the key", func() {
+			printed := launch(&fakePlane{}, arguments("--print-config")...)
+			Expect(printed.exitCode()).To(Equal(daemon.ExitStopped))
+			Expect(printed.output.String()).To(ContainSubstring(`"stop_grace_millis": 20000`))
+			Expect(printed.output.String()).NotTo(ContainSubstring(clusterKey))
+			again, err := settings.Store.Parse([]byte(printed.output.String()))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(settings.Store.Complete(again)).To(Succeed())
+		})
+	})
+
+	Describe("given an address for the profiler", func() {
+		It("serves it there and nowhere else", func() {
+			debug := freeAddress()
+			running := launch(&fakePlane{}, arguments("--debug-address", debug)...)
+			process := running.process()
+			status, _ := get(debug, "/debug/pprof/cmdline")
+			Expect(status).To(Equal(http.StatusOK))
+			status, _ = get(process.Self.GetHttpAddress(), "/debug/pprof/cmdline")
+			Expect(status).To(Equal(http.StatusNotFound))
+			Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		})
+	})
+})
+
+// freeAddress gives a loopback address that was free a moment ago.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/internal/daemon/folder.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+const (
+	incarnationFile = "incarnation"
+	incarnationMode = 0o600
+)
+
+// dataFolder is the locked data folder of a process, or nothing for a process that has none.
+type dataFolder struct {
+	lock     io.Closer
+	identity storage.Identity
+}
+
+// openDataFolder locks the folder and reads its identity. An empty path means that the process keeps nothing.
+func openDataFolder(path string) (*dataFolder, error) {
+	if path == "" {
+		return &dataFolder{}, nil
+	}
+	lock, err := storage.LockFolder(path)
+	if err != nil {
+		return nil, &DataFolderError{Path: path, Cause: err}
+	}
+	identity, err := storage.OpenIdentity(storage.OSFilesystem{}, path)
+	if err != nil {
+		return nil, &DataFolderError{Path: path, Cause: errors.CombineErrors(err, lock.Close())}
+	}
+	return &dataFolder{lock: lock, identity: identity}, nil
+}
+
+func (f *dataFolder) close() error {
+	if f.lock == nil {
+		return nil
+	}
+	return f.lock.Close()
+}
+
+// nextIncarnation is the wall clock in Unix milliseconds, made larger than the
+// last incarnation that the folder remembers, and remembered there.
+func nextIncarnation(folder string, now time.Time) (uint64, error) {
+	incarnation := uint64(now.UnixMilli())
+	if folder == "" {
+		return incarnation, nil
+	}
+	path := filepath.Join(folder, incarnationFile)
+	last, err := readIncarnation(path)
+	if err != nil {
+		return 0, &DataFolderError{Path: path, Cause: err}
+	}
+	incarnation = max(incarnation, last+1)
+	if err := writeIncarnation(folder, path, incarnation); err != nil {
+		return 0, &DataFolderError{Path: path, Cause: err}
+	}
+	return incarnation, nil
+}
+
+func readIncarnation(path string) (uint64, error) {
+	content, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, errors.Wrap(err, "read incarnation")
+	}
+	last, err := strconv.ParseUint(strings.TrimSpace(string(content)), 10, 64)
+	return last, errors.Wrap(err, "read incarnation")
+}
+
+func writeIncarnation(folder, path string, incarnation uint64) error {
+	temporary := path + ".tmp"
+	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, incarnationMode)
+	if err != nil {
+		return errors.Wrap(err, "write incarnation")
+	}
+	_, err = fmt.Fprintf(file, "%d\n", incarnation)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.CombineErrors(err, file.Close()); err != nil {
+		return errors.Wrap(err, "write incarnation")
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return errors.Wrap(err, "write incarnation")
+	}
+	return (storage.OSFilesystem{}).SyncFolder(folder)
+}
--- /dev/null
+++ b/internal/daemon/http.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	livePath    = "/livez"
+	readyPath   = "/readyz"
+	metricsPath = "/metrics"
+
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 120 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// errorBody is the JSON body of every failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code             string `json:"code"`
+	Message          string `json:"message"`
+	Path             string `json:"path,omitempty"`
+	Outcome          string `json:"outcome"`
+	RetryAfterMillis uint32 `json:"retry_after_millis,omitempty"`
+}
+
+var outcomeNames = map[protocol.Outcome]string{
+	protocol.Outcome_NOT_RUN: "not_run",
+	protocol.Outcome_UNKNOWN: "unknown",
+	protocol.Outcome_RAN:     "ran",
+}
+
+// WriteFailure answers a request with a failure, with Retry-After in whole seconds when another try makes sense.
+func WriteFailure(writer http.ResponseWriter, problem *protocol.Failure) {
+	body, err := json.Marshal(errorBody{Error: errorDetail{
+		Code:             problem.GetCode(),
+		Message:          problem.GetMessage(),
+		Path:             problem.GetPath(),
+		Outcome:          outcomeNames[problem.GetOutcome()],
+		RetryAfterMillis: problem.GetRetryAfterMillis(),
+	}})
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	if wait := problem.GetRetryAfterMillis(); wait > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(wait)/1000))))
+	}
+	writer.WriteHeader(int(problem.GetStatus()))
+	_, _ = writer.Write(append(body, '\n'))
+}
+
+// newEngine gives an engine that answers unknown routes and methods with failures.
+// A panic in a handler ends its request only; it is counted and logged with its place.
+func newEngine(logger *log.Logger, registry prometheus.Registerer) *gin.Engine {
+	panics := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "rosestand_http_panics_total",
+		Help: "HTTP requests whose handler panicked.",
+	})
+	registry.MustRegister(panics)
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.CustomRecoveryWithWriter(io.Discard, func(c *gin.Context, cause any) {
+		panics.Inc()
+		logger.Error("an HTTP handler panicked", "path", c.FullPath(), "cause", cause, "stack", string(debug.Stack()))
+		if !c.Writer.Written() {
+			WriteFailure(c.Writer, failure.New(failure.InternalError, protocol.Outcome_UNKNOWN, "the handler failed").Failure)
+		}
+		c.Abort()
+	}))
+	engine.HandleMethodNotAllowed = true
+	engine.RedirectTrailingSlash = false
+	engine.UseRawPath = true
+	engine.UnescapePathValues = true
+	engine.NoRoute(func(c *gin.Context) {
+		WriteFailure(c.Writer, failure.New(failure.UnknownRoute, protocol.Outcome_NOT_RUN,
+			"no such route", failure.WithPath(c.Request.URL.Path)).Failure)
+	})
+	engine.NoMethod(func(c *gin.Context) {
+		WriteFailure(c.Writer, failure.New(failure.MethodNotAllowed, protocol.Outcome_NOT_RUN,
+			"the route has no method "+c.Request.Method, failure.WithPath(c.Request.URL.Path)).Failure)
+	})
+	return engine
+}
+
+// addProbes registers the routes that every daemon has.
+func addProbes(engine *gin.Engine, process *Process, registry *prometheus.Registry) {
+	engine.GET(livePath, func(c *gin.Context) {
+		c.JSON(http.StatusOK, gin.H{"status": "live"})
+	})
+	engine.GET(readyPath, func(c *gin.Context) {
+		if reasons := process.Readiness.Reasons(); len(reasons) > 0 {
+			c.Header("Retry-After", "1")
+			c.JSON(http.StatusServiceUnavailable, readyAnswer{Status: "not ready", Reasons: reasons})
+			return
+		}
+		c.JSON(http.StatusOK, readyAnswer{Status: "ready"})
+	})
+	engine.GET(metricsPath, gin.WrapH(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+}
+
+type readyAnswer struct {
+	Status  string   `json:"status"`
+	Reasons []Reason `json:"reasons,omitempty"`
+}
+
+func newHTTPServer(handler http.Handler, logger *log.Logger) *http.Server {
+	return &http.Server{
+		ErrorLog:          logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// newDebugServer serves the profiler.
+func newDebugServer(logger *log.Logger) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return newHTTPServer(mux, logger)
+}
+
+// serve runs a server in the background; done gets its result.
+func serve(server *http.Server, listener net.Listener, done chan<- error) {
+	go func() {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+}
+
+// shutDown ends a server, by force when its requests outlast the context.
+func shutDown(ctx context.Context, server *http.Server, done <-chan error) error {
+	err := server.Shutdown(ctx)
+	if err != nil {
+		err = errors.CombineErrors(server.Close(), nil)
+	}
+	return errors.CombineErrors(err, <-done)
+}
--- /dev/null
+++ b/internal/daemon/logger.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// newLogger gives the logger of a process; every line carries the node's name.
+func newLogger(writer io.Writer, settings *protocol.NodeSettings) (*log.Logger, error) {
+	level, err := log.ParseLevel(settings.GetLogLevel())
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	formatter := log.TextFormatter
+	if settings.GetLogFormat() == "json" {
+		formatter = log.JSONFormatter
+	}
+	logger := log.NewWithOptions(writer, log.Options{
+		Level:           level,
+		Formatter:       formatter,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		TimeFunction:    log.NowUTC,
+	})
+	return logger.With("node", settings.GetName()), nil
+}
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/version"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// newRegistry gives the metrics of the process itself; planes add theirs.
+func newRegistry(process *Process) *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		buildInformation(process.Self),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "rosestand_ready",
+			Help: "1 while the process answers /readyz with 200.",
+		}, func() float64 { return oneIf(process.Readiness.Ready()) }),
+	)
+	return registry
+}
+
+func buildInformation(self *protocol.Node) prometheus.Collector {
+	information := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "rosestand_build_info",
+		Help: "Always 1; the labels say what runs here.",
+	}, []string{"version", "kind", "zone", "region"})
+	information.WithLabelValues(version.Number, self.GetKind().String(), self.GetZone(), self.GetRegion()).Set(1)
+	return information
+}
+
+// registerWire exports the traffic of one side of the internal protocol.
+func registerWire(registry prometheus.Registerer, side string, counters *wire.Counters) error {
+	labels := prometheus.Labels{"side": side}
+	exported := []prometheus.Collector{
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "rosestand_wire_sent_bytes_total", ConstLabels: labels,
+			Help: "Bytes sent over the internal protocol.",
+		}, func() float64 { return float64(counters.SentBytes.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "rosestand_wire_received_bytes_total", ConstLabels: labels,
+			Help: "Bytes received over the internal protocol.",
+		}, func() float64 { return float64(counters.ReceivedBytes.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "rosestand_wire_sent_frames_total", ConstLabels: labels,
+			Help: "Frames sent over the internal protocol.",
+		}, func() float64 { return float64(counters.SentFrames.Load()) }),
+	}
+	for _, collector := range exported {
+		if err := registry.Register(collector); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func oneIf(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/operator/bundles.go
@@ -0,0 +1,232 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/settings"
+)
+
+const (
+	bundlesPath = "/v1/bundles"
+	standardIn  = "-"
+)
+
+func (s *shell) bundleCommand() *cobra.Command {
+	return groupCommand("bundle", "deliver, sign off, roll out and look at policy bundles",
+		s.bundlePutCommand(), s.bundleSignCommand(), s.bundleRolloutCommand(),
+		s.bundlePromoteCommand(), s.bundleWithdrawCommand(),
+		s.bundleShowCommand(), s.bundleListCommand(), s.bundleDiffCommand(),
+		s.bundleDefaultCommand(), s.bundleKeygenCommand(),
+	)
+}
+
+func (s *shell) bundlePutCommand() *cobra.Command {
+	var number uint64
+	command := &cobra.Command{
+		Use:   "put FILE",
+		Short: "deliver a bundle version, whole or partial; - reads standard input",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return s.putBundle(command.Context(), arguments[0], number)
+		},
+	}
+	command.Flags().Uint64Var(&number, "number", 0, "version to deliver it as, in place of the one in the file")
+	return command
+}
+
+func (s *shell) putBundle(ctx context.Context, path string, number uint64) error {
+	document, err := s.readDocument(path)
+	if err != nil {
+		return err
+	}
+	parsed := &protocol.Bundle{}
+	if faults := settings.Decode(document, parsed); len(faults) > 0 {
+		return &DocumentError{Path: path, Faults: faults}
+	}
+	if number != 0 {
+		parsed.Version = number
+	}
+	if parsed.GetVersion() == 0 {
+		return &UsageError{Reason: path + ": version: is missing; give it in the file or with --number"}
+	}
+	body, err := bundle.Format(parsed)
+	if err != nil {
+		return err
+	}
+	answer, err := s.order(ctx, http.MethodPut, bundlePath(strconv.FormatUint(parsed.GetVersion(), 10)), body)
+	if err != nil {
+		return err
+	}
+	return s.printResult(answer, fmt.Sprintf("bundle %d was accepted", parsed.GetVersion()))
+}
+
+func (s *shell) readDocument(path string) ([]byte, error) {
+	if path == standardIn {
+		document, err := io.ReadAll(s.environment.Input)
+		return document, errors.Wrap(err, "read standard input")
+	}
+	document, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{Path: path, Cause: err}
+	}
+	return document, nil
+}
+
+func bundlePath(version string) string { return bundlesPath + "/" + url.PathEscape(version) }
+
+// printResult writes the result of an order about a bundle.
+func (s *shell) printResult(answer []byte, done string) error {
+	result := &protocol.CommandResult{}
+	if err := decodeProto(answer, result); err != nil {
+		return err
+	}
+	return s.print(answer, func(writer io.Writer) error {
+		status := result.GetBundle()
+		if status == nil {
+			_, err := fmt.Fprintf(writer, "%s (control log index %d)\n", done, result.GetIndex())
+			return err
+		}
+		_, err := fmt.Fprintf(writer, "%s (control log index %d, state %s)\nmerged digest %s\n",
+			done, result.GetIndex(), status.GetState(), status.GetMergedDigest())
+		return err
+	})
+}
+
+func (s *shell) bundleShowCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show VERSION",
+		Short: "show a version by its number, or newest, active or candidate",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			answer, err := s.ask(command.Context(), http.MethodGet, bundlePath(arguments[0]))
+			if err != nil {
+				return err
+			}
+			return printJSON(s.environment.Output, answer)
+		},
+	}
+}
+
+func (s *shell) bundleListCommand() *cobra.Command {
+	var limit uint64
+	command := &cobra.Command{
+		Use:   "list",
+		Short: "list versions, newest first",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			answer, err := s.ask(command.Context(), http.MethodGet, fmt.Sprintf("%s?limit=%d", bundlesPath, limit))
+			if err != nil {
+				return err
+			}
+			return s.print(answer, func(writer io.Writer) error { return renderBundles(writer, answer) })
+		},
+	}
+	command.Flags().Uint64Var(&limit, "limit", 50, "number of versions to list")
+	return command
+}
+
+func renderBundles(writer io.Writer, answer []byte) error {
+	listed := &bundlesAnswer{}
+	if err := decode(answer, listed); err != nil {
+		return err
+	}
+	statuses, err := decodeList[protocol.BundleStatus](listed.Bundles)
+	if err != nil {
+		return err
+	}
+	made := newGrid("version", "state", "base", "in force", "signed by", "merged digest")
+	for _, status := range statuses {
+		made.add(status.GetVersion(), status.GetState(), status.GetBaseVersion(),
+			inForce(status.GetVersion(), listed), status.GetSignedBy(), status.GetMergedDigest())
+	}
+	return made.print(writer)
+}
+
+func inForce(version uint64, listed *bundlesAnswer) string {
+	switch version {
+	case listed.Active:
+		return "active"
+	case listed.Candidate:
+		return "candidate"
+	default:
+		return ""
+	}
+}
+
+func (s *shell) bundleDiffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FROM TO",
+		Short: "compare two versions",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			path := bundlePath(arguments[0]) + "/diff/" + url.PathEscape(arguments[1])
+			answer, err := s.ask(command.Context(), http.MethodGet, path)
+			if err != nil {
+				return err
+			}
+			return s.print(answer, func(writer io.Writer) error { return renderDifference(writer, answer) })
+		},
+	}
+}
+
+func renderDifference(writer io.Writer, answer []byte) error {
+	difference := &bundle.Difference{}
+	if err := decode(answer, difference); err != nil {
+		return err
+	}
+	if difference.Empty() {
+		_, err := fmt.Fprintln(writer, "no difference")
+		return err
+	}
+	made := newGrid("part", "change", "name")
+	addChanges(made, "route", difference.Routes)
+	addChanges(made, "group", difference.Groups)
+	addChanges(made, "tenant", difference.Tenants)
+	addChanges(made, "sign-off key", difference.SignOffKeys)
+	for part, changed := range map[string]bool{
+		"scheduling": difference.SchedulingChanged, "recovery": difference.RecoveryChanged, "limits": difference.LimitsChanged,
+	} {
+		if changed {
+			made.add(part, "changed", "")
+		}
+	}
+	made.sort()
+	return made.print(writer)
+}
+
+func addChanges(made *grid, part string, changes bundle.NamedChanges) {
+	for change, names := range map[string][]string{"added": changes.Added, "removed": changes.Removed, "changed": changes.Changed} {
+		for _, name := range names {
+			made.add(part, change, name)
+		}
+	}
+}
+
+func (s *shell) bundleDefaultCommand() *cobra.Command {
+	var number uint64
+	command := &cobra.Command{
+		Use:   "default",
+		Short: "print the bundle that a new cluster may begin with",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			document, err := bundle.Format(bundle.Default(number))
+			if err != nil {
+				return err
+			}
+			return printJSON(s.environment.Output, document)
+		},
+	}
+	command.Flags().Uint64Var(&number, "number", 1, "version to print it as")
+	return command
+}
--- /dev/null
+++ b/internal/operator/nodes.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	nodesPath    = "/v1/nodes"
+	backEndsPath = "/v1/backends"
+)
+
+func (s *shell) nodesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "nodes",
+		Short: "list the nodes under a lease and what each has in force",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			answer, err := s.ask(command.Context(), http.MethodGet, nodesPath)
+			if err != nil {
+				return err
+			}
+			return s.print(answer, func(writer io.Writer) error { return renderNodes(writer, answer) })
+		},
+	}
+}
+
+func renderNodes(writer io.Writer, answer []byte) error {
+	listed := &nodesAnswer{}
+	if err := decode(answer, listed); err != nil {
+		return err
+	}
+	nodes, err := decodeList[protocol.Node](listed.Nodes)
+	if err != nil {
+		return err
+	}
+	leases := map[string]leaseAnswer{}
+	for _, lease := range listed.Leases {
+		leases[lease.Name] = lease
+	}
+	made := newGrid("name", "kind", "zone", "region", "address", "http", "lease ms", "configuration", "back ends", "placement", "draining")
+	for _, node := range nodes {
+		lease := leases[node.GetName()]
+		made.add(node.GetName(), strings.ToLower(node.GetKind().String()), node.GetZone(), node.GetRegion(),
+			node.GetAddress(), node.GetHttpAddress(), lease.MillisLeft,
+			lease.InForce.Configuration, lease.InForce.BackEnds, lease.InForce.Placement, node.GetDraining())
+	}
+	return made.print(writer)
+}
+
+func (s *shell) backEndsCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "backends",
+		Short: "list and drain model servers and tool servers",
+		Args:  cobra.NoArgs,
+		RunE:  s.listBackEnds,
+	}
+	command.AddCommand(
+		&cobra.Command{Use: "list", Short: "list back ends", Args: cobra.NoArgs, RunE: s.listBackEnds},
+		s.backEndsDrainCommand(),
+	)
+	return command
+}
+
+func (s *shell) listBackEnds(command *cobra.Command, _ []string) error {
+	answer, err := s.ask(command.Context(), http.MethodGet, backEndsPath)
+	if err != nil {
+		return err
+	}
+	return s.print(answer, func(writer io.Writer) error { return renderBackEnds(writer, answer) })
+}
+
+func renderBackEnds(writer io.Writer, answer []byte) error {
+	view := &protocol.BackEndView{}
+	if err := decodeProto(answer, view); err != nil {
+		return err
+	}
+	made := newGrid("id", "kind", "state", "address", "zone", "region", "group", "serves", "capacity", "incarnation")
+	for _, backEnd := range view.GetBackEnds() {
+		serves := strings.Join(append(append([]string(nil), backEnd.GetModels()...), backEnd.GetTools()...), ",")
+		made.add(backEnd.GetId(), strings.ToLower(backEnd.GetKind().String()), strings.ToLower(backEnd.GetState().String()),
+			backEnd.GetAddress(), backEnd.GetZone(), backEnd.GetRegion(), backEnd.GetGroup(), serves,
+			backEnd.GetCapacity(), backEnd.GetIncarnation())
+	}
+	return made.print(writer)
+}
+
+func (s *shell) backEndsDrainCommand() *cobra.Command {
+	var incarnation uint64
+	command := &cobra.Command{
+		Use:   "drain ID",
+		Short: "mark a back end as draining; answers once no front node sends to it any more",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			body, err := protojson.Marshal(&protocol.DrainBackEndCommand{Id: arguments[0], Incarnation: incarnation})
+			if err != nil {
+				return err
+			}
+			answer, err := s.order(command.Context(), http.MethodPost, backEndsPath+"/"+url.PathEscape(arguments[0])+"/drain", body)
+			if err != nil {
+				return err
+			}
+			drained := &drainAnswer{}
+			if err := decode(answer, drained); err != nil {
+				return err
+			}
+			return s.print(answer, func(writer io.Writer) error {
+				_, err := fmt.Fprintf(writer, "back end %s is drained in view %d\n", arguments[0], drained.ViewVersion)
+				return err
+			})
+		},
+	}
+	command.Flags().Uint64Var(&incarnation, "incarnation", 0, "incarnation to drain; the present one when absent")
+	return command
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,490 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/operator"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const token = "operator-secret"
+
+// seen is one request as a fake process saw it.
+type seen struct {
+	method, path, order, authorization, body string
+}
+
+// fakeProcess is a core process or front node that answers from a script.
+type fakeProcess struct {
+	server  *httptest.Server
+	address string
+
+	mutex    sync.Mutex
+	requests []seen
+	answer   func(writer http.ResponseWriter, request *http.Request, body string)
+}
+
+func newFakeProcess() *fakeProcess {
+	fake := &fakeProcess{}
+	fake.server = httptest.NewServer(http.HandlerFunc(fake.serve))
+	fake.address = strings.TrimPrefix(fake.server.URL, "http://")
+	return fake
+}
+
+func (f *fakeProcess) serve(writer http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	f.mutex.Lock()
+	f.requests = append(f.requests, seen{
+		method: request.Method, path: request.URL.RequestURI(), order: request.Header.Get("Rosestand-Order"),
+		authorization: request.Header.Get("Authorization"), body: string(body),
+	})
+	f.mutex.Unlock()
+	f.answer(writer, request, string(body))
+}
+
+func (f *fakeProcess) saw() []seen {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]seen(nil), f.requests...)
+}
+
+// always answers every request in the same way.
+func (f *fakeProcess) always(status int, body string) {
+	f.answer = func(writer http.ResponseWriter, _ *http.Request, _ string) {
+		writer.WriteHeader(status)
+		_, _ = io.WriteString(writer, body)
+	}
+}
+
+// sendTo answers every request but those for the core's members with a redirect.
+func (f *fakeProcess) sendTo(other string, members ...string) {
+	f.answer = func(writer http.ResponseWriter, request *http.Request, _ string) {
+		if request.URL.Path == "/v1/core" {
+			listed := make([]string, len(members))
+			for i, member := range members {
+				listed[i] = fmt.Sprintf(`{"id":"%d","http_address":%q}`, i+1, member)
+			}
+			_, _ = fmt.Fprintf(writer, `{"configuration":{"members":[%s]}}`, strings.Join(listed, ","))
+			return
+		}
+		writer.Header().Set("Location", "http://"+other+request.URL.RequestURI())
+		writer.WriteHeader(http.StatusTemporaryRedirect)
+	}
+}
+
+// loseAnswer ends the connection without an answer.
+func loseAnswer(writer http.ResponseWriter) {
+	connection, _, err := writer.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = connection.Close()
+	}
+}
+
+func failureBody(code, outcome string) string {
+	return fmt.Sprintf(`{"error":{"code":%q,"message":"because","outcome":%q}}`, code, outcome)
+}
+
+const acceptedBody = `{"accepted":true,"index":"12"}`
+
+var _ = Describe("the operators' client", func() {
+	var (
+		leader, follower *fakeProcess
+		output, faults   *bytes.Buffer
+		folder           string
+		variables        map[string]string
+		waits            int
+	)
+
+	BeforeEach(func() {
+		known := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }, "5s").Should(Succeed()) })
+		leader, follower = newFakeProcess(), newFakeProcess()
+		DeferCleanup(leader.server.Close)
+		DeferCleanup(follower.server.Close)
+		leader.always(http.StatusOK, acceptedBody)
+		output, faults = &bytes.Buffer{}, &bytes.Buffer{}
+		folder = GinkgoT().TempDir()
+		Expect(os.WriteFile(filepath.Join(folder, "token"), []byte(token+"\n"), 0o600)).To(Succeed())
+		variables = map[string]string{"ROSESTAND_TOKEN_FILE": filepath.Join(folder, "token")}
+		waits = 0
+	})
+
+	// run gives a command its core addresses and stops its waiting after a few pauses.
+	run := func(cores []string, arguments ...string) int {
+		output.Reset()
+		faults.Reset()
+		return operator.Execute(context.Background(), operator.Environment{
+			Arguments: append([]string{"--core", strings.Join(cores, ",")}, arguments...),
+			Input:     strings.NewReader(""), Output: output, Errors: faults,
+			Lookup: func(name string) string { return variables[name] },
+			Wait: func(context.Context, time.Duration) error {
+				if waits++; waits > 3 {
+					return context.DeadlineExceeded
+				}
+				return nil
+			},
+		})
+	}
+
+	file := func(name, content string) string {
+		path := filepath.Join(folder, name)
+		Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+		return path
+	}
+
+	Describe("given a core that takes orders", func() {
+		It("delivers a bundle under an order id with the token", func() {
+			Expect(run([]string{leader.address}, "bundle", "put", file("b.json", `{"version": 4, "base_version": 3, "partial": true}`))).To(Equal(operator.ExitDone), faults.String())
+			request := leader.saw()[0]
+			Expect(request.method + " " + request.path).To(Equal("PUT /v1/bundles/4"))
+			Expect(request.authorization).To(Equal("Bearer " + token))
+			Expect(request.order).NotTo(BeEmpty())
+			Expect(request.body).To(MatchJSON(`{"version":"4","base_version":"3","partial":true}`))
+			Expect(output.String()).To(ContainSubstring("bundle 4 was accepted"))
+		})
+
+		It("gives every order an id of its own, or the one asked for", func() {
+			Expect(run([]string{leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone))
+			Expect(run([]string{leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone))
+			Expect(run([]string{leader.address}, "stores", "retire", "store-1", "--order", "mine")).To(Equal(operator.ExitDone))
+			requests := leader.saw()
+			Expect(requests[0].order).NotTo(Equal(requests[1].order))
+			Expect(requests[2].order).To(Equal("mine"))
+			Expect(requests[2].path).To(Equal("/v1/stores/store-1/retire"))
+		})
+
+		DescribeTable("sends each order to its route",
+			func(want, wantBody string, arguments ...string) {
+				Expect(run([]string{leader.address}, arguments...)).To(Equal(operator.ExitDone), faults.String())
+				request := leader.saw()[0]
+				Expect(request.method + " " + request.path).To(Equal(want))
+				Expect(request.order).NotTo(BeEmpty())
+				if wantBody != "" {
+					Expect(request.body).To(MatchJSON(wantBody))
+				}
+			},
+			Entry("rollout", "PUT /v1/rollout", `{"candidateVersion":"5","shareBasisPoints":250,"guard":{"maxErrorRatio":0.02,"minimumSamples":100}}`,
+				"bundle", "rollout", "5", "--share", "2.5", "--max-error-percent", "2", "--minimum-samples", "100"),
+			Entry("shadow", "PUT /v1/rollout", `{"candidateVersion":"5","shadow":true,"guard":{}}`, "bundle", "rollout", "5", "--shadow"),
+			Entry("promote", "POST /v1/rollout/promote", `{"candidateVersion":"5"}`, "bundle", "promote", "5"),
+			Entry("withdraw", "POST /v1/rollout/withdraw", `{"candidateVersion":"5"}`, "bundle", "withdraw", "5"),
+			Entry("drain", "POST /v1/backends/gpu%2F1/drain", `{"id":"gpu/1","incarnation":"7"}`, "backends", "drain", "gpu/1", "--incarnation", "7"),
+			Entry("core add", "POST /v1/core/members", `{"address":"127.0.0.1:9"}`, "core", "add", "127.0.0.1:9"),
+			Entry("core remove", "DELETE /v1/core/members/core-2", "", "core", "remove", "core-2"),
+		)
+	})
+
+	Describe("given a key made by keygen", func() {
+		var public, keyFile string
+
+		BeforeEach(func() {
+			keyFile = filepath.Join(folder, "alice.key")
+			Expect(run(nil, "bundle", "keygen", "--key-name", "alice", "--key-file", keyFile)).To(Equal(operator.ExitDone), faults.String())
+			public = strings.TrimSpace(strings.TrimPrefix(output.String(), "alice:"))
+		})
+
+		serveBundle := func(change func(status *protocol.BundleStatus)) string {
+			merged := bundle.Default(6)
+			status := &protocol.BundleStatus{Version: 6, MergedDigest: bundle.Digest(merged)}
+			change(status)
+			document, err := bundle.Format(merged)
+			Expect(err).NotTo(HaveOccurred())
+			leader.answer = func(writer http.ResponseWriter, request *http.Request, _ string) {
+				if request.Method == http.MethodGet {
+					_, _ = fmt.Fprintf(writer, `{"status":{"version":"6","merged_digest":%q},"bundle":%s}`, status.GetMergedDigest(), document)
+					return
+				}
+				_, _ = io.WriteString(writer, acceptedBody)
+			}
+			return status.GetMergedDigest()
+		}
+
+		It("signs the merged digest so that the public half verifies it, and shows it", func() {
+			digest := serveBundle(func(*protocol.BundleStatus) {})
+			Expect(run([]string{leader.address}, "bundle", "sign", "6", "--key-name", "alice", "--key-file", keyFile, "--share", "10")).To(Equal(operator.ExitDone), faults.String())
+			Expect(faults.String()).To(ContainSubstring(digest))
+			request := leader.saw()[1]
+			Expect(request.path).To(Equal("/v1/bundles/6/sign"))
+			var sent struct {
+				KeyName, Signature string
+				Rollout            struct{ ShareBasisPoints uint32 }
+			}
+			Expect(json.Unmarshal([]byte(request.body), &sent)).To(Succeed())
+			keys, err := bundle.ParseKeys([]string{"alice:" + public})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(bundle.Verify(keys, sent.KeyName, digest, sent.Signature)).To(Succeed())
+			Expect(sent.Rollout.ShareBasisPoints).To(BeEquivalentTo(1000))
+		})
+
+		It("does not sign a digest that the content does not have", func() {
+			serveBundle(func(status *protocol.BundleStatus) { status.MergedDigest = strings.Repeat("0", 64) })
+			Expect(run([]string{leader.address}, "bundle", "sign", "6", "--key-name", "alice", "--key-file", keyFile)).To(Equal(operator.ExitFailure))
+			Expect(leader.saw()).To(HaveLen(1))
+		})
+
+		It("does not sign another digest than the operator expects", func() {
+			serveBundle(func(*protocol.BundleStatus) {})
+			Expect(run([]string{leader.address}, "bundle", "sign", "6", "--key-name", "alice", "--key-file", keyFile, "--digest", "abc")).To(Equal(operator.ExitFailure))
+			Expect(leader.saw()).To(HaveLen(1))
+		})
+
+		It("keeps the private half to the owner of the file and never overwrites it", func() {
+			status, err := os.Stat(keyFile)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status.Mode().Perm()).To(BeEquivalentTo(0o600))
+			before, err := os.ReadFile(keyFile)
+			Expect(err).NotTo(HaveOccurred())
+			seed, err := hex.DecodeString(strings.TrimSpace(string(before)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(hex.EncodeToString(ed25519.NewKeyFromSeed(seed).Public().(ed25519.PublicKey))).To(Equal(public))
+			Expect(run(nil, "bundle", "keygen", "--key-name", "alice", "--key-file", keyFile)).To(Equal(operator.ExitFailure))
+			Expect(os.ReadFile(keyFile)).To(Equal(before))
+		})
+	})
+
+	Describe("given answers that get lost", func() {
+		It("sends the same order again until it is acknowledged", func() {
+			lost := 0
+			leader.answer = func(writer http.ResponseWriter, _ *http.Request, _ string) {
+				if lost++; lost <= 2 {
+					loseAnswer(writer)
+					return
+				}
+				_, _ = io.WriteString(writer, acceptedBody)
+			}
+			Expect(run([]string{leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone), faults.String())
+			requests := leader.saw()
+			Expect(requests).To(HaveLen(3))
+			Expect(requests[1].order).To(Equal(requests[0].order))
+			Expect(requests[2].order).To(Equal(requests[0].order))
+		})
+
+		It("says that the outcome is unknown and names the order when no answer ever comes", func() {
+			leader.answer = func(writer http.ResponseWriter, _ *http.Request, _ string) { loseAnswer(writer) }
+			Expect(run([]string{leader.address}, "stores", "empty", "store-1", "--order", "order-77")).To(Equal(operator.ExitUnknown))
+			Expect(faults.String()).To(ContainSubstring("--order order-77"))
+		})
+
+		It("keeps to unknown when the answers after a lost one only say that there is no leader", func() {
+			first := true
+			leader.answer = func(writer http.ResponseWriter, _ *http.Request, _ string) {
+				if first {
+					first = false
+					loseAnswer(writer)
+					return
+				}
+				writer.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(writer, failureBody("no_leader", "not_run"))
+			}
+			Expect(run([]string{leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitUnknown))
+		})
+
+		It("calls a read unreachable, which changes nothing", func() {
+			leader.answer = func(writer http.ResponseWriter, _ *http.Request, _ string) { loseAnswer(writer) }
+			Expect(run([]string{leader.address}, "nodes")).To(Equal(operator.ExitUnreachable))
+		})
+	})
+
+	Describe("given several core processes", func() {
+		It("tries the next address when one is down", func() {
+			Expect(run([]string{unusedAddress(), leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone), faults.String())
+		})
+
+		It("says that nothing was run when all are down", func() {
+			Expect(run([]string{unusedAddress()}, "stores", "empty", "store-1")).To(Equal(operator.ExitUnreachable))
+		})
+
+		It("follows a follower to a leader it was told of, keeping order and token", func() {
+			follower.sendTo(leader.address)
+			Expect(run([]string{follower.address, leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone))
+			Expect(leader.saw()[0].order).To(Equal(follower.saw()[0].order))
+			Expect(leader.saw()[0].authorization).To(Equal("Bearer " + token))
+		})
+
+		It("follows to a leader that the follower lists as a member", func() {
+			follower.sendTo(leader.address, leader.address)
+			Expect(run([]string{follower.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone), faults.String())
+			Expect(leader.saw()).To(HaveLen(1))
+		})
+
+		It("sends nothing to an address outside the cluster", func() {
+			follower.sendTo(leader.address, "127.0.0.1:1")
+			Expect(run([]string{follower.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitFailure))
+			Expect(leader.saw()).To(BeEmpty())
+		})
+
+		It("waits for a leader while there is none", func() {
+			asked := 0
+			leader.answer = func(writer http.ResponseWriter, _ *http.Request, _ string) {
+				if asked++; asked < 3 {
+					writer.WriteHeader(http.StatusServiceUnavailable)
+					_, _ = io.WriteString(writer, failureBody("no_leader", "not_run"))
+					return
+				}
+				_, _ = io.WriteString(writer, acceptedBody)
+			}
+			Expect(run([]string{leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone))
+			Expect(waits).To(Equal(2))
+		})
+	})
+
+	Describe("given refusals", func() {
+		DescribeTable("exits with the code of the reason and asks once",
+			func(status int, body string, want int) {
+				leader.always(status, body)
+				Expect(run([]string{leader.address}, "stores", "retire", "store-1")).To(Equal(want), faults.String())
+				Expect(leader.saw()).To(HaveLen(1))
+			},
+			Entry("a taken version", http.StatusConflict, failureBody("version_taken", "not_run"), operator.ExitRefused),
+			Entry("an invalid order", http.StatusUnprocessableEntity, failureBody("invalid_order", "not_run"), operator.ExitRefused),
+			Entry("a bad signature", http.StatusForbidden, failureBody("bad_signature", "not_run"), operator.ExitRefused),
+			Entry("no token", http.StatusUnauthorized, failureBody("unauthorized", "not_run"), operator.ExitUnauthorized),
+			Entry("not found", http.StatusNotFound, failureBody("not_found", "not_run"), operator.ExitNotFound),
+		)
+
+		It("lists every fault with its path, and the winner", func() {
+			leader.always(http.StatusConflict, `{"error":{"code":"version_taken","message":"taken","outcome":"not_run",
+				"faults":[{"path":"routes[2].group","message":"is missing"}],"winner":{"version":"4"}}}`)
+			Expect(run([]string{leader.address}, "bundle", "put", file("b.json", `{"version":4}`))).To(Equal(operator.ExitRefused))
+			Expect(faults.String()).To(And(ContainSubstring("routes[2].group: is missing"), ContainSubstring(`{"version":"4"}`)))
+		})
+	})
+
+	Describe("given wrong use", func() {
+		DescribeTable("exits with 2 and sends nothing",
+			func(arguments ...string) {
+				Expect(run([]string{leader.address}, arguments...)).To(Equal(operator.ExitUsage), faults.String())
+				Expect(leader.saw()).To(BeEmpty())
+			},
+			Entry("an unknown command", "nonsense"),
+			Entry("an unknown command of a group", "bundle", "nonsense"),
+			Entry("an unknown flag", "nodes", "--nonsense"),
+			Entry("a missing argument", "bundle", "put"),
+			Entry("an output that does not exist", "nodes", "--output", "xml"),
+			Entry("a name in place of an IP", "nodes", "--core", "localhost:80"),
+			Entry("no version", "bundle", "promote", "soon"),
+			Entry("a missing key", "bundle", "sign", "3"),
+			Entry("a share over 100", "bundle", "rollout", "3", "--share", "101"),
+		)
+
+		It("lists all faults of a bundle before it is sent", func() {
+			Expect(run([]string{leader.address}, "bundle", "put", file("b.json", `{"version": 1, "nonsense": 1, "routes": [{"nam": ""}]}`))).To(Equal(operator.ExitUsage))
+			Expect(faults.String()).To(And(ContainSubstring("nonsense: unknown field"), ContainSubstring("routes[0].nam: unknown field")))
+			Expect(leader.saw()).To(BeEmpty())
+		})
+
+		It("never writes the token anywhere", func() {
+			leader.always(http.StatusUnauthorized, failureBody("unauthorized", "not_run"))
+			Expect(run([]string{leader.address}, "nodes")).To(Equal(operator.ExitUnauthorized))
+			Expect(output.String() + faults.String()).NotTo(ContainSubstring(token))
+		})
+	})
+
+	Describe("given things to look at", func() {
+		It("lists nodes as a table or as JSON", func() {
+			body := `{"version":"3","nodes":[{"name":"front-1","kind":"FRONT","zone":"z1"}],"leases":[{"name":"front-1","millis_left":4200,"in_force":{"configuration":9}}]}`
+			body = strings.Replace(body, `"version":"3"`, `"version":3`, 1)
+			leader.always(http.StatusOK, body)
+			Expect(run([]string{leader.address}, "nodes")).To(Equal(operator.ExitDone), faults.String())
+			Expect(output.String()).To(MatchRegexp(`front-1\s+front\s+z1.*4200\s+9`))
+			Expect(run([]string{leader.address}, "nodes", "-o", "json")).To(Equal(operator.ExitDone))
+			Expect(output.String()).To(MatchJSON(body))
+		})
+
+		DescribeTable("renders",
+			func(body, want string, arguments ...string) {
+				leader.always(http.StatusOK, body)
+				Expect(run([]string{leader.address}, arguments...)).To(Equal(operator.ExitDone), faults.String())
+				Expect(output.String()).To(MatchRegexp(want))
+			},
+			Entry("bundles", `{"newest":2,"active":1,"bundles":[{"version":"2","state":"ACCEPTED"},{"version":"1","state":"SIGNED"}]}`,
+				`(?s)2 +ACCEPTED +0 +\s.*1 +SIGNED +0 +active`, "bundle", "list"),
+			Entry("a difference", `{"from":1,"to":2,"routes":{"added":["r9"]},"limits_changed":true}`, `(?s)limits +changed.*route +added +r9`, "bundle", "diff", "1", "2"),
+			Entry("no difference", `{"from":1,"to":2}`, `no difference`, "bundle", "diff", "1", "2"),
+			Entry("a roll-out", `{"active":1,"rollout":{"candidate_version":"2","share_basis_points":250},"arms":[{"bundle_version":"2","candidate":true,"requests":"40","errors":"1","first_token_buckets":["0","40"]}]}`,
+				`(?s)bundle 2 beside 1, 2.5%.*candidate +40 +1`, "bundle", "rollout"),
+			Entry("no roll-out", `{"active":1,"arms":[]}`, `no roll-out is under way`, "bundle", "rollout"),
+			Entry("back ends", `{"version":"4","back_ends":[{"id":"gpu-1","kind":"MODEL_SERVER","state":"READY","models":["m"]}]}`, `gpu-1 +model_server +ready`, "backends"),
+			Entry("stores", `{"placement_epoch":7,"shards":64,"shards_moving":2,"stores":[{"name":"store-1","state":"emptying","shards":5}]}`, `(?s)store-1 +emptying.*64 shards, 2 moving`, "stores", "list"),
+			Entry("the core", `{"name":"core-1","leader":"2","configuration":{"members":[{"id":"2","name":"core-2","voter":true},{"id":"3","name":"core-3"}]}}`,
+				`(?s)core-2 +2 +voter.*leads.*core-3 +3 +standby`, "core", "status"),
+		)
+
+		It("waits until a store is emptied", func() {
+			shards := 3
+			leader.answer = func(writer http.ResponseWriter, request *http.Request, _ string) {
+				if request.Method == http.MethodPost {
+					_, _ = io.WriteString(writer, acceptedBody)
+					return
+				}
+				state := "emptying"
+				if shards--; shards == 0 {
+					state = "emptied"
+				}
+				_, _ = fmt.Fprintf(writer, `{"stores":[{"name":"store-1","state":%q,"shards":%d}]}`, state, shards)
+			}
+			Expect(run([]string{leader.address}, "stores", "empty", "store-1", "--wait")).To(Equal(operator.ExitDone), faults.String())
+			Expect(output.String()).To(ContainSubstring("store store-1 is emptied"))
+			Expect(waits).To(Equal(2))
+		})
+
+		It("explains a request through the front nodes the core knows, without sending them the token", func() {
+			front := newFakeProcess()
+			defer front.server.Close()
+			front.always(http.StatusOK, `{"explanations":[{"request_id":"r 1","node":"front-1","owner":"front-2","epoch":"3",
+				"candidates":[{"back_end":"gpu-1","score":0.5},{"back_end":"gpu-2","score":2,"reason":"over the load bound"}],
+				"steps":[{"at_micros":"1500","what":"lookup"}]}]}`)
+			leader.always(http.StatusOK, fmt.Sprintf(`{"nodes":[{"name":"front-0","kind":"FRONT","http_address":%q},
+				{"name":"front-1","kind":"FRONT","http_address":%q}]}`, unusedAddress(), front.address))
+			Expect(run([]string{leader.address}, "explain", "r 1")).To(Equal(operator.ExitDone), faults.String())
+			Expect(front.saw()[0].path).To(Equal("/v1/explain/r%201"))
+			Expect(front.saw()[0].authorization).To(BeEmpty())
+			Expect(output.String()).To(And(ContainSubstring("front-2 (epoch 3)"), ContainSubstring("over the load bound"), MatchRegexp(`1\.500 +lookup`)))
+		})
+
+		It("says so when no front node knows a request", func() {
+			leader.always(http.StatusNotFound, failureBody("not_found", "not_run"))
+			Expect(run(nil, "explain", "gone", "--front", leader.address)).To(Equal(operator.ExitNotFound))
+		})
+
+		It("prints a bundle to begin with that it would accept", func() {
+			Expect(run(nil, "bundle", "default", "--number", "3")).To(Equal(operator.ExitDone))
+			parsed, err := bundle.Parse(output.Bytes())
+			Expect(err).NotTo(HaveOccurred())
+			_, found := bundle.Check(nil, parsed)
+			Expect(found).To(BeEmpty())
+		})
+
+		It("writes a completion script", func() {
+			Expect(run(nil, "completion", "bash")).To(Equal(operator.ExitDone))
+			Expect(output.String()).To(ContainSubstring("__start_rosestand"))
+		})
+	})
+})
+
+// unusedAddress gives an address that nothing listens on.
+func unusedAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/internal/operator/rollout.go
@@ -0,0 +1,176 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	rolloutPath           = "/v1/rollout"
+	basisPointsPerPercent = 100
+	firstTokenQuantile    = 0.95
+)
+
+// rolloutFlags describe a roll-out on the command line.
+type rolloutFlags struct {
+	sharePercent     float64
+	shadow           bool
+	maxErrorPercent  float64
+	maxFirstTokenP95 uint32
+	minimumSamples   uint32
+}
+
+var rolloutFlagNames = []string{"share", "shadow", "max-error-percent", "max-first-token-p95-millis", "minimum-samples"}
+
+func (r *rolloutFlags) add(flags *pflag.FlagSet) {
+	flags.Float64Var(&r.sharePercent, rolloutFlagNames[0], 0, "percent of programs that the candidate serves")
+	flags.BoolVar(&r.shadow, rolloutFlagNames[1], false, "let the candidate decide beside the active bundle without running anything")
+	flags.Float64Var(&r.maxErrorPercent, rolloutFlagNames[2], 0, "withdraw the candidate when more of its requests fail; 0 for no limit")
+	flags.Uint32Var(&r.maxFirstTokenP95, rolloutFlagNames[3], 0, "withdraw the candidate when its first token takes longer; 0 for no limit")
+	flags.Uint32Var(&r.minimumSamples, rolloutFlagNames[4], 0, "requests of the candidate before a limit counts")
+}
+
+// used reports whether any flag of the roll-out was given.
+func (r *rolloutFlags) used(flags *pflag.FlagSet) bool {
+	for _, name := range rolloutFlagNames {
+		if flags.Changed(name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *rolloutFlags) build(version uint64) (*protocol.Rollout, error) {
+	if r.sharePercent < 0 || r.sharePercent > 100 {
+		return nil, &UsageError{Reason: "--share must be between 0 and 100 percent"}
+	}
+	if r.maxErrorPercent < 0 || r.maxErrorPercent > 100 {
+		return nil, &UsageError{Reason: "--max-error-percent must be between 0 and 100"}
+	}
+	return &protocol.Rollout{
+		CandidateVersion: version,
+		ShareBasisPoints: uint32(math.Round(r.sharePercent * basisPointsPerPercent)),
+		Shadow:           r.shadow,
+		Guard: &protocol.RolloutGuard{
+			MaxErrorRatio: r.maxErrorPercent / 100, MaxFirstTokenP95Millis: r.maxFirstTokenP95, MinimumSamples: r.minimumSamples,
+		},
+	}, nil
+}
+
+func (s *shell) bundleRolloutCommand() *cobra.Command {
+	given := &rolloutFlags{}
+	command := &cobra.Command{
+		Use:   "rollout [VERSION]",
+		Short: "make a signed version the candidate of a roll-out; without a version, show the one under way",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if len(arguments) == 0 {
+				return s.showRollout(command.Context())
+			}
+			number, err := parseVersion(arguments[0])
+			if err != nil {
+				return err
+			}
+			rollout, err := given.build(number)
+			if err != nil {
+				return err
+			}
+			return s.orderRollout(command.Context(), http.MethodPut, rolloutPath, rollout,
+				fmt.Sprintf("bundle %d is the candidate", number))
+		},
+	}
+	given.add(command.Flags())
+	return command
+}
+
+func (s *shell) bundlePromoteCommand() *cobra.Command {
+	return s.candidateCommand("promote VERSION", "put the candidate in force everywhere", "/promote", "was promoted")
+}
+
+func (s *shell) bundleWithdrawCommand() *cobra.Command {
+	return s.candidateCommand("withdraw VERSION", "take the candidate back", "/withdraw", "was withdrawn")
+}
+
+// candidateCommand names the candidate's version, so that a late order cannot hit the next candidate.
+func (s *shell) candidateCommand(use, short, path, done string) *cobra.Command {
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			number, err := parseVersion(arguments[0])
+			if err != nil {
+				return err
+			}
+			return s.orderRollout(command.Context(), http.MethodPost, rolloutPath+path,
+				&protocol.Rollout{CandidateVersion: number}, fmt.Sprintf("bundle %d %s", number, done))
+		},
+	}
+}
+
+func (s *shell) orderRollout(ctx context.Context, method, path string, rollout *protocol.Rollout, done string) error {
+	body, err := protojson.Marshal(rollout)
+	if err != nil {
+		return err
+	}
+	answer, err := s.order(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	return s.printResult(answer, done)
+}
+
+func (s *shell) showRollout(ctx context.Context) error {
+	answer, err := s.ask(ctx, http.MethodGet, rolloutPath)
+	if err != nil {
+		return err
+	}
+	return s.print(answer, func(writer io.Writer) error { return renderRollout(writer, answer) })
+}
+
+func renderRollout(writer io.Writer, answer []byte) error {
+	shown := &rolloutAnswer{}
+	if err := decode(answer, shown); err != nil {
+		return err
+	}
+	if len(shown.Rollout) == 0 {
+		_, err := fmt.Fprintf(writer, "no roll-out is under way; bundle %d is in force\n", shown.Active)
+		return err
+	}
+	rollout := &protocol.Rollout{}
+	if err := decodeProto(shown.Rollout, rollout); err != nil {
+		return err
+	}
+	arms, err := decodeList[protocol.ArmSample](shown.Arms)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(writer, "bundle %d beside %d, %g%% of programs, shadow %t\n", rollout.GetCandidateVersion(), shown.Active,
+		float64(rollout.GetShareBasisPoints())/basisPointsPerPercent, rollout.GetShadow())
+	if err != nil {
+		return err
+	}
+	made := newGrid("bundle", "arm", "requests", "errors", "tokens", "first token p95 ms")
+	for _, arm := range arms {
+		made.add(arm.GetBundleVersion(), armName(arm), arm.GetRequests(), arm.GetErrors(), arm.GetTokens(),
+			fmt.Sprintf("%.1f", bundle.FirstTokenQuantile(arm.GetFirstTokenBuckets(), firstTokenQuantile)))
+	}
+	return made.print(writer)
+}
+
+func armName(arm *protocol.ArmSample) string {
+	if arm.GetCandidate() {
+		return "candidate"
+	}
+	return "active"
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,158 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Bounds of settings, in the unit of the field.
+const (
+	maxStopGraceMillis  = 600_000
+	maxSeeds            = 16
+	minBodyBytes        = 1 << 10
+	maxBodyBytes        = 1 << 30
+	maxVirtualPlaces    = 1_024
+	minRenewMillis      = 10
+	maxVoters           = 9
+	minHeartbeatMillis  = 1
+	maxElectionMillis   = 60_000
+	electionBeats       = 3
+	minLeaseMillis      = 50
+	maxLeaseMillis      = 600_000
+	maxShards           = 65_536
+	maxReplicas         = 9
+	minReplaceMillis    = 100
+	maxReplaceMillis    = 86_400_000
+	maxSnapshotEntries  = 10_000_000
+	minSegmentBytes     = 1 << 16
+	maxSegmentBytes     = 1 << 32
+	minCopyBytes        = 1 << 12
+	maxCopyBytes        = 1 << 40
+	maxScrubSeconds     = 7 * 86_400
+	maxLeaseRenewMillis = 60_000
+)
+
+func checkNode(node *protocol.NodeSettings, faults *checker) {
+	faults.name("node.name", node.GetName())
+	faults.name("node.zone", node.GetZone())
+	faults.name("node.region", node.GetRegion())
+	internal := faults.listener("node.internal_address", node.GetInternalAddress())
+	http := faults.listener("node.http_address", node.GetHttpAddress())
+	if internal.IsValid() && internal == http && internal.Port() != 0 {
+		faults.add("node.http_address", "is the same as node.internal_address")
+	}
+	faults.peers("node.seeds", node.GetSeeds())
+	if len(node.GetSeeds()) > maxSeeds {
+		faults.add("node.seeds", "has %d addresses, must have at most %d", len(node.GetSeeds()), maxSeeds)
+	}
+	faults.present("node.cluster_key_file", node.GetClusterKeyFile())
+	faults.oneOf("node.log_level", node.GetLogLevel(), "debug", "info", "warn", "error")
+	faults.oneOf("node.log_format", node.GetLogFormat(), "text", "json")
+	faults.between("node.stop_grace_millis", uint64(node.GetStopGraceMillis()), 1, maxStopGraceMillis)
+	checkAdvertisedAddress(node.GetAdvertisedAddress(), faults)
+	checkDebugAddress(node.GetDebugAddress(), faults)
+}
+
+func checkAdvertisedAddress(value string, faults *checker) {
+	if value == "" {
+		return
+	}
+	address := faults.listener("node.advertised_address", value)
+	if address.IsValid() && address.Port() == 0 {
+		faults.add("node.advertised_address", "%q has no port", value)
+	}
+}
+
+func checkDebugAddress(value string, faults *checker) {
+	if value == "" {
+		return
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || !address.Addr().IsLoopback() {
+		faults.add("node.debug_address", "%q is not a loopback IP:port", value)
+	}
+}
+
+func checkFront(settings *protocol.FrontSettings, faults *checker) {
+	checkNode(settings.GetNode(), faults)
+	requireSeeds(settings.GetNode(), faults)
+	faults.between("max_body_bytes", settings.GetMaxBodyBytes(), minBodyBytes, maxBodyBytes)
+	faults.between("virtual_places", uint64(settings.GetVirtualPlaces()), 1, maxVirtualPlaces)
+	faults.between("lease_renew_millis", uint64(settings.GetLeaseRenewMillis()), minRenewMillis, maxLeaseRenewMillis)
+}
+
+func checkCore(settings *protocol.CoreSettings, faults *checker) {
+	checkNode(settings.GetNode(), faults)
+	faults.present("node.data_folder", settings.GetNode().GetDataFolder())
+	faults.present("operator_token_file", settings.GetOperatorTokenFile())
+	if len(settings.GetFounders()) == 0 && len(settings.GetNode().GetSeeds()) == 0 {
+		faults.add("founders", "is empty and so is node.seeds: a core process founds a cluster or joins one")
+	}
+	checkVoters(settings, faults)
+	checkSignOffKeys(settings.GetSignOffKeys(), faults)
+	checkCoreTimes(settings, faults)
+	faults.between("shard_count", uint64(settings.GetShardCount()), 1, maxShards)
+	faults.between("replica_count", uint64(settings.GetReplicaCount()), 1, maxReplicas)
+	requireOdd("replica_count", settings.GetReplicaCount(), faults)
+	faults.between("snapshot_entries", uint64(settings.GetSnapshotEntries()), 1, maxSnapshotEntries)
+	faults.between("max_body_bytes", settings.GetMaxBodyBytes(), minBodyBytes, maxBodyBytes)
+}
+
+func checkVoters(settings *protocol.CoreSettings, faults *checker) {
+	faults.peers("founders", settings.GetFounders())
+	faults.between("target_voters", uint64(settings.GetTargetVoters()), 1, maxVoters)
+	requireOdd("target_voters", settings.GetTargetVoters(), faults)
+	if founders := len(settings.GetFounders()); founders > int(settings.GetTargetVoters()) {
+		faults.add("founders", "has %d addresses, must have at most target_voters, which is %d",
+			founders, settings.GetTargetVoters())
+	}
+}
+
+func checkCoreTimes(settings *protocol.CoreSettings, faults *checker) {
+	faults.between("heartbeat_millis", uint64(settings.GetHeartbeatMillis()), minHeartbeatMillis, maxElectionMillis)
+	faults.between("election_timeout_millis", uint64(settings.GetElectionTimeoutMillis()),
+		uint64(settings.GetHeartbeatMillis())*electionBeats, maxElectionMillis)
+	faults.between("lease_millis", uint64(settings.GetLeaseMillis()), minLeaseMillis, maxLeaseMillis)
+	faults.between("replace_voter_millis", uint64(settings.GetReplaceVoterMillis()), minReplaceMillis, maxReplaceMillis)
+}
+
+func checkSignOffKeys(keys []string, faults *checker) {
+	seen := map[string]bool{}
+	for index, text := range keys {
+		path := fmt.Sprintf("sign_off_keys[%d]", index)
+		parsed, err := bundle.ParseKeys([]string{text})
+		if err != nil {
+			faults.add(path, "%v", err)
+			continue
+		}
+		name := parsed[0].GetName()
+		if seen[name] {
+			faults.add(path, "%q is there twice", name)
+		}
+		seen[name] = true
+	}
+}
+
+func checkStore(settings *protocol.StoreSettings, faults *checker) {
+	checkNode(settings.GetNode(), faults)
+	requireSeeds(settings.GetNode(), faults)
+	faults.present("node.data_folder", settings.GetNode().GetDataFolder())
+	faults.between("segment_bytes", settings.GetSegmentBytes(), minSegmentBytes, maxSegmentBytes)
+	faults.between("copy_bytes_per_second", settings.GetCopyBytesPerSecond(), minCopyBytes, maxCopyBytes)
+	faults.between("scrub_interval_seconds", uint64(settings.GetScrubIntervalSeconds()), 1, maxScrubSeconds)
+}
+
+func requireSeeds(node *protocol.NodeSettings, faults *checker) {
+	if len(node.GetSeeds()) == 0 {
+		faults.add("node.seeds", "is empty: give internal addresses of other processes, three is usual")
+	}
+}
+
+func requireOdd(path string, value uint32, faults *checker) {
+	if value%2 == 0 {
+		faults.add(path, "is %d, must be odd", value)
+	}
+}
--- /dev/null
+++ b/internal/settings/decode_fuzz_test.go
@@ -0,0 +1,62 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/settings"
+)
+
+// FuzzDecode holds that no document makes the reader panic, that a refusal
+// always has a fault, and that what was accepted survives printing.
+func FuzzDecode(f *testing.F) {
+	examples, err := filepath.Glob("../../deploy/*/*.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, example := range examples {
+		document, err := os.ReadFile(example)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(document)
+	}
+	f.Add([]byte(validCore))
+	f.Fuzz(func(t *testing.T, document []byte) {
+		for _, message := range []proto.Message{
+			&protocol.FrontSettings{}, &protocol.CoreSettings{}, &protocol.StoreSettings{}, &protocol.Bundle{},
+		} {
+			checkDecode(t, document, message)
+		}
+		if core, err := settings.Core.Parse(document); err == nil {
+			_ = settings.Core.Complete(core)
+		}
+	})
+}
+
+func checkDecode(t *testing.T, document []byte, message proto.Message) {
+	faults := settings.Decode(document, message)
+	for _, fault := range faults {
+		if fault.GetMessage() == "" {
+			t.Fatalf("a fault at %q without a message", fault.GetPath())
+		}
+	}
+	if len(faults) > 0 {
+		return
+	}
+	printed, err := settings.Print(message)
+	if err != nil {
+		t.Fatalf("accepted settings cannot be printed: %v", err)
+	}
+	again := message.ProtoReflect().New().Interface()
+	if faults := settings.Decode(printed, again); len(faults) > 0 {
+		t.Fatalf("printed settings are refused: %v", faults)
+	}
+	if !proto.Equal(message, again) {
+		t.Fatal("printed settings differ")
+	}
+}
--- /dev/null
+++ b/internal/settings/deploy_test.go
@@ -0,0 +1,179 @@
+package settings_test
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/settings"
+)
+
+// siteLayout is what the example settings of one site say.
+type siteLayout struct {
+	cores  []*protocol.CoreSettings
+	stores []*protocol.StoreSettings
+	fronts []*protocol.FrontSettings
+}
+
+func (l *siteLayout) nodes() []*protocol.NodeSettings {
+	var nodes []*protocol.NodeSettings
+	for _, core := range l.cores {
+		nodes = append(nodes, core.GetNode())
+	}
+	for _, store := range l.stores {
+		nodes = append(nodes, store.GetNode())
+	}
+	for _, front := range l.fronts {
+		nodes = append(nodes, front.GetNode())
+	}
+	return nodes
+}
+
+// readSite checks every example of a site as --check-config does, but for the files they name.
+func readSite(t *testing.T, site string) *siteLayout {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join("../../deploy", site, "*.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	layout := &siteLayout{}
+	for _, path := range paths {
+		name := filepath.Base(path)
+		switch {
+		case strings.HasPrefix(name, "core-"):
+			layout.cores = append(layout.cores, readExample(t, settings.Core, path))
+		case strings.HasPrefix(name, "store-"):
+			layout.stores = append(layout.stores, readExample(t, settings.Store, path))
+		case strings.HasPrefix(name, "front-"):
+			layout.fronts = append(layout.fronts, readExample(t, settings.Front, path))
+		default:
+			t.Errorf("%s is of no kind", path)
+		}
+	}
+	return layout
+}
+
+func readExample[S settings.Message](t *testing.T, kind settings.Kind[S], path string) S {
+	t.Helper()
+	document, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := kind.Parse(document)
+	if err == nil {
+		err = kind.Complete(loaded)
+	}
+	if err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	if name := strings.TrimSuffix(filepath.Base(path), ".json"); loaded.GetNode().GetName() != name {
+		t.Errorf("%s names the node %s", path, loaded.GetNode().GetName())
+	}
+	return loaded
+}
+
+func machineOf(t *testing.T, node *protocol.NodeSettings) netip.Addr {
+	t.Helper()
+	address, err := netip.ParseAddrPort(node.GetInternalAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address.Addr()
+}
+
+func TestExampleSettingsOfTheSites(t *testing.T) {
+	for site, fronts := range map[string]int{"caroni": 10, "menon": 11} {
+		t.Run(site, func(t *testing.T) {
+			layout := readSite(t, site)
+			if len(layout.cores) != 4 || len(layout.stores) != 4 || len(layout.fronts) != fronts {
+				t.Fatalf("%d cores, %d stores, %d fronts", len(layout.cores), len(layout.stores), len(layout.fronts))
+			}
+			checkAddresses(t, layout)
+			checkReplicasApart(t, layout)
+			checkFounders(t, layout)
+		})
+	}
+}
+
+// checkAddresses holds that names and addresses are used once and that seeds are other processes of the site.
+func checkAddresses(t *testing.T, layout *siteLayout) {
+	t.Helper()
+	seen := map[string]bool{}
+	internal := map[string]bool{}
+	for _, node := range layout.nodes() {
+		for _, word := range []string{node.GetName(), node.GetInternalAddress(), node.GetHttpAddress()} {
+			if seen[word] {
+				t.Errorf("%s is used twice", word)
+			}
+			seen[word] = true
+		}
+		internal[node.GetInternalAddress()] = true
+	}
+	for _, node := range layout.nodes() {
+		if len(node.GetSeeds()) != 3 {
+			t.Errorf("%s has %d seeds", node.GetName(), len(node.GetSeeds()))
+		}
+		for _, seed := range node.GetSeeds() {
+			if !internal[seed] || seed == node.GetInternalAddress() {
+				t.Errorf("%s: seed %s is no other process of the site", node.GetName(), seed)
+			}
+		}
+	}
+}
+
+// checkReplicasApart holds that no machine has two core processes or two stores,
+// that cores and stores are on different machines, and that each zone has one of each.
+func checkReplicasApart(t *testing.T, layout *siteLayout) {
+	t.Helper()
+	machines := map[netip.Addr]string{}
+	zones := map[string]int{}
+	place := func(node *protocol.NodeSettings, kind string) {
+		machine := machineOf(t, node)
+		if other := machines[machine]; other != "" {
+			t.Errorf("%s shares machine %s with %s", node.GetName(), machine, other)
+		}
+		machines[machine] = node.GetName()
+		zones[kind+node.GetZone()]++
+	}
+	for _, core := range layout.cores {
+		place(core.GetNode(), "core ")
+	}
+	for _, store := range layout.stores {
+		place(store.GetNode(), "store ")
+	}
+	if len(zones) != 8 {
+		t.Errorf("cores and stores are in %v", zones)
+	}
+	withDisk := 0
+	for _, front := range layout.fronts {
+		if machines[machineOf(t, front.GetNode())] != "" {
+			withDisk++
+		}
+	}
+	if withDisk != 4 {
+		t.Errorf("%d front nodes stand on a machine with a disk", withDisk)
+	}
+}
+
+// checkFounders holds that three core processes found the cluster, agree on it, and that the fourth joins.
+func checkFounders(t *testing.T, layout *siteLayout) {
+	t.Helper()
+	founding := 0
+	for _, core := range layout.cores {
+		own := core.GetNode().GetInternalAddress()
+		if len(core.GetFounders()) == 0 {
+			continue
+		}
+		founding++
+		if !slices.Contains(core.GetFounders(), own) || !slices.Equal(core.GetFounders(), layout.cores[0].GetFounders()) {
+			t.Errorf("%s: founders %v", core.GetNode().GetName(), core.GetFounders())
+		}
+	}
+	if founding != 3 {
+		t.Errorf("%d processes found the cluster", founding)
+	}
+}
--- /dev/null
+++ b/internal/settings/help.go
@@ -0,0 +1,41 @@
+package settings
+
+import "fmt"
+
+// helpTexts describes every field by its name; a test holds it complete.
+var helpTexts = map[string]string{
+	"name":                    "name of this process, stable across restarts",
+	"zone":                    "zone the machine stands in",
+	"region":                  withDefault("region the machine stands in", defaultRegion),
+	"internal_address":        "IP:port to listen on for other processes; port 0 takes a free one",
+	"http_address":            "IP:port to listen on for HTTP; port 0 takes a free one",
+	"seeds":                   "internal addresses (IP:port) of other processes of any kind, three is usual",
+	"data_folder":             "folder for everything that outlives a restart; a front node needs none",
+	"cluster_key_file":        "file with the key that every process of the cluster shares",
+	"log_level":               withDefault("debug, info, warn or error", defaultLogLevel),
+	"log_format":              withDefault("text or json", defaultLogFormat),
+	"stop_grace_millis":       withDefault("longest time a gentle stop may take, in milliseconds", defaultStopGraceMillis),
+	"advertised_address":      "IP:port of the internal protocol that other processes are told; internal_address when empty",
+	"debug_address":           "loopback IP:port of the profiler; none when empty",
+	"max_body_bytes":          withDefault("largest HTTP body in bytes", defaultMaxBodyBytes),
+	"virtual_places":          withDefault("virtual places on the ring, the same on every front node", defaultVirtualPlaces),
+	"lease_renew_millis":      withDefault("interval between renewals of the lease, in milliseconds", defaultLeaseRenewMillis),
+	"founders":                "internal addresses of the core processes that found a new cluster together",
+	"target_voters":           withDefault("number of voters the cluster keeps", defaultTargetVoters),
+	"operator_token_file":     "file with operators' bearer tokens, one \"name token\" a line",
+	"sign_off_keys":           "first sign-off keys, each name:hex ed25519 public key",
+	"election_timeout_millis": withDefault("silence of a leader before an election, in milliseconds", defaultElectionMillis),
+	"heartbeat_millis":        withDefault("interval between heartbeats of the leader, in milliseconds", defaultHeartbeatMillis),
+	"lease_millis":            withDefault("length of the leases granted to nodes, in milliseconds", defaultLeaseMillis),
+	"shard_count":             withDefault("shards of the ledger; counts when the cluster is founded", defaultShardCount),
+	"replica_count":           withDefault("replicas of each shard; counts when the cluster is founded", defaultReplicaCount),
+	"replace_voter_millis":    withDefault("absence of a voter before a standby replaces it, in milliseconds", defaultReplaceVoterMillis),
+	"snapshot_entries":        withDefault("log entries between two snapshots", defaultSnapshotEntries),
+	"segment_bytes":           withDefault("size at which a log segment is closed, in bytes", defaultSegmentBytes),
+	"copy_bytes_per_second":   withDefault("bytes a second that copying shards may use", defaultCopyBytesPerSecond),
+	"scrub_interval_seconds":  withDefault("seconds between two rounds of the background scrub", defaultScrubIntervalSecond),
+}
+
+func withDefault(text string, value any) string {
+	return fmt.Sprintf("%s (default %v)", text, value)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,201 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/pflag"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/settings"
+)
+
+const testKey = "alice:00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+const validCore = `{
+  "node": {"name": "core-1", "zone": "z1", "internal_address": "10.0.0.1:7000", "http_address": "10.0.0.1:8000",
+           "data_folder": "/var/lib/rosestand", "cluster_key_file": "/etc/rosestand/cluster.key"},
+  "founders": ["10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"],
+  "operator_token_file": "/etc/rosestand/tokens",
+  "sign_off_keys": ["` + testKey + `"]
+}`
+
+// load reads a core's settings as its daemon does.
+func load(t *testing.T, document string, arguments ...string) (*protocol.CoreSettings, error) {
+	t.Helper()
+	file := ""
+	if document != "" {
+		file = filepath.Join(t.TempDir(), "settings.json")
+		if err := os.WriteFile(file, []byte(document), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	flags := pflag.NewFlagSet("test", pflag.ContinueOnError)
+	settings.Core.AddFlags(flags)
+	if err := flags.Parse(arguments); err != nil {
+		t.Fatal(err)
+	}
+	return settings.Core.Load(file, flags)
+}
+
+// faultPaths gives the paths of the faults in the order in which they are listed.
+func faultPaths(t *testing.T, err error) []string {
+	t.Helper()
+	var invalid *settings.InvalidError
+	if !errors.As(err, &invalid) {
+		t.Fatalf("want an InvalidError, got %v", err)
+	}
+	var paths []string
+	for _, fault := range invalid.Faults {
+		if fault.GetMessage() == "" {
+			t.Errorf("fault at %q has no message", fault.GetPath())
+		}
+		paths = append(paths, fault.GetPath())
+	}
+	return paths
+}
+
+func TestDefaultsAreFilledInAndGivenValuesKept(t *testing.T) {
+	loaded, err := load(t, strings.Replace(validCore, `"founders"`, `"lease_millis": 700, "founders"`, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if loaded.GetLeaseMillis() != 700 || loaded.GetShardCount() != 64 || loaded.GetReplicaCount() != 3 ||
+		loaded.GetNode().GetStopGraceMillis() != 20_000 || loaded.GetNode().GetLogLevel() != "info" {
+		t.Fatalf("wrong defaults: %v", loaded)
+	}
+}
+
+func TestFlagsGoOverTheFile(t *testing.T) {
+	loaded, err := load(t, validCore, "--name", "core-9", "--founders", "10.0.0.7:7000", "--max-body-bytes", "4096", "--target-voters", "1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if loaded.GetNode().GetName() != "core-9" || loaded.GetNode().GetZone() != "z1" || loaded.GetMaxBodyBytes() != 4096 {
+		t.Fatalf("wrong merge: %v", loaded)
+	}
+	if len(loaded.GetFounders()) != 1 || loaded.GetFounders()[0] != "10.0.0.7:7000" {
+		t.Fatalf("a list given by a flag must replace the list of the file: %v", loaded.GetFounders())
+	}
+}
+
+func TestFlagsAloneAreEnough(t *testing.T) {
+	_, err := load(t, "", "--name", "core-1", "--zone", "z1", "--internal-address", "127.0.0.1:0", "--http-address", "127.0.0.1:0",
+		"--data-folder", "data", "--cluster-key-file", "key", "--operator-token-file", "tokens", "--seeds", "127.0.0.1:7001")
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestEveryFieldHasAFlagWithHelp(t *testing.T) {
+	for _, add := range []func(*pflag.FlagSet){settings.Front.AddFlags, settings.Core.AddFlags, settings.Store.AddFlags} {
+		flags := pflag.NewFlagSet("test", pflag.ContinueOnError)
+		add(flags)
+		flags.VisitAll(func(flag *pflag.Flag) {
+			if flag.Usage == "" {
+				t.Errorf("flag %s has no help", flag.Name)
+			}
+		})
+		if flags.Lookup("debug-address") == nil {
+			t.Error("the fields of the common part must have flags")
+		}
+	}
+}
+
+func TestAllFaultsAreListedAtOnce(t *testing.T) {
+	_, err := load(t, `{
+	  "node": {"name": "a b", "internal_address": "host:7000", "http_address": "0.0.0.0:8000",
+	           "seeds": ["10.0.0.1:7000", "10.0.0.1:7000", "10.0.0.2:0"], "log_level": "loud", "log_format": "xml",
+	           "stop_grace_millis": 700000, "debug_address": "10.0.0.1:6060"},
+	  "founders": ["10.0.0.1:7000", "nonsense", "10.0.0.3:1", "10.0.0.4:1"],
+	  "target_voters": 2, "sign_off_keys": ["`+testKey+`", "bob", "`+testKey+`"],
+	  "heartbeat_millis": 500, "election_timeout_millis": 600, "replica_count": 4, "max_body_bytes": 1
+	}`)
+	want := []string{
+		"node.name", "node.zone", "node.internal_address", "node.http_address", "node.seeds[1]", "node.seeds[2]",
+		"node.cluster_key_file", "node.log_level", "node.log_format", "node.stop_grace_millis", "node.debug_address",
+		"node.data_folder", "operator_token_file", "founders[1]", "target_voters", "founders",
+		"sign_off_keys[1]", "sign_off_keys[2]", "election_timeout_millis", "replica_count", "max_body_bytes",
+	}
+	if got := faultPaths(t, err); strings.Join(got, " ") != strings.Join(want, " ") {
+		t.Fatalf("faults at\n%v\nwant\n%v\n%v", got, want, err)
+	}
+}
+
+func TestDocumentFaultsHavePaths(t *testing.T) {
+	cases := []struct {
+		name     string
+		document string
+		want     []string
+	}{
+		{"unknown fields at all depths", `{"nonsense": 1, "node": {"nam": "x"}}`, []string{"node.nam", "nonsense"}},
+		{"wrong types of several fields", `{"node": {"name": 7, "zone": true}, "shard_count": "many", "founders": "x"}`, []string{"founders", "node.name", "node.zone", "shard_count"}},
+		{"wrong type within a list", `{"founders": ["10.0.0.1:1", 5]}`, []string{"founders[1]"}},
+		{"a field given twice", `{"shard_count": 1, "shard_count": 2}`, []string{"shard_count"}},
+		{"a number out of range", `{"shard_count": -1}`, []string{"shard_count"}},
+		{"a list in place of an object", `[]`, []string{""}},
+		{"text after the document", `{} {}`, []string{""}},
+		{"no JSON", `{`, []string{""}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := settings.Core.Parse([]byte(test.document))
+			if got := faultPaths(t, err); strings.Join(got, " ") != strings.Join(test.want, " ") {
+				t.Fatalf("faults at %q, want %q: %v", got, test.want, err)
+			}
+		})
+	}
+}
+
+func TestKindsAskForWhatTheyNeed(t *testing.T) {
+	_, err := settings.Front.Parse([]byte(`{"node": null}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, store, core := &protocol.FrontSettings{Node: &protocol.NodeSettings{}},
+		&protocol.StoreSettings{Node: &protocol.NodeSettings{}}, &protocol.CoreSettings{Node: &protocol.NodeSettings{}}
+	frontPaths := strings.Join(faultPaths(t, settings.Front.Complete(front)), " ")
+	storePaths := strings.Join(faultPaths(t, settings.Store.Complete(store)), " ")
+	corePaths := strings.Join(faultPaths(t, settings.Core.Complete(core)), " ")
+	if strings.Contains(frontPaths, "data_folder") || !strings.Contains(frontPaths, "node.seeds") {
+		t.Errorf("a front node needs seeds and no folder: %s", frontPaths)
+	}
+	if !strings.Contains(storePaths, "node.data_folder") || !strings.Contains(storePaths, "node.seeds") {
+		t.Errorf("a store needs a folder and seeds: %s", storePaths)
+	}
+	if !strings.Contains(corePaths, "founders") || !strings.Contains(corePaths, "operator_token_file") {
+		t.Errorf("a core needs founders or seeds, and tokens: %s", corePaths)
+	}
+}
+
+func TestPrintedSettingsAreTheSameSettings(t *testing.T) {
+	loaded, err := load(t, validCore)
+	if err != nil {
+		t.Fatal(err)
+	}
+	printed, err := settings.Print(loaded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := settings.Core.Parse(printed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !proto.Equal(loaded, again) {
+		t.Fatalf("printed %s", printed)
+	}
+}
+
+func TestAnUnreadableFileIsNamed(t *testing.T) {
+	flags := pflag.NewFlagSet("test", pflag.ContinueOnError)
+	settings.Core.AddFlags(flags)
+	_, err := settings.Core.Load("/nonexistent/settings.json", flags)
+	var unreadable *settings.ReadError
+	if !errors.As(err, &unreadable) || unreadable.Path != "/nonexistent/settings.json" {
+		t.Fatalf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,16 @@
+// Package version says which build of the project a program is.
+package version
+
+import (
+	"fmt"
+	"runtime"
+)
+
+// Number is the release; a release build sets it with the linker flag
+// -X github.com/rosestand/rosestand/internal/version.Number=....
+var Number = "0.1.0-dev"
+
+// String gives the release, the Go version and the platform.
+func String() string {
+	return fmt.Sprintf("%s (%s, %s/%s)", Number, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+}
