--- /dev/null
+++ b/internal/lab/audit/runs.go
@@ -0,0 +1,168 @@
+package audit
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/mark"
+	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/lab/standin"
+)
+
+// checkRanTwice looks for a second run of a call that may not be repeated, by
+// request id and by the thing that the call changes: a caller asks anew for the
+// same thing only after it was told that nothing was run.
+func checkRanTwice(file *casefile, f *finder) {
+	byObject := map[string][]standin.Entry{}
+	for _, request := range slices.Sorted(maps.Keys(file.started)) {
+		runs := file.started[request]
+		if !site.NonRepeatable(runs[0].Tool) {
+			continue
+		}
+		f.examine(1)
+		if len(runs) > 1 {
+			f.found(request, fmt.Sprintf("%d runs of %s, at %s and %s", len(runs), runs[0].Tool, place(runs[0]), place(runs[1])))
+		}
+		byObject[runs[0].Object] = append(byObject[runs[0].Object], runs[0])
+	}
+	for _, object := range slices.Sorted(maps.Keys(byObject)) {
+		if runs := byObject[object]; object != "" && len(runs) > 1 {
+			f.found(object, fmt.Sprintf("changed by requests %s and %s", runs[0].RequestID, runs[1].RequestID))
+		}
+	}
+}
+
+func place(entry standin.Entry) string {
+	return fmt.Sprintf("%s %s", entry.Server, entry.At().UTC().Format(time.RFC3339Nano))
+}
+
+// checkRefusedButRan holds each "not run" against the journals and against
+// other answers to the same request.
+func checkRefusedButRan(file *casefile, f *finder) {
+	file.requests(func(record *caller.Record) {
+		refusal := notRun(record)
+		if refusal == nil {
+			return
+		}
+		f.examine(1)
+		if runs := file.started[record.RequestID]; len(runs) > 0 {
+			f.found(record.RequestID, fmt.Sprintf("told not_run (%s) by %s, ran at %s", refusal.Code, refusal.Front, place(runs[0])))
+			return
+		}
+		if answered(record) {
+			f.found(record.RequestID, "told not_run and answered as well")
+		}
+	})
+}
+
+// notRun is the exchange in which the caller was told that nothing was run. The
+// refusal of a resumption speaks of the resumption only.
+func notRun(record *caller.Record) *caller.Exchange {
+	for i := range record.Exchanges {
+		exchange := &record.Exchanges[i]
+		if exchange.Outcome == caller.OutcomeNotRun && !exchange.Resumed {
+			return exchange
+		}
+	}
+	return nil
+}
+
+func answered(record *caller.Record) bool {
+	return slices.ContainsFunc(record.Exchanges, func(exchange caller.Exchange) bool {
+		return exchange.Outcome == caller.OutcomeAnswered
+	})
+}
+
+// checkBudgetRefusal holds refusals for a spent budget against the journals,
+// whatever outcome they named.
+func checkBudgetRefusal(file *casefile, f *finder) {
+	file.requests(func(record *caller.Record) {
+		refused := slices.ContainsFunc(record.Exchanges, func(exchange caller.Exchange) bool {
+			return failure.Code(exchange.Code) == failure.BudgetSpent
+		})
+		if !refused {
+			return
+		}
+		f.examine(1)
+		if runs := file.started[record.RequestID]; len(runs) > 0 {
+			f.found(record.RequestID, "ran at "+place(runs[0]))
+		}
+	})
+}
+
+// checkOverBudget counts the tokens that each program received, each token once.
+func checkOverBudget(file *casefile, f *finder) {
+	received := map[string]map[mark.Token]bool{}
+	file.requests(func(record *caller.Record) {
+		tokens := received[record.Program]
+		if tokens == nil {
+			tokens = map[mark.Token]bool{}
+			received[record.Program] = tokens
+		}
+		for _, exchange := range record.Exchanges {
+			for _, event := range exchange.Events {
+				addTokens(tokens, event.Text)
+			}
+		}
+		if record.Operation == caller.OperationTurn {
+			addTokens(tokens, record.Text)
+		}
+	})
+	for _, id := range slices.Sorted(maps.Keys(file.Book.Programs)) {
+		program := file.Book.Programs[id]
+		f.examine(1)
+		allowed := program.Budget + uint64(program.LargestTurn)
+		if count := uint64(len(received[id])); count > allowed {
+			f.found(id, fmt.Sprintf("received %d tokens, budget %d and largest turn %d", count, program.Budget, program.LargestTurn))
+		}
+	}
+}
+
+func addTokens(tokens map[mark.Token]bool, text string) {
+	parsed, _ := mark.ParseText(text)
+	for _, token := range parsed {
+		tokens[token] = true
+	}
+}
+
+// checkAnswersCrossed looks for answers and pieces that belong to another request.
+func checkAnswersCrossed(file *casefile, f *finder) {
+	file.requests(func(record *caller.Record) {
+		f.examine(1)
+		if record.Outcome == caller.OutcomeAnswered && record.AnswerNonce != record.Nonce {
+			f.found(record.RequestID, fmt.Sprintf("sent nonce %q, answered with %q", record.Nonce, record.AnswerNonce))
+			return
+		}
+		if record.Operation == caller.OperationTool {
+			if record.Outcome == caller.OutcomeAnswered && record.Text != record.Object {
+				f.found(record.RequestID, fmt.Sprintf("asked for %q, answered about %q", record.Object, record.Text))
+			}
+			return
+		}
+		if token, foreign := foreignToken(record); foreign {
+			f.found(record.RequestID, fmt.Sprintf("token %d carries nonce %q in place of %q", token.Index, token.Nonce, record.Nonce))
+		}
+	})
+}
+
+func foreignToken(record *caller.Record) (mark.Token, bool) {
+	texts := []string{record.Text}
+	for _, exchange := range record.Exchanges {
+		for _, event := range exchange.Events {
+			texts = append(texts, event.Text)
+		}
+	}
+	for _, text := range texts {
+		tokens, _ := mark.ParseText(text)
+		for _, token := range tokens {
+			if token.Nonce != record.Nonce {
+				return token, true
+			}
+		}
+	}
+	return mark.Token{}, false
+}
--- /dev/null
+++ b/internal/lab/caller/conversation.go
@@ -0,0 +1,217 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/lab/site"
+)
+
+const (
+	// maxRequests bounds the requests made for one step, each under a new id.
+	maxRequests = 6
+	// maxExchanges bounds the exchanges made under one id.
+	maxExchanges  = 5
+	firstBackoff  = 100 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
+	turnTimeout   = 30 * time.Second
+)
+
+// visit carries one conversation out.
+type visit struct {
+	client       *Client
+	platform     *platform
+	books        *bookkeeper
+	random       *rand.Rand
+	conversation *Conversation
+	session      string
+	previous     string
+	helpers      int
+}
+
+// run takes the steps one after another; it ends early when a step cannot be had.
+func (v *visit) run(ctx context.Context, steps []Step) {
+	for _, step := range steps {
+		if !sleep(ctx, step.ThinkBefore) || !v.take(ctx, step) {
+			return
+		}
+	}
+}
+
+func (v *visit) take(ctx context.Context, step Step) bool {
+	switch {
+	case len(step.Helper) > 0:
+		v.helper(ctx, step.Helper)
+		return ctx.Err() == nil
+	case step.Tool != "":
+		v.tool(ctx, step)
+		return ctx.Err() == nil
+	default:
+		return v.turn(ctx, step)
+	}
+}
+
+// helper opens another session of the same program, as a probe's helper agent does.
+func (v *visit) helper(ctx context.Context, steps []Step) {
+	v.helpers++
+	child := *v
+	child.session = fmt.Sprintf("%s-helper-%d", v.session, v.helpers)
+	child.previous = ""
+	child.run(ctx, steps)
+}
+
+// turn asks until the turn is answered, is refused for good or the tries are used up.
+func (v *visit) turn(ctx context.Context, step Step) bool {
+	for range maxRequests {
+		record := v.record(OperationTurn, step)
+		record.Ceiling = step.MaxOutput
+		record.PreviousTurn = v.previous
+		v.follow(ctx, record, v.body(step))
+		v.books.entries <- record
+		if record.Outcome == OutcomeAnswered {
+			v.previous = record.TurnID
+			if step.ReadAfter {
+				v.read(ctx, record)
+			}
+			return true
+		}
+		if !goesOn(record) || !sleep(ctx, v.backoff(record, 0)) {
+			return false
+		}
+	}
+	return false
+}
+
+func (v *visit) body(step Step) turnBody {
+	return turnBody{
+		Model: v.conversation.Model, Input: step.Input, PreviousResponseID: v.previous,
+		Conversation: v.session, Program: v.conversation.Program, ProgramBudget: v.conversation.Budget,
+		Stream: true, MaxOutputTokens: step.MaxOutput, Priority: step.Priority,
+		TimeoutMillis: int(turnTimeout / time.Millisecond),
+	}
+}
+
+// follow makes exchanges under one request id until its end is known: a broken
+// stream is resumed, a request without an answer is sent again.
+func (v *visit) follow(ctx context.Context, record *Record, body turnBody) {
+	for try := range maxExchanges {
+		front := v.platform.pick(v.conversation.Zone)
+		if record.TurnID != "" {
+			v.client.Resume(ctx, front, record)
+		} else {
+			v.client.Turn(ctx, front, record, body)
+		}
+		if settled(record) || !sleep(ctx, v.backoff(record, try)) {
+			return
+		}
+	}
+}
+
+// tool makes a call; one that was not run is asked for again under a new id,
+// one whose end is unknown only under the same id.
+func (v *visit) tool(ctx context.Context, step Step) {
+	for range maxRequests {
+		record := v.record(OperationTool, step)
+		record.Tool = step.Tool
+		record.Object = step.Object
+		v.settleTool(ctx, record, step)
+		v.books.entries <- record
+		if record.Outcome != OutcomeNotRun || !goesOn(record) || !sleep(ctx, v.backoff(record, 0)) {
+			return
+		}
+	}
+}
+
+func (v *visit) settleTool(ctx context.Context, record *Record, step Step) {
+	arguments, err := json.Marshal(struct {
+		Object string `json:"object"`
+	}{step.Object})
+	if err != nil {
+		return
+	}
+	body := toolBody{
+		Program: v.conversation.Program, Conversation: v.session, Arguments: arguments,
+		TimeoutMillis: int(turnTimeout / time.Millisecond), Priority: step.Priority,
+	}
+	for try := range maxExchanges {
+		v.client.Tool(ctx, v.platform.pick(v.conversation.Zone), record, body)
+		if settled(record) || !sleep(ctx, v.backoff(record, try)) {
+			return
+		}
+	}
+}
+
+// read asks for a kept turn again, from whichever front node comes next.
+func (v *visit) read(ctx context.Context, of *Record) {
+	record := readRecord(of)
+	v.client.Read(ctx, v.platform.pick(v.conversation.Zone), record)
+	v.books.entries <- record
+}
+
+func readRecord(of *Record) *Record {
+	return &Record{
+		Operation: OperationRead, Site: of.Site, RequestID: "read-" + of.RequestID, Program: of.Program,
+		Session: of.Session, TurnID: of.TurnID, Priority: of.Priority,
+	}
+}
+
+func (v *visit) record(operation Operation, step Step) *Record {
+	return &Record{
+		Operation: operation, Site: string(v.conversation.Site),
+		RequestID: fmt.Sprintf("req-%016x%08x", v.random.Uint64(), v.random.Uint32()),
+		Nonce:     fmt.Sprintf("%012x", v.random.Uint64()>>16),
+		Program:   v.conversation.Program, Session: v.session, Priority: step.Priority,
+	}
+}
+
+// settled reports whether the end of a request is known.
+func settled(record *Record) bool {
+	switch record.Outcome {
+	case OutcomeAnswered, OutcomeRan, OutcomeNotRun:
+		return true
+	default:
+		lost := record.Code == resumeRefused+string(failure.TurnMissing)
+		return lost || (site.NonRepeatable(record.Tool) && record.Code == string(failure.OutcomeUnknown))
+	}
+}
+
+// goesOn reports whether asking again under another id makes sense.
+func goesOn(record *Record) bool {
+	switch failure.Code(record.Code) {
+	case failure.BudgetSpent, failure.UnknownModel, failure.UnknownTool, failure.WrongContinuation,
+		failure.TurnMissing, failure.InvalidField, failure.InvalidBody, failure.MissingField,
+		failure.UnknownField, failure.UnknownRoute, failure.Unauthorized, failure.Forbidden:
+		return false
+	default:
+		return true
+	}
+}
+
+// backoff is the retry time that was asked for, else one that doubles with each try.
+func (v *visit) backoff(record *Record, try int) time.Duration {
+	asked := time.Duration(record.Exchanges[len(record.Exchanges)-1].RetryAfterMillis) * time.Millisecond
+	if asked > 0 {
+		return min(asked, maxRetryAfter)
+	}
+	jitter := time.Duration(v.random.Int64N(int64(firstBackoff)))
+	return firstBackoff<<try + jitter
+}
+
+// sleep pauses; false when the context ended first.
+func sleep(ctx context.Context, length time.Duration) bool {
+	if length <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lab/chaos/plan.go
@@ -0,0 +1,203 @@
+// Package chaos breaks a running fleet by a seeded schedule: processes are
+// killed, frozen, restarted, emptied, replaced and cut off, one after another
+// and together, within the losses that the sites must bear.
+package chaos
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Action is one kind of fault.
+type Action string
+
+// Actions of a schedule.
+const (
+	// Kill ends a process at once and starts it again later.
+	Kill Action = "kill"
+	// Freeze stops a process and lets it go on later.
+	Freeze Action = "freeze"
+	// Restart asks a process to stop and starts it again.
+	Restart Action = "restart"
+	// LoseDisk kills a process and empties its data folder before it starts again.
+	LoseDisk Action = "lose disk"
+	// Replace puts an empty machine at a new address in the place of a core member.
+	Replace Action = "replace"
+	// Cut holds back everything between a process and all others.
+	Cut Action = "cut"
+	// CutOneWay holds back only what others send to a process.
+	CutOneWay Action = "cut one way"
+	// SplitCore cuts the first half of the core from the rest.
+	SplitCore Action = "split core"
+	// KillFronts kills all front nodes at once.
+	KillFronts Action = "kill all fronts"
+	// KillAll kills every daemon at once.
+	KillAll Action = "kill everything"
+)
+
+// Step is one fault of a schedule.
+type Step struct {
+	At     time.Duration `json:"at"`
+	Length time.Duration `json:"length"`
+	Action Action        `json:"action"`
+	// Kind is the kind of the members to choose from, Target the place among them.
+	Kind   string `json:"kind,omitempty"`
+	Target int    `json:"target"`
+}
+
+// End is when the fault is taken back.
+func (s Step) End() time.Duration { return s.At + s.Length }
+
+// Counts are the numbers of members by kind.
+type Counts struct{ Cores, Stores, Fronts, BackEnds int }
+
+// Kinds of members in a schedule.
+const (
+	KindCore    = "core"
+	KindStore   = "store"
+	KindFront   = "front"
+	KindBackEnd = "backend"
+)
+
+const (
+	firstFault = 3 * time.Second
+	// diskRecovery is kept free after the loss of a machine with a disk: the
+	// sites bear one such loss at a time.
+	diskRecovery = 20 * time.Second
+	// herdWindow is kept free of other faults round the death of many.
+	herdBefore = 6 * time.Second
+	herdAfter  = 25 * time.Second
+	herdLength = 2 * time.Second
+	// longFreeze is longer than any lease: its victim must wake up without authority.
+	longFreeze = 21 * time.Second
+)
+
+// lane is a sequence of faults of which one at a time is in force.
+type lane struct {
+	kind    string
+	count   int
+	meanGap time.Duration
+	rest    time.Duration
+	actions []Action
+}
+
+// Plan makes the schedule of a run; equal arguments give equal schedules.
+func Plan(counts Counts, duration time.Duration, seed uint64) []Step {
+	const stream = 2
+	random := rand.New(rand.NewPCG(seed, stream))
+	herds := planHerds(duration)
+	lanes := []lane{
+		{KindFront, counts.Fronts, 4 * time.Second, 2 * time.Second, []Action{Kill, Freeze, Restart, Cut, CutOneWay}},
+		{KindFront, counts.Fronts, 9 * time.Second, 2 * time.Second, []Action{Kill, Freeze, Restart, Cut}},
+		{KindBackEnd, counts.BackEnds, 5 * time.Second, time.Second, []Action{Kill, Freeze, Restart}},
+	}
+	steps := slices.Clone(herds)
+	for _, l := range lanes {
+		steps = append(steps, l.plan(random, duration, herds)...)
+	}
+	steps = append(steps, planDisks(random, counts, duration, herds)...)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return dropOverlaps(steps)
+}
+
+// planHerds puts the death of all fronts at two fifths of the run and that of
+// everything at four fifths, when the run is long enough for them.
+func planHerds(duration time.Duration) []Step {
+	const shortest = 2 * time.Minute
+	if duration < shortest {
+		return nil
+	}
+	return []Step{
+		{At: duration * 2 / 5, Length: herdLength, Action: KillFronts},
+		{At: duration * 4 / 5, Length: herdLength, Action: KillAll},
+	}
+}
+
+func (l lane) plan(random *rand.Rand, duration time.Duration, herds []Step) []Step {
+	var steps []Step
+	at := firstFault
+	for l.count > 0 {
+		at += gap(random, l.meanGap)
+		step := Step{At: at, Action: l.actions[random.IntN(len(l.actions))], Kind: l.kind, Target: random.IntN(l.count)}
+		step.Length = lengthOf(random, step.Action)
+		if step.End() > duration {
+			return steps
+		}
+		at = step.End() + l.rest
+		if free(step, herds, herdBefore) {
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// planDisks lets core members and stores fail in turn, one at a time, with time to repair after each.
+func planDisks(random *rand.Rand, counts Counts, duration time.Duration, herds []Step) []Step {
+	store := lane{KindStore, counts.Stores, 0, 0, []Action{Kill, Freeze, Restart, LoseDisk, Cut}}
+	core := lane{KindCore, counts.Cores, 0, 0, []Action{Kill, Freeze, Restart, LoseDisk, Cut, SplitCore}}
+	var steps []Step
+	replaced := false
+	at := firstFault
+	for turn := 0; ; turn++ {
+		of := []lane{store, core}[turn%2]
+		at += gap(random, 3*time.Second)
+		step := Step{At: at, Action: of.actions[random.IntN(len(of.actions))], Kind: of.kind, Target: random.IntN(max(of.count, 1))}
+		if of.kind == KindCore && !replaced && turn > 2 {
+			step.Action = Replace
+			replaced = true
+		}
+		step.Length = lengthOf(random, step.Action)
+		if step.End()+diskRecovery > duration {
+			return steps
+		}
+		at = step.End() + diskRecovery
+		if of.count > 0 && free(step, herds, diskRecovery) {
+			steps = append(steps, step)
+		}
+	}
+}
+
+func gap(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(min(random.ExpFloat64(), 4) * float64(mean))
+}
+
+// lengthOf chooses how long a fault stays. One freeze or cut in four outlives every lease.
+func lengthOf(random *rand.Rand, action Action) time.Duration {
+	short := 500*time.Millisecond + time.Duration(random.Int64N(int64(6*time.Second)))
+	switch action {
+	case Freeze, Cut, CutOneWay:
+		if random.IntN(4) == 0 {
+			return longFreeze
+		}
+		return short
+	case SplitCore:
+		return 8 * time.Second
+	case Replace:
+		return time.Second
+	default:
+		return short / 2
+	}
+}
+
+// free reports whether a step keeps its distance from the death of many.
+func free(step Step, herds []Step, before time.Duration) bool {
+	return !slices.ContainsFunc(herds, func(herd Step) bool {
+		return step.End() > herd.At-before && step.At < herd.End()+herdAfter
+	})
+}
+
+// dropOverlaps leaves out steps that strike a member on which another fault is in force.
+func dropOverlaps(steps []Step) []Step {
+	var kept []Step
+	for _, step := range steps {
+		if !slices.ContainsFunc(kept, func(other Step) bool {
+			return other.Kind == step.Kind && other.Target == step.Target && other.Action != KillFronts && other.Action != KillAll &&
+				step.At < other.End()+time.Second && other.At < step.End()
+		}) {
+			kept = append(kept, step)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/lab/command/chaos.go
@@ -0,0 +1,150 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rosestand/rosestand/internal/lab/audit"
+	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/chaos"
+	"github.com/rosestand/rosestand/internal/lab/fleet"
+	"github.com/rosestand/rosestand/internal/lab/report"
+	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/lab/standin"
+)
+
+type chaosOptions struct {
+	site     string
+	duration time.Duration
+	seed     uint64
+	rate     float64
+	faults   float64
+	relays   bool
+}
+
+func newChaos(e *environment) *cobra.Command {
+	var options chaosOptions
+	command := &cobra.Command{
+		Use:   "chaos",
+		Short: "Break the whole fleet of a site under load by a seeded schedule, then audit",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return e.chaos(command.Context(), options)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.site, "site", string(site.Caroni), "caroni, menon, or both for a small fleet")
+	flags.DurationVar(&options.duration, "duration", 10*time.Minute, "how long faults and new conversations come")
+	flags.Uint64Var(&options.seed, "seed", 1, "seed of the schedule, the callers and the stand-ins' faults")
+	flags.Float64Var(&options.rate, "rate", 8, "conversations a second outside of bursts")
+	flags.Float64Var(&options.faults, "faults", 0.002, "probability of each fault of the stand-ins on a request")
+	flags.BoolVar(&options.relays, "relays", true, "put relays before internal addresses, so that links can be cut")
+	return command
+}
+
+func faultPlan(probability float64, seed uint64) standin.FaultPlan {
+	plan := standin.FaultPlan{Seed: seed, Probabilities: map[standin.Fault]float64{}}
+	for _, fault := range standin.Faults() {
+		plan.Probabilities[fault] = probability
+	}
+	return plan
+}
+
+func (e *environment) chaos(ctx context.Context, options chaosOptions) (err error) {
+	if options.duration <= 0 || options.duration > maxDuration {
+		return &FlagError{Flag: "duration", Reason: "must be above 0 and at most " + maxDuration.String()}
+	}
+	sizes, err := site.SizesOf(site.Name(options.site))
+	if err != nil {
+		return err
+	}
+	faults := faultPlan(options.faults, options.seed)
+	if err := faults.Validate(); err != nil {
+		return err
+	}
+	f, err := e.newFleet("chaos-"+options.site, fleet.Options{
+		Sizes: sizes, LogLevel: "info", Faults: faults, Relays: options.relays,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
+	orders, err := e.start(ctx, f)
+	if err != nil {
+		return err
+	}
+	load := caller.DefaultLoad()
+	load.ConversationsPerSecond = options.rate
+	callers := e.callers(f, site.Name(options.site), load, options.duration, options.seed)
+	steps := chaos.Plan(countsOf(sizes), options.duration, options.seed)
+	if !options.relays {
+		steps = slices.DeleteFunc(steps, needsRelays)
+	}
+	broken, book, err := e.breakUnderLoad(ctx, f, callers, steps, options, &orders)
+	if err != nil {
+		return err
+	}
+	report.PrintSummary(e.output, book, report.Summarize(book), options.duration)
+	e.printFaults(broken)
+	return e.audit(f.Folder(), &audit.Evidence{
+		Book: book, Orders: orders, Disturbed: broken.Disturbed, Returns: broken.Returns,
+	})
+}
+
+func needsRelays(step chaos.Step) bool {
+	return step.Action == chaos.Cut || step.Action == chaos.CutOneWay || step.Action == chaos.SplitCore
+}
+
+func countsOf(sizes site.Sizes) chaos.Counts {
+	return chaos.Counts{
+		Cores: sizes.Voters + sizes.Standbys, Stores: sizes.Stores, Fronts: sizes.Fronts,
+		BackEnds: sizes.ModelServers + sizes.ToolServers,
+	}
+}
+
+// breakUnderLoad runs callers, operators and the schedule side by side.
+func (e *environment) breakUnderLoad(ctx context.Context, f *fleet.Fleet, callers caller.Options, steps []chaos.Step,
+	options chaosOptions, orders *[]audit.Order,
+) (broken chaos.Outcome, book *caller.Book, err error) {
+	operators := &chaos.Operators{
+		Cores: slices.Clone(f.CoreAddresses()), Token: f.OperatorToken(), KeyName: fleet.SignOffKey, Sign: f.SignOff, Logger: e.logger,
+	}
+	operating, stopOperators := context.WithTimeout(ctx, options.duration)
+	defer stopOperators()
+	const stream = 3
+	breaker := &chaos.Breaker{Fleet: f, Logger: e.logger, Random: rand.New(rand.NewPCG(options.seed, stream))}
+	var sides sync.WaitGroup
+	var broke error
+	sides.Go(func() { *orders = append(*orders, operators.Run(operating)...) })
+	sides.Go(func() { broken, broke = breaker.Run(ctx, steps) })
+	book, err = e.talk(ctx, callers)
+	sides.Wait()
+	if err = errors.CombineErrors(err, broke); err != nil {
+		return broken, nil, err
+	}
+	return broken, book, e.verify(ctx, f, callers, book)
+}
+
+func (e *environment) printFaults(broken chaos.Outcome) {
+	faults := report.NewTable(e.output, "Faults injected", "action", "times")
+	var actions []chaos.Action
+	for action := range broken.Counts {
+		actions = append(actions, action)
+	}
+	slices.Sort(actions)
+	for _, action := range actions {
+		faults.AppendRow([]any{action, broken.Counts[action]})
+	}
+	faults.Render()
+	for _, back := range broken.Returns {
+		_, _ = fmt.Fprintf(e.output, "After %s every front node served again within %s (served: %v).\n",
+			back.After, back.Took.Round(time.Millisecond), back.Served)
+	}
+}
--- /dev/null
+++ b/internal/lab/command/killone.go
@@ -0,0 +1,219 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rosestand/rosestand/internal/lab/audit"
+	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/fleet"
+	"github.com/rosestand/rosestand/internal/lab/killone"
+	"github.com/rosestand/rosestand/internal/lab/report"
+	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+)
+
+const (
+	killWarmUp   = 12 * time.Second
+	killDown     = 8 * time.Second
+	killWindow   = 15 * time.Second
+	maxKills     = 50
+	killThinking = 1500
+)
+
+type killOptions struct {
+	site  string
+	kills int
+	seed  uint64
+	rate  float64
+}
+
+func newKillOne(e *environment) *cobra.Command {
+	var options killOptions
+	command := &cobra.Command{
+		Use:   "kill-one",
+		Short: "Kill single front nodes under load; compare salvaging sessions with ending them",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return e.killOne(command.Context(), options)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.site, "site", string(site.Caroni), "caroni or menon")
+	flags.IntVar(&options.kills, "kills", 3, "front nodes killed in each arm, one after another")
+	flags.Uint64Var(&options.seed, "seed", 1, "seed of the callers")
+	flags.Float64Var(&options.rate, "rate", 12, "conversations a second")
+	return command
+}
+
+// killArm is one policy and what the losses cost under it.
+type killArm struct {
+	Mode         string         `json:"mode"`
+	Cost         killone.Cost   `json:"cost"`
+	Rebuilt      int            `json:"rebuilt"`
+	Reregistered []string       `json:"reregistered"`
+	Salvaged     int            `json:"salvaged"`
+	times        *report.Times  `json:"-"`
+	kills        []killone.Kill `json:"-"`
+}
+
+func (e *environment) killOne(ctx context.Context, options killOptions) error {
+	if options.kills < 1 || options.kills > maxKills {
+		return &FlagError{Flag: "kills", Reason: fmt.Sprintf("must be between 1 and %d", maxKills)}
+	}
+	sizes, err := site.SizesOf(site.Name(options.site))
+	if err != nil {
+		return err
+	}
+	var arms []*killArm
+	var violated error
+	for _, mode := range []protocol.SalvageMode{protocol.SalvageMode_SALVAGE, protocol.SalvageMode_END_SESSIONS} {
+		arm, err := e.killArm(ctx, options, sizes, mode)
+		var violation *ViolationError
+		if errors.As(err, &violation) {
+			violated = errors.CombineErrors(violated, err)
+		} else if err != nil {
+			return err
+		}
+		arms = append(arms, arm)
+	}
+	e.printKills(options, arms)
+	return violated
+}
+
+func (e *environment) killArm(ctx context.Context, options killOptions, sizes site.Sizes, mode protocol.SalvageMode) (arm *killArm, err error) {
+	f, err := e.newFleet("kill-one-"+mode.String(), fleet.Options{Sizes: sizes, LogLevel: "info"})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
+	first := f.Bundle(1)
+	first.Recovery.SalvageMode = mode
+	orders, err := e.startWith(ctx, f, first)
+	if err != nil {
+		return nil, err
+	}
+	load := caller.DefaultLoad()
+	load.ConversationsPerSecond, load.BurstFactor = options.rate, 1
+	callers := e.callers(f, site.Name(options.site), load, killWarmUp+time.Duration(options.kills)*killWindow, options.seed)
+	callers.Shape.LongShare, callers.Shape.ThinkMillis, callers.Shape.SmallBudgetShare = 1, killThinking, 0
+	arm = &killArm{Mode: mode.String(), times: report.NewTimes()}
+	var killing sync.WaitGroup
+	var broke error
+	var disturbed []audit.Interval
+	killing.Go(func() { disturbed, broke = arm.kill(ctx, f, options.kills) })
+	book, err := e.talk(ctx, callers)
+	killing.Wait()
+	if err = errors.CombineErrors(err, broke); err != nil {
+		return nil, err
+	}
+	if err := e.verify(ctx, f, callers, book); err != nil {
+		return nil, err
+	}
+	arm.count(book)
+	if err := arm.save(f.Folder()); err != nil {
+		return nil, err
+	}
+	return arm, e.audit(f.Folder(), &audit.Evidence{Book: book, Orders: orders, Disturbed: disturbed})
+}
+
+// kill loses one front node after another and starts each again.
+func (a *killArm) kill(ctx context.Context, f *fleet.Fleet, kills int) ([]audit.Interval, error) {
+	var disturbed []audit.Interval
+	if !pause(ctx, killWarmUp) {
+		return nil, ctx.Err()
+	}
+	fronts := f.Members(fleet.KindFront)
+	for i := range kills {
+		victim := fronts[i%len(fronts)]
+		begun := time.Now()
+		if err := f.Process(victim).Kill(); err != nil {
+			return disturbed, err
+		}
+		loss := killone.Kill{Victim: victim.Name, Members: ringOf(fronts), At: begun, Until: begun.Add(killWindow)}
+		watching, stop := context.WithTimeout(ctx, killDown)
+		loss.Reregistered, loss.Salvaged = killone.Watch(watching, othersThan(fronts, victim), begun)
+		stop()
+		if err := f.StartMember(victim); err != nil {
+			return disturbed, err
+		}
+		a.kills = append(a.kills, loss)
+		if !pause(ctx, killWindow-killDown) {
+			return disturbed, ctx.Err()
+		}
+		disturbed = append(disturbed, audit.Interval{From: begun, To: time.Now(), Processes: []string{victim.Name, victim.HTTP}})
+	}
+	return disturbed, nil
+}
+
+func (a *killArm) count(book *caller.Book) {
+	for _, loss := range a.kills {
+		a.Cost.Add(killone.Measure(loss, ring.DefaultVirtualPlaces, book.Records))
+		a.Salvaged += loss.Salvaged
+		if loss.Reregistered >= 0 {
+			a.times.Add(loss.Reregistered)
+			a.Reregistered = append(a.Reregistered, loss.Reregistered.String())
+		}
+	}
+	a.Rebuilt = a.Cost.Rebuilt()
+}
+
+func (a *killArm) save(folder string) error {
+	content, err := json.MarshalIndent(a, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode result")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(folder, "kill-one.json"), content, 0o644), "write result")
+}
+
+func ringOf(fronts []*fleet.Member) []ring.Member {
+	var members []ring.Member
+	for _, front := range fronts {
+		members = append(members, ring.Member{Name: front.Name, Address: front.PeerAddress()})
+	}
+	return members
+}
+
+func othersThan(fronts []*fleet.Member, victim *fleet.Member) []string {
+	var addresses []string
+	for _, front := range fronts {
+		if front != victim {
+			addresses = append(addresses, front.HTTP)
+		}
+	}
+	return addresses
+}
+
+func pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (e *environment) printKills(options killOptions, arms []*killArm) {
+	title := fmt.Sprintf("Loss of one front node, %s, %d losses an arm, seed %d", options.site, options.kills, options.seed)
+	rows := report.NewTable(e.output, title, "mode", "owned by it", "held there, owned elsewhere", "of them kept",
+		"rebuilt though the owner lived", "salvaged", "last re-registered after, median", "p99", "seen", "refused meanwhile")
+	for _, arm := range arms {
+		rows.AppendRow([]any{
+			arm.Mode, arm.Cost.Owned, arm.Cost.Held, arm.Cost.HeldKept, arm.Rebuilt, arm.Salvaged,
+			report.Millis(arm.times.At(50)) + " ms", report.Millis(arm.times.At(99)) + " ms",
+			fmt.Sprintf("%d of %d", arm.times.Count(), options.kills), arm.Cost.Refused,
+		})
+	}
+	rows.Render()
+}
--- /dev/null
+++ b/internal/lab/fleet/relays.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"net"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/lab/relay"
+)
+
+// addRelays puts relays before the daemons among the members, when the options ask for them.
+func (f *Fleet) addRelays(members ...*Member) error {
+	if !f.options.Relays {
+		return nil
+	}
+	if f.network == nil {
+		f.network = relay.NewNetwork(f.nameOf)
+	}
+	for _, member := range members {
+		if member.Kind == KindBackEnd {
+			continue
+		}
+		listener, err := net.Listen("tcp", loopback+":0")
+		if err != nil {
+			return errors.Wrap(err, "listen for a relay")
+		}
+		member.Relay = listener.Addr().String()
+		f.network.Relay(listener, member.Name, member.Internal)
+	}
+	return nil
+}
+
+// nameOf finds the member behind a connection; the rig itself has no name.
+func (f *Fleet) nameOf(source net.Addr) string {
+	names := f.names.Load()
+	if names == nil {
+		return ""
+	}
+	var ids []int
+	for id := range *names {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return (*names)[relay.ProcessOf(source, ids)]
+}
+
+// publishNames tells the relays the processes as they are now.
+func (f *Fleet) publishNames() {
+	names := make(map[int]string, len(f.processes))
+	for name, p := range f.processes {
+		if p.Running() {
+			names[p.ID()] = name
+		}
+	}
+	f.names.Store(&names)
+}
+
+// Cut cuts the internal links from and to a member, or heals them. Of a one-way
+// cut only what others send to it is held back.
+func (f *Fleet) Cut(member *Member, cut, oneWay bool) {
+	links := []relay.Link{{To: member.Name}}
+	if !oneWay {
+		links = append(links, relay.Link{From: member.Name})
+	}
+	f.network.Set(cut, links...)
+}
+
+// Split cuts the links between two sides, or heals them.
+func (f *Fleet) Split(cut bool, left, right []*Member) {
+	var links []relay.Link
+	for _, a := range left {
+		for _, b := range right {
+			links = append(links, relay.Link{From: a.Name, To: b.Name}, relay.Link{From: b.Name, To: a.Name})
+		}
+	}
+	f.network.Set(cut, links...)
+}
--- /dev/null
+++ b/internal/lab/hollow/herd.go
@@ -0,0 +1,200 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosestand/rosestand/internal/lab/process"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Options describe a herd of hollow nodes and back ends.
+type Options struct {
+	Nodes   int
+	Servers int
+	Zones   int
+	Region  string
+	// Versions is the largest bundle version whose arrival is noted.
+	Versions   int
+	ClusterKey []byte
+	Seeds      []string
+	Seed       uint64
+}
+
+const (
+	heartbeatInterval = time.Second
+	readyInterval     = 20 * time.Millisecond
+	startAtOnce       = 32
+	ownersAtOnce      = 4
+)
+
+// Herd is many hollow front nodes and back ends in this process.
+type Herd struct {
+	options Options
+	nodes   []*node
+	cancel  context.CancelFunc
+	beating sync.WaitGroup
+	sent    atomic.Uint64
+}
+
+// Start starts the nodes and the back ends and waits until every node is ready.
+func Start(ctx context.Context, options Options) (*Herd, error) {
+	h := &Herd{options: options}
+	network := newMemoryNetwork()
+	for i := range options.Nodes {
+		h.nodes = append(h.nodes, newNode(options, network, fmt.Sprintf("hollow-%03d", i+1), fmt.Sprintf("zone-%d", i%options.Zones+1)))
+	}
+	var starting errgroup.Group
+	starting.SetLimit(startAtOnce)
+	for _, n := range h.nodes {
+		starting.Go(func() error { return n.start(ctx) })
+	}
+	if err := starting.Wait(); err != nil {
+		return h, err
+	}
+	beating, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	h.cancel = cancel
+	for i := range options.Servers {
+		h.beating.Go(func() { h.beat(beating, i) })
+	}
+	return h, h.awaitReady(ctx)
+}
+
+// NotReadyError counts the nodes that did not become ready.
+type NotReadyError struct{ Ready, Nodes int }
+
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("%d of %d hollow nodes are ready", e.Ready, e.Nodes)
+}
+
+func (h *Herd) awaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for {
+		ready := 0
+		for _, n := range h.nodes {
+			if n.link.Ready() {
+				ready++
+			}
+		}
+		if ready == len(h.nodes) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &NotReadyError{Ready: ready, Nodes: len(h.nodes)}
+		case <-ticker.C:
+		}
+	}
+}
+
+// beat sends the heartbeats of one back end, each to a front node chosen anew.
+func (h *Herd) beat(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(h.options.Seed, uint64(number)))
+	described := &protocol.BackEnd{
+		Id: fmt.Sprintf("hollow-server-%03d", number+1), Kind: protocol.BackEndKind_MODEL_SERVER, State: protocol.BackEndState_READY,
+		Address: fmt.Sprintf("127.0.0.1:%d", number+1), Zone: fmt.Sprintf("zone-%d", number%h.options.Zones+1),
+		Region: h.options.Region, Group: "models", Models: []string{"climate-advisor", "booking-assistant"},
+		Incarnation: uint64(time.Now().UnixMilli()), Capacity: 16,
+	}
+	timer := time.NewTimer(time.Duration(random.Int64N(int64(heartbeatInterval))))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		select {
+		case h.nodes[random.IntN(len(h.nodes))].beats <- described:
+			h.sent.Add(1)
+		default:
+		}
+		timer.Reset(heartbeatInterval)
+	}
+}
+
+// Own gives each node its share of sessions, one program each, and returns how many there are.
+func (h *Herd) Own(ctx context.Context, sessions int) (owned int, err error) {
+	var owning errgroup.Group
+	var count atomic.Int64
+	for i, n := range h.nodes {
+		for part := range ownersAtOnce {
+			owning.Go(func() error {
+				for number := i*ownersAtOnce + part; number < sessions; number += len(h.nodes) * ownersAtOnce {
+					id := fmt.Sprintf("hollow-session-%06d", number)
+					if err := n.own(ctx, id, "program-"+id); err != nil {
+						return errors.Wrapf(err, "%s", n.name)
+					}
+					count.Add(1)
+				}
+				return nil
+			})
+		}
+	}
+	err = owning.Wait()
+	return int(count.Load()), err
+}
+
+// Arrivals are the times from a moment until each node had a bundle in force,
+// sorted; nodes that do not have it are left out.
+func (h *Herd) Arrivals(version int, since time.Time) []time.Duration {
+	var arrivals []time.Duration
+	for _, n := range h.nodes {
+		if at := n.inForce[version].Load(); at > 0 {
+			arrivals = append(arrivals, time.UnixMicro(at).Sub(since))
+		}
+	}
+	slices.Sort(arrivals)
+	return arrivals
+}
+
+// Footprint is what the herd has used up to a moment.
+type Footprint struct {
+	At            time.Time
+	CoreBytes     uint64
+	PeerBytes     uint64
+	Heartbeats    uint64
+	Processor     time.Duration
+	ResidentBytes uint64
+	Goroutines    int
+}
+
+// Footprint reads what the herd has used until now.
+func (h *Herd) Footprint() (Footprint, error) {
+	usage, err := process.UsageOf(os.Getpid())
+	f := Footprint{
+		At: time.Now(), Processor: usage.Processor, ResidentBytes: usage.ResidentBytes,
+		Heartbeats: h.sent.Load(), Goroutines: runtime.NumGoroutine(),
+	}
+	for _, n := range h.nodes {
+		f.CoreBytes += n.coreBytes()
+		f.PeerBytes += n.peerBytes()
+	}
+	return f, err
+}
+
+// Stop ends the back ends and the nodes.
+func (h *Herd) Stop(ctx context.Context) error {
+	if h.cancel != nil {
+		h.cancel()
+		h.beating.Wait()
+	}
+	var stopping errgroup.Group
+	for _, n := range h.nodes {
+		if n.cancel != nil {
+			stopping.Go(func() error { return n.stop(ctx) })
+		}
+	}
+	return stopping.Wait()
+}
--- /dev/null
+++ b/internal/lab/process/process_test.go
@@ -0,0 +1,83 @@
+package process_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/lab/process"
+)
+
+// TestMain lets the test binary stand in for a program of the rig.
+func TestMain(m *testing.M) {
+	switch os.Getenv("PROCESS_TEST_ROLE") {
+	case "wait":
+		var block chan struct{}
+		<-block
+	case "fail":
+		os.Exit(7)
+	}
+	os.Exit(m.Run())
+}
+
+func start(t *testing.T, role string) *process.Process {
+	t.Helper()
+	spawner := process.NewSpawner()
+	started, err := spawner.Start(process.Spec{
+		Name: role, Binary: os.Args[0], LogFile: filepath.Join(t.TempDir(), "log"), Environment: []string{"PROCESS_TEST_ROLE=" + role},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := started.Kill(); err != nil {
+			t.Error(err)
+		}
+		spawner.Close()
+	})
+	return started
+}
+
+func TestKilledProcessIsGone(t *testing.T) {
+	p := start(t, "wait")
+	if !p.Running() {
+		t.Fatal("not running")
+	}
+	if usage, err := p.Usage(); err != nil || usage.ResidentBytes == 0 {
+		t.Fatalf("usage %+v, %v", usage, err)
+	}
+	if err := p.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if p.Running() {
+		t.Fatal("still running")
+	}
+}
+
+func TestFrozenProcessIsKilledWhenItDoesNotStop(t *testing.T) {
+	p := start(t, "wait")
+	if err := p.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	if !p.Running() {
+		t.Fatal("a frozen process counts as gone")
+	}
+	gentle, err := p.Stop(10 * time.Millisecond)
+	if err != nil || gentle || p.Running() {
+		t.Fatalf("gentle %v, running %v, %v", gentle, p.Running(), err)
+	}
+}
+
+func TestEndUnaskedIsAnError(t *testing.T) {
+	p := start(t, "fail")
+	<-p.Exited()
+	var exited *process.ExitedError
+	if !errors.As(p.Gone(), &exited) || exited.Result == nil {
+		t.Fatalf("gone: %v", p.Gone())
+	}
+	if gentle, err := p.Stop(time.Second); gentle || err != nil {
+		t.Fatalf("gentle %v, %v", gentle, err)
+	}
+}
--- /dev/null
+++ b/internal/lab/relay/relay_test.go
@@ -0,0 +1,110 @@
+package relay_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/rosestand/rosestand/internal/lab/relay"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// echo answers each line with itself on one connection and tells what it got.
+func echo(listener net.Listener, got chan<- string) {
+	connection, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	lines := bufio.NewScanner(connection)
+	for lines.Scan() {
+		got <- lines.Text()
+		if _, err := io.WriteString(connection, lines.Text()+"\n"); err != nil {
+			return
+		}
+	}
+}
+
+func TestCutLinksHoldBytesBackUntilTheyHeal(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server, front := listen(t), listen(t)
+	defer server.Close()
+	got := make(chan string, 10)
+	go echo(server, got)
+	network := relay.NewNetwork(func(net.Addr) string { return "a" })
+	network.Relay(front, "b", server.Addr().String())
+	connection, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers := bufio.NewReader(connection)
+	exchange := func(line string) {
+		t.Helper()
+		if answer, err := answers.ReadString('\n'); err != nil || answer != line+"\n" {
+			t.Fatalf("answer %q, %v", answer, err)
+		}
+	}
+	send := func(line string) {
+		if _, err := io.WriteString(connection, line+"\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send("one")
+	<-got
+	exchange("one")
+
+	// The way back is cut: the request arrives, the answer does not.
+	network.Set(true, relay.Link{From: "b", To: "a"})
+	send("two")
+	if line := <-got; line != "two" {
+		t.Fatal(line)
+	}
+	if answers.Buffered() != 0 {
+		t.Fatal("an answer crossed the cut link")
+	}
+	network.Set(false, relay.Link{From: "b", To: "a"})
+	exchange("two")
+
+	// All ways to b are cut: nothing arrives.
+	network.Set(true, relay.Link{To: "b"})
+	send("three")
+	if len(got) != 0 {
+		t.Fatal("a request crossed the cut link")
+	}
+	network.Set(false, relay.Link{To: "b"})
+	<-got
+	exchange("three")
+	network.Close()
+	if _, err := answers.ReadString('\n'); err == nil {
+		t.Fatal("the connection outlived its relay")
+	}
+	connection.Close()
+}
+
+func TestProcessBehindAConnectionIsFound(t *testing.T) {
+	listener := listen(t)
+	defer listener.Close()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	if id := relay.ProcessOf(connection.LocalAddr(), []int{1, os.Getpid()}); id != os.Getpid() {
+		t.Fatalf("found %d, want %d", id, os.Getpid())
+	}
+	if id := relay.ProcessOf(connection.LocalAddr(), nil); id != 0 {
+		t.Fatalf("found %d among none", id)
+	}
+}
