Bound the nesting of bundles; hold the control state to its rules under random orders

Cause: a deeply nested JSON document ran the parser out of memory (found by fuzzing). Nesting is now bounded at 32 levels; the test in deep_test.go failed before. The property test compares twin states through restarts and resends.

--- /dev/null
+++ b/internal/bundle/deep_test.go
@@ -0,0 +1,57 @@
+package bundle_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+)
+
+func TestParseRefusesDeepNesting(t *testing.T) {
+	for _, document := range []string{
+		strings.Repeat("[", 1<<20),
+		`{"routes":` + strings.Repeat(`{"a":`, 1<<20),
+		`{"routes":` + strings.Repeat("[", 1000) + strings.Repeat("]", 1000) + "}",
+	} {
+		_, err := bundle.Parse([]byte(document))
+		var refused *bundle.ParseError
+		if !errors.As(err, &refused) {
+			t.Fatalf("got %v", err)
+		}
+		if last := refused.Faults[len(refused.Faults)-1]; !strings.Contains(last.GetMessage(), "nested too deeply") {
+			t.Fatalf("got %v", refused.Faults)
+		}
+	}
+}
+
+// FuzzParse checks that any document is refused or survives a round trip with its digest.
+func FuzzParse(f *testing.F) {
+	seed, err := bundle.Format(bundle.Default(1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte(`{"version":1,"routes":[{"name":"a"}],"groups":[{"zone_weights":{"z":1}}]}`))
+	f.Add([]byte(`{"base_version":"2","partial":true,"removedRoutes":["x"],"limits":null}`))
+	f.Fuzz(func(t *testing.T, document []byte) {
+		parsed, err := bundle.Parse(document)
+		if err != nil {
+			return
+		}
+		bundle.Check(nil, parsed)
+		encoded, err := bundle.Format(parsed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := bundle.Parse(encoded)
+		if err != nil {
+			t.Fatalf("%v\n%s", err, encoded)
+		}
+		if bundle.Digest(parsed) != bundle.Digest(again) || proto.Size(parsed) != proto.Size(again) {
+			t.Fatalf("round trip changed %v to %v", parsed, again)
+		}
+	})
+}
--- a/internal/bundle/scan.go
+++ b/internal/bundle/scan.go
@@ -11,8 +11,17 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-// maxFaults bounds the list of faults that one answer carries.
-const maxFaults = 100
+const (
+	// maxFaults bounds the list of faults that one answer carries.
+	maxFaults = 100
+	// maxDepth bounds the nesting of a document; messages here need far less.
+	maxDepth = 32
+)
+
+// nestingError says that a document is nested deeper than any message.
+type nestingError struct{}
+
+func (*nestingError) Error() string { return "nested too deeply" }
 
 // documentScan walks a JSON document beside the descriptor of its message, to
 // find every unknown or repeated field and to know the path at each offset.
@@ -20,6 +29,7 @@
 	decoder *json.Decoder
 	faults  []*protocol.Fault
 	unknown bool
+	depth   int
 	// starts and paths are parallel: a path holds from its start to the next.
 	starts []int64
 	paths  []string
@@ -65,6 +75,11 @@
 // value reads one JSON value. The descriptor is that of the message expected
 // there, if any; the field is the one it belongs to, if any.
 func (s *documentScan) value(path string, descriptor protoreflect.MessageDescriptor, field protoreflect.FieldDescriptor) error {
+	s.depth++
+	defer func() { s.depth-- }()
+	if s.depth > maxDepth {
+		return &nestingError{}
+	}
 	s.starts = append(s.starts, s.decoder.InputOffset())
 	s.paths = append(s.paths, path)
 	token, err := s.decoder.Token()
--- /dev/null
+++ b/internal/controlstate/property_test.go
@@ -0,0 +1,164 @@
+package controlstate_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// drawCommand makes any command out of a small space of names and numbers, valid or not.
+func drawCommand(t *rapid.T, w *world) *protocol.Command {
+	number := rapid.IntRange(0, 4)
+	version := func() uint64 { return uint64(rapid.IntRange(0, int(w.state.View().Newest)+2).Draw(t, "version")) }
+	switch rapid.IntRange(0, 13).Draw(t, "kind") {
+	case 0, 1:
+		return put(queued(w.state.View().Newest+1, uint32(number.Draw(t, "limit"))))
+	case 2:
+		return put(whole(version(), uint32(number.Draw(t, "queued"))))
+	case 3, 4:
+		signed := version()
+		if w.state.View().Bundle(signed) == nil {
+			return put(whole(w.state.View().Newest+1, 1))
+		}
+		var rolled *protocol.Rollout
+		if rapid.Bool().Draw(t, "rolled") {
+			rolled = &protocol.Rollout{ShareBasisPoints: 10}
+		}
+		return w.sign(signed, rolled)
+	case 5:
+		return rollout(protocol.RolloutAction(rapid.IntRange(0, 3).Draw(t, "action")), version(), 5)
+	case 6:
+		storage := fmt.Sprintf("disk-%d", rapid.IntRange(0, 2).Draw(t, "disk"))
+		return join(store(number.Draw(t, "store"), w.index, storage))
+	case 7:
+		name := fmt.Sprintf("store-%d", number.Draw(t, "store"))
+		return &protocol.Command{Body: &protocol.Command_RemoveNode{RemoveNode: &protocol.RemoveNodeCommand{
+			Name: name, Incarnation: w.state.View().Node(name).GetIncarnation(),
+		}}}
+	case 8:
+		return &protocol.Command{Body: &protocol.Command_InitializePlacement{
+			InitializePlacement: &protocol.InitializePlacementCommand{ShardCount: 4, ReplicaCount: 3},
+		}}
+	case 9, 10:
+		if steps := w.plan(fmt.Sprintf("store-%d", number.Draw(t, "lost"))); len(steps) > 0 {
+			return &protocol.Command{Body: &protocol.Command_MoveShard{MoveShard: steps[0]}}
+		}
+		return emptyStore(fmt.Sprintf("store-%d", number.Draw(t, "store")))
+	case 11:
+		name := fmt.Sprintf("store-%d", number.Draw(t, "store"))
+		epoch := uint64(rapid.IntRange(0, int(w.index)).Draw(t, "epoch"))
+		return copied(name, w.state.View().Node(name).GetStorageId(), uint32(rapid.IntRange(0, 4).Draw(t, "shard")), epoch)
+	case 12:
+		return retireStore(fmt.Sprintf("store-%d", number.Draw(t, "store")))
+	default:
+		return upsert(&protocol.BackEnd{
+			Id: fmt.Sprintf("b%d", number.Draw(t, "id")), Address: fmt.Sprint(number.Draw(t, "address")),
+			Incarnation: uint64(number.Draw(t, "incarnation")), State: protocol.BackEndState(rapid.IntRange(1, 2).Draw(t, "state")),
+		})
+	}
+}
+
+// whole is a whole bundle that differs by one limit.
+func whole(version uint64, limit uint32) *protocol.Bundle {
+	made := bundle.Default(version)
+	made.Limits.MaxQueued = limit
+	return made
+}
+
+// TestAnyCommandsKeepTheRules applies any commands and checks what must hold after each.
+func TestAnyCommandsKeepTheRules(t *testing.T) {
+	RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		twin, err := controlstate.Restore(w.state.Snapshot())
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := map[string]*protocol.CommandResult{}
+		sent := map[string]*protocol.Command{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			before := w.state.View()
+			command := drawCommand(t, w)
+			order := fmt.Sprintf("order-%d", step)
+			result := w.apply(order, command)
+			first[order], sent[order] = proto.CloneOf(result), command
+			command = proto.CloneOf(command)
+			command.OrderId = order
+			if twice := twin.Apply(w.index, command); !proto.Equal(twice, result) {
+				t.Fatalf("two states answer %v and %v", result, twice)
+			}
+			checkRules(t, before, w.state.View())
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				w.restart()
+			}
+		}
+		if !proto.Equal(w.state.Snapshot(), twin.Snapshot()) {
+			t.Fatal("the same commands made two states, one with restarts and one without")
+		}
+		for order, command := range sent {
+			if again := w.apply(order, command); !proto.Equal(again, first[order]) {
+				t.Fatalf("%s: first %v, then %v", order, first[order], again)
+			}
+		}
+	})
+}
+
+func checkRules(t *rapid.T, before, after *controlstate.View) {
+	if after.Newest < before.Newest || after.Configuration.GetActive().GetVersion() < before.Configuration.GetActive().GetVersion() {
+		t.Fatal("a bundle version stepped back")
+	}
+	old, now := before.Versions(), after.Versions()
+	if now.GetConfiguration() < old.GetConfiguration() || now.GetMembership() < old.GetMembership() ||
+		now.GetBackEnds() < old.GetBackEnds() || now.GetPlacement() < old.GetPlacement() {
+		t.Fatalf("a section stepped back from %v to %v", old, now)
+	}
+	for at, shard := range after.Placement.GetShards() {
+		checkReplicas(t, shard.GetCurrent(), 3)
+		checkReplicas(t, shard.GetNext(), len(shard.GetNext()))
+		if shard.GetEpoch() > after.Placement.GetEpoch() {
+			t.Fatal("a shard is newer than its table")
+		}
+		if len(before.Placement.GetShards()) > 0 {
+			checkStep(t, before.Placement.GetShards()[at], shard)
+		}
+	}
+	for _, name := range after.Placement.GetEmptied() {
+		for _, report := range after.ReportStores() {
+			if report.Name == name && report.Shards+report.Arriving > 0 {
+				t.Fatalf("%s is emptied and holds shards", name)
+			}
+		}
+	}
+}
+
+func checkReplicas(t *rapid.T, replicas []*protocol.Replica, count int) {
+	seen := map[string]bool{}
+	for _, replica := range replicas {
+		seen[replica.GetStore()] = true
+	}
+	if len(replicas) != count || len(seen) != count {
+		t.Fatalf("replicas %v", replicas)
+	}
+}
+
+// checkStep sees to it that one change replaces at most one replica of those that serve.
+func checkStep(t *rapid.T, before, after *protocol.ShardPlacement) {
+	kept := 0
+	for _, was := range before.GetCurrent() {
+		for _, is := range after.GetCurrent() {
+			if was.GetStore() == is.GetStore() {
+				kept++
+			}
+		}
+	}
+	if kept < 2 {
+		t.Fatalf("a step led from %v to %v", before, after)
+	}
+}
