--- a/internal/corelink/fakecore_test.go
+++ b/internal/corelink/fakecore_test.go
@@ -58,9 +58,17 @@
 		return nil, &wire.NotSentError{Address: address, Cause: context.DeadlineExceeded}
 	}
 	if delay > 0 {
+		arrives := time.After(delay)
 		select {
-		case <-time.After(delay):
+		case <-arrives:
 		case <-ctx.Done():
+			if request.GetPollControl() == nil {
+				// What was sent arrives, whatever became of its sender.
+				go func() {
+					<-arrives
+					_, _ = c.serve(context.Background(), address, request)
+				}()
+			}
 			return nil, ctx.Err()
 		}
 	}
--- a/internal/corelink/link.go
+++ b/internal/corelink/link.go
@@ -180,7 +180,7 @@
 	}
 	released := make(chan *protocol.Request, 1)
 	select {
-	case l.commands <- func(o *owner) { released <- o.release() }:
+	case l.commands <- func(o *owner) { o.release(released) }:
 	case <-l.done:
 	case <-ctx.Done():
 	}
--- a/internal/corelink/link_test.go
+++ b/internal/corelink/link_test.go
@@ -260,6 +260,22 @@
 	})
 }
 
+// A renewal that is under way must not reach the core after the release.
+func TestGivenARenewalUnderWayWhenStoppedThenTheReleaseComesAfterIt(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		core.set(func() { core.delay = 900 * time.Millisecond })
+		pass(1200 * time.Millisecond)
+		before := core.renewalCount()
+		core.set(func() { core.delay = 0 })
+		go func() { _ = link.Stop(context.Background()) }()
+		pass(50 * time.Millisecond)
+		g.Expect(link.HasAuthority()).To(BeFalse())
+		pass(5 * time.Second)
+		g.Expect(core.renewalCount()).To(Equal(before+2), "the renewal and the release")
+		g.Expect(core.lastRenewal().GetRelease()).To(BeTrue())
+	})
+}
+
 func TestGivenABrokenConnectionThenOnlyWhatIsIdempotentIsSentAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, core := NewWithT(t), newFakeCore()
--- a/internal/corelink/owner.go
+++ b/internal/corelink/owner.go
@@ -23,6 +23,8 @@
 	renewing   bool
 	renewAgain bool
 	released   bool
+	// releaseTo waits for the request that releases the lease.
+	releaseTo  chan<- *protocol.Request
 	renewWait  time.Duration
 	renewTimer *time.Timer
 
@@ -131,6 +133,7 @@
 
 func (o *owner) contactMade(answered bool) {
 	o.renewing = false
+	o.deliverRelease()
 	if answered {
 		o.contacted = true
 		o.renewTimer.Reset(0)
@@ -154,6 +157,7 @@
 
 func (o *owner) renewed(renewal lease.Renewal, answer *protocol.RenewLeaseResponse, err error) {
 	o.renewing = false
+	o.deliverRelease()
 	now := time.Now()
 	o.contacted = err == nil || o.holder.Held(now)
 	switch {
@@ -212,12 +216,21 @@
 	o.renewTimer.Reset(jitter(o.renewWait))
 }
 
-// release ends authority and returns the request that tells the core so.
-func (o *owner) release() *protocol.Request {
+// release ends authority and hands out the request that tells the core so, once
+// no renewal is under way that could overtake it and begin the lease anew.
+func (o *owner) release(to chan<- *protocol.Request) {
 	o.released = true
 	o.holder.Released()
 	o.publishAuthority()
-	return renewRequest(o.self, o.link.inForce.Load(), true)
+	o.releaseTo = to
+	o.deliverRelease()
+}
+
+func (o *owner) deliverRelease() {
+	if o.releaseTo != nil && !o.renewing {
+		o.releaseTo <- renewRequest(o.self, o.link.inForce.Load(), true)
+		o.releaseTo = nil
+	}
 }
 
 func (o *owner) setDraining(draining bool) {
--- a/internal/directory/answer.go
+++ b/internal/directory/answer.go
@@ -159,6 +159,10 @@
 	switch {
 	case peerVersion < done.peer.due:
 		d.noteView(done.peer, true)
+		if len(done.items) == 0 {
+			// No session waits for it; a holder that is behind is not to be asked by all nodes in quick turns.
+			done.peer.notBefore = d.at.Now.Add(d.jitter(longestViewBackoff))
+		}
 	case peerVersion > d.view.Version:
 		done.peer.due = peerVersion
 	default:
--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -97,6 +97,7 @@
 
 func (v *turnView) completed(done *protocol.TurnCompleted) responseObject {
 	answer := v.object(statusCompleted)
+	answer.ID = done.GetTurnId()
 	answer.Output = message(done.GetText())
 	answer.Usage = usageOf(done.GetInputTokens(), done.GetCachedTokens(), done.GetOutputTokens())
 	answer.Rosestand.Nonce = done.GetNonce()
--- a/internal/front/httpread.go
+++ b/internal/front/httpread.go
@@ -146,6 +146,9 @@
 	}
 	stream := newEventStream(c.Writer, request)
 	stream.last = query.after
+	stream.view.created = &protocol.TurnCreated{
+		TurnId: query.id, RequestId: found.requestID, BackEnd: found.kept.GetBackEnd(), Epoch: found.kept.GetEpoch(),
+	}
 	stream.begin()
 	if err := stream.controller.Flush(); err != nil {
 		return
--- a/internal/front/turns_test.go
+++ b/internal/front/turns_test.go
@@ -133,7 +133,10 @@
 			Expect(read.text).To(ContainSubstring(`"text":"good day"`))
 			response := f1.open(context.Background(), http.MethodGet, "/v1/responses/"+first.at("id")+"?program=p1&stream=true&starting_after=2", "", nil)
 			defer func() { _ = response.Body.Close() }()
-			Expect(ids(readEvents(bufio.NewReader(response.Body), 10))).To(Equal([]string{"1-3", "1-4"}))
+			events := readEvents(bufio.NewReader(response.Body), 10)
+			Expect(ids(events)).To(Equal([]string{"1-3", "1-4"}))
+			Expect(field(events[1].data, "response", "id")).To(Equal(first.at("id")))
+			Expect(field(events[1].data, "response", "rosestand", "back_end")).To(Equal("m1"))
 		})
 
 		It("is streamed from the ledger as an attempt of its own at a node that never saw it", func() {
@@ -430,6 +433,22 @@
 			Expect(late.errorCode()).To(Equal("request_refused"), "a late copy of a refused request must never run")
 		})
 
+		It("passes nothing on from a stream that skips an event", func() {
+			r.network.peers["f2"] = skippingPeer{}
+			answered := make(chan answer, 1)
+			go func() {
+				defer GinkgoRecover()
+				answered <- f1.turn(turnBody("s1", ""), nil)
+			}()
+			Eventually(func() int {
+				r.clock.advance(time.Second)
+				return len(answered)
+			}).Should(Equal(1))
+			got := <-answered
+			Expect(got.outcome()).To(Equal("ran"))
+			Expect(got.text).NotTo(ContainSubstring("skipped to"))
+		})
+
 		It("is refused with the ledger's word once a copy of it may have arrived", func() {
 			answered := make(chan answer, 1)
 			r.network.cut["f2"] = 0
@@ -480,3 +499,19 @@
 		})
 	})
 })
+
+// skippingPeer is a broken owner whose stream leaves one event out.
+type skippingPeer struct{}
+
+func (skippingPeer) Serve(_ context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+	attempt := request.GetTurn().GetLastAttempt() + 1
+	for _, event := range []*protocol.TurnEvent{
+		{Attempt: attempt, Sequence: 1, Body: &protocol.TurnEvent_Created{Created: &protocol.TurnCreated{TurnId: "turn_x"}}},
+		{Attempt: attempt, Sequence: 3, Body: &protocol.TurnEvent_Completed{Completed: &protocol.TurnCompleted{Text: "skipped to"}}},
+	} {
+		if err := send(&protocol.Response{Body: &protocol.Response_TurnEvent{TurnEvent: event}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 
@@ -148,11 +149,22 @@
 	}
 }
 
+// suspended is the time after a suspension: the wall clock went on, the
+// monotonic reading did not. No function of package time makes such a value;
+// the wall seconds of one with a monotonic reading lie above the 30 bits of its nanoseconds.
+func suspended(now time.Time, seconds uint64) time.Time {
+	wall := (*uint64)(unsafe.Pointer(&now))
+	*wall += seconds << 30
+	return now
+}
+
 func TestASuspendedMachineLosesAuthorityByTheWallClock(t *testing.T) {
 	now := time.Now()
 	ends := now.Add(2 * time.Second)
-	// The monotonic clock stood still while the wall clock went on for ten seconds.
-	woken := now.Round(0).Add(10 * time.Second)
+	woken := suspended(now, 10)
+	if woken.Sub(now) != 0 || woken.Round(0).Sub(now.Round(0)) != 10*time.Second {
+		t.Fatal("the clocks of the example are not what they should be")
+	}
 	if lease.Before(woken, ends) {
 		t.Fatal("held after a suspension")
 	}
--- /dev/null
+++ b/internal/ownership/fleet_test.go
@@ -0,0 +1,214 @@
+package ownership_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/ownership"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// fakeLink stands in for the connection to the core.
+type fakeLink struct {
+	mutex       sync.Mutex
+	view        *corelink.View
+	authority   *corelink.Authority
+	subscribers []func(*corelink.View)
+}
+
+func (l *fakeLink) View() *corelink.View {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.view
+}
+
+func (l *fakeLink) Authority() *corelink.Authority {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.authority
+}
+
+func (l *fakeLink) Subscribe(subscriber func(*corelink.View)) {
+	l.subscribers = append(l.subscribers, subscriber)
+}
+
+func (l *fakeLink) SetDraining(draining bool) {
+	l.change(func(self *protocol.Node, _ *time.Time) { self.Draining = draining })
+}
+
+func (l *fakeLink) change(change func(self *protocol.Node, ends *time.Time)) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	next := &corelink.Authority{Self: proto.CloneOf(l.authority.Self), Ends: l.authority.Ends}
+	change(next.Self, &next.Ends)
+	l.authority = next
+}
+
+func (l *fakeLink) publish(view *corelink.View) {
+	l.mutex.Lock()
+	l.view = view
+	l.mutex.Unlock()
+	for _, subscriber := range l.subscribers {
+		subscriber(view)
+	}
+}
+
+// fleet is managers in memory that call each other in virtual time.
+type fleet struct {
+	g       *WithT
+	mutex   sync.Mutex
+	nodes   map[string]*node
+	down    map[string]bool
+	version uint64
+	policy  *protocol.RecoveryPolicy
+}
+
+type node struct {
+	name     string
+	link     *fakeLink
+	manager  *ownership.Manager
+	registry *prometheus.Registry
+	mutex    sync.Mutex
+	yielded  []string
+}
+
+func (f *fleet) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
+	return nil, &wire.NotSentError{}
+}
+
+func (f *fleet) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	select {
+	case <-time.After(time.Millisecond):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	f.mutex.Lock()
+	target, down := f.nodes[address], f.down[address]
+	f.mutex.Unlock()
+	if target == nil || down {
+		return nil, &wire.BrokenError{Address: address, Cause: io.ErrUnexpectedEOF}
+	}
+	return target.manager.ServeDirectory(ctx, proto.CloneOf(request))
+}
+
+// given runs a test with a fleet whose nodes have authority for an hour of virtual time and share one view.
+func given(t *testing.T, names []string, then func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{g: NewWithT(t), nodes: make(map[string]*node), down: make(map[string]bool), version: 1}
+		for _, name := range names {
+			f.add(name)
+		}
+		f.publish(names...)
+		defer f.stop()
+		pass(2 * time.Second)
+		then(f)
+	})
+}
+
+func (f *fleet) add(name string) *node {
+	self := &protocol.Node{Name: name, Address: name, Kind: protocol.NodeKind_FRONT, Incarnation: 1}
+	added := &node{name: name, registry: prometheus.NewRegistry(), link: &fakeLink{
+		view:      &corelink.View{},
+		authority: &corelink.Authority{Self: self, Ends: time.Now().Add(time.Hour)},
+	}}
+	added.manager = ownership.New(ownership.Options{
+		Link: added.link, Caller: f, Random: rand.New(rand.NewPCG(1, 2)),
+		Logger: log.New(io.Discard), Registerer: added.registry,
+	})
+	added.manager.OnYield(func(session string) {
+		added.mutex.Lock()
+		defer added.mutex.Unlock()
+		added.yielded = append(added.yielded, session)
+	})
+	f.g.Expect(added.manager.Start(context.Background())).To(Succeed())
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.nodes[name] = added
+	return added
+}
+
+// publish puts a view of the nodes named in force at each of them.
+func (f *fleet) publish(names ...string) {
+	f.version++
+	membership := &protocol.MembershipView{Version: f.version}
+	for _, name := range names {
+		membership.Nodes = append(membership.Nodes, f.nodes[name].link.Authority().Self)
+	}
+	view := &corelink.View{Membership: membership, Configuration: &protocol.Configuration{
+		Version: f.version, Active: &protocol.Bundle{Recovery: f.policy},
+	}}
+	for _, name := range names {
+		f.nodes[name].link.publish(view)
+	}
+}
+
+func (f *fleet) stop() {
+	for _, each := range f.nodes {
+		f.g.Expect(each.manager.Stop(context.Background())).To(Succeed())
+	}
+}
+
+// lose takes a node off the network.
+func (f *fleet) lose(name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.down[name] = true
+}
+
+func (f *fleet) resolve(name, session string) ownership.Owner {
+	owner, err := f.nodes[name].manager.Resolve(context.Background(), session, "program")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	return owner
+}
+
+// ownedBy finds sessions that the owner named takes in and whose partition the holder named has.
+func (f *fleet) ownedBy(owner, holder string, count int) []string {
+	var found []string
+	for i := 0; len(found) < count; i++ {
+		session := owner + "-" + holder + "-" + time.Duration(i).String()
+		if f.resolve(owner, session).PartitionHolder == holder {
+			found = append(found, session)
+		}
+	}
+	return found
+}
+
+func (n *node) gaveUp() []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return append([]string(nil), n.yielded...)
+}
+
+// metric sums the values of a counter or gauge over its labels.
+func (n *node) metric(name string) float64 {
+	families, _ := n.registry.Gather()
+	sum := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			sum += metric.GetCounter().GetValue() + metric.GetGauge().GetValue() + float64(metric.GetHistogram().GetSampleCount())
+		}
+	}
+	return sum
+}
+
+// pass lets virtual time go by.
+func pass(duration time.Duration) {
+	<-time.After(duration)
+	synctest.Wait()
+}
