Let a proposer's head serve one change only

A store that accepted a change on itself alone, and failed to get a majority, kept its head: it skipped the prepare of its next change and overwrote what the two other replicas had chosen meanwhile. headEpoch was cleared only when a change was chosen.

--- a/internal/store/proposal.go
+++ b/internal/store/proposal.go
@@ -102,12 +102,18 @@
 // change and its own replica still holds it.
 func (p *proposal) head() register.Head {
 	held := p.group.table(p.shard.Shard).registers[p.key]
-	if held == nil || held.headEpoch != p.shard.Epoch || held.state.Learned ||
+	if held == nil {
+		return register.Head{}
+	}
+	// A head serves one change: when that one fails, this replica may hold a value that is not chosen.
+	epoch := held.headEpoch
+	held.headEpoch = 0
+	if epoch != p.shard.Epoch || held.state.Learned ||
 		held.state.Promised.Proposer != p.group.store.proposerName ||
 		held.state.Accepted.Proposer != p.group.store.proposerName {
 		return register.Head{}
 	}
-	return register.Head{Epoch: held.headEpoch, Ballot: held.state.Promised, Value: held.state.Value}
+	return register.Head{Epoch: epoch, Ballot: held.state.Promised, Value: held.state.Value}
 }
 
 // function applies the batch to a value, or is nil when the batch only reads.
