--- a/internal/ledgerclient/client.go
+++ b/internal/ledgerclient/client.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,7 +24,7 @@
 
 // Defaults of Options.
 const (
-	DefaultAttemptTimeout = 2 * time.Second
+	DefaultAttemptTimeout = time.Second
 	DefaultDeadline       = 10 * time.Second
 	firstWait             = 2 * time.Millisecond
 	longestWait           = 250 * time.Millisecond
@@ -46,6 +47,8 @@
 	caller  wire.Caller
 	view    func() *corelink.View
 	options Options
+	// suspects are tried last for a while.
+	suspects suspects
 }
 
 // New makes a client that reads placement and addresses from view.
@@ -140,9 +143,11 @@
 // earlier try may have taken effect, or may still do so.
 func (c *Client) try(ctx context.Context, operation *protocol.LedgerOperation) (result *protocol.LedgerResult, doubtful bool, err error) {
 	wait := firstWait
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		target, known := c.target(operation.GetProgram(), attempt)
+	var tried []string
+	for ctx.Err() == nil {
+		target, known := c.target(operation.GetProgram(), tried)
 		if known {
+			tried = append(tried, target.address)
 			result, outcome, err := c.attempt(ctx, target, operation)
 			if outcome == attemptFinal {
 				return result, doubtful, err
@@ -151,6 +156,9 @@
 			if outcome == attemptNotSent && !target.last {
 				continue
 			}
+			if target.last {
+				tried = tried[:0]
+			}
 		}
 		c.options.Wait(ctx, wait/2+rand.N(wait/2+1))
 		wait = min(2*wait, longestWait)
@@ -166,9 +174,9 @@
 	last bool
 }
 
-// target gives the replica for an attempt: the first live one of the shard,
-// then the next ones, so that all fronts agree on one proposer.
-func (c *Client) target(program string, attempt int) (target, bool) {
+// target gives the replica for an attempt: the first live one of the shard that
+// was not tried yet, so that all fronts agree on one proposer.
+func (c *Client) target(program string, tried []string) (target, bool) {
 	view := c.view()
 	shards := view.Placement.GetShards()
 	if len(shards) == 0 {
@@ -179,12 +187,15 @@
 	if epoch == 0 {
 		epoch = view.Placement.GetEpoch()
 	}
-	live := c.liveReplicas(view, shard)
+	live := c.suspects.last(c.liveReplicas(view, shard))
 	if len(live) == 0 {
 		return target{}, false
 	}
-	place := attempt % len(live)
-	return target{address: live[place], epoch: epoch, last: place == len(live)-1}, true
+	untried := slices.DeleteFunc(slices.Clone(live), func(address string) bool { return slices.Contains(tried, address) })
+	if len(untried) == 0 {
+		untried = live
+	}
+	return target{address: untried[0], epoch: epoch, last: len(untried) == 1}, true
 }
 
 func findShard(placement *protocol.Placement, shard uint32) *protocol.ShardPlacement {
@@ -237,9 +248,13 @@
 	planned.PlacementEpoch = to.epoch
 	response, err := c.caller.Call(ctx, to.address, &protocol.Request{Body: &protocol.Request_Ledger{Ledger: planned}})
 	if err != nil {
-		outcome := outcomeOf(err)
-		return nil, outcome, err
+		var answered *failure.Error
+		if !errors.As(err, &answered) {
+			c.suspects.add(to.address)
+		}
+		return nil, outcomeOf(err), err
 	}
+	c.suspects.clear(to.address)
 	result := response.GetLedger()
 	switch result.GetStatus() {
 	case protocol.LedgerStatus_LEDGER_STATUS_UNSPECIFIED, protocol.LedgerStatus_LEDGER_UNAVAILABLE,
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"io"
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,9 @@
 // corruptSuffix marks files of a folder that was found damaged and given up.
 const corruptSuffix = ".corrupt"
 
+// firstSegment is the number of the first segment of a new log.
+const firstSegment = 1
+
 // Folder is the opened data folder of a store.
 type Folder struct {
 	filesystem storage.Filesystem
@@ -60,6 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := folder.requireSnapshot(); err != nil {
+		return nil, errors.CombineErrors(err, folder.registers.Close())
+	}
 	folder.turns, err = storage.OpenLog(filesystem, filepath.Join(path, turnFolder), options)
 	if err != nil {
 		return nil, errors.CombineErrors(err, folder.registers.Close())
@@ -82,6 +89,22 @@
 	return nil
 }
 
+// requireSnapshot returns *storage.CorruptError when the newest snapshot of the
+// registers is damaged, or when the log does not reach back to it.
+func (f *Folder) requireSnapshot() error {
+	number, _, err := storage.LoadNewestSnapshot(f.filesystem, f.registerPath(), func(_ uint64, content io.Reader) error {
+		_, err := io.Copy(io.Discard, content)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if first := f.registers.FirstSegment(); first > firstSegment && number < first {
+		return &storage.CorruptError{Path: f.registerPath(), Reason: "the snapshot that the log follows is absent"}
+	}
+	return nil
+}
+
 // putAside renames every file, so that nothing of the lost life is read again
 // and an operator may still look at it.
 func putAside(filesystem storage.Filesystem, path string) error {
--- a/internal/store/options.go
+++ b/internal/store/options.go
@@ -120,8 +120,10 @@
 
 type systemClock struct{}
 
+// Now implements Clock.
 func (systemClock) Now() time.Time { return time.Now() }
 
+// AfterFunc implements Clock.
 func (systemClock) AfterFunc(wait time.Duration, run func()) func() {
 	timer := time.AfterFunc(wait, run)
 	return func() { timer.Stop() }
--- a/internal/store/storebench/fleet.go
+++ b/internal/store/storebench/fleet.go
@@ -129,10 +129,13 @@
 	epoch       uint64
 }
 
+// View implements store.Core.
 func (c *fixedCore) View() *corelink.View { return c.view.Load() }
 
+// Ready implements store.Core.
 func (c *fixedCore) Ready() bool { return true }
 
+// LocateCore implements store.Core.
 func (c *fixedCore) LocateCore() *protocol.LocateCoreResponse { return &protocol.LocateCoreResponse{} }
 
 // CallCore takes the report of a copied shard.
