Simulate session ownership from one seed

internal/sim/ownershipsuite drives the real lease, ring and directory of every front node under kills, freezes, cuts and herds, checks ten rules (the three invariants of the design's source among them) and has ten mutations that each break one.

Not simulated: the core, the ledger and back ends are models here.

--- /dev/null
+++ b/internal/sim/ownershipsuite/front.go
@@ -0,0 +1,386 @@
+package ownershipsuite
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/lease"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+	"github.com/rosestand/rosestand/internal/sim"
+)
+
+const (
+	renewInterval    = time.Second
+	renewTimeout     = time.Second
+	directoryTimeout = time.Second
+	resolveWait      = 2 * time.Second
+	shortestTick     = 5 * time.Millisecond
+	longestTick      = 250 * time.Millisecond
+	drainGrace       = 8 * time.Second
+	leaseMargin      = 500 * time.Millisecond
+)
+
+// front is one life of a front node: the real lease holder and directory with a small owner of turns.
+type front struct {
+	node
+	suite     *suite
+	holder    *lease.Holder
+	directory *directory.Directory
+	viewKnown uint64
+	// pollCall is the poll under way.
+	pollCall    uint64
+	pollStarted time.Time
+
+	tickets    map[uint64]func(directory.Resolved)
+	lastTicket uint64
+	tickAt     time.Time
+	// ticks counts plans for ticks; only the newest counts.
+	ticks  int
+	epochs map[string]sessionEpoch
+
+	// contacted is true while answers of the core arrive.
+	contacted bool
+	draining  bool
+	released  bool
+	stayOut   bool
+}
+
+// sessionEpoch is what the owner knows of a session it claimed.
+type sessionEpoch struct {
+	incarnation uint64
+	epoch       uint64
+	lastTurn    string
+}
+
+func (s *suite) buildFront(environment *sim.Environment) (sim.Process, error) {
+	incarnation := uint64(environment.Now().UnixMilli())
+	name := string(environment.Address())
+	f := &front{
+		node: newNode(environment), suite: s,
+		holder: lease.NewHolder(incarnation, lease.Options{Margin: leaseMargin, ViewLimit: s.viewLimit()}),
+		directory: directory.New(directory.Options{
+			Self:   ring.Member{Name: name, Address: name, Incarnation: incarnation},
+			Policy: s.options.Policy, Random: environment.Random(),
+		}),
+		tickets: make(map[uint64]func(directory.Resolved)), epochs: make(map[string]sessionEpoch),
+	}
+	environment.After(0, f.renew)
+	environment.After(0, f.poll)
+	f.scheduleTick(longestTick)
+	return f, nil
+}
+
+func (s *suite) viewLimit() time.Duration {
+	if s.options.Mutation == MutationKeepPartition {
+		return 0
+	}
+	return leaseDuration
+}
+
+// Receive serves requests and takes answers in.
+func (f *front) Receive(from sim.Address, message any) {
+	received, isPacket := message.(packet)
+	if !isPacket {
+		return
+	}
+	if received.reply {
+		f.finish(received.id, received.body)
+		return
+	}
+	switch body := received.body.(type) {
+	case *protocol.Request:
+		if answer := f.serveDirectory(body); answer != nil {
+			f.suite.meter.count(f.environment.Address(), from, answer)
+			f.reply(from, received.id, answer)
+		}
+	case turnRequest:
+		f.serveTurn(from, received.id, body)
+	}
+}
+
+// ConnectionBroken makes the peer suspect.
+func (f *front) ConnectionBroken(peer sim.Address) {
+	f.handle(directory.PeerBroken{Address: string(peer)})
+	f.broken(peer)
+}
+
+func (f *front) now() time.Time { return f.environment.Now() }
+
+// held is whether this node may act as owner and holder now.
+func (f *front) held() bool {
+	if f.suite.options.Mutation == MutationKeepAuthority || f.suite.options.Mutation == MutationSilentAuthority {
+		return !f.released && !f.holder.Ends().IsZero()
+	}
+	return f.holder.Held(f.now())
+}
+
+func (f *front) self() *protocol.Node {
+	return &protocol.Node{
+		Name: string(f.environment.Address()), Address: string(f.environment.Address()), Kind: protocol.NodeKind_FRONT,
+		Incarnation: f.holder.Incarnation(), Draining: f.draining,
+	}
+}
+
+func (f *front) renew() {
+	if f.released || f.stayOut {
+		return
+	}
+	renewal, lapsed := f.holder.Send(f.now())
+	if lapsed && f.suite.options.Mutation == MutationStayOut {
+		f.stayOut = true
+		return
+	}
+	f.syncIncarnation()
+	f.contacted = f.contacted && !lapsed
+	if !f.contacted && f.suite.options.Mutation != MutationNoContact {
+		f.contact()
+		return
+	}
+	f.call(coreAddress, &protocol.RenewLeaseRequest{Node: f.self()}, renewTimeout, func(body any) {
+		answer, _ := body.(*protocol.RenewLeaseResponse)
+		f.renewed(renewal, answer)
+	})
+}
+
+// contact shows that answers of the core arrive, before a lease is asked for
+// that others would wait for.
+func (f *front) contact() {
+	sentAt := f.now()
+	f.call(coreAddress, &protocol.CoreStatusRequest{}, renewTimeout, func(body any) {
+		// An answer that lay here while the process was frozen shows nothing.
+		if _, answered := body.(*protocol.CoreStatusResponse); answered && f.now().Sub(sentAt) <= renewTimeout {
+			f.contacted = true
+			f.suite.rules.acted(f.environment.Address())
+			f.renew()
+			return
+		}
+		f.environment.After(100*time.Millisecond, f.renew)
+	})
+}
+
+func (f *front) renewed(renewal lease.Renewal, answer *protocol.RenewLeaseResponse) {
+	wait := 100 * time.Millisecond
+	f.contacted = answer != nil || f.held()
+	if answer != nil {
+		f.suite.rules.acted(f.environment.Address())
+	}
+	switch {
+	case answer == nil:
+	case !answer.GetGranted():
+		f.holder.Refused(f.now(), renewal)
+	default:
+		duration := time.Duration(answer.GetDurationMillis()) * time.Millisecond
+		latest := answer.GetLatest().GetMembership()
+		if f.holder.Granted(f.now(), renewal, duration, latest) {
+			wait = max(0, renewal.SentAt.Add(renewInterval).Sub(f.now()))
+		}
+		if latest > f.viewKnown && f.now().Sub(f.pollStarted) > renewInterval {
+			// The poll under way was not answered although there is something new; it may have been lost.
+			f.finish(f.pollCall, nil)
+		}
+	}
+	f.syncIncarnation()
+	f.handle(directory.Ticked{})
+	f.environment.After(wait, f.renew)
+}
+
+func (f *front) syncIncarnation() {
+	if incarnation := f.holder.Incarnation(); incarnation != f.directory.Self().Incarnation {
+		f.suite.report.Lapses++
+		f.execute(f.directory.Handle(f.moment(), directory.Reincarnated{Incarnation: incarnation}))
+	}
+}
+
+func (f *front) poll() {
+	request := &protocol.PollControlRequest{
+		Node: string(f.environment.Address()), WaitMillis: uint32(longPoll.Milliseconds()),
+		Known: &protocol.ControlVersions{Membership: f.viewKnown},
+	}
+	f.pollStarted = f.now()
+	f.pollCall = f.call(coreAddress, request, longPoll+time.Second, func(body any) {
+		answer, _ := body.(*protocol.PollControlResponse)
+		wait := 20 * time.Millisecond
+		if answer == nil {
+			wait = 200 * time.Millisecond
+		}
+		f.polled(answer.GetMembership())
+		f.environment.After(wait, f.poll)
+	})
+}
+
+func (f *front) polled(membership *protocol.MembershipView) {
+	if membership.GetVersion() <= f.viewKnown {
+		return
+	}
+	f.viewKnown = membership.GetVersion()
+	f.suite.meter.view(f.suite.world.Elapsed(), f.environment.Address(), membership)
+	if f.deaf() {
+		return
+	}
+	f.handle(directory.ViewChanged{View: f.suite.viewOfMembership(membership)})
+	f.holder.ViewRead(membership.GetVersion())
+}
+
+// deaf is true for the front node that ignores views under a mutation.
+func (f *front) deaf() bool {
+	return f.suite.options.Mutation == MutationKeepPartition && f.environment.Address() == f.suite.fronts[0] &&
+		f.directory.PartitionSize() > 0
+}
+
+func (f *front) tick() {
+	f.handle(directory.Ticked{})
+	f.checkDrained()
+	f.scheduleTick(longestTick)
+}
+
+// scheduleTick plans the next tick in place of the one planned before.
+func (f *front) scheduleTick(wait time.Duration) {
+	if next, pending := f.directory.NextTick(); pending {
+		wait = min(max(next.Sub(f.now()), shortestTick), wait)
+	}
+	f.tickAt = f.now().Add(wait)
+	f.ticks++
+	planned := f.ticks
+	f.environment.After(wait, func() {
+		if planned == f.ticks {
+			f.tick()
+		}
+	})
+}
+
+func (f *front) moment() directory.Moment {
+	return directory.Moment{Now: f.now(), Authority: f.held()}
+}
+
+func (f *front) handle(event directory.Event) {
+	f.execute(f.directory.Handle(f.moment(), event))
+	if f.directory.Pending() && f.tickAt.Sub(f.now()) > shortestTick {
+		f.scheduleTick(longestTick)
+	}
+}
+
+func (f *front) execute(commands []directory.Command) {
+	for _, command := range commands {
+		switch command := command.(type) {
+		case directory.Send:
+			f.send(command)
+		case directory.Resolved:
+			if answer := f.tickets[command.Ticket]; answer != nil {
+				delete(f.tickets, command.Ticket)
+				answer(command)
+			}
+		case directory.Yielded:
+			delete(f.epochs, command.Session)
+			f.suite.report.Yields[command.Reason]++
+			f.environment.Tracef("yields %s: %s", command.Session, command.Reason)
+		case directory.Reregistered:
+			f.suite.meter.reregistered(f.suite.world.Elapsed(), command.Waits)
+		case directory.Settled:
+			f.suite.meter.settled(f.suite.world.Elapsed())
+		}
+	}
+}
+
+func (f *front) send(command directory.Send) {
+	if answer := f.mutatedAnswer(command.Request); answer != nil {
+		f.environment.After(0, func() { f.handle(directory.Answered{Call: command.Call, Response: answer}) })
+		return
+	}
+	f.suite.meter.count(f.environment.Address(), sim.Address(command.Address), command.Request)
+	f.call(sim.Address(command.Address), command.Request, directoryTimeout, func(body any) {
+		response, _ := body.(*protocol.Response)
+		if f.suite.world.Tracing() {
+			f.environment.Tracef("asked %s %v: %v", command.Address, command.Request, response)
+		}
+		f.handle(directory.Answered{Call: command.Call, Response: f.mutate(response)})
+	})
+}
+
+// mutatedAnswer is the answer that a mutation makes up in place of sending a request.
+func (f *front) mutatedAnswer(request *protocol.Request) *protocol.Response {
+	register := request.GetRegisterSessions()
+	if f.suite.options.Mutation != MutationDropRegistrations || register.GetCause() != protocol.RegistrationCause_CAUSE_SALVAGE {
+		return nil
+	}
+	answer := &protocol.RegisterSessionsResponse{ViewVersion: register.GetViewVersion()}
+	for _, registration := range register.GetRegistrations() {
+		answer.Results = append(answer.Results, &protocol.RegistrationResult{
+			Session: registration.GetSession(), Status: protocol.DirectoryStatus_DIRECTORY_OK,
+		})
+	}
+	return &protocol.Response{Body: &protocol.Response_RegisterSessions{RegisterSessions: answer}}
+}
+
+func (f *front) mutate(response *protocol.Response) *protocol.Response {
+	if f.suite.options.Mutation == MutationKeepDuplicates {
+		for _, result := range response.GetRegisterSessions().GetResults() {
+			if result.GetStatus() == protocol.DirectoryStatus_DUPLICATE_ACTIVATION {
+				result.Status = protocol.DirectoryStatus_DIRECTORY_OK
+			}
+		}
+	}
+	return response
+}
+
+// serveDirectory answers as holder; without authority there is no answer.
+func (f *front) serveDirectory(request *protocol.Request) *protocol.Response {
+	at := f.moment()
+	if !at.Authority {
+		return nil
+	}
+	switch body := request.GetBody().(type) {
+	case *protocol.Request_LookupSession:
+		answer := f.directory.ServeLookup(at, body.LookupSession)
+		return &protocol.Response{Body: &protocol.Response_LookupSession{LookupSession: answer}}
+	case *protocol.Request_RegisterSessions:
+		answer, commands := f.directory.ServeRegister(at, body.RegisterSessions)
+		f.execute(commands)
+		return &protocol.Response{Body: &protocol.Response_RegisterSessions{RegisterSessions: answer}}
+	case *protocol.Request_UnregisterSessions:
+		answer, commands := f.directory.ServeUnregister(at, body.UnregisterSessions)
+		f.execute(commands)
+		return &protocol.Response{Body: &protocol.Response_UnregisterSessions{UnregisterSessions: answer}}
+	default:
+		return nil
+	}
+}
+
+// beginDrain stops the process gently: hand over, release the lease, exit. The machine starts it again.
+func (f *front) beginDrain() {
+	if f.draining {
+		return
+	}
+	f.environment.Tracef("drains")
+	f.draining = true
+	f.handle(directory.DrainBegun{})
+	f.environment.After(drainGrace, f.stop)
+}
+
+func (f *front) checkDrained() {
+	if f.draining && !f.released && f.directory.Drained() {
+		f.environment.Tracef("drained")
+		f.stop()
+	}
+}
+
+func (f *front) stop() {
+	if f.released {
+		return
+	}
+	f.released = true
+	self := f.self()
+	f.holder.Released()
+	f.environment.Send(coreAddress, packet{id: 0, body: &protocol.RenewLeaseRequest{Node: self, Release: true}})
+	f.environment.After(10*time.Millisecond, func() { f.environment.Exit(nil) })
+}
+
+// viewOfMembership returns the shared view of a membership version.
+func (s *suite) viewOfMembership(membership *protocol.MembershipView) directory.View {
+	view, known := s.views[membership.GetVersion()]
+	if !known {
+		view = directory.ViewOf(membership, ring.DefaultVirtualPlaces)
+		s.views[membership.GetVersion()] = view
+	}
+	return view
+}
--- /dev/null
+++ b/internal/sim/ownershipsuite/suite_test.go
@@ -0,0 +1,132 @@
+package ownershipsuite_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/sim"
+	"github.com/rosestand/rosestand/internal/sim/ownershipsuite"
+)
+
+const fixedSeeds = 10
+
+func checkRun(t testing.TB, report ownershipsuite.Report) {
+	t.Helper()
+	for _, rule := range report.Rules {
+		for _, violation := range rule.Violations {
+			t.Errorf("seed %d: %s: %s", report.Seed, rule.Name, violation)
+		}
+	}
+	if report.Exhausted || report.Turns == 0 || report.Calls == 0 {
+		t.Errorf("seed %d: %d turns, %d calls, exhausted %v", report.Seed, report.Turns, report.Calls, report.Exhausted)
+	}
+}
+
+// Every rule holds under ten fixed seeds and all policies, and together the runs give every rule a chance to fail.
+func TestRulesHoldUnderFixedSeeds(t *testing.T) {
+	for _, example := range []struct {
+		name   string
+		first  int64
+		policy directory.Policy
+	}{
+		{"salvage, settle then yield", 1, directory.Policy{}},
+		{"salvage, higher view version", 101, directory.Policy{HigherViewVersion: true}},
+		{"end sessions", 201, directory.Policy{EndSessions: true}},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			provoked := make(map[string]int)
+			slowest := make(map[string]time.Duration)
+			for seed := example.first; seed < example.first+fixedSeeds; seed++ {
+				report := ownershipsuite.Run(seed, ownershipsuite.Options{Policy: example.policy})
+				checkRun(t, report)
+				for _, rule := range report.Rules {
+					provoked[rule.Name] += rule.Provoked
+				}
+				for name, took := range report.Convergence {
+					slowest[name] = max(slowest[name], took)
+				}
+			}
+			for name, took := range slowest {
+				t.Logf("%s: at most %s after the last disturbance", name, took.Round(10*time.Millisecond))
+			}
+			for name, count := range provoked {
+				if count == 0 {
+					t.Errorf("no run gave a chance to fail to: %s", name)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSeeds runs as many seeds as it has iterations under every policy and prints a line a rule:
+//
+//	go test ./internal/sim/ownershipsuite -run XXX -bench Seeds -benchtime 200x -v
+func BenchmarkSeeds(b *testing.B) {
+	for _, policy := range []directory.Policy{{}, {HigherViewVersion: true}, {EndSessions: true}} {
+		search := sim.SearchOptions{First: 1, Count: b.N, Workers: 3}
+		summary := sim.Search(search, ownershipsuite.Runner(ownershipsuite.Options{Policy: policy}))
+		var text strings.Builder
+		if err := summary.Write(&text, func(seed int64) string { return fmt.Sprintf("seed %d, policy %+v", seed, policy) }); err != nil {
+			b.Fatal(err)
+		}
+		b.Logf("policy %+v\n%s", policy, text.String())
+		if len(summary.Failed) > 0 {
+			b.Fail()
+		}
+	}
+}
+
+func TestARunIsRepeatable(t *testing.T) {
+	one := ownershipsuite.Run(3, ownershipsuite.Options{})
+	other := ownershipsuite.Run(3, ownershipsuite.Options{})
+	if one.Fingerprint != other.Fingerprint || one.Turns != other.Turns || one.MessagesSent != other.MessagesSent {
+		t.Fatalf("%x and %x", one.Fingerprint, other.Fingerprint)
+	}
+}
+
+// At rest nothing is refused for long and no session changes its owner.
+func TestAFleetAtRestKeepsItsOwners(t *testing.T) {
+	report := ownershipsuite.Run(1, ownershipsuite.Options{FaultCount: -1})
+	checkRun(t, report)
+	if report.Lapses != 0 || len(report.Yields) != 0 {
+		t.Fatalf("%d lapses, yields %v", report.Lapses, report.Yields)
+	}
+}
+
+// Each rule bites: a mutation of the code breaks it under some fixed seed.
+func TestEachMutationBreaksItsRule(t *testing.T) {
+	for mutation, rule := range map[ownershipsuite.Mutation]string{
+		ownershipsuite.MutationKeepDuplicates:    ownershipsuite.RuleOneOwner,
+		ownershipsuite.MutationDropRegistrations: ownershipsuite.RuleRegistered,
+		ownershipsuite.MutationKeepPartition:     ownershipsuite.RulePartition,
+		ownershipsuite.MutationKeepAuthority:     ownershipsuite.RuleLease,
+		ownershipsuite.MutationSilentAuthority:   ownershipsuite.RuleSilence,
+		ownershipsuite.MutationNoEpoch:           ownershipsuite.RuleLedgerEpoch,
+		ownershipsuite.MutationNoFence:           ownershipsuite.RuleFence,
+		ownershipsuite.MutationReissueCalls:      ownershipsuite.RuleOnce,
+		ownershipsuite.MutationNoContact:         ownershipsuite.RuleGone,
+		ownershipsuite.MutationStayOut:           ownershipsuite.RuleBack,
+	} {
+		t.Run(string(mutation), func(t *testing.T) {
+			for seed := int64(1); seed <= 200; seed++ {
+				if violates(ownershipsuite.Run(seed, ownershipsuite.Options{Mutation: mutation}), rule) {
+					t.Logf("seed %d shows it", seed)
+					return
+				}
+			}
+			t.Fatalf("no seed breaks: %s", rule)
+		})
+	}
+}
+
+func violates(report ownershipsuite.Report, name string) bool {
+	for _, rule := range report.Rules {
+		if rule.Name == name && len(rule.Violations) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sim/ownershipsuite/turns.go
@@ -0,0 +1,342 @@
+package ownershipsuite
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/sim"
+)
+
+const (
+	ledgerTimeout  = 500 * time.Millisecond
+	ledgerTries    = 3
+	backEndTimeout = 2 * time.Second
+	forwardTimeout = 5 * time.Second
+	releaseRetry   = time.Second
+	turnCeiling    = 100
+	largeBudget    = 1 << 50
+)
+
+// turnRequest asks for one turn, or one call that may not be repeated.
+type turnRequest struct {
+	requestID string
+	session   string
+	program   string
+	call      bool
+	forwarded bool
+}
+
+// turnAnswer ends a turnRequest. An empty code is success.
+type turnAnswer struct {
+	code   failure.Code
+	notRun bool
+}
+
+func refusal(code failure.Code) turnAnswer { return turnAnswer{code: code, notRun: true} }
+
+// unknownAnswer is for a request that may or may not have run.
+var unknownAnswer = turnAnswer{code: failure.OutcomeUnknown}
+
+// ownedTurn is one turn or call under way at its owner.
+type ownedTurn struct {
+	front   *front
+	request turnRequest
+	stretch stretch
+	reply   func(turnAnswer)
+	attempt string
+}
+
+// serveTurn looks the session up and runs the turn here or passes it on to the owner.
+func (f *front) serveTurn(from sim.Address, id uint64, request turnRequest) {
+	answer := func(result turnAnswer) { f.reply(from, id, result) }
+	if request.forwarded {
+		f.runTurn(request, answer)
+		return
+	}
+	f.lastTicket++
+	ticket := f.lastTicket
+	f.tickets[ticket] = func(resolved directory.Resolved) { f.resolved(request, resolved, answer) }
+	f.handle(directory.ResolveRequested{
+		Ticket: ticket, Session: request.session, Program: request.program, Deadline: f.now().Add(resolveWait),
+	})
+}
+
+func (f *front) resolved(request turnRequest, resolved directory.Resolved, answer func(turnAnswer)) {
+	switch {
+	case resolved.Code != "":
+		answer(refusal(resolved.Code))
+	case resolved.Owner.Local:
+		f.runTurn(request, answer)
+	default:
+		request.forwarded = true
+		f.call(sim.Address(resolved.Owner.Address), request, forwardTimeout, func(body any) {
+			result, answered := body.(turnAnswer)
+			if !answered {
+				result = unknownAnswer
+			}
+			if !answered || result.code == failure.NotOwner {
+				f.handle(directory.Forgotten{Session: request.session})
+			}
+			answer(result)
+		})
+	}
+}
+
+// runTurn runs a turn as owner.
+func (f *front) runTurn(request turnRequest, answer func(turnAnswer)) {
+	code, commands := f.directory.Begin(f.moment(), request.session)
+	f.execute(commands)
+	if code != "" {
+		answer(refusal(code))
+		return
+	}
+	turn := &ownedTurn{
+		front: f, request: request, reply: answer,
+		stretch: stretch{string(f.environment.Address()), f.holder.Incarnation()},
+	}
+	turn.claim()
+}
+
+// valid is what a grant's Valid is in the shell.
+func (t *ownedTurn) valid() bool {
+	return t.front.held() && t.front.holder.Incarnation() == t.stretch.incarnation
+}
+
+func (t *ownedTurn) end(answer turnAnswer) {
+	t.reply(answer)
+	t.front.handle(directory.GrantEnded{Session: t.request.session})
+}
+
+// fenced follows a refusal of the ledger for an older epoch.
+func (t *ownedTurn) fenced(answer turnAnswer) {
+	delete(t.front.epochs, t.request.session)
+	t.front.handle(directory.OwnershipLost{Session: t.request.session})
+	t.end(answer)
+}
+
+// operate sends one operation to the ledger, several times when no answer comes; all are idempotent.
+func (t *ownedTurn) operate(operation *protocol.LedgerOperation, tries int, then func(*protocol.LedgerResult)) {
+	operation.Program = t.request.program
+	t.front.callLate(ledgerAddress, operation, ledgerTimeout, func(body any) {
+		result, answered := body.(*protocol.LedgerResult)
+		switch {
+		case answered:
+			then(result)
+		case tries > 1:
+			t.operate(operation, tries-1, then)
+		default:
+			then(&protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE})
+		}
+	})
+}
+
+func (t *ownedTurn) claim() {
+	known, found := t.front.epochs[t.request.session]
+	if found && known.incarnation == t.stretch.incarnation {
+		t.admit()
+		return
+	}
+	claim := &protocol.ClaimSession{
+		Session: t.request.session, Owner: t.stretch.name, OwnerIncarnation: t.stretch.incarnation,
+		Tenant: "tenant", Budget: largeBudget,
+	}
+	t.operate(&protocol.LedgerOperation{Body: &protocol.LedgerOperation_ClaimSession{ClaimSession: claim}}, ledgerTries,
+		func(result *protocol.LedgerResult) {
+			switch result.GetStatus() {
+			case protocol.LedgerStatus_LEDGER_OK:
+				t.front.epochs[t.request.session] = sessionEpoch{t.stretch.incarnation, result.GetEpoch(), result.GetLastTurn()}
+				t.front.suite.report.Rebuilt++
+				t.admit()
+			case protocol.LedgerStatus_LEDGER_FENCED:
+				t.fenced(refusal(failure.Fenced))
+			default:
+				t.end(refusal(failure.LedgerUnavailable))
+			}
+		})
+}
+
+func (t *ownedTurn) admit() {
+	known, found := t.front.epochs[t.request.session]
+	if !found {
+		t.end(refusal(failure.NotOwner))
+		return
+	}
+	if t.request.call {
+		t.beginCall(known)
+		return
+	}
+	reserve := &protocol.ReserveTurn{
+		RequestId: t.request.requestID, Session: t.request.session, Epoch: known.epoch,
+		Ceiling: turnCeiling, PreviousTurn: known.lastTurn,
+	}
+	t.operate(&protocol.LedgerOperation{Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: reserve}}, ledgerTries,
+		func(result *protocol.LedgerResult) { t.reserved(known, result) })
+}
+
+func (t *ownedTurn) reserved(known sessionEpoch, result *protocol.LedgerResult) {
+	switch result.GetStatus() {
+	case protocol.LedgerStatus_LEDGER_OK:
+		t.issue(known)
+	case protocol.LedgerStatus_LEDGER_ALREADY_FINISHED:
+		t.end(finishedAnswer(result.GetFinished()))
+	case protocol.LedgerStatus_LEDGER_FENCED:
+		t.fenced(refusal(failure.Fenced))
+	case protocol.LedgerStatus_LEDGER_WRONG_CONTINUATION:
+		// The epoch is in force and the last turn known is not: read it again with the next claim.
+		delete(t.front.epochs, t.request.session)
+		t.end(refusal(failure.WrongContinuation))
+	case protocol.LedgerStatus_LEDGER_ALREADY_RESERVED:
+		// A late copy of the reservation would stand once the session is free, with nobody to end it.
+		if t.request.requestID != reservationOf(result, t.request.session) {
+			t.release(known, 0)
+		}
+		t.end(turnAnswer{code: failure.SessionBusy})
+	default:
+		// The reservation may stand or still be on its way. Nothing was issued, so nothing is charged.
+		t.release(known, 0)
+		t.end(unknownAnswer)
+	}
+}
+
+// finishedAnswer is the answer to a request that ended before.
+func finishedAnswer(finished *protocol.FinishedRequest) turnAnswer {
+	switch finished.GetOutcome() {
+	case protocol.RequestOutcome_OUTCOME_SETTLED:
+		return turnAnswer{}
+	case protocol.RequestOutcome_OUTCOME_NOT_RUN:
+		return refusal(failure.RequestRefused)
+	default:
+		return unknownAnswer
+	}
+}
+
+// reservationOf names the request that holds the session's open reservation.
+func reservationOf(result *protocol.LedgerResult, session string) string {
+	for _, open := range result.GetProgram().GetReservations() {
+		if open.GetSession() == session {
+			return open.GetRequestId()
+		}
+	}
+	return ""
+}
+
+// issue sends the turn to the back end, only with authority at that moment.
+func (t *ownedTurn) issue(known sessionEpoch) {
+	if !t.valid() {
+		t.release(known, 0)
+		t.end(unknownAnswer)
+		return
+	}
+	t.send(known, func(accepted, answered bool) {
+		switch {
+		case answered && accepted && t.valid():
+			t.settle(known)
+		case answered && !accepted:
+			t.fenced(unknownAnswer)
+		default:
+			t.release(known, turnCeiling)
+			t.end(unknownAnswer)
+		}
+	})
+}
+
+func (t *ownedTurn) send(known sessionEpoch, then func(accepted, answered bool)) {
+	sent := issue{
+		front: t.stretch.name, stretch: t.stretch, session: t.request.session,
+		requestID: t.request.requestID, epoch: known.epoch, call: t.request.call,
+	}
+	t.front.suite.rules.issued(sent)
+	t.front.callLate(backEndAddress, sent, backEndTimeout, func(body any) {
+		result, answered := body.(ran)
+		if answered && result.accepted && t.valid() {
+			t.front.suite.rules.passedOn(sent)
+		}
+		then(result.accepted, answered)
+	})
+}
+
+func (t *ownedTurn) settle(known sessionEpoch) {
+	turn := &protocol.Turn{
+		Id: "turn_" + t.request.requestID, Program: t.request.program, Session: t.request.session,
+		RequestId: t.request.requestID, PreviousTurn: known.lastTurn, Epoch: known.epoch,
+	}
+	settle := &protocol.SettleTurn{
+		RequestId: t.request.requestID, Session: t.request.session, Epoch: known.epoch, Tokens: turnCeiling / 2, Turn: turn,
+	}
+	t.operate(&protocol.LedgerOperation{Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: settle}}, ledgerTries,
+		func(result *protocol.LedgerResult) {
+			switch result.GetStatus() {
+			case protocol.LedgerStatus_LEDGER_OK:
+				t.front.suite.report.Turns++
+				if now := t.front.epochs[t.request.session]; now.epoch == known.epoch {
+					t.front.epochs[t.request.session] = sessionEpoch{known.incarnation, known.epoch, turn.GetId()}
+				}
+				t.end(turnAnswer{})
+			case protocol.LedgerStatus_LEDGER_FENCED:
+				t.fenced(unknownAnswer)
+			default:
+				t.release(known, turnCeiling)
+				t.end(unknownAnswer)
+			}
+		})
+}
+
+// release ends a reservation that did not lead to a kept turn, trying until the ledger has answered.
+func (t *ownedTurn) release(known sessionEpoch, tokens uint64) {
+	release := &protocol.ReleaseTurn{
+		RequestId: t.request.requestID, Session: t.request.session, Epoch: known.epoch, Tokens: tokens,
+	}
+	t.operate(&protocol.LedgerOperation{Body: &protocol.LedgerOperation_ReleaseTurn{ReleaseTurn: release}}, ledgerTries,
+		func(result *protocol.LedgerResult) {
+			if result.GetStatus() == protocol.LedgerStatus_LEDGER_UNAVAILABLE && t.valid() {
+				t.front.environment.After(releaseRetry, func() { t.release(known, tokens) })
+			}
+			// A turn that was settled after all is read with the next claim.
+			delete(t.front.epochs, t.request.session)
+		})
+}
+
+// beginCall writes the intent of a call that may not be repeated; only its own attempt may issue it.
+func (t *ownedTurn) beginCall(known sessionEpoch) {
+	t.attempt = fmt.Sprintf("%s-%d-%d", t.stretch.name, t.stretch.incarnation, t.front.lastCall)
+	begin := &protocol.BeginCall{
+		RequestId: t.request.requestID, Session: t.request.session, Epoch: known.epoch, Tool: "valve", Attempt: t.attempt,
+	}
+	t.operate(&protocol.LedgerOperation{Body: &protocol.LedgerOperation_BeginCall{BeginCall: begin}}, ledgerTries,
+		func(result *protocol.LedgerResult) { t.callBegun(known, result) })
+}
+
+func (t *ownedTurn) callBegun(known sessionEpoch, result *protocol.LedgerResult) {
+	status := result.GetStatus()
+	if t.front.suite.options.Mutation == MutationReissueCalls && status == protocol.LedgerStatus_LEDGER_CALL_UNDER_WAY {
+		status = protocol.LedgerStatus_LEDGER_OK
+	}
+	switch status {
+	case protocol.LedgerStatus_LEDGER_OK:
+		if !t.valid() {
+			t.end(unknownAnswer)
+			return
+		}
+		t.send(known, func(accepted, answered bool) { t.callRan(accepted, answered) })
+	case protocol.LedgerStatus_LEDGER_ALREADY_FINISHED:
+		t.end(turnAnswer{})
+	case protocol.LedgerStatus_LEDGER_FENCED:
+		t.fenced(unknownAnswer)
+	default:
+		t.end(unknownAnswer)
+	}
+}
+
+func (t *ownedTurn) callRan(accepted, answered bool) {
+	if !answered || !accepted {
+		t.end(unknownAnswer)
+		return
+	}
+	t.front.suite.report.Calls++
+	finish := &protocol.FinishCall{RequestId: t.request.requestID, Attempt: t.attempt, Status: 200}
+	t.operate(&protocol.LedgerOperation{Body: &protocol.LedgerOperation_FinishCall{FinishCall: finish}}, ledgerTries,
+		func(*protocol.LedgerResult) { t.end(turnAnswer{}) })
+}
