Count a kept turn only under the placement in force when it is durable

Cause: a replica checked the placement when a turn arrived and answered when its sync had ended. Between the two a newer placement could come into force and the shard be copied from this replica without the turn, which would still count towards the majority of the older placement. Found by reading.

Excluded: registers, whose state is in memory, and so in a copy, before the sync.

Before: the new spec failed (refusal 0 in place of WRONG_PLACEMENT); after: go test -count=1 ./internal/store (ok), with -race (ok).

--- a/internal/store/fleet_test.go
+++ b/internal/store/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/ledgerclient"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
 	"github.com/rosestand/rosestand/internal/storage/simdisk"
 	"github.com/rosestand/rosestand/internal/store"
 	"github.com/rosestand/rosestand/internal/wire"
@@ -109,6 +110,7 @@
 
 // fleet is an in-memory cluster of stores; it is its own core.
 type fleet struct {
+	wrap    func(name string, filesystem storage.Filesystem) storage.Filesystem
 	clock   *testClock
 	members map[string]*member
 	names   []string
@@ -120,7 +122,12 @@
 }
 
 func newFleet(names ...string) *fleet {
-	f := &fleet{clock: newTestClock(), members: map[string]*member{}, names: names, cut: map[string]bool{}, view: &corelink.View{}}
+	return newFleetOn(func(_ string, filesystem storage.Filesystem) storage.Filesystem { return filesystem }, names...)
+}
+
+// newFleetOn puts something between each store and its disk.
+func newFleetOn(wrap func(name string, filesystem storage.Filesystem) storage.Filesystem, names ...string) *fleet {
+	f := &fleet{wrap: wrap, clock: newTestClock(), members: map[string]*member{}, names: names, cut: map[string]bool{}, view: &corelink.View{}}
 	for number, name := range names {
 		f.members[name] = &member{name: name, disk: simdisk.New(rand.New(rand.NewPCG(uint64(number), 7)))}
 		f.start(name)
@@ -144,7 +151,7 @@
 
 func (f *fleet) start(name string) {
 	m := f.members[name]
-	folder, err := store.OpenFolder(m.disk, "data", segmentBytes)
+	folder, err := store.OpenFolder(f.wrap(name, m.disk), "data", segmentBytes)
 	Expect(err).NotTo(HaveOccurred())
 	m.starts++
 	self := &protocol.Node{Name: name, Kind: protocol.NodeKind_STORE, Incarnation: m.starts, Address: name}
--- a/internal/store/handler.go
+++ b/internal/store/handler.go
@@ -93,11 +93,16 @@
 	g := s.group(request.GetShard())
 	g.mailbox.post(func() {
 		table := g.table(request.GetShard())
-		if refusal := table.view.Refusal(request.GetPlacementEpoch()); refusal != notRefused {
-			answers <- &protocol.KeepTurnResponse{Refusal: refusal, PlacementEpoch: table.view.Epoch}
+		answer := func() *protocol.KeepTurnResponse {
+			return &protocol.KeepTurnResponse{Refusal: table.view.Refusal(request.GetPlacementEpoch()), PlacementEpoch: table.view.Epoch}
+		}
+		if refused := answer(); refused.GetRefusal() != notRefused {
+			answers <- refused
 			return
 		}
-		g.keepTurn(request.GetShard(), request.GetTurn(), func() { answers <- &protocol.KeepTurnResponse{} })
+		// The placement is judged again once the turn is durable: a copy of the
+		// shard made meanwhile under a newer placement may lack the turn.
+		g.keepTurn(request.GetShard(), request.GetTurn(), func() { answers <- answer() })
 	})
 	answer, err := awaitAnswer(ctx, s, answers)
 	return &protocol.Response{Body: &protocol.Response_KeepTurn{KeepTurn: answer}}, err
--- a/internal/store/keep.go
+++ b/internal/store/keep.go
@@ -39,13 +39,19 @@
 			continue
 		}
 		if store == k.group.store.options.Self.GetName() {
-			k.group.keepTurn(k.shard.Shard, k.turn, func() { k.answered(store, round, true) })
+			k.group.keepTurn(k.shard.Shard, k.turn, func() { k.answered(store, round, k.inForce()) })
 			continue
 		}
 		k.ask(store, round)
 	}
 }
 
+// inForce reports whether this replica still acts under the placement of the
+// round: a copy of the shard made under a newer one may lack the turn.
+func (k *keep) inForce() bool {
+	return k.group.table(k.shard.Shard).view.Refusal(k.shard.Epoch) == notRefused
+}
+
 func (k *keep) ask(store string, round int) {
 	request := &protocol.Request{Body: &protocol.Request_KeepTurn{KeepTurn: &protocol.KeepTurnRequest{
 		Shard: k.shard.Shard, PlacementEpoch: k.shard.Epoch, Turn: k.turn,
--- /dev/null
+++ b/internal/store/latekeep_test.go
@@ -0,0 +1,110 @@
+package store_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// heldDisk holds back the syncs of turn segments while it is closed.
+type heldDisk struct {
+	storage.Filesystem
+	mutex  sync.Mutex
+	opened chan struct{}
+	held   chan struct{}
+}
+
+func newHeldDisk(filesystem storage.Filesystem) *heldDisk {
+	return &heldDisk{Filesystem: filesystem, held: make(chan struct{}, 1)}
+}
+
+func (d *heldDisk) close() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.opened = make(chan struct{})
+}
+
+func (d *heldDisk) open() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	close(d.opened)
+	d.opened = nil
+}
+
+func (d *heldDisk) pass() {
+	d.mutex.Lock()
+	opened := d.opened
+	d.mutex.Unlock()
+	if opened != nil {
+		d.held <- struct{}{}
+		<-opened
+	}
+}
+
+func (d *heldDisk) Create(path string) (storage.File, error) {
+	return d.wrap(path)(d.Filesystem.Create(path))
+}
+
+func (d *heldDisk) Open(path string) (storage.File, error) {
+	return d.wrap(path)(d.Filesystem.Open(path))
+}
+
+func (d *heldDisk) wrap(path string) func(storage.File, error) (storage.File, error) {
+	return func(file storage.File, err error) (storage.File, error) {
+		if err != nil || !strings.Contains(path, "turns") {
+			return file, err
+		}
+		return &heldFile{File: file, disk: d}, nil
+	}
+}
+
+type heldFile struct {
+	storage.File
+	disk *heldDisk
+}
+
+func (f *heldFile) Sync() error {
+	f.disk.pass()
+	return f.File.Sync()
+}
+
+var _ = Describe("a turn whose write is under way while its shard moves", func() {
+	It("given a new placement in force before the write is durable, when it is, then it counts under no older placement", func() {
+		var disk *heldDisk
+		f := newFleetOn(func(name string, filesystem storage.Filesystem) storage.Filesystem {
+			if name != "a" {
+				return filesystem
+			}
+			disk = newHeldDisk(filesystem)
+			return disk
+		}, "a", "b", "c", "d")
+		f.until(f.inForce)
+		before := f.View().Placement.GetShards()[0].GetEpoch()
+
+		disk.close()
+		answers := make(chan *protocol.KeepTurnResponse, 1)
+		go func() {
+			defer GinkgoRecover()
+			request := &protocol.Request{Body: &protocol.Request_KeepTurn{KeepTurn: &protocol.KeepTurnRequest{
+				PlacementEpoch: before, Turn: &protocol.Turn{Id: "turn_1", Program: "p"},
+			}}}
+			Expect(f.running("a").Serve(context.Background(), request, func(response *protocol.Response) error {
+				answers <- response.GetKeepTurn()
+				return nil
+			})).To(Succeed())
+		}()
+		<-disk.held
+		f.move(0, "c", "d")
+		f.until(func() bool { return f.running("a").Status().GetPlacementEpoch() > before })
+		disk.open()
+
+		Expect((<-answers).GetRefusal()).To(Equal(protocol.ReplicaRefusal_REPLICA_WRONG_PLACEMENT),
+			"a copy made under the newer placement may lack the turn")
+	})
+})
