Join with the word of the former holders alone; keep idle connections small

At each change of hands every front node told every gaining holder that it was complete, and a joining node, which had no view to compare with, told all others: O(N) calls and connections a join, O(N^2) for a herd. Each connection also held 64 KiB of read buffer on both ends and three goroutines.

Now a range that a living holder gives up is complete with that holder's word; one whose holder was lost, or was itself still settling, waits for every owner as before, and a former holder that knows of such a loss says so. A pool checks all its connections with one goroutine, read buffers are 8 KiB, idle connections close after 15 s.

Excluded: leaving out the owners' own re-registration of moved sessions; it is what keeps a session registered when the former holder dies in a hand-off.

--- a/internal/directory/answer.go
+++ b/internal/directory/answer.go
@@ -167,6 +167,7 @@
 		done.peer.due = peerVersion
 	default:
 		done.peer.due = 0
+		done.peer.partialKnowledge = false
 	}
 }
 
--- a/internal/directory/holder.go
+++ b/internal/directory/holder.go
@@ -23,8 +23,12 @@
 	since   time.Time
 	askAt   time.Time
 	askWait time.Duration
-	// waiting holds the incarnation of each front node that has not said complete.
+	// waiting holds the incarnation of each front node whose word is needed and has not come.
 	waiting map[string]uint64
+	// said holds the front nodes that have said complete.
+	said map[string]bool
+	// everyone is true once the word of every front node is needed.
+	everyone bool
 }
 
 // ServeLookup answers a lookup as holder. It must be called only with authority.
@@ -78,7 +82,7 @@
 		response.Results = append(response.Results, result)
 	}
 	if request.GetComplete() {
-		d.completed(request.GetFrom(), request.GetViewVersion())
+		d.completed(request)
 	}
 	if request.GetResend() {
 		d.resend(request.GetFrom(), request.GetViewVersion())
@@ -227,16 +231,22 @@
 // updateGains begins to settle what this node gained, and stops waiting for nodes that left.
 func (d *Directory) updateGains(changes []ring.Change) {
 	for _, each := range d.gains {
+		left := false
 		for name, incarnation := range each.waiting {
 			if !d.view.Has(name, incarnation) {
 				delete(each.waiting, name)
+				left = true
 			}
 		}
+		if left {
+			// A former holder may have gone before it handed everything off.
+			d.waitForEveryone(each)
+		}
 	}
-	var gained []ring.Range
+	var gained []ring.Change
 	for _, change := range changes {
 		if change.To.Name != "" && d.isSelf(change.To) {
-			gained = append(gained, change.Range)
+			gained = append(gained, change)
 		}
 	}
 	if len(gained) > 0 {
@@ -245,24 +255,48 @@
 	d.dropCompleteGains()
 }
 
-func (d *Directory) newGain(gained []ring.Range) *gain {
-	waiting := make(map[string]uint64, len(d.view.fronts))
-	for _, front := range d.view.fronts {
-		if front.Name != d.self.Name {
-			waiting[front.Name] = front.Incarnation
+// newGain waits for the former holders as long as they live, since each hands
+// off all that it held; for a range whose holder was lost it waits for every owner.
+func (d *Directory) newGain(gained []ring.Change) *gain {
+	made := &gain{
+		version: d.view.Version, since: d.at.Now, waiting: make(map[string]uint64), said: make(map[string]bool),
+		askAt: d.at.Now.Add(d.options.ResendDelay), askWait: d.options.ResendDelay,
+	}
+	for _, change := range gained {
+		made.ranges = append(made.ranges, change.Range)
+		if d.alive(change.From) {
+			made.waiting[change.From.Name] = change.From.Incarnation
+			continue
 		}
+		d.waitForEveryone(made)
 	}
-	return &gain{
-		ranges: gained, version: d.view.Version, since: d.at.Now, waiting: waiting,
-		askAt: d.at.Now.Add(d.options.ResendDelay), askWait: d.options.ResendDelay,
+	return made
+}
+
+// waitForEveryone widens a gain to all front nodes of the view that have not said complete.
+func (d *Directory) waitForEveryone(each *gain) {
+	if each.everyone {
+		return
+	}
+	each.everyone = true
+	for _, front := range d.view.fronts {
+		if front.Name != d.self.Name && !each.said[front.Name] {
+			each.waiting[front.Name] = front.Incarnation
+		}
 	}
 }
 
 // completed notes that a node has nothing more to register for the view version.
-func (d *Directory) completed(name string, version uint64) {
+func (d *Directory) completed(request *protocol.RegisterSessionsRequest) {
 	for _, each := range d.gains {
-		if each.version <= version {
-			delete(each.waiting, name)
+		if each.version > request.GetViewVersion() {
+			continue
+		}
+		delete(each.waiting, request.GetFrom())
+		each.said[request.GetFrom()] = true
+		if request.GetPartialKnowledge() && !each.everyone {
+			d.waitForEveryone(each)
+			each.askAt = d.at.Now
 		}
 	}
 	d.dropCompleteGains()
--- a/internal/directory/salvage.go
+++ b/internal/directory/salvage.go
@@ -27,6 +27,8 @@
 	displaced []*protocol.Registration
 	// due is the view version for which completion is owed; zero when it is not.
 	due uint64
+	// partialKnowledge goes with the completion owed: other nodes may have registrations in what the peer gained.
+	partialKnowledge bool
 	// ask is true while the peer is to be asked to register again.
 	ask  bool
 	call uint64
@@ -246,7 +248,7 @@
 	complete := to.owes(d.view.Version) && len(to.queue) == 0
 	request := &protocol.RegisterSessionsRequest{
 		ViewVersion: d.view.Version, Cause: cause, Registrations: registrationsOf(batch),
-		From: d.self.Name, Complete: complete,
+		From: d.self.Name, Complete: complete, PartialKnowledge: complete && to.partialKnowledge,
 	}
 	d.send(&call{kind: callRegister, peer: to, items: batch, complete: complete}, &protocol.Request{
 		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -23,11 +23,13 @@
 	fronts  []Front
 	byName  map[string]Front
 	ring    *ring.Ring
+	// virtualPlaces is the number of places of each member on the ring.
+	virtualPlaces int
 }
 
 // NewView builds a view of front nodes; their order does not matter.
 func NewView(version uint64, fronts []Front, virtualPlaces int) View {
-	view := View{Version: version, fronts: slices.Clone(fronts), byName: make(map[string]Front, len(fronts))}
+	view := View{Version: version, fronts: slices.Clone(fronts), byName: make(map[string]Front, len(fronts)), virtualPlaces: virtualPlaces}
 	slices.SortFunc(view.fronts, func(a, b Front) int { return cmp.Compare(a.Name, b.Name) })
 	members := make([]ring.Member, 0, len(fronts))
 	for _, front := range view.fronts {
@@ -65,6 +67,12 @@
 	return found && front.Incarnation == incarnation
 }
 
+// Holder is the name of the front node that holds a session's registration, empty on an empty ring.
+func (v View) Holder(session string) string {
+	member, _ := v.holder(ring.Key(session))
+	return member.Name
+}
+
 // holder is the member that holds a key; false on an empty ring.
 func (v View) holder(key uint64) (ring.Member, bool) {
 	if v.ring == nil {
@@ -112,7 +120,7 @@
 	}
 	former := d.view
 	d.view = next
-	changes := ring.Changes(former.ring, next.ring)
+	changes := ring.Changes(d.ringBefore(former), next.ring)
 	d.dropGonePeers()
 	d.dropGoneOwners()
 	d.tellDisplaced()
@@ -125,6 +133,22 @@
 	d.continueResolves()
 }
 
+// ringBefore is the ring that a view is compared with. A node that had no view
+// yet takes the others' ring for it, since that is what it joins; a former
+// holder that knows of more changes says so with its completion.
+func (d *Directory) ringBefore(former View) *ring.Ring {
+	if former.Version > 0 {
+		return former.ring
+	}
+	var others []ring.Member
+	for _, front := range d.view.fronts {
+		if !front.Draining && front.Name != d.self.Name {
+			others = append(others, front.Member)
+		}
+	}
+	return ring.New(others, d.view.virtualPlaces)
+}
+
 // dropGonePeers ends the state kept for nodes that left or came back under
 // another incarnation, and begins anew what waits for an answer of theirs.
 func (d *Directory) dropGonePeers() {
@@ -151,14 +175,38 @@
 	}
 }
 
-// oweCompletion notes each member that gained a range: it waits until this node has nothing more to register there.
+// oweCompletion notes each member that waits for this node before it calls a
+// gained range complete. A range that a living holder gave up is complete with
+// that holder's word; one whose holder was lost needs the word of every owner.
 func (d *Directory) oweCompletion(changes []ring.Change) {
 	for _, change := range changes {
 		if change.To.Name == "" || change.To.Name == d.self.Name {
 			continue
 		}
+		lost := !d.alive(change.From)
+		if !lost && !d.isSelf(change.From) {
+			continue
+		}
 		gainer := d.peer(change.To)
 		gainer.due = max(gainer.due, d.view.Version)
+		gainer.partialKnowledge = gainer.partialKnowledge || lost || d.settlingPartOf(change.Range)
 		d.wake(gainer)
 	}
 }
+
+// alive reports whether a member is in the view under the same incarnation.
+func (d *Directory) alive(member ring.Member) bool {
+	return member.Name != "" && d.view.Has(member.Name, member.Incarnation)
+}
+
+// settlingPartOf reports whether this node itself still waits for registrations in a part of the range.
+func (d *Directory) settlingPartOf(moved ring.Range) bool {
+	for _, each := range d.gains {
+		for _, gained := range each.ranges {
+			if gained.Contains(moved.Through) || moved.Contains(gained.Through) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -13,7 +13,10 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-const readBufferBytes = 64 << 10
+// readBufferBytes holds a few small frames; a larger frame is read past the
+// buffer into its own memory. A node may have a connection to every other one,
+// so the buffer is kept small.
+const readBufferBytes = 8 << 10
 
 // clientConnection is the calling side of one connection.
 type clientConnection struct {
@@ -163,28 +166,20 @@
 	errIdle   = errors.New("connection is idle")
 )
 
-// watch pings while exchanges are under way, breaks a silent connection and closes an idle one.
-func (c *clientConnection) watch(idle time.Duration) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.done:
-			return
-		case <-ticker.C:
-		}
-		c.mutex.Lock()
-		busy := len(c.exchanges) > 0
-		silent := busy && time.Since(c.lastHeard) > silenceLimit
-		unused := !busy && time.Since(c.lastUse) > idle
-		c.mutex.Unlock()
-		switch {
-		case silent:
-			c.breakWith(errSilent)
-		case unused:
-			c.breakWith(errIdle)
-		case busy:
-			_ = c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_PING})
-		}
+// check is called by the pool at every ping interval: it pings while exchanges
+// are under way, breaks a silent connection and closes an idle one.
+func (c *clientConnection) check(now time.Time, idle time.Duration) {
+	c.mutex.Lock()
+	busy := len(c.exchanges) > 0
+	silent := busy && now.Sub(c.lastHeard) > silenceLimit
+	unused := !busy && now.Sub(c.lastUse) > idle
+	c.mutex.Unlock()
+	switch {
+	case silent:
+		c.breakWith(errSilent)
+	case unused:
+		c.breakWith(errIdle)
+	case busy:
+		_ = c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_PING})
 	}
 }
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -49,8 +49,10 @@
 
 	mutex    sync.Mutex
 	slots    map[string]*slot
+	open     map[*clientConnection]struct{}
 	onBroken []func(address string)
 	closed   bool
+	stop     chan struct{}
 }
 
 // slot holds the connection to one address; its mutex makes concurrent callers share one dial.
@@ -62,7 +64,37 @@
 // NewPool makes an empty pool.
 func NewPool(options PoolOptions) *Pool {
 	options.fill()
-	return &Pool{options: options, slots: make(map[string]*slot)}
+	p := &Pool{options: options, slots: make(map[string]*slot), open: make(map[*clientConnection]struct{}), stop: make(chan struct{})}
+	p.routines.Add(1)
+	go p.watch()
+	return p
+}
+
+// watch checks all connections at every ping interval.
+func (p *Pool) watch() {
+	defer p.routines.Done()
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case now := <-ticker.C:
+			for _, connection := range p.connections() {
+				connection.check(now, p.options.IdleTimeout)
+			}
+		}
+	}
+}
+
+func (p *Pool) connections() []*clientConnection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	open := make([]*clientConnection, 0, len(p.open))
+	for connection := range p.open {
+		open = append(open, connection)
+	}
+	return open
 }
 
 // Counters counts the traffic of all connections of the pool.
@@ -143,13 +175,10 @@
 		return nil, &ClosedError{}
 	}
 	s.connection = connection
-	p.routines.Add(3)
+	p.open[connection] = struct{}{}
+	p.routines.Add(2)
 	go p.runReader(s, connection)
 	go p.runWriter(connection)
-	go func() {
-		defer p.routines.Done()
-		connection.watch(p.options.IdleTimeout)
-	}()
 	return connection, nil
 }
 
@@ -168,6 +197,9 @@
 		s.connection = nil
 	}
 	s.mutex.Unlock()
+	p.mutex.Lock()
+	delete(p.open, connection)
+	p.mutex.Unlock()
 	connection.mutex.Lock()
 	cause := connection.broken
 	connection.mutex.Unlock()
@@ -185,17 +217,13 @@
 // Close breaks all connections and waits for their goroutines.
 func (p *Pool) Close() {
 	p.mutex.Lock()
+	if !p.closed {
+		close(p.stop)
+	}
 	p.closed = true
-	slots := p.slots
-	p.slots = make(map[string]*slot)
 	p.mutex.Unlock()
-	for _, s := range slots {
-		s.mutex.Lock()
-		connection := s.connection
-		s.mutex.Unlock()
-		if connection != nil {
-			connection.breakWith(&ClosedError{})
-		}
+	for _, connection := range p.connections() {
+		connection.breakWith(&ClosedError{})
 	}
 	p.routines.Wait()
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -20,13 +20,15 @@
 
 	handshakeTimeout    = 3 * time.Second
 	writeTimeout        = 10 * time.Second
-	defaultIdleTimeout  = 60 * time.Second
+	defaultIdleTimeout  = 15 * time.Second
 	defaultDialTimeout  = 2 * time.Second
 	defaultCallDeadline = 30 * time.Second
 	pingInterval        = time.Second
 	silenceLimit        = 3 * time.Second
 	// answerQueue bounds the answers of one exchange that wait for a slow receiver.
 	answerQueue = 8192
+	// maxSpareBytes is the largest write buffer that a connection keeps for its next frames.
+	maxSpareBytes = 32 << 10
 	// maxPendingBytes bounds what waits to be written on one connection.
 	maxPendingBytes = 32 << 20
 	// maxConcurrentPerConnection bounds the requests one peer may have under way on a connection.
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -88,6 +88,9 @@
 		}
 		w.counters.SentBytes.Add(uint64(len(batch)))
 	}
+	if cap(batch) > maxSpareBytes {
+		return nil
+	}
 	w.mutex.Lock()
 	w.spare = batch
 	w.mutex.Unlock()
