--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -105,6 +105,8 @@
 	// bundles on the processes that they struck, and nothing else.
 	Disturbed []Interval
 	Returns   []Return
+	// Candidates are bundle versions that serve a share of the programs beside the active one.
+	Candidates []uint64
 }
 
 // Violation is one broken promise.
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -226,6 +226,25 @@
 	}
 }
 
+// TestCandidateServesBesideTheActiveBundle shows that programs of both sides may come to one owner, and that none may change sides.
+func TestCandidateServesBesideTheActiveBundle(t *testing.T) {
+	for _, changesSides := range []bool{false, true} {
+		evidence := sound()
+		evidence.Candidates = []uint64{2}
+		evidence.Book.Records[0].BundleVersion = 2
+		other := soundCall()
+		other.RequestID, other.Object, other.Text, other.Program = "c3", "valve-3", "valve-3", "p2"
+		other.Owner, other.BundleVersion = "front-1", 1
+		if changesSides {
+			other.Program = "p1"
+		}
+		evidence.Book.Records = append(evidence.Book.Records, other)
+		if found := audit.Audit(evidence).Of(audit.BundleWentBack).Found > 0; found != changesSides {
+			t.Errorf("changes sides %v, found %v", changesSides, found)
+		}
+	}
+}
+
 // TestExcusedDelays shows that delays are passed over only in disturbed times and on faulty stand-ins.
 func TestExcusedDelays(t *testing.T) {
 	late := func() audit.Evidence {
--- a/internal/lab/report/table.go
+++ b/internal/lab/report/table.go
@@ -16,7 +16,7 @@
 	writer := table.NewWriter()
 	writer.SetOutputMirror(output)
 	writer.SetStyle(table.StyleLight)
-	writer.SetTitle(title)
+	writer.SetTitle("%s", title)
 	if len(header) > 0 {
 		writer.AppendHeader(table.Row(header))
 	}
