--- a/internal/controlstate/backends.go
+++ b/internal/controlstate/backends.go
@@ -50,14 +50,20 @@
 		return accept(s.backEnds.GetVersion())
 	}
 	list := make([]*protocol.BackEnd, 0, len(s.backEnds.GetBackEnds())+1)
+	changed := []string{backEnd.GetId()}
 	for _, other := range s.backEnds.GetBackEnds() {
 		sameAddress := other.GetAddress() == backEnd.GetAddress() && other.GetIncarnation() <= backEnd.GetIncarnation()
-		if other.GetId() != backEnd.GetId() && !sameAddress {
+		switch {
+		case other.GetId() == backEnd.GetId():
+		case sameAddress:
+			changed = append(changed, other.GetId())
+		default:
 			list = append(list, other)
 		}
 	}
 	at, _ := slices.BinarySearchFunc(list, backEnd.GetId(), compareBackEnds)
 	s.backEnds = &protocol.BackEndView{Version: index, BackEnds: slices.Insert(list, at, backEnd)}
+	s.backEndHistory.Add(index, changed...)
 	if backEnd.GetState() == protocol.BackEndState_DRAINING {
 		s.noteDrained(backEnd.GetId(), backEnd.GetIncarnation())
 	}
@@ -104,6 +110,7 @@
 	}
 	list := slices.Delete(slices.Clone(s.backEnds.GetBackEnds()), at, at+1)
 	s.backEnds = &protocol.BackEndView{Version: index, BackEnds: list}
+	s.backEndHistory.Add(index, command.GetId())
 	return accept(index)
 }
 
@@ -130,5 +137,6 @@
 	list := slices.Clone(s.backEnds.GetBackEnds())
 	list[at] = draining
 	s.backEnds = &protocol.BackEndView{Version: index, BackEnds: list}
+	s.backEndHistory.Add(index, held.GetId())
 	return accept(index)
 }
--- a/internal/controlstate/bundles.go
+++ b/internal/controlstate/bundles.go
@@ -102,6 +102,8 @@
 	return s.newest
 }
 
+// keysInForce are those of the bundle in force; when it names none, the last
+// ones that a bundle in force named, or else the first keys.
 func (s *State) keysInForce() []*protocol.SignOffKey {
 	if keys := s.configuration.GetActive().GetSignOffKeys(); len(keys) > 0 {
 		return keys
@@ -170,7 +172,8 @@
 	return named
 }
 
-// putInForce makes a signed version the active one and ends a roll-out that it overtakes.
+// putInForce makes a signed version the active one and ends a roll-out that it
+// overtakes. The keys that were in force go on counting while no bundle in force names others.
 func (s *State) putInForce(index, version uint64) {
 	former := s.configuration
 	record := s.record(version)
@@ -180,6 +183,7 @@
 	} else if candidate != nil && candidate.GetVersion() < version {
 		s.setState(candidate.GetVersion(), protocol.BundleState_WITHDRAWN)
 	}
+	s.firstKeys = s.keysInForce()
 	s.configuration = next
 	s.addStep(former, next)
 	s.dropOldBundles(version)
--- /dev/null
+++ b/internal/controlstate/deltas.go
@@ -0,0 +1,22 @@
+package controlstate
+
+import (
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
+)
+
+// MembershipDelta gives what a holder of the known version lacks; nil when it
+// needs the whole. Checksum is that of this view.
+func (v *View) MembershipDelta(known, checksum uint64) *protocol.MembershipDelta {
+	return views.MembershipDelta(v.Membership, &v.nodeHistory, known, checksum)
+}
+
+// BackEndDelta gives what a holder of the known version lacks; nil when it needs the whole.
+func (v *View) BackEndDelta(known, checksum uint64) *protocol.BackEndDelta {
+	return views.BackEndDelta(v.BackEnds, &v.backEndHistory, known, checksum)
+}
+
+// PlacementDelta gives what a holder of the known epoch lacks; nil when it needs the whole.
+func (v *View) PlacementDelta(known, checksum uint64) *protocol.PlacementDelta {
+	return views.PlacementDelta(v.Placement, known, checksum)
+}
--- /dev/null
+++ b/internal/controlstate/deltas_test.go
@@ -0,0 +1,91 @@
+package controlstate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
+)
+
+// held is what a node may hold: the sections of some earlier view.
+type held struct {
+	membership *protocol.MembershipView
+	backEnds   *protocol.BackEndView
+	placement  *protocol.Placement
+}
+
+var _ = Describe("deltas of the views", func() {
+	// expectDeltas checks each section's delta from a held version against the whole, and counts those made.
+	expectDeltas := func(view *controlstate.View, from held) (made int) {
+		GinkgoHelper()
+		if delta := view.MembershipDelta(from.membership.GetVersion(), views.MembershipChecksum(view.Membership.GetNodes())); delta != nil {
+			applied, err := views.ApplyMembership(from.membership, delta)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(proto.Equal(applied, view.Membership)).To(BeTrue())
+			made++
+		}
+		if delta := view.BackEndDelta(from.backEnds.GetVersion(), views.BackEndsChecksum(view.BackEnds.GetBackEnds())); delta != nil {
+			applied, err := views.ApplyBackEnds(from.backEnds, delta)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(proto.Equal(applied, view.BackEnds)).To(BeTrue())
+			made++
+		}
+		if delta := view.PlacementDelta(from.placement.GetEpoch(), views.PlacementChecksum(view.Placement)); delta != nil {
+			applied, err := views.ApplyPlacement(from.placement, delta)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(proto.Equal(applied, view.Placement)).To(BeTrue())
+			made++
+		}
+		return made
+	}
+
+	It("lead from every version ever held to what the whole says, over random commands and restarts", func() {
+		random := rand.New(rand.NewPCG(11, 12))
+		w := newWorld()
+		for i := range 6 {
+			w.accepted("", join(store(i, 1, "disk")))
+		}
+		w.accepted("", &protocol.Command{Body: &protocol.Command_InitializePlacement{InitializePlacement: &protocol.InitializePlacementCommand{ShardCount: 32, ReplicaCount: 3}}})
+		var holders []held
+		made := 0
+		for step := range 1500 {
+			number, incarnation := random.IntN(30), uint64(step+2)
+			switch random.IntN(7) {
+			case 0, 1:
+				w.apply("", join(front(number, incarnation)))
+			case 2:
+				// Another name at the address of a front ends that one.
+				taking := front(number, incarnation)
+				taking.Name = fmt.Sprintf("taker-%d", number)
+				w.apply("", join(taking))
+			case 3:
+				if node := w.state.View().Node(fmt.Sprintf("front-%d", number)); node != nil {
+					w.apply("", &protocol.Command{Body: &protocol.Command_RemoveNode{RemoveNode: &protocol.RemoveNodeCommand{Name: node.GetName(), Incarnation: node.GetIncarnation()}}})
+				}
+			case 4:
+				w.apply("", upsert(&protocol.BackEnd{Id: fmt.Sprintf("b%d", number), Address: fmt.Sprintf("10.0.0.1:%d", random.IntN(30)), Incarnation: incarnation}))
+			case 5:
+				w.apply("", drain(fmt.Sprintf("b%d", number), 0))
+			default:
+				w.apply("", join(store(number%6, incarnation, fmt.Sprintf("disk-%d", random.IntN(3)))))
+			}
+			view := w.state.View()
+			if step%25 == 0 {
+				holders = append(holders, held{membership: view.Membership, backEnds: view.BackEnds, placement: view.Placement})
+			}
+			for _, from := range holders[max(0, len(holders)-4):] {
+				made += expectDeltas(view, from)
+			}
+			if step%400 == 399 {
+				w.restart()
+			}
+		}
+		Expect(made).To(BeNumerically(">", 1000))
+	})
+})
--- a/internal/controlstate/membership.go
+++ b/internal/controlstate/membership.go
@@ -23,13 +23,19 @@
 		return accept(s.membership.GetVersion())
 	}
 	nodes := make([]*protocol.Node, 0, len(s.membership.GetNodes())+1)
+	changed := []string{node.GetName()}
 	for _, other := range s.membership.GetNodes() {
-		if other.GetName() != node.GetName() && other.GetAddress() != node.GetAddress() {
+		switch {
+		case other.GetName() == node.GetName():
+		case other.GetAddress() == node.GetAddress():
+			changed = append(changed, other.GetName())
+		default:
 			nodes = append(nodes, other)
 		}
 	}
 	at, _ = slices.BinarySearchFunc(nodes, node.GetName(), compareNodes)
 	s.membership = &protocol.MembershipView{Version: index, Nodes: slices.Insert(nodes, at, node)}
+	s.nodeHistory.Add(index, changed...)
 	if node.GetKind() == protocol.NodeKind_STORE {
 		s.noteStorage(index, node)
 	}
@@ -85,6 +91,7 @@
 	}
 	nodes := slices.Delete(slices.Clone(s.membership.GetNodes()), at, at+1)
 	s.membership = &protocol.MembershipView{Version: index, Nodes: nodes}
+	s.nodeHistory.Add(index, command.GetName())
 	return accept(index)
 }
 
--- a/internal/controlstate/orders.go
+++ b/internal/controlstate/orders.go
@@ -30,11 +30,13 @@
 	result *protocol.CommandResult
 }
 
-// contentDigest covers what the order asks for, without its id and time.
+// contentDigest covers what the order asks for, without its id and time and what the leader added to it.
 func contentDigest(command *protocol.Command) contentSum {
 	var encoded []byte
 	if put := command.GetPutBundle(); put != nil {
 		encoded = append([]byte("put "), bundle.Digest(put.GetBundle())...)
+	} else if change := command.GetChangeMember(); change != nil {
+		encoded = bundle.EncodeMessage(&protocol.ChangeMemberCommand{Remove: change.GetRemove(), Subject: change.GetSubject()})
 	} else {
 		content := &protocol.Command{Body: command.GetBody()}
 		encoded = bundle.EncodeMessage(content)
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
 )
 
 // Snapshot writes the whole state into one message. Merged bundles are written
@@ -24,6 +25,7 @@
 		Placement:     s.placement,
 		Steps:         s.steps,
 		FirstKeys:     s.firstKeys,
+		MemberOrders:  s.encodeMemberOrders(),
 	}
 	for version := uint64(1); version <= s.newest; version++ {
 		if record := s.record(version); record != nil {
@@ -98,9 +100,12 @@
 	s.clusterID = snapshot.GetClusterId()
 	s.steps = snapshot.GetSteps()
 	s.firstKeys = snapshot.GetFirstKeys()
+	s.memberOrders = decodeMemberOrders(snapshot.GetMemberOrders())
 	s.membership = orEmpty(snapshot.GetMembership())
 	s.backEnds = orEmpty(snapshot.GetBackEnds())
 	s.placement = orEmpty(snapshot.GetPlacement())
+	s.nodeHistory = views.NewHistory(s.membership.GetVersion())
+	s.backEndHistory = views.NewHistory(s.backEnds.GetVersion())
 	for _, status := range snapshot.GetBundles() {
 		s.setRecord(status.GetVersion(), &BundleRecord{Status: status})
 		s.newest = max(s.newest, status.GetVersion())
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
 )
 
 // State is what the commands applied so far have made. Every message it hands
@@ -22,14 +23,20 @@
 	membership    *protocol.MembershipView
 	backEnds      *protocol.BackEndView
 	placement     *protocol.Placement
-	bundles       *iradix.Tree[*BundleRecord]
-	newest        uint64
+	// Histories of names that changed, for deltas. They are no part of the
+	// snapshot: after a restore deltas reach back to the versions restored.
+	nodeHistory    views.History
+	backEndHistory views.History
+	bundles        *iradix.Tree[*BundleRecord]
+	newest         uint64
 	// held lists the versions whose merged bundle is kept, oldest first.
-	held      []uint64
-	orders    map[string]*orderEntry
-	steps     []*protocol.ConfigurationStep
-	firstKeys []*protocol.SignOffKey
-	drained   map[string]uint64
+	held   []uint64
+	orders map[string]*orderEntry
+	steps  []*protocol.ConfigurationStep
+	// firstKeys count while the bundle in force names no keys: those of the settings, or the last ones in force.
+	firstKeys    []*protocol.SignOffKey
+	drained      map[string]uint64
+	memberOrders *memberOrders
 }
 
 // BundleRecord is what is known of one bundle version.
@@ -49,6 +56,7 @@
 		bundles:       iradix.New[*BundleRecord](),
 		orders:        map[string]*orderEntry{},
 		drained:       map[string]uint64{},
+		memberOrders:  &memberOrders{},
 	}
 }
 
@@ -100,6 +108,8 @@
 		return s.shardCopied(index, body.ShardCopied)
 	case *protocol.Command_EmptyStore:
 		return s.emptyStore(index, body.EmptyStore.GetStore())
+	case *protocol.Command_ChangeMember:
+		return s.changeMember(index, command.GetOrderId(), body.ChangeMember)
 	case *protocol.Command_RetireStore:
 		return s.retireStore(index, body.RetireStore.GetStore())
 	default:
@@ -120,8 +130,11 @@
 	FirstKeys   []*protocol.SignOffKey
 	Orders      int
 
-	bundles *iradix.Tree[*BundleRecord]
-	steps   []*protocol.ConfigurationStep
+	bundles        *iradix.Tree[*BundleRecord]
+	steps          []*protocol.ConfigurationStep
+	nodeHistory    views.History
+	backEndHistory views.History
+	memberOrders   *memberOrders
 }
 
 // View returns the picture of the state as it is now.
@@ -138,6 +151,10 @@
 		Orders:        len(s.orders),
 		bundles:       s.bundles,
 		steps:         s.steps[:len(s.steps):len(s.steps)],
+
+		nodeHistory:    s.nodeHistory.Copy(),
+		backEndHistory: s.backEndHistory.Copy(),
+		memberOrders:   s.memberOrders,
 	}
 }
 
--- a/internal/core/consensus.go
+++ b/internal/core/consensus.go
@@ -21,6 +21,10 @@
 	Leader() *protocol.CoreMember
 	Status() *protocol.CoreStatusResponse
 	ServeWire(ctx context.Context, request *protocol.Request) (*protocol.Response, error)
-	AddMember(ctx context.Context, address string) (*protocol.CoreMember, error)
+	// Identify asks the core process at an internal address who it is.
+	Identify(ctx context.Context, address string) (*protocol.CoreMember, error)
+	// Admit adds a member; adding one that is there succeeds.
+	Admit(ctx context.Context, member *protocol.CoreMember) error
+	// RemoveMember removes the member of that name or id; removing one that was removed before succeeds.
 	RemoveMember(ctx context.Context, name string) error
 }
--- /dev/null
+++ b/internal/core/delivery_test.go
@@ -0,0 +1,401 @@
+package core_test
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/core"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
+)
+
+// Sizes of the fleet that delivery is measured with.
+const (
+	fleetFronts   = 324
+	fleetStores   = 6
+	fleetBackEnds = 600
+	fleetZones    = 6
+	fleetRoutes   = 10_000
+	fleetTenants  = 490
+	// pollStep is the shortest time between two polls of a node.
+	pollStep = 20 * time.Millisecond
+)
+
+// watcher is a node that holds views and applies what it is sent, as the link of a node does.
+type watcher struct {
+	node       *protocol.Node
+	away       bool
+	known      *protocol.ControlVersions
+	membership *protocol.MembershipView
+	backEnds   *protocol.BackEndView
+	placement  *protocol.Placement
+	bytes      int
+	policies   int
+	answers    int
+}
+
+// delivery is a core with the whole fleet polling it in virtual time.
+type delivery struct {
+	fleet    *fleet
+	leader   *member
+	watchers []*watcher
+	deltas   bool
+	private  ed25519.PrivateKey
+	sizes    sizes
+}
+
+// sizes remembers how many bytes a section takes in an answer; nodes share the sections they are sent.
+type sizes map[protoreflect.Message]int
+
+func (s sizes) of(section protoreflect.Message) int {
+	size, known := s[section]
+	if !known {
+		size = protowire.SizeTag(1) + protowire.SizeBytes(proto.Size(section.Interface()))
+		s[section] = size
+	}
+	return size
+}
+
+// ofAnswer adds up the sections of an answer; their numbers are below 16, so each tag takes one byte.
+func (s sizes) ofAnswer(answer *protocol.PollControlResponse) int {
+	total := 0
+	answer.ProtoReflect().Range(func(_ protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		total += s.of(value.Message())
+		return true
+	})
+	return total
+}
+
+func fleetNode(number int, incarnation uint64) *protocol.Node {
+	node := &protocol.Node{
+		Name: fmt.Sprintf("front-%03d", number), Kind: protocol.NodeKind_FRONT, Incarnation: 1_764_650_000_000 + incarnation,
+		Address: fmt.Sprintf("10.%d.0.%d:7100", number%fleetZones, number), HttpAddress: fmt.Sprintf("10.%d.0.%d:8100", number%fleetZones, number),
+		Zone: fmt.Sprintf("zone-%d", number%fleetZones), Region: fmt.Sprintf("region-%d", number%3),
+	}
+	if number >= fleetFronts {
+		node.Name, node.Kind = fmt.Sprintf("store-%03d", number), protocol.NodeKind_STORE
+		node.StorageId = fmt.Sprintf("5f0c7c6e-0000-4000-8000-%012d", number)
+	}
+	return node
+}
+
+func fleetBackEnd(number int, incarnation uint64) *protocol.BackEnd {
+	return &protocol.BackEnd{
+		Id: fmt.Sprintf("model-server-%03d", number), Kind: protocol.BackEndKind_MODEL_SERVER, State: protocol.BackEndState_READY,
+		Address: fmt.Sprintf("10.%d.1.%d:9000", number%fleetZones, number), Zone: fmt.Sprintf("zone-%d", number%fleetZones), Region: fmt.Sprintf("region-%d", number%3),
+		Group: "assistants", Models: []string{"booking-assistant", "climate-advisor"}, Incarnation: 1_764_650_000_000 + incarnation, Capacity: 64,
+	}
+}
+
+func fleetBundle() *protocol.Bundle {
+	made := &protocol.Bundle{Version: 1, Groups: []*protocol.ServerGroup{{Name: "assistants"}}}
+	for i := range fleetTenants {
+		made.Tenants = append(made.Tenants, &protocol.TenantPolicy{Name: fmt.Sprintf("tenant-%03d", i)})
+	}
+	for i := range fleetRoutes {
+		tenant, model := fmt.Sprintf("tenant-%03d", i%fleetTenants), fmt.Sprintf("model-%02d", i/fleetTenants)
+		made.Routes = append(made.Routes, &protocol.Route{Name: tenant + "-" + model, Tenant: tenant, Model: model, Group: "assistants"})
+	}
+	return made
+}
+
+func joinCommand(node *protocol.Node) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_JoinNode{JoinNode: &protocol.JoinNodeCommand{Node: node}}}
+}
+
+func removeCommand(node *protocol.Node) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_RemoveNode{RemoveNode: &protocol.RemoveNodeCommand{Name: node.GetName(), Incarnation: node.GetIncarnation()}}}
+}
+
+func upsertCommand(backEnd *protocol.BackEnd) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_UpsertBackEnd{UpsertBackEnd: &protocol.UpsertBackEndCommand{BackEnd: backEnd}}}
+}
+
+func (d *delivery) propose(command *protocol.Command) {
+	GinkgoHelper()
+	encoded, err := proto.Marshal(command)
+	Expect(err).NotTo(HaveOccurred())
+	answer, _, err := d.leader.Propose(GinkgoT().Context(), encoded)
+	Expect(err).NotTo(HaveOccurred())
+	result := &protocol.CommandResult{}
+	Expect(proto.Unmarshal(answer, result)).To(Succeed())
+	Expect(result.GetAccepted()).To(BeTrue(), result.String())
+}
+
+// putInForce hands a bundle in and signs it.
+func (d *delivery) putInForce(submitted *protocol.Bundle) {
+	GinkgoHelper()
+	d.propose(&protocol.Command{Body: &protocol.Command_PutBundle{PutBundle: &protocol.PutBundleCommand{Bundle: submitted}}})
+	digest := d.leader.machine.View().Bundle(submitted.GetVersion()).Status.GetMergedDigest()
+	d.propose(&protocol.Command{Body: &protocol.Command_SignBundle{SignBundle: &protocol.SignBundleCommand{
+		Version: submitted.GetVersion(), KeyName: "ann", Signature: bundle.Sign(d.private, digest),
+	}}})
+}
+
+// newDelivery has all nodes, back ends and routes in place, and every watcher knows all of it.
+func newDelivery(snapshot []byte, private ed25519.PrivateKey, before bool) *delivery {
+	GinkgoHelper()
+	d := &delivery{deltas: !before, private: private, sizes: sizes{}}
+	d.fleet = newFleet(1, func(options *core.Options) {
+		options.Lease = 24 * time.Hour
+		if before {
+			options.Coalesce = -1
+		}
+		if snapshot != nil {
+			Expect(options.Machine.Restore(bytes.NewReader(snapshot))).To(Succeed())
+		}
+	})
+	d.fleet.index = d.fleet.members[0].machine.View().Index
+	d.leader = d.fleet.lead(d.fleet.members[0])
+	view := d.leader.machine.View()
+	for _, node := range view.Membership.GetNodes() {
+		d.watchers = append(d.watchers, &watcher{node: node, known: view.Versions(), membership: view.Membership, backEnds: view.BackEnds, placement: view.Placement})
+	}
+	return d
+}
+
+// fleetSnapshot is the state that every measurement begins with.
+func fleetSnapshot() ([]byte, ed25519.PrivateKey) {
+	GinkgoHelper()
+	public, private, err := ed25519.GenerateKey(rand.NewChaCha8([32]byte{5}))
+	Expect(err).NotTo(HaveOccurred())
+	d := newDelivery(nil, private, false)
+	d.propose(&protocol.Command{Body: &protocol.Command_SeedSignOffKeys{SeedSignOffKeys: &protocol.SeedSignOffKeysCommand{
+		Keys: []*protocol.SignOffKey{{Name: "ann", PublicKey: hex.EncodeToString(public)}},
+	}}})
+	d.putInForce(fleetBundle())
+	for i := range fleetFronts + fleetStores {
+		d.propose(joinCommand(fleetNode(i, 1)))
+	}
+	for i := range fleetBackEnds {
+		d.propose(upsertCommand(fleetBackEnd(i, 1)))
+	}
+	d.propose(&protocol.Command{Body: &protocol.Command_InitializePlacement{InitializePlacement: &protocol.InitializePlacementCommand{ShardCount: 64, ReplicaCount: 3}}})
+	var snapshot bytes.Buffer
+	Expect(d.leader.machine.Snapshot(&snapshot)).To(Succeed())
+	return snapshot.Bytes(), private
+}
+
+// step lets every node poll once, and time go on by one poll step.
+func (d *delivery) step() {
+	GinkgoHelper()
+	view := d.leader.machine.View()
+	for _, w := range d.watchers {
+		// A poll that knows all there is would be held back; nothing would be sent.
+		if w.away || w.holds(view) {
+			continue
+		}
+		answer, err := d.leader.call(&protocol.Request{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{
+			Node: w.node.GetName(), Incarnation: w.node.GetIncarnation(), Known: w.known, AcceptsDeltas: d.deltas,
+		}}})
+		Expect(err).NotTo(HaveOccurred())
+		w.take(answer.GetPollControl(), d.sizes)
+	}
+	d.fleet.clock.step(pollStep)
+}
+
+// run makes as many steps as fit into the time; each calls act first.
+func (d *delivery) run(duration time.Duration, act func(step int)) {
+	GinkgoHelper()
+	for step := range int(duration / pollStep) {
+		act(step)
+		d.step()
+	}
+}
+
+func (w *watcher) holds(view *controlstate.View) bool {
+	return w.known.GetConfiguration() == view.Configuration.GetVersion() && w.known.GetMembership() == view.Membership.GetVersion() &&
+		w.known.GetBackEnds() == view.BackEnds.GetVersion() && w.known.GetPlacement() == view.Placement.GetEpoch()
+}
+
+func (w *watcher) take(answer *protocol.PollControlResponse, sizes sizes) {
+	GinkgoHelper()
+	size := sizes.ofAnswer(answer)
+	if size == 0 {
+		return
+	}
+	w.answers++
+	w.bytes += size
+	w.policies += proto.Size(answer.GetConfiguration()) + proto.Size(answer.GetConfigurationDelta())
+	var err error
+	switch delta := answer.GetMembershipDelta(); {
+	case delta != nil:
+		w.membership, err = views.ApplyMembership(w.membership, delta)
+	case answer.GetMembership() != nil:
+		w.membership = answer.GetMembership()
+	}
+	Expect(err).NotTo(HaveOccurred())
+	switch delta := answer.GetBackEndsDelta(); {
+	case delta != nil:
+		w.backEnds, err = views.ApplyBackEnds(w.backEnds, delta)
+	case answer.GetBackEnds() != nil:
+		w.backEnds = answer.GetBackEnds()
+	}
+	Expect(err).NotTo(HaveOccurred())
+	switch delta := answer.GetPlacementDelta(); {
+	case delta != nil:
+		w.placement, err = views.ApplyPlacement(w.placement, delta)
+	case answer.GetPlacement() != nil:
+		w.placement = answer.GetPlacement()
+	}
+	Expect(err).NotTo(HaveOccurred())
+	w.known = &protocol.ControlVersions{
+		Configuration: max(w.known.GetConfiguration(), answer.GetConfiguration().GetVersion(), answer.GetConfigurationDelta().GetVersion()),
+		Membership:    w.membership.GetVersion(), BackEnds: w.backEnds.GetVersion(), Placement: w.placement.GetEpoch(),
+	}
+}
+
+// comeBack lets a node join under a new incarnation; one that was restarted holds nothing.
+func (d *delivery) comeBack(w *watcher, restarted bool) {
+	GinkgoHelper()
+	w.node = proto.CloneOf(w.node)
+	w.node.Incarnation += 1000
+	w.away = false
+	if restarted {
+		w.known, w.membership, w.backEnds, w.placement = &protocol.ControlVersions{}, nil, nil, nil
+	}
+	d.propose(joinCommand(w.node))
+}
+
+// lose ends the leases of nodes, as one tick of the leader does.
+func (d *delivery) lose(lost []*watcher) {
+	GinkgoHelper()
+	for _, w := range lost {
+		w.away = true
+		d.propose(removeCommand(w.node))
+	}
+}
+
+func (d *delivery) inZone(zone string) []*watcher {
+	var found []*watcher
+	for _, w := range d.watchers {
+		if w.node.GetZone() == zone {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
+// returning brings nodes back evenly over a second, or gives them nothing to do once all are there.
+func (d *delivery) returning(lost []*watcher, restarted bool) func(step int) {
+	const steps = int(time.Second / pollStep)
+	return func(step int) {
+		for i, w := range lost {
+			if i*steps/len(lost) == step {
+				d.comeBack(w, restarted)
+			}
+		}
+	}
+}
+
+func quiet(int) {}
+
+// settled checks that every node that is there holds what the leader holds.
+func (d *delivery) settled() {
+	GinkgoHelper()
+	view := d.leader.machine.View()
+	membership, backEnds := views.MembershipChecksum(view.Membership.GetNodes()), views.BackEndsChecksum(view.BackEnds.GetBackEnds())
+	placement := views.PlacementChecksum(view.Placement)
+	for i, w := range d.watchers {
+		Expect(proto.Equal(w.known, view.Versions())).To(BeTrue(), "%s holds %v of %v", w.node.GetName(), w.known, view.Versions())
+		// The checksums cover every field; they stand for the whole comparison, which takes long for each of 330 nodes.
+		Expect(views.MembershipChecksum(w.membership.GetNodes())).To(Equal(membership), w.node.GetName())
+		Expect(views.BackEndsChecksum(w.backEnds.GetBackEnds())).To(Equal(backEnds), w.node.GetName())
+		Expect(views.PlacementChecksum(w.placement)).To(Equal(placement), w.node.GetName())
+		if i%100 != 0 {
+			continue
+		}
+		Expect(proto.Equal(w.membership, view.Membership)).To(BeTrue(), w.node.GetName())
+		Expect(proto.Equal(w.backEnds, view.BackEnds)).To(BeTrue(), w.node.GetName())
+		Expect(proto.Equal(w.placement, view.Placement)).To(BeTrue(), w.node.GetName())
+	}
+}
+
+// total sums up what the leader sent.
+func (d *delivery) total() (bytes, policies, answers, largest int) {
+	for _, w := range d.watchers {
+		bytes, policies, answers, largest = bytes+w.bytes, policies+w.policies, answers+w.answers, max(largest, w.bytes)
+	}
+	return bytes, policies, answers, largest
+}
+
+var _ = Describe("delivery to 330 nodes with 600 back ends and 10,000 routes", Ordered, func() {
+	var snapshot []byte
+	var private ed25519.PrivateKey
+	const oneRouteChanges = 20
+	BeforeAll(func() {
+		snapshot, private = fleetSnapshot()
+		GinkgoWriter.Println("event | mode | bytes at the leader | of it configuration | mean bytes a node | largest node | answers")
+	})
+
+	DescribeTable("is cheap and complete after",
+		func(name string, factor int, event func(d *delivery)) {
+			sent := map[string]int{}
+			for _, mode := range []string{"before", "after"} {
+				d := newDelivery(snapshot, private, mode == "before")
+				Expect(d.watchers).To(HaveLen(fleetFronts + fleetStores))
+				event(d)
+				d.run(400*time.Millisecond, quiet)
+				d.settled()
+				total, policies, answers, largest := d.total()
+				sent[mode] = total - policies
+				GinkgoWriter.Printf("%s | %s | %d | %d | %d | %d | %d\n", name, mode, total, policies, total/len(d.watchers), largest, answers)
+			}
+			Expect(sent["after"]*factor).To(BeNumerically("<=", sent["before"]), "views, without the configuration")
+		},
+		Entry("(a) a restart", "(a) one node restarts", 20, func(d *delivery) {
+			lost := d.watchers[:1]
+			d.lose(lost)
+			d.run(500*time.Millisecond, quiet)
+			d.comeBack(lost[0], true)
+		}),
+		Entry("(b) the loss of a zone", "(b) a zone of 55 lost, 55 processes come back with what they held", 20, func(d *delivery) {
+			lost := d.inZone("zone-1")
+			Expect(lost).To(HaveLen(55))
+			d.lose(lost)
+			d.run(time.Second, quiet)
+			d.run(time.Second, d.returning(lost, false))
+		}),
+		Entry("(b) the restart of a zone", "(b) a zone of 55 lost, 55 processes started anew", 8, func(d *delivery) {
+			lost := d.inZone("zone-1")
+			d.lose(lost)
+			d.run(time.Second, quiet)
+			d.run(time.Second, d.returning(lost, true))
+		}),
+		Entry("(c) the return of all", "(c) all 330 come back at once with what they held", 4, func(d *delivery) {
+			d.lose(d.watchers)
+			d.run(time.Second, quiet)
+			d.run(time.Second, d.returning(d.watchers, false))
+		}),
+		Entry("(c) the restart of all", "(c) all 330 started anew at once", 2, func(d *delivery) {
+			d.lose(d.watchers)
+			d.run(time.Second, quiet)
+			d.run(time.Second, d.returning(d.watchers, true))
+		}),
+		Entry("(d) a change of a back end", "(d) one back end of 600 changes", 100, func(d *delivery) {
+			d.propose(upsertCommand(fleetBackEnd(17, 2)))
+		}),
+		Entry("(e) changes of one route", "(e) 20 changes of one route of 10,000", 1, func(d *delivery) {
+			for version := uint64(2); version < 2+oneRouteChanges; version++ {
+				name := fmt.Sprintf("extra-%d", version)
+				d.putInForce(&protocol.Bundle{
+					Version: version, BaseVersion: version - 1, Partial: true,
+					Routes: []*protocol.Route{{Name: name, Model: name, Group: "assistants"}},
+				})
+				d.run(120*time.Millisecond, quiet)
+			}
+		}),
+	)
+})
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"runtime"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -98,6 +99,10 @@
 	since   time.Time
 	// loseAnswers makes Propose apply the command and then lose the answer.
 	loseAnswers bool
+	// members are the members of the core, and retired those that were removed.
+	members, retired []*protocol.CoreMember
+	// reachable are core processes by address.
+	reachable map[string]*protocol.CoreMember
 	// dropProposals makes Propose lose the command itself.
 	dropProposals bool
 }
@@ -228,18 +233,42 @@
 }
 
 func (m *member) Status() *protocol.CoreStatusResponse {
-	return &protocol.CoreStatusResponse{Name: m.core.GetName(), Id: m.core.GetId()}
+	return &protocol.CoreStatusResponse{
+		Name: m.core.GetName(), Id: m.core.GetId(),
+		Configuration: &protocol.CoreConfiguration{Members: m.members, Retired: m.retired},
+	}
 }
 
 func (m *member) ServeWire(context.Context, *protocol.Request) (*protocol.Response, error) {
 	return &protocol.Response{Body: &protocol.Response_CoreStatus{CoreStatus: m.Status()}}, nil
 }
 
-func (m *member) AddMember(_ context.Context, address string) (*protocol.CoreMember, error) {
-	return &protocol.CoreMember{Name: "added", Address: address}, nil
+func (m *member) Identify(_ context.Context, address string) (*protocol.CoreMember, error) {
+	found := m.reachable[address]
+	if found == nil {
+		return nil, &replica.MemberUnreachableError{Address: address, Cause: context.DeadlineExceeded}
+	}
+	return found, nil
+}
+
+func (m *member) Admit(_ context.Context, admitted *protocol.CoreMember) error {
+	m.members = append(m.members, admitted)
+	return nil
 }
 
 func (m *member) RemoveMember(_ context.Context, name string) error {
+	for at, held := range m.members {
+		if held.GetName() == name || strconv.FormatUint(held.GetId(), 10) == name {
+			m.retired = append(m.retired, held)
+			m.members = slices.Delete(slices.Clone(m.members), at, at+1)
+			return nil
+		}
+	}
+	for _, held := range m.retired {
+		if held.GetName() == name || strconv.FormatUint(held.GetId(), 10) == name {
+			return nil
+		}
+	}
 	return &replica.MemberUnknownError{Member: name}
 }
 
--- a/internal/core/lease_test.go
+++ b/internal/core/lease_test.go
@@ -112,6 +112,15 @@
 		Expect(leader.names()).To(Equal([]string{"f1"}))
 	})
 
+	It("are refused with the reason when a later incarnation holds them", func() {
+		leader.renew(frontNode("f1", 7), nil)
+		answer, err := leader.call(&protocol.Request{Body: &protocol.Request_RenewLease{RenewLease: &protocol.RenewLeaseRequest{Node: frontNode("f1", 3)}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetRenewLease().GetGranted()).To(BeFalse())
+		Expect(answer.GetRenewLease().GetRefusal().GetCode()).To(Equal(string(failure.LeaseRefused)))
+		Expect(answer.GetRenewLease().GetRefusal().GetMessage()).To(ContainSubstring("later incarnation"))
+	})
+
 	It("are granted by no follower", func() {
 		for _, request := range []*protocol.Request{
 			{Body: &protocol.Request_RenewLease{RenewLease: &protocol.RenewLeaseRequest{Node: frontNode("f1", 1)}}},
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -28,21 +28,15 @@
 type published struct {
 	view *controlstate.View
 	// changed is closed when a section of the view has changed.
-	changed chan struct{}
-	deltas  atomic.Pointer[cachedDelta]
-}
-
-// cachedDelta is the answer to the known version that was asked for last; most nodes hold the same one.
-type cachedDelta struct {
-	known uint64
-	whole *protocol.Configuration
-	delta *protocol.ConfigurationDelta
+	changed  chan struct{}
+	sections *sections
 }
 
 // NewMachine makes a machine with an empty state; logger may be nil.
 func NewMachine(logger *log.Logger) *Machine {
 	machine := &Machine{state: controlstate.New(), logger: orDiscard(logger)}
-	machine.current.Store(&published{view: machine.state.View(), changed: make(chan struct{})})
+	view := machine.state.View()
+	machine.current.Store(&published{view: view, changed: make(chan struct{}), sections: newSections(view, nil)})
 	return machine
 }
 
@@ -71,12 +65,10 @@
 	former := m.current.Load()
 	view := m.state.View()
 	if proto.Equal(former.view.Versions(), view.Versions()) {
-		next := &published{view: view, changed: former.changed}
-		next.deltas.Store(former.deltas.Load())
-		m.current.Store(next)
+		m.current.Store(&published{view: view, changed: former.changed, sections: former.sections})
 		return
 	}
-	m.current.Store(&published{view: view, changed: make(chan struct{})})
+	m.current.Store(&published{view: view, changed: make(chan struct{}), sections: newSections(view, former.sections)})
 	close(former.changed)
 }
 
@@ -112,16 +104,6 @@
 	return nil
 }
 
-// configurationSince answers from the cache when the same version was asked for before.
-func (p *published) configurationSince(known uint64) (*protocol.Configuration, *protocol.ConfigurationDelta) {
-	if cached := p.deltas.Load(); cached != nil && cached.known == known {
-		return cached.whole, cached.delta
-	}
-	whole, delta := p.view.ConfigurationSince(known)
-	p.deltas.Store(&cachedDelta{known: known, whole: whole, delta: delta})
-	return whole, delta
-}
-
 // logChange writes a line for each change that operators care about.
 func (m *Machine) logChange(command *protocol.Command, result *protocol.CommandResult) {
 	if !result.GetAccepted() {
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -10,6 +10,8 @@
 	backEndLeases *prometheus.CounterVec
 	polls         *prometheus.CounterVec
 	pollSections  *prometheus.CounterVec
+	pollBytes     *prometheus.CounterVec
+	coalesced     prometheus.Counter
 	drains        *prometheus.CounterVec
 	reconciled    *prometheus.CounterVec
 	guards        prometheus.Counter
@@ -29,6 +31,8 @@
 		backEndLeases: counters("back_end_leases_total", "Heartbeats and expiries of back ends by event.", "event"),
 		polls:         counters("polls_total", "Polls of nodes by how they ended.", "result"),
 		pollSections:  counters("poll_sections_total", "Sections sent to nodes by kind.", "section"),
+		pollBytes:     counters("poll_bytes_total", "Bytes of the sections sent to nodes by kind, before framing.", "section"),
+		coalesced:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: "polls_coalesced_total", Help: "Answers held back for the coalescing interval."}),
 		drains:        counters("drains_total", "Drains of back ends by how they ended.", "result"),
 		reconciled:    counters("reconciled_total", "Commands of the reconciler by result.", "result"),
 		requests:      counters("http_requests_total", "Requests of operators by result code.", "result"),
@@ -40,7 +44,7 @@
 		leading:       gauge("leading", "1 while this process leads."),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.orders, m.leases, m.backEndLeases, m.polls, m.pollSections, m.drains,
+		registerer.MustRegister(m.orders, m.leases, m.backEndLeases, m.polls, m.pollSections, m.pollBytes, m.coalesced, m.drains,
 			m.reconciled, m.requests, m.guards, m.versions, m.ordersKept, m.nodes, m.backEnds, m.leading)
 	}
 	return m
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -160,33 +160,3 @@
 	}
 	return &answer{status: http.StatusOK, document: drainAnswer{ViewVersion: result.GetIndex()}}, nil
 }
-
-func (s *Service) addMember(ctx context.Context, request *operatorRequest) (*answer, error) {
-	member := &protocol.CoreMember{}
-	if err := readBody(request, member); err != nil {
-		return nil, err
-	}
-	if member.GetAddress() == "" {
-		return nil, failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "must be set", failure.WithPath("address"))
-	}
-	added, err := s.consensus.AddMember(ctx, member.GetAddress())
-	if err != nil {
-		return nil, consensusFailure(err)
-	}
-	return protoAnswer(added)
-}
-
-// removeAnswer says that a core member is gone; Removed is false when it was so before.
-type removeAnswer struct {
-	Member  string `json:"member"`
-	Removed bool   `json:"removed"`
-}
-
-// removeMember acknowledges a member that is gone already, so that the order may be sent again.
-func (s *Service) removeMember(ctx context.Context, request *operatorRequest) (*answer, error) {
-	err := consensusFailure(s.consensus.RemoveMember(ctx, request.arguments[0]))
-	if err != nil && !failure.Is(err, failure.NotFound) {
-		return nil, err
-	}
-	return &answer{status: http.StatusOK, document: removeAnswer{Member: request.arguments[0], Removed: err == nil}}, nil
-}
--- a/internal/core/poll.go
+++ b/internal/core/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosestand/rosestand/internal/core/replica"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -12,15 +13,16 @@
 
 // pollControl answers with the sections that are newer than those known. With
 // nothing newer it waits for a change, the time asked for or the end of this
-// leadership. A fresh poll is answered at once, from a linearizable read.
+// leadership. What is newer is held back while the answer before it to the same
+// node is younger than the coalescing interval. A fresh poll is answered at
+// once, from a linearizable read.
 func (s *Service) pollControl(ctx context.Context, request *protocol.PollControlRequest) (*protocol.PollControlResponse, error) {
 	if request.GetFresh() {
 		if err := s.consensus.Barrier(ctx); err != nil {
 			return nil, consensusFailure(err)
 		}
 		s.metrics.polls.WithLabelValues("fresh").Inc()
-		answer, _ := s.newerThan(s.machine.current.Load(), request.GetKnown())
-		return answer, nil
+		return s.answerPoll(s.machine.current.Load(), request), nil
 	}
 	leadership := s.owner.leading.Load()
 	if leadership == nil || !s.consensus.IsLeader() {
@@ -31,25 +33,51 @@
 	defer timer.Stop()
 	for {
 		current := s.machine.current.Load()
-		if answer, newer := s.newerThan(current, request.GetKnown()); newer {
-			s.metrics.polls.WithLabelValues("changed").Inc()
-			return answer, nil
+		var held replica.Timer
+		var changed <-chan struct{}
+		var due <-chan time.Time
+		if current.newerThan(request.GetKnown()) {
+			wait := s.pacing.wait(request.GetNode(), current.view.Versions(), s.clock.Now())
+			if wait <= 0 {
+				s.metrics.polls.WithLabelValues("changed").Inc()
+				return s.answerPoll(current, request), nil
+			}
+			s.metrics.coalesced.Inc()
+			held = s.clock.NewTimer(wait)
+			due = held.C()
+		} else {
+			changed = current.changed
 		}
-		select {
-		case <-current.changed:
-		case <-timer.C():
-			s.metrics.polls.WithLabelValues("unchanged").Inc()
-			return &protocol.PollControlResponse{}, nil
-		case <-leadership.lost:
-			s.metrics.polls.WithLabelValues("not_leader").Inc()
-			return nil, notLeaderFailure()
-		case <-ctx.Done():
-			s.metrics.polls.WithLabelValues("cancelled").Inc()
-			return nil, contextFailure(ctx)
+		ended, err := s.awaitPoll(ctx, changed, due, timer.C(), leadership)
+		if held != nil {
+			held.Stop()
+		}
+		if ended != nil || err != nil {
+			return ended, err
 		}
 	}
 }
 
+// awaitPoll waits for a change or for the end of the time that an answer is
+// held back; it returns an answer or an error when the poll ended first.
+func (s *Service) awaitPoll(ctx context.Context, changed <-chan struct{}, due, ends <-chan time.Time, leadership *leadership) (*protocol.PollControlResponse, error) {
+	select {
+	case <-changed:
+		return nil, nil
+	case <-due:
+		return nil, nil
+	case <-ends:
+		s.metrics.polls.WithLabelValues("unchanged").Inc()
+		return &protocol.PollControlResponse{}, nil
+	case <-leadership.lost:
+		s.metrics.polls.WithLabelValues("not_leader").Inc()
+		return nil, notLeaderFailure()
+	case <-ctx.Done():
+		s.metrics.polls.WithLabelValues("cancelled").Inc()
+		return nil, contextFailure(ctx)
+	}
+}
+
 // confirmPoll takes what a poll knows as in force at the node, when it comes from the incarnation under the lease.
 func (s *Service) confirmPoll(request *protocol.PollControlRequest) {
 	if request.GetNode() == "" || request.GetIncarnation() == 0 {
@@ -62,38 +90,28 @@
 	}
 }
 
-// newerThan collects the sections with a higher version than the one known.
-func (s *Service) newerThan(current *published, known *protocol.ControlVersions) (*protocol.PollControlResponse, bool) {
-	view := current.view
-	answer := &protocol.PollControlResponse{}
-	newer := false
-	if view.Configuration.GetVersion() > known.GetConfiguration() {
-		answer.Configuration, answer.ConfigurationDelta = current.configurationSince(known.GetConfiguration())
-		s.countSection(&newer, configurationKind(answer))
-	}
-	if view.Membership.GetVersion() > known.GetMembership() {
-		answer.Membership = view.Membership
-		s.countSection(&newer, "membership")
-	}
-	if view.BackEnds.GetVersion() > known.GetBackEnds() {
-		answer.BackEnds = view.BackEnds
-		s.countSection(&newer, "back_ends")
-	}
-	if view.Placement.GetEpoch() > known.GetPlacement() {
-		answer.Placement = view.Placement
-		s.countSection(&newer, "placement")
-	}
-	return answer, newer
+// newerThan reports whether a section has a higher version than the one known.
+func (p *published) newerThan(known *protocol.ControlVersions) bool {
+	return p.sections.configuration.version > known.GetConfiguration() || p.sections.membership.version > known.GetMembership() ||
+		p.sections.backEnds.version > known.GetBackEnds() || p.sections.placement.version > known.GetPlacement()
 }
 
-func (s *Service) countSection(newer *bool, section string) {
-	*newer = true
-	s.metrics.pollSections.WithLabelValues(section).Inc()
-}
-
-func configurationKind(answer *protocol.PollControlResponse) string {
-	if answer.GetConfigurationDelta() != nil {
-		return "configuration_delta"
+// answerPoll collects the sections with a higher version than the one known.
+func (s *Service) answerPoll(current *published, request *protocol.PollControlRequest) *protocol.PollControlResponse {
+	answer, known := &protocol.PollControlResponse{}, request.GetKnown()
+	add := func(section *section, version uint64) {
+		if section.version <= version {
+			return
+		}
+		part := section.answer(version, request.GetAcceptsDeltas())
+		part.set(answer)
+		s.metrics.pollSections.WithLabelValues(part.kind).Inc()
+		s.metrics.pollBytes.WithLabelValues(part.kind).Add(float64(part.bytes))
 	}
-	return "configuration"
+	add(current.sections.configuration, known.GetConfiguration())
+	add(current.sections.membership, known.GetMembership())
+	add(current.sections.backEnds, known.GetBackEnds())
+	add(current.sections.placement, known.GetPlacement())
+	s.pacing.note(request.GetNode(), current.view.Versions(), s.clock.Now())
+	return answer
 }
--- a/internal/core/propose.go
+++ b/internal/core/propose.go
@@ -51,12 +51,15 @@
 	var unknown *replica.UnknownOutcomeError
 	var memberUnknown *replica.MemberUnknownError
 	var memberInUse *replica.MemberInUseError
+	var unreachable *replica.MemberUnreachableError
 	var mismatch *replica.ClusterMismatchError
 	var unsafe *replica.UnsafeChangeError
 	retry := failure.WithRetryAfter(retryWait)
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &unreachable):
+		return replica.Failure(err)
 	case errors.As(err, &unknown):
 		return failure.New(failure.Unavailable, protocol.Outcome_UNKNOWN, err.Error()+"; send the same order again", retry)
 	case errors.As(err, &notLeader):
@@ -70,7 +73,7 @@
 	case errors.As(err, &mismatch):
 		return failure.New(failure.WrongCluster, protocol.Outcome_NOT_RUN, err.Error())
 	default:
-		return err
+		return replica.Failure(err)
 	}
 }
 
--- a/internal/core/renew.go
+++ b/internal/core/renew.go
@@ -44,7 +44,9 @@
 		if !result.GetAccepted() {
 			s.metrics.leases.WithLabelValues("refused").Inc()
 			s.logger.Debug("lease refused", "node", node.GetName(), "reason", result.GetRefusal().GetMessage())
-			return s.leaseAnswer(false), nil
+			refused := s.leaseAnswer(false)
+			refused.Refusal = result.GetRefusal()
+			return refused, nil
 		}
 		outcome = s.owner.renew(ctx, node, request.GetInForce())
 	}
--- a/internal/core/replica/errors.go
+++ b/internal/core/replica/errors.go
@@ -56,6 +56,21 @@
 // Error implements error.
 func (e *MemberUnknownError) Error() string { return "no core member " + e.Member }
 
+// MemberUnreachableError says that no core process answered at the address of a member to add;
+// nothing was changed.
+type MemberUnreachableError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *MemberUnreachableError) Error() string {
+	return fmt.Sprintf("no core process answers at %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *MemberUnreachableError) Unwrap() error { return e.Cause }
+
 // MemberInUseError refuses to join under the name of a member that is alive under another id.
 type MemberInUseError struct{ Name string }
 
--- a/internal/core/replica/membership.go
+++ b/internal/core/replica/membership.go
@@ -32,31 +32,50 @@
 // Error implements error.
 func (e *InvalidMemberError) Error() string { return "a core member needs its " + e.Field }
 
-// AddMember asks the core process at the internal address who it is and adds it as a learner;
-// the leader promotes it when it has caught up and a voter is wanted. It is done when the
-// change is committed; adding a member that is there succeeds. A member that was removed before
-// is taken back. Errors: those of Propose and of the call, *ClusterMismatchError,
-// *MemberInUseError, *InvalidMemberError, *consensus.ChangePendingError.
+// identifyTimeout bounds the question to a process who it is.
+const identifyTimeout = 2 * time.Second
+
+// AddMember asks the core process at the internal address who it is and adds it. Errors: those of
+// Identify and Admit.
 func (r *Replica) AddMember(ctx context.Context, address string) (*protocol.CoreMember, error) {
+	member, err := r.Identify(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return member, r.Admit(ctx, member)
+}
+
+// Identify asks the core process at the internal address who it is; nothing is changed. Errors:
+// *MemberUnreachableError, *ClusterMismatchError.
+func (r *Replica) Identify(ctx context.Context, address string) (*protocol.CoreMember, error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
 	request := &protocol.Request{Body: &protocol.Request_CoreStatus{CoreStatus: &protocol.CoreStatusRequest{}}}
 	response, err := r.options.Caller.Call(ctx, address, request)
 	if err != nil {
-		return nil, err
+		return nil, &MemberUnreachableError{Address: address, Cause: err}
 	}
 	status := response.GetCoreStatus()
 	if other, own := status.GetClusterId(), r.view.Load().clusterID; other != "" && other != own {
 		return nil, &ClusterMismatchError{Own: own, Other: other}
 	}
-	member := proto.Clone(status.GetSelf()).(*protocol.CoreMember)
+	return proto.CloneOf(status.GetSelf()), nil
+}
+
+// Admit adds a member as a learner; the leader promotes it when it has caught up and a voter is
+// wanted. It is done when the change is committed; adding a member that is there succeeds. A
+// member that was removed before is taken back. Errors: those of Propose, *MemberInUseError,
+// *InvalidMemberError, *consensus.ChangePendingError.
+func (r *Replica) Admit(ctx context.Context, member *protocol.CoreMember) error {
 	done := make(chan proposalResult, 1)
 	if err := r.do(ctx, func() { r.owner.admit(member, true, done) }); err != nil {
-		return nil, err
+		return err
 	}
 	answer, err := r.await(ctx, done)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return member, answer.err
+	return answer.err
 }
 
 // RemoveMember removes the member of that name or id for good: its id may not join again by itself.
--- a/internal/core/replica/service.go
+++ b/internal/core/replica/service.go
@@ -130,8 +130,12 @@
 	var retired *MemberRetiredError
 	var unknown *MemberUnknownError
 	var invalid *InvalidMemberError
+	var unreachable *MemberUnreachableError
 	wait := failure.WithRetryAfter(retryAfter)
 	switch {
+	case errors.As(err, &unreachable):
+		// The cause may be a failure of its own; that one does not say what became of the order.
+		return failure.New(failure.Unavailable, protocol.Outcome_NOT_RUN, err.Error(), failure.WithPath("address"), failure.WithRetryAfter(time.Second))
 	case errors.As(err, &pending):
 		return failure.New(failure.ChangeUnderWay, protocol.Outcome_NOT_RUN, err.Error(), wait)
 	case errors.As(err, &mismatch):
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -20,6 +20,7 @@
 	DefaultLease        = 5 * time.Second
 	DefaultShardCount   = 64
 	DefaultReplicaCount = 3
+	DefaultCoalesce     = 100 * time.Millisecond
 )
 
 // Options of a Service. Zero numbers take the defaults.
@@ -31,6 +32,8 @@
 	Lease        time.Duration
 	ShardCount   uint32
 	ReplicaCount uint32
+	// Coalesce is the shortest time between two answers with news to the same node; negative turns it off.
+	Coalesce time.Duration
 	// FirstKeys are the sign-off keys of the settings.
 	FirstKeys []*protocol.SignOffKey
 	// Tokens are the credentials of operators.
@@ -49,6 +52,7 @@
 	lease     time.Duration
 	proposer  *proposer
 	owner     *owner
+	pacing    *pacing
 	tokens    *Tokens
 	metrics   *metrics
 	logger    *log.Logger
@@ -67,6 +71,9 @@
 	if options.ReplicaCount == 0 {
 		options.ReplicaCount = DefaultReplicaCount
 	}
+	if options.Coalesce == 0 {
+		options.Coalesce = DefaultCoalesce
+	}
 	if options.Tokens == nil {
 		options.Tokens = &Tokens{}
 	}
@@ -76,6 +83,7 @@
 		clock:     options.Clock,
 		lease:     options.Lease,
 		proposer:  &proposer{consensus: options.Consensus, clock: options.Clock},
+		pacing:    newPacing(options.Coalesce),
 		tokens:    options.Tokens,
 		metrics:   newMetrics(options.Registerer),
 		logger:    orDiscard(options.Logger),
--- a/internal/corelink/apply.go
+++ b/internal/corelink/apply.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
 )
 
 // DigestError says that a whole configuration does not have the digest that was promised with it.
@@ -17,26 +20,87 @@
 	return fmt.Sprintf("configuration version %d: %s bundle has another digest", e.Version, e.Section)
 }
 
+// wholes names the sections to be asked for whole.
+type wholes struct {
+	configuration, membership, backEnds, placement bool
+}
+
+// forget makes a poll ask for the sections as if none of them were known.
+func (w wholes) forget(known *protocol.ControlVersions) {
+	if w.configuration {
+		known.Configuration = 0
+	}
+	if w.membership {
+		known.Membership = 0
+	}
+	if w.backEnds {
+		known.BackEnds = 0
+	}
+	if w.placement {
+		known.Placement = 0
+	}
+}
+
 // applyPoll makes the view that follows from an answer. No section ever steps
-// back in its version. A configuration that does not fit or does not have its
-// digest leaves the one held in force and is returned as mismatch; the other
-// sections are applied all the same.
-func applyPoll(held *View, answer *protocol.PollControlResponse) (next *View, changed bool, mismatch error) {
+// back in its version. A section that does not fit, or does not have its digest
+// or checksum, leaves the one held in force, is named in whole and returned as
+// mismatch; the other sections are applied all the same.
+func applyPoll(held *View, answer *protocol.PollControlResponse) (next *View, changed bool, whole wholes, mismatch error) {
 	view := *held
-	configuration, mismatch := newerConfiguration(held.Configuration, answer)
+	configuration, configurationError := newerConfiguration(held.Configuration, answer)
+	membership, membershipError := newerMembership(held.Membership, answer)
+	backEnds, backEndsError := newerBackEnds(held.BackEnds, answer)
+	placement, placementError := newerPlacement(held.Placement, answer)
 	if configuration != nil {
 		view.Configuration, changed = configuration, true
 	}
-	if membership := answer.GetMembership(); membership.GetVersion() > held.Membership.GetVersion() {
+	if membership != nil {
 		view.Membership, changed = membership, true
 	}
-	if backEnds := answer.GetBackEnds(); backEnds.GetVersion() > held.BackEnds.GetVersion() {
+	if backEnds != nil {
 		view.BackEnds, changed = backEnds, true
 	}
-	if placement := answer.GetPlacement(); placement.GetEpoch() > held.Placement.GetEpoch() {
+	if placement != nil {
 		view.Placement, changed = placement, true
 	}
-	return &view, changed, mismatch
+	whole = wholes{
+		configuration: configurationError != nil, membership: membershipError != nil,
+		backEnds: backEndsError != nil, placement: placementError != nil,
+	}
+	return &view, changed, whole, errors.Join(configurationError, membershipError, backEndsError, placementError)
+}
+
+// newerMembership returns the newer view in the answer; nil when there is none.
+func newerMembership(held *protocol.MembershipView, answer *protocol.PollControlResponse) (*protocol.MembershipView, error) {
+	if whole := answer.GetMembership(); whole.GetVersion() > held.GetVersion() {
+		return whole, nil
+	}
+	if delta := answer.GetMembershipDelta(); delta.GetVersion() > held.GetVersion() {
+		return views.ApplyMembership(held, delta)
+	}
+	return nil, nil
+}
+
+// newerBackEnds returns the newer view in the answer; nil when there is none.
+func newerBackEnds(held *protocol.BackEndView, answer *protocol.PollControlResponse) (*protocol.BackEndView, error) {
+	if whole := answer.GetBackEnds(); whole.GetVersion() > held.GetVersion() {
+		return whole, nil
+	}
+	if delta := answer.GetBackEndsDelta(); delta.GetVersion() > held.GetVersion() {
+		return views.ApplyBackEnds(held, delta)
+	}
+	return nil, nil
+}
+
+// newerPlacement returns the newer placement in the answer; nil when there is none.
+func newerPlacement(held *protocol.Placement, answer *protocol.PollControlResponse) (*protocol.Placement, error) {
+	if whole := answer.GetPlacement(); whole.GetEpoch() > held.GetEpoch() {
+		return whole, nil
+	}
+	if delta := answer.GetPlacementDelta(); delta.GetEpoch() > held.GetEpoch() {
+		return views.ApplyPlacement(held, delta)
+	}
+	return nil, nil
 }
 
 // newerConfiguration returns the newer configuration in the answer; nil when there is none.
--- /dev/null
+++ b/internal/corelink/delta_test.go
@@ -0,0 +1,73 @@
+package corelink_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
+)
+
+func members(version uint64, numbers ...int) *protocol.MembershipView {
+	view := &protocol.MembershipView{Version: version}
+	for _, number := range numbers {
+		view.Nodes = append(view.Nodes, &protocol.Node{Name: fmt.Sprintf("node-%d", number), Address: "10.0.0.1:1"})
+	}
+	return view
+}
+
+// deltaTo adds node-3 to the base 7 and promises the checksum of the view given.
+func deltaTo(view *protocol.MembershipView) *protocol.MembershipDelta {
+	return &protocol.MembershipDelta{
+		BaseVersion: 7, Version: view.GetVersion(), Upserted: members(0, 3).GetNodes(),
+		Count: uint32(len(view.GetNodes())), Checksum: views.MembershipChecksum(view.GetNodes()),
+	}
+}
+
+func TestGivenADeltaOfTheMembershipThenItIsApplied(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		g.Expect(core.lastPoll().GetAcceptsDeltas()).To(BeTrue())
+		next := members(9, 3)
+		core.publish(func(state *protocol.PollControlResponse) {
+			state.Membership, state.MembershipDelta = next, deltaTo(next)
+		})
+		pass(100 * time.Millisecond)
+		g.Expect(link.View().Membership.GetVersion()).To(BeEquivalentTo(9))
+		g.Expect(core.wholes()).To(BeZero())
+		core.publish(func(state *protocol.PollControlResponse) {
+			state.Membership, state.MembershipDelta = members(8, 1), &protocol.MembershipDelta{BaseVersion: 9, Version: 8}
+		})
+		pass(15 * time.Second)
+		g.Expect(link.View().Membership.GetVersion()).To(BeEquivalentTo(9), "it never steps back")
+	})
+}
+
+func TestGivenADeltaThatDoesNotFitThenTheWholeIsAskedFor(t *testing.T) {
+	given(t, func(g *WithT, core *fakeCore, link *corelink.Link) {
+		next := members(9, 2, 3)
+		core.publish(func(state *protocol.PollControlResponse) {
+			state.Membership, state.MembershipDelta = next, deltaTo(next)
+		})
+		pass(time.Second)
+		g.Expect(link.View().Membership.GetNodes()).To(HaveLen(2))
+		g.Expect(core.wholes()).To(Equal(1))
+		g.Expect(link.HasAuthority()).To(BeTrue())
+	})
+}
+
+// wholes counts the polls that asked for a whole membership after the first.
+func (c *fakeCore) wholes() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := 0
+	for _, poll := range c.polls[1:] {
+		if poll.GetKnown().GetMembership() == 0 {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/corelink/fakecore_test.go
+++ b/internal/corelink/fakecore_test.go
@@ -21,12 +21,14 @@
 
 // fakeCore is a core in memory. It holds polls back in virtual time.
 type fakeCore struct {
-	mutex   sync.Mutex
-	leader  string
-	term    uint64
-	down    map[string]bool
-	delay   time.Duration
-	refuse  bool
+	mutex  sync.Mutex
+	leader string
+	term   uint64
+	down   map[string]bool
+	delay  time.Duration
+	refuse bool
+	// refusal is the reason given when refuse is set.
+	refusal *protocol.Refusal
 	latest  *protocol.PollControlResponse
 	changed chan struct{}
 	// deadPolls lets polls that are held back never be answered.
@@ -107,7 +109,7 @@
 	case *protocol.Request_RenewLease:
 		c.renewals = append(c.renewals, proto.CloneOf(body.RenewLease))
 		return &protocol.Response{Body: &protocol.Response_RenewLease{RenewLease: &protocol.RenewLeaseResponse{
-			Granted: !c.refuse, DurationMillis: leaseMillis,
+			Granted: !c.refuse, DurationMillis: leaseMillis, Refusal: c.refusal,
 			Latest: &protocol.ControlVersions{
 				Membership: c.latest.GetMembership().GetVersion(), Configuration: c.latest.GetConfiguration().GetVersion(),
 			},
@@ -154,7 +156,11 @@
 func (c *fakeCore) newer(known *protocol.ControlVersions) *protocol.PollControlResponse {
 	news, found := &protocol.PollControlResponse{}, false
 	if membership := c.latest.GetMembership(); membership.GetVersion() > known.GetMembership() {
-		news.Membership, found = membership, true
+		if delta := c.latest.GetMembershipDelta(); delta != nil && delta.GetBaseVersion() == known.GetMembership() {
+			news.MembershipDelta, found = delta, true
+		} else {
+			news.Membership, found = membership, true
+		}
 	}
 	if configuration := c.latest.GetConfiguration(); configuration.GetVersion() > known.GetConfiguration() {
 		if delta := c.latest.GetConfigurationDelta(); delta.GetBaseVersion() == known.GetConfiguration() && delta != nil {
--- a/internal/corelink/link.go
+++ b/internal/corelink/link.go
@@ -31,6 +31,10 @@
 	defaultCallTimeout   = 2 * time.Second
 	shortestRenewTimeout = 500 * time.Millisecond
 	pollSlack            = 5 * time.Second
+	// releaseTimeout bounds what Stop spends on the release; a lease that was not released runs out by itself.
+	releaseTimeout = time.Second
+	// longestRefusedWait bounds the wait of a node that the core refuses with a reason.
+	longestRefusedWait = 30 * time.Second
 )
 
 // Options configure a Link. Self, Seeds and Caller are required.
@@ -173,22 +177,26 @@
 }
 
 // Stop ends authority, releases the lease at the core so that others need not
-// wait for it to run out, and stops all goroutines.
+// wait for it to run out, and stops all goroutines. It spends a second at most
+// on the release, also while no core answers.
 func (l *Link) Stop(ctx context.Context) error {
 	if l.cancel == nil {
 		return nil
 	}
+	release, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	released := make(chan *protocol.Request, 1)
 	select {
 	case l.commands <- func(o *owner) { o.release(released) }:
 	case <-l.done:
-	case <-ctx.Done():
+	case <-release.Done():
 	}
 	select {
 	case request := <-released:
-		l.sendRelease(ctx, request)
+		l.sendRelease(release, request)
 	case <-l.done:
-	case <-ctx.Done():
+	case <-release.Done():
+		l.logger.Warn("lease not released; it runs out by itself", "error", release.Err())
 	}
 	l.cancel()
 	l.workers.Wait()
@@ -196,10 +204,8 @@
 }
 
 func (l *Link) sendRelease(ctx context.Context, request *protocol.Request) {
-	ctx, cancel := context.WithTimeout(ctx, defaultCallTimeout)
-	defer cancel()
 	if _, err := l.CallCore(ctx, request); err != nil {
-		l.logger.Warn("lease not released; it runs out by itself", "error", err)
+		l.logger.Warn("lease not released; it runs out by itself", "error", err.Error())
 	}
 }
 
--- a/internal/corelink/link_test.go
+++ b/internal/corelink/link_test.go
@@ -25,7 +25,11 @@
 		link := newLink(core)
 		g := NewWithT(t)
 		g.Expect(link.Start(context.Background())).To(Succeed())
-		defer func() { _ = link.Stop(context.Background()) }()
+		defer func() {
+			_ = link.Stop(context.Background())
+			// What was sent before the stop arrives in the end.
+			pass(2 * time.Hour)
+		}()
 		pass(time.Second)
 		then(g, core, link)
 	})
--- a/internal/corelink/owner.go
+++ b/internal/corelink/owner.go
@@ -24,16 +24,21 @@
 	renewAgain bool
 	released   bool
 	// releaseTo waits for the request that releases the lease.
-	releaseTo  chan<- *protocol.Request
-	renewWait  time.Duration
-	renewTimer *time.Timer
+	releaseTo chan<- *protocol.Request
+	renewWait time.Duration
+	// refusedWait is the wait after the last refusal with a reason, zero when there is none; refusal is that reason.
+	refusedWait time.Duration
+	refusal     string
+	// lapseLogged is true from the line about lost authority until a lease is held again.
+	lapseLogged bool
+	renewTimer  *time.Timer
 
 	polling     bool
 	pollStarted time.Time
 	cancelPoll  context.CancelFunc
 	pollWait    time.Duration
-	// wantWhole asks for the whole configuration after a delta did not fit.
-	wantWhole bool
+	// wantWhole names the sections to be asked for whole after a delta did not fit.
+	wantWhole wholes
 	// wantFresh asks for a linearizable answer, after start and after authority was lost.
 	wantFresh bool
 	pollTimer *time.Timer
@@ -146,7 +151,10 @@
 // lapsed begins a new incarnation after authority ended.
 func (o *owner) lapsed() {
 	o.link.metrics.lapses.Inc()
-	o.link.logger.Warn("authority lost; coming back under a new incarnation", "incarnation", o.holder.Incarnation())
+	if !o.lapseLogged {
+		o.lapseLogged = true
+		o.link.logger.Warn("authority lost; coming back under a new incarnation", "incarnation", o.holder.Incarnation())
+	}
 	o.self = proto.CloneOf(o.self)
 	o.self.Incarnation = o.holder.Incarnation()
 	o.contacted = false
@@ -164,7 +172,7 @@
 	case o.released:
 		return
 	case failure.Is(err, failure.LeaseRefused), err == nil && !answer.GetGranted():
-		o.refused(now, renewal)
+		o.refused(now, renewal, answer.GetRefusal(), err)
 	case err != nil:
 		o.link.metrics.renewals.WithLabelValues("failed").Inc()
 		o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
@@ -179,7 +187,7 @@
 }
 
 func (o *owner) granted(now time.Time, renewal lease.Renewal, answer *protocol.RenewLeaseResponse) {
-	o.renewWait = 0
+	o.renewWait, o.refusedWait, o.refusal, o.lapseLogged = 0, 0, "", false
 	had := o.link.HasAuthority()
 	duration := time.Duration(answer.GetDurationMillis()) * time.Millisecond
 	if !o.holder.Granted(now, renewal, duration, answer.GetLatest().GetMembership()) {
@@ -208,14 +216,36 @@
 	return behind && o.polling && now.Sub(o.pollStarted) > o.link.options.RenewInterval
 }
 
-func (o *owner) refused(now time.Time, renewal lease.Renewal) {
+// refused ends authority. A refusal with a reason lasts until something else
+// changes, so the node asks ever more seldom; one without a reason is over soon.
+func (o *owner) refused(now time.Time, renewal lease.Renewal, refusal *protocol.Refusal, err error) {
 	o.link.metrics.renewals.WithLabelValues("refused").Inc()
 	o.holder.Refused(now, renewal)
 	o.lapsed()
+	if refusal != nil || err != nil {
+		o.noteRefusal(refusal, err)
+		o.refusedWait = min(max(2*o.refusedWait, o.link.options.RenewInterval), longestRefusedWait)
+		o.renewTimer.Reset(jitter(o.refusedWait))
+		return
+	}
+	o.refusedWait, o.refusal = 0, ""
 	o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
 	o.renewTimer.Reset(jitter(o.renewWait))
 }
 
+// noteRefusal logs the reason when it is another one than before.
+func (o *owner) noteRefusal(refusal *protocol.Refusal, err error) {
+	reason := refusal.GetCode() + ": " + refusal.GetMessage()
+	if refusal == nil {
+		reason = err.Error()
+	}
+	if reason == o.refusal {
+		return
+	}
+	o.refusal = reason
+	o.link.logger.Warn("lease refused; asking again ever more seldom", "reason", reason, "longest_wait", longestRefusedWait)
+}
+
 // release ends authority and hands out the request that tells the core so, once
 // no renewal is under way that could overtake it and begin the lease anew.
 func (o *owner) release(to chan<- *protocol.Request) {
--- a/internal/corelink/poll.go
+++ b/internal/corelink/poll.go
@@ -36,17 +36,16 @@
 	})
 }
 
-func (o *owner) pollRequest(fresh, whole bool) *protocol.Request {
+func (o *owner) pollRequest(fresh bool, whole wholes) *protocol.Request {
 	known := o.link.View().Versions()
-	if whole {
-		known.Configuration = 0
-	}
+	whole.forget(known)
 	poll := &protocol.PollControlRequest{
-		Node:        o.self.GetName(),
-		Known:       known,
-		WaitMillis:  uint32(o.link.options.PollWait.Milliseconds()),
-		Fresh:       fresh,
-		Incarnation: o.self.GetIncarnation(),
+		Node:          o.self.GetName(),
+		Known:         known,
+		WaitMillis:    uint32(o.link.options.PollWait.Milliseconds()),
+		Fresh:         fresh,
+		AcceptsDeltas: true,
+		Incarnation:   o.self.GetIncarnation(),
 	}
 	if fresh {
 		poll.WaitMillis = 0
@@ -62,12 +61,12 @@
 	}
 	o.link.metrics.polls.WithLabelValues("answered").Inc()
 	o.pollWait = 0
-	next, changed, mismatch := applyPoll(o.link.View(), answer)
+	next, changed, whole, mismatch := applyPoll(o.link.View(), answer)
 	if mismatch != nil {
 		o.link.metrics.mismatches.Inc()
-		o.link.logger.Warn("configuration delta does not fit; asking for the whole", "error", mismatch)
+		o.link.logger.Warn("a delta does not fit; asking for the whole", "error", mismatch)
 	}
-	o.wantWhole = mismatch != nil
+	o.wantWhole = whole
 	if fresh && mismatch == nil && incarnation == o.self.GetIncarnation() {
 		o.wantFresh = false
 		defer o.link.fresh.Store(true)
@@ -93,7 +92,7 @@
 // finishPoll sends the next poll, soon but not in a tight loop when the core answers without holding back.
 func (o *owner) finishPoll() {
 	o.polling = false
-	if o.wantWhole {
+	if o.wantWhole != (wholes{}) {
 		o.retryPoll()
 		return
 	}
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -261,21 +261,35 @@
 	}
 }
 
+// authorityWatch is how often a drain looks whether authority has ended.
+const authorityWatch = 100 * time.Millisecond
+
 // Drain gives up this node's sessions, each after its last turn is settled, and
-// hands its partition off. It returns when both are done, or with the context's error.
+// hands its partition off. It returns when both are done, or with the context's
+// error. Without authority there is nothing left to hand over: others take the
+// sessions and the partition for lost, so Drain returns then, too, as when no core
+// answers any more.
 func (m *Manager) Drain(ctx context.Context) error {
 	m.options.Link.SetDraining(true)
 	drained := make(chan struct{})
 	if !m.run(func(s *shell) { s.drain(drained) }) {
 		return notRun(failure.NotReady, "the directory is not running")
 	}
-	select {
-	case <-drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-m.done:
-		return notRun(failure.NotReady, "the directory is not running")
+	watch := time.NewTicker(authorityWatch)
+	defer watch.Stop()
+	for {
+		select {
+		case <-drained:
+			return nil
+		case <-watch.C:
+			if !m.options.Link.Authority().Held() {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.done:
+			return notRun(failure.NotReady, "the directory is not running")
+		}
 	}
 }
 
--- a/internal/ownership/manager_test.go
+++ b/internal/ownership/manager_test.go
@@ -162,6 +162,19 @@
 	})
 }
 
+// No core answers any more, so no view without the node's places will come.
+func TestGivenADrainWhenAuthorityEndsThenItWaitsNoLonger(t *testing.T) {
+	given(t, trio, func(f *fleet) {
+		f.nodes["c"].link.change(func(_ *protocol.Node, ends *time.Time) { *ends = time.Now().Add(4 * time.Second) })
+		drained := make(chan error, 1)
+		go func() { drained <- f.nodes["c"].manager.Drain(context.Background()) }()
+		pass(3900 * time.Millisecond)
+		f.g.Expect(drained).NotTo(Receive())
+		pass(500 * time.Millisecond)
+		f.g.Expect(drained).To(Receive(BeNil()))
+	})
+}
+
 func TestGivenAFencedOwnerThenTheSessionIsGivenUp(t *testing.T) {
 	given(t, trio, func(f *fleet) {
 		session := f.ownedBy("a", "b", 1)[0]
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,6 +26,7 @@
 	maxReplicas         = 9
 	minReplaceMillis    = 100
 	maxReplaceMillis    = 86_400_000
+	maxCoalesceMillis   = 1000
 	maxSnapshotEntries  = 10_000_000
 	minSegmentBytes     = 1 << 16
 	maxSegmentBytes     = 1 << 32
@@ -99,6 +100,7 @@
 	requireOdd("replica_count", settings.GetReplicaCount(), faults)
 	faults.between("snapshot_entries", uint64(settings.GetSnapshotEntries()), 1, maxSnapshotEntries)
 	faults.between("max_body_bytes", settings.GetMaxBodyBytes(), minBodyBytes, maxBodyBytes)
+	faults.between("coalesce_millis", uint64(settings.GetCoalesceMillis()), 1, maxCoalesceMillis)
 }
 
 func checkVoters(settings *protocol.CoreSettings, faults *checker) {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -19,6 +19,7 @@
 	defaultReplicaCount        = 3
 	defaultReplaceVoterMillis  = 10_000
 	defaultSnapshotEntries     = 10_000
+	defaultCoalesceMillis      = 100
 	defaultSegmentBytes        = 64 << 20
 	defaultCopyBytesPerSecond  = 64 << 20
 	defaultScrubIntervalSecond = 600
@@ -60,6 +61,7 @@
 	fill(&settings.ReplaceVoterMillis, defaultReplaceVoterMillis)
 	fill(&settings.SnapshotEntries, defaultSnapshotEntries)
 	fill(&settings.MaxBodyBytes, defaultMaxBodyBytes)
+	fill(&settings.CoalesceMillis, defaultCoalesceMillis)
 }
 
 func fillStore(settings *protocol.StoreSettings) {
--- a/internal/settings/help.go
+++ b/internal/settings/help.go
@@ -31,6 +31,7 @@
 	"replica_count":           withDefault("replicas of each shard; counts when the cluster is founded", defaultReplicaCount),
 	"replace_voter_millis":    withDefault("absence of a voter before a standby replaces it, in milliseconds", defaultReplaceVoterMillis),
 	"snapshot_entries":        withDefault("log entries between two snapshots", defaultSnapshotEntries),
+	"coalesce_millis":         withDefault("shortest time between two answers with news to the same node, in milliseconds", defaultCoalesceMillis),
 	"segment_bytes":           withDefault("size at which a log segment is closed, in bytes", defaultSegmentBytes),
 	"copy_bytes_per_second":   withDefault("bytes a second that copying shards may use", defaultCopyBytesPerSecond),
 	"scrub_interval_seconds":  withDefault("seconds between two rounds of the background scrub", defaultScrubIntervalSecond),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -113,13 +113,13 @@
 	           "stop_grace_millis": 700000, "debug_address": "10.0.0.1:6060"},
 	  "founders": ["10.0.0.1:7000", "nonsense", "10.0.0.3:1", "10.0.0.4:1"],
 	  "target_voters": 2, "sign_off_keys": ["`+testKey+`", "bob", "`+testKey+`"],
-	  "heartbeat_millis": 500, "election_timeout_millis": 600, "replica_count": 4, "max_body_bytes": 1
+	  "heartbeat_millis": 500, "election_timeout_millis": 600, "replica_count": 4, "max_body_bytes": 1, "coalesce_millis": 5000
 	}`)
 	want := []string{
 		"node.name", "node.zone", "node.internal_address", "node.http_address", "node.seeds[1]", "node.seeds[2]",
 		"node.cluster_key_file", "node.log_level", "node.log_format", "node.stop_grace_millis", "node.debug_address",
 		"node.data_folder", "operator_token_file", "founders[1]", "target_voters", "founders",
-		"sign_off_keys[1]", "sign_off_keys[2]", "election_timeout_millis", "replica_count", "max_body_bytes",
+		"sign_off_keys[1]", "sign_off_keys[2]", "election_timeout_millis", "replica_count", "max_body_bytes", "coalesce_millis",
 	}
 	if got := faultPaths(t, err); strings.Join(got, " ") != strings.Join(want, " ") {
 		t.Fatalf("faults at\n%v\nwant\n%v\n%v", got, want, err)
--- /dev/null
+++ b/internal/views/checksum.go
@@ -0,0 +1,86 @@
+package views
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// hasher sums up fields in a fixed order, each with its length, so that no two
+// lists of fields give the same bytes.
+type hasher struct {
+	buffer []byte
+}
+
+func (h *hasher) text(values ...string) {
+	for _, value := range values {
+		h.number(uint64(len(value)))
+		h.buffer = append(h.buffer, value...)
+	}
+}
+
+func (h *hasher) number(values ...uint64) {
+	for _, value := range values {
+		h.buffer = binary.AppendUvarint(h.buffer, value)
+	}
+}
+
+func (h *hasher) list(values []string) {
+	h.number(uint64(len(values)))
+	h.text(values...)
+}
+
+func (h *hasher) sum() uint64 { return xxhash.Sum64(h.buffer) }
+
+// MembershipChecksum covers every field of every node, in the order of the view.
+func MembershipChecksum(nodes []*protocol.Node) uint64 {
+	h := &hasher{}
+	for _, node := range nodes {
+		h.text(node.GetName(), node.GetAddress(), node.GetHttpAddress(), node.GetZone(), node.GetRegion(), node.GetStorageId())
+		h.number(uint64(node.GetKind()), node.GetIncarnation(), flag(node.GetDraining()))
+	}
+	return h.sum()
+}
+
+// BackEndsChecksum covers every field of every back end, in the order of the view.
+func BackEndsChecksum(backEnds []*protocol.BackEnd) uint64 {
+	h := &hasher{}
+	for _, backEnd := range backEnds {
+		h.text(backEnd.GetId(), backEnd.GetAddress(), backEnd.GetZone(), backEnd.GetRegion(), backEnd.GetGroup())
+		h.list(backEnd.GetModels())
+		h.list(backEnd.GetTools())
+		h.number(uint64(backEnd.GetKind()), uint64(backEnd.GetState()), backEnd.GetIncarnation(), uint64(backEnd.GetCapacity()))
+	}
+	return h.sum()
+}
+
+// PlacementChecksum covers every field of the placement but its epoch.
+func PlacementChecksum(placement *protocol.Placement) uint64 {
+	h := &hasher{}
+	for _, shard := range placement.GetShards() {
+		h.number(uint64(shard.GetShard()), shard.GetEpoch())
+		h.replicas(shard.GetCurrent())
+		h.replicas(shard.GetNext())
+	}
+	h.list(placement.GetEmptying())
+	h.list(placement.GetEmptied())
+	h.replicas(placement.GetRetired())
+	return h.sum()
+}
+
+func (h *hasher) replicas(replicas []*protocol.Replica) {
+	h.number(uint64(len(replicas)))
+	for _, replica := range replicas {
+		h.text(replica.GetStore(), replica.GetStorageId())
+		h.number(uint64(replica.GetState()), replica.GetRebuildingSince())
+	}
+}
+
+func flag(set bool) uint64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/views/views_test.go
@@ -0,0 +1,229 @@
+package views_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
+)
+
+// filled sets every field of a message to something that is not zero.
+func filled(message protoreflect.Message, number uint64) {
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		value := scalar(field, number)
+		if field.IsList() {
+			list := message.Mutable(field).List()
+			if field.Kind() == protoreflect.MessageKind {
+				filled(list.AppendMutable().Message(), number)
+			} else {
+				list.Append(value)
+			}
+			continue
+		}
+		message.Set(field, value)
+	}
+}
+
+func scalar(field protoreflect.FieldDescriptor, number uint64) protoreflect.Value {
+	switch field.Kind() {
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString(fmt.Sprintf("text-%d", number))
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(number)
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(uint32(number))
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(true)
+	case protoreflect.EnumKind:
+		return protoreflect.ValueOfEnum(1)
+	case protoreflect.MessageKind:
+		return protoreflect.Value{}
+	default:
+		panic(field.FullName())
+	}
+}
+
+// A field added to a message later must be added to its checksum too.
+func TestChecksumsCoverEveryField(t *testing.T) {
+	for _, sample := range []struct {
+		whole   proto.Message
+		part    func(whole proto.Message) proto.Message
+		sum     func(whole proto.Message) uint64
+		without protoreflect.Name
+	}{
+		{
+			whole: &protocol.MembershipView{}, sum: func(m proto.Message) uint64 { return views.MembershipChecksum(m.(*protocol.MembershipView).GetNodes()) },
+			part: func(m proto.Message) proto.Message { return m.(*protocol.MembershipView).GetNodes()[0] },
+		},
+		{
+			whole: &protocol.BackEndView{}, sum: func(m proto.Message) uint64 { return views.BackEndsChecksum(m.(*protocol.BackEndView).GetBackEnds()) },
+			part: func(m proto.Message) proto.Message { return m.(*protocol.BackEndView).GetBackEnds()[0] },
+		},
+		{
+			whole: &protocol.Placement{}, sum: func(m proto.Message) uint64 { return views.PlacementChecksum(m.(*protocol.Placement)) },
+			part: func(m proto.Message) proto.Message { return m }, without: "epoch",
+		},
+		{
+			whole: &protocol.Placement{}, sum: func(m proto.Message) uint64 { return views.PlacementChecksum(m.(*protocol.Placement)) },
+			part: func(m proto.Message) proto.Message { return m.(*protocol.Placement).GetShards()[0] },
+		},
+		{
+			whole: &protocol.Placement{}, sum: func(m proto.Message) uint64 { return views.PlacementChecksum(m.(*protocol.Placement)) },
+			part: func(m proto.Message) proto.Message { return m.(*protocol.Placement).GetShards()[0].GetNext()[0] },
+		},
+	} {
+		filled(sample.whole.ProtoReflect(), 7)
+		fields := sample.part(sample.whole).ProtoReflect().Descriptor().Fields()
+		for i := range fields.Len() {
+			if fields.Get(i).Name() == sample.without {
+				continue
+			}
+			changed := proto.Clone(sample.whole)
+			sample.part(changed).ProtoReflect().Clear(fields.Get(i))
+			if sample.sum(changed) == sample.sum(sample.whole) {
+				t.Errorf("%s is not in the checksum", fields.Get(i).FullName())
+			}
+		}
+	}
+}
+
+func node(number int, incarnation uint64) *protocol.Node {
+	return &protocol.Node{Name: fmt.Sprintf("node-%03d", number), Incarnation: incarnation, Address: "10.0.0.1:1", HttpAddress: "10.0.0.1:2", Zone: "z1", Region: "r1"}
+}
+
+func viewOf(version uint64, incarnations map[int]uint64) *protocol.MembershipView {
+	view := &protocol.MembershipView{Version: version}
+	for number := range 60 {
+		if incarnations[number] > 0 {
+			view.Nodes = append(view.Nodes, node(number, incarnations[number]))
+		}
+	}
+	return view
+}
+
+// From each version that was ever held, the delta leads to what the whole says, or there is none.
+func TestDeltasLeadFromAnyVersionToTheWhole(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	incarnations := map[int]uint64{}
+	history := views.NewHistory(0)
+	var held []*protocol.MembershipView
+	deltas, wholes := 0, 0
+	for version := uint64(1); version <= 6000; version++ {
+		number := random.IntN(60)
+		if incarnations[number] > 0 && random.IntN(3) == 0 {
+			delete(incarnations, number)
+		} else {
+			incarnations[number] = version
+		}
+		history.Add(version, node(number, 0).GetName())
+		if version%100 != 0 {
+			continue
+		}
+		view := viewOf(version, incarnations)
+		held = append(held, view)
+		checksum := views.MembershipChecksum(view.GetNodes())
+		for _, base := range held {
+			copied := history.Copy()
+			delta := views.MembershipDelta(view, &copied, base.GetVersion(), checksum)
+			if delta == nil {
+				wholes++
+				continue
+			}
+			deltas++
+			applied, err := views.ApplyMembership(base, delta)
+			if err != nil || !proto.Equal(applied, view) {
+				t.Fatalf("from %d to %d: %v", base.GetVersion(), version, err)
+			}
+		}
+	}
+	if deltas == 0 || wholes == 0 {
+		t.Errorf("%d deltas, %d wholes: both must occur", deltas, wholes)
+	}
+}
+
+func TestAHistoryThatForgotGivesNoDelta(t *testing.T) {
+	history := views.NewHistory(10)
+	view := viewOf(20_000, map[int]uint64{1: 1, 2: 1, 3: 1})
+	if views.MembershipDelta(view, &history, 9, 0) != nil {
+		t.Error("a delta from before the history began")
+	}
+	history.Add(11, "node-001")
+	early := history.Copy()
+	for version := uint64(12); version < 20_000; version++ {
+		history.Add(version, "node-002")
+	}
+	if views.MembershipDelta(view, &history, 11, 0) != nil {
+		t.Error("a delta from a version that was forgotten")
+	}
+	if views.MembershipDelta(view, &history, 19_000, 0) == nil {
+		t.Error("no delta from a version that is remembered")
+	}
+	if delta := views.MembershipDelta(viewOf(11, map[int]uint64{1: 1, 2: 1, 3: 1}), &early, 10, 0); len(delta.GetUpserted()) != 1 {
+		t.Errorf("a copy of the history changed: %v", delta)
+	}
+}
+
+func TestDeltasOfThePlacementCarryTheShardsThatChanged(t *testing.T) {
+	base := &protocol.Placement{Epoch: 5}
+	for number := range uint32(64) {
+		base.Shards = append(base.Shards, &protocol.ShardPlacement{Shard: number, Epoch: 5, Current: []*protocol.Replica{{Store: "s1", StorageId: "d1"}}})
+	}
+	next := proto.CloneOf(base)
+	next.Epoch, next.Emptying = 9, []string{"s1"}
+	next.Shards[3].Epoch, next.Shards[3].Next = 9, []*protocol.Replica{{Store: "s2", StorageId: "d2"}}
+	delta := views.PlacementDelta(next, 5, views.PlacementChecksum(next))
+	if len(delta.GetShards()) != 1 {
+		t.Fatalf("got %v", delta)
+	}
+	applied, err := views.ApplyPlacement(base, delta)
+	if err != nil || !proto.Equal(applied, next) {
+		t.Fatalf("got %v, %v", applied, err)
+	}
+	if base.GetShards()[3].GetEpoch() != 5 {
+		t.Error("the base was changed")
+	}
+	other := proto.CloneOf(base)
+	other.Shards[8].Epoch = 4
+	var mismatch *views.MismatchError
+	if _, err := views.ApplyPlacement(other, delta); !errors.As(err, &mismatch) {
+		t.Errorf("applied to another base: %v", err)
+	}
+	if _, err := views.ApplyPlacement(&protocol.Placement{Epoch: 5}, delta); !errors.As(err, &mismatch) {
+		t.Errorf("applied to an empty base: %v", err)
+	}
+}
+
+func TestADeltaOfBackEndsIsRefusedOnAnotherBase(t *testing.T) {
+	history := views.NewHistory(1)
+	view := &protocol.BackEndView{Version: 2}
+	for number := range 20 {
+		view.BackEnds = append(view.BackEnds, &protocol.BackEnd{Id: fmt.Sprintf("b%02d", number), Models: []string{"m"}, Address: "10.0.0.1:1"})
+	}
+	base := proto.CloneOf(view)
+	base.Version, base.BackEnds[4].Capacity = 1, 9
+	history.Add(2, "b04")
+	delta := views.BackEndDelta(view, &history, 1, views.BackEndsChecksum(view.GetBackEnds()))
+	if applied, err := views.ApplyBackEnds(base, delta); err != nil || !proto.Equal(applied, view) {
+		t.Fatalf("got %v, %v", applied, err)
+	}
+	for name, spoil := range map[string]func(*protocol.BackEndView){
+		"another version":  func(v *protocol.BackEndView) { v.Version = 3 },
+		"one entry less":   func(v *protocol.BackEndView) { v.BackEnds = v.BackEnds[:19] },
+		"another capacity": func(v *protocol.BackEndView) { v.BackEnds[7].Capacity = 3 },
+	} {
+		spoiled := proto.CloneOf(base)
+		spoil(spoiled)
+		var mismatch *views.MismatchError
+		if _, err := views.ApplyBackEnds(spoiled, delta); !errors.As(err, &mismatch) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
