--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rosestand/rosestand/internal/failure"
@@ -21,49 +23,72 @@
 	tokens   *limit.Bucket
 }
 
-// admission owns the queue, the concurrency limit, the retry budget and the tenants' rates.
+// admission owns the lanes, the retry budget and the tenants' rates.
 type admission struct {
 	*table
-	clock       Clock
-	queue       *limit.Queue
-	concurrency *limit.Concurrency
-	retries     *limit.RetryBudget
-	tenants     map[string]*tenantBuckets
-	waiting     map[uint64]chan limit.Decision
-	nextID      uint64
-	alarmSet    time.Time
+	clock    Clock
+	limits   *protocol.LimitPolicy
+	lanes    map[string]*lane
+	ceilings map[string]ceiling
+	retries  *limit.RetryBudget
+	tenants  map[string]*tenantBuckets
+	waiting  map[uint64]chan limit.Decision
+	nextID   uint64
+	alarmSet time.Time
 }
 
 func newAdmission(clock Clock) *admission {
-	concurrency := limit.NewConcurrency(0)
 	return &admission{
-		table: newTable(), clock: clock, concurrency: concurrency,
-		queue:   limit.NewQueue(0, 0, concurrency.Limit()),
-		retries: limit.NewRetryBudget(0),
-		tenants: make(map[string]*tenantBuckets),
-		waiting: make(map[uint64]chan limit.Decision),
+		table: newTable(), clock: clock, limits: &protocol.LimitPolicy{},
+		lanes:    make(map[string]*lane),
+		ceilings: make(map[string]ceiling),
+		retries:  limit.NewRetryBudget(0),
+		tenants:  make(map[string]*tenantBuckets),
+		waiting:  make(map[uint64]chan limit.Decision),
 	}
 }
 
 // configure puts the bounds of a bundle in force.
 func (a *admission) configure(limits *protocol.LimitPolicy) {
 	a.post(func() {
-		a.concurrency.SetMost(limits.GetMaxConcurrent())
+		a.limits = limits
 		a.retries.SetPercent(limits.GetRetryPercent())
-		a.queue.SetBounds(limits.GetMaxQueued(), time.Duration(limits.GetMaxQueueMillis())*time.Millisecond)
-		a.deliver(a.queue.SetSlots(a.concurrency.Limit()))
+		for _, group := range a.groups() {
+			a.deliver(a.lanes[group].configure(limits))
+		}
 	})
 }
 
-// enter waits for a slot; the failure says why there is none.
-func (a *admission) enter(ctx context.Context, ticket limit.Ticket) *protocol.Failure {
+// bound puts new ceilings in force; a group that is not named has none.
+func (a *admission) bound(ceilings map[string]ceiling) {
+	a.post(func() {
+		a.ceilings = ceilings
+		for _, group := range a.groups() {
+			a.deliver(a.lanes[group].bound(ceilings[group]))
+		}
+	})
+}
+
+func (a *admission) lane(group string) *lane {
+	held := a.lanes[group]
+	if held == nil {
+		held = newLane(a.limits, a.ceilings[group])
+		a.lanes[group] = held
+	}
+	return held
+}
+
+func (a *admission) groups() []string { return slices.Sorted(maps.Keys(a.lanes)) }
+
+// enter waits for a slot of a server group; the failure says why there is none.
+func (a *admission) enter(ctx context.Context, group string, ticket limit.Ticket) *protocol.Failure {
 	decided := make(chan limit.Decision, 1)
 	running := a.post(func() {
 		a.nextID++
 		ticket.ID = a.nextID
 		a.waiting[ticket.ID] = decided
 		a.retries.Request()
-		a.deliver(a.queue.Enter(ticket, a.clock.Now()))
+		a.deliver(a.lane(group).queue.Enter(ticket, a.clock.Now()))
 		a.setAlarm()
 	})
 	if !running {
@@ -76,37 +101,34 @@
 		return stoppingFailure()
 	case <-ctx.Done():
 	}
-	a.withdraw(&ticket, decided)
+	a.withdraw(group, &ticket, decided)
 	return failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the request ended while it waited for a slot").Failure
 }
 
 // withdraw takes a ticket out whose caller no longer waits.
-func (a *admission) withdraw(ticket *limit.Ticket, decided chan limit.Decision) {
+func (a *admission) withdraw(group string, ticket *limit.Ticket, decided chan limit.Decision) {
 	a.post(func() {
 		if a.waiting[ticket.ID] != nil {
-			a.queue.Cancel(ticket.ID)
+			a.lane(group).queue.Cancel(ticket.ID)
 			delete(a.waiting, ticket.ID)
 			return
 		}
 		if decision := <-decided; decision.Verdict == limit.Run {
-			a.deliver(a.queue.Leave(a.clock.Now()))
+			a.deliver(a.lane(group).queue.Leave(a.clock.Now()))
 		}
 	})
 }
 
 // leave gives a slot back.
-func (a *admission) leave() {
+func (a *admission) leave(group string) {
 	a.post(func() {
-		a.deliver(a.queue.Leave(a.clock.Now()))
+		a.deliver(a.lane(group).queue.Leave(a.clock.Now()))
 	})
 }
 
-// record tells the concurrency limit what one attempt measured.
-func (a *admission) record(sample limit.Sample) {
-	a.post(func() {
-		a.concurrency.Record(sample, a.queue.InFlight(), a.clock.Now())
-		a.deliver(a.queue.SetSlots(a.concurrency.Limit()))
-	})
+// record tells the concurrency limit of a group what one attempt measured.
+func (a *admission) record(group string, sample limit.Sample) {
+	a.post(func() { a.deliver(a.lane(group).record(sample, a.clock.Now())) })
 }
 
 // retry takes one retry out of the budget.
@@ -174,7 +196,7 @@
 
 // setAlarm expires tickets that wait too long, one alarm at a time.
 func (a *admission) setAlarm() {
-	next := a.queue.NextExpiry()
+	next := a.nextExpiry()
 	if next.IsZero() || !a.alarmSet.IsZero() && !next.Before(a.alarmSet) {
 		return
 	}
@@ -189,9 +211,21 @@
 	}()
 }
 
+func (a *admission) nextExpiry() time.Time {
+	var next time.Time
+	for _, held := range a.lanes {
+		if expiry := held.queue.NextExpiry(); !expiry.IsZero() && (next.IsZero() || expiry.Before(next)) {
+			next = expiry
+		}
+	}
+	return next
+}
+
 func (a *admission) alarm() {
 	a.alarmSet = time.Time{}
-	a.deliver(a.queue.Expire(a.clock.Now()))
+	for _, group := range a.groups() {
+		a.deliver(a.lanes[group].queue.Expire(a.clock.Now()))
+	}
 	a.setAlarm()
 }
 
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// take takes in a load that was asked for.
+func (b *backEnd) take(report loadReport, now time.Time) {
+	b.running.Store(report.Running)
+	b.queued.Store(report.Queued)
+	if report.Capacity > 0 {
+		b.capacity.Store(report.Capacity)
+	}
+	b.reportedAt.Store(now.UnixNano())
+}
+
 // reported is the load that the server last told. An old report counts for
 // nothing: without traffic of its own a front node would never see it fall.
 func (b *backEnd) reported(now time.Time) (running, queued uint32) {
@@ -105,6 +115,8 @@
 	version uint64
 	byID    map[string]*backEnd
 	groups  map[groupKey][]*backEnd
+	// byGroup holds each server of a group once, whatever it serves.
+	byGroup map[string][]*backEnd
 }
 
 // next builds the servers of a newer view and keeps what is known of their load.
@@ -113,10 +125,12 @@
 		version: view.GetVersion(),
 		byID:    make(map[string]*backEnd, len(view.GetBackEnds())),
 		groups:  make(map[groupKey][]*backEnd),
+		byGroup: make(map[string][]*backEnd),
 	}
 	for _, description := range view.GetBackEnds() {
 		server := b.keep(description)
 		updated.byID[description.GetId()] = server
+		updated.byGroup[description.GetGroup()] = append(updated.byGroup[description.GetGroup()], server)
 		for _, model := range description.GetModels() {
 			key := groupKey{group: description.GetGroup(), name: model}
 			updated.groups[key] = append(updated.groups[key], server)
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -13,8 +13,8 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-// keyedRefusalTimeout bounds the ledger's part in a refusal before a request
-// was taken in: a final answer does not wait longer for its proof.
+// keyedRefusalTimeout bounds the ledger's part in the refusal of a request that
+// was not taken in or found no room: a final answer does not wait longer for its proof.
 const keyedRefusalTimeout = 40 * time.Millisecond
 
 // api is the HTTP surface towards callers and back ends.
--- a/internal/front/liveturn.go
+++ b/internal/front/liveturn.go
@@ -26,28 +26,65 @@
 	mutex   sync.Mutex
 	events  []*protocol.TurnEvent
 	ended   bool
-	readers int
+	readers map[*reader]bool
 	changed chan struct{}
 }
 
+// reader is one that follows a turn. Its fields belong to the turn's mutex.
+type reader struct {
+	// position is the number of events that it has passed on, or that were there when it came.
+	position int
+	// slow is set when it has fallen too far behind; it gets no more events.
+	slow bool
+}
+
 func newLiveTurn(request *protocol.TurnRequest, turnID string, cancel context.CancelCauseFunc) *liveTurn {
 	return &liveTurn{
 		turnID: turnID, requestID: request.GetRequestId(), session: request.GetSession(), program: request.GetProgram(),
 		tenant: request.GetTenant(), background: request.GetBackground(), cancel: cancel, changed: make(chan struct{}),
+		readers: make(map[*reader]bool),
 	}
 }
 
-// append adds an event; a completed or failed one ends the turn for its readers.
+// append adds an event; a completed or failed one ends the turn for its
+// readers. A turn whose readers are all too far behind is cancelled at once,
+// also while one of them is held up in a write.
 func (l *liveTurn) append(event *protocol.TurnEvent) {
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	if l.ended {
+		l.mutex.Unlock()
 		return
 	}
 	l.events = append(l.events, event)
 	l.ended = isTerminal(event)
+	abandoned := l.markSlow() && l.unread()
 	close(l.changed)
 	l.changed = make(chan struct{})
+	l.mutex.Unlock()
+	if abandoned {
+		l.cancel(errCallerGone)
+	}
+}
+
+// markSlow marks the readers that are too far behind and reports whether one was.
+func (l *liveTurn) markSlow() bool {
+	marked := false
+	for reader := range l.readers {
+		if !reader.slow && len(l.events)-reader.position > maxReaderLag {
+			reader.slow, marked = true, true
+		}
+	}
+	return marked
+}
+
+// unread reports whether a turn goes on for nobody.
+func (l *liveTurn) unread() bool {
+	for reader := range l.readers {
+		if !reader.slow {
+			return false
+		}
+	}
+	return !l.ended && !l.background
 }
 
 // end makes sure that readers do not wait for ever.
@@ -83,23 +120,33 @@
 }
 
 // attach adds a reader.
-func (l *liveTurn) attach() {
+func (l *liveTurn) attach() *reader {
 	l.mutex.Lock()
-	l.readers++
-	l.mutex.Unlock()
+	defer l.mutex.Unlock()
+	added := &reader{position: len(l.events)}
+	l.readers[added] = true
+	return added
 }
 
 // detach takes a reader off; without any, a turn that is not in the background is cancelled.
-func (l *liveTurn) detach() {
+func (l *liveTurn) detach(left *reader) {
 	l.mutex.Lock()
-	l.readers--
-	alone := l.readers == 0 && !l.ended && !l.background
+	delete(l.readers, left)
+	alone := l.unread()
 	l.mutex.Unlock()
 	if alone {
 		l.cancel(errCallerGone)
 	}
 }
 
+// passed notes that a reader has passed on the events up to a position; it reports false for one that is too slow.
+func (l *liveTurn) passed(by *reader, position int) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	by.position = max(by.position, position)
+	return !by.slow
+}
+
 // from returns the events from a position on and what tells of more.
 func (l *liveTurn) from(position int) (events []*protocol.TurnEvent, ended bool, changed <-chan struct{}) {
 	l.mutex.Lock()
@@ -116,22 +163,22 @@
 
 // follow gives the events after a cursor to send, one by one, until the turn or the reader ends.
 func (l *liveTurn) follow(ctx context.Context, after cursor, send func(*protocol.TurnEvent) error) error {
-	l.attach()
-	defer l.detach()
+	self := l.attach()
+	defer l.detach(self)
 	position := 0
 	for {
 		events, ended, changed := l.from(position)
-		if position > 0 && len(events) > maxReaderLag {
-			return failure.New(failure.SlowReader, protocol.Outcome_RAN, "events were not read in time")
-		}
 		for _, event := range events {
 			if !after.seen(event) {
 				if err := send(event); err != nil {
 					return err
 				}
 			}
+			position++
+			if !l.passed(self, position) {
+				return failure.New(failure.SlowReader, protocol.Outcome_RAN, "events were not read in time")
+			}
 		}
-		position += len(events)
 		if ended {
 			return nil
 		}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -14,6 +14,7 @@
 	inProgress    prometheus.Gauge
 	heartbeats    prometheus.Counter
 	shadowDiffers prometheus.Counter
+	loadSamples   *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -37,7 +38,8 @@
 		heartbeats:    prometheus.NewCounter(counter("heartbeats_total", "Heartbeats of back ends relayed to the core.")),
 		shadowDiffers: prometheus.NewCounter(counter("shadow_differs_total", "Decisions on which the shadow bundle chose otherwise.")),
 	}
+	m.loadSamples = prometheus.NewCounterVec(counter("load_samples_total", "Load reports asked of back ends, by result."), []string{"result"})
 	registerer.MustRegister(m.turns, m.calls, m.events, m.forwarded, m.retries, m.attemptFaults, m.firstToken,
-		m.inProgress, m.heartbeats, m.shadowDiffers)
+		m.inProgress, m.heartbeats, m.shadowDiffers, m.loadSamples)
 	return m
 }
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -84,14 +84,19 @@
 	clock *manualClock
 	mutex sync.Mutex
 	// down makes every operation unavailable; seen counts them by kind.
-	down     bool
-	seen     map[string]int
-	programs map[string]*protocol.ProgramRecord
-	calls    map[string]*protocol.CallRecord
-	turns    map[string]*protocol.Turn
+	down bool
+	// holdRefusals, when set, keeps tombstones back until it is closed.
+	holdRefusals chan struct{}
+	seen         map[string]int
+	programs     map[string]*protocol.ProgramRecord
+	calls        map[string]*protocol.CallRecord
+	turns        map[string]*protocol.Turn
 }
 
 func (l *memoryLedger) Do(_ context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	if l.holdRefusals != nil && operation.GetRefuseRequest() != nil {
+		<-l.holdRefusals
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.seen[strings.TrimPrefix(fmt.Sprintf("%T", operation.GetBody()), "*protocol.LedgerOperation_")]++
@@ -331,6 +336,11 @@
 	view    *corelink.View
 	nodes   map[string]*node
 	stall   time.Duration
+
+	loadMutex sync.Mutex
+	// loads are the reports that servers give; loadAsked counts how often they were asked.
+	loads     map[string]string
+	loadAsked map[string]int
 }
 
 type node struct {
@@ -349,7 +359,7 @@
 	clock := &manualClock{now: time.Unix(1_000_000, 0)}
 	configuration := &protocol.Configuration{Version: 1, Active: bundle.Default(5)}
 	return &rig{
-		clock: clock, nodes: map[string]*node{},
+		clock: clock, nodes: map[string]*node{}, loads: map[string]string{}, loadAsked: map[string]int{},
 		ledger: &memoryLedger{
 			clock: clock, seen: map[string]int{}, programs: map[string]*protocol.ProgramRecord{},
 			calls: map[string]*protocol.CallRecord{}, turns: map[string]*protocol.Turn{},
@@ -389,6 +399,11 @@
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		// net/http sees a caller leave only once the body was read.
 		_, _ = io.Copy(io.Discard, request.Body)
+		if request.URL.Path == "/load" {
+			// A report of the load is no run.
+			r.loadReport(writer, id)
+			return
+		}
 		handler(writer, request)
 	}))
 	DeferCleanup(server.Close)
@@ -406,6 +421,30 @@
 	r.put(&corelink.View{Configuration: r.view.Configuration, Membership: r.view.Membership, BackEnds: next})
 }
 
+// loadReport answers GET /load with what the story says of the server.
+func (r *rig) loadReport(writer http.ResponseWriter, id string) {
+	r.loadMutex.Lock()
+	defer r.loadMutex.Unlock()
+	r.loadAsked[id]++
+	report, told := r.loads[id]
+	if !told {
+		report = `{"running":0,"queued":0,"capacity":16}`
+	}
+	_, _ = io.WriteString(writer, report)
+}
+
+func (r *rig) tellLoad(id, report string) {
+	r.loadMutex.Lock()
+	defer r.loadMutex.Unlock()
+	r.loads[id] = report
+}
+
+func (r *rig) asked(id string) int {
+	r.loadMutex.Lock()
+	defer r.loadMutex.Unlock()
+	return r.loadAsked[id]
+}
+
 func (r *rig) put(view *corelink.View) {
 	r.view = view
 	for _, n := range r.nodes {
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -115,6 +115,7 @@
 		share = 1 / float64(fronts)
 	}
 	s.share.Store(&share)
+	s.boundAdmission()
 }
 
 func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
@@ -134,6 +135,7 @@
 	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	s.workers.Go(func() { s.reportArms(ctx) })
 	s.workers.Go(func() { s.heartbeats.run(ctx) })
+	s.workers.Go(func() { s.watchLoad(ctx) })
 	return nil
 }
 
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -138,7 +138,7 @@
 	case turn.Admit:
 		return r.admit()
 	case turn.Leave:
-		r.service.admission.leave()
+		r.service.admission.leave(r.route.GetGroup())
 	case turn.Choose:
 		return r.choose(command.Avoid)
 	case turn.BeginCall:
@@ -184,7 +184,7 @@
 }
 
 func (r *callRun) admit() turn.Event {
-	refused := r.service.admission.enter(r.ctx, limit.Ticket{
+	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), limit.Ticket{
 		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
 		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
 	})
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -112,7 +112,7 @@
 	now := r.now()
 	r.counters.firstToken(now.Sub(r.began))
 	r.service.metrics.firstToken.Observe(now.Sub(r.began).Seconds())
-	r.service.admission.record(limit.Sample{Latency: now.Sub(r.issuedAt)})
+	r.service.admission.record(r.route.GetGroup(), limit.Sample{Latency: now.Sub(r.issuedAt)})
 	r.explanation.step("first token", r.server.id())
 }
 
@@ -123,7 +123,7 @@
 	}
 	r.server.record(isServerFault(fault.fault), r.now())
 	if fault.fault == turn.FaultRefused {
-		r.service.admission.record(limit.Sample{Refused: true})
+		r.service.admission.record(r.route.GetGroup(), limit.Sample{Refused: true})
 	}
 	r.service.metrics.attemptFaults.WithLabelValues(fault.fault.String()).Inc()
 	r.explanation.step("attempt failed: "+fault.fault.String(), r.server.id()+": "+fault.detail)
@@ -149,7 +149,7 @@
 	case turn.Admit:
 		return r.admit()
 	case turn.Leave:
-		r.service.admission.leave()
+		r.service.admission.leave(r.route.GetGroup())
 	case turn.Reserve:
 		return r.reserve(command)
 	case turn.Choose:
@@ -167,7 +167,7 @@
 	case turn.Release:
 		return r.release(command)
 	case turn.Refuse:
-		return turn.Refused{Result: r.service.refuseRequest(r.ctx, r.key.program, command.Operation)}
+		return turn.Refused{Result: r.refuse(command)}
 	case turn.ReadKept:
 		kept, status := r.service.readTurn(r.ctx, r.key.program, command.TurnID)
 		return turn.KeptRead{Turn: kept, Status: status}
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -37,7 +37,7 @@
 }
 
 func (r *turnRun) admit() turn.Event {
-	refused := r.service.admission.enter(r.ctx, limit.Ticket{
+	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), limit.Ticket{
 		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
 		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
 	})
@@ -124,3 +124,22 @@
 	r.explanation.step("retry", fmt.Sprintf("granted %t", granted))
 	return turn.RetryDecided{Granted: granted}
 }
+
+// refuse puts the request's tombstone. One that is refused at once hears that
+// the ledger is not available when it has not answered in time; the tombstone
+// is put all the same, so that the request never runs.
+func (r *turnRun) refuse(command turn.Refuse) *protocol.LedgerResult {
+	if !command.AtOnce {
+		return r.service.refuseRequest(r.ctx, r.key.program, command.Operation)
+	}
+	answered := make(chan *protocol.LedgerResult, 1)
+	r.service.runs.Go(func() {
+		answered <- r.service.refuseRequest(r.ctx, r.key.program, command.Operation)
+	})
+	select {
+	case result := <-answered:
+		return result
+	case <-r.service.clock.After(keyedRefusalTimeout):
+		return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE}
+	}
+}
--- /dev/null
+++ b/internal/front/watchload.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/schedule"
+)
+
+const (
+	// sampleInterval is the mean time between two samples of one front node, whatever the number of servers.
+	sampleInterval = 100 * time.Millisecond
+	sampleTimeout  = 500 * time.Millisecond
+	// sampleAge is how old a report must be to be worth a sample.
+	sampleAge      = 250 * time.Millisecond
+	maxSampleBytes = 4 << 10
+	// overCommit is how many requests may be under way for one that the servers
+	// work on: the rest are on their way, at the ledger or next in line.
+	overCommit = 1.5
+)
+
+// loadReport is the answer to GET /load.
+type loadReport struct {
+	Running  uint32 `json:"running"`
+	Queued   uint32 `json:"queued"`
+	Capacity uint32 `json:"capacity"`
+}
+
+// watchLoad samples the load of the servers in this front node's subset and
+// keeps the ceilings up to date.
+func (s *Service) watchLoad(ctx context.Context) {
+	for {
+		wait := sampleInterval/2 + rand.N(sampleInterval)
+		select {
+		case <-s.clock.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		s.sampleOne(ctx)
+		s.boundAdmission()
+	}
+}
+
+// sampleOne asks the one of two random servers that was heard of longest ago,
+// unless both were heard of just now.
+func (s *Service) sampleOne(ctx context.Context) {
+	used := s.usedServers()
+	if len(used) == 0 {
+		return
+	}
+	chosen := used[rand.IntN(len(used))]
+	if other := used[rand.IntN(len(used))]; other.reportedAt.Load() < chosen.reportedAt.Load() {
+		chosen = other
+	}
+	now := s.clock.Now()
+	if now.UnixNano()-chosen.reportedAt.Load() < int64(sampleAge) {
+		return
+	}
+	result := "ok"
+	if err := s.client.sampleLoad(ctx, chosen, s.clock.Now); err != nil {
+		result = "failed"
+	}
+	s.metrics.loadSamples.WithLabelValues(result).Inc()
+}
+
+// usedServers are those of the subsets of all groups.
+func (s *Service) usedServers() []*backEnd {
+	servers := s.backEnds.Load()
+	var used []*backEnd
+	for _, candidates := range s.subsets(s.clock.Now()) {
+		for _, candidate := range candidates {
+			if server := servers.byID[candidate.ID]; server != nil {
+				used = append(used, server)
+			}
+		}
+	}
+	return used
+}
+
+// subsets are the servers of each group that this front node uses.
+func (s *Service) subsets(now time.Time) map[string][]schedule.Candidate {
+	index := s.policies.Load().active
+	size := index.Bundle().GetScheduling().GetSubsetSize()
+	subsets := make(map[string][]schedule.Candidate)
+	for group, servers := range s.backEnds.Load().byGroup {
+		subsets[group] = schedule.Subset(s.name, size, candidates(servers, index.Group(group), now))
+	}
+	return subsets
+}
+
+// boundAdmission bounds what is under way by what the servers can take.
+func (s *Service) boundAdmission() {
+	now := s.clock.Now()
+	index := s.policies.Load().active
+	ceilings := make(map[string]ceiling)
+	subsets := s.subsets(now)
+	for group, servers := range s.backEnds.Load().byGroup {
+		all := candidates(servers, index.Group(group), now)
+		ceilings[group] = ceilingOf(all, subsets[group], *s.share.Load())
+	}
+	s.admission.bound(ceilings)
+}
+
+func ceilingOf(all, used []schedule.Candidate, share float64) ceiling {
+	total, known := capacityOf(all)
+	if !known {
+		return ceiling{}
+	}
+	room := 0.0
+	for _, candidate := range used {
+		if isUsable(candidate) {
+			reported := candidate.Running + candidate.Queued
+			others := reported - min(reported, candidate.InFlight)
+			room += max(0, overCommit*float64(candidate.Capacity)-float64(others))
+		}
+	}
+	return ceiling{known: true, fair: int(math.Ceil(total * overCommit * share)), room: int(room)}
+}
+
+func isUsable(candidate schedule.Candidate) bool { return !candidate.Draining && !candidate.Ejected }
+
+// capacityOf adds the capacities up; it is not known when a server tells none.
+func capacityOf(candidates []schedule.Candidate) (total float64, known bool) {
+	for _, candidate := range candidates {
+		if !isUsable(candidate) {
+			continue
+		}
+		if candidate.Capacity == 0 {
+			return 0, false
+		}
+		total += float64(candidate.Capacity)
+	}
+	return total, total > 0
+}
+
+// LoadStatusError is an answer to GET /load that is no report.
+type LoadStatusError struct{ Status int }
+
+func (e *LoadStatusError) Error() string {
+	return fmt.Sprintf("the load report has status %d", e.Status)
+}
+
+// sampleLoad asks a server for its load.
+func (c *backEndClient) sampleLoad(ctx context.Context, server *backEnd, now func() time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.url("/load"), nil)
+	if err != nil {
+		return errors.Wrap(err, "make load request")
+	}
+	response, err := c.tools.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "ask for load")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return &LoadStatusError{Status: response.StatusCode}
+	}
+	var report loadReport
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxSampleBytes)).Decode(&report); err != nil {
+		return errors.Wrap(err, "decode load report")
+	}
+	server.take(report, now())
+	return nil
+}
--- /dev/null
+++ b/internal/lab/burst/result.go
@@ -0,0 +1,165 @@
+package burst
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/report"
+)
+
+// LateRefusal is the time within which a refusal should come.
+const LateRefusal = 50 * time.Millisecond
+
+// warmUp is left out at the beginning of the burst: no answer can come before a turn's own length.
+const warmUp = time.Second
+
+// slowFactor says when an answer after the burst still counts as disturbed.
+const slowFactor = 3
+
+// RefusalKey tells refusals apart.
+type RefusalKey struct{ Code, Outcome string }
+
+// Refusals are those of one kind.
+type Refusals struct {
+	RefusalKey
+	Times      *report.Times
+	RetryAfter int
+}
+
+// Group is a class or a tenant.
+type Group struct {
+	Name     string
+	Offered  int
+	Answered int
+	// PerSecond is its goodput in the steady part of the burst.
+	PerSecond float64
+	Waited    *report.Times
+}
+
+// Result is the figures of a burst.
+type Result struct {
+	Offered, Answered int
+	// Goodput is answers a second in the steady part of the burst.
+	Goodput float64
+	// AllRefusals are the times of all ends that are no answer.
+	AllRefusals *report.Times
+	RetryAfter  int
+	// LateRefusals came later than LateRefusal; LateAtOnset of them were sent in the first second.
+	LateRefusals int
+	LateAtOnset  int
+	Kinds        []Refusals
+	Classes      []Group
+	Tenants      []Group
+	// RanRefused names requests told not_run that a stand-in ran.
+	RanRefused []string
+	// Recovery is how long after the burst's end the last request was sent that
+	// was not answered or took more than three times the usual.
+	Recovery time.Duration
+	MostLate time.Duration
+}
+
+// Evaluate works out the figures. ran tells whether a stand-in ran a request,
+// usual is the time of a turn at ease.
+func Evaluate(outcome *Outcome, ran func(requestID string) bool, usual time.Duration) *Result {
+	r := &Result{AllRefusals: report.NewTimes(), MostLate: outcome.MostLate}
+	kinds := map[RefusalKey]*Refusals{}
+	classes, tenants := map[string]*Group{}, map[string]*Group{}
+	steady := outcome.Burst - warmUp
+	for _, observed := range outcome.Observations {
+		record := observed.Record
+		if record == nil {
+			continue
+		}
+		if record.Outcome == caller.OutcomeNotRun && ran(record.RequestID) {
+			r.RanRefused = append(r.RanRefused, record.RequestID)
+		}
+		if observed.After {
+			r.recover(observed, outcome, usual)
+			continue
+		}
+		r.Offered++
+		of := []*Group{groupOf(classes, record.Priority), groupOf(tenants, record.Site)}
+		answered := record.Outcome == caller.OutcomeAnswered
+		inWindow := answered && outcome.inSteadyPart(record.AnsweredAt)
+		for _, group := range of {
+			group.take(record, answered, inWindow, steady)
+		}
+		if inWindow {
+			r.Goodput += 1 / steady.Seconds()
+		}
+		if answered {
+			r.Answered++
+			continue
+		}
+		r.refuse(observed, kinds)
+	}
+	r.Kinds = sorted(kinds, func(a, b Refusals) int {
+		return cmp.Or(cmp.Compare(b.Times.Count(), a.Times.Count()), cmp.Compare(a.Code+a.Outcome, b.Code+b.Outcome))
+	})
+	byName := func(a, b Group) int { return cmp.Compare(a.Name, b.Name) }
+	r.Classes, r.Tenants = sorted(classes, byName), sorted(tenants, byName)
+	return r
+}
+
+func (o *Outcome) inSteadyPart(at time.Time) bool {
+	after := at.Sub(o.Begun)
+	return after >= warmUp && after < o.Burst
+}
+
+func groupOf(groups map[string]*Group, name string) *Group {
+	if groups[name] == nil {
+		groups[name] = &Group{Name: name, Waited: report.NewTimes()}
+	}
+	return groups[name]
+}
+
+func (g *Group) take(record *caller.Record, answered, inWindow bool, steady time.Duration) {
+	g.Offered++
+	if answered {
+		g.Answered++
+		g.Waited.Add(record.AnsweredAt.Sub(record.SentAt()))
+	}
+	if inWindow {
+		g.PerSecond += 1 / steady.Seconds()
+	}
+}
+
+func (r *Result) refuse(observed Observation, kinds map[RefusalKey]*Refusals) {
+	record := observed.Record
+	key := RefusalKey{Code: record.Code, Outcome: record.Outcome}
+	if kinds[key] == nil {
+		kinds[key] = &Refusals{RefusalKey: key, Times: report.NewTimes()}
+	}
+	took := record.AnsweredAt.Sub(record.SentAt())
+	kinds[key].Times.Add(took)
+	r.AllRefusals.Add(took)
+	if took > LateRefusal {
+		r.LateRefusals++
+		if observed.DueAt < warmUp {
+			r.LateAtOnset++
+		}
+	}
+	if last := record.Exchanges[len(record.Exchanges)-1]; last.RetryAfterMillis > 0 {
+		kinds[key].RetryAfter++
+		r.RetryAfter++
+	}
+}
+
+func (r *Result) recover(observed Observation, outcome *Outcome, usual time.Duration) {
+	record := observed.Record
+	took := record.AnsweredAt.Sub(record.SentAt())
+	if record.Outcome != caller.OutcomeAnswered || took > slowFactor*usual {
+		r.Recovery = max(r.Recovery, record.SentAt().Sub(outcome.Begun)-outcome.Burst)
+	}
+}
+
+func sorted[K comparable, V any](of map[K]*V, compare func(a, b V) int) []V {
+	values := make([]V, 0, len(of))
+	for _, value := range of {
+		values = append(values, *value)
+	}
+	slices.SortFunc(values, compare)
+	return values
+}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -15,6 +15,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/rosestand/rosestand/internal/lab/simcommand"
 )
 
 // Exit codes of the laboratory.
@@ -70,9 +72,13 @@
 	root.SetArgs(arguments)
 	err := root.ExecuteContext(ctx)
 	var violation *ViolationError
+	var simulated *simcommand.ViolatedError
 	switch {
 	case err == nil:
 		return ExitClean
+	case errors.As(err, &simulated):
+		_, _ = fmt.Fprintln(faults, simulated.Error())
+		return ExitViolation
 	case errors.As(err, &violation):
 		_, _ = fmt.Fprintln(faults, violation.Error())
 		return ExitViolation
@@ -98,7 +104,7 @@
 	flags.StringVar(&e.folder, "folder", "run", "folder in which each run gets one of its own")
 	flags.StringVar(&e.profile, "cpu-profile", "", "file that takes a processor profile of the laboratory itself")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return e.startProfile() }
-	root.AddCommand(newBackEnds(e), newRun(e), newFleet(e), newAudit(e), newChaos(e), newKillOne(e), newExperiment(e), newBench(e), newScale(e))
+	root.AddCommand(newBackEnds(e), newRun(e), newFleet(e), newAudit(e), newChaos(e), newKillOne(e), newExperiment(e), newBench(e), newBurst(e), newScale(e), simcommand.New())
 	return root
 }
 
--- a/internal/lab/command/run.go
+++ b/internal/lab/command/run.go
@@ -220,7 +220,7 @@
 	evidence.Journal = journal
 	found := audit.Audit(*evidence)
 	report.PrintAudit(e.output, found)
-	kept := keptAudit{Orders: evidence.Orders, Disturbed: evidence.Disturbed, Returns: evidence.Returns, Report: found}
+	kept := keptAudit{Orders: evidence.Orders, Disturbed: evidence.Disturbed, Returns: evidence.Returns, Candidates: evidence.Candidates, Report: found}
 	content, err := json.MarshalIndent(&kept, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode audit")
@@ -236,10 +236,11 @@
 
 // keptAudit is what a run's folder keeps of its audit.
 type keptAudit struct {
-	Orders    []audit.Order    `json:"orders"`
-	Disturbed []audit.Interval `json:"disturbed"`
-	Returns   []audit.Return   `json:"returns"`
-	Report    *audit.Report    `json:"report"`
+	Orders     []audit.Order    `json:"orders"`
+	Disturbed  []audit.Interval `json:"disturbed"`
+	Returns    []audit.Return   `json:"returns"`
+	Candidates []uint64         `json:"candidates,omitempty"`
+	Report     *audit.Report    `json:"report"`
 }
 
 // newAudit audits the folder of an earlier run again.
@@ -262,7 +263,7 @@
 			if err := json.Unmarshal(content, &kept); err != nil {
 				return errors.Wrap(err, "decode audit")
 			}
-			return e.audit(folder, &audit.Evidence{Book: book, Orders: kept.Orders, Disturbed: kept.Disturbed, Returns: kept.Returns})
+			return e.audit(folder, &audit.Evidence{Book: book, Orders: kept.Orders, Disturbed: kept.Disturbed, Returns: kept.Returns, Candidates: kept.Candidates})
 		},
 	}
 }
--- a/internal/lab/fleet/bundle.go
+++ b/internal/lab/fleet/bundle.go
@@ -29,6 +29,7 @@
 	for _, tenant := range made.GetTenants() {
 		tenant.CredentialSha256 = digestOf(f.secrets.credentials[tenant.GetName()])
 	}
+	addExampleTenant(made)
 	return made
 }
 
--- /dev/null
+++ b/internal/lab/simcommand/rest.go
@@ -0,0 +1,28 @@
+package simcommand
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/sim/statesuite"
+)
+
+// UnhealthyError says that a fleet at rest did not stay whole, so that its speed means nothing.
+type UnhealthyError struct{}
+
+func (e *UnhealthyError) Error() string { return "the fleet at rest has no leader or lacks replicas" }
+
+// measureRest prints how much faster than real time a fleet at rest is simulated.
+func measureRest(output io.Writer, seed int64, span time.Duration) error {
+	rest := statesuite.NewRest(seed)
+	begun := time.Now()
+	events := rest.Advance(span)
+	took := time.Since(begun)
+	if !rest.Healthy() {
+		return &UnhealthyError{}
+	}
+	_, err := fmt.Fprintf(output, "fleet of Caroni at rest: %s simulated in %s, %.0f times real time, %.0f events a simulated second\n",
+		span, took.Round(time.Millisecond), span.Seconds()/took.Seconds(), float64(events)/span.Seconds())
+	return err
+}
--- a/internal/lab/simcommand/simcommand.go
+++ b/internal/lab/simcommand/simcommand.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -31,6 +33,13 @@
 	return fmt.Sprintf("there is no suite %q; there are state, ownership and all", e.Suite)
 }
 
+// UnknownMutationError names a mutation that the suites to run do not have.
+type UnknownMutationError struct{ Mutation string }
+
+func (e *UnknownMutationError) Error() string {
+	return fmt.Sprintf("the suites to run have no mutation %q", e.Mutation)
+}
+
 type options struct {
 	suite    string
 	first    int64
@@ -38,26 +47,38 @@
 	workers  int
 	trace    bool
 	mutation string
+	rest     time.Duration
+	// keepSchedules leaves failed schedules as long as they are.
+	keepSchedules bool
 }
 
 type suite struct {
-	name string
-	run  func(seed int64, faults []sim.Fault, mutation string, trace io.Writer) sim.Report
+	name      string
+	mutations func() []string
+	run       func(seed int64, faults []sim.Fault, mutation string, trace io.Writer) sim.Report
 }
 
 var suites = []suite{
-	{name: "state", run: func(seed int64, faults []sim.Fault, mutation string, trace io.Writer) sim.Report {
+	{name: "state", mutations: func() []string { return namesOf(statesuite.Mutations()) }, run: func(seed int64, faults []sim.Fault, mutation string, trace io.Writer) sim.Report {
 		return statesuite.Run(seed, statesuite.Options{
 			Faults: faults, Mutation: statesuite.Mutation(mutation), Trace: trace,
 		})
 	}},
-	{name: "ownership", run: func(seed int64, faults []sim.Fault, mutation string, trace io.Writer) sim.Report {
+	{name: "ownership", mutations: func() []string { return namesOf(ownershipsuite.Mutations) }, run: func(seed int64, faults []sim.Fault, mutation string, trace io.Writer) sim.Report {
 		return ownershipsuite.Run(seed, ownershipsuite.Options{
 			Faults: faults, Mutation: ownershipsuite.Mutation(mutation), Trace: trace,
 		}).Report
 	}},
 }
 
+func namesOf[M ~string](mutations []M) []string {
+	var names []string
+	for _, mutation := range mutations {
+		names = append(names, string(mutation))
+	}
+	return names
+}
+
 // New makes the command. It returns *ViolatedError when a run fails.
 func New() *cobra.Command {
 	var chosen options
@@ -66,6 +87,9 @@
 		Short: "Simulate the fleet's decision and storage code under faults from many seeds and check its rules",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			if chosen.rest > 0 {
+				return measureRest(command.OutOrStdout(), chosen.first, chosen.rest)
+			}
 			return search(command.OutOrStdout(), command.ErrOrStderr(), chosen)
 		},
 	}
@@ -76,16 +100,18 @@
 	flags.IntVar(&chosen.workers, "workers", defaultWorkers, "runs at a time")
 	flags.BoolVar(&chosen.trace, "trace", false, "print what happens to standard error; runs one seed at a time, without shortening its schedule")
 	flags.StringVar(&chosen.mutation, "mutation", "", "break the code in a named way, to see which rule notices")
+	flags.BoolVar(&chosen.keepSchedules, "keep-schedules", false, "leave out the shortening of failed schedules, which runs a seed up to 60 times more")
+	flags.DurationVar(&chosen.rest, "rest", 0, "simulate a site's fleet at rest for this long, without faults, and print how much faster than real time that is")
 	return command
 }
 
 func search(output, trace io.Writer, chosen options) error {
-	failed, found := 0, false
-	for _, candidate := range suites {
-		if chosen.suite != allSuites && chosen.suite != candidate.name {
-			continue
-		}
-		found = true
+	selected, err := chosen.selectSuites()
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for _, candidate := range selected {
 		summary := chosen.searchSuite(candidate, trace)
 		failed += len(summary.Failed)
 		if _, err := fmt.Fprintf(output, "suite %s: ", candidate.name); err != nil {
@@ -96,18 +122,36 @@
 			return err
 		}
 	}
-	switch {
-	case !found:
-		return &UnknownSuiteError{Suite: chosen.suite}
-	case failed > 0:
+	if failed > 0 {
 		return &ViolatedError{Runs: failed}
+	}
+	return nil
+}
+
+// selectSuites gives the suites to run: with a mutation those that have it.
+func (o options) selectSuites() ([]suite, error) {
+	named, selected := false, []suite(nil)
+	for _, candidate := range suites {
+		if o.suite != allSuites && o.suite != candidate.name {
+			continue
+		}
+		named = true
+		if o.mutation == "" || slices.Contains(candidate.mutations(), o.mutation) {
+			selected = append(selected, candidate)
+		}
+	}
+	switch {
+	case !named:
+		return nil, &UnknownSuiteError{Suite: o.suite}
+	case len(selected) == 0:
+		return nil, &UnknownMutationError{Mutation: o.mutation}
 	default:
-		return nil
+		return selected, nil
 	}
 }
 
 func (o options) searchSuite(candidate suite, trace io.Writer) sim.Summary {
-	settings := sim.SearchOptions{First: o.first, Count: o.seeds, Workers: o.workers}
+	settings := sim.SearchOptions{First: o.first, Count: o.seeds, Workers: o.workers, KeepSchedules: o.keepSchedules}
 	if !o.trace {
 		return sim.Search(settings, func(seed int64, faults []sim.Fault) sim.Report {
 			return candidate.run(seed, faults, o.mutation, nil)
--- a/internal/lab/simcommand/simcommand_test.go
+++ b/internal/lab/simcommand/simcommand_test.go
@@ -48,3 +48,25 @@
 		t.Fatal(err)
 	}
 }
+
+func TestUnknownMutationIsRefused(t *testing.T) {
+	_, _, err := execute("--suite", "state", "--seeds", "1", "--mutation", "nothing")
+	var unknown *simcommand.UnknownMutationError
+	if !errors.As(err, &unknown) {
+		t.Fatal(err)
+	}
+}
+
+func TestViolationIsPrintedWithAShortSchedule(t *testing.T) {
+	output, _, err := execute("--suite", "state", "--seeds", "1", "--mutation", "front-skips-tombstone")
+	if err == nil || !strings.Contains(output, "shortest schedule found") || !strings.Contains(output, "replay: ") {
+		t.Fatalf("%v\n%s", err, output)
+	}
+}
+
+func TestFleetAtRestIsMeasured(t *testing.T) {
+	output, _, err := execute("--rest", "10s")
+	if err != nil || !strings.Contains(output, "times real time") {
+		t.Fatalf("%v\n%s", err, output)
+	}
+}
--- a/internal/limit/concurrency.go
+++ b/internal/limit/concurrency.go
@@ -13,6 +13,7 @@
 	slowMargin = 250 * time.Millisecond
 	// cutFactor is applied at most once in cutInterval.
 	cutFactor   = 0.85
+	mostCut     = 0.5
 	cutInterval = 500 * time.Millisecond
 	// baselineGain is the weight of a new sample in the baseline; samples under
 	// load raise it more slowly than samples at ease lower it.
@@ -69,7 +70,7 @@
 		c.learn(sample.Latency)
 	}
 	if slow {
-		c.cut(now)
+		c.cut(inFlight, now)
 		return
 	}
 	if sample.Latency > 0 && float64(inFlight) >= c.limit/2 {
@@ -89,10 +90,13 @@
 	c.baseline += time.Duration(gain * float64(latency-c.baseline))
 }
 
-func (c *Concurrency) cut(now time.Time) {
+// cut lowers the limit from what is under way, since a limit that nothing
+// reaches bounds nothing; one cut takes no more than half before its factor.
+func (c *Concurrency) cut(inFlight int, now time.Time) {
 	if now.Sub(c.lastCut) < cutInterval {
 		return
 	}
 	c.lastCut = now
-	c.limit = max(min(leastConcurrent, c.most), c.limit*cutFactor)
+	from := min(c.limit, max(float64(inFlight), c.limit*mostCut))
+	c.limit = max(min(leastConcurrent, c.most), from*cutFactor)
 }
--- a/internal/limit/fairness.go
+++ b/internal/limit/fairness.go
@@ -140,5 +140,9 @@
 	if q.drainRate <= 0 {
 		return unknownRetry
 	}
-	return min(max(secondsOf(float64(queued+1)/q.drainRate), leastRetryAfter), mostRetryAfter)
+	return boundRetry(secondsOf(float64(queued+1) / q.drainRate))
+}
+
+func boundRetry(wait time.Duration) time.Duration {
+	return min(max(wait, leastRetryAfter), mostRetryAfter)
 }
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -47,7 +47,7 @@
 const (
 	// Run gives the ticket a slot, which Leave gives back.
 	Run Verdict = iota + 1
-	// RefuseFull means that the class's queue is full.
+	// RefuseFull means that the class's queue is full, or so long that the ticket would wait too long.
 	RefuseFull
 	// RefuseLate means that the ticket waited too long or its deadline passed.
 	RefuseLate
@@ -80,6 +80,8 @@
 	clock   float64
 	count   int
 	tenants []*tenantQueue
+	demand  demand
+	demands map[string]*tenantDemand
 }
 
 // Queue holds the requests of one front node that wait for a slot.
@@ -87,9 +89,11 @@
 	maxQueued int
 	maxWait   time.Duration
 	slots     int
+	sureSlots int
 	inFlight  int
 	clock     float64
 	classes   []*classQueue
+	service   serviceTime
 
 	drained   int
 	drainFrom time.Time
@@ -102,7 +106,7 @@
 	q.SetBounds(maxQueued, maxWait)
 	q.slots = slots
 	for _, class := range classes {
-		q.classes = append(q.classes, &classQueue{class: class})
+		q.classes = append(q.classes, &classQueue{class: class, demands: make(map[string]*tenantDemand)})
 	}
 	return q
 }
@@ -119,6 +123,10 @@
 	return q.dispatch()
 }
 
+// SetSureSlots tells how many of the slots stay when others take theirs of a
+// shared capacity; zero is all of them. Expected waits count on no more.
+func (q *Queue) SetSureSlots(slots int) { q.sureSlots = slots }
+
 // InFlight is the number of slots taken.
 func (q *Queue) InFlight() int { return q.inFlight }
 
@@ -139,6 +147,10 @@
 func (q *Queue) Enter(ticket Ticket, now time.Time) []Decision {
 	decisions := q.Expire(now)
 	class := q.class(ticket.Class)
+	class.ask(ticket, now)
+	if wait := q.expectedWait(class, ticket, now); q.tooLate(class, ticket, wait, now) {
+		return append(decisions, Decision{ID: ticket.ID, Verdict: RefuseFull, RetryAfter: boundRetry(wait)})
+	}
 	if class.count >= q.maxQueued {
 		evicted, made := class.makeRoom(ticket)
 		if !made {
@@ -156,8 +168,10 @@
 
 // Leave gives a slot back and returns the tickets that may run now.
 func (q *Queue) Leave(now time.Time) []Decision {
+	q.service.advance(q.inFlight, now)
 	q.inFlight--
 	q.drained++
+	q.service.end(q.inFlight)
 	return append(q.Expire(now), q.dispatch()...)
 }
 
@@ -179,6 +193,7 @@
 // Expire refuses the tickets that have waited too long.
 func (q *Queue) Expire(now time.Time) []Decision {
 	q.measureDrain(now)
+	q.service.advance(q.inFlight, now)
 	var decisions []Decision
 	for _, class := range q.classes {
 		for _, tenant := range slices.Clone(class.tenants) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -154,13 +154,28 @@
 	return usable
 }
 
+func subsetSize(size uint32) int { return int(cmp.Or(size, DefaultSubsetSize)) }
+
+// Subset gives the candidates of a group that a front node uses, as Choose does.
+func Subset(front string, size uint32, group []Candidate) []Candidate {
+	if len(group) <= subsetSize(size) {
+		return group
+	}
+	pointers := make([]*Candidate, 0, len(group))
+	for at := range group {
+		pointers = append(pointers, &group[at])
+	}
+	kept := make([]Candidate, 0, subsetSize(size))
+	for _, candidate := range rank(front, pointers)[:subsetSize(size)] {
+		kept = append(kept, *candidate)
+	}
+	return kept
+}
+
 // subset keeps the part of a large group that this front node uses, the same
 // one as long as the group does not change. The session's last server stays in.
 func (d *Decision) subset(request Request, usable []*Candidate) []*Candidate {
-	size := int(request.SubsetSize)
-	if size == 0 {
-		size = DefaultSubsetSize
-	}
+	size := subsetSize(request.SubsetSize)
 	if len(usable) <= size {
 		return usable
 	}
--- a/internal/turn/command.go
+++ b/internal/turn/command.go
@@ -63,7 +63,12 @@
 type Release struct{ Operation *protocol.ReleaseTurn }
 
 // Refuse marks the request as never to be run; answered by Refused.
-type Refuse struct{ Operation *protocol.RefuseRequest }
+type Refuse struct {
+	Operation *protocol.RefuseRequest
+	// AtOnce is set for what is refused because there is too much to do: its
+	// answer does not wait long for the ledger's word.
+	AtOnce bool
+}
 
 // ReadKept asks for a kept turn; answered by KeptRead.
 type ReadKept struct{ TurnID string }
--- a/internal/turn/emit.go
+++ b/internal/turn/emit.go
@@ -1,21 +1,17 @@
 package turn
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"strings"
 
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-const turnIDBytes = 16
-
 // ID gives the id of the turn that answers a request. It follows from the
 // program and the request id, so every send of one request has the same turn.
 func ID(program, requestID string) string {
-	sum := sha256.Sum256([]byte(program + "\x00" + requestID))
-	return "turn_" + hex.EncodeToString(sum[:turnIDBytes])
+	return ledger.TurnID(program, requestID)
 }
 
 func (m *Machine) emit(event *protocol.TurnEvent) Command {
--- a/internal/turn/ending.go
+++ b/internal/turn/ending.go
@@ -19,7 +19,7 @@
 	request := m.parameters.Request
 	return append(m.leave(), Refuse{Operation: &protocol.RefuseRequest{
 		RequestId: request.GetRequestId(), Session: request.GetSession(),
-	}})
+	}, AtOnce: failure.Code(f.GetCode()) == failure.Overloaded})
 }
 
 func (m *Machine) refusing(event Event, now time.Time) []Command {
--- a/internal/turn/machine.go
+++ b/internal/turn/machine.go
@@ -149,6 +149,13 @@
 	if _, begun := event.(Begun); !begun {
 		return nil
 	}
+	m.state = stateAdmitting
+	return []Command{Admit{}}
+}
+
+// claim asks for the session's epoch once the turn has a slot, so that a turn
+// that is refused costs the ledger no more than its tombstone.
+func (m *Machine) claim() []Command {
 	m.state = stateClaiming
 	request := m.parameters.Request
 	return []Command{Claim{Operation: &protocol.ClaimSession{
@@ -187,16 +194,15 @@
 		return m.refuse(f, now)
 	}
 	m.history, m.historyTokens = read.Items, read.Tokens
-	m.state = stateAdmitting
-	return []Command{Admit{}}
+	m.state = stateReserving
+	return []Command{m.reserveCommand()}
 }
 
 func (m *Machine) admission(event Event, now time.Time) []Command {
 	switch admission := event.(type) {
 	case Admitted:
 		m.admitted = true
-		m.state = stateReserving
-		return []Command{m.reserveCommand()}
+		return m.claim()
 	case NotAdmitted:
 		return m.refuse(admission.Failure, now)
 	}
--- a/internal/turn/machine_test.go
+++ b/internal/turn/machine_test.go
@@ -155,7 +155,7 @@
 	if completed.GetText() != "aa" || completed.GetOutputTokens() != 2 || completed.GetCachedTokens() != 1 || completed.GetNonce() != "n1" {
 		t.Fatalf("completed %v", completed)
 	}
-	want := []string{"claim", "history", "admit", "reserve", "choose", "issue", "settle"}
+	want := []string{"admit", "claim", "history", "reserve", "choose", "issue", "settle"}
 	var got []string
 	for _, command := range s.commands {
 		if name := commandName(command); name != "" {
@@ -197,7 +197,7 @@
 	full := failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, "full", failure.WithRetryAfter(time.Second)).Failure
 	s := newScript(&protocol.TurnRequest{FirstSend: true}).on("admit", turn.NotAdmitted{Failure: full}).run()
 	wantFailure(t, s, failure.Overloaded, protocol.Outcome_NOT_RUN)
-	if s.count("refuse")+s.count("release") != 0 || s.last().GetFailed().GetRetryAfterMillis() != 1000 {
+	if s.count("claim")+s.count("refuse")+s.count("release") != 0 || s.last().GetFailed().GetRetryAfterMillis() != 1000 {
 		t.Fatalf("commands %v", s.commands)
 	}
 }
--- a/internal/turn/toolcall.go
+++ b/internal/turn/toolcall.go
@@ -114,6 +114,12 @@
 	if m.state != callNew {
 		return nil
 	}
+	m.state = callAdmitting
+	return []Command{Admit{}}
+}
+
+// claim asks for the session's epoch once the call has a slot.
+func (m *CallMachine) claim() []Command {
 	m.state = callClaiming
 	request := m.parameters.Request
 	return []Command{Claim{Operation: &protocol.ClaimSession{
@@ -133,8 +139,8 @@
 		return m.refuse(ledgerFailure(status))
 	}
 	m.epoch = event.Result.GetEpoch()
-	m.state = callAdmitting
-	return []Command{Admit{}}
+	m.state = callChoosing
+	return []Command{Choose{}}
 }
 
 func (m *CallMachine) admission() []Command {
@@ -142,8 +148,7 @@
 		return nil
 	}
 	m.admitted = true
-	m.state = callChoosing
-	return []Command{Choose{}}
+	return m.claim()
 }
 
 // chosen writes the intent once, just before the first issue.
