--- a/internal/lab/modelserver/engine.go
+++ b/internal/lab/modelserver/engine.go
@@ -191,6 +191,7 @@
 
 func (e *engine) emit(decoded []*sequence) {
 	now := time.Now()
+	var ended []*generation
 	for _, s := range decoded {
 		g, present := e.members[s]
 		if !present {
@@ -201,15 +202,20 @@
 		g.hashes = append(g.hashes, tokenHash(text))
 		g.tokens <- text
 		if s.produced >= s.maxTokens {
-			e.finish(g)
+			e.remove(g)
+			ended = append(ended, g)
 		}
 	}
+	// The load is told before the answers end, so that whoever saw an end sees the place free.
 	e.publish()
+	for _, g := range ended {
+		close(g.tokens)
+	}
 }
 
-func (e *engine) finish(g *generation) bool {
+// remove frees the place of a generation; it reports whether its run had begun.
+func (e *engine) remove(g *generation) bool {
 	delete(e.members, g.seq)
-	close(g.tokens)
 	return e.batch.remove(g.seq, g.hashes)
 }
 
@@ -218,7 +224,8 @@
 	if _, present := e.members[g.seq]; !present {
 		return true
 	}
-	started := e.finish(g)
+	started := e.remove(g)
+	close(g.tokens)
 	if !started {
 		e.record(g, standin.PhaseRefused, "cancelled_in_queue")
 	}
--- a/internal/lab/modelserver/stream.go
+++ b/internal/lab/modelserver/stream.go
@@ -17,6 +17,7 @@
 	generation   *generation
 	promptTokens int
 	written      int
+	recorded     bool
 }
 
 // ending says how a stream came to its end, as the journal keeps it.
@@ -68,9 +69,7 @@
 	case <-s.server.engine.stopped:
 	}
 	if started {
-		entry := s.generation.entry(standin.PhaseFinished, string(ended))
-		entry.Tokens = s.written
-		_ = s.server.journal.Append(entry)
+		s.record(ended)
 	}
 	switch ended {
 	case endedCut, endedStalled, endedLost:
@@ -78,6 +77,17 @@
 	}
 }
 
+// record writes the end of the run to the journal, once.
+func (s *stream) record(ended ending) {
+	if s.recorded {
+		return
+	}
+	s.recorded = true
+	entry := s.generation.entry(standin.PhaseFinished, string(ended))
+	entry.Tokens = s.written
+	_ = s.server.journal.Append(entry)
+}
+
 // pass hands tokens on until the answer or the stream ends.
 func (s *stream) pass() ending {
 	ctx := s.context.Request.Context()
@@ -164,6 +174,8 @@
 			PromptTokensDetails: promptDetails{CachedTokens: s.generation.cached},
 		},
 	})
+	// Whoever saw the last line finds the run in the journal.
+	s.record(endedWhole)
 	s.writeLine("[DONE]")
 	return endedWhole
 }
