Pack finished requests, batch calls between stores, page shards in order

The profile of changes showed calls, goroutines and system calls ahead of syncs.

Stores of the former format do not understand packed records: a cluster is stopped and started as a whole.

--- a/internal/ledger/property_test.go
+++ b/internal/ledger/property_test.go
@@ -12,7 +12,10 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-const propertyBudget = 100
+const (
+	propertyBudget   = 100
+	propertyRequests = 13
+)
 
 // machine applies random operations of some owners and keeps what they were promised.
 type machine struct {
@@ -45,12 +48,22 @@
 // check looks at what must hold after every operation.
 func (m *machine) check(t *rapid.T) {
 	var charged uint64
-	for _, finished := range m.record.GetFinished() {
-		charged += finished.GetTokens()
-		if known := m.outcomes[finished.GetRequestId()]; known != nil && !proto.Equal(known, finished) {
-			t.Fatalf("outcome changed from %v to %v", known, finished)
+	known := 0
+	for number := range propertyRequests {
+		request := fmt.Sprintf("r%d", number)
+		finished := ledger.Finished(m.record, request)
+		if before := m.outcomes[request]; before != nil && !proto.Equal(before, finished) {
+			t.Fatalf("outcome changed from %v to %v", before, finished)
+		}
+		if finished == nil {
+			continue
 		}
-		m.outcomes[finished.GetRequestId()] = finished
+		known++
+		charged += finished.GetTokens()
+		m.outcomes[request] = finished
+	}
+	if count := ledger.FinishedCount(m.record); count != known || len(m.record.GetFinished()) > 0 {
+		t.Fatalf("the record holds %d outcomes and %d unpacked ones of %d requests", count, len(m.record.GetFinished()), known)
 	}
 	if charged != m.record.GetSettled() {
 		t.Fatalf("settled %d but outcomes sum up to %d", m.record.GetSettled(), charged)
@@ -83,7 +96,9 @@
 		m := &machine{now: time.Unix(1_000_000, 0), outcomes: map[string]*protocol.FinishedRequest{}, epochs: map[string]uint64{}}
 		session := rapid.SampledFrom([]string{"s1", "s2", "s3"})
 		owner := rapid.SampledFrom([]string{"front-1", "front-2"})
-		request := rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("r%d", rapid.IntRange(0, 12).Draw(t, "request")) })
+		request := rapid.Custom(func(t *rapid.T) string {
+			return fmt.Sprintf("r%d", rapid.IntRange(0, propertyRequests-1).Draw(t, "request"))
+		})
 		tokens := rapid.Uint64Range(0, 40)
 		epoch := func(t *rapid.T, of string) uint64 {
 			if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -23,14 +23,9 @@
 		Settled:         record.GetSettled(),
 		Sessions:        slices.Clone(record.GetSessions()),
 		Reservations:    slices.Clone(record.GetReservations()),
-		Finished:        make([]*protocol.FinishedRequest, 0, len(record.GetFinished())+1),
+		FinishedPacked:  keptPacked(record, now.UnixMilli()),
 		UpdatedAtMillis: now.UnixMilli(),
 	}
-	for _, finished := range record.GetFinished() {
-		if finished.GetKeepUntilMillis() >= now.UnixMilli() {
-			copied.Finished = append(copied.Finished, finished)
-		}
-	}
 	return &draft{ProgramRecord: copied, now: now}
 }
 
@@ -53,7 +48,7 @@
 	d.Reservations = slices.DeleteFunc(d.Reservations, func(open *protocol.Reservation) bool {
 		return open.GetRequestId() == finished.GetRequestId()
 	})
-	d.Finished = append(d.Finished, finished)
+	d.FinishedPacked = appendPacked(d.FinishedPacked, d.Program, d.Sessions, finished)
 	return finished
 }
 
@@ -81,15 +76,6 @@
 	return nil
 }
 
-func findFinished(record *protocol.ProgramRecord, requestID string) *protocol.FinishedRequest {
-	for _, finished := range record.GetFinished() {
-		if finished.GetRequestId() == requestID {
-			return finished
-		}
-	}
-	return nil
-}
-
 // heldBudget sums the ceilings of the open reservations.
 func heldBudget(record *protocol.ProgramRecord) uint64 {
 	var held uint64
@@ -106,10 +92,5 @@
 			return true
 		}
 	}
-	for _, finished := range record.GetFinished() {
-		if finished.GetTurnId() == turn {
-			return true
-		}
-	}
-	return false
+	return keepsFinishedTurn(record, turn)
 }
--- a/internal/ledger/turn.go
+++ b/internal/ledger/turn.go
@@ -9,7 +9,7 @@
 // reserveTurn admits a turn while settled tokens and held ceilings are below
 // the budget, so a program exceeds its budget by one turn at most.
 func reserveTurn(record *protocol.ProgramRecord, reserve *protocol.ReserveTurn, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
-	if finished := findFinished(record, reserve.GetRequestId()); finished != nil {
+	if finished := Finished(record, reserve.GetRequestId()); finished != nil {
 		return nil, finishedResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, finished)
 	}
 	session, refusal := checkEpoch(record, reserve.GetSession(), reserve.GetEpoch())
@@ -83,7 +83,7 @@
 // settleTurn charges the tokens of a kept turn, never more than were reserved.
 func settleTurn(record *protocol.ProgramRecord, settle *protocol.SettleTurn, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
 	turn := settle.GetTurn()
-	if finished := findFinished(record, settle.GetRequestId()); finished != nil {
+	if finished := Finished(record, settle.GetRequestId()); finished != nil {
 		if finished.GetOutcome() == protocol.RequestOutcome_OUTCOME_SETTLED && finished.GetTurnId() == turn.GetId() {
 			return nil, finishedResult(protocol.LedgerStatus_LEDGER_OK, finished)
 		}
@@ -127,7 +127,7 @@
 	if release.GetTokens() > 0 {
 		outcome = protocol.RequestOutcome_OUTCOME_CHARGED
 	}
-	if finished := findFinished(record, release.GetRequestId()); finished != nil {
+	if finished := Finished(record, release.GetRequestId()); finished != nil {
 		if finished.GetOutcome() == outcome {
 			return nil, finishedResult(protocol.LedgerStatus_LEDGER_OK, finished)
 		}
@@ -158,7 +158,7 @@
 // refused by someone who does not know whether it ran. A program need not be
 // open for it: a first turn can be refused too.
 func refuseRequest(record *protocol.ProgramRecord, program string, refuse *protocol.RefuseRequest, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
-	if finished := findFinished(record, refuse.GetRequestId()); finished != nil {
+	if finished := Finished(record, refuse.GetRequestId()); finished != nil {
 		if finished.GetOutcome() == protocol.RequestOutcome_OUTCOME_NOT_RUN {
 			return nil, finishedResult(protocol.LedgerStatus_LEDGER_OK, finished)
 		}
--- /dev/null
+++ b/internal/ledger/turnid.go
@@ -0,0 +1,41 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+)
+
+const (
+	requestKeyBytes = 16
+	turnIDPrefix    = "turn_"
+)
+
+// requestKey is a hash of program and request id. It stands for the request in
+// the program's record and names the request's turn.
+type requestKey [requestKeyBytes]byte
+
+func requestKeyOf(program, requestID string) requestKey {
+	sum := sha256.Sum256([]byte(program + "\x00" + requestID))
+	return requestKey(sum[:requestKeyBytes])
+}
+
+func (k requestKey) turnID() string { return turnIDPrefix + hex.EncodeToString(k[:]) }
+
+// TurnID gives the id of the turn that answers a request. It follows from the
+// program and the request id, so every send of one request has the same turn.
+func TurnID(program, requestID string) string {
+	return requestKeyOf(program, requestID).turnID()
+}
+
+// requestKeyOfTurn reads the key back from a turn id; false when the id was not made by TurnID.
+func requestKeyOfTurn(turnID string) (key requestKey, derived bool) {
+	digits, found := strings.CutPrefix(turnID, turnIDPrefix)
+	if !found || len(digits) != 2*requestKeyBytes {
+		return key, false
+	}
+	if _, err := hex.Decode(key[:], []byte(digits)); err != nil {
+		return key, false
+	}
+	return key, key.turnID() == turnID
+}
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -35,6 +35,9 @@
 	SegmentBytes int64
 	// MaximumRecordBytes bounds one record.
 	MaximumRecordBytes int
+	// CheckedBefore names a segment; finished ones before it were read in full once and have been synced. OpenLog
+	// looks only at their headers and lengths, so that it need not read the whole log. Read still checks each record.
+	CheckedBefore uint64
 }
 
 func (o LogOptions) withDefaults() LogOptions {
--- a/internal/storage/log_test.go
+++ b/internal/storage/log_test.go
@@ -157,6 +157,42 @@
 		Expect(corrupt.Reason).To(ContainSubstring("absent"))
 	})
 
+	It("given segments that were checked before, when opened, then only their headers and lengths are read", func() {
+		log := open(disk, small)
+		var positions []storage.Position
+		for number := range 30 {
+			position, err := log.Write(payload(number))
+			Expect(err).NotTo(HaveOccurred())
+			positions = append(positions, position)
+		}
+		Expect(log.Sync()).To(Succeed())
+		newest := log.End().Segment
+		files := disk.Files(folder)
+		Expect(disk.Damage(files[1], 100, 1)).To(BeTrue())
+		checked := small
+		checked.CheckedBefore = newest
+		log, err := storage.OpenLog(disk, folder, checked)
+		Expect(err).NotTo(HaveOccurred())
+		damaged := 0
+		var corrupt *storage.CorruptError
+		for _, position := range positions {
+			if _, err := log.Read(position); err != nil {
+				Expect(errors.As(err, &corrupt)).To(BeTrue())
+				damaged++
+			}
+		}
+		Expect(damaged).To(Equal(1))
+
+		checked.CheckedBefore = 2
+		_, err = storage.OpenLog(disk, folder, checked)
+		Expect(errors.As(err, &corrupt)).To(BeTrue(), "the damage is behind what was checked")
+
+		checked.CheckedBefore = newest
+		Expect(disk.Damage(files[2], 10, 1)).To(BeTrue())
+		_, err = storage.OpenLog(disk, folder, checked)
+		Expect(errors.As(err, &corrupt)).To(BeTrue(), "a header is damaged")
+	})
+
 	It("given a failed sync, when tried again, then fails for ever although the disk works", func() {
 		log := open(disk, small)
 		kept := written(log, 0, 2)
--- a/internal/storage/logopen.go
+++ b/internal/storage/logopen.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	scan, err := scanSegment(file, number, size, l.options.MaximumRecordBytes)
+	scan, err := l.scan(file, number, size, last)
 	if err != nil {
 		return err
 	}
@@ -118,6 +118,22 @@
 	return l.rewriteTail(opened, scan.knownDurable)
 }
 
+// scan reads a segment in full unless it was checked before.
+func (l *Log) scan(file File, number uint64, size int64, last bool) (segmentScan, error) {
+	if last || number >= l.options.CheckedBefore || size < segmentHeaderBytes {
+		return scanSegment(file, number, size, l.options.MaximumRecordBytes)
+	}
+	header := make([]byte, segmentHeaderBytes)
+	if _, err := file.ReadAt(header, 0); err != nil {
+		return segmentScan{}, errors.Wrapf(err, "read header of segment %d", number)
+	}
+	previousLength, valid := parseSegmentHeader(number, header)
+	if !valid {
+		return segmentScan{}, nil
+	}
+	return segmentScan{end: size, knownDurable: size, previousLength: previousLength}, nil
+}
+
 // rewriteTail writes again what no record knew to be durable, and syncs it. A sync that failed for a former process may have
 // left content in the page cache that is not on the disk, and that a sync alone would not write any more.
 func (l *Log) rewriteTail(opened *segmentFile, start int64) error {
--- a/internal/store/copy.go
+++ b/internal/store/copy.go
@@ -179,7 +179,7 @@
 		}
 	}
 	for _, turn := range page.GetTurns() {
-		_, known := table.turns[turnKeyOf(turn.GetProgram(), turn.GetId())]
+		_, known := table.turns.get(turnKeyOf(turn.GetProgram(), turn.GetId()))
 		if known || (turnEntry{keepUntil: keepUntil(turn)}).expired(now) {
 			continue
 		}
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
@@ -67,7 +68,8 @@
 	if err := folder.requireSnapshot(); err != nil {
 		return nil, errors.CombineErrors(err, folder.registers.Close())
 	}
-	folder.turns, err = storage.OpenLog(filesystem, filepath.Join(path, turnFolder), options)
+	options.CheckedBefore = folder.indexedBefore()
+	folder.turns, err = storage.OpenLog(filesystem, folder.turnPath(), options)
 	if err != nil {
 		return nil, errors.CombineErrors(err, folder.registers.Close())
 	}
@@ -105,6 +107,25 @@
 	return nil
 }
 
+// indexedBefore gives the segment from which the log of turns must be read, since the index does not
+// cover it; zero without a whole index. What the index covers was whole when it was
+// written; damage done to it since is found when a turn is read.
+func (f *Folder) indexedBefore() uint64 {
+	number, found, err := storage.LoadNewestSnapshot(f.filesystem, f.turnPath(), func(_ uint64, content io.Reader) error {
+		_, err := io.Copy(io.Discard, content)
+		return err
+	})
+	if err != nil || !found {
+		return 0
+	}
+	return number
+}
+
+// removeTurnIndex makes the next start read the log of turns in full.
+func (f *Folder) removeTurnIndex() error {
+	return storage.RemoveSnapshotsBefore(f.filesystem, f.turnPath(), math.MaxUint64)
+}
+
 // putAside renames every file, so that nothing of the lost life is read again
 // and an operator may still look at it.
 func putAside(filesystem storage.Filesystem, path string) error {
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -68,7 +68,7 @@
 	case *protocol.StoreRecord_Register:
 		table.entry(keyOf(body.Register.GetKey())).state = g.intern(register.StateOf(body.Register))
 	case *protocol.StoreRecord_Drop:
-		clear(table.registers)
+		table.registers = hashTree[registerKey, *entry]{}
 	}
 }
 
@@ -92,7 +92,7 @@
 func (g *group) copyRegisters() []*protocol.StoreRecord {
 	var records []*protocol.StoreRecord
 	for shard, table := range g.shards {
-		for key, held := range table.registers {
+		for key, held := range table.registers.all() {
 			records = append(records, registerRecord(shard, key, held.state))
 		}
 	}
@@ -157,6 +157,7 @@
 		g.store.fail(err)
 		return
 	}
+	g.store.metrics.written.WithLabelValues(registerFolder).Add(float64(len(encoded)))
 	g.store.registerCommits.AppendAsync([][]byte{encoded}, func(_ []storage.Position, err error) {
 		if err != nil {
 			g.store.fail(&LogError{Log: registerFolder, Cause: err})
--- a/internal/store/handler.go
+++ b/internal/store/handler.go
@@ -30,12 +30,10 @@
 			return nil, err
 		}
 		return &protocol.Response{Body: &protocol.Response_Ledger{Ledger: result}}, nil
-	case *protocol.Request_Prepare:
-		return s.servePrepare(ctx, body.Prepare)
-	case *protocol.Request_Accept:
-		return s.serveAccept(ctx, body.Accept)
-	case *protocol.Request_KeepTurn:
-		return s.serveKeepTurn(ctx, body.KeepTurn)
+	case *protocol.Request_Prepare, *protocol.Request_Accept, *protocol.Request_KeepTurn:
+		return s.serveReplica(ctx, request)
+	case *protocol.Request_StoreBatch:
+		return s.serveBatch(ctx, body.StoreBatch)
 	case *protocol.Request_FetchTurns:
 		return s.serveFetchTurns(body.FetchTurns)
 	case *protocol.Request_FetchShard:
@@ -64,50 +62,6 @@
 	}
 }
 
-func (s *Store) servePrepare(ctx context.Context, request *protocol.PrepareRequest) (*protocol.Response, error) {
-	answers := make(chan *protocol.PrepareResponse, 1)
-	g := s.group(request.GetShard())
-	g.mailbox.post(func() {
-		g.prepare(request, func(answer *protocol.PrepareResponse) { answers <- answer })
-	})
-	answer, err := awaitAnswer(ctx, s, answers)
-	return &protocol.Response{Body: &protocol.Response_Prepare{Prepare: answer}}, err
-}
-
-func (s *Store) serveAccept(ctx context.Context, request *protocol.AcceptRequest) (*protocol.Response, error) {
-	answers := make(chan *protocol.AcceptResponse, 1)
-	g := s.group(request.GetShard())
-	g.mailbox.post(func() {
-		g.accept(request, func(answer *protocol.AcceptResponse) { answers <- answer })
-	})
-	answer, err := awaitAnswer(ctx, s, answers)
-	return &protocol.Response{Body: &protocol.Response_Accept{Accept: answer}}, err
-}
-
-func (s *Store) serveKeepTurn(ctx context.Context, request *protocol.KeepTurnRequest) (*protocol.Response, error) {
-	if request.GetTurn().GetId() == "" || request.GetTurn().GetProgram() == "" {
-		return nil, failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "a turn needs an id and a program",
-			failure.WithPath("keep_turn.turn"))
-	}
-	answers := make(chan *protocol.KeepTurnResponse, 1)
-	g := s.group(request.GetShard())
-	g.mailbox.post(func() {
-		table := g.table(request.GetShard())
-		answer := func() *protocol.KeepTurnResponse {
-			return &protocol.KeepTurnResponse{Refusal: table.view.Refusal(request.GetPlacementEpoch()), PlacementEpoch: table.view.Epoch}
-		}
-		if refused := answer(); refused.GetRefusal() != notRefused {
-			answers <- refused
-			return
-		}
-		// The placement is judged again once the turn is durable: a copy of the
-		// shard made meanwhile under a newer placement may lack the turn.
-		g.keepTurn(request.GetShard(), request.GetTurn(), func() { answers <- answer() })
-	})
-	answer, err := awaitAnswer(ctx, s, answers)
-	return &protocol.Response{Body: &protocol.Response_KeepTurn{KeepTurn: answer}}, err
-}
-
 func (s *Store) serveFetchTurns(request *protocol.FetchTurnsRequest) (*protocol.Response, error) {
 	view := s.shardView(request.GetShard())
 	answer := &protocol.FetchTurnsResponse{Refusal: view.Refusal(request.GetPlacementEpoch()), PlacementEpoch: view.Epoch}
--- a/internal/store/latekeep_test.go
+++ b/internal/store/latekeep_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/storage"
 )
@@ -108,3 +109,39 @@
 			"a copy made under the newer placement may lack the turn")
 	})
 })
+
+var _ = Describe("a batch of requests to a replica", func() {
+	It("given requests of several shards and one that no replica serves, then each has its answer in its place", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		p.takeTurn()
+		shard := ledger.ShardOf(p.name, shardCount)
+		epoch := f.View().Placement.GetShards()[shard].GetEpoch()
+		read := &protocol.Request{Body: &protocol.Request_Prepare{Prepare: &protocol.PrepareRequest{
+			Shard: shard, PlacementEpoch: epoch, Key: &protocol.RegisterKey{Program: p.name},
+		}}}
+		old := &protocol.Request{Body: &protocol.Request_Accept{Accept: &protocol.AcceptRequest{
+			Shard: shard, PlacementEpoch: epoch + 1, Key: &protocol.RegisterKey{Program: p.name}, Value: []byte("x"),
+		}}}
+		turn := &protocol.Request{Body: &protocol.Request_KeepTurn{KeepTurn: &protocol.KeepTurnRequest{
+			Shard: shard, PlacementEpoch: epoch, Turn: &protocol.Turn{Id: "t", Program: p.name},
+		}}}
+		nameless := &protocol.Request{Body: &protocol.Request_KeepTurn{KeepTurn: &protocol.KeepTurnRequest{Turn: &protocol.Turn{}}}}
+		status := &protocol.Request{Body: &protocol.Request_StoreStatus{StoreStatus: &protocol.StoreStatusRequest{}}}
+		var answers []*protocol.Response
+		err := f.running("a").Serve(GinkgoT().Context(), &protocol.Request{Body: &protocol.Request_StoreBatch{StoreBatch: &protocol.RequestBatch{
+			Requests: []*protocol.Request{read, old, status, turn, nameless},
+		}}}, func(response *protocol.Response) error {
+			answers = response.GetStoreBatch().GetResponses()
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answers).To(HaveLen(5))
+		Expect(answers[0].GetPrepare().GetValue()).NotTo(BeEmpty())
+		Expect(answers[1].GetAccept().GetRefusal()).To(Equal(protocol.ReplicaRefusal_REPLICA_WRONG_PLACEMENT))
+		Expect(answers[2].GetBody()).To(BeNil())
+		Expect(answers[3].GetKeepTurn()).NotTo(BeNil())
+		Expect(answers[3].GetKeepTurn().GetRefusal()).To(Equal(protocol.ReplicaRefusal_REPLICA_REFUSAL_UNSPECIFIED))
+		Expect(answers[4].GetBody()).To(BeNil())
+	})
+})
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -15,6 +15,7 @@
 	results     *prometheus.CounterVec
 	syncs       *prometheus.CounterVec
 	synced      *prometheus.CounterVec
+	written     *prometheus.CounterVec
 	repaired    *prometheus.CounterVec
 	snapshots   prometheus.Counter
 	scrubs      prometheus.Counter
@@ -67,6 +68,7 @@
 		results:     labelled("ledger_results_total", "Ledger operations answered.", "status"),
 		syncs:       labelled("syncs_total", "Syncs of a log.", "log"),
 		synced:      labelled("synced_requests_total", "Requests made durable by syncs.", "log"),
+		written:     labelled("written_bytes_total", "Bytes of records written to a log, without what snapshots write.", "log"),
 		repaired:    labelled("repaired_total", "What was taken over from another replica by reads and scrubs.", "kind"),
 		snapshots:   counter("snapshots_total", "Snapshots of the registers written."),
 		scrubs:      counter("scrub_rounds_total", "Scrubs of all shards completed."),
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,11 +17,13 @@
 	defaultPageItems = 512
 	maximumPageBytes = 2 << 20
 	maximumBuckets   = 1 << 16
-	registerCursor   = 'r'
-	turnCursor       = 't'
+	// maximumPageScan bounds what the owner of a shard looks at for one page, most of which a filter may leave out.
+	maximumPageScan = 8192
+	registerCursor  = 'r'
+	turnCursor      = 't'
 )
 
-// cursor is a place in a shard: registers in the order of their keys, then
+// cursor is a place in a shard: registers in the order of their keys' hashes, then
 // turns in the order of theirs. The zero cursor is before all of them.
 type cursor struct {
 	inTurns  bool
@@ -81,51 +82,40 @@
 	return xxhash.Sum64String(k.program) ^ xxhash.Sum64String("\x00"+k.call)
 }
 
-// registersAfter gives the next registers in order.
-func (t *shardTable) registersAfter(after registerKey, limit int, filter bucketFilter) (page []*protocol.RegisterState, last bool) {
-	var keys []registerKey
-	for key, held := range t.registers {
-		if after.less(key) && !held.state.Accepted.IsZero() && filter.keeps(key.hash()) {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, func(a, b registerKey) int {
-		if a.less(b) {
-			return -1
+// registersAfter gives the next registers in order, and the place that the page reaches to.
+func (t *shardTable) registersAfter(after registerKey, limit int, filter bucketFilter) (page []*protocol.RegisterState, reached registerKey, last bool) {
+	size, seen := 0, 0
+	for key, held := range t.registers.after(after) {
+		if len(page) == limit || size > maximumPageBytes || seen == maximumPageScan {
+			return page, reached, false
 		}
-		return 1
-	})
-	size := 0
-	for _, key := range keys {
-		if len(page) == limit || size > maximumPageBytes {
-			return page, false
+		seen++
+		reached = key
+		if held.state.Accepted.IsZero() || !filter.keeps(key.hash()) {
+			continue
 		}
-		state := t.registers[key].state.Message(key.message())
+		state := held.state.Message(key.message())
 		page = append(page, state)
 		size += len(state.GetValue())
 	}
-	return page, true
+	return page, reached, true
 }
 
-// turnsAfter gives the places of the next turns in order.
-func (t *shardTable) turnsAfter(after turnKey, limit int, filter bucketFilter) (keys []turnKey, entries []turnEntry, last bool) {
-	for key := range t.turns {
-		if after.less(key) && filter.keeps(key.low) {
-			keys = append(keys, key)
+// turnsAfter gives the places of the next turns in order, and the place that the page reaches to.
+func (t *shardTable) turnsAfter(after turnKey, limit int, filter bucketFilter) (keys []turnKey, entries []turnEntry, reached turnKey, last bool) {
+	seen := 0
+	for key, entry := range t.turns.after(after) {
+		if len(keys) == limit || seen == maximumPageScan {
+			return keys, entries, reached, false
 		}
-	}
-	slices.SortFunc(keys, func(a, b turnKey) int {
-		if a.less(b) {
-			return -1
+		seen++
+		reached = key
+		if filter.keeps(key.low) {
+			keys = append(keys, key)
+			entries = append(entries, entry)
 		}
-		return 1
-	})
-	last = len(keys) <= limit
-	keys = keys[:min(limit, len(keys))]
-	for _, key := range keys {
-		entries = append(entries, t.turns[key])
 	}
-	return keys, entries, last
+	return keys, entries, reached, true
 }
 
 // shardPage is one page as the owner of the shard sees it; turns are still on disk.
@@ -133,6 +123,8 @@
 	answer  *protocol.FetchShardResponse
 	keys    []turnKey
 	entries []turnEntry
+	// reached is the last turn that was looked at.
+	reached turnKey
 	last    bool
 }
 
@@ -169,14 +161,14 @@
 	}
 	filter := filterOf(request)
 	if after.inTurns {
-		keys, entries, last := t.turnsAfter(after.turn, limit, filter)
-		return shardPage{answer: answer, keys: keys, entries: entries, last: last}
+		keys, entries, reached, last := t.turnsAfter(after.turn, limit, filter)
+		return shardPage{answer: answer, keys: keys, entries: entries, reached: reached, last: last}
 	}
-	registers, last := t.registersAfter(after.register, limit, filter)
+	registers, reached, last := t.registersAfter(after.register, limit, filter)
 	answer.Registers = registers
 	answer.Next = cursor{inTurns: true}.encode()
 	if !last {
-		answer.Next = cursor{register: keyOf(registers[len(registers)-1].GetKey())}.encode()
+		answer.Next = cursor{register: reached}.encode()
 	}
 	return shardPage{answer: answer}
 }
@@ -201,7 +193,7 @@
 	}
 	answer.Last = page.last
 	if !page.last {
-		answer.Next = cursor{inTurns: true, turn: page.keys[len(page.keys)-1]}.encode()
+		answer.Next = cursor{inTurns: true, turn: page.reached}.encode()
 	}
 	return nil
 }
@@ -229,12 +221,12 @@
 // whose keeping time has ended are left out, since replicas collect them at different times.
 func (t *shardTable) digest(buckets uint32, now time.Time) *protocol.ShardDigestResponse {
 	answer := &protocol.ShardDigestResponse{RegisterDigests: make([]uint64, buckets), TurnDigests: make([]uint64, buckets)}
-	for key, held := range t.registers {
+	for key, held := range t.registers.all() {
 		if accepted := held.state.Accepted; !accepted.IsZero() {
 			answer.RegisterDigests[key.hash()%uint64(buckets)] += xxhash.Sum64String(key.program + "\x00" + key.call + "\x00" + accepted.String())
 		}
 	}
-	for key, entry := range t.turns {
+	for key, entry := range t.turns.all() {
 		if int64(entry.keepUntil) >= now.Unix() {
 			answer.TurnDigests[key.low%uint64(buckets)] += key.high
 		}
--- a/internal/store/proposal.go
+++ b/internal/store/proposal.go
@@ -101,8 +101,8 @@
 // head lets the change skip its prepare round when this store made the last
 // change and its own replica still holds it.
 func (p *proposal) head() register.Head {
-	held := p.group.table(p.shard.Shard).registers[p.key]
-	if held == nil {
+	held, found := p.group.table(p.shard.Shard).registers.get(p.key)
+	if !found {
 		return register.Head{}
 	}
 	// A head serves one change: when that one fails, this replica may hold a value that is not chosen.
@@ -263,7 +263,7 @@
 
 // chosen answers the batch and remembers whether the next change may skip a round.
 func (p *proposal) chosen() {
-	if held := p.group.table(p.shard.Shard).registers[p.key]; held != nil {
+	if held, found := p.group.table(p.shard.Shard).registers.get(p.key); found {
 		held.headEpoch = 0
 		if head := p.change.Head(); !head.Ballot.IsZero() && head.Ballot == held.state.Promised {
 			held.headEpoch = head.Epoch
--- a/internal/store/readturns.go
+++ b/internal/store/readturns.go
@@ -22,7 +22,7 @@
 func (s *Store) localTurn(shard uint32, program, id string) (*protocol.Turn, error) {
 	g := s.group(shard)
 	key := turnKeyOf(program, id)
-	found, err := ask(g, func() turnEntry { return g.table(shard).turns[key] })
+	found, err := ask(g, func() turnEntry { held, _ := g.table(shard).turns.get(key); return held })
 	if err != nil || found == (turnEntry{}) {
 		return nil, err
 	}
@@ -105,10 +105,12 @@
 }
 
 // readFailed ends the store on a damaged log: what it holds cannot be trusted,
-// and at the next start it begins anew from its peers.
+// and at the next start, which reads the log in full, it begins anew from its peers.
 func (s *Store) readFailed(err error) error {
 	var corrupt *storage.CorruptError
 	if errors.As(err, &corrupt) {
+		s.turnsDamaged.Store(true)
+		err = errors.CombineErrors(err, s.folder.removeTurnIndex())
 		s.fail(&LogError{Log: turnFolder, Cause: err})
 	}
 	return err
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -31,6 +32,9 @@
 	if err := proto.Unmarshal(value, record); err != nil {
 		return nil, &RecordError{Cause: err}
 	}
+	if err := ledger.CheckRecord(record); err != nil {
+		return nil, &RecordError{Cause: err}
+	}
 	return record, nil
 }
 
--- a/internal/store/registers.go
+++ b/internal/store/registers.go
@@ -19,6 +19,14 @@
 	return &protocol.RegisterKey{Program: k.program, Call: k.call}
 }
 
+// place implements treeKey; the zero key is before all others.
+func (k registerKey) place() uint64 {
+	if k == (registerKey{}) {
+		return 0
+	}
+	return k.hash()
+}
+
 func (k registerKey) less(other registerKey) bool {
 	if k.program != other.program {
 		return k.program < other.program
@@ -45,8 +53,8 @@
 // shardTable holds what this replica has of one shard.
 type shardTable struct {
 	view      register.ShardView
-	registers map[registerKey]*entry
-	turns     map[turnKey]turnEntry
+	registers hashTree[registerKey, *entry]
+	turns     hashTree[turnKey, turnEntry]
 	// copied says that a joining or rebuilding replica holds everything and waits for the core to say so.
 	copied bool
 	// generation rises whenever the table is emptied, so that a copy under way is given up.
@@ -54,20 +62,16 @@
 }
 
 func newShardTable(shard uint32) *shardTable {
-	return &shardTable{
-		view:      register.ShardView{Shard: shard},
-		registers: map[registerKey]*entry{},
-		turns:     map[turnKey]turnEntry{},
-	}
+	return &shardTable{view: register.ShardView{Shard: shard}}
 }
 
-func (t *shardTable) isEmpty() bool { return len(t.registers) == 0 && len(t.turns) == 0 }
+func (t *shardTable) isEmpty() bool { return t.registers.size() == 0 && t.turns.size() == 0 }
 
 func (t *shardTable) entry(key registerKey) *entry {
-	known := t.registers[key]
-	if known == nil {
+	known, found := t.registers.get(key)
+	if !found {
 		known = &entry{}
-		t.registers[key] = known
+		t.registers.put(key, known)
 	}
 	return known
 }
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -16,8 +16,8 @@
 	}
 	key := keyOf(request.GetKey())
 	ballot := register.BallotOf(request.GetBallot())
-	held := table.registers[key]
-	if held == nil {
+	held, found := table.registers.get(key)
+	if !found {
 		if ballot.IsZero() {
 			reply(&protocol.PrepareResponse{})
 			return
@@ -78,8 +78,8 @@
 
 // dropShard forgets a shard durably, before the store may join it anew.
 func (g *group) dropShard(table *shardTable, done func()) {
-	table.registers = map[registerKey]*entry{}
-	table.turns = map[turnKey]turnEntry{}
+	table.registers = hashTree[registerKey, *entry]{}
+	table.turns = hashTree[turnKey, turnEntry]{}
 	table.copied = false
 	table.generation++
 	g.appendRegister(&protocol.StoreRecord{
--- /dev/null
+++ b/internal/store/restart_bench_test.go
@@ -0,0 +1,88 @@
+package store
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// idleCore has no placement, so that a store under measurement only starts and stops.
+type idleCore struct{ Core }
+
+func (idleCore) View() *corelink.View { return &corelink.View{} }
+func (idleCore) Ready() bool          { return true }
+
+func openStore(b testing.TB, path string) *Store {
+	folder, err := OpenFolder(storage.OSFilesystem{}, path, DefaultSegmentBytes)
+	if err != nil {
+		b.Fatal(err)
+	}
+	opened, err := New(Options{
+		Self: &protocol.Node{Name: "a"}, Core: idleCore{}, Logger: log.New(io.Discard), Registerer: prometheus.NewRegistry(),
+	}, folder)
+	if err != nil {
+		b.Fatal(err)
+	}
+	opened.Start()
+	return opened
+}
+
+// writeTurns fills the log of turns as a store does.
+func writeTurns(b testing.TB, path string, count, textBytes int) {
+	opened := openStore(b, path)
+	text := strings.Repeat("x", textBytes)
+	done := make(chan struct{})
+	for number := range count {
+		program := fmt.Sprintf("program-%d", number/benchTurns)
+		g := opened.group(uint32(number/benchTurns) % 64)
+		g.mailbox.post(func() {
+			g.keepTurn(uint32(number/benchTurns)%64, &protocol.Turn{
+				Id: fmt.Sprintf("turn_%032d", number), Program: program, Session: program, RequestId: fmt.Sprint(number),
+				KeptAtMillis: time.Now().UnixMilli(), Output: []*protocol.Item{{Role: "assistant", Text: text}},
+			}, func() { done <- struct{}{} })
+		})
+		if number%4096 == 4095 {
+			for range 4096 {
+				<-done
+			}
+		}
+	}
+	for range count % 4096 {
+		<-done
+	}
+	if err := opened.saveTurnIndex(); err != nil {
+		b.Fatal(err)
+	}
+	if err := opened.Stop(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkRestart reports how long a store reads its turns at the start: many
+// small ones, and fewer large ones with the same index entries each.
+func BenchmarkRestart(b *testing.B) {
+	for _, shape := range []struct{ turns, textBytes int }{{100_000, 100}, {400_000, 100}, {100_000, 4000}} {
+		b.Run(fmt.Sprintf("turns=%d/text=%d", shape.turns, shape.textBytes), func(b *testing.B) {
+			path := b.TempDir()
+			writeTurns(b, path, shape.turns, shape.textBytes)
+			for b.Loop() {
+				opened := openStore(b, path)
+				b.StopTimer()
+				held := opened.counts()
+				if err := opened.Stop(); err != nil || held.turns != uint64(shape.turns) {
+					b.Fatalf("%d turns after the start: %v", held.turns, err)
+				}
+				b.StartTimer()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/store/restart_test.go
@@ -0,0 +1,104 @@
+package store
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// damageFirstTurn flips a byte of the first record of the log of turns.
+func damageFirstTurn(t *testing.T, path string) {
+	files, err := filepath.Glob(filepath.Join(path, turnFolder, "*.log"))
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%d files of turns, %v", len(files), err)
+	}
+	content, err := os.ReadFile(files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	content[100] ^= 0xff
+	if err := os.WriteFile(files[0], content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func reopen(t *testing.T, path string) *Folder {
+	folder, err := OpenFolder(storage.OSFilesystem{}, path, DefaultSegmentBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
+func TestDamagedTurnBehindTheIndexIsFoundWhenRead(t *testing.T) {
+	path := t.TempDir()
+	writeTurns(t, path, 60, 100)
+	damageFirstTurn(t, path)
+	folder := reopen(t, path)
+	if folder.Lost != nil {
+		t.Fatalf("read what the index covers: %v", folder.Lost)
+	}
+	var fatal error
+	opened, err := New(Options{
+		Self: &protocol.Node{Name: "a"}, Core: idleCore{}, Logger: log.New(io.Discard), Registerer: prometheus.NewRegistry(),
+		Fatal: func(err error) { fatal = err },
+	}, folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened.Start()
+	damaged := 0
+	for _, group := range opened.groups {
+		for _, table := range group.shards {
+			for _, entry := range table.turns.all() {
+				if _, err := opened.readTurn(entry, "", ""); err != nil {
+					damaged++
+					_ = opened.readFailed(err)
+				}
+			}
+		}
+	}
+	if err := opened.saveTurnIndex(); err != nil {
+		t.Fatal(err)
+	}
+	if err := opened.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	if damaged != 1 || fatal == nil {
+		t.Fatalf("%d turns were damaged, and the store ended with %v", damaged, fatal)
+	}
+	anew := reopen(t, path)
+	if anew.Lost == nil || anew.StorageID == folder.StorageID {
+		t.Fatalf("the next start kept the damaged log: %v", anew.Lost)
+	}
+	if err := anew.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestDamagedTurnWithoutAnIndexIsFoundAtTheStart(t *testing.T) {
+	path := t.TempDir()
+	writeTurns(t, path, 60, 100)
+	damageFirstTurn(t, path)
+	indexes, err := filepath.Glob(filepath.Join(path, turnFolder, "*.snapshot"))
+	if err != nil || len(indexes) != 1 {
+		t.Fatalf("%d indexes, %v", len(indexes), err)
+	}
+	if err := os.WriteFile(indexes[0], []byte("torn"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	folder := reopen(t, path)
+	if folder.Lost == nil {
+		t.Fatal("the damage was not found")
+	}
+	if err := folder.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,6 +29,8 @@
 	turnSegments    segmentExpiry
 	// indexedSegment is the first segment of turns that the index on disk does not cover.
 	indexedSegment uint64
+	// turnsDamaged says that the log of turns was found damaged, so that no index may spare a start to read it.
+	turnsDamaged atomic.Bool
 
 	ctx      context.Context
 	cancel   context.CancelFunc
--- a/internal/store/storebench/bench.go
+++ b/internal/store/storebench/bench.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -37,6 +38,8 @@
 	TurnBytes int
 	// Empty moves all shards of one store to a fourth one during the measurement.
 	Empty bool
+	// Turns is how many turns a program has before the next one begins.
+	Turns int
 }
 
 func (o *Options) fill() {
@@ -52,6 +55,9 @@
 	if o.TurnBytes <= 0 {
 		o.TurnBytes = turnBytesByDefault
 	}
+	if o.Turns <= 0 {
+		o.Turns = turnsOfProgram
+	}
 }
 
 // Result is what a measurement found. A reserve and a settle are one register change each.
@@ -62,6 +68,11 @@
 	Median, P99, Longest time.Duration
 	ReserveP99           time.Duration
 	SettleP99            time.Duration
+	// ProcessorTime is what the whole process took for a change: three stores and the callers.
+	ProcessorTime time.Duration
+	// RegisterBytes are the bytes that one store wrote to its log of registers for a change of
+	// which it is a replica; the kept turns, of the size asked for, come on top.
+	RegisterBytes float64
 	// Failed counts operations that did not answer LEDGER_OK.
 	Failed int64
 	// MovedShards is how many shards were moved while measuring.
@@ -69,8 +80,8 @@
 }
 
 func (r *Result) String() string {
-	return fmt.Sprintf("%.0f changes/s, p50 %v, p99 %v (reserve %v, settle %v), longest %v, failed %d, moved shards %d",
-		r.ChangesPerSecond, r.Median, r.P99, r.ReserveP99, r.SettleP99, r.Longest, r.Failed, r.MovedShards)
+	return fmt.Sprintf("%.0f changes/s, p50 %v, p99 %v (reserve %v, settle %v), longest %v, %v of processor time and %.0f bytes in the register log a change, failed %d, moved shards %d",
+		r.ChangesPerSecond, r.Median, r.P99, r.ReserveP99, r.SettleP99, r.Longest, r.ProcessorTime.Round(time.Microsecond), r.RegisterBytes, r.Failed, r.MovedShards)
 }
 
 // Run measures changes of program registers on three stores.
@@ -115,21 +126,28 @@
 		recorders[number] = newRecorder()
 		caller := &caller{
 			fleet: f, recorder: recorders[number], number: number, begins: begins,
-			text: strings.Repeat("x", options.TurnBytes), turns: turnsOfProgram,
+			text: strings.Repeat("x", options.TurnBytes), turns: options.Turns,
 		}
 		callers.Go(func() { caller.run(ctx, ends) })
 	}
+	time.Sleep(time.Until(begins))
+	before := f.usage()
 	moved := 0
 	if options.Empty {
 		moved = f.emptyFirst(ctx, begins, ends)
 	}
 	callers.Wait()
-	return summarize(recorders, options.Duration, moved)
+	used := f.usage().since(before)
+	result := summarize(recorders, options.Duration, moved)
+	if used.changes > 0 {
+		result.ProcessorTime = used.processor / time.Duration(used.changes)
+		result.RegisterBytes = used.registerBytes / used.changes / replicaCount
+	}
+	return result
 }
 
 // emptyFirst moves every shard of the first store to the last one, one after the other.
 func (f *fleet) emptyFirst(ctx context.Context, begins, ends time.Time) int {
-	time.Sleep(time.Until(begins))
 	moved := 0
 	for shard := range uint32(shardCount) {
 		f.core.moveShard(shard, f.stores[0].self.GetName(), f.stores[len(f.stores)-1].self)
@@ -199,7 +217,7 @@
 			},
 		}})
 		kept := &protocol.Turn{
-			Id: "turn_" + request, Program: program, Session: session, PreviousTurn: previous, RequestId: request,
+			Id: ledger.TurnID(program, request), Program: program, Session: session, PreviousTurn: previous, RequestId: request,
 			Output:       []*protocol.Item{{Role: "assistant", Text: c.text}},
 			KeptAtMillis: time.Now().UnixMilli(),
 		}
--- a/internal/store/storebench/bench_test.go
+++ b/internal/store/storebench/bench_test.go
@@ -1,6 +1,7 @@
 package storebench_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,6 +21,23 @@
 	}
 }
 
+// BenchmarkLedgerByTurns reports what a change costs for short and long programs.
+func BenchmarkLedgerByTurns(b *testing.B) {
+	for _, turns := range []int{1, 10, 55} {
+		b.Run(fmt.Sprintf("turns=%d", turns), func(b *testing.B) {
+			for b.Loop() {
+				result, err := storebench.Run(b.Context(), storebench.Options{Folder: b.TempDir(), Duration: 3 * time.Second, Turns: turns})
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.Log(result)
+				b.ReportMetric(float64(result.ProcessorTime.Microseconds()), "processor-µs/change")
+				b.ReportMetric(result.RegisterBytes, "register-bytes/change")
+			}
+		})
+	}
+}
+
 // BenchmarkLedgerWhileEmptying measures the same while every shard of one store moves to another.
 func BenchmarkLedgerWhileEmptying(b *testing.B) {
 	for b.Loop() {
--- a/internal/store/turnindex.go
+++ b/internal/store/turnindex.go
@@ -25,6 +25,9 @@
 	return turnKey{high: high, low: xxhash.Sum64(append(joined, 1))}
 }
 
+// place implements treeKey.
+func (k turnKey) place() uint64 { return k.high }
+
 func (k turnKey) less(other turnKey) bool {
 	if k.high != other.high {
 		return k.high < other.high
@@ -114,7 +117,7 @@
 func (g *group) keepTurn(shard uint32, turn *protocol.Turn, done func()) {
 	table := g.table(shard)
 	key := turnKeyOf(turn.GetProgram(), turn.GetId())
-	if _, kept := table.turns[key]; kept {
+	if _, kept := table.turns.get(key); kept {
 		done()
 		return
 	}
@@ -127,6 +130,7 @@
 		g.store.fail(err)
 		return
 	}
+	g.store.metrics.written.WithLabelValues(turnFolder).Add(float64(len(encoded)))
 	g.keeping[key] = []func(){done}
 	g.store.turnCommits.AppendAsync([][]byte{encoded}, func(positions []storage.Position, err error) {
 		if err != nil {
@@ -138,7 +142,7 @@
 }
 
 func (g *group) turnKept(table *shardTable, key turnKey, entry turnEntry) {
-	table.turns[key] = entry
+	table.turns.put(key, entry)
 	g.store.turnSegments.note(entry)
 	waiting := g.keeping[key]
 	delete(g.keeping, key)
@@ -150,9 +154,9 @@
 // collectTurns drops the entries of segments before first, and expired ones.
 func (g *group) collectTurns(first uint64, now time.Time) {
 	for _, table := range g.shards {
-		for key, entry := range table.turns {
+		for key, entry := range table.turns.all() {
 			if uint64(entry.segment) < first || entry.expired(now) {
-				delete(table.turns, key)
+				table.turns.remove(key)
 			}
 		}
 	}
--- a/internal/store/turnsnapshot.go
+++ b/internal/store/turnsnapshot.go
@@ -27,6 +27,9 @@
 	if err := storage.SaveSnapshot(s.folder.filesystem, s.folder.turnPath(), segment, s.writeTurnIndex); err != nil {
 		return &LogError{Log: turnFolder, Cause: err}
 	}
+	if s.turnsDamaged.Load() {
+		return s.folder.removeTurnIndex()
+	}
 	s.indexedSegment = segment
 	err = storage.RemoveSnapshotsBefore(s.folder.filesystem, s.folder.turnPath(), segment)
 	return errors.Wrap(err, "remove old turn index")
@@ -61,8 +64,8 @@
 }
 
 func (t *shardTable) encodeIndex() []byte {
-	encoded := make([]byte, 0, len(t.turns)*indexRecordBytes)
-	for key, entry := range t.turns {
+	encoded := make([]byte, 0, t.turns.size()*indexRecordBytes)
+	for key, entry := range t.turns.all() {
 		encoded = binary.BigEndian.AppendUint32(encoded, t.view.Shard)
 		encoded = binary.BigEndian.AppendUint64(encoded, key.high)
 		encoded = binary.BigEndian.AppendUint64(encoded, key.low)
@@ -89,7 +92,7 @@
 func (s *Store) forgetTurns() {
 	for _, group := range s.groups {
 		for _, table := range group.shards {
-			table.turns = map[turnKey]turnEntry{}
+			table.turns = hashTree[turnKey, turnEntry]{}
 		}
 	}
 }
@@ -120,7 +123,7 @@
 // restoreTurn fills the index at the start, while no goroutine runs.
 func (s *Store) restoreTurn(shard uint32, key turnKey, entry turnEntry) {
 	if !entry.expired(s.options.Clock.Now()) {
-		s.group(shard).table(shard).turns[key] = entry
+		s.group(shard).table(shard).turns.put(key, entry)
 	}
 	s.turnSegments.note(entry)
 }
