Acknowledge a store as empty only when no replica is rebuilding; replace a voter before its removal

Cause of the first: a store counted as emptied once no shard named it, also while another store rebuilt its replicas after a lost disk, so retiring it could leave a shard with one whole copy.

A standby that has caught up now takes the place first. The table in plan_test.go did not compile against the former code, which had no such step.

Checked: go test ./internal/controlstate ./internal/core/... ./internal/sim/...

--- a/internal/controlstate/fleet_test.go
+++ b/internal/controlstate/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -135,6 +136,35 @@
 	}}}
 }
 
+// joiner is the store that a moving shard is copied to.
+func joiner(w *world, shard uint32) string {
+	GinkgoHelper()
+	for _, placed := range w.state.View().Placement.GetShards() {
+		if placed.GetShard() != shard {
+			continue
+		}
+		for _, replica := range placed.GetNext() {
+			if replica.GetState() == protocol.ReplicaState_REPLICA_REBUILDING {
+				return replica.GetStore()
+			}
+		}
+	}
+	Fail("the shard does not move")
+	return ""
+}
+
+// involves reports whether a shard is on a store or moves to it.
+func involves(w *world, shard uint32, name string) bool {
+	for _, placed := range w.state.View().Placement.GetShards() {
+		for _, replica := range slices.Concat(placed.GetCurrent(), placed.GetNext()) {
+			if placed.GetShard() == shard && replica.GetStore() == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 var _ = Describe("placement", func() {
 	var w *world
 	initialize := &protocol.Command{Body: &protocol.Command_InitializePlacement{
@@ -218,6 +248,46 @@
 		Expect(loads()["store-1"]).To(Equal(48))
 	})
 
+	It("does not acknowledge a store as empty while another replica of a shard is being rebuilt", func() {
+		w.accepted("", join(store(3, 1, "disk")))
+		w.accepted("", join(store(4, 1, "disk")))
+		w.accepted("", initialize)
+		w.accepted("e", emptyStore("store-1"))
+		finish := func(step *protocol.MoveShardCommand) {
+			shard := step.GetShard()
+			w.accepted("", copied(joiner(w, shard), "disk", shard, w.state.View().Placement.GetEpoch()))
+		}
+		var last *protocol.MoveShardCommand
+		for loads()["store-1"] > 1 {
+			for _, step := range w.plan() {
+				w.accepted("", &protocol.Command{Body: &protocol.Command_MoveShard{MoveShard: step}})
+				if loads()["store-1"] == 1 {
+					last = step
+					break
+				}
+				finish(step)
+			}
+		}
+		if last == nil {
+			last = w.plan()[0]
+			w.accepted("", &protocol.Command{Body: &protocol.Command_MoveShard{MoveShard: last}})
+		}
+		bystander := ""
+		for _, number := range []int{0, 2, 3, 4} {
+			if name := fmt.Sprint("store-", number); !involves(w, last.GetShard(), name) {
+				bystander = name
+				w.accepted("", join(store(number, 2, "other disk")))
+			}
+		}
+		Expect(bystander).NotTo(BeEmpty())
+		finish(last)
+		Expect(loads()["store-1"]).To(BeZero())
+		Expect(w.state.View().Placement.GetEmptied()).To(BeEmpty(), "shards of "+bystander+" lack a replica")
+		w.settle()
+		expectWhole()
+		Expect(w.state.View().Placement.GetEmptied()).To(Equal([]string{"store-1"}))
+	})
+
 	It("lets a store that lost its folder vote again only after a copy begun since then", func() {
 		w.accepted("", initialize)
 		before := w.state.View().Placement.GetEpoch()
--- a/internal/controlstate/placement.go
+++ b/internal/controlstate/placement.go
@@ -209,8 +209,8 @@
 	activate(edited.GetNext(), command.GetStore())
 	if moveComplete(edited) {
 		edited.Current, edited.Next = edited.GetNext(), nil
-		s.finishEmptying(placement)
 	}
+	s.finishEmptying(placement)
 	s.placement = placement
 	return accept(index)
 }
--- a/internal/controlstate/stores.go
+++ b/internal/controlstate/stores.go
@@ -23,11 +23,11 @@
 	return accept(index)
 }
 
-// finishEmptying acknowledges as empty each store that no shard names any more.
+// finishEmptying acknowledges as empty each store that no shard names any more, once every shard has its full set of replicas.
 func (s *State) finishEmptying(placement *protocol.Placement) {
 	left := placement.Emptying[:0]
 	for _, store := range placement.Emptying {
-		if holdsShard(placement, store) {
+		if holdsShard(placement, store) || rebuilding(placement) {
 			left = append(left, store)
 			continue
 		}
--- a/internal/core/replica/membership.go
+++ b/internal/core/replica/membership.go
@@ -79,20 +79,25 @@
 }
 
 // RemoveMember removes the member of that name or id for good: its id may not join again by itself.
-// It is done when the change is committed, and succeeds for one that was removed before. The
-// leader hands leadership over when it is the one to go, and answers *NotLeaderError: ask the
+// It is done when the change is committed, and succeeds for one that was removed before. A standby
+// that has caught up takes a voter's place first. The leader hands leadership over when it is the one to go, and answers *NotLeaderError: ask the
 // new leader then. Errors besides: those of Propose, *MemberUnknownError, *UnsafeChangeError,
 // *consensus.ChangePendingError.
 func (r *Replica) RemoveMember(ctx context.Context, name string) error {
-	done := make(chan proposalResult, 1)
-	if err := r.do(ctx, func() { r.owner.remove(name, done) }); err != nil {
-		return err
-	}
-	answer, err := r.await(ctx, done)
-	if err != nil {
-		return err
+	for {
+		promoted := false
+		done := make(chan proposalResult, 1)
+		if err := r.do(ctx, func() { promoted = r.owner.promoteOrRemove(name, done) }); err != nil {
+			return err
+		}
+		answer, err := r.await(ctx, done)
+		if err != nil {
+			return err
+		}
+		if answer.err != nil || !promoted {
+			return answer.err
+		}
 	}
-	return answer.err
 }
 
 // TransferLeadership hands leadership to the voter of that name, or to the most advanced voter
@@ -172,6 +177,21 @@
 	return nil
 }
 
+// promoteOrRemove begins the next step of a removal; it reports whether that step
+// is a standby's promotion, after which the removal is still to come.
+func (o *owner) promoteOrRemove(name string, done chan proposalResult) (promoted bool) {
+	configuration, _ := o.node.Configuration()
+	member := findMember(configuration.GetMembers(), name)
+	if o.node.Role() == consensus.Leader && member != nil && member.GetId() != o.replica.self.GetId() {
+		if first := promotionBefore(o.membershipView(), member); first != nil {
+			o.proposeChange(first.configuration, first.reason, done)
+			return true
+		}
+	}
+	o.remove(name, done)
+	return false
+}
+
 func (o *owner) remove(name string, done chan proposalResult) {
 	if o.node.Role() != consensus.Leader {
 		done <- proposalResult{err: o.replica.notLeader()}
--- a/internal/core/replica/plan.go
+++ b/internal/core/replica/plan.go
@@ -106,6 +106,11 @@
 	if kept >= view.targetVoters {
 		return nil
 	}
+	return promotion(view)
+}
+
+// promotion makes the best caught-up learner a voter, one in a zone without a voter first; nil when there is none.
+func promotion(view *membershipView) *change {
 	zones := view.zones()
 	var best *protocol.CoreMember
 	for _, member := range view.configuration.GetMembers() {
@@ -122,6 +127,16 @@
 	return &change{configuration: withVoter(view.configuration, best.GetId(), true), reason: "promote " + best.GetName()}
 }
 
+// promotionBefore is what has to come before a voter is removed: a standby takes
+// its place first, so that there are never fewer voters than wanted while one is
+// at hand. Two voters could not bear the loss of either.
+func promotionBefore(view *membershipView, member *protocol.CoreMember) *change {
+	if !member.GetVoter() || len(view.voters()) > view.targetVoters {
+		return nil
+	}
+	return promotion(view)
+}
+
 func (v *membershipView) caughtUp(id uint64) bool {
 	contact, known := v.contacts[id]
 	return known && v.alive(id) && contact.Match > 0 && contact.Match+caughtUpEntries >= v.lastIndex
--- a/internal/core/replica/plan_test.go
+++ b/internal/core/replica/plan_test.go
@@ -72,6 +72,46 @@
 	}
 }
 
+func TestAStandbyTakesThePlaceOfAVoterBeforeItIsRemoved(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	viewOf := func(voters, learners int) *membershipView {
+		view := &membershipView{
+			configuration: &protocol.CoreConfiguration{}, self: 1, lastIndex: 10, now: now,
+			contacts: map[uint64]consensus.Contact{}, targetVoters: 3, aliveWithin: 2 * time.Second, goneAfter: 10 * time.Second,
+		}
+		for id := uint64(1); id <= uint64(voters+learners); id++ {
+			view.configuration.Members = append(view.configuration.Members, &protocol.CoreMember{
+				Id: id, Name: fmt.Sprint("member-", id), Voter: id <= uint64(voters),
+			})
+			view.contacts[id] = consensus.Contact{ID: id, Match: 10, Heard: now}
+		}
+		return view
+	}
+	cases := []struct {
+		name             string
+		voters, learners int
+		remove           int
+		want             string
+	}{
+		{"a standby is at hand", 3, 1, 2, "promote member-4"},
+		{"no standby is at hand", 3, 0, 2, ""},
+		{"there are voters to spare", 4, 1, 2, ""},
+		{"a learner is removed", 3, 2, 5, ""},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			view := viewOf(tt.voters, tt.learners)
+			reason := ""
+			if first := promotionBefore(view, view.configuration.GetMembers()[tt.remove-1]); first != nil {
+				reason = first.reason
+			}
+			if reason != tt.want {
+				t.Errorf("planned %q first, want %q", reason, tt.want)
+			}
+		})
+	}
+}
+
 func TestRecoveredLog(t *testing.T) {
 	entry := func(index, term uint64) *protocol.CoreRecord {
 		return entryRecords([]*protocol.Entry{{Index: index, Term: term}})[0]
