--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -37,10 +37,17 @@
 
 const burstLossPerMille = 200
 
+// wildcard at the end of a target stands for all machines there at the time whose addresses begin with the rest.
+const wildcard = "*"
+
+// AllWith is the target that stands for all machines whose addresses begin with prefix when the fault comes.
+func AllWith(prefix string) Address { return Address(prefix + wildcard) }
+
 // Fault is one planned fault.
 type Fault struct {
-	At       time.Duration
-	Kind     FaultKind
+	At   time.Duration
+	Kind FaultKind
+	// Targets are addresses of machines, or what AllWith gives.
 	Targets  []Address
 	Peers    []Address
 	Duration time.Duration
@@ -95,7 +102,7 @@
 		w.SetExtraLoss(burstLossPerMille)
 		w.After(fault.Duration, func() { w.SetExtraLoss(0) })
 	default:
-		for _, target := range fault.Targets {
+		for _, target := range w.expand(fault.Targets) {
 			if machine := w.byName[target]; machine != nil && !machine.removed {
 				machine.applyFault(fault)
 			}
@@ -103,6 +110,24 @@
 	}
 }
 
+// expand replaces what AllWith gave by the machines that are there.
+func (w *World) expand(targets []Address) []Address {
+	var expanded []Address
+	for _, target := range targets {
+		prefix, all := strings.CutSuffix(string(target), wildcard)
+		if !all {
+			expanded = append(expanded, target)
+			continue
+		}
+		for _, machine := range w.Machines() {
+			if strings.HasPrefix(string(machine.address), prefix) {
+				expanded = append(expanded, machine.address)
+			}
+		}
+	}
+	return expanded
+}
+
 func (m *Machine) applyFault(fault Fault) {
 	switch fault.Kind {
 	case FaultKill:
@@ -146,6 +171,7 @@
 }
 
 func (w *World) applyCut(fault Fault) {
+	fault.Targets, fault.Peers = w.expand(fault.Targets), w.expand(fault.Peers)
 	var ways []direction
 	for _, target := range fault.Targets {
 		for _, peer := range w.cutPeers(fault) {
--- a/internal/sim/rule.go
+++ b/internal/sim/rule.go
@@ -107,6 +107,20 @@
 	return report
 }
 
+// sharesViolation says whether another run violated a rule that this one did.
+func (r Report) sharesViolation(other Report) bool {
+	violated := map[string]bool{}
+	for _, rule := range r.Rules {
+		violated[rule.Name] = len(rule.Violations) > 0
+	}
+	for _, rule := range other.Rules {
+		if len(rule.Violations) > 0 && violated[rule.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 // Violated says whether any rule failed.
 func (r Report) Violated() bool {
 	for _, rule := range r.Rules {
--- a/internal/sim/search.go
+++ b/internal/sim/search.go
@@ -62,10 +62,11 @@
 func (o SearchOptions) runSeed(seed int64, run Run) Report {
 	report := run(seed, nil)
 	if report.Violated() && !o.KeepSchedules {
-		report.Shortened = Shrink(report.Schedule, shrinkAttempts, func(faults []Fault) bool {
+		shortened := Shrink(report.Schedule, shrinkAttempts, func(faults []Fault) bool {
 			// An empty schedule must not be taken for "generate one".
-			return run(seed, append([]Fault{}, faults...)).Violated()
+			return report.sharesViolation(run(seed, append([]Fault{}, faults...)))
 		})
+		report.Shortened = append([]Fault{}, shortened...)
 	}
 	return report
 }
--- a/internal/sim/statesuite/corelink.go
+++ b/internal/sim/statesuite/corelink.go
@@ -13,6 +13,7 @@
 const (
 	coreCallPatience = 600 * time.Millisecond
 	coreRetryDelay   = 100 * time.Millisecond
+	locateDelay      = 25 * time.Millisecond
 	pollInterval     = 250 * time.Millisecond
 )
 
@@ -22,6 +23,8 @@
 	environment *sim.Environment
 	endpoint    *endpoint
 	leader      sim.Address
+	// term is that of the newest leader known.
+	term uint64
 }
 
 // call asks the leader until it answers or patience ends; done gets nil then. A command
@@ -34,12 +37,14 @@
 			done(nil)
 			return
 		}
-		l.endpoint.call(l.target(), body, coreCallPatience, func(answer any) {
+		if l.leader == "" {
+			l.locate(func() { l.environment.After(0, try) })
+			return
+		}
+		l.endpoint.call(l.leader, body, coreCallPatience, func(answer any) {
 			switch answer := answer.(type) {
-			case nil:
+			case nil, notLeader:
 				l.leader = ""
-			case notLeader:
-				l.leader = answer.leader
 			case unknownOutcome:
 			default:
 				done(answer)
@@ -51,12 +56,24 @@
 	try()
 }
 
-func (l *coreLink) target() sim.Address {
-	if l.leader != "" {
-		return l.leader
-	}
+// locate asks all core members at once who leads, as the real link does, and goes on when one names a leader of a
+// term that is not older than the one known, or when all have failed to.
+func (l *coreLink) locate(done func()) {
 	addresses := l.suite.coreAddresses()
-	return addresses[l.environment.Random().IntN(len(addresses))]
+	left, ended := len(addresses), false
+	for _, address := range addresses {
+		l.endpoint.call(address, locateCore{}, coreCallPatience, func(body any) {
+			left--
+			answer, _ := body.(located)
+			if !ended && answer.leader != "" && answer.term >= l.term {
+				l.leader, l.term = answer.leader, answer.term
+			}
+			if !ended && (l.leader != "" || left == 0) {
+				ended = true
+				l.environment.After(locateDelay, done)
+			}
+		})
+	}
 }
 
 // read gives the view of a linearizable read, or nil.
@@ -99,8 +116,16 @@
 				newest = view.Index
 				apply(view)
 			}
-			l.environment.After(pollInterval, poll)
+			l.environment.After(l.suite.poll(), poll)
 		})
 	}
 	poll()
 }
+
+// renewLater renews a node's lease again and again.
+func (l *coreLink) renewLater(node *protocol.Node, delay, interval time.Duration) {
+	l.environment.After(delay, func() {
+		l.call(renewNode{node: node}, interval, func(any) {})
+		l.renewLater(node, interval, interval)
+	})
+}
--- a/internal/sim/statesuite/coremembership.go
+++ b/internal/sim/statesuite/coremembership.go
@@ -30,6 +30,8 @@
 	// heard is when each store last renewed; it starts anew with each leadership.
 	heard map[string]time.Time
 	since time.Time
+	// leaving is the voter that is to go by an order once another stands in its place.
+	leaving uint64
 }
 
 // joinLater asks to be admitted until the configuration at hand names this member.
@@ -47,7 +49,8 @@
 
 func (p *coreProcess) admit(member *protocol.CoreMember) {
 	configuration, _ := p.node.Configuration()
-	if consensus.Member(configuration, member.GetId()) != nil {
+	isMember := func(other *protocol.CoreMember) bool { return other.GetId() == member.GetId() }
+	if slices.ContainsFunc(configuration.GetMembers(), isMember) || slices.ContainsFunc(configuration.GetRetired(), isMember) {
 		return
 	}
 	next := proto.Clone(configuration).(*protocol.CoreConfiguration)
@@ -65,9 +68,11 @@
 // planMembership lets a leader under its lease take the next step for members, leases of stores and shards.
 func (p *coreProcess) planMembership() {
 	now := p.environment.Now()
+	if p.node.Role() != consensus.Leader || now.Before(p.plan.nextStep) || !p.environment.Alive() {
+		return
+	}
 	status := p.node.Status()
-	leads := status.Role == consensus.Leader && status.Applied >= status.TermStart && now.Before(p.node.LeaseEnds(now))
-	if !leads || now.Before(p.plan.nextStep) || !p.environment.Alive() {
+	if status.Applied < status.TermStart || !now.Before(p.node.LeaseEnds(now)) {
 		return
 	}
 	if p.plan.term != status.Term {
@@ -94,6 +99,8 @@
 	var kept, lost, learners []*protocol.CoreMember
 	for _, member := range status.Configuration.GetMembers() {
 		switch {
+		case member.GetId() == p.plan.leaving:
+			lost = slices.Insert(lost, 0, member)
 		case silence(member.GetId()) >= replaceVoterAfter:
 			lost = append(lost, member)
 		case member.GetVoter():
@@ -107,7 +114,7 @@
 	case len(kept) < targetVoters && len(learners) > 0:
 		p.change(withVoter(status.Configuration, learners[0].GetId(), true), "promote "+learners[0].GetName())
 	case len(lost) > 0 && (voters > targetVoters || !lost[0].GetVoter()) && len(kept) >= consensus.Quorum(max(voters-1, 1)):
-		p.change(withoutMember(status.Configuration, lost[0].GetId()), "remove "+lost[0].GetName())
+		p.change(p.withoutLost(status.Configuration, lost[0]), "remove "+lost[0].GetName())
 	case len(kept) > targetVoters:
 		surplus := kept[len(kept)-1]
 		if surplus.GetId() == status.ID {
@@ -117,6 +124,14 @@
 	}
 }
 
+// withoutLost removes a lost member, for good when that was ordered.
+func (p *coreProcess) withoutLost(configuration *protocol.CoreConfiguration, member *protocol.CoreMember) *protocol.CoreConfiguration {
+	if member.GetId() == p.plan.leaving {
+		return p.retire(configuration, member)
+	}
+	return withoutMember(configuration, member.GetId())
+}
+
 func withVoter(configuration *protocol.CoreConfiguration, id uint64, voter bool) *protocol.CoreConfiguration {
 	next := proto.Clone(configuration).(*protocol.CoreConfiguration)
 	consensus.Member(next, id).Voter = voter
@@ -139,6 +154,11 @@
 
 func (p *coreProcess) planStores(now time.Time) {
 	view := p.state.View()
+	if len(view.FirstKeys) == 0 {
+		p.proposeOwn(&protocol.Command{Body: &protocol.Command_SeedSignOffKeys{
+			SeedSignOffKeys: &protocol.SeedSignOffKeysCommand{Keys: p.suite.publicKeys()},
+		}})
+	}
 	lost := map[string]bool{}
 	for _, shard := range view.Placement.GetShards() {
 		for _, replica := range append(slices.Clone(shard.GetCurrent()), shard.GetNext()...) {
--- a/internal/sim/statesuite/coreprocess.go
+++ b/internal/sim/statesuite/coreprocess.go
@@ -26,14 +26,22 @@
 type (
 	coreCommand struct{ command []byte }
 	coreRead    struct{}
-	joinCore    struct{ member *protocol.CoreMember }
-	renewStore  struct{ node *protocol.Node }
+	// anyRead asks a member for its view whatever its age, as only a mutation does.
+	anyRead    struct{}
+	locateCore struct{}
+	joinCore   struct{ member *protocol.CoreMember }
+	renewNode  struct{ node *protocol.Node }
 
 	commandReply struct{ result *protocol.CommandResult }
 	readReply    struct{ view *controlstate.View }
 	joinReply    struct{}
 	renewReply   struct{}
-	notLeader    struct{ leader sim.Address }
+	notLeader    struct{}
+	// located names the leader that a member knows and its term.
+	located struct {
+		leader sim.Address
+		term   uint64
+	}
 	// unknownOutcome says that a command may or may not take effect.
 	unknownOutcome struct{}
 )
@@ -61,6 +69,8 @@
 	plan      corePlan
 	addresses map[uint64]sim.Address
 
+	// firstSnapshot is kept for a mutation.
+	firstSnapshot []byte
 	chunkMetadata *protocol.SnapshotMetadata
 	chunkData     []byte
 }
@@ -177,7 +187,7 @@
 func (p *coreProcess) ConnectionBroken(peer sim.Address) { p.endpoint.connectionBroken(peer) }
 
 func (p *coreProcess) tickLater() {
-	p.environment.After(tickInterval, func() {
+	p.environment.After(p.suite.tick(), func() {
 		if !p.ticking {
 			p.ticking = true
 			p.enqueue(func() {
@@ -194,6 +204,11 @@
 	p.pump()
 }
 
+// soon enqueues an input once the ones at hand are done with.
+func (p *coreProcess) soon(input func()) {
+	p.environment.After(0, func() { p.enqueue(input) })
+}
+
 // pump takes all inputs that wait and carries out what comes of them, so that one sync serves all.
 func (p *coreProcess) pump() {
 	for !p.syncing && len(p.inputs) > 0 && p.environment.Alive() {
--- a/internal/sim/statesuite/coreservice.go
+++ b/internal/sim/statesuite/coreservice.go
@@ -17,9 +17,20 @@
 }
 
 func (p *coreProcess) serve(_ sim.Address, body any, reply func(any)) {
+	switch body.(type) {
+	case identify:
+		reply(identity{member: p.self})
+		return
+	case locateCore:
+		reply(located{leader: p.leaderAddress(), term: p.node.Term()})
+		return
+	case anyRead:
+		reply(readReply{view: p.state.View()})
+		return
+	}
 	p.enqueue(func() {
 		if p.node.Role() != consensus.Leader {
-			reply(notLeader{leader: p.leaderAddress()})
+			reply(notLeader{})
 			return
 		}
 		switch body := body.(type) {
@@ -27,10 +38,12 @@
 			p.propose(body.command, reply)
 		case coreRead:
 			p.read(reply)
+		case memberOrder:
+			p.serveMemberOrder(body, reply)
 		case joinCore:
 			p.admit(body.member)
 			reply(joinReply{})
-		case renewStore:
+		case renewNode:
 			if !p.noteRenewal(body.node) {
 				p.proposeOwn(&protocol.Command{Body: &protocol.Command_JoinNode{JoinNode: &protocol.JoinNodeCommand{Node: body.node}}})
 			}
@@ -78,7 +91,11 @@
 			reply(notLeader{})
 			return
 		}
-		reply(readReply{view: p.state.View()})
+		view := p.state.View()
+		if p.suite.options.Mutation == CoreEmptiesEarly {
+			view = emptiedEarly(view)
+		}
+		reply(readReply{view: view})
 	}
 }
 
@@ -97,13 +114,13 @@
 
 // answerReads answers the reads whose index is applied.
 func (p *coreProcess) answerReads() {
-	var waiting []confirmedRead
-	for _, read := range p.unapplied {
+	reads := p.unapplied
+	p.unapplied = nil
+	for _, read := range reads {
 		if read.index <= p.node.Applied() {
 			read.done(true)
 		} else {
-			waiting = append(waiting, read)
+			p.unapplied = append(p.unapplied, read)
 		}
 	}
-	p.unapplied = waiting
 }
--- a/internal/sim/statesuite/coresnapshot.go
+++ b/internal/sim/statesuite/coresnapshot.go
@@ -17,6 +17,12 @@
 		p.fatal(err)
 		return
 	}
+	if p.suite.options.Mutation == CoreSnapshotsOldState {
+		if p.firstSnapshot == nil {
+			p.firstSnapshot = state
+		}
+		state = p.firstSnapshot
+	}
 	metadata := p.node.SnapshotMetadata()
 	if err := p.disk.saveSnapshot(metadata, state); err != nil {
 		p.fatal(err)
--- a/internal/sim/statesuite/front.go
+++ b/internal/sim/statesuite/front.go
@@ -32,6 +32,9 @@
 	link        *coreLink
 	placement   *protocol.Placement
 	numbers     int
+	// configuration is what this front node has in force.
+	configuration *protocol.Configuration
+	nextPoll      time.Time
 }
 
 // Messages between fronts: a request that the other one is to run.
@@ -49,7 +52,13 @@
 		if view.Placement.GetEpoch() >= f.placement.GetEpoch() {
 			f.placement = view.Placement
 		}
+		if s.options.Mutation != FrontTakesAnyView {
+			f.takeConfiguration(view)
+		}
 	})
+	if s.options.Mutation == FrontTakesAnyView {
+		f.takeAnyView()
+	}
 	for range scriptsAtOnce {
 		f.scriptLater()
 	}
--- a/internal/sim/statesuite/guard.go
+++ b/internal/sim/statesuite/guard.go
@@ -1,6 +1,8 @@
 package statesuite
 
 import (
+	"slices"
+
 	"github.com/rosestand/rosestand/internal/consensus"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/sim"
@@ -12,7 +14,8 @@
 	if s.world.Elapsed() > faultsEnd {
 		return false
 	}
-	if fault.Kind != sim.FaultLostDisk && fault.Kind != sim.FaultReplace {
+	if !isLoss(fault.Kind) {
+		s.noteFault(fault)
 		return true
 	}
 	target := fault.Targets[0]
@@ -23,10 +26,12 @@
 		if !s.coreWhole() {
 			return false
 		}
+		s.loseCoreDisk(target)
 	case isRole(target, RoleStore):
 		if !s.storesWhole() {
 			return false
 		}
+		s.loseStoreDisk()
 	default:
 		return fault.Kind != sim.FaultReplace
 	}
@@ -34,6 +39,43 @@
 	return true
 }
 
+func isLoss(kind sim.FaultKind) bool { return kind == sim.FaultLostDisk || kind == sim.FaultReplace }
+
+func (s *suite) noteFault(fault sim.Fault) {
+	if fault.Kind == sim.FaultLoss {
+		s.lossyUntil = max(s.lossyUntil, s.world.Elapsed()+fault.Duration)
+	}
+	if slices.Contains(fault.Targets, sim.AllWith(string(RoleCore))) {
+		s.restarted = true
+		s.counts.changes = s.oracle.changes
+		if s.oracle.changes >= hundredsOfChanges && s.told.version > 0 {
+			s.rules.restart.Provoke()
+		}
+	}
+}
+
+// loseCoreDisk counts the loss of a voter's disk right after the repair of another.
+func (s *suite) loseCoreDisk(target sim.Address) {
+	process, running := s.world.Machine(target).Process().(*coreProcess)
+	if !running {
+		return
+	}
+	configuration, _ := process.node.Configuration()
+	isVoter := slices.Contains(consensus.Voters(configuration), process.self.GetId())
+	s.coreRepair.observe(true, s.world.Elapsed())
+	if isVoter && s.coreRepair.lose(s.world.Elapsed()) && s.told.version > 0 {
+		s.rules.secondLoss.Provoke()
+	}
+}
+
+// loseStoreDisk counts the loss of a store's disk right after the repair of another.
+func (s *suite) loseStoreDisk() {
+	s.storeRepair.observe(true, s.world.Elapsed())
+	if s.storeRepair.lose(s.world.Elapsed()) && len(s.keptTurns) > 0 {
+		s.rules.storeLoss.Provoke()
+	}
+}
+
 func (s *suite) present(address sim.Address) bool {
 	for _, machine := range s.world.Machines() {
 		if machine.Address() == address {
--- a/internal/sim/statesuite/mutation_test.go
+++ b/internal/sim/statesuite/mutation_test.go
@@ -24,15 +24,40 @@
 var (
 	electionStorm = statesuite.Options{
 		Kinds: []sim.FaultKind{sim.FaultKill, sim.FaultKill, sim.FaultLoss},
-		Roles: []statesuite.Role{statesuite.RoleCore}, FaultCount: 100, LongestFault: 800 * time.Millisecond,
+		Roles: []statesuite.Role{statesuite.RoleCore}, FaultCount: 100, LongestFault: 800 * time.Millisecond, Plain: true,
 	}
 	cutStores = statesuite.Options{
 		Kinds: []sim.FaultKind{sim.FaultCutFrom, sim.FaultCutTo},
-		Roles: []statesuite.Role{statesuite.RoleStore}, FaultCount: 40, LongestFault: 2500 * time.Millisecond,
+		Roles: []statesuite.Role{statesuite.RoleStore}, FaultCount: 40, LongestFault: 2500 * time.Millisecond, Plain: true,
 	}
 	lostStores = statesuite.Options{
 		Kinds: []sim.FaultKind{sim.FaultLostDisk, sim.FaultCutFrom, sim.FaultCutTo, sim.FaultKill},
-		Roles: []statesuite.Role{statesuite.RoleStore}, FaultCount: 60, LongestFault: 1500 * time.Millisecond,
+		Roles: []statesuite.Role{statesuite.RoleStore}, FaultCount: 60, LongestFault: 1500 * time.Millisecond, Plain: true,
+	}
+	// onlyRestart has nothing but the restart of everything beside one harmless fault.
+	onlyRestart = statesuite.Options{Kinds: []sim.FaultKind{sim.FaultLoss}, FaultCount: 1, LongestFault: 300 * time.Millisecond}
+	// secondCoreLosses lets a member that lags be all that is left of the log.
+	secondCoreLosses = statesuite.Options{
+		Kinds: []sim.FaultKind{sim.FaultLostDisk, sim.FaultLostDisk, sim.FaultFreeze, sim.FaultCutTo},
+		Roles: []statesuite.Role{statesuite.RoleCore}, FaultCount: 40, LongestFault: 1500 * time.Millisecond,
+	}
+	// staleStore keeps a store and a front node from the core until the store's shards have moved, then keeps another
+	// store from the ones that took them: two majorities, of the former and of the new placement, that share no store.
+	staleStore = statesuite.Options{Faults: []sim.Fault{
+		{
+			At: 6 * time.Second, Kind: sim.FaultCut, Duration: 20 * time.Second,
+			Targets: []sim.Address{"store-1", "front-1"}, Peers: []sim.Address{sim.AllWith("core-")},
+		},
+		{
+			At: 14 * time.Second, Kind: sim.FaultCut, Duration: 9 * time.Second,
+			Targets: []sim.Address{"store-2"}, Peers: []sim.Address{"store-3", "store-4", "store-5", "store-6", "store-7", "store-8"},
+		},
+	}}
+	lostCoreDisks = statesuite.Options{
+		Kinds: []sim.FaultKind{sim.FaultLostDisk}, Roles: []statesuite.Role{statesuite.RoleCore}, FaultCount: 12, LongestFault: 800 * time.Millisecond,
+	}
+	lostStoreDisks = statesuite.Options{
+		Kinds: []sim.FaultKind{sim.FaultLostDisk}, Roles: []statesuite.Role{statesuite.RoleStore}, FaultCount: 12, LongestFault: 800 * time.Millisecond,
 	}
 )
 
@@ -47,16 +72,28 @@
 		{mutation: statesuite.CoreAcknowledgesBeforeSync, rules: coreRules, seed: 2},
 		{mutation: statesuite.CoreVotesAfterLostDisk, rules: coreRules, seed: 2},
 		{mutation: statesuite.CoreForgetsVotes, rules: []string{statesuite.RuleOneVote, statesuite.RuleSameLog}, seed: 10, options: electionStorm},
-		{mutation: statesuite.CoreReadsWithoutLease, rules: []string{statesuite.RuleViewsAdvance, statesuite.RuleOneWinner}, seed: 23},
+		{mutation: statesuite.CoreReadsWithoutLease, rules: []string{statesuite.RuleViewsAdvance, statesuite.RuleOneWinner}, seed: 28},
 		{mutation: statesuite.CoreForgetsOrders, rules: []string{statesuite.RuleOrdersKept}, seed: 1},
 		{mutation: statesuite.CoreAcknowledgesLosers, rules: []string{statesuite.RuleOneWinner}, seed: 1},
-		{mutation: statesuite.CoreIgnoresLeaseDrift, rules: []string{statesuite.RuleOneLease}, seed: 11},
+		{mutation: statesuite.CoreIgnoresLeaseDrift, rules: []string{statesuite.RuleOneLease}, seed: 26},
 		{mutation: statesuite.StoreAcknowledgesBeforeSync, rules: registerRules, seed: 3},
-		{mutation: statesuite.StoreVotesAfterLostDisk, rules: registerRules, seed: 17, options: lostStores},
+		{mutation: statesuite.StoreVotesAfterLostDisk, rules: registerRules, seed: 44, options: lostStores},
 		{mutation: statesuite.StoreReadsOneReplica, rules: []string{statesuite.RuleRegisters}, seed: 1},
 		{mutation: statesuite.StoreTrustsOneMissing, rules: []string{statesuite.RuleTurnsKept}, seed: 1},
 		{mutation: statesuite.StoreSettlesBeforeKeeping, rules: []string{statesuite.RuleTurnsKept}, seed: 1},
-		{mutation: statesuite.StoreReusesFailedHead, rules: registerRules, seed: 1, options: cutStores},
+		{mutation: statesuite.StoreReusesFailedHead, rules: registerRules, seed: 34, options: cutStores},
+		{mutation: statesuite.CoreVotesAfterLostDisk, rules: []string{statesuite.RuleSecondLoss}, seed: 1, options: secondCoreLosses},
+		{mutation: statesuite.CoreSnapshotsOldState, rules: []string{statesuite.RuleRestart}, seed: 1, options: onlyRestart},
+		{mutation: statesuite.CoreSnapshotsOldState, rules: []string{statesuite.RuleBundlesKept}, seed: 1},
+		{mutation: statesuite.CoreEmptiesEarly, rules: []string{statesuite.RuleEmptied}, seed: 1},
+		{mutation: statesuite.CoreRepeatsMemberOrders, rules: []string{statesuite.RuleMembers}, seed: 1},
+		{mutation: statesuite.CoreForgetsRemovedMembers, rules: []string{statesuite.RuleMembers}, seed: 1},
+		{mutation: statesuite.CoreRemovesBeforeReplacing, rules: []string{statesuite.RuleServiceReturns}, seed: 1, options: lostCoreDisks},
+		{mutation: statesuite.StoreAcceptsOldEpochs, rules: registerRules, seed: 1, options: staleStore},
+		{mutation: statesuite.StoreReportsCopiedEarly, rules: []string{statesuite.RuleStoreLoss}, seed: 1, options: lostStoreDisks},
+		{mutation: statesuite.FrontPollsRarely, rules: []string{statesuite.RuleInForce}, seed: 1},
+		{mutation: statesuite.FrontTakesAnyView, rules: []string{statesuite.RuleNoStepBack}, seed: 1},
+		{mutation: statesuite.FrontSkipsDeltaSteps, rules: []string{statesuite.RuleSameContent}, seed: 1},
 		{mutation: statesuite.StoresStayDown, rules: []string{statesuite.RuleServiceReturns}, seed: 1},
 		{mutation: statesuite.DisksRot, rules: []string{statesuite.RuleNoFalseDamage}, seed: 1},
 		{mutation: statesuite.FrontSkipsTombstone, rules: []string{statesuite.RuleRefusals}, seed: 1},
@@ -69,7 +106,7 @@
 	tested := map[statesuite.Mutation]bool{}
 	for _, mutated := range mutationCases() {
 		tested[mutated.mutation] = true
-		t.Run(string(mutated.mutation), func(t *testing.T) {
+		t.Run(string(mutated.mutation)+"/"+mutated.rules[0], func(t *testing.T) {
 			t.Parallel()
 			mutated.mustBeNoticed(t)
 		})
@@ -99,6 +136,8 @@
 func TestFaultsOfMutationsAloneViolateNothing(t *testing.T) {
 	for name, options := range map[string]statesuite.Options{
 		"election storm": electionStorm, "cut stores": cutStores, "lost stores": lostStores,
+		"only a restart": onlyRestart, "second core losses": secondCoreLosses, "stale store": staleStore,
+		"lost core disks": lostCoreDisks, "lost store disks": lostStoreDisks,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/sim/statesuite/operator.go
+++ b/internal/sim/statesuite/operator.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	operatorPause    = 120 * time.Millisecond
+	operatorPause    = 30 * time.Millisecond
 	operatorPatience = 3 * time.Second
+	// wholeOneIn bundles are whole; the others add a route to the newest one.
+	wholeOneIn = 12
 )
 
 // operator puts bundles, races with the other operators for their numbers, and sends acknowledged orders again.
@@ -47,30 +49,33 @@
 		return
 	}
 	next := func() { o.later(operatorPause) }
+	actions := []func(func()){
+		o.putNext, o.putNext, o.putNext, o.sign, o.sign, o.rollOut, o.readVersion, o.announce, o.drain,
+		o.resendOne, o.resendOne, o.emptyOrRetire, o.swapMember,
+	}
+	actions[o.environment.Random().IntN(len(actions))](next)
+}
+
+// putNext puts a bundle under the next number, against another operator.
+func (o *operator) putNext(next func()) {
+	o.withView(next, func(view *controlstate.View) {
+		o.race(view.Newest + 1)
+		o.put(view.Newest+1, next)
+	})
+}
+
+// resendOne gives an order again that was acknowledged before.
+func (o *operator) resendOne(next func()) {
 	random := o.environment.Random()
-	switch random.IntN(6) {
-	case 0, 1:
-		o.link.read(operatorPatience, func(view *controlstate.View) {
-			if view == nil {
-				next()
-				return
-			}
-			o.suite.newestBundle = max(o.suite.newestBundle, view.Newest)
-			o.race(view.Newest + 1)
-			o.put(view.Newest+1, next)
-		})
-	case 2:
-		o.readVersion(next)
-	case 3:
-		o.announce(next)
-	case 4:
-		o.drain(next)
+	orders, members := o.suite.acknowledged, o.suite.memberOrders
+	place := random.IntN(len(orders) + len(members) + 1)
+	switch {
+	case place < len(orders):
+		o.resend(orders[place], next)
+	case place < len(orders)+len(members):
+		o.resendMemberOrder(members[place-len(orders)], next)
 	default:
-		if len(o.suite.acknowledged) == 0 {
-			next()
-			return
-		}
-		o.resend(o.suite.acknowledged[random.IntN(len(o.suite.acknowledged))], next)
+		next()
 	}
 }
 
@@ -89,15 +94,17 @@
 }
 
 func (o *operator) put(version uint64, next func()) {
-	o.orders++
-	name := fmt.Sprintf("%s-%d-%d", o.environment.Address(), o.environment.Life(), o.orders)
+	name := o.name("order")
 	submitted := &protocol.Bundle{
 		Version: version,
-		Routes:  []*protocol.Route{{Name: name, Model: "model", Group: "group"}},
+		Routes:  []*protocol.Route{{Name: name, Model: name, Group: "group"}},
 		Groups:  []*protocol.ServerGroup{{Name: "group"}},
 	}
+	if version > 1 && o.environment.Random().IntN(wholeOneIn) > 0 {
+		submitted.Partial, submitted.BaseVersion = true, version-1
+	}
 	command := &protocol.Command{
-		OrderId: "order-" + name, Body: &protocol.Command_PutBundle{PutBundle: &protocol.PutBundleCommand{Bundle: submitted}},
+		OrderId: name, Body: &protocol.Command_PutBundle{PutBundle: &protocol.PutBundleCommand{Bundle: submitted}},
 	}
 	operation := o.suite.bundles.begin(version, putBundle{digest: bundle.Digest(submitted)}, o.suite.world.Elapsed())
 	o.link.order(command, operatorPatience, func(result *protocol.CommandResult) {
@@ -107,7 +114,7 @@
 			return
 		case result.GetAccepted():
 			o.suite.bundles.end(operation, putAnswer{winner: result.GetBundle().GetSubmittedDigest(), accepted: true}, o.suite.world.Elapsed())
-			o.suite.acknowledged = append(o.suite.acknowledged, acknowledgedOrder{command: command, result: result})
+			o.suite.acknowledge(command, result)
 		case result.GetRefusal().GetWinner() != nil:
 			winner := result.GetRefusal().GetWinner().GetSubmittedDigest()
 			o.suite.bundles.end(operation, putAnswer{winner: winner}, o.suite.world.Elapsed())
@@ -136,17 +143,8 @@
 
 // drain orders a back end to be drained; what the order's first answer says is kept for ever.
 func (o *operator) drain(next func()) {
-	o.orders++
-	command := &protocol.Command{
-		OrderId: fmt.Sprintf("drain-%s-%d-%d", o.environment.Address(), o.environment.Life(), o.orders),
-		Body:    &protocol.Command_DrainBackEnd{DrainBackEnd: &protocol.DrainBackEndCommand{Id: o.someBackEnd()}},
-	}
-	o.link.order(command, operatorPatience, func(result *protocol.CommandResult) {
-		if result.GetAccepted() {
-			o.suite.acknowledged = append(o.suite.acknowledged, acknowledgedOrder{command: command, result: result})
-		}
-		next()
-	})
+	drain := &protocol.DrainBackEndCommand{Id: o.someBackEnd()}
+	o.order("drain", &protocol.Command{Body: &protocol.Command_DrainBackEnd{DrainBackEnd: drain}}, next)
 }
 
 // readVersion reads which bundle has one of the newest numbers.
--- /dev/null
+++ b/internal/sim/statesuite/operatormembers.go
@@ -0,0 +1,113 @@
+package statesuite
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/sim"
+)
+
+const (
+	// memberAttempts is how often an operator gives an order about a member whose outcome stays unknown.
+	memberAttempts = 6
+	// linger is how long a removed member's process goes on, and tries to join again.
+	linger = 2 * time.Second
+)
+
+// acknowledgedMember is an order about a core member that an operator knows to have taken effect.
+type acknowledgedMember struct {
+	order  memberOrder
+	member *protocol.CoreMember
+}
+
+// swapMember removes a core member and adds an empty machine at a new address in its place.
+func (o *operator) swapMember(next func()) {
+	s := o.suite
+	if s.swapping || s.world.Elapsed() > faultsEnd || len(s.coreAddresses()) != coreCount || !s.coreWhole() {
+		next()
+		return
+	}
+	s.swapping = true
+	victim := s.world.Machine(o.pickMember())
+	end := func() {
+		s.swapping = false
+		next()
+	}
+	removal := memberOrder{id: o.name("remove"), remove: true, subject: string(victim.Address())}
+	o.memberOrder(removal, memberAttempts, func(member *protocol.CoreMember) {
+		if member.GetId() == 0 {
+			end()
+			return
+		}
+		s.removedMembers[member.GetId()] = true
+		o.resendAddition(member)
+		s.world.After(linger, func() { s.takeCoreAway(victim, member) })
+		s.world.After(newMachineAfter, func() { o.addMember(s.addCore(victim.Zone(), false), end) })
+	})
+}
+
+// takeCoreAway takes the machine of a removed member away, unless it lost its disk meanwhile and so is another member now.
+func (s *suite) takeCoreAway(machine *sim.Machine, removed *protocol.CoreMember) {
+	process, running := machine.Process().(*coreProcess)
+	if !running || process.self.GetId() == removed.GetId() {
+		machine.Remove()
+	}
+}
+
+// pickMember prefers members that were added by an order, so that older orders about them can be sent again.
+func (o *operator) pickMember() sim.Address {
+	addresses := o.suite.coreAddresses()
+	for _, known := range o.suite.memberOrders {
+		address := sim.Address(known.order.subject)
+		if !known.order.remove && o.suite.present(address) && o.environment.Random().IntN(2) == 0 {
+			return address
+		}
+	}
+	return addresses[o.environment.Random().IntN(len(addresses))]
+}
+
+func (o *operator) addMember(address sim.Address, end func()) {
+	o.memberOrder(memberOrder{id: o.name("add"), subject: string(address)}, memberAttempts, func(*protocol.CoreMember) { end() })
+}
+
+// resendAddition gives the order again that once added a member which is removed now: it must not come back by that.
+func (o *operator) resendAddition(removed *protocol.CoreMember) {
+	for _, known := range o.suite.memberOrders {
+		if !known.order.remove && known.member.GetId() == removed.GetId() {
+			o.suite.counts.lateAdditions++
+			o.resendMemberOrder(known, func() {})
+		}
+	}
+}
+
+// memberOrder gives an order, again while its outcome is unknown. done gets nil when it stays unknown or was refused.
+func (o *operator) memberOrder(order memberOrder, attempts int, done func(*protocol.CoreMember)) {
+	if attempts == 0 {
+		done(nil)
+		return
+	}
+	o.link.call(order, operatorPatience, func(answer any) {
+		reply, answered := answer.(memberReply)
+		if !answered {
+			o.memberOrder(order, attempts-1, done)
+			return
+		}
+		if reply.member != nil {
+			o.suite.memberOrders = append(o.suite.memberOrders, acknowledgedMember{order: order, member: reply.member})
+			o.suite.counts.memberOrders++
+		}
+		done(reply.member)
+	})
+}
+
+func (o *operator) resendMemberOrder(known acknowledgedMember, next func()) {
+	o.link.call(known.order, operatorPatience, func(answer any) {
+		if reply, answered := answer.(memberReply); answered {
+			o.suite.rules.ordersKept.Check(proto.Equal(reply.member, known.member),
+				"order %s meant %v and later %v", known.order.id, known.member, reply.member)
+		}
+		next()
+	})
+}
--- a/internal/sim/statesuite/options.go
+++ b/internal/sim/statesuite/options.go
@@ -26,6 +26,20 @@
 	CoreAcknowledgesLosers Mutation = "core-acknowledges-losers"
 	// CoreIgnoresLeaseDrift believes in a leader lease four times as long as it is.
 	CoreIgnoresLeaseDrift Mutation = "core-ignores-lease-drift"
+	// CoreSnapshotsOldState saves the state of its first snapshot again under the index of each later one.
+	CoreSnapshotsOldState Mutation = "core-snapshots-old-state"
+	// CoreEmptiesEarly shows a store as emptied as soon as that was ordered, and lets it be retired.
+	CoreEmptiesEarly Mutation = "core-empties-early"
+	// CoreRepeatsMemberOrders carries out an order about a member again although a later one was given.
+	CoreRepeatsMemberOrders Mutation = "core-repeats-member-orders"
+	// CoreForgetsRemovedMembers does not keep a removed member from joining again by itself.
+	CoreForgetsRemovedMembers Mutation = "core-forgets-removed-members"
+	// CoreRemovesBeforeReplacing removes a voter by order before another takes its place, if a majority of the rest seems alive.
+	CoreRemovesBeforeReplacing Mutation = "core-removes-before-replacing"
+	// StoreAcceptsOldEpochs answers requests whatever placement they were sent under.
+	StoreAcceptsOldEpochs Mutation = "store-accepts-old-epochs"
+	// StoreReportsCopiedEarly says that a shard is copied before it is.
+	StoreReportsCopiedEarly Mutation = "store-reports-copied-early"
 	// StoreAcknowledgesBeforeSync answers prepares and accepts before they are durable.
 	StoreAcknowledgesBeforeSync Mutation = "store-acknowledges-before-sync"
 	// StoreVotesAfterLostDisk lets a rebuilding replica vote.
@@ -42,6 +56,12 @@
 	StoresStayDown Mutation = "stores-stay-down"
 	// DisksRot flips a bit of a store's log before it starts again.
 	DisksRot Mutation = "disks-rot"
+	// FrontPollsRarely asks for the configuration every five seconds.
+	FrontPollsRarely Mutation = "front-polls-rarely"
+	// FrontTakesAnyView takes the configuration of any core member, whatever it holds already.
+	FrontTakesAnyView Mutation = "front-takes-any-view"
+	// FrontSkipsDeltaSteps applies only the last step of a delta and checks no digest.
+	FrontSkipsDeltaSteps Mutation = "front-skips-delta-steps"
 	// FrontSkipsTombstone refuses a request that it knows nothing of without asking the ledger.
 	FrontSkipsTombstone Mutation = "front-skips-tombstone"
 	// FrontSkipsReservation passes tokens on when a reservation is not known to be granted.
@@ -54,10 +74,11 @@
 func Mutations() []Mutation {
 	return []Mutation{
 		CoreAcknowledgesBeforeSync, CoreVotesAfterLostDisk, CoreForgetsVotes, CoreReadsWithoutLease, CoreForgetsOrders,
-		CoreAcknowledgesLosers, CoreIgnoresLeaseDrift,
-		StoreAcknowledgesBeforeSync, StoreVotesAfterLostDisk, StoreReadsOneReplica, StoreTrustsOneMissing,
+		CoreAcknowledgesLosers, CoreIgnoresLeaseDrift, CoreSnapshotsOldState, CoreEmptiesEarly,
+		CoreRepeatsMemberOrders, CoreForgetsRemovedMembers, CoreRemovesBeforeReplacing,
+		StoreAcceptsOldEpochs, StoreReportsCopiedEarly, StoreAcknowledgesBeforeSync, StoreVotesAfterLostDisk, StoreReadsOneReplica, StoreTrustsOneMissing,
 		StoreSettlesBeforeKeeping, StoreReusesFailedHead, StoresStayDown, DisksRot,
-		FrontSkipsTombstone, FrontSkipsReservation, FrontSkipsIntent,
+		FrontPollsRarely, FrontTakesAnyView, FrontSkipsDeltaSteps, FrontSkipsTombstone, FrontSkipsReservation, FrontSkipsIntent,
 	}
 }
 
@@ -84,6 +105,8 @@
 	Roles []Role
 	// LongestFault bounds how long a generated fault lasts; default 4 s, which is the most.
 	LongestFault time.Duration
+	// Plain leaves out the losses right after a repair and the restart of everything, which else join the generated faults.
+	Plain bool
 	// Trace, when set, receives a line for each event of note.
 	Trace io.Writer
 }
@@ -98,6 +121,11 @@
 	// finalReads is the time given to the reads that look for what was acknowledged.
 	finalReads = 8 * time.Second
 
+	// secondLossAfter is how long after a loss the next one is due, if the first is repaired by then.
+	secondLossAfter = 100 * time.Millisecond
+	// restartAt is when everything is restarted.
+	restartAt = 22 * time.Second
+
 	minimumFault = 200 * time.Millisecond
 	maximumFault = 4 * time.Second
 )
--- a/internal/sim/statesuite/rules.go
+++ b/internal/sim/statesuite/rules.go
@@ -19,6 +19,15 @@
 	RuleOneWinner      = "bundle numbers are linearizable, one winner each"
 	RuleOrdersKept     = "an acknowledged order is acknowledged again"
 	RuleViewsAdvance   = "a fresh view is never older than one read before"
+	RuleBundlesKept    = "an acknowledged bundle is never lost"
+	RuleSecondLoss     = "an acknowledged bundle survives a second loss right after a repair"
+	RuleRestart        = "the newest bundle comes back after a restart that follows hundreds of changes"
+	RuleInForce        = "a configuration is in force on every reachable node within 2 s"
+	RuleNoStepBack     = "no node goes back to an older bundle"
+	RuleSameContent    = "a node's configuration is that of the control log"
+	RuleEmptied        = "a store is acknowledged as empty only when every shard has its full set elsewhere"
+	RuleMembers        = "a core member removed by order stays removed"
+	RuleStoreLoss      = "a kept turn survives a second loss right after a repair"
 	RuleRegisters      = "registers are linearizable"
 	RuleBudget         = "no program receives more than its budget plus one turn"
 	RuleTurnsKept      = "a kept turn is never missing"
@@ -32,12 +41,17 @@
 	sameLog, oneVote, oneLease, oneWinner, ordersKept, viewsAdvance *sim.Rule
 	registers, budget, turnsKept, refusals, callsOnce               *sim.Rule
 	noFalseDamage, serviceReturns                                   *sim.Rule
+	bundlesKept, secondLoss, restart, storeLoss                     *sim.Rule
+	inForce, noStepBack, sameContent, emptied, members              *sim.Rule
 }
 
 func newRuleSet(world *sim.World) ruleSet {
 	return ruleSet{
 		sameLog: world.NewRule(RuleSameLog), oneVote: world.NewRule(RuleOneVote), oneLease: world.NewRule(RuleOneLease),
 		oneWinner: world.NewRule(RuleOneWinner), ordersKept: world.NewRule(RuleOrdersKept),
+		bundlesKept: world.NewRule(RuleBundlesKept), secondLoss: world.NewRule(RuleSecondLoss), restart: world.NewRule(RuleRestart),
+		inForce: world.NewRule(RuleInForce), noStepBack: world.NewRule(RuleNoStepBack), sameContent: world.NewRule(RuleSameContent),
+		emptied: world.NewRule(RuleEmptied), members: world.NewRule(RuleMembers), storeLoss: world.NewRule(RuleStoreLoss),
 		viewsAdvance: world.NewRule(RuleViewsAdvance), registers: world.NewRule(RuleRegisters),
 		budget: world.NewRule(RuleBudget), turnsKept: world.NewRule(RuleTurnsKept),
 		refusals: world.NewRule(RuleRefusals), callsOnce: world.NewRule(RuleCallsOnce),
@@ -72,9 +86,13 @@
 	first, found := s.applied[entry.GetIndex()]
 	if !found {
 		s.applied[entry.GetIndex()] = own
+		s.follow(entry)
 		return
 	}
 	s.rules.sameLog.Check(first == own, "%s applies another entry at index %d", address, entry.GetIndex())
+	if first != own && entry.GetIndex() <= s.told.index {
+		s.checkBundles(false, "%s lost entry %d; operators were told of what came of entry %d", address, entry.GetIndex(), s.told.index)
+	}
 }
 
 // noteVote remembers whom a member, known by its id, votes for.
--- a/internal/sim/statesuite/storeledger.go
+++ b/internal/sim/statesuite/storeledger.go
@@ -35,7 +35,7 @@
 func (p *storeProcess) serveList(operation listOperation, reply func(any)) {
 	shard := ledger.ShardOf(operation.key, shardCount)
 	table := p.table(shard)
-	if table.refusal(operation.epoch) != notRefused {
+	if p.refusal(table, operation.epoch) != notRefused {
 		return
 	}
 	key := registerKey{program: operation.key}
@@ -66,7 +66,7 @@
 func (p *storeProcess) serveLedger(operation *protocol.LedgerOperation, reply func(*protocol.LedgerResult)) {
 	shard := ledger.ShardOf(operation.GetProgram(), shardCount)
 	table := p.table(shard)
-	if table.refusal(operation.GetPlacementEpoch()) != notRefused {
+	if p.refusal(table, operation.GetPlacementEpoch()) != notRefused {
 		reply(&protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT, PlacementEpoch: table.epoch})
 		return
 	}
--- a/internal/sim/statesuite/storeprocess.go
+++ b/internal/sim/statesuite/storeprocess.go
@@ -114,7 +114,7 @@
 	p.proposer = fmt.Sprintf("%s/%d", name, p.environment.Life())
 	p.ballots = register.NewBallots(p.proposer)
 	p.suite.noteStart(p.environment)
-	p.renewLater(0)
+	p.link.renewLater(p.self, 0, renewInterval)
 	p.copyLater()
 	p.link.follow(p.viewRead)
 	return nil
@@ -147,13 +147,6 @@
 // ConnectionBroken implements sim.ConnectionObserver.
 func (p *storeProcess) ConnectionBroken(peer sim.Address) { p.endpoint.connectionBroken(peer) }
 
-func (p *storeProcess) renewLater(delay time.Duration) {
-	p.environment.After(delay, func() {
-		p.link.call(renewStore{node: p.self}, renewInterval, func(any) {})
-		p.renewLater(renewInterval)
-	})
-}
-
 func (p *storeProcess) table(shard uint32) *shardTable {
 	known := p.shards[shard]
 	if known == nil {
@@ -205,7 +198,10 @@
 }
 
 // refusal tells why the replica may not answer a request that names an epoch.
-func (t *shardTable) refusal(epoch uint64) protocol.ReplicaRefusal {
+func (p *storeProcess) refusal(t *shardTable, epoch uint64) protocol.ReplicaRefusal {
+	if p.suite.options.Mutation == StoreAcceptsOldEpochs {
+		epoch = t.epoch
+	}
 	switch {
 	case t.epoch == 0 || t.epoch == epoch && !t.role.Votes():
 		return protocol.ReplicaRefusal_REPLICA_NOT_READY
--- a/internal/sim/statesuite/storereplica.go
+++ b/internal/sim/statesuite/storereplica.go
@@ -30,7 +30,7 @@
 
 func (p *storeProcess) prepare(request *protocol.PrepareRequest, reply func(*protocol.PrepareResponse)) {
 	table := p.table(request.GetShard())
-	if refusal := table.refusal(request.GetPlacementEpoch()); refusal != notRefused {
+	if refusal := p.refusal(table, request.GetPlacementEpoch()); refusal != notRefused {
 		reply(&protocol.PrepareResponse{Refusal: refusal, PlacementEpoch: table.epoch})
 		return
 	}
@@ -46,7 +46,7 @@
 
 func (p *storeProcess) accept(request *protocol.AcceptRequest, reply func(*protocol.AcceptResponse)) {
 	table := p.table(request.GetShard())
-	if refusal := table.refusal(request.GetPlacementEpoch()); refusal != notRefused {
+	if refusal := p.refusal(table, request.GetPlacementEpoch()); refusal != notRefused {
 		reply(&protocol.AcceptResponse{Refusal: refusal, PlacementEpoch: table.epoch})
 		return
 	}
@@ -115,7 +115,7 @@
 
 func (p *storeProcess) serveKeep(request *protocol.KeepTurnRequest, reply func(any)) {
 	table := p.table(request.GetShard())
-	if refusal := table.refusal(request.GetPlacementEpoch()); refusal != notRefused {
+	if refusal := p.refusal(table, request.GetPlacementEpoch()); refusal != notRefused {
 		reply(&protocol.KeepTurnResponse{Refusal: refusal})
 		return
 	}
@@ -124,7 +124,7 @@
 
 func (p *storeProcess) serveFetchTurns(request *protocol.FetchTurnsRequest, reply func(any)) {
 	table := p.table(request.GetShard())
-	if refusal := table.refusal(request.GetPlacementEpoch()); refusal != notRefused {
+	if refusal := p.refusal(table, request.GetPlacementEpoch()); refusal != notRefused {
 		reply(&protocol.FetchTurnsResponse{Refusal: refusal})
 		return
 	}
@@ -175,6 +175,10 @@
 // copyShard fetches the shard from a majority of the replicas in force, and tells the core once it is durable here.
 func (p *storeProcess) copyShard(table *shardTable) {
 	epoch := table.epoch
+	if p.suite.options.Mutation == StoreReportsCopiedEarly {
+		p.shardCopied(table, epoch)
+		return
+	}
 	table.copying = true
 	needed := len(table.placed.GetCurrent())/2 + 1
 	copied, left := 0, 0
--- a/internal/sim/statesuite/suite.go
+++ b/internal/sim/statesuite/suite.go
@@ -1,7 +1,9 @@
 package statesuite
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -17,7 +19,7 @@
 	coreCount     = 5
 	storeCount    = 5
 	frontCount    = 3
-	operatorCount = 2
+	operatorCount = 3
 	zoneCount     = 4
 )
 
@@ -37,6 +39,18 @@
 	newestBundle   uint64
 	cores, stores  int
 
+	oracle                  *oracle
+	coreRepair, storeRepair repair
+	told                    told
+	restarted, swapping     bool
+	resting                 bool
+	lossyUntil              time.Duration
+	reachable               map[sim.Address]reached
+	inForce                 map[sim.Address]*protocol.Configuration
+	signOffKeys             []signOffKey
+	removedMembers          map[uint64]bool
+	memberOrders            []acknowledgedMember
+
 	applied      map[uint64]appliedEntry
 	votes        map[memberTerm]uint64
 	bundles      *history[uint64]
@@ -51,13 +65,16 @@
 
 // Counts say how much of the recovery code a run went through.
 type Counts struct {
-	snapshots, installed, membershipChanges, moves, copies, losses int
+	snapshots, installed, membershipChanges, moves, copies, losses   int
+	deltas, retired, memberOrders, lateAdditions, handovers, changes int
 }
 
 // Run simulates one seed.
 func Run(seed int64, options Options) sim.Report {
 	s := newSuite(seed, options.withDefaults())
+	s.makeSignOffKeys()
 	s.addMachines()
+	s.observeLater()
 	faults := s.options.Faults
 	if faults == nil {
 		faults = s.generateFaults()
@@ -80,7 +97,9 @@
 func newSuite(seed int64, options Options) *suite {
 	s := &suite{
 		options: options,
-		applied: map[uint64]appliedEntry{}, votes: map[memberTerm]uint64{}, bundles: newHistory[uint64](), lists: newHistory[string](),
+		oracle:  newOracle(), reachable: map[sim.Address]reached{}, inForce: map[sim.Address]*protocol.Configuration{},
+		removedMembers: map[uint64]bool{},
+		applied:        map[uint64]appliedEntry{}, votes: map[memberTerm]uint64{}, bundles: newHistory[uint64](), lists: newHistory[string](),
 		seenIDs: map[string]bool{}, ran: map[string]bool{}, refused: map[string]bool{},
 		issued: map[string]int{}, delivered: map[string]uint64{},
 	}
@@ -106,9 +125,11 @@
 
 func zoneOf(number int) string { return fmt.Sprintf("zone-%d", number%zoneCount+1) }
 
-func (s *suite) addCore(zone string, founder bool) {
+func (s *suite) addCore(zone string, founder bool) sim.Address {
 	s.cores++
-	s.world.AddMachine(sim.Address(fmt.Sprintf("%s%d", RoleCore, s.cores)), zone, s.buildCore(founder))
+	address := sim.Address(fmt.Sprintf("%s%d", RoleCore, s.cores))
+	s.world.AddMachine(address, zone, s.buildCore(founder))
+	return address
 }
 
 func (s *suite) addStore(zone string) {
@@ -134,11 +155,47 @@
 	for _, role := range s.options.Roles {
 		groups = append(groups, s.addresses(role))
 	}
-	return sim.GenerateSchedule(s.world.Random("faults"), sim.Plan{
+	random := s.world.Random("faults")
+	faults := sim.GenerateSchedule(random, sim.Plan{
 		Kinds: s.options.Kinds, Groups: groups,
 		Count: s.options.FaultCount, Begin: faultsBegin, End: faultsEnd,
 		MinimumDuration: minimumFault, MaximumDuration: s.options.LongestFault,
 	})
+	if !s.options.Plain {
+		faults = append(faults, s.secondLosses(random, faults)...)
+		faults = append(faults, restartOfEverything(random))
+		slices.SortStableFunc(faults, func(a, b sim.Fault) int { return cmp.Compare(a.At, b.At) })
+	}
+	return faults
+}
+
+// secondLosses plans, for each loss of a disk, the loss of another disk of the same role (of a store when a front node
+// has the first). mayApply holds it back until the first loss is repaired and lets it come at once then.
+func (s *suite) secondLosses(random *rand.Rand, faults []sim.Fault) []sim.Fault {
+	var second []sim.Fault
+	for _, first := range faults {
+		if !isLoss(first.Kind) {
+			continue
+		}
+		role := RoleStore
+		if isRole(first.Targets[0], RoleCore) {
+			role = RoleCore
+		}
+		others := slices.DeleteFunc(s.addresses(role), func(address sim.Address) bool { return address == first.Targets[0] })
+		second = append(second, sim.Fault{
+			At: first.At + secondLossAfter, Kind: sim.FaultLostDisk, Targets: others[random.IntN(len(others)):][:1], Duration: minimumFault,
+		})
+	}
+	return second
+}
+
+// restartOfEverything plans that all processes end at one moment, with or without what they did not sync.
+func restartOfEverything(random *rand.Rand) sim.Fault {
+	kinds := []sim.FaultKind{sim.FaultKill, sim.FaultPowerLoss}
+	return sim.Fault{
+		At: restartAt, Kind: kinds[random.IntN(len(kinds))], Duration: minimumFault,
+		Targets: []sim.Address{sim.AllWith(string(RoleCore)), sim.AllWith(string(RoleStore)), sim.AllWith(string(RoleFront))},
+	}
 }
 
 func (s *suite) addresses(role Role) []sim.Address {
--- a/internal/sim/statesuite/turnscript.go
+++ b/internal/sim/statesuite/turnscript.go
@@ -141,9 +141,15 @@
 	f.apply(read, func(result *protocol.LedgerResult) {
 		status := result.GetStatus()
 		if status == protocol.LedgerStatus_LEDGER_OK || status == protocol.LedgerStatus_LEDGER_TURN_MISSING {
-			f.suite.rules.turnsKept.Check(status == protocol.LedgerStatus_LEDGER_OK && result.GetTurns()[0].GetId() == wanted.id,
-				"turn %s of %s is missing", wanted.id, wanted.program)
+			f.suite.checkTurn(wanted, status == protocol.LedgerStatus_LEDGER_OK && result.GetTurns()[0].GetId() == wanted.id)
 		}
 		done(status)
 	})
 }
+
+func (s *suite) checkTurn(turn turnName, kept bool) {
+	s.rules.turnsKept.Check(kept, "turn %s of %s is missing", turn.id, turn.program)
+	if !kept && s.storeRepair.secondLosses > 0 {
+		s.rules.storeLoss.Violatef("turn %s of %s is missing", turn.id, turn.program)
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"container/heap"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -91,27 +90,56 @@
 	run      func()
 }
 
+// eventHeap is a binary heap, the next event first. It is typed, unlike container/heap, so that events are not boxed.
 type eventHeap []event
 
-func (h eventHeap) Len() int      { return len(h) }
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h eventHeap) Less(i, j int) bool {
+func (h eventHeap) before(i, j int) bool {
 	if h[i].at != h[j].at {
 		return h[i].at < h[j].at
 	}
 	return h[i].sequence < h[j].sequence
 }
 
-// Push implements heap.Interface.
-func (h *eventHeap) Push(value any) { *h = append(*h, value.(event)) }
+func (h *eventHeap) push(added event) {
+	*h = append(*h, added)
+	heap := *h
+	for child := len(heap) - 1; child > 0; {
+		parent := (child - 1) / 2
+		if !heap.before(child, parent) {
+			return
+		}
+		heap[child], heap[parent] = heap[parent], heap[child]
+		child = parent
+	}
+}
+
+func (h *eventHeap) pop() event {
+	heap := *h
+	first, last := heap[0], len(heap)-1
+	heap[0] = heap[last]
+	heap[last] = event{}
+	*h = heap[:last]
+	h.sink()
+	return first
+}
 
-// Pop implements heap.Interface.
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*h = old[:len(old)-1]
-	return last
+// sink moves the first event down to its place.
+func (h *eventHeap) sink() {
+	heap := *h
+	for parent := 0; ; {
+		child := 2*parent + 1
+		if child >= len(heap) {
+			return
+		}
+		if child+1 < len(heap) && heap.before(child+1, child) {
+			child++
+		}
+		if !heap.before(child, parent) {
+			return
+		}
+		heap[child], heap[parent] = heap[parent], heap[child]
+		parent = child
+	}
 }
 
 // NewWorld makes a world without machines.
@@ -152,7 +180,7 @@
 // After runs a function of the suite itself, whatever happens to machines.
 func (w *World) After(delay time.Duration, run func()) {
 	w.sequence++
-	heap.Push(&w.events, event{at: w.elapsed + max(delay, 0), sequence: w.sequence, run: run})
+	w.events.push(event{at: w.elapsed + max(delay, 0), sequence: w.sequence, run: run})
 }
 
 // RunUntil runs the events up to a time since the start, or until a rule is violated. It returns false when it
@@ -169,7 +197,7 @@
 }
 
 func (w *World) step() {
-	next := heap.Pop(&w.events).(event)
+	next := w.events.pop()
 	w.elapsed = next.at
 	w.steps++
 	w.note(uint64(next.at), next.sequence)
