--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
+	"golang.org/x/sys/unix"
 
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/corelink"
@@ -27,10 +28,26 @@
 
 // BenchmarkTurns measures turns through one front node that owns all sessions,
 // with a ledger in memory. Caller and model server run in the same process, so
-// a turn's cost here holds theirs too.
+// a turn's cost here holds theirs too. The difference between two lengths is the
+// most that a token may cost the front node.
 func BenchmarkTurns(b *testing.B) {
+	for _, tokens := range []int{20, 100, 200} {
+		b.Run(fmt.Sprint(tokens, "tokens"), func(b *testing.B) { benchmarkTurns(b, tokens) })
+	}
+}
+
+// processorTime is what this process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func benchmarkTurns(b *testing.B, wordsPerTurn int) {
 	gin.SetMode(gin.ReleaseMode)
-	const wordsPerTurn = 20
 	r := newRig()
 	words := make([]string, wordsPerTurn)
 	for at := range words {
@@ -62,6 +79,7 @@
 	defer client.CloseIdleConnections()
 	var program atomic.Uint64
 	b.SetParallelism(16)
+	used := processorTime(b)
 	b.ResetTimer()
 	b.RunParallel(func(each *testing.PB) {
 		for each.Next() {
@@ -86,4 +104,5 @@
 		}
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "turns/s")
+	b.ReportMetric(float64((processorTime(b)-used).Microseconds())/float64(b.N), "cpu-us/turn")
 }
