Make the spec of shared syncs independent of scheduling

Cause: it expected 64 writers to meet in one sync by chance and failed once in about 40 runs on a busy machine.

--- a/internal/storage/groupcommit_test.go
+++ b/internal/storage/groupcommit_test.go
@@ -12,13 +12,10 @@
 )
 
 var _ = Describe("GroupCommitter", func() {
-	It("given many writers, then all records are durable and syncs are shared", func() {
+	It("given many writers, then all records are durable", func() {
 		disk := newDisk(1)
 		log := open(disk, storage.LogOptions{SegmentBytes: 4000})
-		shared := 0
-		committer := storage.NewGroupCommitter(log, storage.GroupCommitterOptions{OnSync: func(requests int) {
-			shared = max(shared, requests)
-		}})
+		committer := storage.NewGroupCommitter(log, storage.GroupCommitterOptions{})
 		var writers sync.WaitGroup
 		for writer := range 64 {
 			writers.Go(func() {
@@ -33,11 +30,38 @@
 		}
 		writers.Wait()
 		committer.Close()
-		Expect(shared).To(BeNumerically(">", 1))
 		disk.LosePower()
 		Expect(replayed(open(disk, storage.LogOptions{}))).To(HaveLen(64 * 20 * 2))
 	})
 
+	It("given requests that come during a sync, then they share the next one", func() {
+		const later = 9
+		queued := make(chan struct{})
+		var syncs []int
+		committer := storage.NewGroupCommitter(open(newDisk(1), storage.LogOptions{}), storage.GroupCommitterOptions{OnSync: func(requests int) {
+			<-queued
+			syncs = append(syncs, requests)
+		}})
+		var answers sync.WaitGroup
+		for range 1 + later {
+			answers.Add(1)
+			committer.AppendAsync([][]byte{[]byte("x")}, func(_ []storage.Position, err error) {
+				defer answers.Done()
+				defer GinkgoRecover()
+				Expect(err).NotTo(HaveOccurred())
+			})
+		}
+		close(queued)
+		answers.Wait()
+		committer.Close()
+		Expect(len(syncs)).To(BeNumerically("<=", 2), "the first sync may have taken any part of them, the second takes the rest")
+		total := 0
+		for _, requests := range syncs {
+			total += requests
+		}
+		Expect(total).To(Equal(1 + later))
+	})
+
 	It("given a failed sync, then all that wait and all that come later hear of it", func() {
 		disk := newDisk(1)
 		committer := storage.NewGroupCommitter(open(disk, storage.LogOptions{}), storage.GroupCommitterOptions{})
