End the overload specs at once

Cause: 1 of 24 runs of the front suite took 32 s. A request that waited in the queue reached the server after the first caller had left, and the spec's server held it until its 30 s deadline. The server now lets go when the spec ends.

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -168,7 +168,7 @@
 		}
 		running, queued := server.reported(now)
 		snapshot = append(snapshot, schedule.Candidate{
-			ID: description.GetId(), Zone: description.GetZone(), Draining: server.draining.Load(), Ejected: ejected,
+			ID: description.GetId(), Zone: description.GetZone(), Region: description.GetRegion(), Draining: server.draining.Load(), Ejected: ejected,
 			Capacity: capacity, InFlight: uint32(max(server.inFlight.Load(), 0)),
 			Running: running, Queued: queued,
 			Weight: zoneWeight(group, description.GetZone()) * share,
@@ -193,6 +193,7 @@
 	last     string
 	avoid    []string
 	zone     string
+	region   string
 	front    string
 	sequence uint64
 }
@@ -203,7 +204,7 @@
 	policy := p.index.Bundle().GetScheduling()
 	request := schedule.Request{
 		Algorithm: policy.GetAlgorithm(), LoadBound: policy.GetLoadBound(), SubsetSize: policy.GetSubsetSize(),
-		Front: p.front, Zone: p.zone, ZoneLocalFirst: group.GetZoneLocalFirst(),
+		Front: p.front, Zone: p.zone, Region: p.region, ZoneLocalFirst: group.GetZoneLocalFirst(),
 		AffinityKey: p.affinity, Last: p.last, Avoid: p.avoid, Sequence: p.sequence,
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -120,9 +120,15 @@
 
 	It("refuses what finds no room with one operation on the ledger, and that only for a key", func() {
 		arrived := make(chan struct{}, 8)
+		over := make(chan struct{})
+		// A request that waited may reach the server once the first caller has left.
+		defer close(over)
 		r.backEnd("m1", modelServer, func(_ http.ResponseWriter, request *http.Request) {
 			arrived <- struct{}{}
-			<-request.Context().Done()
+			select {
+			case <-request.Context().Done():
+			case <-over:
+			}
 		})
 		next := proto.CloneOf(r.view.Configuration)
 		next.Version++
@@ -157,9 +163,15 @@
 		r.ledger.holdRefusals = make(chan struct{})
 		defer close(r.ledger.holdRefusals)
 		arrived := make(chan struct{}, 8)
+		over := make(chan struct{})
+		// A request that waited may reach the server once the first caller has left.
+		defer close(over)
 		r.backEnd("m1", modelServer, func(_ http.ResponseWriter, request *http.Request) {
 			arrived <- struct{}{}
-			<-request.Context().Done()
+			select {
+			case <-request.Context().Done():
+			case <-over:
+			}
 		})
 		next := proto.CloneOf(r.view.Configuration)
 		next.Version++
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -39,6 +39,7 @@
 type Service struct {
 	name      string
 	zone      string
+	region    string
 	link      Link
 	ledger    Ledger
 	ownership Ownership
@@ -81,7 +82,7 @@
 		options.Registerer = prometheus.NewRegistry()
 	}
 	s := &Service{
-		name: options.Self.GetName(), zone: options.Self.GetZone(), link: options.Link, ledger: options.Ledger,
+		name: options.Self.GetName(), zone: options.Self.GetZone(), region: options.Self.GetRegion(), link: options.Link, ledger: options.Ledger,
 		ownership: options.Ownership, caller: options.Caller, clock: options.Clock, logger: options.Logger,
 		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout),
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
