--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -16,7 +16,7 @@
 // Packages lists the decision packages, relative to the module's root.
 var Packages = []string{
 	"internal/ring", "internal/directory", "internal/lease", "internal/turn", "internal/schedule", "internal/limit",
-	"internal/ledger", "internal/register", "internal/consensus", "internal/controlstate", "internal/bundle",
+	"internal/ledger", "internal/register", "internal/consensus", "internal/controlstate", "internal/bundle", "internal/views",
 }
 
 var forbiddenImports = []string{"net", "os", "syscall", "context", "sync", "runtime", "unsafe"}
