Give the laboratory's commands one way to run a fleet

Cause: run, chaos, kill-one, burst, experiment, bench and scale each started and stopped fleets and ran callers in code of their own; seven copies of the same wait. Checked: go test ./internal/lab/...

--- a/internal/lab/benchmark/throughput.go
+++ b/internal/lab/benchmark/throughput.go
@@ -11,6 +11,7 @@
 	"github.com/rosestand/rosestand/internal/lab/process"
 	"github.com/rosestand/rosestand/internal/lab/report"
 	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 )
 
 const turnsPerProgram = 5
@@ -134,10 +135,5 @@
 		return
 	}
 	every := time.Duration(float64(l.Workers) / l.PerSecond * float64(time.Second))
-	timer := time.NewTimer(time.Until(begun.Add(every)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	wait.Until(ctx, begun.Add(every))
 }
--- a/internal/lab/burst/run.go
+++ b/internal/lab/burst/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 )
 
 const (
@@ -67,7 +68,7 @@
 	outcome := &Outcome{Begun: time.Now(), Burst: plan.Burst, Observations: make([]Observation, len(requests))}
 	var sending sync.WaitGroup
 	for i, r := range requests {
-		if !await(ctx, outcome.Begun.Add(r.at)) {
+		if !wait.Until(ctx, outcome.Begun.Add(r.at)) {
 			break
 		}
 		outcome.MostLate = max(outcome.MostLate, time.Since(outcome.Begun)-r.at)
@@ -80,21 +81,6 @@
 	return outcome, ctx.Err()
 }
 
-func await(ctx context.Context, due time.Time) bool {
-	wait := time.Until(due)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Loop is the outcome of a closed loop.
 type Loop struct {
 	PerSecond float64
--- a/internal/lab/caller/conversation.go
+++ b/internal/lab/caller/conversation.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 )
 
 const (
@@ -36,7 +37,7 @@
 // run takes the steps one after another; it ends early when a step cannot be had.
 func (v *visit) run(ctx context.Context, steps []Step) {
 	for _, step := range steps {
-		if !sleep(ctx, step.ThinkBefore) || !v.take(ctx, step) {
+		if !wait.For(ctx, step.ThinkBefore) || !v.take(ctx, step) {
 			return
 		}
 	}
@@ -79,7 +80,7 @@
 			}
 			return true
 		}
-		if !goesOn(record) || !sleep(ctx, v.backoff(record, 0)) {
+		if !goesOn(record) || !wait.For(ctx, v.backoff(record, 0)) {
 			return false
 		}
 	}
@@ -105,7 +106,7 @@
 		} else {
 			v.client.Turn(ctx, front, record, body)
 		}
-		if settled(record) || !sleep(ctx, v.backoff(record, try)) {
+		if settled(record) || !wait.For(ctx, v.backoff(record, try)) {
 			return
 		}
 	}
@@ -120,7 +121,7 @@
 		record.Object = step.Object
 		v.settleTool(ctx, record, step)
 		v.books.entries <- record
-		if record.Outcome != OutcomeNotRun || !goesOn(record) || !sleep(ctx, v.backoff(record, 0)) {
+		if record.Outcome != OutcomeNotRun || !goesOn(record) || !wait.For(ctx, v.backoff(record, 0)) {
 			return
 		}
 	}
@@ -139,7 +140,7 @@
 	}
 	for try := range maxExchanges {
 		v.client.Tool(ctx, v.platform.pick(v.conversation.Zone), record, body)
-		if settled(record) || !sleep(ctx, v.backoff(record, try)) {
+		if settled(record) || !wait.For(ctx, v.backoff(record, try)) {
 			return
 		}
 	}
@@ -200,18 +201,3 @@
 	jitter := time.Duration(v.random.Int64N(int64(firstBackoff)))
 	return firstBackoff<<try + jitter
 }
-
-// sleep pauses; false when the context ended first.
-func sleep(ctx context.Context, length time.Duration) bool {
-	if length <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/caller/run.go
+++ b/internal/lab/caller/run.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 )
 
 // Options describe a run of callers.
@@ -92,7 +93,7 @@
 	start := time.Now()
 	stopProgress := r.report(ctx, len(arrivals))
 	for i := range arrivals {
-		if !sleep(ctx, time.Until(start.Add(arrivals[i].At))) {
+		if !wait.Until(ctx, start.Add(arrivals[i].At)) {
 			break
 		}
 		if r.opened.Load()-r.ended.Load() >= int64(r.options.Load.MaxConversations) {
@@ -130,7 +131,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var reporter sync.WaitGroup
 	reporter.Go(func() {
-		for sleep(ctx, progressInterval) {
+		for wait.For(ctx, progressInterval) {
 			r.options.Progress(int(r.ended.Load()), int(r.opened.Load()), planned)
 		}
 	})
@@ -153,7 +154,7 @@
 			record := readRecord(turn)
 			for try := range maxExchanges {
 				r.client.Read(ctx, r.platform.pick(try), record)
-				if settledRead(record) || !sleep(ctx, firstBackoff<<try) {
+				if settledRead(record) || !wait.For(ctx, firstBackoff<<try) {
 					break
 				}
 			}
--- a/internal/lab/chaos/operators.go
+++ b/internal/lab/chaos/operators.go
@@ -16,6 +16,7 @@
 
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/lab/audit"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 	"github.com/rosestand/rosestand/internal/operator"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
@@ -45,7 +46,7 @@
 // Run sends orders until the context ends and returns all of them with their answers.
 func (o *Operators) Run(ctx context.Context) []audit.Order {
 	for range maxBundles {
-		if !sleep(ctx, orderInterval) {
+		if !wait.For(ctx, orderInterval) {
 			break
 		}
 		o.round(ctx)
--- a/internal/lab/chaos/plan.go
+++ b/internal/lab/chaos/plan.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/rosestand/rosestand/internal/lab/fleet"
 )
 
 // Action is one kind of fault.
@@ -43,8 +45,8 @@
 	Length time.Duration `json:"length"`
 	Action Action        `json:"action"`
 	// Kind is the kind of the members to choose from, Target the place among them.
-	Kind   string `json:"kind,omitempty"`
-	Target int    `json:"target"`
+	Kind   fleet.Kind `json:"kind,omitempty"`
+	Target int        `json:"target"`
 }
 
 // End is when the fault is taken back.
@@ -53,30 +55,22 @@
 // Counts are the numbers of members by kind.
 type Counts struct{ Cores, Stores, Fronts, BackEnds int }
 
-// Kinds of members in a schedule.
-const (
-	KindCore    = "core"
-	KindStore   = "store"
-	KindFront   = "front"
-	KindBackEnd = "backend"
-)
-
 const (
 	firstFault = 3 * time.Second
 	// diskRecovery is kept free after the loss of a machine with a disk: the
 	// sites bear one such loss at a time.
 	diskRecovery = 20 * time.Second
-	// herdWindow is kept free of other faults round the death of many.
-	herdBefore = 6 * time.Second
-	herdAfter  = 25 * time.Second
-	herdLength = 2 * time.Second
+	// Around the death of many massBefore and massAfter are kept free of other faults.
+	massBefore = 6 * time.Second
+	massAfter  = 25 * time.Second
+	massLength = 2 * time.Second
 	// longFreeze is longer than any lease: its victim must wake up without authority.
 	longFreeze = 21 * time.Second
 )
 
-// lane is a sequence of faults of which one at a time is in force.
-type lane struct {
-	kind    string
+// sequence is a row of faults of which one at a time is in force.
+type sequence struct {
+	kind    fleet.Kind
 	count   int
 	meanGap time.Duration
 	rest    time.Duration
@@ -87,35 +81,35 @@
 func Plan(counts Counts, duration time.Duration, seed uint64) []Step {
 	const stream = 2
 	random := rand.New(rand.NewPCG(seed, stream))
-	herds := planHerds(duration)
-	lanes := []lane{
-		{KindFront, counts.Fronts, 4 * time.Second, 2 * time.Second, []Action{Kill, Freeze, Restart, Cut, CutOneWay}},
-		{KindFront, counts.Fronts, 9 * time.Second, 2 * time.Second, []Action{Kill, Freeze, Restart, Cut}},
-		{KindBackEnd, counts.BackEnds, 5 * time.Second, time.Second, []Action{Kill, Freeze, Restart}},
+	massKills := planMassKills(duration)
+	sequences := []sequence{
+		{fleet.KindFront, counts.Fronts, 4 * time.Second, 2 * time.Second, []Action{Kill, Freeze, Restart, Cut, CutOneWay}},
+		{fleet.KindFront, counts.Fronts, 9 * time.Second, 2 * time.Second, []Action{Kill, Freeze, Restart, Cut}},
+		{fleet.KindBackEnd, counts.BackEnds, 5 * time.Second, time.Second, []Action{Kill, Freeze, Restart}},
 	}
-	steps := slices.Clone(herds)
-	for _, l := range lanes {
-		steps = append(steps, l.plan(random, duration, herds)...)
+	steps := slices.Clone(massKills)
+	for _, l := range sequences {
+		steps = append(steps, l.plan(random, duration, massKills)...)
 	}
-	steps = append(steps, planDisks(random, counts, duration, herds)...)
+	steps = append(steps, planDisks(random, counts, duration, massKills)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return dropOverlaps(steps)
 }
 
-// planHerds puts the death of all fronts at two fifths of the run and that of
+// planMassKills puts the death of all fronts at two fifths of the run and that of
 // everything at four fifths, when the run is long enough for them.
-func planHerds(duration time.Duration) []Step {
+func planMassKills(duration time.Duration) []Step {
 	const shortest = 2 * time.Minute
 	if duration < shortest {
 		return nil
 	}
 	return []Step{
-		{At: duration * 2 / 5, Length: herdLength, Action: KillFronts},
-		{At: duration * 4 / 5, Length: herdLength, Action: KillAll},
+		{At: duration * 2 / 5, Length: massLength, Action: KillFronts},
+		{At: duration * 4 / 5, Length: massLength, Action: KillAll},
 	}
 }
 
-func (l lane) plan(random *rand.Rand, duration time.Duration, herds []Step) []Step {
+func (l sequence) plan(random *rand.Rand, duration time.Duration, massKills []Step) []Step {
 	var steps []Step
 	at := firstFault
 	for l.count > 0 {
@@ -126,7 +120,7 @@
 			return steps
 		}
 		at = step.End() + l.rest
-		if free(step, herds, herdBefore) {
+		if free(step, massKills, massBefore) {
 			steps = append(steps, step)
 		}
 	}
@@ -134,17 +128,17 @@
 }
 
 // planDisks lets core members and stores fail in turn, one at a time, with time to repair after each.
-func planDisks(random *rand.Rand, counts Counts, duration time.Duration, herds []Step) []Step {
-	store := lane{KindStore, counts.Stores, 0, 0, []Action{Kill, Freeze, Restart, LoseDisk, Cut}}
-	core := lane{KindCore, counts.Cores, 0, 0, []Action{Kill, Freeze, Restart, LoseDisk, Cut, SplitCore}}
+func planDisks(random *rand.Rand, counts Counts, duration time.Duration, massKills []Step) []Step {
+	store := sequence{fleet.KindStore, counts.Stores, 0, 0, []Action{Kill, Freeze, Restart, LoseDisk, Cut}}
+	core := sequence{fleet.KindCore, counts.Cores, 0, 0, []Action{Kill, Freeze, Restart, LoseDisk, Cut, SplitCore}}
 	var steps []Step
 	replaced := false
 	at := firstFault
 	for turn := 0; ; turn++ {
-		of := []lane{store, core}[turn%2]
+		of := []sequence{store, core}[turn%2]
 		at += gap(random, 3*time.Second)
 		step := Step{At: at, Action: of.actions[random.IntN(len(of.actions))], Kind: of.kind, Target: random.IntN(max(of.count, 1))}
-		if of.kind == KindCore && !replaced && turn > 2 {
+		if of.kind == fleet.KindCore && !replaced && turn > 2 {
 			step.Action = Replace
 			replaced = true
 		}
@@ -153,7 +147,7 @@
 			return steps
 		}
 		at = step.End() + diskRecovery
-		if of.count > 0 && free(step, herds, diskRecovery) {
+		if of.count > 0 && free(step, massKills, diskRecovery) {
 			steps = append(steps, step)
 		}
 	}
@@ -182,9 +176,9 @@
 }
 
 // free reports whether a step keeps its distance from the death of many.
-func free(step Step, herds []Step, before time.Duration) bool {
-	return !slices.ContainsFunc(herds, func(herd Step) bool {
-		return step.End() > herd.At-before && step.At < herd.End()+herdAfter
+func free(step Step, massKills []Step, before time.Duration) bool {
+	return !slices.ContainsFunc(massKills, func(mass Step) bool {
+		return step.End() > mass.At-before && step.At < mass.End()+massAfter
 	})
 }
 
--- a/internal/lab/chaos/plan_test.go
+++ b/internal/lab/chaos/plan_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosestand/rosestand/internal/lab/chaos"
+	"github.com/rosestand/rosestand/internal/lab/fleet"
 )
 
 var counts = chaos.Counts{Cores: 4, Stores: 4, Fronts: 10, BackEnds: 19}
@@ -34,8 +35,8 @@
 			if i > 0 && step.At < steps[i-1].At {
 				t.Fatalf("seed %d: steps are out of order", seed)
 			}
-			herd := step.Action == chaos.KillAll || step.Action == chaos.KillFronts
-			disk := step.Kind == chaos.KindCore || step.Kind == chaos.KindStore || step.Action == chaos.KillAll
+			mass := step.Action == chaos.KillAll || step.Action == chaos.KillFronts
+			disk := step.Kind == fleet.KindCore || step.Kind == fleet.KindStore || step.Action == chaos.KillAll
 			if disk && step.At < diskFree {
 				t.Fatalf("seed %d: %+v strikes a second disk machine", seed, step)
 			}
@@ -43,7 +44,7 @@
 				diskFree = step.End() + 15*time.Second
 			}
 			for _, other := range steps {
-				if herd && other != step && other.At < step.End() && step.At < other.End() {
+				if mass && other != step && other.At < step.End() && step.At < other.End() {
 					t.Fatalf("seed %d: %+v strikes during %+v", seed, other, step)
 				}
 			}
--- a/internal/lab/chaos/run.go
+++ b/internal/lab/chaos/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 )
 
 const (
@@ -65,7 +66,7 @@
 	start := time.Now()
 	var failed error
 	for _, m := range moments(steps) {
-		if !sleep(ctx, time.Until(start.Add(m.at))) && m.begin {
+		if !wait.Until(ctx, start.Add(m.at)) && m.begin {
 			continue
 		}
 		if failed != nil && m.begin {
@@ -117,7 +118,7 @@
 		cores := b.Fleet.Members(fleet.KindCore)
 		m.victims.members = cores[:len(cores)/2]
 	default:
-		of := b.Fleet.Members(fleet.Kind(m.step.Kind))
+		of := b.Fleet.Members(m.step.Kind)
 		m.victims.members = of[m.step.Target : m.step.Target+1]
 	}
 }
@@ -238,17 +239,3 @@
 	}
 	return fmt.Sprintf("%d processes", len(members))
 }
-
-func sleep(ctx context.Context, length time.Duration) bool {
-	if length <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/command/bench.go
+++ b/internal/lab/command/bench.go
@@ -152,14 +152,18 @@
 func (e *environment) benchFleet(ctx context.Context, options benchOptions, fronts int, tables *benchTables) (loops []measured, err error) {
 	sizes := site.Small()
 	sizes.Fronts = fronts
-	f, err := e.newFleet("bench", fleet.Options{
+	layout := fleet.Options{
 		Sizes: sizes, LogLevel: "warn", Rates: fastRates(),
 		FrontEnvironment: []string{fmt.Sprintf("GOMAXPROCS=%d", frontCores)},
-	})
-	if err != nil {
-		return nil, err
 	}
-	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
+	err = e.withFleet("bench", layout, func(f *fleet.Fleet) error {
+		loops, err = e.benchOn(ctx, f, options, tables)
+		return err
+	})
+	return loops, err
+}
+
+func (e *environment) benchOn(ctx context.Context, f *fleet.Fleet, options benchOptions, tables *benchTables) ([]measured, error) {
 	if _, err := e.start(ctx, f); err != nil {
 		return nil, err
 	}
@@ -167,10 +171,11 @@
 		HTTP: caller.NewHTTPClient(), Credentials: f.Credentials(), Now: time.Now,
 	}}
 	defer b.client.HTTP.CloseIdleConnections()
+	fronts := len(f.Members(fleet.KindFront))
 	if fronts == 1 {
 		return b.loops(ctx, "one front node")
 	}
-	loops, err = b.loops(ctx, fmt.Sprintf("%d front nodes", fronts))
+	loops, err := b.loops(ctx, fmt.Sprintf("%d front nodes", fronts))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/command/burst.go
+++ b/internal/lab/command/burst.go
@@ -6,7 +6,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
@@ -61,26 +60,24 @@
 	}
 }
 
-func (e *environment) burst(ctx context.Context, options burstOptions) (err error) {
+func (e *environment) burst(ctx context.Context, options burstOptions) error {
 	if options.length <= 2*time.Second || options.length > mostBurst || options.factor <= 1 || options.factor > mostBurstFactor {
 		return &FlagError{Flag: "duration and --factor", Reason: "must be above 2s and 1, and at most 60s and 50"}
 	}
-	f, err := e.newFleet("burst", fleet.Options{Sizes: site.Small(), LogLevel: "warn", Rates: burstRates()})
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
-	made := f.Bundle(firstBundle)
-	burst.AddTenants(made, site.ModelClimateAdvisor, site.GroupModels)
-	if _, err := e.startWith(ctx, f, made); err != nil {
-		return err
-	}
-	target := burst.Target{
-		Client: &caller.Client{HTTP: caller.NewHTTPClient(), Now: time.Now},
-		Fronts: f.FrontAddresses(), Model: site.ModelClimateAdvisor, Run: filepath.Base(f.Folder()),
-	}
-	defer target.Client.HTTP.CloseIdleConnections()
-	return e.runBurst(ctx, f, target, options)
+	layout := fleet.Options{Sizes: site.Small(), LogLevel: "warn", Rates: burstRates()}
+	return e.withFleet("burst", layout, func(f *fleet.Fleet) error {
+		made := f.Bundle(firstBundle)
+		burst.AddTenants(made, site.ModelClimateAdvisor, site.GroupModels)
+		if _, err := e.startWith(ctx, f, made); err != nil {
+			return err
+		}
+		target := burst.Target{
+			Client: &caller.Client{HTTP: caller.NewHTTPClient(), Now: time.Now},
+			Fronts: f.FrontAddresses(), Model: site.ModelClimateAdvisor, Run: filepath.Base(f.Folder()),
+		}
+		defer target.Client.HTTP.CloseIdleConnections()
+		return e.runBurst(ctx, f, target, options)
+	})
 }
 
 func (e *environment) runBurst(ctx context.Context, f *fleet.Fleet, target burst.Target, options burstOptions) error {
--- a/internal/lab/command/chaos.go
+++ b/internal/lab/command/chaos.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
@@ -57,7 +56,7 @@
 	return plan
 }
 
-func (e *environment) chaos(ctx context.Context, options chaosOptions) (err error) {
+func (e *environment) chaos(ctx context.Context, options chaosOptions) error {
 	if options.duration <= 0 || options.duration > maxDuration {
 		return &FlagError{Flag: "duration", Reason: "must be above 0 and at most " + maxDuration.String()}
 	}
@@ -69,13 +68,13 @@
 	if err := faults.Validate(); err != nil {
 		return err
 	}
-	f, err := e.newFleet("chaos-"+options.site, fleet.Options{
-		Sizes: sizes, LogLevel: "info", Faults: faults, Relays: options.relays,
+	layout := fleet.Options{Sizes: sizes, LogLevel: "info", Faults: faults, Relays: options.relays}
+	return e.withFleet("chaos-"+options.site, layout, func(f *fleet.Fleet) error {
+		return e.chaosOn(ctx, f, sizes, options)
 	})
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
+}
+
+func (e *environment) chaosOn(ctx context.Context, f *fleet.Fleet, sizes site.Sizes, options chaosOptions) error {
 	orders, err := e.start(ctx, f)
 	if err != nil {
 		return err
@@ -87,7 +86,14 @@
 	if !options.relays {
 		steps = slices.DeleteFunc(steps, needsRelays)
 	}
-	broken, book, err := e.breakUnderLoad(ctx, f, callers, steps, options, &orders)
+	var broken chaos.Outcome
+	book, err := e.converseBeside(ctx, f, callers, func() error {
+		var operated []audit.Order
+		var err error
+		operated, broken, err = e.breakFleet(ctx, f, steps, options)
+		orders = append(orders, operated...)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -109,10 +115,9 @@
 	}
 }
 
-// breakUnderLoad runs callers, operators and the schedule side by side.
-func (e *environment) breakUnderLoad(ctx context.Context, f *fleet.Fleet, callers caller.Options, steps []chaos.Step,
-	options chaosOptions, orders *[]audit.Order,
-) (broken chaos.Outcome, book *caller.Book, err error) {
+// breakFleet runs the operators and the schedule of faults side by side.
+func (e *environment) breakFleet(ctx context.Context, f *fleet.Fleet, steps []chaos.Step, options chaosOptions,
+) (orders []audit.Order, broken chaos.Outcome, err error) {
 	operators := &chaos.Operators{
 		Cores: slices.Clone(f.CoreAddresses()), Token: f.OperatorToken(), KeyName: fleet.SignOffKey, Sign: f.SignOff, Logger: e.logger,
 	}
@@ -121,15 +126,10 @@
 	const stream = 3
 	breaker := &chaos.Breaker{Fleet: f, Logger: e.logger, Random: rand.New(rand.NewPCG(options.seed, stream))}
 	var sides sync.WaitGroup
-	var broke error
-	sides.Go(func() { *orders = append(*orders, operators.Run(operating)...) })
-	sides.Go(func() { broken, broke = breaker.Run(ctx, steps) })
-	book, err = e.talk(ctx, callers)
+	sides.Go(func() { orders = operators.Run(operating) })
+	broken, err = breaker.Run(ctx, steps)
 	sides.Wait()
-	if err = errors.CombineErrors(err, broke); err != nil {
-		return broken, nil, err
-	}
-	return broken, book, e.verify(ctx, f, callers, book)
+	return orders, broken, err
 }
 
 func (e *environment) printFaults(broken chaos.Outcome) {
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -33,6 +33,11 @@
 
 func (e *ViolationError) Error() string { return e.What }
 
+func isViolation(err error) bool {
+	var violation *ViolationError
+	return errors.As(err, &violation)
+}
+
 // environment is what all commands share.
 type environment struct {
 	output io.Writer
@@ -108,8 +113,6 @@
 	return root
 }
 
-func selfID() int { return os.Getpid() }
-
 func ownFolder() string {
 	path, err := os.Executable()
 	if err != nil {
--- a/internal/lab/command/experiment.go
+++ b/internal/lab/command/experiment.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
@@ -15,6 +14,7 @@
 	"github.com/rosestand/rosestand/internal/lab/experiment"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
 	"github.com/rosestand/rosestand/internal/lab/report"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -132,39 +132,43 @@
 	if err != nil {
 		return "", nil, false, err
 	}
-	f, err := e.newFleet("experiment", fleet.Options{Sizes: sizes, LogLevel: "warn", Rates: file.Rates, Faults: file.Faults})
-	if err != nil {
-		return "", nil, false, err
-	}
-	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
+	layout := fleet.Options{Sizes: sizes, LogLevel: "warn", Rates: file.Rates, Faults: file.Faults}
+	err = e.withFleet("experiment", layout, func(f *fleet.Fleet) error {
+		folder = f.Folder()
+		book, clean, err = e.armOn(ctx, f, file, seed, arm, candidate)
+		return err
+	})
+	return folder, book, clean, err
+}
+
+func (e *environment) armOn(ctx context.Context, f *fleet.Fleet, file *experiment.File, seed uint64, arm, candidate *experiment.Arm) (book *caller.Book, clean bool, err error) {
 	first, err := arm.Apply(f.Bundle(firstBundle))
 	if err != nil {
-		return f.Folder(), nil, false, err
+		return nil, false, err
 	}
 	orders, err := e.startWith(ctx, f, first)
 	if err != nil {
-		return f.Folder(), nil, false, err
+		return nil, false, err
 	}
 	if candidate != nil {
 		if err := e.rollOut(ctx, f, first, candidate, file.ShareBasisPoints); err != nil {
-			return f.Folder(), nil, false, err
+			return nil, false, err
 		}
 	}
 	callers := e.callers(f, file.Site, file.Load, file.Duration(), seed)
 	callers.Shape = file.Shape
 	if book, err = e.converse(ctx, f, callers); err != nil {
-		return f.Folder(), nil, false, err
+		return nil, false, err
 	}
 	evidence := &audit.Evidence{Book: book, Orders: orders}
 	if candidate != nil {
 		evidence.Candidates = []uint64{first.GetVersion() + 1}
 	}
 	err = e.audit(f.Folder(), evidence)
-	var violation *ViolationError
-	if errors.As(err, &violation) {
-		return f.Folder(), book, false, nil
+	if isViolation(err) {
+		return book, false, nil
 	}
-	return f.Folder(), book, true, err
+	return book, true, err
 }
 
 // rollOut signs the candidate off for a share of the programs.
@@ -178,7 +182,7 @@
 	if err := f.DeliverCandidate(ctx, next, "--share", percent); err != nil {
 		return err
 	}
-	pause(ctx, rolloutSettles)
+	wait.For(ctx, rolloutSettles)
 	return nil
 }
 
--- a/internal/lab/command/fleet.go
+++ b/internal/lab/command/fleet.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/rosestand/rosestand/internal/lab/fleet"
@@ -36,17 +35,14 @@
 	return command
 }
 
-func (e *environment) keepFleet(ctx context.Context, options fleet.Options) (err error) {
-	f, err := e.newFleet("fleet", options)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
-	if _, err := e.start(ctx, f); err != nil {
-		return err
-	}
-	e.printUsage(f)
-	return watch(ctx, f)
+func (e *environment) keepFleet(ctx context.Context, options fleet.Options) error {
+	return e.withFleet("fleet", options, func(f *fleet.Fleet) error {
+		if _, err := e.start(ctx, f); err != nil {
+			return err
+		}
+		e.printUsage(f)
+		return watch(ctx, f)
+	})
 }
 
 // watch returns when the command is interrupted or a process ends unasked.
--- a/internal/lab/command/killone.go
+++ b/internal/lab/command/killone.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +17,7 @@
 	"github.com/rosestand/rosestand/internal/lab/killone"
 	"github.com/rosestand/rosestand/internal/lab/report"
 	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/ring"
 )
@@ -78,8 +78,7 @@
 	var violated error
 	for _, mode := range []protocol.SalvageMode{protocol.SalvageMode_SALVAGE, protocol.SalvageMode_END_SESSIONS} {
 		arm, err := e.killArm(ctx, options, sizes, mode)
-		var violation *ViolationError
-		if errors.As(err, &violation) {
+		if isViolation(err) {
 			violated = errors.CombineErrors(violated, err)
 		} else if err != nil {
 			return err
@@ -90,46 +89,45 @@
 	return violated
 }
 
+// killArm runs one arm on a fleet of its own. The arm is there also when its audit found a violation.
 func (e *environment) killArm(ctx context.Context, options killOptions, sizes site.Sizes, mode protocol.SalvageMode) (arm *killArm, err error) {
-	f, err := e.newFleet("kill-one-"+mode.String(), fleet.Options{Sizes: sizes, LogLevel: "info"})
-	if err != nil {
-		return nil, err
-	}
-	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
-	first := f.Bundle(1)
-	first.Recovery.SalvageMode = mode
+	arm = &killArm{Mode: mode.String(), times: report.NewTimes()}
+	err = e.withFleet("kill-one-"+mode.String(), fleet.Options{Sizes: sizes, LogLevel: "info"}, func(f *fleet.Fleet) error {
+		first := f.Bundle(firstBundle)
+		first.Recovery.SalvageMode = mode
+		return e.killOn(ctx, f, options, first, arm)
+	})
+	return arm, err
+}
+
+func (e *environment) killOn(ctx context.Context, f *fleet.Fleet, options killOptions, first *protocol.Bundle, arm *killArm) error {
 	orders, err := e.startWith(ctx, f, first)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	load := caller.DefaultLoad()
 	load.ConversationsPerSecond, load.BurstFactor = options.rate, 1
 	callers := e.callers(f, site.Name(options.site), load, killWarmUp+time.Duration(options.kills)*killWindow, options.seed)
 	callers.Shape.LongShare, callers.Shape.ThinkMillis, callers.Shape.SmallBudgetShare = 1, killThinking, 0
-	arm = &killArm{Mode: mode.String(), times: report.NewTimes()}
-	var killing sync.WaitGroup
-	var broke error
 	var disturbed []audit.Interval
-	killing.Go(func() { disturbed, broke = arm.kill(ctx, f, options.kills) })
-	book, err := e.talk(ctx, callers)
-	killing.Wait()
-	if err = errors.CombineErrors(err, broke); err != nil {
-		return nil, err
-	}
-	if err := e.verify(ctx, f, callers, book); err != nil {
-		return nil, err
+	book, err := e.converseBeside(ctx, f, callers, func() (err error) {
+		disturbed, err = arm.kill(ctx, f, options.kills)
+		return err
+	})
+	if err != nil {
+		return err
 	}
 	arm.count(book)
 	if err := arm.save(f.Folder()); err != nil {
-		return nil, err
+		return err
 	}
-	return arm, e.audit(f.Folder(), &audit.Evidence{Book: book, Orders: orders, Disturbed: disturbed})
+	return e.audit(f.Folder(), &audit.Evidence{Book: book, Orders: orders, Disturbed: disturbed})
 }
 
 // kill loses one front node after another and starts each again.
 func (a *killArm) kill(ctx context.Context, f *fleet.Fleet, kills int) ([]audit.Interval, error) {
 	var disturbed []audit.Interval
-	if !pause(ctx, killWarmUp) {
+	if !wait.For(ctx, killWarmUp) {
 		return nil, ctx.Err()
 	}
 	fronts := f.Members(fleet.KindFront)
@@ -147,7 +145,7 @@
 			return disturbed, err
 		}
 		a.kills = append(a.kills, loss)
-		if !pause(ctx, killWindow-killDown) {
+		if !wait.For(ctx, killWindow-killDown) {
 			return disturbed, ctx.Err()
 		}
 		disturbed = append(disturbed, audit.Interval{From: begun, To: time.Now(), Processes: []string{victim.Name, victim.HTTP}})
@@ -193,17 +191,6 @@
 	return addresses
 }
 
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (e *environment) printKills(options killOptions, arms []*killArm) {
 	title := fmt.Sprintf("Loss of one front node, %s, %d losses an arm, seed %d", options.site, options.kills, options.seed)
 	rows := report.NewTable(e.output, title, "mode", "owned by it", "held there, owned elsewhere", "of them kept",
--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/rosestand/rosestand/internal/lab/process"
 	"github.com/rosestand/rosestand/internal/lab/report"
 	"github.com/rosestand/rosestand/internal/lab/site"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -91,25 +93,25 @@
 	resident uint64
 }
 
-func (e *environment) scale(ctx context.Context, options scaleOptions) (err error) {
+func (e *environment) scale(ctx context.Context, options scaleOptions) error {
 	if err := options.validate(); err != nil {
 		return err
 	}
-	f, err := e.newFleet("scale", fleet.Options{
+	layout := fleet.Options{
 		Sizes:    site.Sizes{Voters: options.voters, Standbys: options.standbys, Stores: 3, Zones: options.zones},
 		LogLevel: "warn",
-	})
-	if err != nil {
-		return err
 	}
-	defer func() { err = errors.CombineErrors(err, e.stop(f)) }()
+	return e.withFleet("scale", layout, func(f *fleet.Fleet) error { return e.scaleOn(ctx, f, options) })
+}
+
+func (e *environment) scaleOn(ctx context.Context, f *fleet.Fleet, options scaleOptions) (err error) {
 	if err := f.Start(ctx, fleet.KindCore, fleet.KindStore); err != nil {
 		return err
 	}
 	if _, err := f.DeliverBundle(ctx, f.Bundle(firstBundle)); err != nil {
 		return err
 	}
-	idle, err := process.UsageOf(selfID())
+	idle, err := process.UsageOf(os.Getpid())
 	if err != nil {
 		return err
 	}
@@ -156,7 +158,7 @@
 	}
 	result.ownedIn = time.Since(begun)
 	e.logger.Info("sessions registered", "sessions", result.owned, "refusals", result.refusals, "after", result.ownedIn.Round(time.Millisecond))
-	pause(ctx, quietBeforeRest)
+	wait.For(ctx, quietBeforeRest)
 	coreBefore, err := coreUsage(f)
 	if err != nil {
 		return err
@@ -195,7 +197,7 @@
 		if err != nil {
 			return err
 		}
-		if !pause(ctx, every-time.Since(begun)) {
+		if !wait.For(ctx, every-time.Since(begun)) {
 			return ctx.Err()
 		}
 		arrived := herd.Arrivals(int(version), orders[len(orders)-1].SentAt)
--- a/internal/lab/fleet/layout.go
+++ b/internal/lab/fleet/layout.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
-
-	"github.com/rosestand/rosestand/internal/lab/site"
 )
 
 // Kind is the kind of a process of the fleet.
@@ -90,9 +88,6 @@
 	return &Member{}
 }
 
-// zoneName is the name of a zone as settings carry it.
-func zoneName(sizes site.Sizes, zone int) string { return sizes.Zone(zone) }
-
 func (f *Fleet) dataFolder(member *Member) string {
 	return filepath.Join(f.options.Folder, "data", member.Name)
 }
--- a/internal/lab/hollow/memory.go
+++ b/internal/lab/hollow/memory.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // memoryNetwork connects the hollow nodes of this process with each other
@@ -48,7 +49,7 @@
 	case <-listener.closed:
 		return nil, &UnreachableError{Address: address}
 	case <-ctx.Done():
-		return nil, fmt.Errorf("dial %s: %w", address, ctx.Err())
+		return nil, errors.Wrapf(ctx.Err(), "dial %s", address)
 	}
 }
 
--- a/internal/lab/modelserver/server.go
+++ b/internal/lab/modelserver/server.go
@@ -5,11 +5,9 @@
 package modelserver
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -123,15 +121,3 @@
 		standin.Abort(c, http.StatusServiceUnavailable, string(reason), "")
 	}
 }
-
-// wait pauses a handler for a fault; false when the caller went away first.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/modelserver/stream.go
+++ b/internal/lab/modelserver/stream.go
@@ -8,6 +8,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/rosestand/rosestand/internal/lab/standin"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 )
 
 // stream writes one generation to its caller, with the fault picked for it.
@@ -95,7 +96,7 @@
 	case standin.FaultLoseAnswer:
 		return s.discard(ctx)
 	case standin.FaultLate:
-		if !wait(ctx, s.server.faults.Plan().Late()) {
+		if !wait.For(ctx, s.server.faults.Plan().Late()) {
 			return endedCancelled
 		}
 	}
@@ -133,7 +134,7 @@
 func (s *stream) breakOff(ctx context.Context) ending {
 	switch s.generation.fault {
 	case standin.FaultStall:
-		if !wait(ctx, s.server.faults.Plan().Stall()) {
+		if !wait.For(ctx, s.server.faults.Plan().Stall()) {
 			return endedCancelled
 		}
 		return endedStalled
--- a/internal/lab/toolserver/server.go
+++ b/internal/lab/toolserver/server.go
@@ -16,6 +16,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/rosestand/rosestand/internal/lab/standin"
+	"github.com/rosestand/rosestand/internal/lab/wait"
 )
 
 const (
@@ -188,7 +189,7 @@
 func (s *Server) run(c *gin.Context, entry standin.Entry, plan *standin.FaultPlan) {
 	s.record(entry, standin.PhaseStarted, "")
 	// The effect does not depend on the caller staying.
-	pause(context.WithoutCancel(c.Request.Context()), s.work())
+	wait.For(context.WithoutCancel(c.Request.Context()), s.work())
 	s.record(entry, standin.PhaseFinished, "whole")
 	ctx := c.Request.Context()
 	switch entry.Fault {
@@ -196,9 +197,9 @@
 		standin.Cut(c)
 		return
 	case standin.FaultLate:
-		pause(ctx, plan.Late())
+		wait.For(ctx, plan.Late())
 	case standin.FaultStall:
-		pause(ctx, plan.Stall())
+		wait.For(ctx, plan.Stall())
 		standin.Cut(c)
 		return
 	case standin.FaultGarbage:
@@ -220,12 +221,3 @@
 	entry.Reason = reason
 	_ = s.journal.Append(entry)
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
