--- a/internal/store/fleet_test.go
+++ b/internal/store/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"runtime"
@@ -12,10 +11,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/corelink"
@@ -25,7 +22,6 @@
 	"github.com/rosestand/rosestand/internal/storage"
 	"github.com/rosestand/rosestand/internal/storage/simdisk"
 	"github.com/rosestand/rosestand/internal/store"
-	"github.com/rosestand/rosestand/internal/wire"
 )
 
 const (
@@ -373,132 +369,3 @@
 		}
 	}
 }
-
-// network passes requests to the stores in this process.
-type network struct {
-	fleet *fleet
-	from  string
-}
-
-func (n *network) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
-	n.fleet.mutex.Lock()
-	to := n.fleet.members[address].store
-	cut := n.fleet.cut[address] || n.fleet.cut[n.from]
-	intercept := n.fleet.intercept
-	n.fleet.mutex.Unlock()
-	if cut || to == nil {
-		return nil, &wire.NotSentError{Address: address, Cause: errors.New("cut")}
-	}
-	if intercept != nil {
-		intercept(address, request)
-	}
-	var answer *protocol.Response
-	err := to.Serve(ctx, proto.CloneOf(request), func(response *protocol.Response) error {
-		answer = proto.CloneOf(response)
-		return nil
-	})
-	return answer, err
-}
-
-func (n *network) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
-	return nil, errors.New("stores are not streamed to")
-}
-
-// link is a store's link to the core, which the fleet plays itself.
-type link struct{ fleet *fleet }
-
-func (l *link) View() *corelink.View                     { return l.fleet.View() }
-func (l *link) Ready() bool                              { return true }
-func (l *link) LocateCore() *protocol.LocateCoreResponse { return &protocol.LocateCoreResponse{} }
-
-func (l *link) CallCore(_ context.Context, request *protocol.Request) (*protocol.Response, error) {
-	l.fleet.shardCopied(request.GetShardCopied())
-	return &protocol.Response{}, nil
-}
-
-// program drives one session through its turns.
-type program struct {
-	fleet    *fleet
-	name     string
-	epoch    uint64
-	turns    []string
-	requests int
-	// padding lengthens the text of each turn.
-	padding string
-}
-
-func (f *fleet) program(name string) *program {
-	GinkgoHelper()
-	p := &program{fleet: f, name: name}
-	p.claim("front-1", 1)
-	return p
-}
-
-func (p *program) claim(owner string, incarnation uint64) {
-	GinkgoHelper()
-	result := p.fleet.do(&protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ClaimSession{ClaimSession: &protocol.ClaimSession{
-		Session: p.name, Owner: owner, OwnerIncarnation: incarnation, Tenant: "tenant", Budget: 1_000_000,
-	}}})
-	Expect(result.GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
-	p.epoch = result.GetEpoch()
-}
-
-func (p *program) last() string {
-	if len(p.turns) == 0 {
-		return ""
-	}
-	return p.turns[len(p.turns)-1]
-}
-
-func (p *program) reserve() *protocol.LedgerOperation {
-	p.requests++
-	return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: &protocol.ReserveTurn{
-		RequestId: fmt.Sprintf("%s-r%d", p.name, p.requests), Session: p.name, Epoch: p.epoch, Ceiling: 10, PreviousTurn: p.last(),
-	}}}
-}
-
-func (p *program) settle() *protocol.LedgerOperation {
-	request := fmt.Sprintf("%s-r%d", p.name, p.requests)
-	return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: &protocol.SettleTurn{
-		RequestId: request, Session: p.name, Epoch: p.epoch, Tokens: 7, Turn: &protocol.Turn{
-			Id: "turn_" + request, Program: p.name, Session: p.name, RequestId: request, PreviousTurn: p.last(),
-			KeptAtMillis: p.fleet.clock.Now().UnixMilli(), Output: []*protocol.Item{{Role: "assistant", Text: request + p.padding}},
-		},
-	}}}
-}
-
-func (p *program) takeTurn() {
-	GinkgoHelper()
-	Expect(p.fleet.do(p.reserve()).GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
-	p.finishTurn()
-}
-
-func (p *program) finishTurn() {
-	GinkgoHelper()
-	operation := p.settle()
-	Expect(p.fleet.do(operation).GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
-	p.turns = append(p.turns, operation.GetSettleTurn().GetTurn().GetId())
-}
-
-func (p *program) readTurns(last string) *protocol.LedgerOperation {
-	return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReadTurns{ReadTurns: &protocol.ReadTurns{LastTurn: last}}}
-}
-
-// expectKept reads everything that was acknowledged.
-func (p *program) expectKept() {
-	GinkgoHelper()
-	record := p.fleet.do(&protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReadProgram{}})
-	Expect(record.GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
-	Expect(record.GetProgram().GetSettled()).To(BeNumerically(">=", 7*len(p.turns)))
-	history := p.fleet.do(p.readTurns(p.last()))
-	Expect(history.GetStatus()).To(Equal(protocol.LedgerStatus_LEDGER_OK))
-	Expect(history.GetTurns()).To(HaveLen(len(p.turns)))
-	for place, turn := range history.GetTurns() {
-		Expect(turn.GetId()).To(Equal(p.turns[len(p.turns)-1-place]))
-	}
-}
-
-var _ = BeforeEach(func() {
-	ignored := goleak.IgnoreCurrent()
-	DeferCleanup(func() { Eventually(func() error { return goleak.Find(ignored) }).Should(Succeed()) })
-})
--- a/internal/store/proposal.go
+++ b/internal/store/proposal.go
@@ -137,36 +137,29 @@
 
 // apply decides each operation of the batch on what the one before left.
 func (p *proposal) apply(current []byte) (next []byte, changed bool, err error) {
-	now := p.group.store.options.Clock.Now()
-	p.results = p.results[:0]
 	if p.key.call != "" {
-		return p.applyCall(current, now)
-	}
-	record, err := decodeProgram(current)
-	if err != nil {
-		return nil, false, err
-	}
-	for _, op := range p.active {
-		after, result := ledger.Apply(record, op.message, now)
-		if after != nil {
-			record, changed = after, true
-		}
-		p.results = append(p.results, result)
-	}
-	if !changed {
-		return nil, false, nil
+		return applyBatch(p, current, decodeCall, ledger.ApplyCall)
 	}
-	next, err = proto.Marshal(record)
-	return next, true, err
+	return applyBatch(p, current, decodeProgram, ledger.Apply)
 }
 
-func (p *proposal) applyCall(current []byte, now time.Time) (next []byte, changed bool, err error) {
-	record, err := decodeCall(current)
+// applyBatch collects the results of the batch and encodes the record that it
+// left. Decide returns a nil record when the operation changes nothing.
+func applyBatch[T any, R interface {
+	*T
+	proto.Message
+}](
+	p *proposal, current []byte, decode func([]byte) (R, error),
+	decide func(R, *protocol.LedgerOperation, time.Time) (R, *protocol.LedgerResult),
+) (next []byte, changed bool, err error) {
+	now := p.group.store.options.Clock.Now()
+	p.results = p.results[:0]
+	record, err := decode(current)
 	if err != nil {
 		return nil, false, err
 	}
 	for _, op := range p.active {
-		after, result := ledger.ApplyCall(record, op.message, now)
+		after, result := decide(record, op.message, now)
 		if after != nil {
 			record, changed = after, true
 		}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
@@ -160,12 +158,6 @@
 	}
 }
 
-// errSilent and errIdle tell apart a peer that does not answer and a connection no longer used.
-var (
-	errSilent = errors.New("peer is silent")
-	errIdle   = errors.New("connection is idle")
-)
-
 // check is called by the pool at every ping interval: it pings while exchanges
 // are under way, breaks a silent connection and closes an idle one.
 func (c *clientConnection) check(now time.Time, idle time.Duration) {
@@ -176,9 +168,9 @@
 	c.mutex.Unlock()
 	switch {
 	case silent:
-		c.breakWith(errSilent)
+		c.breakWith(&SilentPeerError{Limit: silenceLimit})
 	case unused:
-		c.breakWith(errIdle)
+		c.breakWith(&IdleError{})
 	case busy:
 		_ = c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_PING})
 	}
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -203,7 +203,7 @@
 	connection.mutex.Lock()
 	cause := connection.broken
 	connection.mutex.Unlock()
-	if errors.Is(cause, errIdle) || errors.HasType(cause, (*ClosedError)(nil)) {
+	if errors.HasType(cause, (*IdleError)(nil)) || errors.HasType(cause, (*ClosedError)(nil)) {
 		return
 	}
 	p.mutex.Lock()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -111,3 +111,15 @@
 type ClosedError struct{}
 
 func (e *ClosedError) Error() string { return "closed" }
+
+// SilentPeerError says that a peer answered neither requests nor pings for the limit.
+type SilentPeerError struct {
+	Limit time.Duration
+}
+
+func (e *SilentPeerError) Error() string { return "peer was silent for " + e.Limit.String() }
+
+// IdleError says that a connection was closed because nobody used it.
+type IdleError struct{}
+
+func (e *IdleError) Error() string { return "connection was idle" }
