Send whole configurations packed, once for all nodes

Cause: 330 nodes that start anew at once asked the leader for 190 MB of whole bundles, encoded for each node. A configuration is packed once for each version and shared; damaged, oversized or wrong content is asked for again plain.

--- a/internal/core/delivery_test.go
+++ b/internal/core/delivery_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/controlstate"
 	"github.com/rosestand/rosestand/internal/core"
+	"github.com/rosestand/rosestand/internal/packing"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/views"
 )
@@ -71,7 +72,11 @@
 // ofAnswer adds up the sections of an answer; their numbers are below 16, so each tag takes one byte.
 func (s sizes) ofAnswer(answer *protocol.PollControlResponse) int {
 	total := 0
-	answer.ProtoReflect().Range(func(_ protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+	answer.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		if field.Kind() == protoreflect.BytesKind {
+			total += protowire.SizeTag(1) + protowire.SizeBytes(len(value.Bytes()))
+			return true
+		}
 		total += s.of(value.Message())
 		return true
 	})
@@ -198,7 +203,7 @@
 			continue
 		}
 		answer, err := d.leader.call(&protocol.Request{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{
-			Node: w.node.GetName(), Incarnation: w.node.GetIncarnation(), Known: w.known, AcceptsDeltas: d.deltas,
+			Node: w.node.GetName(), Incarnation: w.node.GetIncarnation(), Known: w.known, AcceptsDeltas: d.deltas, AcceptsPackedConfiguration: d.deltas,
 		}}})
 		Expect(err).NotTo(HaveOccurred())
 		w.take(answer.GetPollControl(), d.sizes)
@@ -228,8 +233,14 @@
 	}
 	w.answers++
 	w.bytes += size
-	w.policies += proto.Size(answer.GetConfiguration()) + proto.Size(answer.GetConfigurationDelta())
-	var err error
+	w.policies += proto.Size(answer.GetConfiguration()) + proto.Size(answer.GetConfigurationDelta()) + len(answer.GetPackedConfiguration())
+	whole, err := answer.GetConfiguration(), error(nil)
+	if packed := answer.GetPackedConfiguration(); packed != nil {
+		Expect(whole).To(BeNil())
+		whole, err = packing.UnpackConfiguration(packed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bundle.Digest(whole.GetActive())).To(Equal(whole.GetActiveDigest()))
+	}
 	switch delta := answer.GetMembershipDelta(); {
 	case delta != nil:
 		w.membership, err = views.ApplyMembership(w.membership, delta)
@@ -252,7 +263,7 @@
 	}
 	Expect(err).NotTo(HaveOccurred())
 	w.known = &protocol.ControlVersions{
-		Configuration: max(w.known.GetConfiguration(), answer.GetConfiguration().GetVersion(), answer.GetConfigurationDelta().GetVersion()),
+		Configuration: max(w.known.GetConfiguration(), whole.GetVersion(), answer.GetConfigurationDelta().GetVersion()),
 		Membership:    w.membership.GetVersion(), BackEnds: w.backEnds.GetVersion(), Placement: w.placement.GetEpoch(),
 	}
 }
--- /dev/null
+++ b/internal/core/packed_test.go
@@ -0,0 +1,89 @@
+package core_test
+
+import (
+	"crypto/ed25519"
+	"encoding/hex"
+	"math/rand/v2"
+	"unsafe"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/core"
+	"github.com/rosestand/rosestand/internal/packing"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// pollBytes reads the bytes counted for a kind of section.
+func pollBytes(registry *prometheus.Registry, kind string) float64 {
+	GinkgoHelper()
+	families, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range families {
+		if family.GetName() != "rosestand_core_poll_bytes_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			if metric.GetLabel()[0].GetValue() == kind {
+				return metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+var _ = Describe("a whole configuration", func() {
+	var d *delivery
+	var registry *prometheus.Registry
+	BeforeEach(func() {
+		registry = prometheus.NewRegistry()
+		public, private, err := ed25519.GenerateKey(rand.NewChaCha8([32]byte{5}))
+		Expect(err).NotTo(HaveOccurred())
+		d = &delivery{private: private, fleet: newFleet(1, func(options *core.Options) { options.Registerer = registry })}
+		d.leader = d.fleet.lead(d.fleet.members[0])
+		d.propose(&protocol.Command{Body: &protocol.Command_SeedSignOffKeys{SeedSignOffKeys: &protocol.SeedSignOffKeysCommand{
+			Keys: []*protocol.SignOffKey{{Name: "ann", PublicKey: hex.EncodeToString(public)}},
+		}}})
+		d.putInForce(fleetBundle())
+	})
+	poll := func(name string, known uint64, packed bool) *protocol.PollControlResponse {
+		GinkgoHelper()
+		answer, err := d.leader.call(&protocol.Request{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{
+			Node: name, Known: &protocol.ControlVersions{Configuration: known}, AcceptsDeltas: true, AcceptsPackedConfiguration: packed,
+		}}})
+		Expect(err).NotTo(HaveOccurred())
+		return answer.GetPollControl()
+	}
+
+	It("is packed once for all nodes that take it, and counted as sent", func() {
+		first, second := poll("f1", 0, true), poll("f2", 0, true)
+		Expect(first.GetConfiguration()).To(BeNil())
+		unpacked, err := packing.UnpackConfiguration(first.GetPackedConfiguration())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(proto.Equal(unpacked, d.leader.machine.View().Configuration)).To(BeTrue())
+		Expect(unsafe.SliceData(second.GetPackedConfiguration())).To(BeIdenticalTo(unsafe.SliceData(first.GetPackedConfiguration())))
+		Expect(pollBytes(registry, "configuration_packed")).To(BeEquivalentTo(2 * len(first.GetPackedConfiguration())))
+		Expect(pollBytes(registry, "configuration")).To(BeZero())
+	})
+
+	It("is sent plain to a node that does not say that it takes it packed", func() {
+		Expect(poll("f1", 0, true).GetPackedConfiguration()).NotTo(BeEmpty())
+		plain := poll("f2", 0, false)
+		Expect(plain.GetPackedConfiguration()).To(BeEmpty())
+		Expect(proto.Equal(plain.GetConfiguration(), d.leader.machine.View().Configuration)).To(BeTrue())
+		Expect(pollBytes(registry, "configuration")).To(BeEquivalentTo(proto.Size(plain.GetConfiguration())))
+	})
+
+	It("is packed anew for a new version, and a change is still sent as a delta", func() {
+		known := d.leader.machine.View().Configuration.GetVersion()
+		former := poll("f1", 0, true).GetPackedConfiguration()
+		d.putInForce(&protocol.Bundle{Version: 2, BaseVersion: 1, Partial: true, Routes: []*protocol.Route{{Name: "extra", Model: "extra", Group: "assistants"}}})
+		// Another node than before: what f1 was just sent would hold its answer back.
+		delta := poll("f2", known, true)
+		Expect(delta.GetConfigurationDelta()).NotTo(BeNil())
+		Expect(delta.GetPackedConfiguration()).To(BeEmpty())
+		Expect(poll("f3", 0, true).GetPackedConfiguration()).NotTo(Equal(former))
+	})
+})
--- a/internal/core/poll.go
+++ b/internal/core/poll.go
@@ -103,7 +103,9 @@
 		if section.version <= version {
 			return
 		}
-		part := section.answer(version, request.GetAcceptsDeltas())
+		part := section.answer(sectionRequest{
+			known: version, deltas: request.GetAcceptsDeltas(), packed: request.GetAcceptsPackedConfiguration(),
+		})
 		part.set(answer)
 		s.metrics.pollSections.WithLabelValues(part.kind).Inc()
 		s.metrics.pollBytes.WithLabelValues(part.kind).Add(float64(part.bytes))
--- a/internal/core/sections.go
+++ b/internal/core/sections.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/packing"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/views"
 )
@@ -25,28 +26,29 @@
 // version known. Whoever asks first makes it, the others wait for it.
 type section struct {
 	version uint64
-	make    func(known uint64, deltas bool) sectionAnswer
+	make    func(request sectionRequest) sectionAnswer
 
 	mutex   sync.Mutex
 	answers map[sectionRequest]sectionAnswer
 }
 
+// sectionRequest is the version known and the forms that the node takes.
 type sectionRequest struct {
 	known  uint64
 	deltas bool
+	packed bool
 }
 
-func newSection(version uint64, produce func(known uint64, deltas bool) sectionAnswer) *section {
+func newSection(version uint64, produce func(request sectionRequest) sectionAnswer) *section {
 	return &section{version: version, make: produce, answers: map[sectionRequest]sectionAnswer{}}
 }
 
-func (s *section) answer(known uint64, deltas bool) sectionAnswer {
-	request := sectionRequest{known: known, deltas: deltas}
+func (s *section) answer(request sectionRequest) sectionAnswer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	made, kept := s.answers[request]
 	if !kept {
-		made = s.make(known, deltas)
+		made = s.make(request)
 		if len(s.answers) >= maxCachedAnswers {
 			clear(s.answers)
 		}
@@ -82,13 +84,26 @@
 }
 
 func configurationSection(view *controlstate.View) *section {
-	return newSection(view.Configuration.GetVersion(), func(known uint64, _ bool) sectionAnswer {
-		whole, delta := view.ConfigurationSince(known)
+	// Nil when it cannot be packed; then it is sent plain.
+	packed := sync.OnceValue(func() []byte {
+		made, err := packing.PackConfiguration(view.Configuration)
+		if err != nil {
+			return nil
+		}
+		return made
+	})
+	return newSection(view.Configuration.GetVersion(), func(request sectionRequest) sectionAnswer {
+		whole, delta := view.ConfigurationSince(request.known)
 		if delta != nil {
 			return sectionAnswer{kind: "configuration_delta", bytes: proto.Size(delta), set: func(answer *protocol.PollControlResponse) {
 				answer.ConfigurationDelta = delta
 			}}
 		}
+		if request.packed && packed() != nil {
+			return sectionAnswer{kind: "configuration_packed", bytes: len(packed()), set: func(answer *protocol.PollControlResponse) {
+				answer.PackedConfiguration = packed()
+			}}
+		}
 		return sectionAnswer{kind: "configuration", bytes: proto.Size(whole), set: func(answer *protocol.PollControlResponse) {
 			answer.Configuration = whole
 		}}
@@ -101,7 +116,9 @@
 	return newDeltaSection(whole.GetVersion(), "membership", whole,
 		func(known uint64) *protocol.MembershipDelta { return view.MembershipDelta(known, checksum()) },
 		func(answer *protocol.PollControlResponse) { answer.Membership = whole },
-		func(answer *protocol.PollControlResponse, delta *protocol.MembershipDelta) { answer.MembershipDelta = delta })
+		func(answer *protocol.PollControlResponse, delta *protocol.MembershipDelta) {
+			answer.MembershipDelta = delta
+		})
 }
 
 func backEndSection(view *controlstate.View) *section {
@@ -119,7 +136,9 @@
 	return newDeltaSection(whole.GetEpoch(), "placement", whole,
 		func(known uint64) *protocol.PlacementDelta { return view.PlacementDelta(known, checksum()) },
 		func(answer *protocol.PollControlResponse) { answer.Placement = whole },
-		func(answer *protocol.PollControlResponse, delta *protocol.PlacementDelta) { answer.PlacementDelta = delta })
+		func(answer *protocol.PollControlResponse, delta *protocol.PlacementDelta) {
+			answer.PlacementDelta = delta
+		})
 }
 
 // newDeltaSection makes a section that answers a node that takes deltas with
@@ -131,9 +150,9 @@
 	version uint64, kind string, whole proto.Message, since func(known uint64) D,
 	setWhole func(*protocol.PollControlResponse), setDelta func(*protocol.PollControlResponse, D),
 ) *section {
-	return newSection(version, func(known uint64, deltas bool) sectionAnswer {
-		if deltas {
-			if delta := since(known); delta != nil {
+	return newSection(version, func(request sectionRequest) sectionAnswer {
+		if request.deltas {
+			if delta := since(request.known); delta != nil {
 				return sectionAnswer{kind: kind + "_delta", bytes: proto.Size(delta), set: func(answer *protocol.PollControlResponse) {
 					setDelta(answer, delta)
 				}}
--- a/internal/corelink/apply.go
+++ b/internal/corelink/apply.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/packing"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/views"
 )
@@ -23,6 +24,8 @@
 // wholes names the sections to be asked for whole.
 type wholes struct {
 	configuration, membership, backEnds, placement bool
+	// plain asks for the configuration without packing, after a packed one did not fit.
+	plain bool
 }
 
 // forget makes a poll ask for the sections as if none of them were known.
@@ -66,6 +69,7 @@
 	whole = wholes{
 		configuration: configurationError != nil, membership: membershipError != nil,
 		backEnds: backEndsError != nil, placement: placementError != nil,
+		plain: configurationError != nil && len(answer.GetPackedConfiguration()) > 0,
 	}
 	return &view, changed, whole, errors.Join(configurationError, membershipError, backEndsError, placementError)
 }
@@ -105,7 +109,11 @@
 
 // newerConfiguration returns the newer configuration in the answer; nil when there is none.
 func newerConfiguration(held *protocol.Configuration, answer *protocol.PollControlResponse) (*protocol.Configuration, error) {
-	if whole := answer.GetConfiguration(); whole.GetVersion() > held.GetVersion() {
+	whole, err := wholeConfiguration(answer)
+	if err != nil {
+		return nil, err
+	}
+	if whole.GetVersion() > held.GetVersion() {
 		if err := checkDigests(whole); err != nil {
 			return nil, err
 		}
@@ -118,6 +126,14 @@
 	return bundle.ApplyDelta(held, delta)
 }
 
+// wholeConfiguration returns the whole configuration in the answer, plain or packed; nil when there is none.
+func wholeConfiguration(answer *protocol.PollControlResponse) (*protocol.Configuration, error) {
+	if packed := answer.GetPackedConfiguration(); len(packed) > 0 {
+		return packing.UnpackConfiguration(packed)
+	}
+	return answer.GetConfiguration(), nil
+}
+
 // checkDigests compares the bundles with the digests that operators signed.
 func checkDigests(configuration *protocol.Configuration) error {
 	if active := configuration.GetActive(); active != nil && bundle.Digest(active) != configuration.GetActiveDigest() {
--- a/internal/corelink/fakecore_test.go
+++ b/internal/corelink/fakecore_test.go
@@ -126,7 +126,7 @@
 func (c *fakeCore) poll(ctx context.Context, poll *protocol.PollControlRequest) (*protocol.Response, error) {
 	c.mutex.Lock()
 	c.polls = append(c.polls, proto.CloneOf(poll))
-	news, changed, dead := c.newer(poll.GetKnown()), c.changed, c.deadPolls
+	news, changed, dead := c.newer(poll), c.changed, c.deadPolls
 	c.mutex.Unlock()
 	wait := time.NewTimer(time.Duration(poll.GetWaitMillis()) * time.Millisecond)
 	defer wait.Stop()
@@ -142,7 +142,7 @@
 				return nil, ctx.Err()
 			}
 			c.mutex.Lock()
-			news, changed = c.newer(poll.GetKnown()), c.changed
+			news, changed = c.newer(poll), c.changed
 			c.mutex.Unlock()
 		}
 	}
@@ -152,9 +152,9 @@
 	return &protocol.Response{Body: &protocol.Response_PollControl{PollControl: news}}, nil
 }
 
-// newer is what a node with the versions given does not have; nil when there is nothing.
-func (c *fakeCore) newer(known *protocol.ControlVersions) *protocol.PollControlResponse {
-	news, found := &protocol.PollControlResponse{}, false
+// newer is what a node that polls so does not have; nil when there is nothing.
+func (c *fakeCore) newer(poll *protocol.PollControlRequest) *protocol.PollControlResponse {
+	known, news, found := poll.GetKnown(), &protocol.PollControlResponse{}, false
 	if membership := c.latest.GetMembership(); membership.GetVersion() > known.GetMembership() {
 		if delta := c.latest.GetMembershipDelta(); delta != nil && delta.GetBaseVersion() == known.GetMembership() {
 			news.MembershipDelta, found = delta, true
@@ -165,6 +165,8 @@
 	if configuration := c.latest.GetConfiguration(); configuration.GetVersion() > known.GetConfiguration() {
 		if delta := c.latest.GetConfigurationDelta(); delta.GetBaseVersion() == known.GetConfiguration() && delta != nil {
 			news.ConfigurationDelta = delta
+		} else if packed := c.latest.GetPackedConfiguration(); packed != nil && poll.GetAcceptsPackedConfiguration() {
+			news.PackedConfiguration = packed
 		} else {
 			news.Configuration = configuration
 		}
--- a/internal/corelink/metrics.go
+++ b/internal/corelink/metrics.go
@@ -31,7 +31,7 @@
 			Name: "rosestand_link_locates_total", Help: "Searches for the leader of the core.",
 		}),
 		mismatches: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "rosestand_link_delta_mismatches_total", Help: "Answers with a delta that did not fit or a configuration without its digest.",
+			Name: "rosestand_link_delta_mismatches_total", Help: "Answers with a delta that did not fit, or a configuration that was damaged, too large or without its digest.",
 		}),
 		versions: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "rosestand_link_version", Help: "Version read, by section.",
--- a/internal/corelink/owner.go
+++ b/internal/corelink/owner.go
@@ -37,7 +37,7 @@
 	pollStarted time.Time
 	cancelPoll  context.CancelFunc
 	pollWait    time.Duration
-	// wantWhole names the sections to be asked for whole after a delta did not fit.
+	// wantWhole names the sections to be asked for whole after what was sent did not fit.
 	wantWhole wholes
 	// wantFresh asks for a linearizable answer, after start and after authority was lost.
 	wantFresh bool
--- a/internal/corelink/poll.go
+++ b/internal/corelink/poll.go
@@ -46,6 +46,8 @@
 		Fresh:         fresh,
 		AcceptsDeltas: true,
 		Incarnation:   o.self.GetIncarnation(),
+
+		AcceptsPackedConfiguration: !whole.plain,
 	}
 	if fresh {
 		poll.WaitMillis = 0
@@ -64,7 +66,7 @@
 	next, changed, whole, mismatch := applyPoll(o.link.View(), answer)
 	if mismatch != nil {
 		o.link.metrics.mismatches.Inc()
-		o.link.logger.Warn("a delta does not fit; asking for the whole", "error", mismatch)
+		o.link.logger.Warn("a section does not fit; asking for the whole", "error", mismatch)
 	}
 	o.wantWhole = whole
 	if fresh && mismatch == nil && incarnation == o.self.GetIncarnation() {
