Keep the nonce with the turn

The kept turn now holds nonce and cached tokens, so an answer from the ledger is the one given before (new test failed before, passes after).

--- a/internal/turn/emit.go
+++ b/internal/turn/emit.go
@@ -52,6 +52,7 @@
 		}}},
 		{Attempt: attempt, Sequence: 3, Body: &protocol.TurnEvent_Completed{Completed: &protocol.TurnCompleted{
 			TurnId: kept.GetId(), Text: text.String(), InputTokens: kept.GetInputTokens(), OutputTokens: kept.GetOutputTokens(),
+			CachedTokens: kept.GetCachedTokens(), Nonce: kept.GetNonce(),
 		}}},
 	}
 }
--- /dev/null
+++ b/internal/turn/replay_test.go
@@ -0,0 +1,28 @@
+package turn_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+func TestAnAnswerReadFromTheLedgerIsTheOneGivenBefore(t *testing.T) {
+	s := newScript(&protocol.TurnRequest{}).on("issue", token, done).run()
+	first := s.last().GetCompleted()
+	if first.GetNonce() != "n1" || first.GetCachedTokens() == 0 {
+		t.Fatalf("the first answer was %v", first)
+	}
+	var kept *protocol.Turn
+	for _, command := range s.commands {
+		if settle, is := command.(turn.Settle); is {
+			kept = settle.Operation.GetTurn()
+		}
+	}
+	events := turn.Replay(kept, 2, "f2", 4)
+	if again := events[len(events)-1].GetCompleted(); !proto.Equal(again, first) {
+		t.Fatalf("the same answer from the ledger is %v, was %v", again, first)
+	}
+}
--- a/internal/turn/stream.go
+++ b/internal/turn/stream.go
@@ -75,6 +75,7 @@
 		InputTokens: m.done.InputTokens, OutputTokens: m.tokens,
 		KeptAtMillis: now.UnixMilli(), KeepUntilMillis: now.Add(m.parameters.KeepFor).UnixMilli(),
 		BackEnd: m.backEnd, Epoch: m.epoch, HistoryTokens: max(m.historyTokens, m.done.InputTokens) + m.tokens,
+		Nonce: m.done.Nonce, CachedTokens: m.done.CachedTokens,
 	}
 }
 
