--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -341,3 +341,45 @@
 		}
 	}
 }
+
+// A transfer may take longer than the leader takes to compact past the snapshot that was begun.
+func TestAMemberThatInstalledAnOldSnapshotGetsTheNewest(t *testing.T) {
+	s := newScript(t, 3, 0)
+	leader := s.elect(1)
+	leader.config.RetainedEntries = 1
+	s.pass = func(message *protocol.ConsensusMessage) bool { return message.GetTo() != 3 && message.GetFrom() != 3 }
+	compact := func() uint64 {
+		for range 5 {
+			if _, _, err := leader.Propose([][]byte{[]byte("x")}, s.now); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.run()
+		metadata := leader.SnapshotMetadata()
+		leader.Compact(metadata)
+		return metadata.GetIndex()
+	}
+	first := compact()
+	// What was sent ahead is lost, so that the member is asked where it stands.
+	leader.peer(3).probe(leader.peer(3).match + 1)
+	s.now = s.now.Add(DefaultHeartbeatInterval)
+	leader.Tick(s.now)
+	s.run()
+	if peer := leader.peer(3); peer.state != installing || peer.snapshot.GetIndex() != first {
+		t.Fatalf("the transfer of snapshot %d did not begin: %+v", first, peer)
+	}
+	newest := compact()
+	s.held = nil
+	if err := leader.Step(&protocol.ConsensusMessage{
+		Kind: protocol.ConsensusMessageKind_APPEND_RESPONSE, From: 3, To: 1, Term: leader.Term(), LogIndex: first,
+	}, s.now); err != nil {
+		t.Fatal(err)
+	}
+	s.run()
+	for _, message := range s.held {
+		if message.GetKind() == protocol.ConsensusMessageKind_SNAPSHOT_CHUNK && message.GetSnapshot().GetIndex() == newest {
+			return
+		}
+	}
+	t.Errorf("the member stays at %d for ever, snapshot %d was not begun", first, newest)
+}
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -49,6 +49,12 @@
 	return news
 }
 
+// installed reports whether the member needs no more of the snapshot that is sent to it: it holds
+// that snapshot, or all that the log does not.
+func (p *progress) installed(baseIndex uint64) bool {
+	return p.state == installing && (p.match >= baseIndex || p.match >= p.snapshot.GetIndex())
+}
+
 func (n *Node) peer(id uint64) *progress {
 	for _, peer := range n.peers {
 		if peer.id == id {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -196,7 +196,8 @@
 	}
 	news := peer.acknowledge(message.GetLogIndex())
 	switch {
-	case peer.state == installing && peer.match >= n.log.baseIndex:
+	case peer.installed(n.log.baseIndex):
+		// When the log begins later by now, the next append begins the newest snapshot.
 		peer.probe(peer.match + 1)
 		n.sendAppend(peer, now)
 	case peer.state == probing && peer.next-1 == message.GetLogIndex():
