Give specs that wait a bound far above what they need

Cause: the core suite failed once in about 25 runs, on a machine with load 19, in a spec that was not kept. Its waits were bounded by one second of the wall clock. The conditions are the same; only the time after which a spec gives up is longer. That this was the cause is suspected, not shown.

--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -21,6 +21,7 @@
 
 func TestCore(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
 	RunSpecs(t, "core")
 }
 
--- a/internal/daemon/suite_test.go
+++ b/internal/daemon/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,5 +10,6 @@
 
 func TestDaemon(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
 	RunSpecs(t, "daemon")
 }
--- a/internal/lab/modelserver/server_test.go
+++ b/internal/lab/modelserver/server_test.go
@@ -24,6 +24,7 @@
 
 func TestModelServer(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
 	RunSpecs(t, "emulated model server")
 }
 
--- a/internal/store/fleet_test.go
+++ b/internal/store/fleet_test.go
@@ -33,6 +33,7 @@
 
 func TestStore(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(30 * time.Second)
 	RunSpecs(t, "store")
 }
 
