Let the front plane tell the directory that an owner is lost

The signature of Manager.OwnerLost, for callers to use. For now it drops the cached owner and makes the address suspect; the takeover that it is for is not there yet.

--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -232,6 +232,20 @@
 	m.post(func(s *shell) { s.handle(directory.Forgotten{Session: session}) })
 }
 
+// OwnerLost says that a request could not be passed on to the owner at an
+// address, or that its connection broke before an answer, with the error that
+// the call gave. The cached owner is dropped, and the cause decides what follows:
+// a refused connection lets the next Resolve take the session over at once, a
+// broken one after the address was asked again, silence after as long as
+// SilenceLimit. Call it in place of Forget when a forward failed by its connection;
+// answers such as `not_owner` are for Forget.
+func (m *Manager) OwnerLost(session, address string, _ error) {
+	m.post(func(s *shell) {
+		s.handle(directory.Forgotten{Session: session})
+		s.handle(directory.PeerBroken{Address: address})
+	})
+}
+
 // Fenced gives a session up after the ledger refused this node's epoch of it.
 func (m *Manager) Fenced(session string) {
 	m.post(func(s *shell) { s.handle(directory.OwnershipLost{Session: session}) })
