Reserve first turns in one change, let turns fork, forget idle programs

A first turn claimed its session and then reserved, which are two changes of the program's register; ReserveTurn.claim makes them one, and its result names the epoch. The claim stands also when the turn is refused. Reservations are told apart by request id; another owner's claim charges all of them at their ceilings.

A program's record, and a call's, is taken for none once nothing changed it for its keeping time and none of its finished requests is kept for longer. The time is 24 hours unless the program names another one, 10 minutes at least. Replicas do not remove them yet.

The property test of packed requests kept its model of a record for ever; the model now forgets it at the time that it works out by itself.

--- a/internal/ledger/call.go
+++ b/internal/ledger/call.go
@@ -15,7 +15,11 @@
 // checked apart: the store reads the program's register after the intent is
 // chosen and answers LEDGER_OK only when the epoch was in force at that read, so
 // the permission to issue the call precedes every later claim of the session.
+// A record whose keeping time has ended is taken for none.
 func ApplyCall(record *protocol.CallRecord, operation *protocol.LedgerOperation, now time.Time) (*protocol.CallRecord, *protocol.LedgerResult) {
+	if CallKeptUntil(record) < now.UnixMilli() {
+		record = nil
+	}
 	switch body := operation.GetBody().(type) {
 	case *protocol.LedgerOperation_BeginCall:
 		return beginCall(record, operation.GetProgram(), body.BeginCall, now)
@@ -51,6 +55,7 @@
 		State:           protocol.CallState_CALL_INTENT,
 		Attempt:         begin.GetAttempt(),
 		UpdatedAtMillis: now.UnixMilli(),
+		KeepingMillis:   begin.GetKeepingMillis(),
 	}
 	return changed, callResult(protocol.LedgerStatus_LEDGER_OK, changed)
 }
@@ -97,6 +102,7 @@
 		RequestId:       refuse.GetRequestId(),
 		State:           protocol.CallState_CALL_NOT_RUN,
 		UpdatedAtMillis: now.UnixMilli(),
+		KeepingMillis:   refuse.GetKeepingMillis(),
 	}
 	return changed, callResult(protocol.LedgerStatus_LEDGER_OK, changed)
 }
@@ -114,5 +120,6 @@
 		UpdatedAtMillis: now.UnixMilli(),
 		Attempt:         record.GetAttempt(),
 		ContentType:     record.GetContentType(),
+		KeepingMillis:   record.GetKeepingMillis(),
 	}
 }
--- /dev/null
+++ b/internal/ledger/keeping.go
@@ -0,0 +1,42 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// KeepingTime is how long a finished request, a program after its last change and a call are
+	// remembered at least, unless the program names another time. A turn that is
+	// kept for longer prolongs it for its request and program.
+	KeepingTime = 24 * time.Hour
+	// ShortestKeepingTime bounds what a program may name: far above the time for which a message can be late.
+	ShortestKeepingTime = 10 * time.Minute
+)
+
+// keepingMillis gives the keeping time in force for the one that a record names.
+func keepingMillis(named int64) int64 {
+	if named <= 0 {
+		return KeepingTime.Milliseconds()
+	}
+	return max(named, ShortestKeepingTime.Milliseconds())
+}
+
+// ProgramKeptUntil tells in Unix milliseconds when a program's record may be
+// forgotten: nothing changed it for its keeping time, and none of its finished requests is kept for longer.
+func ProgramKeptUntil(record *protocol.ProgramRecord) int64 {
+	until := record.GetUpdatedAtMillis() + keepingMillis(record.GetKeepingMillis())
+	for _, finished := range record.GetFinished() {
+		until = max(until, finished.GetKeepUntilMillis())
+	}
+	for entry := range packedRequests(record.GetFinishedPacked()) {
+		until = max(until, entry.keepUntilMillis)
+	}
+	return until
+}
+
+// CallKeptUntil tells in Unix milliseconds when a call's record may be forgotten.
+func CallKeptUntil(record *protocol.CallRecord) int64 {
+	return record.GetUpdatedAtMillis() + keepingMillis(record.GetKeepingMillis())
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,17 +9,12 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-// KeepingTime is how long a finished request is remembered at least. A turn
-// that is kept for longer prolongs it for its request.
-const KeepingTime = 24 * time.Hour
-
 // maxIdentifierBytes bounds every identifier of an operation.
 const maxIdentifierBytes = 512
 
@@ -50,7 +45,7 @@
 // IsRead reports whether the operation changes nothing.
 func IsRead(operation *protocol.LedgerOperation) bool {
 	switch operation.GetBody().(type) {
-	case *protocol.LedgerOperation_ReadProgram, *protocol.LedgerOperation_ReadTurns:
+	case *protocol.LedgerOperation_ReadProgram, *protocol.LedgerOperation_ReadTurns, *protocol.LedgerOperation_FindTurn:
 		return true
 	default:
 		return false
--- a/internal/ledger/packed_test.go
+++ b/internal/ledger/packed_test.go
@@ -23,6 +23,9 @@
 // apply decides an operation on both forms and compares all that can be seen.
 func (w *twin) apply(t *rapid.T, operation *protocol.LedgerOperation) {
 	operation.Program = "p"
+	if w.isForgotten() {
+		w.packed, w.plain = nil, nil
+	}
 	packed, result := ledger.Apply(w.packed, operation, w.now)
 	plain, wanted := ledger.Apply(w.plain, operation, w.now)
 	if (packed == nil) != (plain == nil) || result.GetStatus() != wanted.GetStatus() || result.GetEpoch() != wanted.GetEpoch() ||
@@ -48,6 +51,15 @@
 	w.plain = w.remember(t, operation, result)
 }
 
+// isForgotten tells from the plain form whether the record's keeping time has ended.
+func (w *twin) isForgotten() bool {
+	until := w.plain.GetUpdatedAtMillis() + ledger.KeepingTime.Milliseconds()
+	for _, finished := range w.plain.GetFinished() {
+		until = max(until, finished.GetKeepUntilMillis())
+	}
+	return until < w.now.UnixMilli()
+}
+
 // compareRecords allows for one difference: a session may be named where the
 // other record has its place, when the request ended before the session was claimed.
 func compareRecords(t *rapid.T, operation *protocol.LedgerOperation, packed, plain *protocol.ProgramRecord) {
--- a/internal/ledger/program.go
+++ b/internal/ledger/program.go
@@ -9,15 +9,19 @@
 // Apply decides an operation on a program's record; record is nil while the
 // program has none. It returns the changed record, or nil when nothing changes.
 // The record given is not written to. Operations on calls and turns are not
-// decided here and answer LEDGER_STATUS_UNSPECIFIED.
+// decided here and answer LEDGER_STATUS_UNSPECIFIED. A record whose keeping time
+// has ended is taken for none.
 func Apply(record *protocol.ProgramRecord, operation *protocol.LedgerOperation, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+	if ProgramKeptUntil(record) < now.UnixMilli() {
+		record = nil
+	}
 	switch body := operation.GetBody().(type) {
 	case *protocol.LedgerOperation_OpenProgram:
 		return openProgram(record, operation.GetProgram(), body.OpenProgram, now)
 	case *protocol.LedgerOperation_ClaimSession:
 		return claimSession(record, operation.GetProgram(), body.ClaimSession, now)
 	case *protocol.LedgerOperation_ReserveTurn:
-		return reserveTurn(record, body.ReserveTurn, now)
+		return reserveTurn(record, operation.GetProgram(), body.ReserveTurn, now)
 	case *protocol.LedgerOperation_SettleTurn:
 		return settleTurn(record, body.SettleTurn, now)
 	case *protocol.LedgerOperation_ReleaseTurn:
@@ -48,6 +52,7 @@
 	changed := newDraft(program, record, now)
 	changed.Tenant = open.GetTenant()
 	changed.Budget = open.GetBudget()
+	changed.KeepingMillis = open.GetKeepingMillis()
 	return changed.ProgramRecord, readProgram(changed.ProgramRecord)
 }
 
@@ -73,6 +78,7 @@
 	if !isOpen(record) {
 		changed.Tenant = claim.GetTenant()
 		changed.Budget = claim.GetBudget()
+		changed.KeepingMillis = claim.GetKeepingMillis()
 	}
 	chargeOpenReservations(changed, claim.GetSession())
 	claimed := &protocol.SessionRecord{
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -21,6 +21,7 @@
 		Tenant:          record.GetTenant(),
 		Budget:          record.GetBudget(),
 		Settled:         record.GetSettled(),
+		KeepingMillis:   record.GetKeepingMillis(),
 		Sessions:        slices.Clone(record.GetSessions()),
 		Reservations:    slices.Clone(record.GetReservations()),
 		FinishedPacked:  keptPacked(record, now.UnixMilli()),
@@ -43,7 +44,7 @@
 // finish ends a request: its reservation is closed and its tokens are charged.
 func (d *draft) finish(finished *protocol.FinishedRequest, keepUntilMillis int64) *protocol.FinishedRequest {
 	finished.FinishedAtMillis = d.now.UnixMilli()
-	finished.KeepUntilMillis = max(d.now.Add(KeepingTime).UnixMilli(), keepUntilMillis)
+	finished.KeepUntilMillis = max(d.now.UnixMilli()+keepingMillis(d.KeepingMillis), keepUntilMillis)
 	d.Settled = addWithoutOverflow(d.Settled, finished.GetTokens())
 	d.Reservations = slices.DeleteFunc(d.Reservations, func(open *protocol.Reservation) bool {
 		return open.GetRequestId() == finished.GetRequestId()
--- a/internal/ledger/turn.go
+++ b/internal/ledger/turn.go
@@ -7,29 +7,56 @@
 )
 
 // reserveTurn admits a turn while settled tokens and held ceilings are below
-// the budget, so a program exceeds its budget by one turn at most.
-func reserveTurn(record *protocol.ProgramRecord, reserve *protocol.ReserveTurn, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+// the budget, so a program exceeds its budget by one turn at most. With a claim
+// the session is claimed first; the claim stands also when the turn is refused.
+func reserveTurn(record *protocol.ProgramRecord, program string, reserve *protocol.ReserveTurn, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
 	if finished := Finished(record, reserve.GetRequestId()); finished != nil {
 		return nil, finishedResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, finished)
 	}
-	session, refusal := checkEpoch(record, reserve.GetSession(), reserve.GetEpoch())
+	if reserve.GetClaim() == nil {
+		return reserveUnder(record, reserve, reserve.GetEpoch(), now)
+	}
+	claimed, claim := claimSession(record, program, reserve.GetClaim(), now)
+	if claim.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+		return nil, claim
+	}
+	if claimed == nil {
+		return reserveUnder(record, reserve, claim.GetEpoch(), now)
+	}
+	reserved, result := reserveUnder(claimed, reserve, claim.GetEpoch(), now)
+	if reserved == nil {
+		reserved = claimed
+	}
+	return reserved, result
+}
+
+// reserveUnder reserves under an epoch of the session. The request may have been ended by the claim before.
+func reserveUnder(record *protocol.ProgramRecord, reserve *protocol.ReserveTurn, epoch uint64, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+	if finished := Finished(record, reserve.GetRequestId()); finished != nil {
+		return nil, finishedResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, finished)
+	}
+	session, refusal := checkEpoch(record, reserve.GetSession(), epoch)
 	if refusal != nil {
 		return nil, refusal
 	}
+	wanted := &protocol.Reservation{
+		RequestId:    reserve.GetRequestId(),
+		Session:      reserve.GetSession(),
+		Epoch:        epoch,
+		Ceiling:      reserve.GetCeiling(),
+		PreviousTurn: reserve.GetPreviousTurn(),
+	}
 	if open := findReservation(record, reserve.GetRequestId()); open != nil {
-		if isSameReservation(open, reserve) {
+		if isSameReservation(open, wanted) {
 			return nil, reservedResult(session)
 		}
 		return nil, withProgram(protocol.LedgerStatus_LEDGER_ALREADY_RESERVED, record, session)
 	}
-	for _, open := range record.GetReservations() {
-		if open.GetSession() == reserve.GetSession() {
-			return nil, withProgram(protocol.LedgerStatus_LEDGER_ALREADY_RESERVED, record, session)
+	if !reserve.GetFork() {
+		if status := checkOrder(record, session, reserve.GetPreviousTurn()); status != protocol.LedgerStatus_LEDGER_OK {
+			return nil, withProgram(status, shownWith(status, record), session)
 		}
 	}
-	if !continues(record, session, reserve.GetPreviousTurn()) {
-		return nil, withProgram(protocol.LedgerStatus_LEDGER_WRONG_CONTINUATION, nil, session)
-	}
 	if record.GetSettled() >= record.GetBudget() {
 		return nil, withProgram(protocol.LedgerStatus_LEDGER_BUDGET_SPENT, record, session)
 	}
@@ -37,21 +64,38 @@
 		return nil, withProgram(protocol.LedgerStatus_LEDGER_BUDGET_HELD, record, session)
 	}
 	changed := newDraft(record.GetProgram(), record, now)
-	changed.Reservations = append(changed.Reservations, &protocol.Reservation{
-		RequestId:    reserve.GetRequestId(),
-		Session:      reserve.GetSession(),
-		Epoch:        reserve.GetEpoch(),
-		Ceiling:      reserve.GetCeiling(),
-		PreviousTurn: reserve.GetPreviousTurn(),
-	})
+	changed.Reservations = append(changed.Reservations, wanted)
 	return changed.ProgramRecord, reservedResult(session)
 }
 
-func isSameReservation(open *protocol.Reservation, reserve *protocol.ReserveTurn) bool {
-	return open.GetSession() == reserve.GetSession() &&
-		open.GetEpoch() == reserve.GetEpoch() &&
-		open.GetCeiling() == reserve.GetCeiling() &&
-		open.GetPreviousTurn() == reserve.GetPreviousTurn()
+// checkOrder tells whether a turn of the session may begin after previous: one
+// after the other, each behind the last. Forks are not asked for it, since they
+// may follow a turn of another program too; whoever issues one reads its chain first.
+func checkOrder(record *protocol.ProgramRecord, session *protocol.SessionRecord, previous string) protocol.LedgerStatus {
+	for _, open := range record.GetReservations() {
+		if open.GetSession() == session.GetSession() {
+			return protocol.LedgerStatus_LEDGER_ALREADY_RESERVED
+		}
+	}
+	if !continues(record, session, previous) {
+		return protocol.LedgerStatus_LEDGER_WRONG_CONTINUATION
+	}
+	return protocol.LedgerStatus_LEDGER_OK
+}
+
+// shownWith gives the record to the answers that are explained by it.
+func shownWith(status protocol.LedgerStatus, record *protocol.ProgramRecord) *protocol.ProgramRecord {
+	if status == protocol.LedgerStatus_LEDGER_ALREADY_RESERVED {
+		return record
+	}
+	return nil
+}
+
+func isSameReservation(open, wanted *protocol.Reservation) bool {
+	return open.GetSession() == wanted.GetSession() &&
+		open.GetEpoch() == wanted.GetEpoch() &&
+		open.GetCeiling() == wanted.GetCeiling() &&
+		open.GetPreviousTurn() == wanted.GetPreviousTurn()
 }
 
 // continues tells whether a turn of the session may follow previous. The first
--- a/internal/ledger/validate.go
+++ b/internal/ledger/validate.go
@@ -5,6 +5,9 @@
 // Validate returns an *InvalidOperationError when an identifier is missing or
 // too long, or when a settled turn is not the turn of its request.
 func Validate(operation *protocol.LedgerOperation) error {
+	if find, ok := operation.GetBody().(*protocol.LedgerOperation_FindTurn); ok {
+		return checkIdentifier("find_turn.turn_id", find.FindTurn.GetTurnId())
+	}
 	if err := checkIdentifier("program", operation.GetProgram()); err != nil {
 		return err
 	}
@@ -16,9 +19,7 @@
 			"claim_session.session", body.ClaimSession.GetSession(),
 			"claim_session.owner", body.ClaimSession.GetOwner())
 	case *protocol.LedgerOperation_ReserveTurn:
-		return checkIdentifiers(
-			"reserve_turn.request_id", body.ReserveTurn.GetRequestId(),
-			"reserve_turn.session", body.ReserveTurn.GetSession())
+		return validateReserve(body.ReserveTurn)
 	case *protocol.LedgerOperation_SettleTurn:
 		return validateSettle(operation.GetProgram(), body.SettleTurn)
 	case *protocol.LedgerOperation_ReleaseTurn:
@@ -31,6 +32,8 @@
 		return nil
 	case *protocol.LedgerOperation_ReadTurns:
 		return checkIdentifier("read_turns.last_turn", body.ReadTurns.GetLastTurn())
+	case *protocol.LedgerOperation_ProlongTurns:
+		return checkIdentifier("prolong_turns.last_turn", body.ProlongTurns.GetLastTurn())
 	case *protocol.LedgerOperation_BeginCall:
 		return checkIdentifiers(
 			"begin_call.request_id", body.BeginCall.GetRequestId(),
@@ -47,6 +50,24 @@
 	}
 }
 
+func validateReserve(reserve *protocol.ReserveTurn) error {
+	if err := checkIdentifiers(
+		"reserve_turn.request_id", reserve.GetRequestId(),
+		"reserve_turn.session", reserve.GetSession(),
+	); err != nil {
+		return err
+	}
+	claim := reserve.GetClaim()
+	switch {
+	case claim == nil:
+		return nil
+	case claim.GetSession() != reserve.GetSession():
+		return &InvalidOperationError{Path: "reserve_turn.claim.session", Reason: "is another session"}
+	default:
+		return checkIdentifier("reserve_turn.claim.owner", claim.GetOwner())
+	}
+}
+
 func validateSettle(program string, settle *protocol.SettleTurn) error {
 	if err := checkIdentifiers(
 		"settle_turn.request_id", settle.GetRequestId(),
--- a/internal/ledgerclient/client.go
+++ b/internal/ledgerclient/client.go
@@ -122,12 +122,16 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
 	defer cancel()
 	reserve := operation.GetReserveTurn()
-	released, _, err := c.try(ctx, &protocol.LedgerOperation{
-		Program: operation.GetProgram(),
-		Body: &protocol.LedgerOperation_ReleaseTurn{ReleaseTurn: &protocol.ReleaseTurn{
-			RequestId: reserve.GetRequestId(), Session: reserve.GetSession(), Epoch: reserve.GetEpoch(),
-		}},
-	})
+	released, _, err := c.try(ctx, releaseOf(operation.GetProgram(), reserve, refusal.GetEpoch()))
+	if err == nil && released.GetStatus() == protocol.LedgerStatus_LEDGER_FENCED && reserve.GetClaim() != nil {
+		// A late copy would claim the session once more, so the epoch does not keep it out.
+		released, _, err = c.try(ctx, &protocol.LedgerOperation{
+			Program: operation.GetProgram(),
+			Body: &protocol.LedgerOperation_RefuseRequest{RefuseRequest: &protocol.RefuseRequest{
+				RequestId: reserve.GetRequestId(), Session: reserve.GetSession(),
+			}},
+		})
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -139,6 +143,20 @@
 	}
 }
 
+// releaseOf releases a reservation under the epoch that it named or claimed.
+func releaseOf(program string, reserve *protocol.ReserveTurn, claimed uint64) *protocol.LedgerOperation {
+	epoch := reserve.GetEpoch()
+	if reserve.GetClaim() != nil {
+		epoch = claimed
+	}
+	return &protocol.LedgerOperation{
+		Program: program,
+		Body: &protocol.LedgerOperation_ReleaseTurn{ReleaseTurn: &protocol.ReleaseTurn{
+			RequestId: reserve.GetRequestId(), Session: reserve.GetSession(), Epoch: epoch,
+		}},
+	}
+}
+
 // try sends the operation until an answer is final. doubtful says that an
 // earlier try may have taken effect, or may still do so.
 func (c *Client) try(ctx context.Context, operation *protocol.LedgerOperation) (result *protocol.LedgerResult, doubtful bool, err error) {
