Place turns by their expected first token; let tickets carry their program's slack

Cause: EXPECTED_FIRST_TOKEN stood in the bundle's enumeration without a policy, and no decision knew what of a prompt a server keeps, how slow a server is, or how much time a program has left.

- internal/promptcache models what each server keeps, from own sends and from peers' digests.
- schedule has the policy, an estimator of a group's profile, one of a server's slowness, and outcomes of requests that tell an unreachable server from one that refuses.
Suspicion leaves at least half of a group in use.
- limit orders a tenant's tickets by the slack of their programs, lets tickets bound their own wait, runs rather than refuses while half of the servers' places are free, and corrects the weight of a class that starves or overtakes.

The first form of the correction, which let a starving class go first, failed TestAClassWaitsByItsOwnShare and TestInAFloodFewAreRefusedLateAndTheSlotsStayBusy (45 of 1012 refusals late) and was dropped for a change of weight.

--- a/internal/limit/expectation.go
+++ b/internal/limit/expectation.go
@@ -57,7 +57,7 @@
 		return 0
 	}
 	perSecond := float64(q.lastingSlots()) / q.service.mean.Seconds()
-	perSecond = fairRate(perSecond, classWeights[class.class], q.rivalsOf(class, now))
+	perSecond = fairRate(perSecond, q.weight(class, now), q.rivalsOf(class, now))
 	perSecond = fairRate(perSecond, float64(max(ticket.Weight, 1)), class.rivalsOf(ticket.Tenant, now))
 	return secondsOf((class.held(ticket.Tenant) + 1) / perSecond)
 }
@@ -76,7 +76,7 @@
 	for _, other := range q.classes {
 		if other != class {
 			asked := other.demand.now(now) + float64(other.count)/(waitShare*q.maxWait.Seconds())
-			rivals = append(rivals, rival{weight: classWeights[other.class], perSecond: asked})
+			rivals = append(rivals, rival{weight: q.weight(other, now), perSecond: asked})
 		}
 	}
 	return rivals
@@ -121,12 +121,27 @@
 
 // tooLate reports whether a ticket that waits so long would better be refused at once.
 func (q *Queue) tooLate(class *classQueue, ticket Ticket, wait time.Duration, now time.Time) bool {
-	if !ticket.Deadline.IsZero() && wait > 0 && now.Add(wait).After(ticket.Deadline) {
+	if wait == 0 {
+		return false
+	}
+	if !ticket.Deadline.IsZero() && now.Add(wait).After(ticket.Deadline) {
+		return true
+	}
+	if latest := ticket.latestStart(); q.hasLongQueue() && latest.After(now) && now.Add(wait).After(latest) {
 		return true
 	}
 	share := waitShare
-	if class.held(ticket.Tenant) == 0 {
+	if class.held(ticket.Tenant) == 0 || ticket.Refusals > 0 {
 		share = firstWaitShare
 	}
-	return wait > time.Duration(share*float64(q.maxWait))
+	return wait > time.Duration(share*float64(q.maxWait)) || ticket.MaxWait > 0 && wait > ticket.MaxWait
+}
+
+// hasLongQueue reports whether more tickets wait than run.
+func (q *Queue) hasLongQueue() bool {
+	waiting := 0
+	for _, class := range q.classes {
+		waiting += class.count
+	}
+	return waiting > q.inFlight
 }
--- a/internal/limit/fairness.go
+++ b/internal/limit/fairness.go
@@ -11,7 +11,7 @@
 	if class.count == 0 {
 		class.pass = max(class.pass, q.clock)
 	}
-	class.tenant(w.ticket).waiting = append(class.tenant(w.ticket).waiting, w)
+	class.tenant(w.ticket).insert(w)
 	class.count++
 }
 
@@ -26,8 +26,17 @@
 	return tenant
 }
 
+// insert keeps the most urgent ticket first, and those of one urgency in the order in which they came.
+func (t *tenantQueue) insert(w waiting) {
+	at := len(t.waiting)
+	for at > 0 && w.urgency.Before(t.waiting[at-1].urgency) {
+		at--
+	}
+	t.waiting = slices.Insert(t.waiting, at, w)
+}
+
 // dispatch hands out free slots by weighted turns of classes, then of tenants.
-func (q *Queue) dispatch() []Decision {
+func (q *Queue) dispatch(now time.Time) []Decision {
 	var decisions []Decision
 	for q.inFlight < q.slots {
 		class := q.nextClass()
@@ -35,9 +44,8 @@
 			break
 		}
 		q.clock = class.pass
-		class.pass += tenantShareUnit / classWeights[class.class]
-		decisions = append(decisions, Decision{ID: class.pop().ticket.ID, Verdict: Run})
-		q.inFlight++
+		class.pass += tenantShareUnit / q.weight(class, now)
+		decisions = append(decisions, q.run(class, class.pop().ticket, now))
 	}
 	return decisions
 }
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -38,6 +38,15 @@
 	Tenant   string
 	Weight   uint32
 	Deadline time.Time
+	// MaxWait bounds how long the ticket waits if that is less than the queue's bound; zero is the queue's. A refusal
+	// that the caller is to recover from within its latency objective comes within a quarter of that.
+	MaxWait time.Duration
+	// ProgramDeadline is when the whole program should be over, and ExpectedWork how long what is left of it is
+	// expected to take when nothing waits. Of a tenant's tickets those with the least time to spare go first.
+	ProgramDeadline time.Time
+	ExpectedWork    time.Duration
+	// Refusals counts how often the same request was refused before, as far as is known.
+	Refusals uint32
 }
 
 // Verdict says what became of a ticket.
@@ -63,9 +72,11 @@
 type waiting struct {
 	ticket  Ticket
 	expires time.Time
+	// urgency is the time by which the ticket should run; earlier goes first.
+	urgency time.Time
 }
 
-// tenantQueue is one tenant's share of a class, first in first out.
+// tenantQueue is one tenant's share of a class, most urgent first.
 type tenantQueue struct {
 	name   string
 	weight float64
@@ -82,6 +93,7 @@
 	tenants []*tenantQueue
 	demand  demand
 	demands map[string]*tenantDemand
+	service serviceShare
 }
 
 // Queue holds the requests of one front node that wait for a slot.
@@ -90,14 +102,20 @@
 	maxWait   time.Duration
 	slots     int
 	sureSlots int
-	inFlight  int
-	clock     float64
-	classes   []*classQueue
-	service   serviceTime
+	// spare is how many tickets may run beyond the slots rather than be refused.
+	spare    int
+	inFlight int
+	clock    float64
+	classes  []*classQueue
+	service  serviceTime
+	// all is the share of tickets of all classes that got a slot.
+	all serviceShare
 
 	drained   int
 	drainFrom time.Time
 	drainRate float64
+	// lastSeen is the latest time that the queue was told.
+	lastSeen time.Time
 }
 
 // NewQueue makes a queue; zero values mean the defaults.
@@ -120,13 +138,17 @@
 // SetSlots changes the number of slots and returns the tickets that may run now.
 func (q *Queue) SetSlots(slots int) []Decision {
 	q.slots = slots
-	return q.dispatch()
+	return q.dispatch(q.lastSeen)
 }
 
 // SetSureSlots tells how many of the slots stay when others take theirs of a
 // shared capacity; zero is all of them. Expected waits count on no more.
 func (q *Queue) SetSureSlots(slots int) { q.sureSlots = slots }
 
+// SetSpare tells how many tickets may run beyond the slots, as long as the servers are known to be less than half
+// taken: a refusal would then be for nothing. See Spare.
+func (q *Queue) SetSpare(tickets int) { q.spare = tickets }
+
 // InFlight is the number of slots taken.
 func (q *Queue) InFlight() int { return q.inFlight }
 
@@ -149,21 +171,56 @@
 	class := q.class(ticket.Class)
 	class.ask(ticket, now)
 	if wait := q.expectedWait(class, ticket, now); q.tooLate(class, ticket, wait, now) {
-		return append(decisions, Decision{ID: ticket.ID, Verdict: RefuseFull, RetryAfter: boundRetry(wait)})
+		return append(decisions, q.refuse(class, ticket, RefuseFull, boundRetry(wait), now))
 	}
 	if class.count >= q.maxQueued {
-		evicted, made := class.makeRoom(ticket)
+		refused, made := class.makeRoom(ticket)
+		if !made {
+			refused = ticket
+		}
+		decisions = append(decisions, q.refuse(class, refused, RefuseFull, q.retryAfter(class.count), now))
 		if !made {
-			return append(decisions, Decision{ID: ticket.ID, Verdict: RefuseFull, RetryAfter: q.retryAfter(class.count)})
+			return decisions
 		}
-		decisions = append(decisions, Decision{ID: evicted.ID, Verdict: RefuseFull, RetryAfter: q.retryAfter(class.count)})
 	}
-	expires := now.Add(q.maxWait)
+	q.push(class, waiting{ticket: ticket, expires: q.expiry(ticket, now), urgency: ticket.urgency(now)})
+	return append(decisions, q.dispatch(now)...)
+}
+
+// expiry is when a ticket that enters now is refused if it still waits.
+func (q *Queue) expiry(ticket Ticket, now time.Time) time.Time {
+	expires := now.Add(q.longestWait(ticket))
 	if !ticket.Deadline.IsZero() && ticket.Deadline.Before(expires) {
-		expires = ticket.Deadline
+		return ticket.Deadline
 	}
-	q.push(class, waiting{ticket: ticket, expires: expires})
-	return append(decisions, q.dispatch()...)
+	return expires
+}
+
+func (q *Queue) longestWait(ticket Ticket) time.Duration {
+	if ticket.MaxWait > 0 {
+		return min(q.maxWait, ticket.MaxWait)
+	}
+	return q.maxWait
+}
+
+// refuse decides on a ticket that has no place: it runs after all while the servers have room to spare.
+func (q *Queue) refuse(class *classQueue, ticket Ticket, verdict Verdict, retryAfter time.Duration, now time.Time) Decision {
+	pastDeadline := !ticket.Deadline.IsZero() && !now.Before(ticket.Deadline)
+	if q.spare > 0 && !pastDeadline {
+		q.spare--
+		return q.run(class, ticket, now)
+	}
+	class.service.count(false, now)
+	q.all.count(false, now)
+	return Decision{ID: ticket.ID, Verdict: verdict, RetryAfter: retryAfter}
+}
+
+// run gives a ticket a slot.
+func (q *Queue) run(class *classQueue, ticket Ticket, now time.Time) Decision {
+	q.inFlight++
+	class.service.count(true, now)
+	q.all.count(true, now)
+	return Decision{ID: ticket.ID, Verdict: Run}
 }
 
 // Leave gives a slot back and returns the tickets that may run now.
@@ -172,7 +229,7 @@
 	q.inFlight--
 	q.drained++
 	q.service.end(q.inFlight)
-	return append(q.Expire(now), q.dispatch()...)
+	return append(q.Expire(now), q.dispatch(now)...)
 }
 
 // Cancel takes a waiting ticket out and reports whether it was there.
@@ -192,6 +249,7 @@
 
 // Expire refuses the tickets that have waited too long.
 func (q *Queue) Expire(now time.Time) []Decision {
+	q.lastSeen = now
 	q.measureDrain(now)
 	q.service.advance(q.inFlight, now)
 	var decisions []Decision
@@ -201,7 +259,7 @@
 				late := !now.Before(w.expires)
 				if late {
 					class.count--
-					decisions = append(decisions, Decision{ID: w.ticket.ID, Verdict: RefuseLate, RetryAfter: q.retryAfter(class.count)})
+					decisions = append(decisions, q.refuse(class, w.ticket, RefuseLate, q.retryAfter(class.count), now))
 				}
 				return late
 			})
--- /dev/null
+++ b/internal/promptcache/model.go
@@ -0,0 +1,166 @@
+package promptcache
+
+import "time"
+
+// DefaultRoom is the number of tokens that a server is taken to keep as long as nothing is known of its memory.
+const DefaultRoom = 100_000
+
+// Model estimates what each server keeps. Its owner drives it; it is not safe for concurrent use.
+type Model struct {
+	servers map[string]*serverCache
+	// prefixes holds what is known of a prefix wherever it is kept.
+	prefixes map[uint64]*prefix
+}
+
+// prefix is what the model knows of a prefix apart from the servers that keep it.
+type prefix struct {
+	parent uint64
+	tokens uint32
+	// successor is the first prefix that was seen to extend this one.
+	successor uint64
+	// shared is true once two different prefixes extended this one.
+	shared bool
+	// sentAt is when this front node last sent a prompt that begins with it.
+	sentAt time.Time
+	// holders counts the servers that keep it.
+	holders int
+}
+
+// New makes a model that knows nothing.
+func New() *Model {
+	return &Model{servers: make(map[string]*serverCache), prefixes: make(map[uint64]*prefix)}
+}
+
+// Resize makes a server known and sets how many tokens of this front node's prompts it keeps.
+func (m *Model) Resize(server string, room uint64) {
+	cache := m.cache(server)
+	cache.room = room
+	m.evict(cache)
+}
+
+// Room is the part of a server's cache that one of so many front nodes may count on: what
+// running requests leave free, shared evenly.
+func Room(capacity, pinned uint64, fronts int) uint64 {
+	return (capacity - min(capacity, pinned)) / uint64(max(fronts, 1))
+}
+
+// Sent notes that a prompt was sent to a server, which from then on keeps its parts and lets those go that were
+// unused for longest.
+func (m *Model) Sent(server string, prompt Prompt, now time.Time) {
+	m.note(prompt, now)
+	cache := m.cache(server)
+	// The last part first, so that no part outlives one before it.
+	for at := len(prompt) - 1; at >= 0; at-- {
+		m.keep(cache, prompt[at], true)
+	}
+	m.evict(cache)
+}
+
+// Cached is the number of tokens at the beginning of a prompt that a server need not read again.
+func (m *Model) Cached(server string, prompt Prompt) uint64 {
+	cache := m.servers[server]
+	if cache == nil {
+		return 0
+	}
+	cached := uint64(0)
+	for _, part := range prompt {
+		if cache.entries[part.Prefix] == nil {
+			break
+		}
+		cached += uint64(part.Tokens)
+	}
+	return cached
+}
+
+// Holders is the number of servers that keep the prefix.
+func (m *Model) Holders(prefixHash uint64) int {
+	if known := m.prefixes[prefixHash]; known != nil {
+		return known.holders
+	}
+	return 0
+}
+
+// Forget drops a server that ended or lost its cache.
+func (m *Model) Forget(server string) {
+	cache := m.servers[server]
+	if cache == nil {
+		return
+	}
+	for cache.oldest() != nil {
+		m.drop(cache, cache.oldest())
+	}
+	delete(m.servers, server)
+}
+
+// Retain forgets the servers for which keep is false.
+func (m *Model) Retain(keep func(server string) bool) {
+	for server := range m.servers {
+		if !keep(server) {
+			m.Forget(server)
+		}
+	}
+}
+
+func (m *Model) cache(server string) *serverCache {
+	cache := m.servers[server]
+	if cache == nil {
+		cache = newServerCache()
+		m.servers[server] = cache
+	}
+	return cache
+}
+
+// note remembers the parts of a prompt and which of them several prompts share.
+func (m *Model) note(prompt Prompt, now time.Time) {
+	parent := uint64(0)
+	for at, part := range prompt {
+		known := m.prefix(part, parent)
+		known.sentAt = now
+		if at+1 < len(prompt) {
+			known.extendedBy(prompt[at+1].Prefix)
+		}
+		parent = part.Prefix
+	}
+}
+
+func (p *prefix) extendedBy(successor uint64) {
+	if p.successor == 0 {
+		p.successor = successor
+	}
+	p.shared = p.shared || p.successor != successor
+}
+
+func (m *Model) prefix(part Part, parent uint64) *prefix {
+	known := m.prefixes[part.Prefix]
+	if known == nil {
+		known = &prefix{parent: parent, tokens: part.Tokens}
+		m.prefixes[part.Prefix] = known
+	}
+	return known
+}
+
+// keep makes a part the most recently used one of a server.
+func (m *Model) keep(cache *serverCache, part Part, own bool) {
+	kept := cache.entries[part.Prefix]
+	if kept == nil {
+		kept = cache.add(part)
+		m.prefixes[part.Prefix].holders++
+	}
+	kept.own = kept.own || own
+	cache.touch(kept)
+}
+
+func (m *Model) evict(cache *serverCache) {
+	for cache.held > cache.room && cache.oldest() != nil {
+		m.drop(cache, cache.oldest())
+	}
+}
+
+func (m *Model) drop(cache *serverCache, dropped *entry) {
+	cache.remove(dropped)
+	known := m.prefixes[dropped.part.Prefix]
+	known.holders--
+	if known.holders == 0 {
+		delete(m.prefixes, dropped.part.Prefix)
+	}
+}
--- a/internal/schedule/policies.go
+++ b/internal/schedule/policies.go
@@ -21,6 +21,8 @@
 		d.powerOfTwo(candidates, random)
 	case protocol.SchedulingAlgorithm_ROUND_ROBIN:
 		d.roundRobin(request, candidates)
+	case protocol.SchedulingAlgorithm_EXPECTED_FIRST_TOKEN:
+		d.expectedFirstToken(request, candidates)
 	default:
 		d.prefixAffinity(request, candidates)
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -40,6 +41,28 @@
 	Queued  uint32
 	// Weight scales the share of traffic: the zone's weight times the slow return after an ejection. Zero takes none.
 	Weight float64
+	// EjectedUntil orders the ejected ones when too many of a group are: who comes back first is used first.
+	EjectedUntil time.Time
+	// Unreachable is true while connections to the server fail, which no rule against ejecting too many overrides.
+	Unreachable bool
+
+	// The rest matters to EXPECTED_FIRST_TOKEN alone.
+
+	// Waiting counts this front node's own requests at the server that have no first token yet.
+	Waiting uint32
+	// PendingTokens is how many prompt tokens of those the server has still to read, as far as is known.
+	PendingTokens uint64
+	// CachedTokens is how much of the request's prompt the server need not read.
+	CachedTokens uint64
+	// ReportAge is how old Running, Queued and UsedTokens are; zero or less means that nothing was reported.
+	ReportAge time.Duration
+	// WaitingAtReport is how many of Queued were this front node's own.
+	WaitingAtReport uint32
+	// UsedTokens is the part of CacheTokens that running requests hold; zero CacheTokens is unknown.
+	UsedTokens  uint64
+	CacheTokens uint64
+	// Slowness is the factor by which the server is slower than its group; zero means 1.
+	Slowness float64
 }
 
 // Load is the relative load: requests at the server by its capacity and weight.
@@ -74,6 +97,18 @@
 	Avoid []string
 	// Sequence is the count for round robin.
 	Sequence uint64
+
+	// The rest matters to EXPECTED_FIRST_TOKEN alone. A request without a prompt, as a tool call, goes where it is
+	// expected to wait least.
+
+	// PromptTokens is the length of the prompt and OutputTokens how much is expected to be generated.
+	PromptTokens uint64
+	OutputTokens uint64
+	// SharedPrefix is the hash of the part that other prompts share; front nodes that know nothing of each other
+	// spread it to the same servers. Zero is none.
+	SharedPrefix uint64
+	// Profile is what the group's servers take for their work.
+	Profile Profile
 }
 
 // Score is one candidate's place in a decision.
@@ -129,8 +164,8 @@
 	d.Scores = append(d.Scores, Score{ID: candidate.ID, Score: score})
 }
 
-// filter drops what may not be used. Ejection gives way when it would leave
-// nothing; draining never does.
+// filter drops what may not be used. Ejection gives way when it would leave too
+// little; draining never does.
 func (d *Decision) filter(request Request, candidates []Candidate) []*Candidate {
 	var usable, ejected []*Candidate
 	for index := range candidates {
@@ -148,15 +183,27 @@
 			usable = append(usable, candidate)
 		}
 	}
-	if len(usable) == 0 {
-		return ejected
-	}
+	usable, ejected = readmit(usable, ejected)
 	for _, candidate := range ejected {
 		d.pass(candidate, 0, ReasonEjected)
 	}
 	return usable
 }
 
+// readmit uses ejected servers again until half of the group is used: when most seem faulty, the cause is likely
+// elsewhere. Those that come back first go first. Unreachable ones are used only when there is nothing else.
+func readmit(usable, ejected []*Candidate) (used, left []*Candidate) {
+	least := (len(usable) + len(ejected) + 1) / 2
+	unreachable, suspected := divide(ejected, func(c *Candidate) bool { return c.Unreachable })
+	slices.SortStableFunc(suspected, func(a, b *Candidate) int { return a.EjectedUntil.Compare(b.EjectedUntil) })
+	back := min(len(suspected), max(least-len(usable), 0))
+	usable = append(usable, suspected[:back]...)
+	if len(usable) == 0 {
+		return unreachable, nil
+	}
+	return usable, append(unreachable, suspected[back:]...)
+}
+
 func subsetSize(size uint32) int { return int(cmp.Or(size, DefaultSubsetSize)) }
 
 // Subset gives the candidates of a group that a front node uses, as Choose does.
