Release bundles, announce back ends and empty stores by the core's own Go and HTTP interface

An adapter in the same process, or an operator on a trusted listener, can put a numbered bundle in force in one step, let back ends announce themselves to the core by rising sequence, and order a store to be emptied where enough stores are left. Bundles carry HTTP routes by host and path prefix, looked up by the longest prefix, split by weight.

--- a/internal/bundle/canonical.go
+++ b/internal/bundle/canonical.go
@@ -44,6 +44,7 @@
 		SignOffKeys:   byName(b.GetSignOffKeys()),
 		RemovedRoutes: inOrder(b.GetRemovedRoutes()), RemovedGroups: inOrder(b.GetRemovedGroups()),
 		RemovedTenants: inOrder(b.GetRemovedTenants()),
+		HttpRoutes:     byName(b.GetHttpRoutes()), RemovedHttpRoutes: inOrder(b.GetRemovedHttpRoutes()),
 	}
 }
 
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -23,6 +23,10 @@
 	MaxTenantWeight = 10_000
 	// MaxLimit bounds numbers of requests and tokens in the limit policy.
 	MaxLimit = 10_000_000
+	// MaxHeaderBytes, MaxBodyBytes and MaxConnectionMillis (a day) bound the limits on callers of HTTP routes.
+	MaxHeaderBytes      = 64 << 20
+	MaxBodyBytes        = 1 << 40
+	MaxConnectionMillis = 86_400_000
 	// MaxTurnKeepSeconds bounds the keeping time of a turn: ten years.
 	MaxTurnKeepSeconds = 315_360_000
 )
@@ -63,6 +67,7 @@
 	checkNames(c, "groups", b.GetGroups())
 	checkNames(c, "tenants", b.GetTenants())
 	checkNames(c, "sign_off_keys", b.GetSignOffKeys())
+	checkNames(c, "http_routes", b.GetHttpRoutes())
 	for i, route := range b.GetRoutes() {
 		c.route(fmt.Sprintf("routes[%d]", i), route)
 	}
@@ -77,6 +82,9 @@
 			c.add(fmt.Sprintf("sign_off_keys[%d].public_key", i), fault)
 		}
 	}
+	for i, route := range b.GetHttpRoutes() {
+		c.httpRoute(fmt.Sprintf("http_routes[%d]", i), route)
+	}
 	c.policies(b)
 	c.removals(base, b)
 }
@@ -202,6 +210,10 @@
 	c.atMost("limits.retry_percent", uint64(limits.GetRetryPercent()), 100)
 	c.atMost("limits.max_output_tokens", uint64(limits.GetMaxOutputTokens()), MaxLimit)
 	c.atMost("limits.turn_keep_seconds", limits.GetTurnKeepSeconds(), MaxTurnKeepSeconds)
+	c.atMost("limits.max_header_bytes", uint64(limits.GetMaxHeaderBytes()), MaxHeaderBytes)
+	c.atMost("limits.max_body_bytes", limits.GetMaxBodyBytes(), MaxBodyBytes)
+	c.atMost("limits.header_timeout_millis", uint64(limits.GetHeaderTimeoutMillis()), MaxConnectionMillis)
+	c.atMost("limits.idle_timeout_millis", uint64(limits.GetIdleTimeoutMillis()), MaxConnectionMillis)
 }
 
 func (c *checker) atMost(path string, value, bound uint64) {
--- a/internal/bundle/compare.go
+++ b/internal/bundle/compare.go
@@ -20,6 +20,7 @@
 	Groups            NamedChanges `json:"groups"`
 	Tenants           NamedChanges `json:"tenants"`
 	SignOffKeys       NamedChanges `json:"sign_off_keys"`
+	HTTPRoutes        NamedChanges `json:"http_routes"`
 	SchedulingChanged bool         `json:"scheduling_changed"`
 	RecoveryChanged   bool         `json:"recovery_changed"`
 	LimitsChanged     bool         `json:"limits_changed"`
@@ -27,7 +28,7 @@
 
 // Empty reports that the bundles have the same content.
 func (d Difference) Empty() bool {
-	return d.Routes.Empty() && d.Groups.Empty() && d.Tenants.Empty() && d.SignOffKeys.Empty() &&
+	return d.Routes.Empty() && d.Groups.Empty() && d.Tenants.Empty() && d.SignOffKeys.Empty() && d.HTTPRoutes.Empty() &&
 		!d.SchedulingChanged && !d.RecoveryChanged && !d.LimitsChanged
 }
 
@@ -39,6 +40,7 @@
 		Groups:            compareNamed(from.GetGroups(), to.GetGroups()),
 		Tenants:           compareNamed(from.GetTenants(), to.GetTenants()),
 		SignOffKeys:       compareNamed(from.GetSignOffKeys(), to.GetSignOffKeys()),
+		HTTPRoutes:        compareNamed(from.GetHttpRoutes(), to.GetHttpRoutes()),
 		SchedulingChanged: !equal(from.GetScheduling(), to.GetScheduling()),
 		RecoveryChanged:   !equal(from.GetRecovery(), to.GetRecovery()),
 		LimitsChanged:     !equal(from.GetLimits(), to.GetLimits()),
--- a/internal/bundle/delta.go
+++ b/internal/bundle/delta.go
@@ -18,6 +18,7 @@
 	step.Routes, step.RemovedRoutes = stepNamed(from.GetRoutes(), to.GetRoutes())
 	step.Groups, step.RemovedGroups = stepNamed(from.GetGroups(), to.GetGroups())
 	step.Tenants, step.RemovedTenants = stepNamed(from.GetTenants(), to.GetTenants())
+	step.HttpRoutes, step.RemovedHttpRoutes = stepNamed(from.GetHttpRoutes(), to.GetHttpRoutes())
 	if !equal(from.GetScheduling(), to.GetScheduling()) {
 		step.Scheduling = to.GetScheduling()
 	}
--- a/internal/bundle/index.go
+++ b/internal/bundle/index.go
@@ -17,6 +17,8 @@
 	tenants map[string]*protocol.TenantPolicy
 	// known holds the models and tools that any route names, of whatever tenant.
 	known map[target]struct{}
+	// hosts holds the HTTP routes by host in the form of hostKey.
+	hosts map[string]*hostRoutes
 }
 
 // NewIndex builds the index of a merged bundle; nil gives an index that finds nothing.
@@ -27,6 +29,7 @@
 		groups:  make(map[string]*protocol.ServerGroup, len(b.GetGroups())),
 		tenants: make(map[string]*protocol.TenantPolicy, len(b.GetTenants())),
 		known:   make(map[target]struct{}),
+		hosts:   indexHosts(b.GetHttpRoutes()),
 	}
 	for _, route := range b.GetRoutes() {
 		matched := targetOf(route)
--- a/internal/bundle/merge.go
+++ b/internal/bundle/merge.go
@@ -24,6 +24,7 @@
 		Recovery:    firstOf(submitted.GetRecovery(), base.GetRecovery()),
 		Limits:      firstOf(submitted.GetLimits(), base.GetLimits()),
 		SignOffKeys: base.GetSignOffKeys(),
+		HttpRoutes:  mergeNamed(base.GetHttpRoutes(), submitted.GetHttpRoutes(), submitted.GetRemovedHttpRoutes()),
 	}
 	if len(submitted.GetSignOffKeys()) > 0 {
 		merged.SignOffKeys = submitted.GetSignOffKeys()
@@ -36,6 +37,7 @@
 	normal := sorted(b)
 	normal.BaseVersion, normal.Partial = 0, false
 	normal.RemovedRoutes, normal.RemovedGroups, normal.RemovedTenants = nil, nil, nil
+	normal.RemovedHttpRoutes = nil
 	if normal.Scheduling == nil {
 		normal.Scheduling = &protocol.SchedulingPolicy{}
 	}
--- a/internal/bundle/references.go
+++ b/internal/bundle/references.go
@@ -17,6 +17,7 @@
 		{"removed_routes", b.GetRemovedRoutes(), namesOf(base.GetRoutes()), namesOf(b.GetRoutes())},
 		{"removed_groups", b.GetRemovedGroups(), namesOf(base.GetGroups()), namesOf(b.GetGroups())},
 		{"removed_tenants", b.GetRemovedTenants(), namesOf(base.GetTenants()), namesOf(b.GetTenants())},
+		{"removed_http_routes", b.GetRemovedHttpRoutes(), namesOf(base.GetHttpRoutes()), namesOf(b.GetHttpRoutes())},
 	}
 	for _, list := range lists {
 		if len(list.removed) > 0 && !b.GetPartial() {
@@ -78,6 +79,7 @@
 		}
 		return fmt.Sprintf("routes[name=%s]", route.GetName())
 	})
+	c.httpRouteReferences(merged, submitted, groups)
 }
 
 func (c *checker) routeReferences(merged *protocol.Bundle, groups, tenants map[string]bool, pathOf func(*protocol.Route) string) {
--- a/internal/controlstate/backends.go
+++ b/internal/controlstate/backends.go
@@ -37,15 +37,20 @@
 }
 
 // upsertBackEnd takes in what a heartbeat announced.
-func (s *State) upsertBackEnd(index uint64, announced *protocol.BackEnd) *protocol.CommandResult {
+func (s *State) upsertBackEnd(index uint64, at int64, command *protocol.UpsertBackEndCommand) *protocol.CommandResult {
+	announced := command.GetBackEnd()
 	if refusal := refuseBackEnd(announced); refusal != nil {
 		return refusal
 	}
+	if s.announced.outdated(announced.GetId(), announced.GetIncarnation(), command.GetSequence()) {
+		return accept(s.backEnds.GetVersion())
+	}
 	backEnd := s.asHeld(announced)
 	held := findBackEnd(s.backEnds, backEnd.GetId())
 	if held.GetIncarnation() > backEnd.GetIncarnation() {
 		return refuse(codeInvalidOrder, fmt.Sprintf("a later incarnation of back end %q is known", backEnd.GetId()), fault("incarnation", "is not the latest"))
 	}
+	s.noteAnnounced(backEnd.GetId(), backEnd.GetIncarnation(), command.GetSequence())
 	if held != nil && proto.Equal(held, backEnd) {
 		return accept(s.backEnds.GetVersion())
 	}
@@ -57,12 +62,13 @@
 		case other.GetId() == backEnd.GetId():
 		case sameAddress:
 			changed = append(changed, other.GetId())
+			s.noteReplaced(other, at)
 		default:
 			list = append(list, other)
 		}
 	}
-	at, _ := slices.BinarySearchFunc(list, backEnd.GetId(), compareBackEnds)
-	s.backEnds = &protocol.BackEndView{Version: index, BackEnds: slices.Insert(list, at, backEnd)}
+	place, _ := slices.BinarySearchFunc(list, backEnd.GetId(), compareBackEnds)
+	s.backEnds = &protocol.BackEndView{Version: index, BackEnds: slices.Insert(list, place, backEnd)}
 	s.backEndHistory.Add(index, changed...)
 	if backEnd.GetState() == protocol.BackEndState_DRAINING {
 		s.noteDrained(backEnd.GetId(), backEnd.GetIncarnation())
@@ -103,12 +109,23 @@
 	s.drained[id] = max(s.drained[id], incarnation)
 }
 
-func (s *State) removeBackEnd(index uint64, command *protocol.RemoveBackEndCommand) *protocol.CommandResult {
-	at, found := slices.BinarySearchFunc(s.backEnds.GetBackEnds(), command.GetId(), compareBackEnds)
-	if !found || s.backEnds.GetBackEnds()[at].GetIncarnation() != command.GetIncarnation() {
+// removeBackEnd takes a back end out whose lease ran out or that said that it left.
+func (s *State) removeBackEnd(index uint64, at int64, command *protocol.RemoveBackEndCommand) *protocol.CommandResult {
+	incarnation := command.GetIncarnation()
+	if command.GetDeparted() {
+		departed, known := s.departureOf(command, at)
+		incarnation = departed.GetIncarnation()
+		if s.announced.outdated(command.GetId(), incarnation, command.GetSequence()) {
+			return accept(s.backEnds.GetVersion())
+		}
+		s.noteDeparted(departed, known)
+	}
+	place, found := slices.BinarySearchFunc(s.backEnds.GetBackEnds(), command.GetId(), compareBackEnds)
+	if !found || s.backEnds.GetBackEnds()[place].GetIncarnation() != incarnation {
 		return accept(s.backEnds.GetVersion())
 	}
-	list := slices.Delete(slices.Clone(s.backEnds.GetBackEnds()), at, at+1)
+	s.noteRemoved(command.GetId(), at)
+	list := slices.Delete(slices.Clone(s.backEnds.GetBackEnds()), place, place+1)
 	s.backEnds = &protocol.BackEndView{Version: index, BackEnds: list}
 	s.backEndHistory.Add(index, command.GetId())
 	return accept(index)
--- a/internal/controlstate/bundles.go
+++ b/internal/controlstate/bundles.go
@@ -43,9 +43,7 @@
 		if winner.Status.GetSubmittedDigest() == digest {
 			return acceptBundle(winner.Status.GetAcceptedIndex(), winner.Status)
 		}
-		result := refuse(codeVersionTaken, fmt.Sprintf("version %d was taken by other content", version))
-		result.Refusal.Winner = winner.Status
-		return result
+		return refuseTaken(winner.Status)
 	}
 	faults := s.numberFaults(version)
 	base, baseFault := s.baseOf(submitted)
@@ -54,20 +52,35 @@
 	}
 	merged, contentFaults := bundle.Check(base, submitted)
 	if faults = append(faults, contentFaults...); len(faults) > 0 {
-		return refuse(codeInvalidBundle, fmt.Sprintf("the bundle has %d faults", len(faults)), faults...)
+		return refuseFaulty(faults)
 	}
+	return acceptBundle(index, s.take(index, submitted, merged, digest))
+}
+
+func refuseFaulty(faults []*protocol.Fault) *protocol.CommandResult {
+	return refuse(codeInvalidBundle, fmt.Sprintf("the bundle has %d faults", len(faults)), faults...)
+}
+
+// take records a bundle without faults under its number, which becomes the newest.
+func (s *State) take(index uint64, submitted, merged *protocol.Bundle, digest string) *protocol.BundleStatus {
 	status := &protocol.BundleStatus{
-		Version:         version,
+		Version:         submitted.GetVersion(),
 		State:           protocol.BundleState_ACCEPTED,
 		SubmittedDigest: digest,
 		MergedDigest:    bundle.Digest(merged),
 		BaseVersion:     submitted.GetBaseVersion(),
 		AcceptedIndex:   index,
 	}
-	s.setRecord(version, &BundleRecord{Status: status, Merged: merged})
-	s.held = append(s.held, version)
-	s.newest = version
-	return acceptBundle(index, status)
+	s.setRecord(status.GetVersion(), &BundleRecord{Status: status, Merged: merged})
+	s.held = append(s.held, status.GetVersion())
+	s.newest = status.GetVersion()
+	return status
+}
+
+func refuseTaken(winner *protocol.BundleStatus) *protocol.CommandResult {
+	result := refuse(codeVersionTaken, fmt.Sprintf("version %d was taken by other content", winner.GetVersion()))
+	result.Refusal.Winner = winner
+	return result
 }
 
 func (s *State) numberFaults(version uint64) []*protocol.Fault {
@@ -132,7 +145,7 @@
 	if err := bundle.Verify(s.keysInForce(), command.GetKeyName(), status.GetMergedDigest(), command.GetSignature()); err != nil {
 		return refuse(codeBadSignature, err.Error(), fault("signature", err.Error()))
 	}
-	if status.GetSignature() != "" {
+	if status.GetSignedBy() != "" {
 		return acceptBundle(status.GetSignedIndex(), status)
 	}
 	if active := s.configuration.GetActive().GetVersion(); command.GetVersion() < active {
--- a/internal/controlstate/orders.go
+++ b/internal/controlstate/orders.go
@@ -22,6 +22,9 @@
 	codeStoreNotEmptied = failure.StoreNotEmptied
 )
 
+// TooFewStores is the code of an order to empty a store that is needed to hold every shard.
+const TooFewStores failure.Code = "too_few_stores"
+
 type contentSum [16]byte
 
 // orderEntry remembers an order for ever: operators may send it again after any number of changes.
--- /dev/null
+++ b/internal/controlstate/release.go
@@ -0,0 +1,78 @@
+package controlstate
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// SignedByCore is the name under which the core itself signs off what is released.
+const SignedByCore = "core"
+
+// releaseBundle takes a bundle that is built on the version in force, signs it
+// off by the core's own word and puts it in force, all in one step. The same
+// release sent again is acknowledged for ever, whatever came after it.
+func (s *State) releaseBundle(index uint64, command *protocol.ReleaseBundleCommand) *protocol.CommandResult {
+	submitted, baseFaults := releaseContent(command)
+	version, digest := submitted.GetVersion(), bundle.Digest(submitted)
+	if winner := s.record(version); winner != nil {
+		if status := winner.Status; status.GetSubmittedDigest() == digest && status.GetSignedBy() == SignedByCore {
+			return acceptBundle(status.GetAcceptedIndex(), status)
+		}
+		return refuseTaken(winner.Status)
+	}
+	active := s.configuration.GetActive()
+	if expected := command.GetExpectedVersion(); expected != active.GetVersion() {
+		return s.refuseOtherInForce(expected)
+	}
+	faults := append(baseFaults, s.releaseNumberFaults(version)...)
+	merged, contentFaults := bundle.Check(active, submitted)
+	if faults = append(faults, contentFaults...); len(faults) > 0 {
+		return refuseFaulty(faults)
+	}
+	signed := proto.CloneOf(s.take(index, submitted, merged, digest))
+	signed.State, signed.SignedBy, signed.SignedIndex = protocol.BundleState_SIGNED, SignedByCore, index
+	s.setRecord(version, &BundleRecord{Status: signed, Merged: merged})
+	s.putInForce(index, version)
+	return acceptBundle(index, signed)
+}
+
+// releaseContent is the bundle with the expected version as its base, so that
+// its digest covers what it was built on.
+func releaseContent(command *protocol.ReleaseBundleCommand) (*protocol.Bundle, []*protocol.Fault) {
+	given := command.GetBundle()
+	if given == nil {
+		given = &protocol.Bundle{}
+	}
+	submitted := &protocol.Bundle{}
+	proto.Merge(submitted, given)
+	submitted.BaseVersion = command.GetExpectedVersion()
+	switch base := given.GetBaseVersion(); {
+	case base != 0 && base != command.GetExpectedVersion():
+		return submitted, []*protocol.Fault{fault("base_version", fmt.Sprintf("is %d, the release names %d", base, command.GetExpectedVersion()))}
+	case given.GetPartial() && command.GetExpectedVersion() == 0:
+		return submitted, []*protocol.Fault{fault("base_version", "there is no bundle yet to build on; send a whole one")}
+	default:
+		return submitted, nil
+	}
+}
+
+func (s *State) refuseOtherInForce(expected uint64) *protocol.CommandResult {
+	active := s.configuration.GetActive().GetVersion()
+	result := refuse(codeWrongBase, fmt.Sprintf("version %d is in force, not %d", active, expected), fault("expected_version", "is not the version in force"))
+	if record := s.record(active); record != nil {
+		result.Refusal.Winner = record.Status
+	}
+	return result
+}
+
+// releaseNumberFaults demands a number above all that were taken; that one in force is among them.
+func (s *State) releaseNumberFaults(version uint64) []*protocol.Fault {
+	if version == 0 || version > s.newest {
+		return nil
+	}
+	return []*protocol.Fault{fault("version", fmt.Sprintf("must be above %d", s.newest))}
+}
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -27,11 +27,10 @@
 		FirstKeys:     s.firstKeys,
 		MemberOrders:  s.encodeMemberOrders(),
 	}
-	for version := uint64(1); version <= s.newest; version++ {
-		if record := s.record(version); record != nil {
-			snapshot.Bundles = append(snapshot.Bundles, record.Status)
-		}
-	}
+	s.bundles.Root().Walk(func(_ []byte, record *BundleRecord) bool {
+		snapshot.Bundles = append(snapshot.Bundles, record.Status)
+		return false
+	})
 	snapshot.MergedBundles = s.encodeMerged()
 	for _, id := range slices.Sorted(maps.Keys(s.orders)) {
 		entry := s.orders[id]
@@ -42,6 +41,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.drained)) {
 		snapshot.Drained = append(snapshot.Drained, &protocol.DrainedBackEnd{Id: id, Incarnation: s.drained[id]})
 	}
+	snapshot.Announcements = s.announced.list()
 	return snapshot
 }
 
@@ -123,6 +123,9 @@
 	for _, drained := range snapshot.GetDrained() {
 		s.drained[drained.GetId()] = drained.GetIncarnation()
 	}
+	for _, last := range snapshot.GetAnnouncements() {
+		s.announced = s.announced.with(last)
+	}
 	return s, nil
 }
 
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -37,6 +37,8 @@
 	firstKeys    []*protocol.SignOffKey
 	drained      map[string]uint64
 	memberOrders *memberOrders
+	// announced holds the last numbered announcement of each back end, and those that left, by id.
+	announced *announcements
 }
 
 // BundleRecord is what is known of one bundle version.
@@ -57,6 +59,7 @@
 		orders:        map[string]*orderEntry{},
 		drained:       map[string]uint64{},
 		memberOrders:  &memberOrders{},
+		announced:     newAnnouncements(),
 	}
 }
 
@@ -86,6 +89,8 @@
 		return s.putBundle(index, body.PutBundle.GetBundle())
 	case *protocol.Command_SignBundle:
 		return s.signBundle(index, body.SignBundle)
+	case *protocol.Command_ReleaseBundle:
+		return s.releaseBundle(index, body.ReleaseBundle)
 	case *protocol.Command_SetRollout:
 		return s.setRollout(index, body.SetRollout)
 	case *protocol.Command_SeedSignOffKeys:
@@ -95,9 +100,9 @@
 	case *protocol.Command_RemoveNode:
 		return s.removeNode(index, body.RemoveNode)
 	case *protocol.Command_UpsertBackEnd:
-		return s.upsertBackEnd(index, body.UpsertBackEnd.GetBackEnd())
+		return s.upsertBackEnd(index, command.GetProposedAtMillis(), body.UpsertBackEnd)
 	case *protocol.Command_RemoveBackEnd:
-		return s.removeBackEnd(index, body.RemoveBackEnd)
+		return s.removeBackEnd(index, command.GetProposedAtMillis(), body.RemoveBackEnd)
 	case *protocol.Command_DrainBackEnd:
 		return s.drainBackEnd(index, body.DrainBackEnd)
 	case *protocol.Command_InitializePlacement:
@@ -107,7 +112,7 @@
 	case *protocol.Command_ShardCopied:
 		return s.shardCopied(index, body.ShardCopied)
 	case *protocol.Command_EmptyStore:
-		return s.emptyStore(index, body.EmptyStore.GetStore())
+		return s.emptyStore(index, body.EmptyStore)
 	case *protocol.Command_ChangeMember:
 		return s.changeMember(index, command.GetOrderId(), body.ChangeMember)
 	case *protocol.Command_RetireStore:
@@ -135,6 +140,7 @@
 	nodeHistory    views.History
 	backEndHistory views.History
 	memberOrders   *memberOrders
+	announced      *announcements
 }
 
 // View returns the picture of the state as it is now.
@@ -155,6 +161,7 @@
 		nodeHistory:    s.nodeHistory.Copy(),
 		backEndHistory: s.backEndHistory.Copy(),
 		memberOrders:   s.memberOrders,
+		announced:      s.announced,
 	}
 }
 
@@ -176,14 +183,17 @@
 
 // BundleStatuses lists up to limit statuses of versions below before (zero: from the newest), newest first.
 func (v *View) BundleStatuses(before uint64, limit int) []*protocol.BundleStatus {
-	if before == 0 || before > v.Newest {
-		before = v.Newest + 1
-	}
 	var statuses []*protocol.BundleStatus
-	for version := before - 1; version > 0 && len(statuses) < limit; version-- {
-		if record := v.Bundle(version); record != nil {
-			statuses = append(statuses, record.Status)
+	records := v.bundles.Root().ReverseIterator()
+	if before != 0 {
+		records.SeekReverseLowerBound(versionKey(before - 1))
+	}
+	for len(statuses) < limit {
+		_, record, found := records.Previous()
+		if !found {
+			break
 		}
+		statuses = append(statuses, record.Status)
 	}
 	return statuses
 }
--- a/internal/controlstate/stores.go
+++ b/internal/controlstate/stores.go
@@ -8,13 +8,18 @@
 )
 
 // emptyStore orders that all shards leave a store.
-func (s *State) emptyStore(index uint64, store string) *protocol.CommandResult {
+func (s *State) emptyStore(index uint64, command *protocol.EmptyStoreCommand) *protocol.CommandResult {
+	store := command.GetStore()
 	switch {
 	case slices.Contains(s.placement.GetEmptying(), store), slices.Contains(s.placement.GetEmptied(), store), retiredName(s.placement, store):
 		return accept(s.placement.GetEpoch())
 	case findNode(s.membership, store).GetKind() != protocol.NodeKind_STORE && !holdsShard(s.placement, store):
 		return refuse(codeNotFound, fmt.Sprintf("there is no store %q", store), fault("store", "is unknown"))
 	}
+	if kept := s.storesKept(store); kept < int(command.GetStoresToKeep()) {
+		return refuse(TooFewStores, fmt.Sprintf("without %q there would be %d stores, %d are needed", store, kept, command.GetStoresToKeep()),
+			fault("store", "is needed"))
+	}
 	placement := s.editPlacement(index)
 	placement.Emptying = append(placement.Emptying, store)
 	slices.Sort(placement.Emptying)
@@ -23,6 +28,27 @@
 	return accept(index)
 }
 
+// storesKept counts the stores that may hold shards once a store is empty: those
+// present and those that are away for now but still named by a shard.
+func (s *State) storesKept(leaving string) int {
+	kept := map[string]bool{}
+	for _, node := range s.membership.GetNodes() {
+		if node.GetKind() == protocol.NodeKind_STORE {
+			kept[node.GetName()] = true
+		}
+	}
+	for _, shard := range s.placement.GetShards() {
+		for _, replica := range shard.GetCurrent() {
+			kept[replica.GetStore()] = true
+		}
+	}
+	for _, store := range slices.Concat(s.placement.GetEmptying(), s.placement.GetEmptied()) {
+		delete(kept, store)
+	}
+	delete(kept, leaving)
+	return len(kept)
+}
+
 // finishEmptying acknowledges as empty each store that no shard names any more, once every shard has its full set of replicas.
 func (s *State) finishEmptying(placement *protocol.Placement) {
 	left := placement.Emptying[:0]
--- /dev/null
+++ b/internal/core/announced.go
@@ -0,0 +1,53 @@
+package core
+
+import "time"
+
+const (
+	// keptSequence is how long the last sequence of a silent back end is remembered.
+	keptSequence = 10 * time.Minute
+	// sequenceSweepInterval is the time between two looks for sequences to forget.
+	sequenceSweepInterval = time.Minute
+)
+
+// announcedTable holds the highest sequence that each back end announced itself
+// with to this leader. It belongs to the owner. The control log holds the
+// sequences of announcements that changed something; this table knows those
+// that only renewed a lease.
+type announcedTable struct {
+	last      map[string]announcedSequence
+	nextSweep time.Time
+}
+
+type announcedSequence struct {
+	incarnation, sequence uint64
+	heard                 time.Time
+}
+
+func newAnnouncedTable() *announcedTable {
+	return &announcedTable{last: map[string]announcedSequence{}}
+}
+
+func (t *announcedTable) reset() { t.last = map[string]announcedSequence{} }
+
+// note takes in a sequence; it reports false when a later one was seen before.
+func (t *announcedTable) note(id string, incarnation, sequence uint64, now time.Time) bool {
+	last, known := t.last[id]
+	if known && (incarnation < last.incarnation || incarnation == last.incarnation && sequence < last.sequence) {
+		return false
+	}
+	t.last[id] = announcedSequence{incarnation: incarnation, sequence: sequence, heard: now}
+	return true
+}
+
+// sweep forgets back ends that have been silent for long.
+func (t *announcedTable) sweep(now time.Time) {
+	if now.Before(t.nextSweep) {
+		return
+	}
+	t.nextSweep = now.Add(sequenceSweepInterval)
+	for id, last := range t.last {
+		if now.Sub(last.heard) > keptSequence {
+			delete(t.last, id)
+		}
+	}
+}
--- a/internal/core/answers.go
+++ b/internal/core/answers.go
@@ -157,7 +157,7 @@
 			detail.Winner = winner
 		}
 	}
-	return detail, failure.Code(refusal.GetCode()).Status()
+	return detail, statusOf(failure.Code(refusal.GetCode()))
 }
 
 func describeMalformed(malformed *bundle.ParseError) (errorDetail, int) {
--- /dev/null
+++ b/internal/core/control.go
@@ -0,0 +1,267 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// The methods in this file are the control plane's interface for adapters in
+// the same process. Each is answered by the leader; at another member it fails
+// so that IsNotLeader holds, and LeaderHTTPAddress says where to ask. Errors are
+// of type *failure.Error; one with the outcome UNKNOWN may or may not have taken
+// effect, and the same call may be made again at any member.
+
+// IsNotLeader reports that the call was made at a member that does not lead and did nothing.
+func IsNotLeader(err error) bool {
+	return failure.Is(err, failure.NotLeader) || failure.Is(err, failure.NoLeader)
+}
+
+// IsConflict reports that a release was refused because another version is in
+// force than the one it was built on, or because its number was taken by other content.
+func IsConflict(err error) bool {
+	return failure.Is(err, failure.WrongBase) || failure.Is(err, failure.VersionTaken)
+}
+
+// IsInvalid reports that what was sent has faults; it is refused whenever it is sent.
+func IsInvalid(err error) bool {
+	for _, code := range []failure.Code{
+		failure.InvalidBundle, failure.InvalidOrder, failure.InvalidField, failure.MissingField,
+		failure.InvalidBody, failure.UnknownField, failure.BodyTooLarge,
+	} {
+		if failure.Is(err, code) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsUnknownStore reports that there is no store of the name.
+func IsUnknownStore(err error) bool { return failure.Is(err, failure.NotFound) }
+
+// IsTooFewStores reports that a store cannot be emptied because too few would be left.
+func IsTooFewStores(err error) bool { return failure.Is(err, controlstate.TooFewStores) }
+
+// LeaderHTTPAddress is the HTTP address (ip:port) of the leader as far as this
+// process knows; empty when it knows none or leads itself.
+func (s *Service) LeaderHTTPAddress() string {
+	leader := s.consensus.Leader()
+	if leader == nil || leader.GetId() == s.consensus.Status().GetId() {
+		return ""
+	}
+	return leader.GetHttpAddress()
+}
+
+// ReleaseBundle puts a bundle, whole or partial, in force if the version in force is expectedVersion (zero: none). It
+// returns nil only when the release is on the disks of a majority of the core and applied. The same release made again is
+// acknowledged again, at any later time. Failures: IsConflict, IsInvalid, IsNotLeader; Forbidden unless the settings trust operators.
+func (s *Service) ReleaseBundle(ctx context.Context, bundle *protocol.Bundle, expectedVersion uint64) error {
+	if !s.trustOperators {
+		return untrustedFailure()
+	}
+	_, err := s.accepted(ctx, releaseCommand(bundle, expectedVersion))
+	return err
+}
+
+func releaseCommand(bundle *protocol.Bundle, expectedVersion uint64) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_ReleaseBundle{
+		ReleaseBundle: &protocol.ReleaseBundleCommand{Bundle: bundle, ExpectedVersion: expectedVersion},
+	}}
+}
+
+// accepted proposes a command and turns a refusal into a failure.
+func (s *Service) accepted(ctx context.Context, command *protocol.Command) (*protocol.CommandResult, error) {
+	result, err := s.proposer.propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	if !result.GetAccepted() {
+		return nil, refusalFailure(result.GetRefusal())
+	}
+	return result, nil
+}
+
+// ActiveBundle is the bundle in force, nil when there is none. The read is linearizable; the bundle must not be changed.
+func (s *Service) ActiveBundle(ctx context.Context) (*protocol.Bundle, error) {
+	view, err := s.freshView(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return view.Configuration.GetActive(), nil
+}
+
+// freshView is a view that holds all that was committed when it was called.
+func (s *Service) freshView(ctx context.Context) (*controlstate.View, error) {
+	if err := s.consensus.Barrier(ctx); err != nil {
+		return nil, consensusFailure(err)
+	}
+	return s.machine.View(), nil
+}
+
+// EmptyStore orders that all shards leave a store. An order given again changes nothing. Failures: IsUnknownStore,
+// IsTooFewStores when fewer stores would be left than a shard has replicas, IsNotLeader.
+func (s *Service) EmptyStore(ctx context.Context, store string) error {
+	_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_EmptyStore{
+		EmptyStore: &protocol.EmptyStoreCommand{Store: store, StoresToKeep: s.replicaCount},
+	}})
+	return err
+}
+
+// StoreState says how far the emptying of a store is.
+type StoreState int
+
+// States of a store. The numbers mean nothing outside the process.
+const (
+	// StoreServing is a store that nobody ordered to be emptied.
+	StoreServing StoreState = iota + 1
+	// StoreEmptying is a store that still holds shards or is needed to copy them.
+	StoreEmptying
+	// StoreEmptied is a store that may be taken away at once with its disk: every shard has all its replicas elsewhere.
+	StoreEmptied
+)
+
+// StoreState reads how far the emptying of a store is, linearizably. Failures: IsUnknownStore, IsNotLeader.
+func (s *Service) StoreState(ctx context.Context, store string) (StoreState, error) {
+	view, err := s.freshView(ctx)
+	if err != nil {
+		return 0, err
+	}
+	report, err := findStore(view, store)
+	if err != nil {
+		return 0, err
+	}
+	switch report.State {
+	case controlstate.StoreEmptying:
+		return StoreEmptying, nil
+	case controlstate.StoreEmptied, controlstate.StoreRetired:
+		return StoreEmptied, nil
+	default:
+		return StoreServing, nil
+	}
+}
+
+// announcement is what the leader makes of a back end's announcement.
+type announcement int
+
+const (
+	announcementNotLeader announcement = iota
+	// announcementLate came after a later one and changes nothing.
+	announcementLate
+	// announcementHeld says what the view holds already; the lease was renewed.
+	announcementHeld
+	// announcementNews says something that must be written to the log.
+	announcementNews
+)
+
+// AnnounceBackEnd takes in a back end's own word about itself and renews its lease; the log is written only when something
+// changed. The sequence rises with every call of an incarnation: a call with a lower one than was seen before changes nothing,
+// nor does one of a back end that was removed. A back end that was draining stays so. With the state DRAINING it returns nil
+// only once every front node whose lease runs has a view in force that says so, which takes a lease of a front node at most.
+func (s *Service) AnnounceBackEnd(ctx context.Context, announced *protocol.BackEnd, sequence uint64) error {
+	if announced.GetId() == "" {
+		return failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "must be set", failure.WithPath("id"))
+	}
+	outcome, err := s.noteAnnouncement(ctx, announced, sequence)
+	if err != nil {
+		return err
+	}
+	if outcome == announcementNews {
+		if err := s.writeAnnouncement(ctx, announced, sequence); err != nil {
+			return err
+		}
+	}
+	if announced.GetState() != protocol.BackEndState_DRAINING {
+		return nil
+	}
+	return s.awaitDrained(ctx, announced.GetId())
+}
+
+// noteAnnouncement decides at the owner, which orders announcements, and renews the lease of a back end that says nothing new.
+func (s *Service) noteAnnouncement(ctx context.Context, announced *protocol.BackEnd, sequence uint64) (announcement, error) {
+	outcome := announcementNotLeader
+	id, incarnation := announced.GetId(), announced.GetIncarnation()
+	asked := s.owner.ask(ctx, func(now time.Time) {
+		switch {
+		case !s.owner.leads():
+		case s.owner.late(id, incarnation, sequence, now):
+			outcome = announcementLate
+		case s.machine.View().Holds(announced) && s.owner.backEnds.renew(id, incarnation, now):
+			outcome = announcementHeld
+		default:
+			outcome = announcementNews
+		}
+	})
+	if !asked {
+		return outcome, contextFailure(ctx)
+	}
+	switch outcome {
+	case announcementNotLeader:
+		return outcome, notLeaderFailure()
+	case announcementLate:
+		s.metrics.backEndLeases.WithLabelValues("late").Inc()
+	case announcementHeld:
+		s.metrics.backEndLeases.WithLabelValues("renewed").Inc()
+	}
+	return outcome, nil
+}
+
+// late notes the sequence of an announcement and reports whether it came after a later one, or after the back end left.
+func (o *owner) late(id string, incarnation, sequence uint64, now time.Time) bool {
+	if o.machine.View().Outdated(id, incarnation, sequence) {
+		return true
+	}
+	return sequence != 0 && !o.announced.note(id, incarnation, sequence, now)
+}
+
+// writeAnnouncement writes an announcement to the log and begins the lease of what is new in the view.
+func (s *Service) writeAnnouncement(ctx context.Context, announced *protocol.BackEnd, sequence uint64) error {
+	_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_UpsertBackEnd{
+		UpsertBackEnd: &protocol.UpsertBackEndCommand{BackEnd: announced, Sequence: sequence},
+	}})
+	if err != nil {
+		return err
+	}
+	s.metrics.backEndLeases.WithLabelValues("changed").Inc()
+	_, err = s.noteAnnouncement(ctx, announced, sequence)
+	return err
+}
+
+// awaitDrained returns once no front node sends to a back end any more; it fails when the back end is still ready.
+func (s *Service) awaitDrained(ctx context.Context, id string) error {
+	view := s.machine.View()
+	if held := view.BackEnd(id); held != nil && held.GetState() != protocol.BackEndState_DRAINING {
+		return failure.New(failure.InvalidOrder, protocol.Outcome_NOT_RUN, "a later announcement says that the back end is ready", failure.WithPath("sequence"))
+	}
+	return s.awaitBackEnds(ctx, view)
+}
+
+// awaitBackEnds waits until every front node under a lease has the back ends of the view in force, at most as long as a lease lasts.
+func (s *Service) awaitBackEnds(ctx context.Context, view *controlstate.View) error {
+	bounded, cancel := context.WithTimeout(ctx, s.lease+2*leaseMargin)
+	defer cancel()
+	return s.owner.awaitDrain(bounded, view.BackEnds.GetVersion())
+}
+
+// RemoveBackEnd takes out a back end that says that it left: its incarnation is not taken in again. It returns nil once every
+// front node whose lease runs has a view without it in force. Removing one that is gone is acknowledged.
+func (s *Service) RemoveBackEnd(ctx context.Context, id string, sequence uint64) error {
+	if id == "" {
+		return failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "must be set", failure.WithPath("id"))
+	}
+	if err := s.requireLeader(); err != nil {
+		return err
+	}
+	if !s.machine.View().Departed(id) {
+		_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_RemoveBackEnd{
+			RemoveBackEnd: &protocol.RemoveBackEndCommand{Id: id, Departed: true, Sequence: sequence},
+		}})
+		if err != nil {
+			return err
+		}
+		s.metrics.backEndLeases.WithLabelValues("departed").Inc()
+	}
+	return s.awaitBackEnds(ctx, s.machine.View())
+}
--- a/internal/core/http.go
+++ b/internal/core/http.go
@@ -17,6 +17,8 @@
 	operatorTimeout = 15 * time.Second
 	// anySegment stands in a route for a segment that the handler takes as an argument.
 	anySegment = "*"
+	// trustedOperator stands in logs for an operator without a token.
+	trustedOperator = "trusted"
 )
 
 // operatorRequest is one request of an operator on its way through the dispatch.
@@ -41,26 +43,38 @@
 	method   string
 	segments []string
 	handle   operatorHandler
+	// repeatable is true for a change that may be made again without an order id.
+	repeatable bool
 }
 
 func (s *Service) routes() []operatorRoute {
 	route := func(method, path string, handle operatorHandler) operatorRoute {
 		return operatorRoute{method: method, segments: strings.Split(path, "/"), handle: handle}
 	}
+	repeatable := func(method, path string, handle operatorHandler) operatorRoute {
+		made := route(method, path, handle)
+		made.repeatable = true
+		return made
+	}
 	return []operatorRoute{
 		route(http.MethodGet, "v1/bundles", s.listBundles),
 		route(http.MethodGet, "v1/bundles/*", s.showBundle),
 		route(http.MethodPut, "v1/bundles/*", s.putBundle),
 		route(http.MethodPost, "v1/bundles/*/sign", s.signBundle),
 		route(http.MethodGet, "v1/bundles/*/diff/*", s.diffBundles),
+		repeatable(http.MethodPut, "v1/releases/*", s.releaseBundle),
+		route(http.MethodGet, "v1/releases/active", s.showRelease),
 		route(http.MethodGet, "v1/rollout", s.showRollout),
 		route(http.MethodPut, "v1/rollout", s.setRollout),
 		route(http.MethodPost, "v1/rollout/promote", s.promoteRollout),
 		route(http.MethodPost, "v1/rollout/withdraw", s.withdrawRollout),
 		route(http.MethodGet, "v1/nodes", s.listNodes),
 		route(http.MethodGet, "v1/backends", s.listBackEnds),
+		repeatable(http.MethodPut, "v1/backends/*", s.announceBackEnd),
+		repeatable(http.MethodDelete, "v1/backends/*", s.removeBackEnd),
 		route(http.MethodPost, "v1/backends/*/drain", s.orderDrain),
 		route(http.MethodGet, "v1/stores", s.listStores),
+		route(http.MethodGet, "v1/stores/*", s.showStore),
 		route(http.MethodPost, "v1/stores/*/empty", s.emptyStore),
 		route(http.MethodPost, "v1/stores/*/retire", s.retireStore),
 		route(http.MethodGet, "v1/core", s.showCore),
@@ -76,13 +90,13 @@
 		s.writeError(writer, request, err)
 		return
 	}
-	operator, known := s.tokens.operator(request.Header.Get("Authorization"))
+	operator, known := s.operatorOf(request)
 	if !known {
 		writer.Header().Set("WWW-Authenticate", "Bearer")
 		s.writeError(writer, request, failure.New(failure.Unauthorized, protocol.Outcome_NOT_RUN, "an operator's bearer token is needed"))
 		return
 	}
-	order, err := orderOf(request)
+	order, err := orderOf(route, request)
 	if err != nil {
 		s.writeError(writer, request, err)
 		return
@@ -97,6 +111,15 @@
 	s.writeAnswer(writer, result)
 }
 
+// operatorOf names the operator of a request; without a token it is known only where operators are trusted.
+func (s *Service) operatorOf(request *http.Request) (name string, known bool) {
+	name, known = s.tokens.operator(request.Header.Get("Authorization"))
+	if !known && s.trustOperators {
+		return trustedOperator, true
+	}
+	return name, known
+}
+
 // serveOperator runs a handler at the leader, after a barrier where it only reads.
 func (s *Service) serveOperator(ctx context.Context, route *operatorRoute, request *operatorRequest) (*answer, error) {
 	if route.method == http.MethodGet && request.http.URL.Query().Get("local") != "true" {
@@ -159,11 +182,11 @@
 	return arguments, true
 }
 
-// orderOf reads the order id that every change must carry.
-func orderOf(request *http.Request) (string, error) {
+// orderOf reads the order id that every change must carry unless it may be made again without one.
+func orderOf(route *operatorRoute, request *http.Request) (string, error) {
 	id := request.Header.Get(orderHeader)
 	switch {
-	case request.Method == http.MethodGet:
+	case request.Method == http.MethodGet, id == "" && route.repeatable:
 		return "", nil
 	case id == "":
 		return "", failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "every order needs an id of its own", failure.WithPath(orderHeader))
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -115,6 +115,8 @@
 		m.logger.Info("bundle accepted", "version", result.GetBundle().GetVersion())
 	case *protocol.Command_SignBundle:
 		m.logger.Info("bundle signed off", "version", result.GetBundle().GetVersion(), "key", body.SignBundle.GetKeyName())
+	case *protocol.Command_ReleaseBundle:
+		m.logger.Info("bundle released", "version", result.GetBundle().GetVersion(), "base", body.ReleaseBundle.GetExpectedVersion())
 	case *protocol.Command_SetRollout:
 		m.logger.Info("roll-out changed", "action", body.SetRollout.GetAction(), "version", result.GetBundle().GetVersion(), "reason", body.SetRollout.GetReason())
 	case *protocol.Command_JoinNode:
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -86,8 +86,12 @@
 		Coalesce:     millis(settings.GetCoalesceMillis()),
 		FirstKeys:    keys,
 		Tokens:       tokens,
-		Logger:       logger,
-		Registerer:   registerer,
+
+		TrustOperators: settings.GetTrustOperators(),
+		BackEndLease:   millis(settings.GetBackEndLeaseMillis()),
+
+		Logger:     logger,
+		Registerer: registerer,
 	}), nil
 }
 
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -125,9 +125,15 @@
 }
 
 func (s *Service) emptyStore(ctx context.Context, request *operatorRequest) (*answer, error) {
-	return s.order(ctx, "empty_store", request, &protocol.Command{
-		Body: &protocol.Command_EmptyStore{EmptyStore: &protocol.EmptyStoreCommand{Store: request.arguments[0]}},
-	})
+	command := &protocol.EmptyStoreCommand{}
+	if err := readBody(request, command); err != nil {
+		return nil, err
+	}
+	if named := command.GetStore(); named != "" && named != request.arguments[0] {
+		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "the body names another store than the path", failure.WithPath("store"))
+	}
+	command.Store = request.arguments[0]
+	return s.order(ctx, "empty_store", request, &protocol.Command{Body: &protocol.Command_EmptyStore{EmptyStore: command}})
 }
 
 func (s *Service) retireStore(ctx context.Context, request *operatorRequest) (*answer, error) {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -19,10 +19,8 @@
 	// leaseMargin is added to each lease at the leader, so that it outlives the holder's own count.
 	leaseMargin = 250 * time.Millisecond
 	// endingRetry is the wait before a removal is proposed again.
-	endingRetry = time.Second
-	// backEndExpiry is how long a back end stays in the view without a heartbeat.
-	backEndExpiry = 5 * time.Second
-	commandQueue  = 1024
+	endingRetry  = time.Second
+	commandQueue = 1024
 )
 
 // leadership is one unbroken time in which this process leads.
@@ -53,6 +51,7 @@
 	leaderSince time.Time
 	nodes       *leaseTable
 	backEnds    *leaseTable
+	announced   *announcedTable
 	drains      []*drain
 	arms        *armTable
 	reconciler  *reconciler
@@ -150,6 +149,7 @@
 	o.leaderSince = since
 	o.nodes.reset(now)
 	o.backEnds.reset(now)
+	o.announced.reset()
 	o.arms.reset()
 	o.reconciler.reset()
 	o.leading.Store(&leadership{since: now, lost: make(chan struct{})})
@@ -185,6 +185,7 @@
 		o.backEnds.extend(now)
 	}
 	o.sweepLeases()
+	o.announced.sweep(now)
 	o.endNodeLeases(now)
 	o.endBackEndLeases(now)
 	o.checkDrains(now)
--- a/internal/core/propose.go
+++ b/internal/core/propose.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosestand/rosestand/internal/controlstate"
 	"github.com/rosestand/rosestand/internal/core/replica"
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
@@ -81,9 +83,17 @@
 	return failure.New(failure.NotLeader, protocol.Outcome_NOT_RUN, "this core process does not lead", failure.WithRetryAfter(100*time.Millisecond))
 }
 
+// statusOf gives the HTTP status of a code, also of those that the control state adds.
+func statusOf(code failure.Code) int {
+	if code == controlstate.TooFewStores {
+		return http.StatusConflict
+	}
+	return code.Status()
+}
+
 // refusalFailure turns a refused order into a failure; its request was surely not run.
 func refusalFailure(refusal *protocol.Refusal) error {
-	var options []failure.Option
+	options := []failure.Option{func(made *protocol.Failure) { made.Status = uint32(statusOf(failure.Code(refusal.GetCode()))) }}
 	if len(refusal.GetFaults()) > 0 {
 		options = append(options, failure.WithPath(refusal.GetFaults()[0].GetPath()))
 	}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -21,6 +21,7 @@
 	DefaultShardCount   = 64
 	DefaultReplicaCount = 3
 	DefaultCoalesce     = 100 * time.Millisecond
+	DefaultBackEndLease = 5 * time.Second
 )
 
 // Options of a Service. Zero numbers take the defaults.
@@ -38,6 +39,10 @@
 	FirstKeys []*protocol.SignOffKey
 	// Tokens are the credentials of operators.
 	Tokens *Tokens
+	// TrustOperators takes orders without a token and lets the core sign off what is released.
+	TrustOperators bool
+	// BackEndLease is how long a back end stays in the view without a heartbeat.
+	BackEndLease time.Duration
 	// Logger and Registerer may be nil.
 	Logger     *log.Logger
 	Registerer prometheus.Registerer
@@ -54,8 +59,11 @@
 	owner     *owner
 	pacing    *pacing
 	tokens    *Tokens
-	metrics   *metrics
-	logger    *log.Logger
+	// trustOperators takes orders without a token and releases without a signature.
+	trustOperators bool
+	replicaCount   uint32
+	metrics        *metrics
+	logger         *log.Logger
 	// dispatchTable lists the routes of operators.
 	dispatchTable []operatorRoute
 }
@@ -74,6 +82,9 @@
 	if options.Coalesce == 0 {
 		options.Coalesce = DefaultCoalesce
 	}
+	if options.BackEndLease == 0 {
+		options.BackEndLease = DefaultBackEndLease
+	}
 	if options.Tokens == nil {
 		options.Tokens = &Tokens{}
 	}
@@ -85,8 +96,12 @@
 		proposer:  &proposer{consensus: options.Consensus, clock: options.Clock},
 		pacing:    newPacing(options.Coalesce),
 		tokens:    options.Tokens,
-		metrics:   newMetrics(options.Registerer),
-		logger:    orDiscard(options.Logger),
+
+		trustOperators: options.TrustOperators,
+		replicaCount:   options.ReplicaCount,
+
+		metrics: newMetrics(options.Registerer),
+		logger:  orDiscard(options.Logger),
 	}
 	service.dispatchTable = service.routes()
 	service.owner = &owner{
@@ -98,7 +113,8 @@
 		metrics:   service.metrics,
 		queue:     make(chan func(time.Time), commandQueue),
 		nodes:     newLeaseTable(options.Lease + leaseMargin),
-		backEnds:  newLeaseTable(backEndExpiry),
+		backEnds:  newLeaseTable(options.BackEndLease),
+		announced: newAnnouncedTable(),
 		arms:      newArmTable(),
 		reconciler: &reconciler{
 			firstKeys:    options.FirstKeys,
