--- a/internal/failure/codes.go
+++ b/internal/failure/codes.go
@@ -23,6 +23,7 @@
 	InvalidBody      Code = "invalid_body"
 	UnknownField     Code = "unknown_field"
 	BodyTooLarge     Code = "body_too_large"
+	HeaderTooLarge   Code = "header_too_large"
 	MissingField     Code = "missing_field"
 	InvalidField     Code = "invalid_field"
 	Unauthorized     Code = "unauthorized"
@@ -78,7 +79,7 @@
 	Draining: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
 	UnknownRoute: http.StatusNotFound, MethodNotAllowed: http.StatusMethodNotAllowed,
 	InvalidBody: http.StatusBadRequest, UnknownField: http.StatusBadRequest,
-	BodyTooLarge: http.StatusRequestEntityTooLarge, MissingField: http.StatusBadRequest,
+	BodyTooLarge: http.StatusRequestEntityTooLarge, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge, MissingField: http.StatusBadRequest,
 	InvalidField: http.StatusBadRequest, Unauthorized: http.StatusUnauthorized,
 	Forbidden: http.StatusForbidden, NotFound: http.StatusNotFound,
 	UnknownModel: http.StatusNotFound, UnknownTool: http.StatusNotFound,
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -198,6 +198,14 @@
 	sequence uint64
 }
 
+// serversOf finds the servers of a group that serve a model or tool, or all of them when none is named.
+func (b *backEnds) serversOf(key groupKey) []*backEnd {
+	if key.name == "" {
+		return b.byGroup[key.group]
+	}
+	return b.groups[key]
+}
+
 // place runs the scheduling policy of a bundle.
 func (b *backEnds) place(p placement, now time.Time) schedule.Decision {
 	group := p.index.Group(p.key.group)
@@ -208,5 +216,5 @@
 		AffinityKey: p.affinity, Last: p.last, Avoid: p.avoid, Sequence: p.sequence,
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return schedule.Choose(request, candidates(b.groups[p.key], group, now), random)
+	return schedule.Choose(request, candidates(b.serversOf(p.key), group, now), random)
 }
--- a/internal/front/dependencies.go
+++ b/internal/front/dependencies.go
@@ -40,6 +40,9 @@
 type Ownership interface {
 	Resolve(ctx context.Context, session, program string) (directory.Owner, error)
 	Forget(session string)
+	// OwnerLost says that a request could not be passed on to the owner at an address, or that
+	// its connection broke before an answer; the next Resolve may take the session over.
+	OwnerLost(session, address string, cause error)
 	// Fenced gives a session up after the ledger refused this node's epoch of it.
 	Fenced(session string)
 	Begin(session, program string) (Grant, error)
--- a/internal/front/explanations.go
+++ b/internal/front/explanations.go
@@ -9,7 +9,7 @@
 )
 
 // explanationCount is the number of requests whose path a front node remembers.
-const explanationCount = 16_384
+const explanationCount = 4_096
 
 // explanations owns the newest explanations of this front node.
 type explanations struct {
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosestand/rosestand/internal/corelink"
 	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/dialect"
 	"github.com/rosestand/rosestand/internal/ledgerclient"
 	"github.com/rosestand/rosestand/internal/ownership"
 	"github.com/rosestand/rosestand/internal/protocol"
@@ -25,7 +26,7 @@
 // routes on the engine, and starts and stops all of them with the process.
 func Module(settings *protocol.FrontSettings) fx.Option {
 	return fx.Module("front",
-		fx.Supply(settings),
+		fx.Supply(settings, dialect.Default()),
 		fx.Provide(
 			provideLink,
 			provideOwnership,
@@ -61,11 +62,12 @@
 }
 
 func provideService(process *daemon.Process, link *corelink.Link, ledger *ledgerclient.Client, manager *ownership.Manager,
-	caller wire.Caller, logger *log.Logger, registerer prometheus.Registerer,
+	caller wire.Caller, words dialect.Dialect, logger *log.Logger, registerer prometheus.Registerer,
 ) *Service {
 	return New(Options{
 		Self: process.Self, Link: link, Ledger: ledger, Ownership: grantingManager{manager}, Caller: caller,
-		Logger: logger, Registerer: registerer,
+		Dialect: words,
+		Logger:  logger, Registerer: registerer,
 	})
 }
 
@@ -82,11 +84,16 @@
 }
 
 func run(lifecycle fx.Lifecycle, settings *protocol.FrontSettings, service *Service, manager *ownership.Manager,
-	link *corelink.Link, process *daemon.Process, engine *gin.Engine,
+	link *corelink.Link, process *daemon.Process, engine *gin.Engine, words dialect.Dialect, logger *log.Logger,
 ) {
 	service.Register(engine, settings.GetMaxBodyBytes())
 	process.Readiness.AddCheck(readyCondition, service.notReady)
-	process.OnDrain("front", service.Drain)
+	listener := newRouteListener(settings.GetTrafficAddress(), &routeAPI{service: service, dialect: words}, logger)
+	process.OnDrain("front", func(ctx context.Context) error {
+		taken := listener.beginDrain(service.clock)
+		drained := service.Drain(ctx)
+		return errors.CombineErrors(drained, listener.drain(ctx, taken))
+	})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			if err := manager.Start(ctx); err != nil {
@@ -95,10 +102,14 @@
 			if err := service.Start(ctx); err != nil {
 				return err
 			}
-			return link.Start(ctx)
+			if err := link.Start(ctx); err != nil {
+				return err
+			}
+			return listener.start()
 		},
 		OnStop: func(ctx context.Context) error {
-			err := service.Stop(ctx)
+			err := listener.stop()
+			err = errors.CombineErrors(err, service.Stop(ctx))
 			err = errors.CombineErrors(err, manager.Stop(ctx))
 			return errors.CombineErrors(err, link.Stop(ctx))
 		},
--- /dev/null
+++ b/internal/front/httpheaders.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// connectionHeaders concern one connection only and are not passed on (RFC 9110, section 7.6.1).
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Content-Length": true, "Host": true,
+}
+
+// endToEndHeaders gives the headers that are passed on, sorted by name.
+func endToEndHeaders(header http.Header, except ...string) []*protocol.HttpHeader {
+	named := namedInConnection(header)
+	passed := make([]*protocol.HttpHeader, 0, len(header))
+	for name, values := range header {
+		if connectionHeaders[name] || named[name] || slices.Contains(except, name) {
+			continue
+		}
+		for _, value := range values {
+			passed = append(passed, &protocol.HttpHeader{Name: name, Value: value})
+		}
+	}
+	slices.SortStableFunc(passed, func(a, b *protocol.HttpHeader) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return passed
+}
+
+func namedInConnection(header http.Header) map[string]bool {
+	values := header["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, value := range values {
+		for name := range strings.SplitSeq(value, ",") {
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
--- /dev/null
+++ b/internal/front/httpissue.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/dialect"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/serverconn"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// routeClient sends requests of HTTP routes to servers in the words of a dialect.
+type routeClient struct {
+	dialect dialect.Dialect
+	pool    *serverconn.Pool
+	clock   Clock
+}
+
+func newRouteClient(words dialect.Dialect, clock Clock) *routeClient {
+	return &routeClient{dialect: words, clock: clock, pool: serverconn.New(serverconn.Options{Now: clock.Now})}
+}
+
+// routedRequest is one send of a request to one server.
+type routedRequest struct {
+	server    *backEnd
+	requestID string
+	http      *protocol.HttpRequest
+	body      []byte
+	deadline  time.Time
+}
+
+// send issues a request once. The answer is one that the server gave to this very request.
+func (c *routeClient) send(ctx context.Context, request routedRequest) (*serverconn.Response, error) {
+	left := request.deadline.Sub(c.clock.Now()).Milliseconds()
+	if left <= 0 {
+		return nil, &backEndError{fault: turn.FaultNotSent, detail: "the deadline has passed"}
+	}
+	description := request.server.description.Load()
+	response, err := c.pool.Do(ctx, description.GetAddress(), &serverconn.Request{
+		Method: request.http.GetMethod(), Target: request.http.GetTarget(), Host: request.http.GetHost(),
+		Headers: c.headers(request, description.GetId(), left), Body: request.body,
+	})
+	if err != nil {
+		fault := turn.FaultBroken
+		if errors.HasType(err, (*serverconn.NotSentError)(nil)) {
+			fault = turn.FaultNotSent
+		}
+		return nil, &backEndError{fault: fault, detail: err.Error()}
+	}
+	if fault := c.faultOf(response, request.requestID); fault != nil {
+		return nil, fault
+	}
+	return response, nil
+}
+
+func (c *routeClient) headers(request routedRequest, server string, left int64) []*protocol.HttpHeader {
+	given := request.http.GetHeaders()
+	headers := make([]*protocol.HttpHeader, 0, len(given)+3)
+	headers = append(headers, given...)
+	headers = append(headers, &protocol.HttpHeader{Name: c.dialect.TimeLeft, Value: strconv.FormatInt(left, 10)})
+	if c.dialect.TargetServer != "" {
+		headers = append(headers, &protocol.HttpHeader{Name: c.dialect.TargetServer, Value: server})
+	}
+	return headers
+}
+
+// faultOf reads the answers by which a server says that it did not run the
+// request, and finds those that are no answer to it. The exchange is ended then.
+func (c *routeClient) faultOf(response *serverconn.Response, requestID string) *backEndError {
+	header := response.Header
+	if response.Status == http.StatusMisdirectedRequest || header.Get(c.dialect.NotExecuted) != "" {
+		detail := "the server refused with status " + strconv.Itoa(response.Status)
+		_, _ = response.ReadAll(maxFaultAnswerBytes)
+		response.Close()
+		return &backEndError{fault: turn.FaultRefused, retryAfter: retryAfterOf(header), detail: detail}
+	}
+	if echoed := header.Get(c.dialect.RequestID); echoed != requestID {
+		response.Discard()
+		return &backEndError{fault: turn.FaultMismatch, detail: "the answer belongs to request " + strconv.Quote(echoed)}
+	}
+	if header.Get(c.dialect.Signature) == "" {
+		response.Discard()
+		return &backEndError{fault: turn.FaultBroken, detail: "the answer has no proof of its server"}
+	}
+	return nil
+}
+
+func retryAfterOf(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// call runs a call of an HTTP route at one server and reads its whole answer.
+func (c *routeClient) call(ctx context.Context, request routedRequest) (turn.Event, error) {
+	response, err := c.send(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	body, err := response.ReadAll(maxToolAnswerBytes)
+	if err != nil {
+		response.Discard()
+		return nil, &backEndError{fault: turn.FaultBroken, detail: err.Error()}
+	}
+	headers := endToEndHeaders(response.Header)
+	status := uint32(response.Status)
+	response.Close()
+	return turn.CallDone{Status: status, Body: body, Headers: headers}, nil
+}
+
+func (c *routeClient) close() { c.pool.Close() }
--- /dev/null
+++ b/internal/front/httpstream.go
@@ -0,0 +1,119 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/serverconn"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+const (
+	eventStreamType = "text/event-stream"
+	maxEventBytes   = 1 << 20
+	dataField       = "data:"
+)
+
+// answerStream is the answer of a server to a turn, piece by piece.
+type answerStream interface {
+	// next waits for the next piece; the last one is a turn.BackEndDone or a turn.AnsweredWhole.
+	next() (turn.Event, error)
+	// close gives the answer up, or lets its connection rest when it was read whole.
+	close()
+}
+
+// httpStream is the answer to a turn of an HTTP route.
+type httpStream struct {
+	response    *serverconn.Response
+	reader      *bufio.Reader
+	eventTokens uint32
+	headGiven   bool
+	done        turn.BackEndDone
+}
+
+func newHTTPStream(response *serverconn.Response, eventTokens uint32) *httpStream {
+	return &httpStream{
+		response: response, reader: bufio.NewReaderSize(response.Body, streamBufferBytes), eventTokens: max(eventTokens, 1),
+	}
+}
+
+func (s *httpStream) next() (turn.Event, error) {
+	if !s.headGiven {
+		s.headGiven = true
+		return s.head()
+	}
+	event, err := s.readEvent()
+	switch {
+	case errors.Is(err, io.EOF):
+		return s.done, nil
+	case err != nil:
+		return nil, &backEndError{fault: turn.FaultBroken, detail: "the stream broke off: " + err.Error()}
+	}
+	s.done.OutputTokens += uint64(s.eventTokens)
+	return turn.Token{Event: event, Data: dataOf(event), Tokens: s.eventTokens}, nil
+}
+
+func (s *httpStream) head() (turn.Event, error) {
+	answer := &protocol.HttpAnswer{Status: uint32(s.response.Status), Headers: endToEndHeaders(s.response.Header)}
+	if s.response.Status == http.StatusOK && strings.HasPrefix(s.response.Header.Get("Content-Type"), eventStreamType) {
+		return turn.Head{Answer: answer}, nil
+	}
+	body, err := s.response.ReadAll(maxToolAnswerBytes)
+	if err != nil {
+		return nil, &backEndError{fault: turn.FaultBroken, detail: err.Error()}
+	}
+	answer.Body = body
+	return turn.AnsweredWhole{Answer: answer}, nil
+}
+
+// partialEventError says that a stream ended inside an event.
+type partialEventError struct{}
+
+func (*partialEventError) Error() string { return "the stream ended inside an event" }
+
+// readEvent reads up to the blank line that ends an event; io.EOF says that the stream ended whole.
+func (s *httpStream) readEvent() ([]byte, error) {
+	var event []byte
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEventBytes:
+			continue
+		case errors.Is(err, io.EOF) && len(event) > 0:
+			return nil, &partialEventError{}
+		case err != nil:
+			return nil, err
+		case isBlank(line) && len(event) > len(line):
+			return event, nil
+		}
+	}
+}
+
+func isBlank(line []byte) bool { return len(line) == 1 || len(line) == 2 && line[0] == '\r' }
+
+// dataOf joins the data lines of an event.
+func dataOf(event []byte) []byte {
+	var data []byte
+	found := false
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		value, isData := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), []byte(dataField))
+		if !isData {
+			continue
+		}
+		if found {
+			data = append(data, '\n')
+		}
+		found = true
+		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
+	}
+	return data
+}
+
+func (s *httpStream) close() { s.response.Close() }
--- /dev/null
+++ b/internal/front/httpturn.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/limit"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// routedSends bounds how often one request of an HTTP route is sent to servers
+// of which at most one runs it: the others said that they did not.
+const routedSends = 3
+
+// freeGrant is the grant of a request that belongs to no session: there is nothing to own.
+type freeGrant struct{}
+
+// Valid implements Grant.
+func (freeGrant) Valid() bool { return true }
+
+// Incarnation implements Grant.
+func (freeGrant) Incarnation() uint64 { return 0 }
+
+// End implements Grant.
+func (freeGrant) End() {}
+
+// grantFor asks for the permission to act as owner of a session, if there is one.
+func (s *Service) grantFor(session, program string) (Grant, error) {
+	if session == "" {
+		return freeGrant{}, nil
+	}
+	return s.ownership.Begin(session, program)
+}
+
+// ownerOf finds the owner of a session. What belongs to no session is run where it came in.
+func (s *Service) ownerOf(ctx context.Context, session, program string) (directory.Owner, error) {
+	if session == "" {
+		return directory.Owner{Name: s.name, Local: true}, nil
+	}
+	return s.ownership.Resolve(ctx, session, program)
+}
+
+// beginHTTPTurn starts a turn of an HTTP route as its owner. Other turns of the session may be under way.
+func (s *Service) beginHTTPTurn(request *protocol.TurnRequest) (*liveTurn, error) {
+	key := sessionKey{session: request.GetSession(), program: request.GetProgram()}
+	grant, err := s.grantFor(key.session, key.program)
+	if err != nil {
+		return nil, err
+	}
+	routed := request.GetHttp()
+	arm := s.policies.Load().armOf(request.GetProgram())
+	route := &protocol.Route{Name: routed.GetRoute(), Group: routed.GetGroup()}
+	deadline := s.clock.Now().Add(timeLeft(request.GetTimeLeftMillis()))
+	ctx, cancel := context.WithCancelCause(context.Background())
+	live := newLiveTurn(request, request.GetRequestId(), cancel)
+	run := s.newTurnRun(ctx, request, live, grant, key, arm, route, deadline)
+	run.freed = true
+	run.machine = turn.New(turn.Parameters{
+		Request: request, TurnID: live.turnID, Owner: s.name, Incarnation: grant.Incarnation(),
+		Budget: request.GetProgramBudget(), Ceiling: routedCeiling(request),
+		KeepFor:       time.Duration(routed.GetKeepMillis()) * time.Millisecond,
+		BundleVersion: routed.GetBundleVersion(), Attempts: routedSends,
+	})
+	s.startRun(run, cancel)
+	return live, nil
+}
+
+// routedCeiling is the most tokens that a turn may pass on, in whole events.
+func routedCeiling(request *protocol.TurnRequest) uint64 {
+	most := uint64(request.GetMaxOutputTokens())
+	if most == 0 {
+		most = defaultMaxOutputTokens
+	}
+	event := uint64(max(request.GetHttp().GetEventTokens(), 1))
+	return (most + event - 1) / event * event
+}
+
+// issueHTTP sends a turn of an HTTP route to the server chosen; its answer is read by receive.
+func (r *turnRun) issueHTTP(command turn.Issue) turn.Event {
+	r.issuedAt = r.now()
+	r.explanation.step("issued", command.BackEnd)
+	r.server.inFlight.Add(1)
+	response, err := r.service.routes.send(r.ctx, routedRequest{
+		server: r.server, requestID: r.request.GetRequestId(), http: r.request.GetHttp(),
+		body: joinItems(command.Items), deadline: r.deadline,
+	})
+	if err != nil {
+		r.server.inFlight.Add(-1)
+		if reason := r.stopReason(); reason != 0 {
+			return turn.Stopped{Reason: reason}
+		}
+		return r.attemptFailed(err)
+	}
+	r.generation = newHTTPStream(response, r.request.GetHttp().GetEventTokens())
+	return nil
+}
+
+// joinItems puts the bytes of a conversation together, oldest first.
+func joinItems(items []*protocol.Item) []byte {
+	size := 0
+	for _, item := range items {
+		size += len(item.GetData())
+	}
+	body := make([]byte, 0, size)
+	for _, item := range items {
+		body = append(body, item.GetData()...)
+	}
+	return body
+}
+
+// readHTTPHistory reads the conversation that a turn of an HTTP route continues:
+// from the owner's cache, from the program's part of the ledger, or from another program's.
+func (r *turnRun) readHTTPHistory(lastTurn string) turn.Event {
+	if held := r.service.sessions.historyOf(r.key, lastTurn); held.known {
+		r.history = held.items
+		return turn.HistoryRead{Items: held.items, Tokens: held.tokens, Status: protocol.LedgerStatus_LEDGER_OK}
+	}
+	found := r.service.readChain(r.ctx, r.key.program, lastTurn)
+	r.explanation.step("history read", found.status.String())
+	if found.status != protocol.LedgerStatus_LEDGER_OK {
+		return turn.HistoryRead{Status: found.status}
+	}
+	r.history = historyItems(found.turns)
+	foreign := found.program
+	if foreign == r.key.program {
+		foreign = ""
+	}
+	return turn.HistoryRead{
+		Items: r.history, Tokens: found.turns[len(found.turns)-1].GetHistoryTokens(), Program: foreign, Status: found.status,
+	}
+}
+
+// routedTicket is a request's claim to a slot.
+func routedTicket(routed *protocol.HttpRequest, tenant string, deadline time.Time) limit.Ticket {
+	return limit.Ticket{Class: rankClass(routed.GetRank()), Tenant: tenant, Weight: 1, Deadline: deadline}
+}
+
+// rankClass maps a route's rank to a class of the admission.
+func rankClass(rank uint32) protocol.Priority {
+	switch rank {
+	case 0:
+		return protocol.Priority_URGENT
+	case 1:
+		return protocol.Priority_INTERACTIVE
+	default:
+		return protocol.Priority_PROBE
+	}
+}
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -19,8 +19,10 @@
 const (
 	// forwardWindow bounds how long an ingress looks for an owner that answers.
 	forwardWindow = 15 * time.Second
-	firstBackoff  = 20 * time.Millisecond
-	mostBackoff   = 500 * time.Millisecond
+	// routedWindow is the same for requests of HTTP routes, whose callers retry by themselves.
+	routedWindow = 1500 * time.Millisecond
+	firstBackoff = 20 * time.Millisecond
+	mostBackoff  = 500 * time.Millisecond
 	// answerSlack is how much longer than the deadline an ingress waits to hear what became of a turn.
 	answerSlack = 3 * time.Second
 )
@@ -33,7 +35,9 @@
 	deliver     func(*protocol.TurnEvent) error
 	explanation *explanation
 	at          cursor
-	done        bool
+	// owner is the one tried last; empty when none was found.
+	owner directory.Owner
+	done  bool
 	// gone is set when the caller can take no more events.
 	gone error
 }
@@ -71,10 +75,27 @@
 	return err
 }
 
+// noteLost tells the directory why a session's owner could not be used.
+func (s *Service) noteLost(session string, owner directory.Owner, cause error) {
+	if owner.Local || owner.Address == "" || isNotTaken(cause) {
+		s.ownership.Forget(session)
+		return
+	}
+	s.ownership.OwnerLost(session, owner.Address, cause)
+}
+
+// windowFor bounds how long an ingress looks for an owner that answers.
+func windowFor(routed *protocol.HttpRequest) time.Duration {
+	if routed != nil {
+		return routedWindow
+	}
+	return forwardWindow
+}
+
 // run tries owners until one answers. A request that is sent again carries the
 // same id, so that an owner or the ledger knows it.
 func (r *relay) run(ctx context.Context) error {
-	lastTry := r.service.clock.Now().Add(forwardWindow)
+	lastTry := r.service.clock.Now().Add(windowFor(r.request.GetHttp()))
 	if lastTry.After(r.deadline) {
 		lastTry = r.deadline
 	}
@@ -91,10 +112,10 @@
 			return errors.CombineErrors(r.gone, err)
 		}
 		r.explanation.step("not answered", err.Error())
-		if !mayTryAgain(err) || !r.service.clock.Now().Add(backoff).Before(lastTry) {
+		if !r.mayTryAgain(err) || !r.service.clock.Now().Add(backoff).Before(lastTry) {
 			return r.giveUp(ctx, err)
 		}
-		r.service.ownership.Forget(r.request.GetSession())
+		r.service.noteLost(r.request.GetSession(), r.owner, err)
 		select {
 		case <-r.service.clock.After(backoff):
 		case <-ctx.Done():
@@ -106,12 +127,14 @@
 
 // try brings the turn to the owner of the moment.
 func (r *relay) try(ctx context.Context) error {
-	owner, err := r.service.ownership.Resolve(ctx, r.request.GetSession(), r.request.GetProgram())
+	r.owner = directory.Owner{}
+	owner, err := r.service.ownerOf(ctx, r.request.GetSession(), r.request.GetProgram())
 	if err != nil {
 		return err
 	}
+	r.owner = owner
 	r.noteOwner(owner)
-	request := proto.CloneOf(r.request)
+	request := shallowCopy(r.request)
 	request.TimeLeftMillis = max(uint32(r.deadline.Sub(r.service.clock.Now()).Milliseconds()), 1)
 	request.LastAttempt = r.at.attempt
 	request.LookupViewVersion = owner.ViewVersion
@@ -121,6 +144,18 @@
 	return r.serveRemote(ctx, owner.Address, request)
 }
 
+// shallowCopy gives a request whose own fields may be changed; what they lead to is shared.
+func shallowCopy(request *protocol.TurnRequest) *protocol.TurnRequest {
+	return &protocol.TurnRequest{
+		RequestId: request.GetRequestId(), Tenant: request.GetTenant(), Program: request.GetProgram(), Session: request.GetSession(),
+		PreviousTurn: request.GetPreviousTurn(), Input: request.GetInput(), Model: request.GetModel(),
+		MaxOutputTokens: request.GetMaxOutputTokens(), Priority: request.GetPriority(), TimeLeftMillis: request.GetTimeLeftMillis(),
+		ProgramBudget: request.GetProgramBudget(), Ingress: request.GetIngress(), Nonce: request.GetNonce(),
+		LookupViewVersion: request.GetLookupViewVersion(), FirstSend: request.GetFirstSend(), Background: request.GetBackground(),
+		LastAttempt: request.GetLastAttempt(), Http: request.GetHttp(),
+	}
+}
+
 func (r *relay) noteOwner(owner directory.Owner) {
 	r.explanation.note(func(record *protocol.Explanation) {
 		record.Owner, record.PartitionHolder = owner.Name, owner.PartitionHolder
@@ -192,6 +227,16 @@
 	return nil
 }
 
+// mayTryAgain reports whether the turn may be brought to an owner again. One of
+// an HTTP route goes again only when nobody took it.
+func (r *relay) mayTryAgain(err error) bool {
+	if r.request.GetHttp() != nil {
+		var notSent *wire.NotSentError
+		return errors.As(err, &notSent) || isNotTaken(err)
+	}
+	return mayTryAgain(err)
+}
+
 // mayTryAgain reports whether another owner, or the same one, may be asked.
 // The request's id keeps it from being run twice.
 func mayTryAgain(err error) bool {
@@ -260,6 +305,11 @@
 		f.Outcome = protocol.Outcome_NOT_RUN
 		return &failure.Error{Failure: f}
 	}
+	if request.GetHttp() != nil && request.GetProgramBudget() == 0 && !request.GetHttp().GetStateful() {
+		// The ledger knows nothing of this turn.
+		f.Outcome = protocol.Outcome_UNKNOWN
+		return &failure.Error{Failure: f}
+	}
 	result := s.refuseRequest(ctx, request.GetProgram(), &protocol.RefuseRequest{
 		RequestId: request.GetRequestId(), Session: request.GetSession(),
 	})
@@ -270,7 +320,7 @@
 	case result.GetStatus() == protocol.LedgerStatus_LEDGER_ALREADY_FINISHED &&
 		finished.GetOutcome() == protocol.RequestOutcome_OUTCOME_SETTLED:
 		kept, status := s.readTurn(ctx, request.GetProgram(), finished.GetTurnId())
-		if status == protocol.LedgerStatus_LEDGER_OK {
+		if status == protocol.LedgerStatus_LEDGER_OK && request.GetHttp() == nil {
 			return answer(kept)
 		}
 		f.Outcome = protocol.Outcome_RAN
--- a/internal/front/ingresscall.go
+++ b/internal/front/ingresscall.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosestand/rosestand/internal/directory"
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/turn"
@@ -30,13 +31,13 @@
 
 func (s *Service) tryCall(ctx context.Context, request *protocol.ToolCallRequest, nonRepeatable bool, explanation *explanation) (*protocol.ToolCallResponse, error) {
 	deadline := s.clock.Now().Add(timeLeft(request.GetTimeLeftMillis()))
-	lastTry := s.clock.Now().Add(forwardWindow)
+	lastTry := s.clock.Now().Add(windowFor(request.GetHttp()))
 	if lastTry.After(deadline) {
 		lastTry = deadline
 	}
 	backoff := firstBackoff
 	for {
-		response, err := s.callOwner(ctx, request, deadline, explanation)
+		owner, response, err := s.callOwner(ctx, request, deadline, explanation)
 		if err == nil {
 			if f := response.GetFailure(); f == nil || !isNotTakenFailure(f) {
 				return response, nil
@@ -50,7 +51,7 @@
 		if !callMayTryAgain(err, nonRepeatable) || !s.clock.Now().Add(backoff).Before(lastTry) {
 			return s.refuseCall(ctx, request, nonRepeatable, proto.CloneOf(failureOf(err)))
 		}
-		s.ownership.Forget(request.GetSession())
+		s.noteLost(request.GetSession(), owner, err)
 		select {
 		case <-s.clock.After(backoff):
 		case <-ctx.Done():
@@ -70,19 +71,25 @@
 	return !nonRepeatable && mayTryAgain(err)
 }
 
-func (s *Service) callOwner(ctx context.Context, request *protocol.ToolCallRequest, deadline time.Time, explanation *explanation) (*protocol.ToolCallResponse, error) {
-	owner, err := s.ownership.Resolve(ctx, request.GetSession(), request.GetProgram())
+func (s *Service) callOwner(ctx context.Context, request *protocol.ToolCallRequest, deadline time.Time, explanation *explanation) (directory.Owner, *protocol.ToolCallResponse, error) {
+	owner, err := s.ownerOf(ctx, request.GetSession(), request.GetProgram())
 	if err != nil {
-		return nil, err
+		return owner, nil, err
 	}
 	explanation.note(func(record *protocol.Explanation) {
 		record.Owner, record.PartitionHolder = owner.Name, owner.PartitionHolder
 	})
 	explanation.step("owner found", owner.Name)
-	sent := proto.CloneOf(request)
+	sent := &protocol.ToolCallRequest{
+		RequestId: request.GetRequestId(), Tenant: request.GetTenant(), Program: request.GetProgram(), Session: request.GetSession(),
+		Tool: request.GetTool(), Arguments: request.GetArguments(), ProgramBudget: request.GetProgramBudget(),
+		Ingress: request.GetIngress(), Nonce: request.GetNonce(), Priority: request.GetPriority(),
+		FirstSend: request.GetFirstSend(), Http: request.GetHttp(),
+	}
 	sent.TimeLeftMillis = max(uint32(deadline.Sub(s.clock.Now()).Milliseconds()), 1)
 	if owner.Local {
-		return s.runCall(ctx, sent)
+		response, err := s.runCall(ctx, sent)
+		return owner, response, err
 	}
 	s.metrics.forwarded.Inc()
 	response, err := s.caller.Call(ctx, owner.Address, &protocol.Request{Body: &protocol.Request_ToolCall{ToolCall: sent}})
@@ -90,7 +97,7 @@
 	if err == nil || !errors.As(err, &notSent) && !isNotTaken(err) {
 		request.FirstSend = false
 	}
-	return response.GetToolCall(), err
+	return owner, response.GetToolCall(), err
 }
 
 // refuseCall refuses a call truthfully, as refuseTurn does for turns.
@@ -100,7 +107,7 @@
 		return nil, &failure.Error{Failure: f}
 	}
 	f.Outcome = protocol.Outcome_UNKNOWN
-	if !nonRepeatable {
+	if !nonRepeatable || request.GetHttp() != nil {
 		return nil, &failure.Error{Failure: f}
 	}
 	result := s.ledgerDo(ctx, &protocol.LedgerOperation{Program: request.GetProgram(), Body: &protocol.LedgerOperation_RefuseCall{
--- a/internal/front/liveturn.go
+++ b/internal/front/liveturn.go
@@ -116,7 +116,7 @@
 }
 
 func isTerminal(event *protocol.TurnEvent) bool {
-	return event.GetCompleted() != nil || event.GetFailed() != nil
+	return event.GetCompleted() != nil || event.GetFailed() != nil || event.GetAnswered() != nil
 }
 
 // attach adds a reader.
--- a/internal/front/owner.go
+++ b/internal/front/owner.go
@@ -14,6 +14,9 @@
 // beginTurn starts a turn as its owner, or finds the one of the same request
 // that is under way already.
 func (s *Service) beginTurn(request *protocol.TurnRequest) (*liveTurn, error) {
+	if request.GetHttp() != nil {
+		return s.beginHTTPTurn(request)
+	}
 	key := sessionKey{session: request.GetSession(), program: request.GetProgram()}
 	arm := s.policies.Load().armOf(request.GetProgram())
 	route := arm.Model(request.GetTenant(), request.GetModel())
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -240,6 +240,8 @@
 	o.forgotten[session]++
 }
 
+func (o *fakeOwnership) OwnerLost(session, _ string, _ error) { o.Forget(session) }
+
 func (o *fakeOwnership) Fenced(session string)       { o.Forget(session) }
 func (o *fakeOwnership) OnYield(func(string))        {}
 func (o *fakeOwnership) Drain(context.Context) error { return nil }
--- /dev/null
+++ b/internal/front/routeapi.go
@@ -0,0 +1,203 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/dialect"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// defaultRoutedBodyBytes and defaultRoutedHeaderBytes bound requests unless the bundle does.
+	defaultRoutedBodyBytes   = 4 << 20
+	defaultRoutedHeaderBytes = 32 << 10
+	notReadyRetry            = 200 * time.Millisecond
+	// requestLineBytes is what a request line and the separators of a header may take beside names and values.
+	headerSeparatorBytes = 4
+)
+
+// routeAPI serves the callers of HTTP routes.
+type routeAPI struct {
+	service *Service
+	dialect dialect.Dialect
+}
+
+// ServeHTTP implements http.Handler: it brings one request to its session's
+// owner and a server's answer back, both unchanged.
+func (a *routeAPI) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	taken, err := a.takeIn(request)
+	if err != nil {
+		writeRoutedFailure(writer, failure.From(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), taken.left+routedAnswerSlack)
+	defer cancel()
+	if taken.http.GetKind() == protocol.HttpRouteKind_HTTP_STREAMING {
+		a.serveStream(ctx, writer, taken)
+		return
+	}
+	a.serveCall(ctx, writer, taken)
+}
+
+// routedAnswerSlack is how much longer than the request's time an ingress waits for the owner's word on it.
+const routedAnswerSlack = 100 * time.Millisecond
+
+// takenRequest is a request of an HTTP route with what its headers say.
+type takenRequest struct {
+	http    *protocol.HttpRequest
+	id      string
+	program string
+	session string
+	// previous is the request id of the turn continued.
+	previous string
+	budget   uint64
+	most     uint32
+	left     time.Duration
+}
+
+// takeIn finds the route and reads the request within the bounds of the bundle in force.
+func (a *routeAPI) takeIn(request *http.Request) (*takenRequest, error) {
+	index := a.service.policies.Load().active
+	if index.Bundle() == nil {
+		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no bundle is in force yet", failure.WithRetryAfter(notReadyRetry))
+	}
+	route := index.HTTPRoute(request.Host, request.URL.EscapedPath())
+	if route == nil {
+		return nil, failure.New(failure.UnknownRoute, protocol.Outcome_NOT_RUN, "no route has this host and path", failure.WithPath(request.URL.Path))
+	}
+	limits := index.Bundle().GetLimits()
+	if headerBytes(request.Header) > orDefault(uint64(limits.GetMaxHeaderBytes()), defaultRoutedHeaderBytes) {
+		return nil, failure.New(failure.HeaderTooLarge, protocol.Outcome_NOT_RUN, "the header is too large")
+	}
+	body, err := readBody(request, int64(orDefault(limits.GetMaxBodyBytes(), defaultRoutedBodyBytes)))
+	if err != nil {
+		return nil, err
+	}
+	return a.read(request, index, route, body)
+}
+
+func orDefault(value, standard uint64) uint64 {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
+func headerBytes(header http.Header) uint64 {
+	total := 0
+	for name, values := range header {
+		for _, value := range values {
+			total += len(name) + len(value) + headerSeparatorBytes
+		}
+	}
+	return uint64(total)
+}
+
+// read takes what the headers say.
+func (a *routeAPI) read(request *http.Request, index *bundle.Index, route *protocol.HttpRoute, body []byte) (*takenRequest, error) {
+	header := request.Header
+	taken := &takenRequest{
+		id: header.Get(a.dialect.RequestID), program: header.Get(a.dialect.Program), session: header.Get(a.dialect.Session),
+		previous: header.Get(a.dialect.PreviousTurn),
+	}
+	if len(taken.id) > maxIdentifierBytes || len(taken.program) > maxIdentifierBytes ||
+		len(taken.session) > maxIdentifierBytes || len(taken.previous) > maxIdentifierBytes {
+		return nil, tooLong("header")
+	}
+	if taken.id == "" {
+		taken.id = "req_" + randomID()
+		header.Set(a.dialect.RequestID, taken.id)
+	}
+	if taken.session == "" {
+		taken.session = taken.program
+	}
+	if taken.program == "" {
+		taken.program = taken.session
+	}
+	taken.left = a.timeFor(header, route)
+	taken.budget = headerNumber(header, a.dialect.TokenBudget)
+	prompt, most := tokenUsage(header.Get(a.dialect.TokenUsage))
+	taken.most = most
+	group := bundle.PickTarget(route, xxhash.Sum64String(firstOf(taken.program, taken.id)))
+	taken.http = &protocol.HttpRequest{
+		Route: route.GetName(), Group: group, Kind: route.GetKind(), Method: request.Method, Target: targetOf(request),
+		Host: request.Host, Headers: endToEndHeaders(header, a.dialect.TimeLeft, a.dialect.TargetServer), Body: body,
+		MaxAttempts: max(route.GetMaxAttempts(), 1), Rank: route.GetRank(), LatencyObjectiveMillis: route.GetLatencyObjectiveMillis(),
+		Stateful: route.GetStateful(), Resumable: route.GetResumable(), KeepMillis: route.GetKeepMillis(),
+		BundleVersion: index.Bundle().GetVersion(), Affinity: header.Get(a.dialect.Affinity),
+		PromptParts: promptParts(header.Get(a.dialect.PromptParts)), PromptTokens: prompt,
+		ProgramTimeLeftMillis: uint32(min(headerNumber(header, a.dialect.ProgramTimeLeft), mostTimeoutMillis)),
+		EventTokens:           index.Group(group).GetEngine().GetEventTokens(),
+	}
+	return taken, nil
+}
+
+func firstOf(preferred, other string) string {
+	if preferred != "" {
+		return preferred
+	}
+	return other
+}
+
+// targetOf gives path and query as they came.
+func targetOf(request *http.Request) string {
+	if strings.HasPrefix(request.RequestURI, "/") {
+		return request.RequestURI
+	}
+	return request.URL.RequestURI()
+}
+
+// timeFor is how long a request may take: as long as its caller waits and its route allows.
+func (a *routeAPI) timeFor(header http.Header, route *protocol.HttpRoute) time.Duration {
+	allowed := time.Duration(route.GetTimeoutMillis()) * time.Millisecond
+	asked := headerNumber(header, a.dialect.TimeLeft)
+	if asked == 0 {
+		return allowed
+	}
+	return min(allowed, time.Duration(min(asked, mostTimeoutMillis))*time.Millisecond)
+}
+
+// headerNumber reads a whole number, or one with a fraction that is cut off; zero when there is none.
+func headerNumber(header http.Header, name string) uint64 {
+	text, _, _ := strings.Cut(header.Get(name), ".")
+	number, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
+// tokenUsage reads "PROMPT,MOST".
+func tokenUsage(text string) (prompt, most uint32) {
+	first, second, _ := strings.Cut(text, ",")
+	promptTokens, _ := strconv.ParseUint(strings.TrimSpace(first), 10, 31)
+	mostTokens, _ := strconv.ParseUint(strings.TrimSpace(second), 10, 31)
+	return uint32(promptTokens), uint32(mostTokens)
+}
+
+const maxPromptParts = 256
+
+// promptParts reads "ID:TOKENS,...".
+func promptParts(text string) []*protocol.PromptPart {
+	if text == "" {
+		return nil
+	}
+	var parts []*protocol.PromptPart
+	for part := range strings.SplitSeq(text, ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
+		count, _ := strconv.ParseUint(tokens, 10, 31)
+		parts = append(parts, &protocol.PromptPart{Id: id, Tokens: uint32(count)})
+		if len(parts) == maxPromptParts {
+			break
+		}
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/front/routestream.go
@@ -0,0 +1,166 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// defaultRetryAfter is told with a refusal that has no better word.
+	defaultRetryAfter = 100 * time.Millisecond
+	// routedWriteTimeout is how long one piece of an answer may take to be written to a slow caller.
+	routedWriteTimeout = 10 * time.Second
+)
+
+// serveStream serves a request that is answered by a stream.
+func (a *routeAPI) serveStream(ctx context.Context, writer http.ResponseWriter, taken *takenRequest) {
+	request := &protocol.TurnRequest{
+		RequestId: taken.id, Program: taken.program, Session: taken.session, MaxOutputTokens: taken.most,
+		TimeLeftMillis: uint32(taken.left.Milliseconds()), ProgramBudget: taken.budget, Ingress: a.service.name,
+		FirstSend: true, Http: taken.http,
+	}
+	request.Input = []*protocol.Item{{Data: taken.http.GetBody()}}
+	taken.http.Body = nil
+	if taken.http.GetStateful() {
+		request.PreviousTurn = taken.previous
+	}
+	stream := &routedStream{writer: writer, controller: http.NewResponseController(writer)}
+	if err := a.service.relayTurn(ctx, request, stream.send); err != nil {
+		stream.fail(failure.From(err))
+	}
+}
+
+// routedStream writes a server's stream to a caller, each event as it comes.
+type routedStream struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	begun      bool
+}
+
+func (s *routedStream) send(event *protocol.TurnEvent) error {
+	switch body := event.GetBody().(type) {
+	case *protocol.TurnEvent_Created:
+		if body.Created.GetHead() == nil {
+			return nil
+		}
+		return s.begin(body.Created.GetHead())
+	case *protocol.TurnEvent_Delta:
+		return s.write(body.Delta.GetEvent())
+	case *protocol.TurnEvent_Answered:
+		s.begun = true
+		writeAnswer(s.writer, body.Answered)
+	case *protocol.TurnEvent_Failed:
+		s.fail(body.Failed)
+	}
+	return nil
+}
+
+func (s *routedStream) begin(head *protocol.HttpAnswer) error {
+	s.begun = true
+	copyHeaders(s.writer.Header(), head.GetHeaders())
+	s.writer.WriteHeader(int(head.GetStatus()))
+	return s.flush()
+}
+
+func (s *routedStream) write(event []byte) error {
+	// A writer that knows no deadlines, as in tests, is never slow.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(routedWriteTimeout))
+	if _, err := s.writer.Write(event); err != nil {
+		return slowReader(err)
+	}
+	return s.flush()
+}
+
+func (s *routedStream) flush() error {
+	if err := s.controller.Flush(); err != nil {
+		return slowReader(err)
+	}
+	return nil
+}
+
+// fail answers with a failure, or breaks the connection off when the answer has begun:
+// an answer that ends early must not look whole.
+func (s *routedStream) fail(f *protocol.Failure) {
+	if s.begun {
+		panic(http.ErrAbortHandler)
+	}
+	s.begun = true
+	writeRoutedFailure(s.writer, f)
+}
+
+// serveCall serves a request that is answered whole.
+func (a *routeAPI) serveCall(ctx context.Context, writer http.ResponseWriter, taken *takenRequest) {
+	repeatable := taken.http.GetKind() == protocol.HttpRouteKind_HTTP_REPEATABLE
+	answer, err := a.service.relayCall(ctx, &protocol.ToolCallRequest{
+		RequestId: taken.id, Program: taken.program, Session: taken.session, Tool: taken.http.GetRoute(),
+		TimeLeftMillis: uint32(taken.left.Milliseconds()), Ingress: a.service.name, FirstSend: true, Http: taken.http,
+	}, !repeatable)
+	switch {
+	case err != nil:
+		writeRoutedFailure(writer, failure.From(err))
+	case answer.GetFailure() != nil:
+		writeRoutedFailure(writer, answer.GetFailure())
+	default:
+		writeAnswer(writer, &protocol.HttpAnswer{Status: answer.GetStatus(), Headers: answer.GetHeaders(), Body: answer.GetBody()})
+	}
+}
+
+func copyHeaders(to http.Header, headers []*protocol.HttpHeader) {
+	// Nothing is added to what the server said.
+	to["Date"], to["Content-Type"] = nil, nil
+	for _, header := range headers {
+		to[header.GetName()] = append(to[header.GetName()], header.GetValue())
+	}
+}
+
+// writeAnswer writes a server's whole answer.
+func writeAnswer(writer http.ResponseWriter, answer *protocol.HttpAnswer) {
+	copyHeaders(writer.Header(), answer.GetHeaders())
+	if status := answer.GetStatus(); status != http.StatusNoContent && status != http.StatusNotModified {
+		writer.Header().Set("Content-Length", strconv.Itoa(len(answer.GetBody())))
+	}
+	writer.WriteHeader(int(answer.GetStatus()))
+	_, _ = writer.Write(answer.GetBody())
+}
+
+// writeRoutedFailure answers with a failure of this system. A status that
+// promises that nothing ran is used only where that is certain.
+func writeRoutedFailure(writer http.ResponseWriter, f *protocol.Failure) {
+	status := routedStatus(f)
+	header := writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if status == http.StatusServiceUnavailable {
+		wait := time.Duration(f.GetRetryAfterMillis()) * time.Millisecond
+		if wait == 0 {
+			wait = defaultRetryAfter
+		}
+		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+	text := f.GetCode() + ": " + f.GetMessage() + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write([]byte(text))
+}
+
+// routedStatus maps a failure to the status that callers of HTTP routes act on.
+func routedStatus(f *protocol.Failure) int {
+	code := failure.Code(f.GetCode())
+	if f.GetOutcome() != protocol.Outcome_NOT_RUN {
+		if code == failure.DeadlineExceeded {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch code {
+	case failure.BudgetSpent, failure.TurnMissing, failure.UnknownRoute, failure.HeaderTooLarge,
+		failure.BodyTooLarge, failure.InvalidBody, failure.InvalidField:
+		return code.Status()
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/dialect"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/wire"
 )
@@ -29,6 +30,8 @@
 	Ownership Ownership
 	Caller    wire.Caller
 	Clock     Clock
+	// Dialect names the headers of HTTP routes; the zero value means dialect.Default.
+	Dialect dialect.Dialect
 	// StallTimeout is how long a model server may be silent; zero means DefaultStallTimeout.
 	StallTimeout time.Duration
 	Logger       *log.Logger
@@ -57,6 +60,7 @@
 	underWay atomic.Int64
 
 	client       *backEndClient
+	routes       *routeClient
 	admission    *admission
 	sessions     *sessions
 	explanations *explanations
@@ -75,6 +79,9 @@
 	if options.Clock == nil {
 		options.Clock = systemClock{}
 	}
+	if options.Dialect.RequestID == "" {
+		options.Dialect = dialect.Default()
+	}
 	if options.Logger == nil {
 		options.Logger = log.Default()
 	}
@@ -85,6 +92,7 @@
 		name: options.Self.GetName(), zone: options.Self.GetZone(), region: options.Self.GetRegion(), link: options.Link, ledger: options.Ledger,
 		ownership: options.Ownership, caller: options.Caller, clock: options.Clock, logger: options.Logger,
 		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout),
+		routes:    newRouteClient(options.Dialect, options.Clock),
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
 		explanations: newExplanations(options.Clock, options.Self.GetName()),
 		stopped:      make(chan struct{}),
@@ -168,6 +176,7 @@
 	s.sessions.stop()
 	s.explanations.stop()
 	s.client.close()
+	s.routes.close()
 	return nil
 }
 
--- a/internal/front/sessions.go
+++ b/internal/front/sessions.go
@@ -213,7 +213,7 @@
 func itemBytes(items []*protocol.Item) int {
 	total := 0
 	for _, item := range items {
-		total += len(item.GetText()) + len(item.GetRole()) + sessionBytes/4
+		total += len(item.GetText()) + len(item.GetData()) + len(item.GetRole()) + sessionBytes/4
 	}
 	return total
 }
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -35,11 +35,11 @@
 // outcome goes on being recorded when the caller leaves.
 func (s *Service) runCall(ctx context.Context, request *protocol.ToolCallRequest) (*protocol.ToolCallResponse, error) {
 	arm := s.policies.Load().armOf(request.GetProgram())
-	route := arm.Tool(request.GetTenant(), request.GetTool())
+	route := callRoute(arm, request)
 	if route == nil {
 		return nil, unknownTool()
 	}
-	grant, err := s.ownership.Begin(request.GetSession(), request.GetProgram())
+	grant, err := s.grantFor(request.GetSession(), request.GetProgram())
 	if err != nil {
 		return nil, err
 	}
@@ -56,6 +56,16 @@
 	}
 }
 
+// callRoute is the route of a call: the bundle's one of a tool, or the HTTP route that the ingress decided on.
+func callRoute(arm arm, request *protocol.ToolCallRequest) *protocol.Route {
+	if routed := request.GetHttp(); routed != nil {
+		return &protocol.Route{
+			Name: routed.GetRoute(), Group: routed.GetGroup(), NonRepeatable: routed.GetKind() != protocol.HttpRouteKind_HTTP_REPEATABLE,
+		}
+	}
+	return arm.Tool(request.GetTenant(), request.GetTool())
+}
+
 func unknownTool() error {
 	return failure.New(failure.UnknownTool, protocol.Outcome_NOT_RUN, "no route serves the tool", failure.WithPath("tool"))
 }
@@ -75,11 +85,19 @@
 		machine: turn.NewCall(turn.CallParameters{
 			Request: request, Owner: s.name, Incarnation: grant.Incarnation(), Repeatable: !route.GetNonRepeatable(),
 			Budget: arm.budget(request.GetProgramBudget(), request.GetTenant()), BundleVersion: arm.version(),
-			Attempt: uuid.NewString(),
+			Attempt: uuid.NewString(), Unrecorded: request.GetHttp() != nil, Attempts: callAttempts(request),
 		}),
 	}
 }
 
+// callAttempts bounds the sends of a call of an HTTP route; zero is the default of the machine.
+func callAttempts(request *protocol.ToolCallRequest) uint32 {
+	if request.GetHttp() == nil {
+		return 0
+	}
+	return max(request.GetHttp().GetMaxAttempts(), routedSends)
+}
+
 func (s *Service) startCall(run *callRun, caller context.Context, left time.Duration, cancel context.CancelCauseFunc) {
 	expired := s.clock.After(left)
 	finished := make(chan struct{})
@@ -184,10 +202,7 @@
 }
 
 func (r *callRun) admit() turn.Event {
-	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), limit.Ticket{
-		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
-		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
-	})
+	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), r.ticket())
 	if refused != nil {
 		r.explanation.step("not admitted", refused.GetMessage())
 		return turn.NotAdmitted{Failure: refused}
@@ -195,11 +210,21 @@
 	return turn.Admitted{}
 }
 
+func (r *callRun) ticket() limit.Ticket {
+	if routed := r.request.GetHttp(); routed != nil {
+		return routedTicket(routed, r.request.GetTenant(), r.deadline)
+	}
+	return limit.Ticket{
+		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
+		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
+	}
+}
+
 func (r *callRun) choose(avoid []string) turn.Event {
 	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), tool: true, name: r.route.GetTool()}, r.key, avoid)
 	server, decision := r.service.choose(wanted)
 	r.explanation.decided(decision)
-	if r.arm.shadow != nil {
+	if r.arm.shadow != nil && r.request.GetHttp() == nil {
 		r.service.chooseShadow(r.arm.shadow, wanted, r.request.GetTenant(), r.route, r.explanation)
 	}
 	if server == nil {
@@ -213,17 +238,30 @@
 func (r *callRun) issue(command turn.IssueCall) turn.Event {
 	r.explanation.step("issued", command.BackEnd)
 	r.server.inFlight.Add(1)
-	event, err := r.service.client.call(r.ctx, backEndRequest{
-		server: r.server, path: "/v1/tools/" + url.PathEscape(r.request.GetTool()) + "/calls", body: r.request.GetArguments(),
-		requestID: r.request.GetRequestId(), session: r.request.GetSession(), nonce: r.request.GetNonce(),
-		epoch: command.Epoch, idempotencyKey: r.request.GetRequestId(),
-	})
+	event, err := r.send(command)
 	r.server.inFlight.Add(-1)
 	if err == nil {
 		r.server.record(false, r.now())
 		r.explanation.step("back end finished", command.BackEnd)
 		return event
 	}
+	return r.sendFailed(command, err)
+}
+
+func (r *callRun) send(command turn.IssueCall) (turn.Event, error) {
+	if routed := r.request.GetHttp(); routed != nil {
+		return r.service.routes.call(r.ctx, routedRequest{
+			server: r.server, requestID: r.request.GetRequestId(), http: routed, body: routed.GetBody(), deadline: r.deadline,
+		})
+	}
+	return r.service.client.call(r.ctx, backEndRequest{
+		server: r.server, path: "/v1/tools/" + url.PathEscape(r.request.GetTool()) + "/calls", body: r.request.GetArguments(),
+		requestID: r.request.GetRequestId(), session: r.request.GetSession(), nonce: r.request.GetNonce(),
+		epoch: command.Epoch, idempotencyKey: r.request.GetRequestId(),
+	})
+}
+
+func (r *callRun) sendFailed(command turn.IssueCall, err error) turn.Event {
 	if reason := stopReason(r.ctx, r.grant); reason != 0 {
 		return turn.Stopped{Reason: reason}
 	}
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -29,7 +29,7 @@
 
 	began      time.Time
 	history    []*protocol.Item
-	generation *generation
+	generation answerStream
 	server     *backEnd
 	issuedAt   time.Time
 	firstToken bool
@@ -96,6 +96,8 @@
 	switch event.(type) {
 	case turn.Token:
 		r.noteFirstToken()
+	case turn.AnsweredWhole:
+		r.server.record(false, r.now())
 	case turn.BackEndDone:
 		r.server.record(false, r.now())
 		r.explanation.step("back end finished", r.server.id())
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -23,6 +23,9 @@
 	if lastTurn == "" {
 		return turn.HistoryRead{Status: protocol.LedgerStatus_LEDGER_OK}
 	}
+	if r.request.GetHttp() != nil {
+		return r.readHTTPHistory(lastTurn)
+	}
 	if held := r.service.sessions.historyOf(r.key, lastTurn); held.known {
 		r.history = held.items
 		return turn.HistoryRead{Items: held.items, Tokens: held.tokens, Status: protocol.LedgerStatus_LEDGER_OK}
@@ -37,10 +40,7 @@
 }
 
 func (r *turnRun) admit() turn.Event {
-	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), limit.Ticket{
-		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
-		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
-	})
+	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), r.ticket())
 	if refused != nil {
 		r.explanation.step("not admitted", refused.GetMessage())
 		return turn.NotAdmitted{Failure: refused}
@@ -49,6 +49,16 @@
 	return turn.Admitted{}
 }
 
+func (r *turnRun) ticket() limit.Ticket {
+	if routed := r.request.GetHttp(); routed != nil {
+		return routedTicket(routed, r.request.GetTenant(), r.deadline)
+	}
+	return limit.Ticket{
+		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
+		Weight: r.arm.Tenant(r.request.GetTenant()).GetWeight(), Deadline: r.deadline,
+	}
+}
+
 func (r *turnRun) reserve(command turn.Reserve) turn.Event {
 	result := r.ledger("reserve", &protocol.LedgerOperation{
 		Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: command.Operation},
@@ -80,7 +90,7 @@
 	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), name: r.route.GetModel()}, r.key, avoid)
 	server, decision := r.service.choose(wanted)
 	r.explanation.decided(decision)
-	if r.arm.shadow != nil {
+	if r.arm.shadow != nil && r.request.GetHttp() == nil {
 		r.service.chooseShadow(r.arm.shadow, wanted, r.request.GetTenant(), r.route, r.explanation)
 	}
 	if server == nil {
@@ -94,6 +104,9 @@
 
 // issue sends the turn to the back end chosen; its answer is read by receive.
 func (r *turnRun) issue(command turn.Issue) turn.Event {
+	if r.request.GetHttp() != nil {
+		return r.issueHTTP(command)
+	}
 	body, err := chatBody(r.request.GetModel(), command.Items, command.MaxTokens)
 	if err != nil {
 		return turn.BackEndFailed{Fault: turn.FaultNotSent, Detail: err.Error()}
--- /dev/null
+++ b/internal/serverconn/pool_test.go
@@ -0,0 +1,312 @@
+package serverconn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/serverconn"
+)
+
+// server answers each connection by a script.
+type server struct {
+	listener net.Listener
+	group    sync.WaitGroup
+}
+
+func newServer(t *testing.T, serve func(connection net.Conn, reader *bufio.Reader)) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: listener}
+	s.group.Go(func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.group.Go(func() {
+				defer func() { _ = connection.Close() }()
+				serve(connection, bufio.NewReader(connection))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.group.Wait()
+	})
+	return s
+}
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+func readRequest(t *testing.T, reader *bufio.Reader) (*http.Request, string) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, ""
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		t.Errorf("read the body: %v", err)
+	}
+	return request, string(body)
+}
+
+func newPool(t *testing.T, options serverconn.Options) *serverconn.Pool {
+	pool := serverconn.New(options)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func post(body string) *serverconn.Request {
+	return &serverconn.Request{
+		Method: "POST", Target: "/a%2Fb/?x=1&y", Host: "example.test",
+		Headers: []*protocol.HttpHeader{{Name: "X-One", Value: "1"}}, Body: []byte(body),
+	}
+}
+
+func whole(t *testing.T, pool *serverconn.Pool, address, body string) string {
+	t.Helper()
+	response, err := pool.Do(context.Background(), address, post(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	text, err := response.ReadAll(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestARequestArrivesUnchangedAndItsConnectionIsUsedAgain(t *testing.T) {
+	echo := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			request, body := readRequest(t, reader)
+			if request == nil {
+				return
+			}
+			text := request.Method + " " + request.RequestURI + " " + request.Host + " " + request.Header.Get("X-One") + " " + body
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		}
+	})
+	pool := newPool(t, serverconn.Options{})
+	for _, body := range []string{"hello", "", strings.Repeat("long ", 20_000)} {
+		if got, wanted := whole(t, pool, echo.address(), body), "POST /a%2Fb/?x=1&y example.test 1 "+body; got != wanted {
+			t.Fatalf("got %.80q, wanted %.80q", got, wanted)
+		}
+	}
+	if pool.Opened() != 1 {
+		t.Fatalf("%d connections were opened", pool.Opened())
+	}
+}
+
+func TestAConnectionWithBytesOfNoRequestIsNotUsedAgain(t *testing.T) {
+	for name, together := range map[string]bool{"in one piece with the answer": true, "after the answer": false} {
+		t.Run(name, func(t *testing.T) {
+			surplus := make(chan struct{})
+			talkative := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+				if request, _ := readRequest(t, reader); request == nil {
+					return
+				}
+				answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+				other := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+				if together {
+					answer += other
+				}
+				_, _ = io.WriteString(connection, answer)
+				<-surplus
+				_, _ = io.WriteString(connection, other)
+				_, _ = reader.ReadByte()
+			})
+			var dialed []net.Conn
+			pool := newPool(t, serverconn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				dialed = append(dialed, connection)
+				return connection, err
+			}})
+			if got := whole(t, pool, talkative.address(), "a"); got != "ok" {
+				t.Fatalf("got %q", got)
+			}
+			close(surplus)
+			if !together {
+				awaitBytes(t, dialed[0])
+			}
+			if got := whole(t, pool, talkative.address(), "b"); got != "ok" || pool.Opened() != 2 {
+				t.Fatalf("got %q over %d connections", got, pool.Opened())
+			}
+		})
+	}
+}
+
+// awaitBytes returns once bytes have arrived on a connection, without taking them.
+func awaitBytes(t *testing.T, connection net.Conn) {
+	t.Helper()
+	raw, err := connection.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		count, _, _ := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return count > 0
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAClosedRestingConnectionIsReplacedBeforeARequestRidesOnIt(t *testing.T) {
+	closing := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+		if request, _ := readRequest(t, reader); request == nil {
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
+	})
+	pool := newPool(t, serverconn.Options{})
+	for range 5 {
+		if got := whole(t, pool, closing.address(), "a"); got != "ok" {
+			t.Fatalf("got %q", got)
+		}
+	}
+	if pool.Opened() != 5 {
+		t.Fatalf("%d connections were opened", pool.Opened())
+	}
+}
+
+func TestARestingConnectionExpiresBeforeItsServerClosesIt(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	keeping := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			if request, _ := readRequest(t, reader); request == nil {
+				return
+			}
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	pool := newPool(t, serverconn.Options{Now: func() time.Time { return now }})
+	whole(t, pool, keeping.address(), "a")
+	now = now.Add(time.Second)
+	whole(t, pool, keeping.address(), "a")
+	if pool.Opened() != 1 {
+		t.Fatalf("a fresh connection was not used again: %d were opened", pool.Opened())
+	}
+	now = now.Add(1900 * time.Millisecond)
+	whole(t, pool, keeping.address(), "a")
+	if pool.Opened() != 2 {
+		t.Fatalf("a connection about to be closed was used: %d were opened", pool.Opened())
+	}
+}
+
+func TestFailuresSayWhetherTheRequestMayHaveRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := listener.Addr().String()
+	_ = listener.Close()
+	pool := newPool(t, serverconn.Options{})
+	var notSent *serverconn.NotSentError
+	if _, err := pool.Do(context.Background(), dead, post("a")); !errors.As(err, &notSent) {
+		t.Fatalf("a refused connection gave %v", err)
+	}
+	silent := newServer(t, func(_ net.Conn, reader *bufio.Reader) { readRequest(t, reader) })
+	var broken *serverconn.BrokenError
+	if _, err := pool.Do(context.Background(), silent.address(), post("a")); !errors.As(err, &broken) {
+		t.Fatalf("a closed connection gave %v", err)
+	}
+}
+
+func TestACancelledExchangeEndsItsConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	waiting := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+		readRequest(t, reader)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+		_, err := reader.ReadByte()
+		ended <- err
+	})
+	pool := newPool(t, serverconn.Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := pool.Do(ctx, waiting.address(), post("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if _, err := response.ReadAll(100); err == nil {
+		t.Fatal("a cancelled answer was read whole")
+	}
+	response.Close()
+	if err := <-ended; err == nil {
+		t.Fatal("the server was left to work on")
+	}
+}
+
+func TestAnAnswerThatEndsEarlyIsNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+				readRequest(t, reader)
+				_, _ = io.WriteString(connection, answer)
+			})
+			pool := newPool(t, serverconn.Options{})
+			response, err := pool.Do(context.Background(), cut.address(), post("a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Close()
+			if _, err := response.ReadAll(100); err == nil {
+				t.Fatal("a cut answer passed as whole")
+			}
+		})
+	}
+}
+
+func TestAServerThatAnswersEarlyGetsNoOtherRequestOnThatConnection(t *testing.T) {
+	release := make(chan struct{})
+	early := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+		if _, err := reader.ReadString('\n'); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		<-release
+	})
+	pool := newPool(t, serverconn.Options{})
+	// Larger than what the sockets hold, so that the write is under way when the answer comes.
+	response, err := pool.Do(context.Background(), early.address(), post(strings.Repeat("x", 64<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.Status != http.StatusRequestEntityTooLarge {
+		t.Fatalf("status %d", response.Status)
+	}
+	if _, err := response.ReadAll(10); err != nil {
+		t.Fatal(err)
+	}
+	response.Close()
+	close(release)
+	if next, err := pool.Do(context.Background(), early.address(), post("b")); err == nil {
+		next.Discard()
+	}
+	if pool.Opened() != 2 {
+		t.Fatalf("%d connections were opened", pool.Opened())
+	}
+}
--- a/internal/turn/emit.go
+++ b/internal/turn/emit.go
@@ -28,6 +28,23 @@
 	}}})
 }
 
+func (m *Machine) emitCompleted() Command {
+	m.ended = true
+	return m.emit(&protocol.TurnEvent{Body: &protocol.TurnEvent_Completed{Completed: &protocol.TurnCompleted{
+		TurnId: m.parameters.TurnID, Text: m.text.String(), InputTokens: m.done.InputTokens,
+		OutputTokens: m.tokens, CachedTokens: m.done.CachedTokens, Nonce: m.done.Nonce,
+	}}})
+}
+
+// emitEnd gives the readers a server's whole answer when there is one, else the failure.
+func (m *Machine) emitEnd(f *protocol.Failure) Command {
+	if m.answered == nil {
+		return m.emitFailed(f)
+	}
+	m.ended = true
+	return m.emit(&protocol.TurnEvent{Body: &protocol.TurnEvent_Answered{Answered: m.answered}})
+}
+
 func (m *Machine) emitFailed(f *protocol.Failure) Command {
 	m.ended = true
 	if m.attempt == m.parameters.Request.GetLastAttempt() {
--- a/internal/turn/ending.go
+++ b/internal/turn/ending.go
@@ -125,23 +125,26 @@
 	if m.sequence == 0 {
 		commands = append(commands, m.emitCreated())
 	}
-	m.ended = true
-	commands = append(commands, m.emit(&protocol.TurnEvent{Body: &protocol.TurnEvent_Completed{Completed: &protocol.TurnCompleted{
-		TurnId: m.parameters.TurnID, Text: m.text.String(), InputTokens: m.done.InputTokens,
-		OutputTokens: m.tokens, CachedTokens: m.done.CachedTokens, Nonce: m.done.Nonce,
-	}}}))
+	commands = append(commands, m.emitCompleted())
 	return append(append(commands, m.leave()...), Finish{})
 }
 
 // releaseWith ends the reservation and answers the caller by what the ledger says.
 func (m *Machine) releaseWith(f *protocol.Failure, tokens uint64, now time.Time) []Command {
 	m.failure = f
+	if m.isHTTP() && !m.isLedgered() {
+		return m.end(f)
+	}
 	m.state = stateReleasing
 	m.operationBegan, m.pause = now, firstPause
 	request := m.parameters.Request
 	m.release = &protocol.ReleaseTurn{
 		RequestId: request.GetRequestId(), Session: request.GetSession(), Epoch: m.epoch, Tokens: tokens,
 	}
+	if m.isHTTP() && !m.ended {
+		// A first send that was given up needs no proof by the ledger: nobody else may run it.
+		return append(m.leave(), m.emitEnd(f), Release{Operation: m.release})
+	}
 	return append(m.leave(), Release{Operation: m.release})
 }
 
@@ -216,7 +219,7 @@
 	m.state = stateDone
 	commands := m.leave()
 	if !m.ended {
-		commands = append(commands, m.emitFailed(f))
+		commands = append(commands, m.emitEnd(f))
 	}
 	return append(commands, Finish{})
 }
--- a/internal/turn/event.go
+++ b/internal/turn/event.go
@@ -19,6 +19,8 @@
 type HistoryRead struct {
 	Items  []*protocol.Item
 	Tokens uint64
+	// Program is the one of the turn continued, where it is another program than this turn's.
+	Program string
 	// Status is LEDGER_OK, or why there is no history.
 	Status protocol.LedgerStatus
 }
@@ -42,8 +44,18 @@
 type Token struct {
 	Text   string
 	Tokens uint32
+	// Event and Data are set for a turn of an HTTP route: one whole event of the
+	// server's stream, byte for byte, and its data.
+	Event []byte
+	Data  []byte
 }
 
+// Head says that a server began to answer a turn of an HTTP route with a stream.
+type Head struct{ Answer *protocol.HttpAnswer }
+
+// AnsweredWhole says that a server answered a turn of an HTTP route with something else than a stream.
+type AnsweredWhole struct{ Answer *protocol.HttpAnswer }
+
 // BackEndDone says that the back end finished its answer.
 type BackEndDone struct {
 	InputTokens  uint64
@@ -133,6 +145,8 @@
 func (Chosen) event()        {}
 func (NotChosen) event()     {}
 func (Token) event()         {}
+func (Head) event()          {}
+func (AnsweredWhole) event() {}
 func (BackEndDone) event()   {}
 func (BackEndFailed) event() {}
 func (RetryDecided) event()  {}
--- /dev/null
+++ b/internal/turn/httpturn.go
@@ -0,0 +1,91 @@
+package turn
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// A turn of an HTTP route differs from other turns in three ways. Its request
+// and answer are bytes that go through unchanged. Its request id is used for
+// one send only, so that what was not issued here runs nowhere, and the caller
+// hears the end at once while the ledger is told. Any kept turn may be
+// continued by it, by several at the same time.
+
+func (m *Machine) isHTTP() bool { return m.parameters.Request.GetHttp() != nil }
+
+// isKept reports whether the turn is kept for others to continue.
+func (m *Machine) isKept() bool { return m.parameters.Request.GetHttp().GetStateful() }
+
+// isLedgered reports whether the ledger has a part in the turn.
+func (m *Machine) isLedgered() bool {
+	return m.parameters.Request.GetProgram() != "" && (m.isKept() || m.parameters.Request.GetProgramBudget() > 0)
+}
+
+func (m *Machine) admittedHTTP() []Command {
+	switch {
+	case !m.isLedgered():
+		m.state = stateChoosing
+		return []Command{Choose{}}
+	case m.isKept() && m.parameters.Request.GetPreviousTurn() != "":
+		m.state = stateReading
+		return []Command{ReadHistory{LastTurn: m.parameters.Request.GetPreviousTurn()}}
+	default:
+		m.state = stateReserving
+		return []Command{m.reserveCommand()}
+	}
+}
+
+// reserveHTTP claims the session's epoch and reserves the turn's ceiling in one step.
+func (m *Machine) reserveHTTP() Command {
+	request := m.parameters.Request
+	return Reserve{Operation: &protocol.ReserveTurn{
+		RequestId: request.GetRequestId(), Session: request.GetSession(), Ceiling: m.parameters.Ceiling,
+		PreviousTurn: request.GetPreviousTurn(), Fork: true,
+		Claim: &protocol.ClaimSession{
+			Session: request.GetSession(), Owner: m.parameters.Owner, OwnerIncarnation: m.parameters.Incarnation,
+			Tenant: request.GetTenant(), Budget: m.parameters.Budget,
+		},
+	}}
+}
+
+// head passes the head of the answer on before the first event.
+func (m *Machine) head(head Head) []Command {
+	if m.sequence > 0 {
+		return nil
+	}
+	command := m.emitCreated().(Emit)
+	command.Event.GetCreated().Head = head.Answer
+	return []Command{command}
+}
+
+// answeredWhole ends a turn that the server answered with a status of its own. It may have run.
+func (m *Machine) answeredWhole(answer AnsweredWhole, now time.Time) []Command {
+	m.answered = answer.Answer
+	m.ranEver = true
+	f := failure.New(failure.BackEndFailed, protocol.Outcome_RAN, "the server answered without a stream").Failure
+	return m.charge(f, now)
+}
+
+// finishedUnkept ends a turn that nobody continues: its answer does not wait for the charge.
+func (m *Machine) finishedUnkept(now time.Time) []Command {
+	completed := m.emitCompleted()
+	if !m.isLedgered() {
+		m.state = stateDone
+		return append(append(m.leave(), completed), Finish{})
+	}
+	f := failure.New(failure.OutcomeUnknown, protocol.Outcome_RAN, "the turn was answered").Failure
+	return first(m.charge(f, now), completed)
+}
+
+func (m *Machine) keptHTTP(now time.Time) *protocol.Turn {
+	request := m.parameters.Request
+	return &protocol.Turn{
+		Id: m.parameters.TurnID, Program: request.GetProgram(), Session: request.GetSession(),
+		PreviousTurn: request.GetPreviousTurn(), PreviousProgram: m.previousProgram, RequestId: request.GetRequestId(),
+		Input: request.GetInput(), Output: []*protocol.Item{{Data: m.output}}, OutputTokens: m.tokens,
+		KeptAtMillis: now.UnixMilli(), KeepUntilMillis: now.Add(m.parameters.KeepFor).UnixMilli(),
+		BackEnd: m.backEnd, Epoch: m.epoch, HistoryTokens: m.historyTokens + m.tokens,
+	}
+}
--- a/internal/turn/machine.go
+++ b/internal/turn/machine.go
@@ -70,8 +70,10 @@
 	epoch         uint64
 	history       []*protocol.Item
 	historyTokens uint64
-	admitted      bool
-	reserved      bool
+	// previousProgram is set when the turn continued belongs to another program.
+	previousProgram string
+	admitted        bool
+	reserved        bool
 	// ranEver is true once an attempt may have run.
 	ranEver bool
 
@@ -81,6 +83,8 @@
 	backEnd  string
 	avoid    []string
 	text     strings.Builder
+	// output is the data of the events of a turn of an HTTP route.
+	output []byte
 	// tokens of this attempt, and passed on over all attempts.
 	tokens    uint64
 	passed    uint64
@@ -88,7 +92,9 @@
 
 	done    BackEndDone
 	failure *protocol.Failure
-	ended   bool
+	// answered is a server's whole answer in place of a stream.
+	answered *protocol.HttpAnswer
+	ended    bool
 
 	operationBegan time.Time
 	pause          time.Duration
@@ -193,7 +199,7 @@
 		}
 		return m.refuse(f, now)
 	}
-	m.history, m.historyTokens = read.Items, read.Tokens
+	m.history, m.historyTokens, m.previousProgram = read.Items, read.Tokens, read.Program
 	m.state = stateReserving
 	return []Command{m.reserveCommand()}
 }
@@ -202,6 +208,9 @@
 	switch admission := event.(type) {
 	case Admitted:
 		m.admitted = true
+		if m.isHTTP() {
+			return m.admittedHTTP()
+		}
 		return m.claim()
 	case NotAdmitted:
 		return m.refuse(admission.Failure, now)
@@ -210,6 +219,9 @@
 }
 
 func (m *Machine) reserveCommand() Command {
+	if m.isHTTP() {
+		return m.reserveHTTP()
+	}
 	request := m.parameters.Request
 	return Reserve{Operation: &protocol.ReserveTurn{
 		RequestId: request.GetRequestId(), Session: request.GetSession(), Epoch: m.epoch,
@@ -225,6 +237,9 @@
 	switch status := reserved.Result.GetStatus(); status {
 	case protocol.LedgerStatus_LEDGER_OK:
 		m.reserved = true
+		if m.isHTTP() {
+			m.epoch = reserved.Result.GetEpoch()
+		}
 		m.state = stateChoosing
 		return []Command{Choose{}}
 	case protocol.LedgerStatus_LEDGER_ALREADY_FINISHED:
@@ -275,6 +290,7 @@
 	m.attempt++
 	m.sequence, m.tokens = 0, 0
 	m.text.Reset()
+	m.output = nil
 	m.maxTokens = m.parameters.Ceiling - m.passed
 	items := make([]*protocol.Item, 0, len(m.history)+len(m.parameters.Request.GetInput()))
 	items = append(append(items, m.history...), m.parameters.Request.GetInput()...)
--- a/internal/turn/stream.go
+++ b/internal/turn/stream.go
@@ -9,6 +9,10 @@
 
 func (m *Machine) issued(event Event, now time.Time) []Command {
 	switch answer := event.(type) {
+	case Head:
+		return m.head(answer)
+	case AnsweredWhole:
+		return m.answeredWhole(answer, now)
 	case Token:
 		return m.token(answer, now)
 	case BackEndDone:
@@ -32,8 +36,11 @@
 	m.tokens += uint64(token.Tokens)
 	m.passed += uint64(token.Tokens)
 	m.text.WriteString(token.Text)
+	if token.Event != nil {
+		m.output = append(append(m.output, token.Data...), '\n')
+	}
 	return append(commands, m.emit(&protocol.TurnEvent{Body: &protocol.TurnEvent_Delta{
-		Delta: &protocol.TurnDelta{Text: token.Text, Tokens: token.Tokens},
+		Delta: &protocol.TurnDelta{Text: token.Text, Tokens: token.Tokens, Event: token.Event},
 	}}))
 }
 
@@ -49,6 +56,9 @@
 	}
 	m.done = done
 	m.countUnseen(done)
+	if m.isHTTP() && !m.isKept() {
+		return m.finishedUnkept(now)
+	}
 	m.settle = &protocol.SettleTurn{
 		RequestId: request.GetRequestId(), Session: request.GetSession(), Epoch: m.epoch,
 		Tokens: m.passed, Turn: m.keptTurn(now),
@@ -68,6 +78,9 @@
 
 func (m *Machine) keptTurn(now time.Time) *protocol.Turn {
 	request := m.parameters.Request
+	if m.isHTTP() {
+		return m.keptHTTP(now)
+	}
 	return &protocol.Turn{
 		Id: m.parameters.TurnID, Program: request.GetProgram(), Session: request.GetSession(),
 		PreviousTurn: request.GetPreviousTurn(), RequestId: request.GetRequestId(), Model: request.GetModel(),
@@ -87,6 +100,10 @@
 	case FaultFenced, FaultRejected:
 		return m.giveUp(now)
 	case FaultBroken, FaultMismatch:
+		if m.isHTTP() {
+			// The server may have run it, and it may run at one server only.
+			return m.giveUp(now)
+		}
 		if m.passed > m.parameters.Ceiling/restartShare {
 			return m.giveUp(now)
 		}
--- a/internal/turn/toolcall.go
+++ b/internal/turn/toolcall.go
@@ -18,6 +18,9 @@
 	Owner       string
 	Incarnation uint64
 	Budget      uint64
+	// Unrecorded calls leave nothing in the ledger: their request id is used for one send to one
+	// owner only, so that there is no other copy to be kept from running.
+	Unrecorded bool
 	// Repeatable calls need no intent and may be tried again after a broken answer.
 	Repeatable bool
 	// Attempt is unique to this machine; only the attempt that wrote the intent may issue the call.
@@ -148,6 +151,10 @@
 		return nil
 	}
 	m.admitted = true
+	if m.parameters.Unrecorded {
+		m.state = callChoosing
+		return []Command{Choose{}}
+	}
 	return m.claim()
 }
 
@@ -157,7 +164,7 @@
 		return nil
 	}
 	m.backEnd = event.BackEnd
-	if m.parameters.Repeatable || m.intent {
+	if m.parameters.Repeatable || m.parameters.Unrecorded || m.intent {
 		return m.issue()
 	}
 	m.state = callBeginning
@@ -233,8 +240,9 @@
 	}
 	m.response = &protocol.ToolCallResponse{
 		Status: event.Status, Body: event.Body, ContentType: event.ContentType, BackEnd: m.backEnd, Epoch: m.epoch,
+		Headers: event.Headers,
 	}
-	if m.parameters.Repeatable {
+	if m.parameters.Repeatable || m.parameters.Unrecorded {
 		return m.answer(m.response)
 	}
 	return m.record(event.Status, event.Body, event.ContentType, now)
--- a/internal/turn/toolcommand.go
+++ b/internal/turn/toolcommand.go
@@ -34,6 +34,8 @@
 	Status      uint32
 	Body        []byte
 	ContentType string
+	// Headers are those of the answer to a call of an HTTP route.
+	Headers []*protocol.HttpHeader
 }
 
 func (BeginCall) command()  {}
