Read settings again while running; let a deployment without secrets say so

- SIGHUP, or a changed file within a second, makes a daemon read its settings again: seeds go to whoever added Process.OnSettings, the log level is taken, other changed fields are named in the log as counting from the next start.
A broken or missing file changes nothing.
- node.trust_network and trust_operators run without the cluster key and the operators' tokens.
Each is an explicit word, refused beside the file that it replaces, and logged as a warning at the start.
- node.seed_port replaces the port of each seed and founder; node.kill_after_millis keeps the gentle stop within three quarters of the time that the system leaves; traffic_address, zone_regions and back_end_lease_millis are checked.
- Flags of truth values exist now; none was needed before.

Conclusion: the specs cover each of these. Not proved: that planes take new seeds, because none subscribes yet.

--- a/internal/daemon/files.go
+++ b/internal/daemon/files.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
 	"fmt"
 	"os"
 
@@ -15,6 +17,8 @@
 	minClusterKeyBytes = 16
 	maxClusterKeyBytes = 4096
 	othersPermissions  = 0o007
+
+	publicKeyLabel = "rosestand trusted network"
 )
 
 // checkFiles adds the faults of the files that the settings name to those of
@@ -28,7 +32,7 @@
 	case invalid != nil:
 		return nil, invalid
 	}
-	key, reason := loadClusterKey(loaded.GetNode().GetClusterKeyFile())
+	key, reason := clusterKey(loaded.GetNode())
 	if reason != "" {
 		faults = append(faults, &protocol.Fault{Path: "node.cluster_key_file", Message: reason})
 	}
@@ -43,6 +47,22 @@
 	return key, nil
 }
 
+// clusterKey gives the key of the settings, or the public one where the network is trusted.
+func clusterKey(node *protocol.NodeSettings) (key []byte, reason string) {
+	if node.GetTrustNetwork() {
+		return publicKey(), ""
+	}
+	return loadClusterKey(node.GetClusterKeyFile())
+}
+
+// publicKey is the key of clusters that trust their network. It is no secret:
+// it only keeps such a cluster apart from one that has a key.
+func publicKey() []byte {
+	derivation := hmac.New(sha256.New, nil)
+	derivation.Write([]byte(publicKeyLabel))
+	return derivation.Sum(nil)
+}
+
 // loadClusterKey reads the key that all processes of a cluster share, or says
 // why it cannot be used; white space round the key does not count. A path that
 // is missing is a fault that the settings list by themselves.
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -103,6 +103,7 @@
 type runningDaemon struct {
 	plane   *fakePlane
 	signals chan os.Signal
+	reload  chan os.Signal
 	running chan *daemon.Process
 	exit    chan int
 	output  syncBuffer
@@ -113,6 +114,7 @@
 	launched := &runningDaemon{
 		plane:   plane,
 		signals: make(chan os.Signal, 2),
+		reload:  make(chan os.Signal, 1),
 		running: make(chan *daemon.Process, 1),
 		exit:    make(chan int, 1),
 	}
@@ -122,6 +124,7 @@
 			Output:    &launched.output,
 			Errors:    &launched.errors,
 			Signals:   launched.signals,
+			Reload:    launched.reload,
 			OnRunning: func(process *daemon.Process) { launched.running <- process },
 		})
 	}()
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -35,6 +35,8 @@
 	Errors io.Writer
 	// Signals asks the process to stop: gently the first time, at once the second time.
 	Signals <-chan os.Signal
+	// Reload asks the process to read its settings file again; nil when nothing asks.
+	Reload <-chan os.Signal
 	// OnRunning, when set, is called once everything is started and served.
 	OnRunning func(*Process)
 }
@@ -44,14 +46,23 @@
 
 // Main runs a daemon with one plane and ends the program.
 func Main[S settings.Message](kind settings.Kind[S], module Module[S]) {
+	os.Exit(Execute(kind, module, SystemEnvironment(os.Args[1:])))
+}
+
+// SystemEnvironment is the environment of a program: standard output and
+// error, SIGTERM and SIGINT to stop, SIGHUP to read the settings again.
+func SystemEnvironment(arguments []string) Environment {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	os.Exit(Execute(kind, module, Environment{
-		Arguments: os.Args[1:],
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return Environment{
+		Arguments: arguments,
 		Output:    os.Stdout,
 		Errors:    os.Stderr,
 		Signals:   signals,
-	}))
+		Reload:    reload,
+	}
 }
 
 // Execute runs a daemon until it stops and returns its exit code.
@@ -88,6 +99,7 @@
 	kind.AddFlags(flags)
 	command.PreRun = func(*cobra.Command, []string) { code = ExitStopped }
 	command.RunE = func(*cobra.Command, []string) error {
+		stamp := stampOf(file)
 		loaded, err := kind.Load(file, flags)
 		if err == nil && printOnly {
 			return printSettings(environment.Output, loaded)
@@ -100,7 +112,13 @@
 			_, err := fmt.Fprintln(environment.Output, "settings are valid")
 			return errors.Wrap(err, "report")
 		default:
-			return run(kind.Node, loaded.GetNode(), key, maxBodyBytes(loaded), module(loaded), environment)
+			source := &settingsSource{
+				file:    file,
+				current: loaded,
+				seen:    stamp,
+				load:    func() (settings.Message, error) { return kind.Load(file, flags) },
+			}
+			return run(kind.Node, source, key, module(loaded), environment)
 		}
 	}
 	return command, &code
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -26,10 +26,15 @@
 
 	mutex    sync.Mutex
 	hooks    []namedHook
+	changed  []SettingsHook
 	draining chan struct{}
 	failures chan error
 }
 
+// SettingsHook hears of settings that were read again while the process runs.
+// It must not block, and must not change what it is given.
+type SettingsHook func(*protocol.NodeSettings)
+
 type namedHook struct {
 	name  string
 	drain DrainHook
@@ -55,6 +60,26 @@
 	p.hooks = append(p.hooks, namedHook{name: name, drain: drain})
 }
 
+// OnSettings adds a hook that is called with the common part of the settings
+// each time the settings file was read again and was valid. Seeds and the log
+// level are what may differ; everything else stands as it was at the start.
+// Hooks run one after another on a goroutine of the daemon.
+func (p *Process) OnSettings(changed SettingsHook) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.changed = append(p.changed, changed)
+}
+
+// announceSettings calls the hooks that OnSettings added.
+func (p *Process) announceSettings(node *protocol.NodeSettings) {
+	p.mutex.Lock()
+	hooks := append([]SettingsHook(nil), p.changed...)
+	p.mutex.Unlock()
+	for _, hook := range hooks {
+		hook(node)
+	}
+}
+
 // Draining is closed when a gentle stop begins.
 func (p *Process) Draining() <-chan struct{} {
 	return p.draining
--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,85 @@
+package daemon_test
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var _ = Describe("a daemon with a settings file", func() {
+	var folder, file string
+
+	BeforeEach(func() {
+		known := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }, "5s").Should(Succeed()) })
+		folder = GinkgoT().TempDir()
+		file = filepath.Join(folder, "settings.json")
+	})
+
+	write := func(more string) {
+		document := `{"node": {"name": "store-1", "zone": "z1", "internal_address": "127.0.0.1:0", "http_address": "127.0.0.1:0",
+			"trust_network": true, "data_folder": "` + filepath.Join(folder, "data") + `", ` + more + `}}`
+		replaced := file + ".new"
+		Expect(os.WriteFile(replaced, []byte(document), 0o600)).To(Succeed())
+		Expect(os.Rename(replaced, file)).To(Succeed())
+	}
+	start := func() (*runningDaemon, chan *protocol.NodeSettings) {
+		write(`"seeds": ["127.0.0.1:7001"]`)
+		running := launch(&fakePlane{}, "--settings", file)
+		heard := make(chan *protocol.NodeSettings, 4)
+		running.process().OnSettings(func(node *protocol.NodeSettings) { heard <- node })
+		return running, heard
+	}
+
+	It("tells the plane of new seeds at SIGHUP, ends nothing, and says what counts from the next start on", func() {
+		running, heard := start()
+		write(`"seeds": ["127.0.0.2:7002"], "seed_port": 9, "stop_grace_millis": 1000`)
+		running.reload <- syscall.SIGHUP
+		var node *protocol.NodeSettings
+		Eventually(heard).Should(Receive(&node))
+		Expect(node.GetSeeds()).To(Equal([]string{"127.0.0.2:9"}))
+		Expect(running.errors.String()).To(And(ContainSubstring("next start"), ContainSubstring("seed_port"), ContainSubstring("stop_grace_millis")))
+		Expect(running.errors.String()).NotTo(ContainSubstring("fields=\"[seeds"))
+		Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+	})
+
+	It("notices a changed file without a signal and takes the log level", func() {
+		running, heard := start()
+		write(`"seeds": ["127.0.0.1:7001"], "log_level": "error"`)
+		Eventually(heard).Should(Receive())
+		Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		Expect(running.errors.String()).NotTo(ContainSubstring("stopping"), "a log of errors has no word of a stop")
+	})
+
+	It("keeps its settings while the file is broken or gone, and takes the next valid one", func() {
+		running, heard := start()
+		Expect(os.WriteFile(file, []byte(`{"node": {"name": `), 0o600)).To(Succeed())
+		running.reload <- syscall.SIGHUP
+		Eventually(running.errors.String).Should(ContainSubstring("not valid"))
+		Expect(os.Remove(file)).To(Succeed())
+		running.reload <- syscall.SIGHUP
+		Eventually(running.errors.String).Should(ContainSubstring("no such file"))
+		Expect(heard).NotTo(Receive())
+		write(`"seeds": ["127.0.0.3:7003"]`)
+		var node *protocol.NodeSettings
+		Eventually(heard).Should(Receive(&node))
+		Expect(node.GetSeeds()).To(Equal([]string{"127.0.0.3:7003"}))
+		Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+	})
+
+	It("serves peers without a cluster key only when the settings say so, and warns", func() {
+		running, _ := start()
+		Expect(running.errors.String()).To(ContainSubstring("without a cluster key"))
+		Expect(running.terminate()).To(Equal(daemon.ExitStopped))
+		refused := launch(&fakePlane{}, "--settings", file, "--trust-network=false")
+		Expect(refused.exitCode()).To(Equal(daemon.ExitSettings))
+		Expect(refused.errors.String()).To(ContainSubstring("node.cluster_key_file: is missing"))
+	})
+})
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
+	"strings"
 
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/protocol"
@@ -49,7 +51,8 @@
 	if len(node.GetSeeds()) > maxSeeds {
 		faults.add("node.seeds", "has %d addresses, must have at most %d", len(node.GetSeeds()), maxSeeds)
 	}
-	faults.present("node.cluster_key_file", node.GetClusterKeyFile())
+	checkClusterKey(node, faults)
+	faults.between("node.seed_port", uint64(node.GetSeedPort()), 0, math.MaxUint16)
 	faults.oneOf("node.log_level", node.GetLogLevel(), "debug", "info", "warn", "error")
 	faults.oneOf("node.log_format", node.GetLogFormat(), "text", "json")
 	faults.between("node.stop_grace_millis", uint64(node.GetStopGraceMillis()), 1, maxStopGraceMillis)
@@ -57,6 +60,17 @@
 	checkDebugAddress(node.GetDebugAddress(), faults)
 }
 
+// checkClusterKey requires a key file, or the explicit word that there is none, and never both.
+func checkClusterKey(node *protocol.NodeSettings, faults *checker) {
+	if !node.GetTrustNetwork() {
+		faults.present("node.cluster_key_file", node.GetClusterKeyFile())
+		return
+	}
+	if node.GetClusterKeyFile() != "" {
+		faults.add("node.cluster_key_file", "must be empty where node.trust_network is true")
+	}
+}
+
 func checkAdvertisedAddress(value string, faults *checker) {
 	if value == "" {
 		return
@@ -82,13 +96,28 @@
 	requireSeeds(settings.GetNode(), faults)
 	faults.between("max_body_bytes", settings.GetMaxBodyBytes(), minBodyBytes, maxBodyBytes)
 	faults.between("virtual_places", uint64(settings.GetVirtualPlaces()), 1, maxVirtualPlaces)
+	checkTrafficAddress(settings, faults)
 	faults.between("lease_renew_millis", uint64(settings.GetLeaseRenewMillis()), minRenewMillis, maxLeaseRenewMillis)
 }
 
+func checkTrafficAddress(settings *protocol.FrontSettings, faults *checker) {
+	if settings.GetTrafficAddress() == "" {
+		return
+	}
+	traffic := faults.listener("traffic_address", settings.GetTrafficAddress())
+	if !traffic.IsValid() || traffic.Port() == 0 {
+		return
+	}
+	node := settings.GetNode()
+	if other := settings.GetTrafficAddress(); other == node.GetInternalAddress() || other == node.GetHttpAddress() {
+		faults.add("traffic_address", "is the same as another listener of this process")
+	}
+}
+
 func checkCore(settings *protocol.CoreSettings, faults *checker) {
 	checkNode(settings.GetNode(), faults)
 	faults.present("node.data_folder", settings.GetNode().GetDataFolder())
-	faults.present("operator_token_file", settings.GetOperatorTokenFile())
+	checkOperators(settings, faults)
 	if len(settings.GetFounders()) == 0 && len(settings.GetNode().GetSeeds()) == 0 {
 		faults.add("founders", "is empty and so is node.seeds: a core process founds a cluster or joins one")
 	}
@@ -100,9 +129,24 @@
 	requireOdd("replica_count", settings.GetReplicaCount(), faults)
 	faults.between("snapshot_entries", uint64(settings.GetSnapshotEntries()), 1, maxSnapshotEntries)
 	faults.between("max_body_bytes", settings.GetMaxBodyBytes(), minBodyBytes, maxBodyBytes)
+	checkZoneRegions(settings.GetZoneRegions(), faults)
+	if lease := settings.GetBackEndLeaseMillis(); lease != 0 {
+		faults.between("back_end_lease_millis", uint64(lease), minLeaseMillis, maxLeaseMillis)
+	}
 	faults.between("coalesce_millis", uint64(settings.GetCoalesceMillis()), 1, maxCoalesceMillis)
 }
 
+// checkOperators requires a token file, or the explicit word that there is none, and never both.
+func checkOperators(settings *protocol.CoreSettings, faults *checker) {
+	if !settings.GetTrustOperators() {
+		faults.present("operator_token_file", settings.GetOperatorTokenFile())
+		return
+	}
+	if settings.GetOperatorTokenFile() != "" {
+		faults.add("operator_token_file", "must be empty where trust_operators is true")
+	}
+}
+
 func checkVoters(settings *protocol.CoreSettings, faults *checker) {
 	faults.peers("founders", settings.GetFounders())
 	faults.between("target_voters", uint64(settings.GetTargetVoters()), 1, maxVoters)
@@ -121,6 +165,20 @@
 	faults.between("replace_voter_millis", uint64(settings.GetReplaceVoterMillis()), minReplaceMillis, maxReplaceMillis)
 }
 
+func checkZoneRegions(pairs []string, faults *checker) {
+	seen := map[string]bool{}
+	for index, pair := range pairs {
+		path := fmt.Sprintf("zone_regions[%d]", index)
+		zone, region, _ := strings.Cut(pair, "=")
+		faults.name(path, zone)
+		faults.name(path, region)
+		if seen[zone] {
+			faults.add(path, "zone %q is there twice", zone)
+		}
+		seen[zone] = true
+	}
+}
+
 func checkSignOffKeys(keys []string, faults *checker) {
 	seen := map[string]bool{}
 	for index, text := range keys {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -23,6 +23,9 @@
 	defaultSegmentBytes        = 64 << 20
 	defaultCopyBytesPerSecond  = 64 << 20
 	defaultScrubIntervalSecond = 600
+
+	// gracePercent is the share of kill_after_millis that a gentle stop may take.
+	gracePercent = 75
 )
 
 // fillDefaults replaces every field that is zero and has a default.
@@ -43,6 +46,9 @@
 	fill(&node.LogLevel, defaultLogLevel)
 	fill(&node.LogFormat, defaultLogFormat)
 	fill(&node.StopGraceMillis, defaultStopGraceMillis)
+	if kill := node.GetKillAfterMillis(); kill > 0 {
+		node.StopGraceMillis = min(node.StopGraceMillis, max(1, uint32(uint64(kill)*gracePercent/100)))
+	}
 }
 
 func fillFront(settings *protocol.FrontSettings) {
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -39,6 +39,8 @@
 			flags.Uint32(FlagName(field), 0, help)
 		case field.Kind() == protoreflect.Uint64Kind:
 			flags.Uint64(FlagName(field), 0, help)
+		case field.Kind() == protoreflect.BoolKind:
+			flags.Bool(FlagName(field), false, help)
 		default:
 			flags.String(FlagName(field), "", help)
 		}
@@ -100,6 +102,10 @@
 		value, err := flags.GetUint64(name)
 		owner.Set(field, protoreflect.ValueOfUint64(value))
 		return err
+	case field.Kind() == protoreflect.BoolKind:
+		value, err := flags.GetBool(name)
+		owner.Set(field, protoreflect.ValueOfBool(value))
+		return err
 	default:
 		value, err := flags.GetString(name)
 		owner.Set(field, protoreflect.ValueOfString(value))
@@ -122,3 +128,14 @@
 		}
 	}
 }
+
+// EachField visits every field of two settings of the same kind with the values that it has in each.
+func EachField(first, second Message, visit func(field protoreflect.FieldDescriptor, inFirst, inSecond protoreflect.Value)) {
+	values := map[protoreflect.FullName]protoreflect.Value{}
+	eachField(first, func(field protoreflect.FieldDescriptor, owner protoreflect.Message) {
+		values[field.FullName()] = owner.Get(field)
+	})
+	eachField(second, func(field protoreflect.FieldDescriptor, owner protoreflect.Message) {
+		visit(field, values[field.FullName()], owner.Get(field))
+	})
+}
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -71,6 +71,7 @@
 // Complete fills the defaults in and checks the whole. The error is an *InvalidError.
 func (k Kind[S]) Complete(message S) error {
 	fillDefaults(message)
+	replaceSeedPorts(message)
 	faults := &checker{}
 	k.check(message, faults)
 	if len(faults.faults) > 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -199,3 +199,92 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+func TestTrustReplacesSecretsOnlyWhenItIsSaid(t *testing.T) {
+	bare := strings.NewReplacer(`, "cluster_key_file": "/etc/rosestand/cluster.key"`, "", "\"cluster_key_file\": \"/etc/rosestand/cluster.key\"", `"log_level": "info"`,
+		`"operator_token_file": "/etc/rosestand/tokens",`, "").Replace(validCore)
+	_, err := load(t, bare)
+	if got := strings.Join(faultPaths(t, err), " "); got != "node.cluster_key_file operator_token_file" {
+		t.Fatalf("without the words: %s", got)
+	}
+	loaded, err := load(t, bare, "--trust-network", "--trust-operators")
+	if err != nil || !loaded.GetNode().GetTrustNetwork() || !loaded.GetTrustOperators() {
+		t.Fatalf("with the words: %v", err)
+	}
+	_, err = load(t, validCore, "--trust-network", "--trust-operators=true")
+	if got := strings.Join(faultPaths(t, err), " "); got != "node.cluster_key_file operator_token_file" {
+		t.Fatalf("secrets beside the words: %s", got)
+	}
+	if loaded, err = load(t, validCore, "--trust-network=false"); err != nil || loaded.GetNode().GetTrustNetwork() {
+		t.Fatalf("the word said with false: %v", err)
+	}
+}
+
+func TestSeedPortReplacesPortsOfSeedsAndFounders(t *testing.T) {
+	loaded, err := load(t, validCore, "--seed-port", "7380", "--seeds", "10.0.0.1:8144,[fd00::1]:8144")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(loaded.GetNode().GetSeeds(), " "); got != "10.0.0.1:7380 [fd00::1]:7380" {
+		t.Errorf("seeds %s", got)
+	}
+	if got := strings.Join(loaded.GetFounders(), " "); got != "10.0.0.1:7380 10.0.0.2:7380 10.0.0.3:7380" {
+		t.Errorf("founders %s", got)
+	}
+	_, err = load(t, validCore, "--seed-port", "70000", "--seeds", "10.0.0.1:1,10.0.0.1:2,nonsense")
+	if got := strings.Join(faultPaths(t, err), " "); !strings.Contains(got, "node.seeds[1] node.seeds[2]") || !strings.Contains(got, "node.seed_port") {
+		t.Errorf("faults at %s", got)
+	}
+}
+
+func TestAKillBoundsTheGraceOfAStop(t *testing.T) {
+	for arguments, want := range map[string]uint32{
+		"--kill-after-millis=8000":                          6000,
+		"--kill-after-millis=8000 --stop-grace-millis=100":  100,
+		"--kill-after-millis=1":                             1,
+		"--kill-after-millis=0 --stop-grace-millis=30000":   30_000,
+		"--kill-after-millis=4294967295":                    20_000,
+		"--kill-after-millis=100000 --stop-grace-millis=80": 80,
+	} {
+		loaded, err := load(t, validCore, strings.Fields(arguments)...)
+		if err != nil || loaded.GetNode().GetStopGraceMillis() != want {
+			t.Errorf("%s: %d, want %d: %v", arguments, loaded.GetNode().GetStopGraceMillis(), want, err)
+		}
+	}
+}
+
+func TestAddressForTrafficIsAListenerOfItsOwn(t *testing.T) {
+	front := func(traffic string) *protocol.FrontSettings {
+		return &protocol.FrontSettings{TrafficAddress: traffic, Node: &protocol.NodeSettings{
+			Name: "front-1", Zone: "z1", InternalAddress: "10.0.0.1:7100", HttpAddress: "10.0.0.1:8100",
+			Seeds: []string{"10.0.0.2:7200"}, ClusterKeyFile: "key",
+		}}
+	}
+	for _, traffic := range []string{"", "10.0.0.1:8149", "127.0.0.1:0"} {
+		if err := settings.Front.Complete(front(traffic)); err != nil {
+			t.Errorf("%q: %v", traffic, err)
+		}
+	}
+	for _, traffic := range []string{"10.0.0.1:8100", "10.0.0.1:7100", "front:80", "0.0.0.0:80"} {
+		if got := faultPaths(t, settings.Front.Complete(front(traffic))); len(got) != 1 || got[0] != "traffic_address" {
+			t.Errorf("%q: faults at %v", traffic, got)
+		}
+	}
+}
+
+func TestRegionsOfZones(t *testing.T) {
+	loaded, err := load(t, validCore, "--zone-regions", "z1=r1,z2=r2", "--back-end-lease-millis", "4000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for zone, want := range map[string]string{"z1": "r1", "z2": "r2", "z": "", "": ""} {
+		if got := settings.Region(loaded.GetZoneRegions(), zone); got != want {
+			t.Errorf("%s is in %q", zone, got)
+		}
+	}
+	_, err = load(t, validCore, "--zone-regions", "z1=r1,z1=r2,z3,=r1", "--back-end-lease-millis", "1")
+	want := "zone_regions[1] zone_regions[2] zone_regions[3] back_end_lease_millis"
+	if got := strings.Join(faultPaths(t, err), " "); got != want {
+		t.Errorf("faults at %s", got)
+	}
+}
