--- /dev/null
+++ b/cmd/rosestand-platform/main.go
@@ -0,0 +1,57 @@
+// Command rosestand-platform runs the daemons of the product behind the adapter
+// of the users' platform: one subcommand a daemon, with the daemon's own flags.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+
+	"github.com/rosestand/rosestand/internal/core"
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/front"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/settings"
+	"github.com/rosestand/rosestand/internal/store"
+	"github.com/rosestand/rosestand/platform"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "rosestand-platform",
+		Short:         "the daemons of rosestand behind the adapter of the users' platform",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.AddCommand(
+		daemonCommand("front", settings.Front, frontModule),
+		daemonCommand("core", settings.Core, coreModule),
+		daemonCommand("store", settings.Store, store.Module),
+	)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintf(os.Stderr, "rosestand-platform: %v\n", err)
+		os.Exit(daemon.ExitSettings)
+	}
+}
+
+// daemonCommand hands its arguments to the daemon as they are, with the settings file that the platform names.
+func daemonCommand[S settings.Message](name string, kind settings.Kind[S], module daemon.Module[S]) *cobra.Command {
+	return &cobra.Command{
+		Use:                name,
+		Short:              kind.Summary,
+		DisableFlagParsing: true,
+		Run: func(_ *cobra.Command, arguments []string) {
+			os.Exit(daemon.Execute(kind, module, daemon.SystemEnvironment(platform.Arguments(arguments))))
+		},
+	}
+}
+
+func frontModule(loaded *protocol.FrontSettings) fx.Option {
+	return fx.Options(front.Module(loaded), platform.FrontModule())
+}
+
+func coreModule(loaded *protocol.CoreSettings) fx.Option {
+	return fx.Options(core.Module(loaded), platform.CoreModule())
+}
