Ask servers for their load in the words of the dialect; name a tenant for programs of HTTP routes

Cause: turns of HTTP routes named no tenant, so that the ledger never made their programs; and load was asked for by the product's own path under every dialect.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -4,6 +4,8 @@
 // Forms are the same under every dialect; docs/API-ROUTES.md tells them.
 package dialect
 
+import "encoding/json"
+
 // Dialect is a set of header names. All names are in canonical form. An empty
 // name means that the dialect has no such header.
 type Dialect struct {
@@ -53,17 +55,38 @@
 	ReportPath string
 	// DecodeReport reads the body of a report; nil means that no report is asked for.
 	DecodeReport func(body []byte) (Report, error)
+	// ToolsReport is true when tool servers give reports, not model servers alone.
+	ToolsReport bool
 }
 
 // Report is a server's own word on its load.
 type Report struct {
 	Running uint32
 	Queued  uint32
+	// Capacity is the number of requests that the server runs at once; zero leaves it as announced.
+	Capacity uint32
 	// CacheUsed and CacheTotal are tokens of the KV cache: what can't give way, and all there is.
 	CacheUsed  uint64
 	CacheTotal uint64
 }
 
+// reportBody is the body of a report in the product's own form.
+type reportBody struct {
+	Running    uint32 `json:"running"`
+	Queued     uint32 `json:"queued"`
+	Capacity   uint32 `json:"capacity"`
+	CacheUsed  uint64 `json:"cache_used"`
+	CacheTotal uint64 `json:"cache_total"`
+}
+
+func decodeReport(body []byte) (Report, error) {
+	var report reportBody
+	if err := json.Unmarshal(body, &report); err != nil {
+		return Report{}, err
+	}
+	return Report(report), nil
+}
+
 // Default gives the product's own names.
 func Default() Dialect {
 	return Dialect{
@@ -84,5 +107,8 @@
 		Signature:       "Rosestand-Proof",
 		NotExecuted:     "Rosestand-Not-Run",
 		WeightVersions:  "Rosestand-Weights",
+		ReportPath:      "/load",
+		DecodeReport:    decodeReport,
+		ToolsReport:     true,
 	}
 }
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/dialect"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/turn"
@@ -26,6 +27,8 @@
 	running     atomic.Uint32
 	queued      atomic.Uint32
 	capacity    atomic.Uint32
+	cacheUsed   atomic.Uint64
+	cacheTotal  atomic.Uint64
 	draining    atomic.Bool
 	// reportedAt is when the load was last reported, in Unix nanoseconds.
 	reportedAt atomic.Int64
@@ -85,9 +88,11 @@
 }
 
 // take takes in a load that was asked for.
-func (b *backEnd) take(report loadReport, now time.Time) {
+func (b *backEnd) take(report dialect.Report, now time.Time) {
 	b.running.Store(report.Running)
 	b.queued.Store(report.Queued)
+	b.cacheUsed.Store(report.CacheUsed)
+	b.cacheTotal.Store(report.CacheTotal)
 	if report.Capacity > 0 {
 		b.capacity.Store(report.Capacity)
 	}
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// routedTenant is the tenant of all programs that come in by HTTP routes, which know no tenants.
+	routedTenant = "routes"
 	// defaultRetryAfter is told with a refusal that has no better word.
 	defaultRetryAfter = 100 * time.Millisecond
 	// routedWriteTimeout is how long one piece of an answer may take to be written to a slow caller.
@@ -20,7 +22,7 @@
 // serveStream serves a request that is answered by a stream.
 func (a *routeAPI) serveStream(ctx context.Context, writer http.ResponseWriter, taken *takenRequest) {
 	request := &protocol.TurnRequest{
-		RequestId: taken.id, Program: taken.program, Session: taken.session, MaxOutputTokens: taken.most,
+		RequestId: taken.id, Tenant: routedTenant, Program: taken.program, Session: taken.session, MaxOutputTokens: taken.most,
 		TimeLeftMillis: uint32(taken.left.Milliseconds()), ProgramBudget: taken.budget, Ingress: a.service.name,
 		FirstSend: true, Http: taken.http,
 	}
@@ -97,7 +99,7 @@
 func (a *routeAPI) serveCall(ctx context.Context, writer http.ResponseWriter, taken *takenRequest) {
 	repeatable := taken.http.GetKind() == protocol.HttpRouteKind_HTTP_REPEATABLE
 	answer, err := a.service.relayCall(ctx, &protocol.ToolCallRequest{
-		RequestId: taken.id, Program: taken.program, Session: taken.session, Tool: taken.http.GetRoute(),
+		RequestId: taken.id, Tenant: routedTenant, Program: taken.program, Session: taken.session, Tool: taken.http.GetRoute(),
 		TimeLeftMillis: uint32(taken.left.Milliseconds()), Ingress: a.service.name, FirstSend: true, Http: taken.http,
 	}, !repeatable)
 	switch {
--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -12,12 +10,14 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/schedule"
+	"github.com/rosestand/rosestand/internal/serverconn"
 )
 
 const (
 	// sampleInterval is the mean time between two samples of one front node, whatever the number of servers.
-	sampleInterval = 100 * time.Millisecond
+	sampleInterval = 500 * time.Millisecond
 	sampleTimeout  = 500 * time.Millisecond
 	// sampleAge is how old a report must be to be worth a sample.
 	sampleAge      = 250 * time.Millisecond
@@ -27,13 +27,6 @@
 	overCommit = 1.5
 )
 
-// loadReport is the answer to GET /load.
-type loadReport struct {
-	Running  uint32 `json:"running"`
-	Queued   uint32 `json:"queued"`
-	Capacity uint32 `json:"capacity"`
-}
-
 // watchLoad samples the load of the servers in this front node's subset and
 // keeps the ceilings up to date.
 func (s *Service) watchLoad(ctx context.Context) {
@@ -65,7 +58,7 @@
 		return
 	}
 	result := "ok"
-	if err := s.client.sampleLoad(ctx, chosen, s.clock.Now); err != nil {
+	if err := s.routes.sampleLoad(ctx, chosen); err != nil {
 		result = "failed"
 	}
 	s.metrics.loadSamples.WithLabelValues(result).Inc()
@@ -77,7 +70,7 @@
 	var used []*backEnd
 	for _, candidates := range s.subsets(s.clock.Now()) {
 		for _, candidate := range candidates {
-			if server := servers.byID[candidate.ID]; server != nil {
+			if server := servers.byID[candidate.ID]; server != nil && s.routes.reports(server) {
 				used = append(used, server)
 			}
 		}
@@ -85,6 +78,14 @@
 	return used
 }
 
+// reports tells whether a server can be asked for its load.
+func (c *routeClient) reports(server *backEnd) bool {
+	if c.dialect.DecodeReport == nil {
+		return false
+	}
+	return c.dialect.ToolsReport || server.description.Load().GetKind() == protocol.BackEndKind_MODEL_SERVER
+}
+
 // subsets are the servers of each group that this front node uses.
 func (s *Service) subsets(now time.Time) map[string][]schedule.Candidate {
 	index := s.policies.Load().active
@@ -148,26 +149,27 @@
 	return fmt.Sprintf("the load report has status %d", e.Status)
 }
 
-// sampleLoad asks a server for its load.
-func (c *backEndClient) sampleLoad(ctx context.Context, server *backEnd, now func() time.Time) error {
+// sampleLoad asks a server for its load in the words of the dialect.
+func (c *routeClient) sampleLoad(ctx context.Context, server *backEnd) error {
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.url("/load"), nil)
+	address := server.description.Load().GetAddress()
+	response, err := c.pool.Do(ctx, address, &serverconn.Request{Method: http.MethodGet, Target: c.dialect.ReportPath, Host: address})
 	if err != nil {
-		return errors.Wrap(err, "make load request")
+		return errors.Wrap(err, "ask for load")
 	}
-	response, err := c.tools.Do(request)
+	defer response.Close()
+	body, err := response.ReadAll(maxSampleBytes)
 	if err != nil {
-		return errors.Wrap(err, "ask for load")
+		return errors.Wrap(err, "read load report")
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return &LoadStatusError{Status: response.StatusCode}
+	if response.Status != http.StatusOK {
+		return &LoadStatusError{Status: response.Status}
 	}
-	var report loadReport
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxSampleBytes)).Decode(&report); err != nil {
+	report, err := c.dialect.DecodeReport(body)
+	if err != nil {
 		return errors.Wrap(err, "decode load report")
 	}
-	server.take(report, now())
+	server.take(report, c.clock.Now())
 	return nil
 }
