Prove releases, numbered announcements and HTTP routes by stories; encode HTTP routes without reflection

A bundle of 5,000 HTTP routes was encoded by reflection at every change on every node. Written out field by field, and compared with the encoding by reflection on drawn routes, the same bytes come in less time, and a whole bundle sent anew shares the entries that did not change with the one before it.

--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -197,6 +197,11 @@
 		name := fmt.Sprintf("r%d", i+rapid.IntRange(0, 2).Draw(t, label+"shift")*10)
 		made.Routes = append(made.Routes, &protocol.Route{Name: name, Model: name, Group: group})
 	}
+	for i := range rapid.IntRange(0, 4).Draw(t, label+"http routes") {
+		route := httpRoute(fmt.Sprintf("h%d", i+rapid.IntRange(0, 2).Draw(t, label+"http shift")*10), "host", fmt.Sprintf("/%d/", i))
+		route.Targets[0].Weight = rapid.Uint32Range(1, 2).Draw(t, label+"http weight")
+		made.HttpRoutes = append(made.HttpRoutes, route)
+	}
 	merged, faults := bundle.Check(nil, made)
 	if len(faults) > 0 {
 		t.Fatal(faults)
--- a/internal/bundle/canonical.go
+++ b/internal/bundle/canonical.go
@@ -101,6 +101,13 @@
 	}
 }
 
+func encodeEntry(message protoreflect.Message) []byte {
+	if route, isRoute := message.Interface().(*protocol.HttpRoute); isRoute {
+		return appendHTTPRoute(make([]byte, 0, 256), route)
+	}
+	return appendMessage(nil, message)
+}
+
 func appendMap(buffer []byte, field protoreflect.FieldDescriptor, entries protoreflect.Map) []byte {
 	keys := make([]protoreflect.MapKey, 0, entries.Len())
 	entries.Range(func(key protoreflect.MapKey, _ protoreflect.Value) bool {
@@ -127,7 +134,7 @@
 		return protowire.AppendBytes(buffer, value.Bytes())
 	case protoreflect.MessageKind:
 		buffer = protowire.AppendTag(buffer, number, protowire.BytesType)
-		return protowire.AppendBytes(buffer, appendMessage(nil, value.Message()))
+		return protowire.AppendBytes(buffer, encodeEntry(value.Message()))
 	case protoreflect.DoubleKind:
 		buffer = protowire.AppendTag(buffer, number, protowire.Fixed64Type)
 		return protowire.AppendFixed64(buffer, doubleBits(value.Float()))
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -83,7 +83,7 @@
 		}
 	}
 	for i, route := range b.GetHttpRoutes() {
-		c.httpRoute(fmt.Sprintf("http_routes[%d]", i), route)
+		c.httpRoute(entryPath{list: "http_routes", index: i}, route)
 	}
 	c.policies(b)
 	c.removals(base, b)
@@ -92,34 +92,39 @@
 func checkNames[T named](c *checker, list string, entries []T) {
 	seen := make(map[string]int, len(entries))
 	for i, entry := range entries {
-		path := fmt.Sprintf("%s[%d].name", list, i)
-		c.name(path, entry.GetName())
+		path := entryPath{list: list, index: i}
+		c.fieldFault(path, "name", nameFault(entry.GetName()))
 		if first, twice := seen[entry.GetName()]; twice && entry.GetName() != "" {
-			c.add(path, fmt.Sprintf("name %q is already used by %s[%d]", entry.GetName(), list, first))
+			c.fieldFault(path, "name", fmt.Sprintf("name %q is already used by %s[%d]", entry.GetName(), list, first))
 			continue
 		}
 		seen[entry.GetName()] = i
 	}
 }
 
-func (c *checker) name(path, name string) {
+func nameFault(name string) string {
 	if name == "" {
-		c.add(path, "must be set")
-		return
+		return "must be set"
 	}
-	c.optionalName(path, name)
+	return optionalNameFault(name)
 }
 
 func (c *checker) optionalName(path, name string) {
+	if fault := optionalNameFault(name); fault != "" {
+		c.add(path, fault)
+	}
+}
+
+func optionalNameFault(name string) string {
 	if len(name) > MaxNameBytes {
-		c.add(path, fmt.Sprintf("is longer than %d bytes", MaxNameBytes))
+		return fmt.Sprintf("is longer than %d bytes", MaxNameBytes)
 	}
 	for _, letter := range name {
 		if letter < ' ' || letter == 0x7f {
-			c.add(path, "has a control character")
-			return
+			return "has a control character"
 		}
 	}
+	return ""
 }
 
 func (c *checker) route(path string, route *protocol.Route) {
--- a/internal/bundle/delta.go
+++ b/internal/bundle/delta.go
@@ -35,17 +35,24 @@
 }
 
 // equal compares by identity first, as merged bundles share what did not change.
-func equal[T interface {
+func equal[T comparableMessage](a, b T) bool {
+	if a == b {
+		return true
+	}
+	if first, isRoute := any(a).(*protocol.HttpRoute); isRoute {
+		return sameHTTPRoute(first, any(b).(*protocol.HttpRoute))
+	}
+	return proto.Equal(a, b)
+}
+
+type comparableMessage interface {
 	comparable
 	proto.Message
-}](a, b T) bool {
-	return a == b || proto.Equal(a, b)
 }
 
 type namedMessage interface {
-	comparable
+	comparableMessage
 	named
-	proto.Message
 }
 
 // stepNamed walks two lists sorted by name side by side.
--- a/internal/bundle/httproutes.go
+++ b/internal/bundle/httproutes.go
@@ -123,59 +123,90 @@
 }
 
 // httpRoute checks the fields of one HTTP route as given.
-func (c *checker) httpRoute(path string, route *protocol.HttpRoute) {
-	c.routeHost(path+".host", route.GetHost())
-	c.routePrefix(path+".prefix", route.GetPrefix())
-	if kind := route.GetKind(); kind == protocol.HttpRouteKind_HTTP_ROUTE_KIND_UNSPECIFIED {
-		c.add(path+".kind", "must be set")
-	} else if protocol.HttpRouteKind_name[int32(kind)] == "" {
-		c.add(path+".kind", "is unknown")
-	}
+func (c *checker) httpRoute(path entryPath, route *protocol.HttpRoute) {
+	c.fieldFault(path, "host", hostFault(route.GetHost()))
+	c.fieldFault(path, "prefix", prefixFault(route.GetPrefix()))
+	c.fieldFault(path, "kind", kindFault(route.GetKind()))
 	if route.GetTimeoutMillis() == 0 {
-		c.add(path+".timeout_millis", "must be more than 0")
+		c.fieldFault(path, "timeout_millis", "must be more than 0")
+	}
+	if route.GetMaxAttempts() > MaxRouteAttempts {
+		c.fieldFault(path, "max_attempts", fmt.Sprintf("must be at most %d", MaxRouteAttempts))
+	}
+	if route.GetKeepMillis() > MaxKeepMillis {
+		c.fieldFault(path, "keep_millis", fmt.Sprintf("must be at most %d", uint64(MaxKeepMillis)))
+	}
+	c.fieldFault(path, "targets", targetsFault(route.GetTargets()))
+	for i, target := range route.GetTargets() {
+		if target.GetGroup() == "" {
+			c.fieldFault(path, fmt.Sprintf("targets[%d].group", i), "must be set")
+		}
+	}
+}
+
+// entryPath is the place of an entry in a list. Its text is made only for a
+// fault, as a bundle may have thousands of entries.
+type entryPath struct {
+	list  string
+	index int
+}
+
+func (p entryPath) field(name string) string { return fmt.Sprintf("%s[%d].%s", p.list, p.index, name) }
+
+// fieldFault notes a fault of a field; an empty message is none.
+func (c *checker) fieldFault(path entryPath, field, message string) {
+	if message != "" {
+		c.add(path.field(field), message)
 	}
-	c.atMost(path+".max_attempts", uint64(route.GetMaxAttempts()), MaxRouteAttempts)
-	c.atMost(path+".keep_millis", route.GetKeepMillis(), MaxKeepMillis)
-	c.routeTargets(path+".targets", route.GetTargets())
 }
 
-func (c *checker) routeHost(path, host string) {
+func hostFault(host string) string {
 	switch {
 	case hostKey(host) == "":
-		c.add(path, "must be set")
+		return "must be set"
 	case len(host) > MaxHostBytes:
-		c.add(path, fmt.Sprintf("is longer than %d bytes", MaxHostBytes))
+		return fmt.Sprintf("is longer than %d bytes", MaxHostBytes)
 	case strings.ContainsFunc(host, func(letter rune) bool { return letter <= ' ' || letter == 0x7f || letter == '/' }):
-		c.add(path, "has a space, a slash or a control character")
+		return "has a space, a slash or a control character"
+	default:
+		return ""
 	}
 }
 
-func (c *checker) routePrefix(path, prefix string) {
+func prefixFault(prefix string) string {
 	switch {
 	case prefix == "":
-		c.add(path, "must be set")
+		return "must be set"
 	case !strings.HasPrefix(prefix, "/") || !strings.HasSuffix(prefix, "/"):
-		c.add(path, "must begin and end with a slash")
+		return "must begin and end with a slash"
 	case len(prefix) > MaxPrefixBytes:
-		c.add(path, fmt.Sprintf("is longer than %d bytes", MaxPrefixBytes))
+		return fmt.Sprintf("is longer than %d bytes", MaxPrefixBytes)
+	default:
+		return ""
 	}
 }
 
-func (c *checker) routeTargets(path string, targets []*protocol.WeightedGroup) {
+func kindFault(kind protocol.HttpRouteKind) string {
+	switch kind {
+	case protocol.HttpRouteKind_HTTP_ROUTE_KIND_UNSPECIFIED:
+		return "must be set"
+	case protocol.HttpRouteKind_HTTP_REPEATABLE, protocol.HttpRouteKind_HTTP_NON_REPEATABLE, protocol.HttpRouteKind_HTTP_STREAMING:
+		return ""
+	default:
+		return "is unknown"
+	}
+}
+
+func targetsFault(targets []*protocol.WeightedGroup) string {
 	switch {
 	case len(targets) == 0:
-		c.add(path, "must name a group")
-		return
+		return "must name a group"
 	case len(targets) > MaxRouteTargets:
-		c.add(path, fmt.Sprintf("must be at most %d", MaxRouteTargets))
-		return
+		return fmt.Sprintf("must be at most %d", MaxRouteTargets)
 	case totalWeight(targets) == 0:
-		c.add(path, "the weights must add up to more than 0")
-	}
-	for i, target := range targets {
-		if target.GetGroup() == "" {
-			c.add(fmt.Sprintf("%s[%d].group", path, i), "must be set")
-		}
+		return "the weights must add up to more than 0"
+	default:
+		return ""
 	}
 }
 
--- /dev/null
+++ b/internal/bundle/httproutes_test.go
@@ -0,0 +1,302 @@
+package bundle_test
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// httpRoutesField is the number of the HTTP routes in a Bundle.
+const httpRoutesField = 14
+
+// httpRoute is an HTTP route without faults to the group g0.
+func httpRoute(name, host, prefix string) *protocol.HttpRoute {
+	return &protocol.HttpRoute{
+		Name: name, Host: host, Prefix: prefix, Kind: protocol.HttpRouteKind_HTTP_REPEATABLE, TimeoutMillis: 1000,
+		Targets: []*protocol.WeightedGroup{{Group: "g0", Weight: 1}},
+	}
+}
+
+func withHTTPRoutes(version uint64, routes ...*protocol.HttpRoute) *protocol.Bundle {
+	return &protocol.Bundle{
+		Version: version, Groups: []*protocol.ServerGroup{{Name: "g0"}, {Name: "g1"}}, HttpRoutes: routes,
+	}
+}
+
+func pathsOf(faults []*protocol.Fault) []string {
+	paths := []string{}
+	for _, fault := range faults {
+		paths = append(paths, fault.GetPath())
+	}
+	return paths
+}
+
+func TestFaultsOfHTTPRoutes(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(route *protocol.HttpRoute)
+		path   string
+	}{
+		{"no name", func(route *protocol.HttpRoute) { route.Name = "" }, "name"},
+		{"no host", func(route *protocol.HttpRoute) { route.Host = "" }, "host"},
+		{"only a port", func(route *protocol.HttpRoute) { route.Host = ":80" }, "host"},
+		{"host with a slash", func(route *protocol.HttpRoute) { route.Host = "a/b" }, "host"},
+		{"no prefix", func(route *protocol.HttpRoute) { route.Prefix = "" }, "prefix"},
+		{"prefix without a slash at its start", func(route *protocol.HttpRoute) { route.Prefix = "a/" }, "prefix"},
+		{"prefix without a slash at its end", func(route *protocol.HttpRoute) { route.Prefix = "/a" }, "prefix"},
+		{"no kind", func(route *protocol.HttpRoute) { route.Kind = 0 }, "kind"},
+		{"unknown kind", func(route *protocol.HttpRoute) { route.Kind = 77 }, "kind"},
+		{"no time-out", func(route *protocol.HttpRoute) { route.TimeoutMillis = 0 }, "timeout_millis"},
+		{"too many attempts", func(route *protocol.HttpRoute) { route.MaxAttempts = bundle.MaxRouteAttempts + 1 }, "max_attempts"},
+		{"kept too long", func(route *protocol.HttpRoute) { route.KeepMillis = bundle.MaxKeepMillis + 1 }, "keep_millis"},
+		{"no target", func(route *protocol.HttpRoute) { route.Targets = nil }, "targets"},
+		{"no weight", func(route *protocol.HttpRoute) { route.Targets[0].Weight = 0 }, "targets"},
+		{"unnamed group", func(route *protocol.HttpRoute) { route.Targets[0].Group = "" }, "targets[0].group"},
+		{"unknown group", func(route *protocol.HttpRoute) { route.Targets[0].Group = "absent" }, "targets[0].group"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			faulty := httpRoute("b", "h.example", "/b/")
+			test.change(faulty)
+			merged, faults := bundle.Check(nil, withHTTPRoutes(1, httpRoute("a", "h.example", "/a/"), faulty))
+			if merged != nil || fmt.Sprint(pathsOf(faults)) != fmt.Sprint([]string{"http_routes[1]." + test.path}) {
+				t.Fatalf("got %v", faults)
+			}
+		})
+	}
+}
+
+func TestNoTwoHTTPRoutesShareNameOrAddress(t *testing.T) {
+	_, faults := bundle.Check(nil, withHTTPRoutes(1,
+		httpRoute("a", "h.example", "/x/"), httpRoute("a", "h.example", "/y/"), httpRoute("c", "H.Example:80", "/x/"),
+	))
+	if got := fmt.Sprint(pathsOf(faults)); got != "[http_routes[1].name http_routes[2]]" {
+		t.Fatalf("got %v", faults)
+	}
+	base, faults := bundle.Check(nil, withHTTPRoutes(1, httpRoute("a", "h.example", "/x/")))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	partial := &protocol.Bundle{Version: 2, BaseVersion: 1, Partial: true, HttpRoutes: []*protocol.HttpRoute{httpRoute("b", "h.example", "/x/")}}
+	if _, faults = bundle.Check(base, partial); len(faults) != 1 {
+		t.Fatalf("a route of the base has the address: %v", faults)
+	}
+	partial.RemovedHttpRoutes = []string{"a"}
+	if _, faults = bundle.Check(base, partial); len(faults) != 0 {
+		t.Fatalf("the route that had the address is removed: %v", faults)
+	}
+}
+
+func TestPartialBundleNamesTheHTTPRouteOfTheBaseThatItBreaks(t *testing.T) {
+	base, _ := bundle.Check(nil, withHTTPRoutes(1, httpRoute("a", "h.example", "/x/")))
+	_, faults := bundle.Check(base, &protocol.Bundle{
+		Version: 2, BaseVersion: 1, Partial: true, RemovedGroups: []string{"g0"}, RemovedHttpRoutes: []string{"absent"},
+	})
+	if got := fmt.Sprint(pathsOf(faults)); got != "[removed_http_routes[0] http_routes[name=a].targets[0].group]" {
+		t.Fatalf("got %v", faults)
+	}
+}
+
+func TestHTTPRouteOfALongestPrefix(t *testing.T) {
+	merged, faults := bundle.Check(nil, withHTTPRoutes(1,
+		httpRoute("root", "h.example", "/"), httpRoute("a", "h.example", "/a/"), httpRoute("ab", "h.example", "/a/b/"),
+		httpRoute("other", "O.example", "/a/"), httpRoute("six", "[::1]", "/"),
+	))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	index := bundle.NewIndex(merged)
+	tests := []struct{ host, path, route string }{
+		{"h.example", "/a/b/c", "ab"},
+		{"h.example", "/a/b/", "ab"},
+		{"h.example", "/a/b", "a"},
+		{"h.example", "/a/bc/d", "a"},
+		{"h.example", "/a", "root"},
+		{"h.example", "/ab/", "root"},
+		{"h.example", "/", "root"},
+		{"h.example", "a/b/", ""},
+		{"h.example", "", ""},
+		{"H.EXAMPLE:8080", "/a/x", "a"},
+		{"o.example", "/a/x", "other"},
+		{"o.example", "/x", ""},
+		{"[::1]:80", "/x", "six"},
+		{"absent.example", "/a/", ""},
+		{"", "/a/", ""},
+	}
+	for _, test := range tests {
+		if got := index.HTTPRoute(test.host, test.path).GetName(); got != test.route {
+			t.Errorf("%s%s: got %q, not %q", test.host, test.path, got, test.route)
+		}
+	}
+	if bundle.NewIndex(nil).HTTPRoute("h.example", "/") != nil {
+		t.Error("an index of nothing found a route")
+	}
+}
+
+// TestHTTPRouteAgreesWithASearchOfAllRoutes compares the index with the definition.
+func TestHTTPRouteAgreesWithASearchOfAllRoutes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawPath := func(label string) string { return rapid.StringMatching(`(/[ab]{0,2}){0,4}`).Draw(t, label) }
+		routes := map[string]*protocol.HttpRoute{}
+		for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+			prefix := drawPath("prefix") + "/"
+			routes[prefix] = httpRoute(fmt.Sprint(i), "h", prefix)
+		}
+		all := withHTTPRoutes(1)
+		for _, route := range routes {
+			all.HttpRoutes = append(all.HttpRoutes, route)
+		}
+		path, longest := drawPath("path"), ""
+		for prefix := range routes {
+			if len(prefix) > len(longest) && len(path) >= len(prefix) && path[:len(prefix)] == prefix {
+				longest = prefix
+			}
+		}
+		if got := bundle.NewIndex(all).HTTPRoute("h", path); got.GetPrefix() != longest {
+			t.Fatalf("%q: got %q, not %q", path, got.GetPrefix(), longest)
+		}
+	})
+}
+
+func TestPickTargetFollowsTheWeights(t *testing.T) {
+	route := httpRoute("a", "h", "/")
+	route.Targets = []*protocol.WeightedGroup{{Group: "old", Weight: 90}, {Group: "none"}, {Group: "new", Weight: 10}}
+	picked := map[string]int{}
+	const requests = 100_000
+	for hash := range uint64(requests) {
+		picked[bundle.PickTarget(route, hash)]++
+		if bundle.PickTarget(route, hash) != bundle.PickTarget(route, hash) {
+			t.Fatal("one hash fell to two groups")
+		}
+	}
+	if picked["none"] != 0 || picked["old"]+picked["new"] != requests {
+		t.Fatalf("got %v", picked)
+	}
+	if share := float64(picked["new"]) / requests; math.Abs(share-0.1) > 0.005 {
+		t.Fatalf("the share of a tenth is %v", share)
+	}
+	route.Targets[0].Weight, route.Targets[2].Weight = math.MaxUint32, math.MaxUint32
+	if bundle.PickTarget(route, 1) == "" || bundle.PickTarget(&protocol.HttpRoute{}, 1) != "" {
+		t.Fatal("large weights must give a group, none must give none")
+	}
+}
+
+func TestHTTPRoutesInDigestStepAndComparison(t *testing.T) {
+	first, second := httpRoute("a", "h", "/a/"), httpRoute("b", "h", "/b/")
+	from, _ := bundle.Check(nil, withHTTPRoutes(1, second, first))
+	otherOrder, _ := bundle.Check(nil, withHTTPRoutes(1, first, second))
+	if bundle.Digest(from) != bundle.Digest(otherOrder) {
+		t.Fatal("the order of HTTP routes changed the digest")
+	}
+	changed := proto.CloneOf(first)
+	changed.Targets[0].Group, changed.Annotations = "g1", map[string]string{"y": "2", "x": "1"}
+	to, _ := bundle.Check(nil, withHTTPRoutes(2, changed, httpRoute("c", "h", "/c/")))
+	if bundle.Digest(from) == bundle.Digest(to) {
+		t.Fatal("content did not change the digest")
+	}
+	step, possible := bundle.Step(from, to)
+	if !possible || len(step.GetHttpRoutes()) != 2 || fmt.Sprint(step.GetRemovedHttpRoutes()) != "[b]" {
+		t.Fatalf("step is %v", step)
+	}
+	if merged := bundle.Merge(from, step); !proto.Equal(merged, to) {
+		t.Fatalf("step leads to %v", merged)
+	}
+	difference := bundle.Compare(from, to).HTTPRoutes
+	if fmt.Sprint(difference) != fmt.Sprint(bundle.NamedChanges{Added: []string{"c"}, Removed: []string{"b"}, Changed: []string{"a"}}) {
+		t.Fatalf("difference is %v", difference)
+	}
+}
+
+// TestEncodingOfHTTPRoutesIsThatOfAnyMessage compares the encoding that is written out with the one by reflection.
+func TestEncodingOfHTTPRoutesIsThatOfAnyMessage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringN(0, 3, -1)
+		number := rapid.SampledFrom([]uint32{0, 1, 200, math.MaxUint32})
+		yes := rapid.Bool()
+		route := &protocol.HttpRoute{
+			Name: text.Draw(t, "name"), Host: text.Draw(t, "host"), Prefix: text.Draw(t, "prefix"),
+			Kind: protocol.HttpRouteKind(rapid.IntRange(0, 3).Draw(t, "kind")), TimeoutMillis: number.Draw(t, "timeout"),
+			LatencyObjectiveMillis: number.Draw(t, "latency"), PauseObjectiveMillis: number.Draw(t, "pause"),
+			Rank: number.Draw(t, "rank"), MaxAttempts: number.Draw(t, "attempts"), Stateful: yes.Draw(t, "stateful"),
+			KeepMillis: rapid.Uint64().Draw(t, "keep"), Sticky: yes.Draw(t, "sticky"), Resumable: yes.Draw(t, "resumable"),
+			Annotations: rapid.MapOfN(text, text, 0, 3).Draw(t, "annotations"), SingleTarget: yes.Draw(t, "single"),
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "targets") {
+			route.Targets = append(route.Targets, &protocol.WeightedGroup{Group: text.Draw(t, "group"), Weight: number.Draw(t, "weight")})
+		}
+		writtenOut := bundle.Encode(&protocol.Bundle{HttpRoutes: []*protocol.HttpRoute{route}})
+		byReflection := protowire.AppendTag(nil, httpRoutesField, protowire.BytesType)
+		byReflection = protowire.AppendBytes(byReflection, bundle.EncodeMessage(route))
+		if !bytes.Equal(writtenOut, byReflection) {
+			t.Fatalf("%x, by reflection %x", writtenOut, byReflection)
+		}
+	})
+}
+
+// TestReuseSharesWhatIsTheSame checks that a whole bundle sent anew shares the entries that did not change.
+func TestReuseSharesWhatIsTheSame(t *testing.T) {
+	former, _ := bundle.Check(nil, manyHTTPRoutes(1, 100))
+	next := manyHTTPRoutes(2, 101)
+	next.HttpRoutes[7].TimeoutMillis++
+	merged, _ := bundle.Check(nil, next)
+	shared := bundle.Reuse(former, merged)
+	if !proto.Equal(shared, merged) {
+		t.Fatal("sharing changed the bundle")
+	}
+	same := 0
+	for i, route := range former.GetHttpRoutes() {
+		if shared.GetHttpRoutes()[i] == route {
+			same++
+		}
+	}
+	if same != 99 || shared.GetGroups()[0] != former.GetGroups()[0] || shared.GetLimits() != former.GetLimits() {
+		t.Fatalf("%d HTTP routes are shared", same)
+	}
+}
+
+// manyHTTPRoutes is a bundle of that many HTTP routes on a few hosts.
+func manyHTTPRoutes(version uint64, count int) *protocol.Bundle {
+	made := withHTTPRoutes(version)
+	for i := range count {
+		route := httpRoute(fmt.Sprintf("route-%05d", i), fmt.Sprintf("host-%d.example", i%7), fmt.Sprintf("/service-%05d/", i))
+		route.Annotations = map[string]string{"origin": "operator"}
+		made.HttpRoutes = append(made.HttpRoutes, route)
+	}
+	return made
+}
+
+func BenchmarkFiveThousandHTTPRoutes(b *testing.B) {
+	whole := manyHTTPRoutes(1, 5000)
+	merged, faults := bundle.Check(nil, whole)
+	if len(faults) > 0 {
+		b.Fatal(faults)
+	}
+	sentAgain := proto.CloneOf(merged)
+	sentAgain.Version = 2
+	for name, run := range map[string]func(){
+		"check":  func() { bundle.Check(nil, whole) },
+		"digest": func() { bundle.Digest(merged) },
+		"step":   func() { bundle.Step(merged, sentAgain) },
+		"index":  func() { bundle.NewIndex(merged) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				run()
+			}
+		})
+	}
+	index := bundle.NewIndex(merged)
+	b.Run("lookup", func(b *testing.B) {
+		for b.Loop() {
+			index.HTTPRoute("host-3.example:80", "/service-00003/a/b/c/d")
+		}
+	})
+}
--- a/internal/controlstate/bundles.go
+++ b/internal/controlstate/bundles.go
@@ -63,6 +63,7 @@
 
 // take records a bundle without faults under its number, which becomes the newest.
 func (s *State) take(index uint64, submitted, merged *protocol.Bundle, digest string) *protocol.BundleStatus {
+	merged = bundle.Reuse(s.newestMerged(), merged)
 	status := &protocol.BundleStatus{
 		Version:         submitted.GetVersion(),
 		State:           protocol.BundleState_ACCEPTED,
@@ -77,6 +78,14 @@
 	return status
 }
 
+// newestMerged is the newest merged bundle, nil before the first.
+func (s *State) newestMerged() *protocol.Bundle {
+	if len(s.held) == 0 {
+		return nil
+	}
+	return s.record(s.held[len(s.held)-1]).Merged
+}
+
 func refuseTaken(winner *protocol.BundleStatus) *protocol.CommandResult {
 	result := refuse(codeVersionTaken, fmt.Sprintf("version %d was taken by other content", winner.GetVersion()))
 	result.Refusal.Winner = winner
--- a/internal/controlstate/property_test.go
+++ b/internal/controlstate/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -17,7 +18,21 @@
 func drawCommand(t *rapid.T, w *world) *protocol.Command {
 	number := rapid.IntRange(0, 4)
 	version := func() uint64 { return uint64(rapid.IntRange(0, int(w.state.View().Newest)+2).Draw(t, "version")) }
-	switch rapid.IntRange(0, 13).Draw(t, "kind") {
+	switch rapid.IntRange(0, 17).Draw(t, "kind") {
+	case 14, 15:
+		expected := rapid.SampledFrom([]uint64{w.state.View().Configuration.GetActive().GetVersion(), version()}).Draw(t, "expected")
+		submitted := whole(w.state.View().Newest+uint64(rapid.IntRange(0, 3).Draw(t, "skip")), uint32(number.Draw(t, "limit")))
+		if rapid.Bool().Draw(t, "partial") {
+			submitted = &protocol.Bundle{Version: submitted.GetVersion(), Partial: true, Limits: submitted.GetLimits()}
+		}
+		return release(submitted, expected)
+	case 16:
+		return announce(&protocol.BackEnd{
+			Id: fmt.Sprintf("b%d", number.Draw(t, "id")), Address: fmt.Sprint(number.Draw(t, "address")),
+			Incarnation: uint64(rapid.IntRange(0, 1).Draw(t, "incarnation")), State: protocol.BackEndState(rapid.IntRange(1, 2).Draw(t, "state")),
+		}, uint64(number.Draw(t, "sequence")))
+	case 17:
+		return depart(fmt.Sprintf("b%d", number.Draw(t, "id")), uint64(number.Draw(t, "sequence")))
 	case 0, 1:
 		return put(queued(w.state.View().Newest+1, uint32(number.Draw(t, "limit"))))
 	case 2:
@@ -119,6 +134,7 @@
 		now.GetBackEnds() < old.GetBackEnds() || now.GetPlacement() < old.GetPlacement() {
 		t.Fatalf("a section stepped back from %v to %v", old, now)
 	}
+	checkBackEnds(t, before, after)
 	for at, shard := range after.Placement.GetShards() {
 		checkReplicas(t, shard.GetCurrent(), 3)
 		checkReplicas(t, shard.GetNext(), len(shard.GetNext()))
@@ -138,6 +154,19 @@
 	}
 }
 
+// checkBackEnds sees to it that what was draining is not ready again and what left does not come back, in the same incarnation.
+func checkBackEnds(t *rapid.T, before, after *controlstate.View) {
+	for _, now := range after.BackEnds.GetBackEnds() {
+		was := before.BackEnd(now.GetId())
+		if was.GetState() == protocol.BackEndState_DRAINING && now.GetState() == protocol.BackEndState_READY && now.GetIncarnation() <= was.GetIncarnation() {
+			t.Fatalf("%v was draining and is ready", now)
+		}
+		if was == nil && before.Outdated(now.GetId(), now.GetIncarnation(), math.MaxUint64) {
+			t.Fatalf("%v left and came back", now)
+		}
+	}
+}
+
 func checkReplicas(t *rapid.T, replicas []*protocol.Replica, count int) {
 	seen := map[string]bool{}
 	for _, replica := range replicas {
--- a/internal/controlstate/release.go
+++ b/internal/controlstate/release.go
@@ -35,7 +35,7 @@
 	}
 	signed := proto.CloneOf(s.take(index, submitted, merged, digest))
 	signed.State, signed.SignedBy, signed.SignedIndex = protocol.BundleState_SIGNED, SignedByCore, index
-	s.setRecord(version, &BundleRecord{Status: signed, Merged: merged})
+	s.setRecord(version, &BundleRecord{Status: signed, Merged: s.record(version).Merged})
 	s.putInForce(index, version)
 	return acceptBundle(index, signed)
 }
--- /dev/null
+++ b/internal/controlstate/release_test.go
@@ -0,0 +1,271 @@
+package controlstate_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/bundle"
+	"github.com/rosestand/rosestand/internal/controlstate"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// limited is a partial bundle without a base of its own.
+func limited(version uint64, limit uint32) *protocol.Bundle {
+	return &protocol.Bundle{Version: version, Partial: true, Limits: &protocol.LimitPolicy{MaxQueued: limit}}
+}
+
+var _ = Describe("the release of a bundle", func() {
+	var w *world
+	active := func() *protocol.Bundle { return w.state.View().Configuration.GetActive() }
+	BeforeEach(func() {
+		w = newWorld()
+		w.accepted("", release(whole(5, 50), 0))
+	})
+
+	It("puts a bundle in force in one step, as signed by the core, under any higher number", func() {
+		Expect(active().GetVersion()).To(BeEquivalentTo(5))
+		status := w.accepted("", release(whole(19, 190), 5)).GetBundle()
+		Expect(active().GetLimits().GetMaxQueued()).To(BeEquivalentTo(190))
+		Expect(status.GetState()).To(Equal(protocol.BundleState_SIGNED))
+		Expect(status.GetSignedBy()).To(Equal(controlstate.SignedByCore))
+		Expect(status.GetSignedIndex()).To(Equal(w.index))
+		Expect(status.GetMergedDigest()).To(Equal(bundle.Digest(active())))
+		Expect(w.state.View().Bundle(7)).To(BeNil())
+		Expect(w.state.View().BundleStatuses(0, 10)).To(HaveLen(2))
+		Expect(w.state.View().BundleStatuses(19, 10)).To(HaveLen(1))
+	})
+
+	It("merges a partial one onto the version in force", func() {
+		w.accepted("", release(limited(9, 90), 5))
+		Expect(active().GetLimits().GetMaxQueued()).To(BeEquivalentTo(90))
+		Expect(active().GetRoutes()).To(HaveLen(len(bundle.Default(1).GetRoutes())))
+		w.accepted("", release(&protocol.Bundle{Version: 12, BaseVersion: 9, Partial: true, RemovedRoutes: []string{"caroni-valve-plan"}}, 9))
+		Expect(active().GetRoutes()).To(HaveLen(len(bundle.Default(1).GetRoutes()) - 1))
+	})
+
+	It("lets one of two that are built on the same version win, with the same number or another", func() {
+		w.accepted("", release(whole(7, 70), 5))
+		Expect(codes(w.refused("", release(whole(7, 71), 5)))).To(Equal(string(failure.VersionTaken)))
+		lost := w.refused("", release(whole(8, 80), 5))
+		Expect(codes(lost)).To(Equal(string(failure.WrongBase)))
+		Expect(lost.GetWinner().GetVersion()).To(BeEquivalentTo(7))
+		Expect(active().GetLimits().GetMaxQueued()).To(BeEquivalentTo(70))
+	})
+
+	It("acknowledges the same release for ever, over hundreds of changes and restarts", func() {
+		first := w.accepted("", release(limited(6, 60), 5))
+		for version := uint64(7); version < 407; version++ {
+			w.accepted("", release(limited(version, uint32(version)), version-1))
+			if version%100 == 0 {
+				w.restart()
+			}
+		}
+		w.restart()
+		before := w.state.View().Versions()
+		again := w.accepted("", release(limited(6, 60), 5))
+		Expect(again.GetBundle().GetMergedDigest()).To(Equal(first.GetBundle().GetMergedDigest()))
+		Expect(again.GetIndex()).To(Equal(first.GetIndex()))
+		Expect(w.accepted("", release(whole(5, 50), 0)).GetBundle().GetVersion()).To(BeEquivalentTo(5))
+		Expect(active().GetVersion()).To(BeEquivalentTo(406))
+		Expect(proto.Equal(w.state.View().Versions(), before)).To(BeTrue())
+	})
+
+	It("takes the same content under its number, but on another base, for another release", func() {
+		w.accepted("", release(whole(7, 70), 5))
+		Expect(codes(w.refused("", release(whole(7, 70), 6)))).To(Equal(string(failure.VersionTaken)))
+	})
+
+	It("never puts one in force that was refused, also when it is sent again", func() {
+		w.accepted("", release(whole(7, 70), 5))
+		w.refused("", release(whole(8, 80), 5))
+		w.accepted("", release(whole(9, 90), 7))
+		w.refused("", release(whole(8, 80), 5))
+		w.refused("", release(whole(8, 80), 9))
+		Expect(active().GetLimits().GetMaxQueued()).To(BeEquivalentTo(90))
+		Expect(w.state.View().Bundle(8)).To(BeNil())
+	})
+
+	DescribeTable("refuses as invalid", func(submitted *protocol.Bundle, path string) {
+		refusal := w.refused("", release(submitted, 5))
+		Expect(codes(refusal)).To(Equal(string(failure.InvalidBundle)))
+		Expect(refusal.GetFaults()).To(HaveLen(1))
+		Expect(refusal.GetFaults()[0].GetPath()).To(Equal(path))
+		Expect(active().GetVersion()).To(BeEquivalentTo(5))
+	},
+		Entry("a number below the one in force", whole(4, 1), "version"),
+		Entry("no number", whole(0, 1), "version"),
+		Entry("an unknown group", &protocol.Bundle{Version: 6, Routes: []*protocol.Route{{Name: "a", Model: "m", Group: "absent"}}}, "routes[0].group"),
+		Entry("another base than the release names", &protocol.Bundle{Version: 6, BaseVersion: 3, Partial: true}, "base_version"),
+		Entry("an HTTP route without a time-out", &protocol.Bundle{Version: 6, Partial: true, HttpRoutes: []*protocol.HttpRoute{{
+			Name: "a", Host: "h", Prefix: "/", Kind: protocol.HttpRouteKind_HTTP_REPEATABLE,
+			Targets: []*protocol.WeightedGroup{{Group: bundle.GroupDesk, Weight: 1}},
+		}}}, "http_routes[0].timeout_millis"),
+	)
+
+	It("refuses a first one that is partial, and one without content", func() {
+		w = newWorld()
+		Expect(codes(w.refused("", release(limited(1, 1), 0)))).To(Equal(string(failure.InvalidBundle)))
+		Expect(codes(w.refused("", release(nil, 0)))).To(Equal(string(failure.InvalidBundle)))
+		Expect(active()).To(BeNil())
+	})
+
+	It("overtakes a roll-out and withdraws its candidate", func() {
+		w.accepted("", put(whole(6, 60)))
+		w.accepted("", w.sign(6, &protocol.Rollout{ShareBasisPoints: 100}))
+		Expect(codes(w.refused("", release(whole(6, 61), 5)))).To(Equal(string(failure.VersionTaken)))
+		w.accepted("", release(whole(7, 70), 5))
+		Expect(w.state.View().Configuration.GetCandidate()).To(BeNil())
+		Expect(w.state.View().Bundle(6).Status.GetState()).To(Equal(protocol.BundleState_WITHDRAWN))
+		w.restart()
+		Expect(w.state.View().Bundle(6).Status.GetState()).To(Equal(protocol.BundleState_WITHDRAWN))
+	})
+
+	It("stands beside the hand-in and sign-off of bundles", func() {
+		w.accepted("", put(whole(6, 60)))
+		w.accepted("", w.sign(6, nil))
+		w.accepted("", release(limited(9, 90), 6))
+		Expect(w.accepted("", put(queued(10, 100))).GetBundle().GetBaseVersion()).To(BeEquivalentTo(9))
+		w.accepted("", w.sign(10, nil))
+		Expect(codes(w.refused("", release(limited(12, 1), 9)))).To(Equal(string(failure.WrongBase)))
+		By("leaving a released one as it is when a key signs it too")
+		w.accepted("", release(limited(12, 120), 10))
+		again := w.accepted("", w.sign(12, nil))
+		Expect(again.GetBundle().GetSignedBy()).To(Equal(controlstate.SignedByCore))
+	})
+
+	It("reaches a holder of an older version as a delta, also when each was sent whole with thousands of routes", func() {
+		routes := func(version uint64, changed int) *protocol.Bundle {
+			made := &protocol.Bundle{Version: version, Groups: []*protocol.ServerGroup{{Name: "g"}}}
+			for i := range 3000 {
+				made.HttpRoutes = append(made.HttpRoutes, &protocol.HttpRoute{
+					Name: fmt.Sprintf("r%04d", i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), TimeoutMillis: 1000,
+					Kind: protocol.HttpRouteKind_HTTP_REPEATABLE, Targets: []*protocol.WeightedGroup{{Group: "g", Weight: 1}},
+				})
+			}
+			made.HttpRoutes[changed].TimeoutMillis = 2000
+			return made
+		}
+		w.accepted("", release(routes(6, 0), 5))
+		held := w.state.View().Configuration
+		for version := uint64(7); version < 17; version++ {
+			w.accepted("", release(routes(version, int(version)), version-1))
+		}
+		w.restart()
+		whole, delta := w.state.View().ConfigurationSince(held.GetVersion())
+		Expect(whole).To(BeNil())
+		Expect(proto.Size(delta)).To(BeNumerically("<", 5000))
+		applied, err := bundle.ApplyDelta(held, delta)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(applied.GetActiveDigest()).To(Equal(w.state.View().Configuration.GetActiveDigest()))
+	})
+})
+
+var _ = Describe("numbered announcements of back ends", func() {
+	var w *world
+	server := func(state protocol.BackEndState, capacity uint32) *protocol.BackEnd {
+		return &protocol.BackEnd{Id: "s1", Address: "10.0.0.1:1", Incarnation: 1, State: state, Capacity: capacity}
+	}
+	ready, draining := protocol.BackEndState_READY, protocol.BackEndState_DRAINING
+	held := func() *protocol.BackEnd { return w.state.View().BackEnd("s1") }
+	BeforeEach(func() {
+		w = newWorld()
+		w.accepted("", announce(server(ready, 4), 10))
+	})
+
+	It("change nothing when they come after a later one, also after a restart", func() {
+		w.accepted("", announce(server(ready, 6), 12))
+		w.restart()
+		w.accepted("", announce(server(ready, 4), 11))
+		Expect(held().GetCapacity()).To(BeEquivalentTo(6))
+		w.accepted("", announce(server(ready, 8), 13))
+		Expect(held().GetCapacity()).To(BeEquivalentTo(8))
+	})
+
+	It("do not make a draining one ready", func() {
+		w.accepted("", announce(server(draining, 4), 12))
+		w.accepted("", announce(server(ready, 4), 13))
+		Expect(held().GetState()).To(Equal(draining))
+	})
+
+	It("do not bring back one that left, whether it is known or not, but a new incarnation", func() {
+		w.accepted("", depart("s1", 0))
+		w.restart()
+		w.accepted("", announce(server(ready, 4), 14))
+		w.accepted("", upsert(server(ready, 4)))
+		Expect(held()).To(BeNil())
+		Expect(w.state.View().Departed("s1")).To(BeTrue())
+		next := server(ready, 4)
+		next.Incarnation = 2
+		w.accepted("", announce(next, 1))
+		Expect(held()).NotTo(BeNil())
+		w.accepted("", depart("unknown", 0))
+		w.accepted("", announce(&protocol.BackEnd{Id: "unknown", Address: "10.0.0.2:1", State: ready}, 3))
+		Expect(w.state.View().BackEnd("unknown")).To(BeNil())
+	})
+
+	It("do not bring back one whose address another one has taken", func() {
+		other := &protocol.BackEnd{Id: "s2", Address: "10.0.0.1:1", Incarnation: 1, State: ready}
+		w.accepted("", announce(other, 1))
+		Expect(held()).To(BeNil())
+		w.accepted("", announce(server(ready, 4), 11))
+		Expect(held()).To(BeNil())
+		Expect(w.state.View().BackEnd("s2")).NotTo(BeNil())
+	})
+
+	It("bring back one whose lease ran out, but not when they are late", func() {
+		w.accepted("", announce(server(ready, 6), 12))
+		w.accepted("", &protocol.Command{Body: &protocol.Command_RemoveBackEnd{RemoveBackEnd: &protocol.RemoveBackEndCommand{Id: "s1", Incarnation: 1}}})
+		w.accepted("", announce(server(ready, 4), 11))
+		Expect(held()).To(BeNil())
+		w.accepted("", announce(server(ready, 6), 13))
+		Expect(held()).NotTo(BeNil())
+	})
+
+	It("are forgotten an hour after the back end was removed", func() {
+		at := func(millis int64, command *protocol.Command) {
+			timed := proto.CloneOf(command)
+			timed.ProposedAtMillis = millis
+			w.accepted("", timed)
+		}
+		at(1_000, depart("s1", 0))
+		at(1_000+3_600_000, depart("s3", 0))
+		Expect(w.state.View().Departed("s1")).To(BeTrue())
+		at(1_001+3_600_000, depart("s4", 0))
+		Expect(w.state.View().Departed("s1")).To(BeFalse())
+		Expect(w.state.Snapshot().GetAnnouncements()).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("an order to empty a store that demands enough others", func() {
+	empty := func(name string) *protocol.Command {
+		return &protocol.Command{Body: &protocol.Command_EmptyStore{EmptyStore: &protocol.EmptyStoreCommand{Store: name, StoresToKeep: 3}}}
+	}
+
+	It("is refused with too few left, and taken again when one came", func() {
+		w := newWorld()
+		for number := range 4 {
+			w.accepted("", join(store(number, 1, "disk")))
+		}
+		w.accepted("", &protocol.Command{Body: &protocol.Command_InitializePlacement{InitializePlacement: &protocol.InitializePlacementCommand{ShardCount: 4, ReplicaCount: 3}}})
+		w.accepted("", empty("store-1"))
+		w.accepted("", empty("store-1"))
+		Expect(codes(w.refused("", empty("store-2")))).To(Equal(string(controlstate.TooFewStores)))
+		Expect(codes(w.refused("", empty("store-9")))).To(Equal(string(failure.NotFound)))
+		w.accepted("", join(store(5, 1, "disk")))
+		w.accepted("", empty("store-2"))
+	})
+
+	It("counts a store that is away for a moment", func() {
+		w := newWorld()
+		for number := range 4 {
+			w.accepted("", join(store(number, 1, "disk")))
+		}
+		w.accepted("", &protocol.Command{Body: &protocol.Command_InitializePlacement{InitializePlacement: &protocol.InitializePlacementCommand{ShardCount: 4, ReplicaCount: 3}}})
+		w.accepted("", &protocol.Command{Body: &protocol.Command_RemoveNode{RemoveNode: &protocol.RemoveNodeCommand{Name: "store-3", Incarnation: 1}}})
+		w.accepted("", empty("store-1"))
+	})
+})
--- a/internal/controlstate/suite_test.go
+++ b/internal/controlstate/suite_test.go
@@ -124,6 +124,22 @@
 	return &protocol.Command{Body: &protocol.Command_UpsertBackEnd{UpsertBackEnd: &protocol.UpsertBackEndCommand{BackEnd: backEnd}}}
 }
 
+func release(submitted *protocol.Bundle, expected uint64) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_ReleaseBundle{
+		ReleaseBundle: &protocol.ReleaseBundleCommand{Bundle: submitted, ExpectedVersion: expected},
+	}}
+}
+
+func announce(backEnd *protocol.BackEnd, sequence uint64) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_UpsertBackEnd{UpsertBackEnd: &protocol.UpsertBackEndCommand{BackEnd: backEnd, Sequence: sequence}}}
+}
+
+func depart(id string, sequence uint64) *protocol.Command {
+	return &protocol.Command{Body: &protocol.Command_RemoveBackEnd{
+		RemoveBackEnd: &protocol.RemoveBackEndCommand{Id: id, Departed: true, Sequence: sequence},
+	}}
+}
+
 func drain(id string, incarnation uint64) *protocol.Command {
 	return &protocol.Command{Body: &protocol.Command_DrainBackEnd{DrainBackEnd: &protocol.DrainBackEndCommand{Id: id, Incarnation: incarnation}}}
 }
