--- a/internal/operator/bundles.go
+++ b/internal/operator/bundles.go
@@ -24,7 +24,7 @@
 
 func (s *shell) bundleCommand() *cobra.Command {
 	return groupCommand("bundle", "deliver, sign off, roll out and look at policy bundles",
-		s.bundlePutCommand(), s.bundleSignCommand(), s.bundleRolloutCommand(),
+		s.bundlePutCommand(), s.bundleSignCommand(), s.bundleReleaseCommand(), s.bundleRolloutCommand(),
 		s.bundlePromoteCommand(), s.bundleWithdrawCommand(),
 		s.bundleShowCommand(), s.bundleListCommand(), s.bundleDiffCommand(),
 		s.bundleDefaultCommand(), s.bundleKeygenCommand(),
@@ -46,20 +46,10 @@
 }
 
 func (s *shell) putBundle(ctx context.Context, path string, number uint64) error {
-	document, err := s.readDocument(path)
+	parsed, err := s.readBundle(path, number)
 	if err != nil {
 		return err
 	}
-	parsed := &protocol.Bundle{}
-	if faults := settings.Decode(document, parsed); len(faults) > 0 {
-		return &DocumentError{Path: path, Faults: faults}
-	}
-	if number != 0 {
-		parsed.Version = number
-	}
-	if parsed.GetVersion() == 0 {
-		return &UsageError{Reason: path + ": version: is missing; give it in the file or with --number"}
-	}
 	body, err := bundle.Format(parsed)
 	if err != nil {
 		return err
@@ -71,6 +61,25 @@
 	return s.printResult(answer, fmt.Sprintf("bundle %d was accepted", parsed.GetVersion()))
 }
 
+// readBundle reads a bundle from a file; a number other than zero takes the place of its version.
+func (s *shell) readBundle(path string, number uint64) (*protocol.Bundle, error) {
+	document, err := s.readDocument(path)
+	if err != nil {
+		return nil, err
+	}
+	parsed := &protocol.Bundle{}
+	if faults := settings.Decode(document, parsed); len(faults) > 0 {
+		return nil, &DocumentError{Path: path, Faults: faults}
+	}
+	if number != 0 {
+		parsed.Version = number
+	}
+	if parsed.GetVersion() == 0 {
+		return nil, &UsageError{Reason: path + ": version: is missing; give it in the file or with --number"}
+	}
+	return parsed, nil
+}
+
 func (s *shell) readDocument(path string) ([]byte, error) {
 	if path == standardIn {
 		document, err := io.ReadAll(s.environment.Input)
@@ -194,6 +203,7 @@
 	addChanges(made, "group", difference.Groups)
 	addChanges(made, "tenant", difference.Tenants)
 	addChanges(made, "sign-off key", difference.SignOffKeys)
+	addChanges(made, "HTTP route", difference.HTTPRoutes)
 	for part, changed := range map[string]bool{
 		"scheduling": difference.SchedulingChanged, "recovery": difference.RecoveryChanged, "limits": difference.LimitsChanged,
 	} {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -85,6 +85,19 @@
 			Expect(output.String()).To(ContainSubstring("bundle 4 was accepted"))
 		})
 
+		It("releases a bundle on the base of the file or of the flag", func() {
+			document := file("b.json", `{"version": 9, "base_version": 7, "partial": true}`)
+			Expect(run([]string{leader.address}, "bundle", "release", document)).To(Equal(operator.ExitDone), faults.String())
+			Expect(output.String()).To(ContainSubstring("bundle 9 is in force"))
+			Expect(run([]string{leader.address}, "bundle", "release", document, "--base", "8", "--number", "10")).To(Equal(operator.ExitDone), faults.String())
+			requests := leader.saw()
+			Expect(requests[0].method + " " + requests[0].path).To(Equal("PUT /v1/releases/9?base=7"))
+			Expect(requests[0].body).To(MatchJSON(`{"version":"9","base_version":"7","partial":true}`))
+			Expect(requests[1].path).To(Equal("/v1/releases/10?base=8"))
+			Expect(requests[1].body).To(MatchJSON(`{"version":"10","base_version":"8","partial":true}`))
+			Expect(run([]string{leader.address}, "bundle", "release", file("c.json", `{}`))).To(Equal(operator.ExitUsage))
+		})
+
 		It("gives every order an id of its own, or the one asked for", func() {
 			Expect(run([]string{leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone))
 			Expect(run([]string{leader.address}, "stores", "empty", "store-1")).To(Equal(operator.ExitDone))
