--- a/internal/bundle/httproutes_test.go
+++ b/internal/bundle/httproutes_test.go
@@ -172,9 +172,10 @@
 	picked := map[string]int{}
 	const requests = 100_000
 	for hash := range uint64(requests) {
-		picked[bundle.PickTarget(route, hash)]++
-		if bundle.PickTarget(route, hash) != bundle.PickTarget(route, hash) {
-			t.Fatal("one hash fell to two groups")
+		group := bundle.PickTarget(route, hash)
+		picked[group]++
+		if again := bundle.PickTarget(proto.CloneOf(route), hash); again != group {
+			t.Fatalf("one hash fell to %q and %q", group, again)
 		}
 	}
 	if picked["none"] != 0 || picked["old"]+picked["new"] != requests {
