--- a/internal/directory/answer.go
+++ b/internal/directory/answer.go
@@ -18,7 +18,18 @@
 		done.peer.call = 0
 		d.wake(done.peer)
 	}
-	d.notePeer(done.peer, event.Response != nil)
+	if done.peer.probe == event.Call {
+		done.peer.probe = 0
+		d.wake(done.peer)
+	}
+	switch {
+	case event.Response == nil:
+		defer d.notePeer(done.peer, event.Failure, done.kind == callProbe)
+	case d.isSameLife(done.peer, event.Response):
+		d.trust(done.peer)
+	default:
+		d.notePeer(done.peer, CallUnanswered, false)
+	}
 	switch done.kind {
 	case callLookup:
 		d.lookupAnswered(done, event.Response.GetLookupSession())
@@ -30,29 +41,27 @@
 		d.unregisterAnswered(done, event)
 	case callDisplaced:
 		d.displacedAnswered(done, event)
-	case callAsk:
-		// The peer answers with a registration of its own; the gain asks again until it comes.
+	case callAsk, callProbe:
+		// To a question the peer answers with a registration of its own; the gain asks again until it comes.
 	}
 }
 
-// notePeer makes a peer suspect when a call failed, and clears it when one was answered.
-func (d *Directory) notePeer(peer *peer, answered bool) {
-	if answered {
-		peer.failures = 0
-		return
+// isSameLife reports whether an answer came from the incarnation that was
+// asked. Another one shows that the view is about to change.
+func (d *Directory) isSameLife(asked *peer, response *protocol.Response) bool {
+	if d.peers[asked.member.Name] != asked {
+		return false
 	}
-	peer.failures++
-	peer.notBefore = d.at.Now.Add(d.backoff(peer.failures, longestBackoff))
-}
-
-// peerBroken makes the peer at an address suspect: nothing is sent to it for a
-// moment. Only the lease decides whether it is gone.
-func (d *Directory) peerBroken(address string) {
-	for _, peer := range d.peers {
-		if peer.member.Address == address && peer.failures == 0 {
-			d.notePeer(peer, false)
-		}
+	var incarnation uint64
+	switch body := response.GetBody().(type) {
+	case *protocol.Response_LookupSession:
+		incarnation = body.LookupSession.GetIncarnation()
+	case *protocol.Response_RegisterSessions:
+		incarnation = body.RegisterSessions.GetIncarnation()
+	case *protocol.Response_UnregisterSessions:
+		incarnation = body.UnregisterSessions.GetIncarnation()
 	}
+	return incarnation == 0 || incarnation == asked.member.Incarnation
 }
 
 // backoff doubles the policy's retry delay with each failure up to a limit, with jitter.
@@ -153,7 +162,7 @@
 // A peer that is behind does not know yet what it gained and is told again; one that is ahead
 // may have gained more, for which completion is owed under its view.
 func (d *Directory) noteCompletion(done *call, peerVersion uint64) {
-	if !done.complete || done.peer.due == 0 || done.peer.due > done.view {
+	if !done.complete || done.peer.due == 0 || done.peer.due > done.view || done.peer.dueSince > done.inForce {
 		return
 	}
 	switch {
--- a/internal/directory/command.go
+++ b/internal/directory/command.go
@@ -11,7 +11,9 @@
 type Command interface{ command() }
 
 // Send calls a peer once; the shell answers with Answered under the same number.
+// No answer within Timeout is a failure by silence.
 type Send struct {
+	Timeout time.Duration
 	Call    uint64
 	Name    string
 	Address string
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -30,7 +30,9 @@
 	longestBackoff     = time.Second
 	longestViewBackoff = 250 * time.Millisecond
 	longestResendDelay = 5 * time.Second
-	settleRetryDelay   = 30 * time.Millisecond
+	settleRetryDelay   = 20 * time.Millisecond
+	// mostSettleDoublings bounds the delay of a lookup that is tried again.
+	mostSettleDoublings = 2
 )
 
 // Options configure a Directory. Self and Random are required.
@@ -40,6 +42,10 @@
 	SettleBound time.Duration
 	// ResendDelay is how long a holder waits for a node to say complete before it asks.
 	ResendDelay time.Duration
+	// SilenceLimit is how long a peer may be silent before it is suspected.
+	SilenceLimit time.Duration
+	// SuspicionBound is how long a holder may answer that a range taken from a suspect is settling.
+	SuspicionBound time.Duration
 	// CacheSize bounds the cached lookups.
 	CacheSize int
 	Policy    Policy
@@ -52,7 +58,12 @@
 	options Options
 	self    ring.Member
 	policy  Policy
-	view    View
+	// base is the membership as the core orders it; view is base without the suspects.
+	base, view View
+	// inForce counts the views put in force.
+	inForce uint64
+	// suspects are the incarnations of the members that this node could not reach, by name.
+	suspects map[string]uint64
 
 	// As holder.
 	partition map[string]*entry
@@ -92,6 +103,12 @@
 	if options.ResendDelay == 0 {
 		options.ResendDelay = DefaultResendDelay
 	}
+	if options.SilenceLimit == 0 {
+		options.SilenceLimit = DefaultSilenceLimit
+	}
+	if options.SuspicionBound == 0 {
+		options.SuspicionBound = DefaultSuspicionBound
+	}
 	if options.CacheSize == 0 {
 		options.CacheSize = DefaultCacheSize
 	}
@@ -102,6 +119,7 @@
 	cache, _ := simplelru.NewLRU[string, *protocol.Registration](max(1, options.CacheSize), nil)
 	return &Directory{
 		options: options, self: options.Self, policy: options.Policy,
+		suspects:  make(map[string]uint64),
 		partition: make(map[string]*entry), owned: make(map[string]*ownedSession),
 		salvage: make(map[string]*item), handOff: make(map[string]*item), leaving: make(map[string]*item),
 		cache: cache, resolves: make(map[string]*resolve), tickets: make(map[uint64]*resolve),
@@ -134,7 +152,9 @@
 	case Answered:
 		d.answered(event)
 	case PeerBroken:
-		d.peerBroken(event.Address)
+		d.peerFailed(event.Address, CallBroken)
+	case PeerFailed:
+		d.peerFailed(event.Address, event.Failure)
 	case GrantEnded:
 		d.grantEnded(event.Session)
 	case OwnershipLost:
@@ -204,7 +224,7 @@
 		}
 	}
 	for _, each := range d.working {
-		if d.at.Authority && each.call == 0 && each.hasWork(d.view.Version) {
+		if d.at.Authority && each.call == 0 && d.hasWork(each) {
 			consider(each.notBefore)
 		}
 	}
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -43,11 +43,19 @@
 type Answered struct {
 	Call     uint64
 	Response *protocol.Response
+	// Failure is why there is no response.
+	Failure CallFailure
 }
 
 // PeerBroken says that the connection to an address broke.
 type PeerBroken struct{ Address string }
 
+// PeerFailed brings the failure of a call that was not the directory's own, such as of a turn passed on.
+type PeerFailed struct {
+	Address string
+	Failure CallFailure
+}
+
 // GrantEnded says that a turn or call begun with Begin is settled.
 type GrantEnded struct{ Session string }
 
@@ -68,6 +76,7 @@
 func (Forgotten) event()        {}
 func (Answered) event()         {}
 func (PeerBroken) event()       {}
+func (PeerFailed) event()       {}
 func (GrantEnded) event()       {}
 func (OwnershipLost) event()    {}
 func (DrainBegun) event()       {}
--- a/internal/directory/holder.go
+++ b/internal/directory/holder.go
@@ -29,21 +29,81 @@
 	said map[string]bool
 	// everyone is true once the word of every front node is needed.
 	everyone bool
+	// bound is how long the ranges may settle.
+	bound time.Duration
+	// suspects are the former holders that are only suspected, by name.
+	suspects map[string]uint64
 }
 
-// ServeLookup answers a lookup as holder. It must be called only with authority.
-func (d *Directory) ServeLookup(at Moment, request *protocol.LookupSessionRequest) *protocol.LookupSessionResponse {
+// Relay is the holder to which a lookup is to be passed on, with Relayed set,
+// because the asking node could not reach it. Its answer goes back as it is; when
+// there is none, the failure is told with PeerFailed and the lookup served anew.
+type Relay struct {
+	Address string
+	Timeout time.Duration
+}
+
+// ServeLookup answers a lookup as holder, and registers the asking node when it
+// asked for that and no other owner is known. It must be called only with
+// authority. The response is nil when there is a relay.
+func (d *Directory) ServeLookup(at Moment, request *protocol.LookupSessionRequest) (*protocol.LookupSessionResponse, *Relay, []Command) {
 	d.at = at
-	status, registration := d.lookup(request.GetSession(), request.GetViewVersion())
-	return &protocol.LookupSessionResponse{Status: status, Registration: registration, ViewVersion: d.view.Version}
+	key := ring.Key(request.GetSession())
+	holder, relays := d.relayTo(key, request.GetSuspects())
+	if relays && !request.GetRelayed() && !d.isDoubted(holder.Name) {
+		return nil, &Relay{Address: holder.Address, Timeout: d.relayTimeout()}, nil
+	}
+	d.hearsay(request.GetSuspects())
+	response := &protocol.LookupSessionResponse{ViewVersion: d.view.Version, Incarnation: d.self.Incarnation}
+	response.Status, response.Registration = d.lookupFor(request, key)
+	d.pump()
+	return response, nil, d.takeCommands()
+}
+
+// lookupFor answers for another node, which may want to be registered.
+func (d *Directory) lookupFor(request *protocol.LookupSessionRequest, key uint64) (protocol.DirectoryStatus, *protocol.Registration) {
+	status, found := d.lookup(request.GetSession(), key, request.GetViewVersion(), request.GetSuspects())
+	wanted := request.GetRegistration()
+	if status != protocol.DirectoryStatus_DIRECTORY_NOT_FOUND || wanted == nil || wanted.GetSession() != request.GetSession() {
+		return status, found
+	}
+	if request.GetViewVersion() <= d.base.Version && !d.ownerInBase(wanted) {
+		return protocol.DirectoryStatus_INCORRECT_PARTITION, nil
+	}
+	return protocol.DirectoryStatus_DIRECTORY_OK, d.takeIn(wanted, key, request.GetViewVersion())
+}
+
+// takeIn registers an owner in place of none, or of one that is lost.
+func (d *Directory) takeIn(wanted *protocol.Registration, key, senderVersion uint64) *protocol.Registration {
+	var former *protocol.Registration
+	if held := d.partition[wanted.GetSession()]; held != nil {
+		former = held.registration
+		d.stats.Takeovers++
+		d.displace(displacement{registration: former, seen: held.seen})
+	}
+	taken := withClaim(wanted, d.claimFor(key, former))
+	d.partition[wanted.GetSession()] = &entry{registration: taken, key: key, seen: senderVersion}
+	return taken
+}
+
+// withClaim is a registration under a claim. The one given is not changed, since it belongs to a message.
+func withClaim(wanted *protocol.Registration, claim uint64) *protocol.Registration {
+	if claim == 0 {
+		return wanted
+	}
+	return &protocol.Registration{
+		Session: wanted.GetSession(), Program: wanted.GetProgram(), Owner: wanted.GetOwner(),
+		OwnerIncarnation: wanted.GetOwnerIncarnation(), ViewVersion: wanted.GetViewVersion(), Sequence: wanted.GetSequence(),
+		Claim: claim,
+	}
 }
 
-func (d *Directory) lookup(session string, clientVersion uint64) (protocol.DirectoryStatus, *protocol.Registration) {
-	key := ring.Key(session)
+// lookup finds the owner registered; one that is lost by the word of this node or of the asking one counts as none.
+func (d *Directory) lookup(session string, key, clientVersion uint64, suspects []*protocol.Suspect) (protocol.DirectoryStatus, *protocol.Registration) {
 	if !d.holds(key) {
 		return protocol.DirectoryStatus_INCORRECT_PARTITION, nil
 	}
-	if found := d.partition[session]; found != nil {
+	if found := d.partition[session]; found != nil && !d.isClaimable(found.registration, suspects) {
 		return protocol.DirectoryStatus_DIRECTORY_OK, found.registration
 	}
 	if d.settling(key) || clientVersion > d.view.Version {
@@ -62,7 +122,7 @@
 // settling reports whether the key is in a range gained whose registrations may still be on their way.
 func (d *Directory) settling(key uint64) bool {
 	for _, each := range d.gains {
-		if d.at.Now.Before(each.since.Add(d.options.SettleBound)) && each.contains(key) {
+		if d.at.Now.Before(each.since.Add(each.bound)) && each.contains(key) {
 			return true
 		}
 	}
@@ -76,7 +136,9 @@
 // ServeRegister takes registrations as holder. It must be called only with authority.
 func (d *Directory) ServeRegister(at Moment, request *protocol.RegisterSessionsRequest) (*protocol.RegisterSessionsResponse, []Command) {
 	d.at = at
-	response := &protocol.RegisterSessionsResponse{ViewVersion: d.view.Version}
+	response := &protocol.RegisterSessionsResponse{ViewVersion: d.view.Version, Incarnation: d.self.Incarnation}
+	d.hearsay(request.GetSuspects())
+	d.heard(request.GetFrom())
 	for _, registration := range request.GetRegistrations() {
 		result := d.register(registration, request.GetCause(), request.GetViewVersion())
 		response.Results = append(response.Results, result)
@@ -85,7 +147,7 @@
 		d.completed(request)
 	}
 	if request.GetResend() {
-		d.resend(request.GetFrom(), request.GetViewVersion())
+		d.resend(request.GetFrom(), request.GetViewVersion(), request.GetSuspects())
 	}
 	d.pump()
 	return response, d.takeCommands()
@@ -98,7 +160,7 @@
 	switch {
 	case !d.holds(key):
 		result.Status = protocol.DirectoryStatus_INCORRECT_PARTITION
-	case senderVersion <= d.view.Version && !d.ownerInView(registration):
+	case senderVersion <= d.view.Version && !d.ownerInBase(registration):
 		result.Status = goneOwnerStatus(cause)
 	default:
 		result.Status, result.Current = d.decide(registration, cause, key, senderVersion)
@@ -132,6 +194,11 @@
 		}
 		return protocol.DirectoryStatus_DIRECTORY_OK, nil
 	}
+	if d.outranks(registration, held.registration) {
+		d.displace(displacement{registration: held.registration, seen: held.seen})
+		held.registration = registration
+		return protocol.DirectoryStatus_DIRECTORY_OK, nil
+	}
 	if d.policy.HigherViewVersion && registration.GetViewVersion() > held.registration.GetViewVersion() {
 		d.displace(displacement{registration: held.registration, seen: held.seen})
 		held.registration = registration
@@ -140,6 +207,12 @@
 	return protocol.DirectoryStatus_DUPLICATE_ACTIVATION, held.registration
 }
 
+// outranks reports whether a registration stays against one held of another
+// owner: because that one is lost, or because this one took the session over later.
+func (d *Directory) outranks(registration, held *protocol.Registration) bool {
+	return d.isClaimable(held, nil) || registration.GetClaim() > held.GetClaim()
+}
+
 // isNewer orders registrations of one owner.
 func isNewer(registration, held *protocol.Registration) bool {
 	if registration.GetOwnerIncarnation() != held.GetOwnerIncarnation() {
@@ -152,6 +225,11 @@
 	return d.view.Has(registration.GetOwner(), registration.GetOwnerIncarnation())
 }
 
+// ownerInBase reports whether the owner is in the membership, suspect or not.
+func (d *Directory) ownerInBase(registration *protocol.Registration) bool {
+	return d.base.Has(registration.GetOwner(), registration.GetOwnerIncarnation())
+}
+
 // displacement is a registration that lost a tie on the view version.
 type displacement struct {
 	registration *protocol.Registration
@@ -165,8 +243,8 @@
 	switch {
 	case owner == d.self.Name:
 		d.displaced(lost.registration)
-	case d.ownerInView(lost.registration):
-		peer := d.peer(d.view.byName[owner].Member)
+	case d.ownerInBase(lost.registration):
+		peer := d.peer(d.base.byName[owner].Member)
 		peer.displaced = append(peer.displaced, lost.registration)
 		d.wake(peer)
 	case lost.seen > d.view.Version:
@@ -186,7 +264,7 @@
 // ServeUnregister withdraws registrations as holder, and gives sessions up that name this node as their owner.
 func (d *Directory) ServeUnregister(at Moment, request *protocol.UnregisterSessionsRequest) (*protocol.UnregisterSessionsResponse, []Command) {
 	d.at = at
-	response := &protocol.UnregisterSessionsResponse{ViewVersion: d.view.Version}
+	response := &protocol.UnregisterSessionsResponse{ViewVersion: d.view.Version, Incarnation: d.self.Incarnation}
 	for _, registration := range request.GetRegistrations() {
 		response.Results = append(response.Results, d.unregister(registration))
 	}
@@ -222,7 +300,7 @@
 // dropGoneOwners removes registrations of nodes that the view no longer has.
 func (d *Directory) dropGoneOwners() {
 	for name, held := range d.partition {
-		if held.seen <= d.view.Version && !d.ownerInView(held.registration) {
+		if held.seen <= d.view.Version && !d.ownerInBase(held.registration) {
 			delete(d.partition, name)
 		}
 	}
@@ -230,6 +308,7 @@
 
 // updateGains begins to settle what this node gained, and stops waiting for nodes that left.
 func (d *Directory) updateGains(changes []ring.Change) {
+	d.dropTrustedGains()
 	for _, each := range d.gains {
 		left := false
 		for name, incarnation := range each.waiting {
@@ -261,7 +340,9 @@
 	made := &gain{
 		version: d.view.Version, since: d.at.Now, waiting: make(map[string]uint64), said: make(map[string]bool),
 		askAt: d.at.Now.Add(d.options.ResendDelay), askWait: d.options.ResendDelay,
+		bound: d.options.SettleBound, suspects: make(map[string]uint64),
 	}
+	onlySuspected := true
 	for _, change := range gained {
 		made.ranges = append(made.ranges, change.Range)
 		if d.alive(change.From) {
@@ -269,10 +350,44 @@
 			continue
 		}
 		d.waitForEveryone(made)
+		if d.isSuspect(change.From.Name, change.From.Incarnation) {
+			made.suspects[change.From.Name] = change.From.Incarnation
+			// The others may not know yet that the holder cannot be reached.
+			made.askAt = d.at.Now
+		} else {
+			onlySuspected = false
+		}
+	}
+	if onlySuspected && len(made.suspects) > 0 {
+		made.bound = d.options.SuspicionBound
 	}
 	return made
 }
 
+// dropTrustedGains ends the gains from suspects that turned out to be there.
+func (d *Directory) dropTrustedGains() {
+	d.gains = slices.DeleteFunc(d.gains, func(each *gain) bool {
+		trusted := false
+		for name, incarnation := range each.suspects {
+			if d.base.Has(name, incarnation) && !d.isSuspect(name, incarnation) {
+				delete(each.suspects, name)
+				trusted = true
+			}
+		}
+		return trusted && len(each.suspects) == 0
+	})
+}
+
+// covers reports whether a node that says complete knows that the suspects of a gain cannot be reached.
+func (d *Directory) covers(request *protocol.RegisterSessionsRequest, each *gain) bool {
+	for name, incarnation := range each.suspects {
+		if d.base.Has(name, incarnation) && !names(request.GetSuspects(), name, incarnation) {
+			return false
+		}
+	}
+	return true
+}
+
 // waitForEveryone widens a gain to all front nodes of the view that have not said complete.
 func (d *Directory) waitForEveryone(each *gain) {
 	if each.everyone {
@@ -289,7 +404,7 @@
 // completed notes that a node has nothing more to register for the view version.
 func (d *Directory) completed(request *protocol.RegisterSessionsRequest) {
 	for _, each := range d.gains {
-		if each.version > request.GetViewVersion() {
+		if each.version > request.GetViewVersion() || !d.covers(request, each) {
 			continue
 		}
 		delete(each.waiting, request.GetFrom())
--- a/internal/directory/owner.go
+++ b/internal/directory/owner.go
@@ -20,6 +20,8 @@
 	// version is the view version under which the session was taken in.
 	version  uint64
 	sequence uint64
+	// claim is that of the registration; zero when the session was not taken over.
+	claim uint64
 }
 
 // own takes a session in that was or is being registered under the sequence
@@ -47,6 +49,7 @@
 	return &protocol.Registration{
 		Session: session.name, Program: session.program, Owner: d.self.Name,
 		OwnerIncarnation: d.self.Incarnation, ViewVersion: session.version, Sequence: session.sequence,
+		Claim: session.claim,
 	}
 }
 
--- a/internal/directory/resolve.go
+++ b/internal/directory/resolve.go
@@ -62,7 +62,7 @@
 func (d *Directory) abandon(running *resolve) {
 	delete(d.resolves, running.session)
 	registering := d.calls[running.call]
-	underWay := running.call != 0 && registering != nil && registering.kind == callNew
+	underWay := running.call != 0 && registering != nil && registering.registers
 	if (underWay || running.ambiguous) && d.owned[running.session] == nil {
 		d.salvageSession(d.own(running.session, running.program, running.sequence, false))
 	}
@@ -78,6 +78,13 @@
 	}
 }
 
+// restartResolves goes on with every resolve that waits for no answer, since who holds and owns what has changed.
+func (d *Directory) restartResolves() {
+	for _, session := range sortedKeys(d.resolves) {
+		d.continueResolve(session)
+	}
+}
+
 // continueResolve goes on with the resolve of a session after its state changed here.
 func (d *Directory) continueResolve(session string) {
 	if running := d.resolves[session]; running != nil && running.call == 0 {
@@ -131,7 +138,7 @@
 	if !found {
 		return Owner{}, false
 	}
-	if !d.ownerInView(registration) {
+	if !d.ownerInView(registration) || d.isDoubted(registration.GetOwner()) {
 		d.cache.Remove(running.session)
 		return Owner{}, false
 	}
@@ -145,7 +152,7 @@
 		return
 	}
 	d.stats.LocalLookups++
-	status, registration := d.lookup(running.session, d.view.Version)
+	status, registration := d.lookup(running.session, running.key, d.view.Version, nil)
 	switch status {
 	case protocol.DirectoryStatus_DIRECTORY_OK:
 		d.found(running, registration)
@@ -164,33 +171,59 @@
 		return
 	}
 	session := d.own(running.session, running.program, d.nextSequence(), true)
-	d.partition[running.session] = &entry{registration: d.registrationOf(session), key: running.key, seen: d.view.Version}
+	session.claim = d.takeIn(d.registrationOf(session), running.key, d.view.Version).GetClaim()
 	d.finish(running, d.ownerHere(running))
 }
 
-// lookupThere asks the holder; while it is suspect the resolve waits.
+// lookupThere asks the holder, which registers this node when it knows no owner;
+// while the holder is suspect the resolve waits.
 func (d *Directory) lookupThere(running *resolve, holder ring.Member) {
 	to := d.peer(holder)
-	if to.failures > 0 && d.at.Now.Before(to.notBefore) {
+	switch {
+	case to.doubted:
+		// What the probe shows lets it go on.
+		running.notBefore = d.at.Now.Add(d.lookupTimeout(to))
+		return
+	case to.failures > 0 && d.at.Now.Before(to.notBefore):
 		running.notBefore = to.notBefore
 		return
 	}
 	d.stats.RemoteLookups++
-	running.call = d.emitCall(&call{kind: callLookup, peer: to, resolve: running}, &protocol.Request{
-		Body: &protocol.Request_LookupSession{LookupSession: &protocol.LookupSessionRequest{
-			Session: running.session, ViewVersion: d.view.Version,
-		}},
+	request := &protocol.LookupSessionRequest{
+		Session: running.session, ViewVersion: d.view.Version, Suspects: d.namedSuspects(),
+	}
+	if !d.draining && d.at.Authority {
+		request.Registration = d.firstRegistration(running)
+	}
+	running.call = d.emitCall(&call{kind: callLookup, peer: to, resolve: running, registers: request.Registration != nil}, &protocol.Request{
+		Body: &protocol.Request_LookupSession{LookupSession: request},
 	})
 }
 
+// firstRegistration is a registration of this node for a session that nobody may own.
+func (d *Directory) firstRegistration(running *resolve) *protocol.Registration {
+	running.sequence = d.nextSequence()
+	return &protocol.Registration{
+		Session: running.session, Program: running.program, Owner: d.self.Name,
+		OwnerIncarnation: d.self.Incarnation, ViewVersion: d.view.Version, Sequence: running.sequence,
+	}
+}
+
 func (d *Directory) lookupAnswered(done *call, answer *protocol.LookupSessionResponse) {
 	running := done.resolve
-	if d.resolves[running.session] != running {
+	if d.resolves[running.session] != running || running.call != done.number {
 		return
 	}
 	running.call = 0
+	if answer == nil {
+		running.ambiguous = running.ambiguous || done.registers
+	}
 	switch answer.GetStatus() {
 	case protocol.DirectoryStatus_DIRECTORY_OK:
+		if d.isFirstRegistration(running, done, answer.GetRegistration()) {
+			d.registered(running, done.peer, answer.GetRegistration().GetClaim())
+			return
+		}
 		d.found(running, answer.GetRegistration())
 	case protocol.DirectoryStatus_DIRECTORY_NOT_FOUND:
 		d.registerThere(running, done.peer)
@@ -200,14 +233,20 @@
 	}
 }
 
+// isFirstRegistration reports whether a holder has taken the registration that went with a lookup.
+func (d *Directory) isFirstRegistration(running *resolve, done *call, registration *protocol.Registration) bool {
+	return done.registers && done.incarnation == d.self.Incarnation && registration.GetOwner() == d.self.Name &&
+		registration.GetOwnerIncarnation() == d.self.Incarnation && registration.GetSequence() == running.sequence
+}
+
 // found takes a registration in that a holder knows.
 func (d *Directory) found(running *resolve, registration *protocol.Registration) {
 	if registration.GetOwner() == d.self.Name && registration.GetOwnerIncarnation() == d.self.Incarnation {
 		d.adopt(running)
 		return
 	}
-	if !d.ownerInView(registration) {
-		// Either view is behind; the next one decides.
+	if !d.ownerInView(registration) || d.isDoubted(registration.GetOwner()) {
+		// Either view is behind, and the next one decides, or the owner cannot be reached, which the next try says.
 		d.retry(running)
 		return
 	}
@@ -235,23 +274,18 @@
 		d.fail(running, failure.NoAuthority)
 		return
 	}
-	running.sequence = d.nextSequence()
-	registration := &protocol.Registration{
-		Session: running.session, Program: running.program, Owner: d.self.Name,
-		OwnerIncarnation: d.self.Incarnation, ViewVersion: d.view.Version, Sequence: running.sequence,
-	}
 	request := &protocol.RegisterSessionsRequest{
-		ViewVersion: d.view.Version, Cause: protocol.RegistrationCause_CAUSE_NEW,
-		Registrations: []*protocol.Registration{registration}, From: d.self.Name,
+		ViewVersion: d.view.Version, Cause: protocol.RegistrationCause_CAUSE_NEW, From: d.self.Name,
+		Registrations: []*protocol.Registration{d.firstRegistration(running)}, Suspects: d.namedSuspects(),
 	}
-	running.call = d.emitCall(&call{kind: callNew, peer: to, resolve: running}, &protocol.Request{
+	running.call = d.emitCall(&call{kind: callNew, peer: to, resolve: running, registers: true}, &protocol.Request{
 		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
 	})
 }
 
 func (d *Directory) newAnswered(done *call, answer *protocol.RegisterSessionsResponse) {
 	running := done.resolve
-	if d.resolves[running.session] != running {
+	if d.resolves[running.session] != running || running.call != done.number {
 		return
 	}
 	running.call = 0
@@ -267,7 +301,7 @@
 	result := answer.GetResults()[0]
 	switch result.GetStatus() {
 	case protocol.DirectoryStatus_DIRECTORY_OK:
-		d.registered(running, done.peer)
+		d.registered(running, done.peer, 0)
 	case protocol.DirectoryStatus_DUPLICATE_ACTIVATION:
 		d.found(running, result.GetCurrent())
 	default:
@@ -277,14 +311,15 @@
 }
 
 // registered owns the session, at once when the answer came from its present holder.
-func (d *Directory) registered(running *resolve, by *peer) {
+func (d *Directory) registered(running *resolve, by *peer, claim uint64) {
 	holder, _ := d.view.holder(running.key)
 	if holder == by.member && d.peers[holder.Name] == by && !d.draining {
-		d.own(running.session, running.program, running.sequence, true)
+		d.own(running.session, running.program, running.sequence, true).claim = claim
 		d.finish(running, d.ownerHere(running))
 		return
 	}
 	session := d.own(running.session, running.program, running.sequence, false)
+	session.claim = claim
 	if d.draining {
 		d.giveUp(session, YieldDrain, true)
 		return
@@ -306,7 +341,7 @@
 func (d *Directory) retry(running *resolve) {
 	running.attempts++
 	wait := settleRetryDelay
-	for range min(running.attempts-1, 3) {
+	for range min(running.attempts-1, mostSettleDoublings) {
 		wait *= 2
 	}
 	running.notBefore = d.at.Now.Add(d.jitter(wait))
--- a/internal/directory/salvage.go
+++ b/internal/directory/salvage.go
@@ -27,11 +27,20 @@
 	displaced []*protocol.Registration
 	// due is the view version for which completion is owed; zero when it is not.
 	due uint64
+	// dueSince counts the views put in force when completion was last owed.
+	dueSince uint64
 	// partialKnowledge goes with the completion owed: other nodes may have registrations in what the peer gained.
 	partialKnowledge bool
 	// ask is true while the peer is to be asked to register again.
-	ask  bool
-	call uint64
+	ask bool
+	// doubted is true while the peer is asked whether it is there.
+	doubted bool
+	// heardAt is when the peer last answered; falseSuspicions counts those that an answer ended.
+	heardAt         time.Time
+	falseSuspicions int
+	call            uint64
+	// probe is the call under way that only asks whether the peer is there.
+	probe uint64
 	// failures counts calls without an answer in a row; while it is not zero the peer is suspect.
 	failures int
 	// refusals counts answers in a row that showed another view than this node's.
@@ -39,8 +48,16 @@
 	notBefore time.Time
 }
 
-func (p *peer) hasWork(viewVersion uint64) bool {
-	return len(p.queue) > 0 || len(p.displaced) > 0 || p.owes(viewVersion) || p.ask
+func (d *Directory) hasWork(to *peer) bool {
+	return len(to.queue) > 0 || len(to.displaced) > 0 || to.owes(d.view.Version) || to.ask || d.isToBeProbed(to)
+}
+
+// isToBeProbed reports whether a probe is to be sent to a peer.
+func (d *Directory) isToBeProbed(to *peer) bool {
+	if to.probe != 0 {
+		return false
+	}
+	return to.doubted || d.isSuspect(to.member.Name, to.member.Incarnation)
 }
 
 // owes reports whether completion is owed under a view that this node has.
@@ -57,18 +74,23 @@
 	callUnregister
 	callDisplaced
 	callAsk
+	callProbe
 )
 
 // call is one request under way.
 type call struct {
-	kind callKind
-	peer *peer
-	// view is the version named in the request.
+	number uint64
+	kind   callKind
+	peer   *peer
+	// view is the version named in the request, inForce how many views were put in force before it.
 	view      uint64
+	inForce   uint64
 	items     []*item
 	displaced []*protocol.Registration
 	complete  bool
 	resolve   *resolve
+	// registers is true when the call may have registered this node as the owner.
+	registers bool
 	// incarnation is this node's at the time of the call.
 	incarnation uint64
 }
@@ -92,7 +114,8 @@
 		if session.leaving != "" || before == after {
 			continue
 		}
-		lost := had && !d.view.Has(before.Name, before.Incarnation)
+		// The sessions of a suspect are not ended: it may be back before its lease has run out.
+		lost := had && !d.base.Has(before.Name, before.Incarnation)
 		if d.policy.EndSessions && lost {
 			d.giveUp(session, YieldEnded, false)
 			continue
@@ -182,11 +205,19 @@
 	}
 	for _, name := range sortedKeys(d.working) {
 		to := d.working[name]
-		if d.peers[name] != to || to.call != 0 || !to.hasWork(d.view.Version) {
+		if d.peers[name] != to {
+			delete(d.working, name)
+			continue
+		}
+		ready := !d.at.Now.Before(to.notBefore)
+		if ready && d.isToBeProbed(to) {
+			d.sendProbe(to)
+		}
+		if to.call != 0 || !d.hasWork(to) {
 			delete(d.working, name)
 			continue
 		}
-		if !d.at.Now.Before(to.notBefore) {
+		if ready {
 			d.sendNext(to)
 		}
 	}
@@ -249,6 +280,7 @@
 	request := &protocol.RegisterSessionsRequest{
 		ViewVersion: d.view.Version, Cause: cause, Registrations: registrationsOf(batch),
 		From: d.self.Name, Complete: complete, PartialKnowledge: complete && to.partialKnowledge,
+		Suspects: d.namedSuspects(),
 	}
 	d.send(&call{kind: callRegister, peer: to, items: batch, complete: complete}, &protocol.Request{
 		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
@@ -273,12 +305,20 @@
 func (d *Directory) sendAsk(to *peer) {
 	to.ask = false
 	d.stats.ResendRequests++
-	request := &protocol.RegisterSessionsRequest{ViewVersion: d.view.Version, From: d.self.Name, Resend: true}
+	request := &protocol.RegisterSessionsRequest{ViewVersion: d.view.Version, From: d.self.Name, Resend: true, Suspects: d.namedSuspects()}
 	d.send(&call{kind: callAsk, peer: to}, &protocol.Request{
 		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
 	})
 }
 
+// sendProbe asks a peer only whether it is there.
+func (d *Directory) sendProbe(to *peer) {
+	request := &protocol.RegisterSessionsRequest{ViewVersion: d.view.Version, From: d.self.Name}
+	to.probe = d.emitCall(&call{kind: callProbe, peer: to}, &protocol.Request{
+		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
+	})
+}
+
 // send emits a background call; it is the only one to its peer.
 func (d *Directory) send(sent *call, request *protocol.Request) {
 	number := d.emitCall(sent, request)
@@ -291,14 +331,20 @@
 func (d *Directory) emitCall(sent *call, request *protocol.Request) uint64 {
 	d.lastCall++
 	sent.view = d.view.Version
+	sent.inForce = d.inForce
 	sent.incarnation = d.self.Incarnation
+	sent.number = d.lastCall
 	d.calls[d.lastCall] = sent
-	d.emit(Send{Call: d.lastCall, Name: sent.peer.member.Name, Address: sent.peer.member.Address, Request: request})
+	timeout := d.lookupTimeout(sent.peer)
+	if len(sent.items) > 0 || len(sent.displaced) > 0 {
+		timeout = max(timeout, pushTimeout)
+	}
+	d.emit(Send{Timeout: timeout, Call: d.lastCall, Name: sent.peer.member.Name, Address: sent.peer.member.Address, Request: request})
 	return d.lastCall
 }
 
 // resend answers a holder that waits for this node: everything owned there is registered again.
-func (d *Directory) resend(from string, version uint64) {
+func (d *Directory) resend(from string, version uint64, suspects []*protocol.Suspect) {
 	front, found := d.view.byName[from]
 	if !found || d.view.Version < version {
 		return
@@ -310,7 +356,17 @@
 			d.salvageSession(session)
 		}
 	}
+	if !d.suspectsAll(suspects) {
+		// The holder waits for a word that says that they cannot be reached; it comes once this node has found so.
+		return
+	}
 	holder := d.peer(front.Member)
-	holder.due = max(holder.due, d.view.Version)
-	d.wake(holder)
+	d.owe(holder)
+}
+
+// owe notes that completion is owed to a peer under the view in force.
+func (d *Directory) owe(to *peer) {
+	to.due = max(to.due, d.view.Version)
+	to.dueSince = d.inForce
+	d.wake(to)
 }
--- a/internal/directory/stats.go
+++ b/internal/directory/stats.go
@@ -23,7 +23,11 @@
 	AuthorityLost uint64
 	// Completions that had to be asked for.
 	ResendRequests uint64
-	Yields         map[YieldReason]uint64
+	// Suspicions counts members that could not be reached, FalseSuspicions those that answered after all.
+	Suspicions, FalseSuspicions uint64
+	// Takeovers counts sessions registered here in place of a lost owner.
+	Takeovers uint64
+	Yields    map[YieldReason]uint64
 }
 
 // Stats returns a copy of the counters.
@@ -77,6 +81,9 @@
 	return list
 }
 
+// Suspects is the number of members of the view that this node could not reach.
+func (d *Directory) Suspects() int { return len(d.suspects) }
+
 // SettlingRanges is the number of ranges gained that are not complete.
 func (d *Directory) SettlingRanges() int { return len(d.gains) }
 
--- /dev/null
+++ b/internal/directory/suspect.go
@@ -0,0 +1,231 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/ring"
+)
+
+// CallFailure says why a call to a peer had no answer.
+type CallFailure int
+
+// Kinds of failure.
+const (
+	// CallUnanswered shows nothing about the peer.
+	CallUnanswered CallFailure = iota
+	// CallRefused: nothing listens at the address, or its process cannot act as a directory.
+	CallRefused
+	// CallBroken: the connection broke; the process may have ended or not.
+	CallBroken
+	// CallSilent: no answer came within the time that the call was given.
+	CallSilent
+)
+
+const (
+	// DefaultSilenceLimit is how long a peer may be silent before it is suspected:
+	// half of it for a first call, the other half for a probe that follows.
+	DefaultSilenceLimit = 350 * time.Millisecond
+	// DefaultSuspicionBound is how long a holder may answer that a range taken from a suspect is settling.
+	DefaultSuspicionBound = 75 * time.Millisecond
+	// pushTimeout bounds a call that carries a batch or a notice.
+	pushTimeout = time.Second
+	// mostFalseSuspicions bounds how often the silence limit of a peer is doubled.
+	mostFalseSuspicions = 2
+	// recentlyHeard is how fresh an answer of a peer must be for hearsay about it to be ignored.
+	recentlyHeard = 5 * time.Millisecond
+	// mostNamedSuspects bounds the suspects named in one request.
+	mostNamedSuspects = 64
+)
+
+// isSuspect reports whether this node could not reach a member of the view.
+func (d *Directory) isSuspect(name string, incarnation uint64) bool {
+	suspected, found := d.suspects[name]
+	return found && suspected == incarnation
+}
+
+// suspect takes a member for lost: by this node's view it holds no range any
+// more, and its sessions may be taken over. Its lease is not touched.
+func (d *Directory) suspect(lost *peer) {
+	member := lost.member
+	lost.doubted = false
+	if d.isSuspect(member.Name, member.Incarnation) || !d.base.Has(member.Name, member.Incarnation) {
+		return
+	}
+	d.suspects[member.Name] = member.Incarnation
+	d.stats.Suspicions++
+	d.wake(lost)
+	d.putInForce()
+}
+
+// trust ends the suspicion of a member that answered.
+func (d *Directory) trust(found *peer) {
+	doubted := found.doubted
+	found.failures = 0
+	found.doubted = false
+	found.heardAt = d.at.Now
+	if !d.isSuspect(found.member.Name, found.member.Incarnation) {
+		if doubted {
+			d.restartResolves()
+		}
+		return
+	}
+	delete(d.suspects, found.member.Name)
+	d.stats.FalseSuspicions++
+	found.falseSuspicions++
+	d.putInForce()
+}
+
+// doubt asks a member at once whether it is there.
+func (d *Directory) doubt(member ring.Member) {
+	doubted := d.peer(member)
+	if d.isSuspect(member.Name, member.Incarnation) {
+		return
+	}
+	doubted.doubted = true
+	doubted.notBefore = d.at.Now
+	d.wake(doubted)
+}
+
+// isDoubted reports whether a node is being asked whether it is there.
+func (d *Directory) isDoubted(name string) bool {
+	peer := d.peers[name]
+	return peer != nil && peer.doubted
+}
+
+// notePeer takes in what a call that failed shows about the peer. Calls that
+// fail together, as when their connection breaks, count as one.
+func (d *Directory) notePeer(peer *peer, failure CallFailure, probe bool) {
+	if peer.failures == 0 || !d.at.Now.Before(peer.notBefore) {
+		peer.failures++
+		peer.notBefore = d.at.Now.Add(d.backoff(peer.failures, longestBackoff))
+	}
+	if d.peers[peer.member.Name] != peer {
+		return
+	}
+	switch {
+	case failure == CallUnanswered:
+	case failure == CallRefused || probe:
+		d.suspect(peer)
+	default:
+		d.doubt(peer.member)
+	}
+}
+
+// peerFailed takes in a failure that a call outside the directory had.
+func (d *Directory) peerFailed(address string, failure CallFailure) {
+	for _, front := range d.base.fronts {
+		if front.Address != address || front.Name == d.self.Name {
+			continue
+		}
+		if failure == CallUnanswered {
+			d.doubt(front.Member)
+			continue
+		}
+		d.notePeer(d.peer(front.Member), failure, false)
+	}
+}
+
+// hearsay has each member that another node could not reach asked whether it is
+// there. Only what this node finds itself makes it suspect a member.
+func (d *Directory) hearsay(named []*protocol.Suspect) {
+	for _, each := range named {
+		front, found := d.base.byName[each.GetName()]
+		if !found || front.Incarnation != each.GetIncarnation() || front.Name == d.self.Name {
+			continue
+		}
+		if known := d.peers[front.Name]; known != nil && d.at.Now.Sub(known.heardAt) < recentlyHeard {
+			continue
+		}
+		d.doubt(front.Member)
+	}
+}
+
+// heard asks a suspect that sent something whether it can be reached again.
+func (d *Directory) heard(from string) {
+	if sender := d.peers[from]; sender != nil && d.isSuspect(from, sender.member.Incarnation) {
+		sender.notBefore = d.at.Now
+		d.wake(sender)
+	}
+}
+
+// namedSuspects lists this node's suspects for a request.
+func (d *Directory) namedSuspects() []*protocol.Suspect {
+	if len(d.suspects) == 0 {
+		return nil
+	}
+	named := make([]*protocol.Suspect, 0, min(len(d.suspects), mostNamedSuspects))
+	for _, name := range sortedKeys(d.suspects) {
+		if len(named) == mostNamedSuspects {
+			break
+		}
+		named = append(named, &protocol.Suspect{Name: name, Incarnation: d.suspects[name]})
+	}
+	return named
+}
+
+// names reports whether a member is among the suspects of a request.
+func names(suspects []*protocol.Suspect, name string, incarnation uint64) bool {
+	for _, each := range suspects {
+		if each.GetName() == name && each.GetIncarnation() == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectsAll reports whether this node cannot reach any of the members named that its view has.
+func (d *Directory) suspectsAll(named []*protocol.Suspect) bool {
+	for _, each := range named {
+		if d.base.Has(each.GetName(), each.GetIncarnation()) && !d.isSuspect(each.GetName(), each.GetIncarnation()) {
+			return false
+		}
+	}
+	return true
+}
+
+// isClaimable reports whether the owner of a registration is lost by this node's
+// word or by that of the node that asks.
+func (d *Directory) isClaimable(registration *protocol.Registration, suspects []*protocol.Suspect) bool {
+	owner, incarnation := registration.GetOwner(), registration.GetOwnerIncarnation()
+	return d.isSuspect(owner, incarnation) || names(suspects, owner, incarnation)
+}
+
+// claimFor is the claim of a registration that takes the place of another one or
+// of one that may stand at a suspect holder; zero when neither is so.
+func (d *Directory) claimFor(key uint64, held *protocol.Registration) uint64 {
+	if held == nil && !d.holdsForSuspect(key) {
+		return 0
+	}
+	return max(held.GetClaim()+1, uint64(max(d.at.Now.UnixMilli(), 0)))
+}
+
+// holdsForSuspect reports whether this node holds the key only because the holder of the view is suspect.
+func (d *Directory) holdsForSuspect(key uint64) bool {
+	if len(d.suspects) == 0 {
+		return false
+	}
+	holder, found := d.base.holder(key)
+	return found && !d.isSelf(holder)
+}
+
+// relayTo finds the holder that a request is to be passed on to, because the
+// asking node cannot reach it and takes this node for the next holder.
+func (d *Directory) relayTo(key uint64, suspects []*protocol.Suspect) (ring.Member, bool) {
+	holder, found := d.view.holder(key)
+	if !found || d.isSelf(holder) || !names(suspects, holder.Name, holder.Incarnation) {
+		return ring.Member{}, false
+	}
+	next, found := d.view.ring.HolderExcept(key, func(member ring.Member) bool {
+		return names(suspects, member.Name, member.Incarnation)
+	})
+	return holder, found && d.isSelf(next)
+}
+
+// lookupTimeout is how long a lookup or probe may take; a peer that was suspected in vain gets more.
+func (d *Directory) lookupTimeout(to *peer) time.Duration {
+	return d.options.SilenceLimit / 2 << min(to.falseSuspicions, mostFalseSuspicions)
+}
+
+// relayTimeout is shorter than what the node that asked waits.
+func (d *Directory) relayTimeout() time.Duration { return d.options.SilenceLimit / 4 }
--- /dev/null
+++ b/internal/directory/takeover_test.go
@@ -0,0 +1,206 @@
+package directory_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// soon bounds a takeover after a refused connection, in virtual time without the time that calls take.
+const soon = 100 * time.Millisecond
+
+// refusing is a fleet in which calls to a lost node are refused, without a new view.
+func refusing(names ...string) *fleet {
+	made := newFleet(names...)
+	made.failure = directory.CallRefused
+	return made
+}
+
+// cut lets calls between two nodes fail by silence; the function returned heals it.
+func (f *fleet) cut(one, other string) (heal func()) {
+	severed := true
+	f.intercept = func(from, to string, _ *protocol.Request) (*protocol.Response, bool) {
+		between := from == one && to == other || from == other && to == one
+		return nil, severed && between
+	}
+	return func() { severed = false }
+}
+
+func (m *member) claimOf(session string) uint64 {
+	for _, registration := range m.directory.Registrations() {
+		if registration.GetSession() == session {
+			return registration.GetClaim()
+		}
+	}
+	return 0
+}
+
+// resolveWithin asks and expects an answer within a bound.
+func (f *fleet) resolveWithin(bound time.Duration, name, session string) directory.Resolved {
+	GinkgoHelper()
+	before := f.now
+	answer := f.nodes[name].resolve(session)
+	Expect(answer.Code).To(BeEmpty())
+	Expect(f.now.Sub(before)).To(BeNumerically("<=", bound))
+	return answer
+}
+
+var _ = Describe("the takeover of a lost owner's session", func() {
+	It("is at once after a refused connection, with no new view", func() {
+		fleet := refusing(trio...)
+		session := heldBy(trio, "c", "")
+		fleet.nodes["a"].resolve(session)
+		Expect(fleet.nodes["b"].resolve(session).Owner.Name).To(Equal("a"))
+		fleet.nodes["a"].gone = true
+		fleet.nodes["b"].handle(directory.PeerFailed{Address: "a:1", Failure: directory.CallRefused})
+		Expect(fleet.resolveWithin(soon, "b", session).Owner.Local).To(BeTrue())
+		Expect(fleet.nodes["c"].registeredOwner(session)).To(Equal("b"))
+		Expect(fleet.nodes["c"].claimOf(session)).NotTo(BeZero())
+	})
+
+	It("asks the owner once more after a broken connection", func() {
+		fleet := refusing(trio...)
+		session := heldBy(trio, "c", "")
+		fleet.nodes["a"].resolve(session)
+		fleet.nodes["b"].resolve(session)
+		fleet.nodes["b"].handle(directory.PeerBroken{Address: "a:1"})
+		Expect(fleet.resolveWithin(soon, "b", session).Owner.Name).To(Equal("a"), "it is there")
+		fleet.nodes["a"].gone = true
+		fleet.nodes["b"].handle(directory.PeerBroken{Address: "a:1"})
+		Expect(fleet.resolveWithin(soon, "b", session).Owner.Local).To(BeTrue())
+	})
+
+	It("is told to an owner that is there after all, which settles its turn first", func() {
+		fleet := refusing(trio...)
+		session := heldBy(trio, "c", "")
+		owner, other := fleet.nodes["a"], fleet.nodes["b"]
+		owner.resolve(session)
+		code, _ := owner.directory.Begin(owner.at(), session)
+		Expect(code).To(BeEmpty())
+		heal := fleet.cut("a", "b")
+		other.handle(directory.PeerFailed{Address: "a:1", Failure: directory.CallSilent})
+		Expect(fleet.resolveWithin(soon, "b", session).Owner.Local).To(BeTrue())
+		heal()
+		fleet.settle()
+		Expect(owner.owns(session)).To(BeTrue(), "its turn is under way")
+		Expect(owner.yielded).To(BeEmpty())
+		owner.handle(directory.GrantEnded{Session: session})
+		Expect(owner.yielded).To(ConsistOf(directory.Yielded{Session: session, Reason: directory.YieldDisplaced}))
+		Expect(fleet.nodes["c"].registeredOwner(session)).To(Equal("b"))
+		Expect(owner.resolve(session).Owner.Name).To(Equal("b"))
+	})
+})
+
+var _ = Describe("the loss of a partition holder before its lease ends", func() {
+	It("lets new sessions go to the next holder at once", func() {
+		fleet := refusing(trio...)
+		session := heldBy(trio, "c", "b")
+		fleet.nodes["c"].gone = true
+		Expect(fleet.resolveWithin(soon, "a", session).Owner.Local).To(BeTrue())
+		Expect(fleet.nodes["b"].registeredOwner(session)).To(Equal("a"))
+		Expect(fleet.resolveWithin(soon, "b", session).Owner.Name).To(Equal("a"))
+	})
+
+	It("lets the next holder know of the sessions that their owners kept", func() {
+		fleet := refusing("a", "b", "c", "d")
+		session := heldBy(fleet.names, "c", "b")
+		fleet.nodes["a"].resolve(session)
+		fleet.advance(2 * step)
+		fleet.nodes["c"].gone = true
+		Expect(fleet.resolveWithin(soon, "d", session).Owner.Name).To(Equal("a"))
+		Expect(fleet.nodes["a"].yielded).To(BeEmpty())
+
+		By("keeping all as it is once the lease has run out")
+		fleet.publish("a", "b", "d")
+		fleet.settle()
+		Expect(fleet.nodes["b"].registeredOwner(session)).To(Equal("a"))
+		Expect(fleet.nodes["a"].directory.SalvageLength()).To(BeZero())
+	})
+
+	It("takes over sessions that the lost holder owned", func() {
+		fleet := refusing(trio...)
+		session := heldBy(trio, "c", "b")
+		fleet.nodes["c"].resolve(session)
+		Expect(fleet.nodes["a"].resolve(session).Owner.Name).To(Equal("c"))
+		fleet.nodes["c"].gone = true
+		fleet.nodes["a"].handle(directory.PeerFailed{Address: "c:1", Failure: directory.CallRefused})
+		Expect(fleet.resolveWithin(soon, "a", session).Owner.Local).To(BeTrue())
+	})
+
+	It("ends no session under the end-sessions policy before the lease has decided", func() {
+		fleet := refusing(trio...)
+		session := heldBy(trio, "c", "b")
+		fleet.nodes["a"].handle(directory.PolicyChanged{Policy: directory.Policy{EndSessions: true, BatchSize: 16, RetryDelay: step}})
+		fleet.nodes["a"].resolve(session)
+		fleet.nodes["c"].gone = true
+		fleet.nodes["a"].handle(directory.PeerBroken{Address: "c:1"})
+		fleet.settle()
+		Expect(fleet.nodes["a"].owns(session)).To(BeTrue())
+	})
+})
+
+var _ = Describe("a holder that one node alone cannot reach", func() {
+	It("is asked through the next one, which takes nothing over", func() {
+		fleet := refusing(trio...)
+		fleet.failure = directory.CallSilent
+		fleet.cut("a", "c")
+		session := heldBy(trio, "c", "b")
+		Expect(fleet.resolveWithin(soon, "a", session).Owner.Local).To(BeTrue())
+		Expect(fleet.nodes["c"].registeredOwner(session)).To(Equal("a"))
+		Expect(fleet.nodes["b"].registeredOwner(session)).To(BeEmpty())
+		Expect(fleet.nodes["b"].resolve(session).Owner.Name).To(Equal("a"))
+	})
+})
+
+var _ = Describe("a suspect that is there after all", func() {
+	It("gets its partition back, and the later claim stays where two own a session", func() {
+		fleet := refusing(trio...)
+		fleet.failure = directory.CallSilent
+		doubled, fresh := heldBy(trio, "c", "b"), ""
+		for i := range 1000 {
+			if name := "fresh-" + time.Duration(i).String(); fleet.holderOf(name) == "c" {
+				fresh = name
+				break
+			}
+		}
+		frozen := fleet.nodes["c"]
+		frozen.resolve(doubled)
+		Expect(fleet.nodes["a"].resolve(doubled).Owner.Name).To(Equal("c"))
+		frozen.gone = true
+		fleet.nodes["a"].handle(directory.PeerFailed{Address: "c:1", Failure: directory.CallSilent})
+		Expect(fleet.resolveWithin(2*soon, "a", doubled).Owner.Local).To(BeTrue())
+		Expect(fleet.resolveWithin(2*soon, "a", fresh).Owner.Local).To(BeTrue())
+
+		frozen.gone = false
+		fleet.settle()
+		for _, name := range trio {
+			Expect(fleet.nodes[name].directory.Suspects()).To(BeZero())
+			Expect(fleet.nodes[name].directory.SettlingRanges()).To(BeZero())
+		}
+		Expect(frozen.registeredOwner(fresh)).To(Equal("a"))
+		Expect(frozen.registeredOwner(doubled)).To(Equal("a"))
+		Expect(frozen.yielded).To(ConsistOf(directory.Yielded{Session: doubled, Reason: directory.YieldDisplaced}))
+		Expect(fleet.nodes["b"].directory.Registrations()).NotTo(ContainElement(HaveField("Session", fresh)))
+		Expect(fleet.nodes["b"].resolve(doubled).Owner.Name).To(Equal("a"))
+	})
+
+	It("is not suspected by a call that shows nothing, nor by another incarnation's answer trusted", func() {
+		fleet := newFleet(trio...)
+		node := fleet.nodes["a"]
+		node.handle(directory.PeerFailed{Address: "c:1", Failure: directory.CallUnanswered})
+		fleet.settle()
+		Expect(node.directory.Suspects()).To(BeZero())
+
+		node.handle(directory.PeerFailed{Address: "c:1", Failure: directory.CallRefused})
+		fleet.nodes["c"].reincarnate()
+		fleet.settle()
+		Expect(node.directory.Suspects()).To(Equal(1))
+		fleet.publish(trio...)
+		fleet.settle()
+		Expect(node.directory.Suspects()).To(BeZero())
+	})
+})
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -73,6 +73,18 @@
 	return member.Name
 }
 
+// without is the view without the members that are suspect, under the incarnations given.
+func (v View) without(suspects map[string]uint64) View {
+	if len(suspects) == 0 {
+		return v
+	}
+	fronts := slices.DeleteFunc(slices.Clone(v.fronts), func(front Front) bool {
+		incarnation, found := suspects[front.Name]
+		return found && incarnation == front.Incarnation
+	})
+	return NewView(v.Version, fronts, v.virtualPlaces)
+}
+
 // holder is the member that holds a key; false on an empty ring.
 func (v View) holder(key uint64) (ring.Member, bool) {
 	if v.ring == nil {
@@ -112,14 +124,26 @@
 	return policy
 }
 
-// viewChanged adopts a newer view: what this node gained begins to settle, what
-// it lost is handed off, and its own sessions whose holder changed are salvaged.
+// viewChanged adopts a newer view; what was suspected of a member that left or came back is void.
 func (d *Directory) viewChanged(next View) {
-	if next.Version <= d.view.Version {
+	if next.Version <= d.base.Version {
 		return
 	}
-	former := d.view
+	d.base = next
+	for name, incarnation := range d.suspects {
+		if !next.Has(name, incarnation) {
+			delete(d.suspects, name)
+		}
+	}
+	d.putInForce()
+}
+
+// putInForce puts the view without the suspects in force: what this node gained begins to settle, what
+// it lost is handed off, and its own sessions whose holder changed are salvaged.
+func (d *Directory) putInForce() {
+	former, next := d.view, d.base.without(d.suspects)
 	d.view = next
+	d.inForce++
 	changes := ring.Changes(d.ringBefore(former), next.ring)
 	d.dropGonePeers()
 	d.dropGoneOwners()
@@ -130,7 +154,7 @@
 	d.oweCompletion(changes)
 	d.retarget()
 	d.wakeDebtors()
-	d.continueResolves()
+	d.restartResolves()
 }
 
 // ringBefore is the ring that a view is compared with. A node that had no view
@@ -150,16 +174,21 @@
 }
 
 // dropGonePeers ends the state kept for nodes that left or came back under
-// another incarnation, and begins anew what waits for an answer of theirs.
+// another incarnation, and begins anew what waits for an answer of theirs or of a suspect.
 func (d *Directory) dropGonePeers() {
 	for name, peer := range d.peers {
-		if !d.view.Has(name, peer.member.Incarnation) {
+		if !d.base.Has(name, peer.member.Incarnation) {
 			delete(d.peers, name)
 		}
 	}
 	for _, running := range d.resolves {
-		if asked := d.calls[running.call]; asked != nil && d.peers[asked.peer.member.Name] != asked.peer {
-			running.ambiguous = running.ambiguous || asked.kind == callNew
+		asked := d.calls[running.call]
+		if asked == nil {
+			continue
+		}
+		member := asked.peer.member
+		if d.peers[member.Name] != asked.peer || d.isSuspect(member.Name, member.Incarnation) {
+			running.ambiguous = running.ambiguous || asked.registers
 			delete(d.calls, running.call)
 			running.call = 0
 		}
@@ -188,9 +217,8 @@
 			continue
 		}
 		gainer := d.peer(change.To)
-		gainer.due = max(gainer.due, d.view.Version)
 		gainer.partialKnowledge = gainer.partialKnowledge || lost || d.settlingPartOf(change.Range)
-		d.wake(gainer)
+		d.owe(gainer)
 	}
 }
 
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -25,7 +25,7 @@
 // Defaults of Options.
 const (
 	DefaultResolveWait = 2 * time.Second
-	DefaultCallTimeout = time.Second
+	DefaultDrainWait   = time.Second
 	queueLength        = 1024
 	shortestTick       = 5 * time.Millisecond
 	longestTick        = 250 * time.Millisecond
@@ -49,8 +49,11 @@
 	VirtualPlaces int
 	// ResolveWait bounds how long Resolve may wait for an owner.
 	ResolveWait time.Duration
-	// CallTimeout bounds one request to another front node's directory.
-	CallTimeout time.Duration
+	// SilenceLimit is how long a front node may be silent before it is suspected.
+	SilenceLimit time.Duration
+	// DrainWait bounds how long a drain whose sessions are given up waits to hand
+	// the partition off, as while no view comes that shows the drain.
+	DrainWait time.Duration
 	// Random jitters delays; nil seeds one.
 	Random *rand.Rand
 
@@ -97,8 +100,8 @@
 	if options.ResolveWait == 0 {
 		options.ResolveWait = DefaultResolveWait
 	}
-	if options.CallTimeout == 0 {
-		options.CallTimeout = DefaultCallTimeout
+	if options.DrainWait == 0 {
+		options.DrainWait = DefaultDrainWait
 	}
 	if options.Random == nil {
 		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -239,10 +242,11 @@
 // broken one after the address was asked again, silence after as long as
 // SilenceLimit. Call it in place of Forget when a forward failed by its connection;
 // answers such as `not_owner` are for Forget.
-func (m *Manager) OwnerLost(session, address string, _ error) {
+func (m *Manager) OwnerLost(session, address string, cause error) {
+	evidence := evidenceOf(cause, false)
 	m.post(func(s *shell) {
 		s.handle(directory.Forgotten{Session: session})
-		s.handle(directory.PeerBroken{Address: address})
+		s.handle(directory.PeerFailed{Address: address, Failure: evidence})
 	})
 }
 
@@ -251,30 +255,6 @@
 	m.post(func(s *shell) { s.handle(directory.OwnershipLost{Session: session}) })
 }
 
-// ServeDirectory answers the requests of other front nodes' directories.
-func (m *Manager) ServeDirectory(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
-	type result struct {
-		response *protocol.Response
-		err      error
-	}
-	answer := make(chan result, 1)
-	queued := m.started.Load() && m.post(func(s *shell) {
-		response, err := s.serve(request)
-		answer <- result{response, err}
-	})
-	if !queued {
-		return nil, notRun(failure.NotReady, "the directory is not running")
-	}
-	select {
-	case served := <-answer:
-		return served.response, served.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-m.done:
-		return nil, notRun(failure.NotReady, "the directory is not running")
-	}
-}
-
 // authorityWatch is how often a drain looks whether authority has ended.
 const authorityWatch = 100 * time.Millisecond
 
--- a/internal/ownership/metrics.go
+++ b/internal/ownership/metrics.go
@@ -20,8 +20,8 @@
 // snapshot is a copy of the directory's counters, taken by its owner.
 type snapshot struct {
 	directory.Stats
-	owned, partition, salvage, handOff, settling int
-	viewVersion                                  uint64
+	owned, partition, salvage, handOff, settling, suspects int
+	viewVersion                                            uint64
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -64,6 +64,9 @@
 	counter("handed_off_total", "Registrations passed on to the new holder of a range.", nil, func(s *snapshot) uint64 { return s.HandedOff })
 	counter("void_registrations_total", "Registrations void because authority was lost.", nil, func(s *snapshot) uint64 { return s.AuthorityLost })
 	counter("resend_requests_total", "Completions that had to be asked for.", nil, func(s *snapshot) uint64 { return s.ResendRequests })
+	counter("suspicions_total", "Front nodes of the view that could not be reached.", nil, func(s *snapshot) uint64 { return s.Suspicions })
+	counter("false_suspicions_total", "Suspects that answered after all.", nil, func(s *snapshot) uint64 { return s.FalseSuspicions })
+	counter("takeovers_total", "Sessions registered here in place of a lost owner.", nil, func(s *snapshot) uint64 { return s.Takeovers })
 	for _, reason := range directory.YieldReasons {
 		counter("yields_total", "Sessions given up by reason.", prometheus.Labels{"reason": string(reason)},
 			func(s *snapshot) uint64 { return s.Yields[reason] })
@@ -81,6 +84,7 @@
 	gauge("partition_sessions", "Registrations held.", func(s *snapshot) float64 { return float64(s.partition) })
 	gauge("salvage_list_length", "Own sessions that wait to be registered again.", func(s *snapshot) float64 { return float64(s.salvage) })
 	gauge("hand_off_length", "Registrations that wait to be passed on.", func(s *snapshot) float64 { return float64(s.handOff) })
+	gauge("suspects", "Front nodes of the view that cannot be reached at the moment.", func(s *snapshot) float64 { return float64(s.suspects) })
 	gauge("settling_views", "View changes whose ranges gained are not complete.", func(s *snapshot) float64 { return float64(s.settling) })
 	gauge("view_version", "Membership view in force.", func(s *snapshot) float64 { return float64(s.viewVersion) })
 }
@@ -90,6 +94,7 @@
 	m.snapshot.Store(&snapshot{
 		Stats: d.Stats(), owned: d.OwnedCount(), partition: d.PartitionSize(), salvage: d.SalvageLength(),
 		handOff: d.HandOffLength(), settling: d.SettlingRanges(), viewVersion: d.ViewVersion(),
+		suspects: d.Suspects(),
 	})
 }
 
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -18,6 +18,8 @@
 	directory *directory.Directory
 	waiting   map[uint64]chan<- directory.Resolved
 	drained   []chan struct{}
+	// givenUpAt is when a draining node had given its last session up.
+	givenUpAt time.Time
 	policy    *protocol.RecoveryPolicy
 
 	timer  *time.Timer
@@ -35,7 +37,8 @@
 			Self: ring.Member{
 				Name: self.GetName(), Address: self.GetAddress(), Incarnation: self.GetIncarnation(),
 			},
-			Random: manager.options.Random,
+			Random:       manager.options.Random,
+			SilenceLimit: manager.options.SilenceLimit,
 		}),
 		waiting: make(map[uint64]chan<- directory.Resolved),
 		timer:   time.NewTimer(longestTick),
@@ -125,29 +128,6 @@
 	return &Grant{manager: s.manager, session: session, incarnation: authority.Self.GetIncarnation()}, ""
 }
 
-// serve answers as holder, which this node may do only with authority.
-func (s *shell) serve(request *protocol.Request) (*protocol.Response, error) {
-	at, _ := s.moment()
-	if !at.Authority {
-		return nil, notRun(failure.NoAuthority, "this node holds no lease")
-	}
-	switch body := request.GetBody().(type) {
-	case *protocol.Request_LookupSession:
-		answer := s.directory.ServeLookup(at, body.LookupSession)
-		return &protocol.Response{Body: &protocol.Response_LookupSession{LookupSession: answer}}, nil
-	case *protocol.Request_RegisterSessions:
-		answer, commands := s.directory.ServeRegister(at, body.RegisterSessions)
-		s.execute(commands)
-		return &protocol.Response{Body: &protocol.Response_RegisterSessions{RegisterSessions: answer}}, nil
-	case *protocol.Request_UnregisterSessions:
-		answer, commands := s.directory.ServeUnregister(at, body.UnregisterSessions)
-		s.execute(commands)
-		return &protocol.Response{Body: &protocol.Response_UnregisterSessions{UnregisterSessions: answer}}, nil
-	default:
-		return nil, notRun(failure.UnknownRequest, "not a request to the directory")
-	}
-}
-
 func (s *shell) drain(drained chan struct{}) {
 	s.drained = append(s.drained, drained)
 	s.handle(directory.DrainBegun{})
@@ -155,7 +135,7 @@
 }
 
 func (s *shell) checkDrained() {
-	if len(s.drained) == 0 || !s.directory.Drained() {
+	if len(s.drained) == 0 || !s.directory.Drained() && !s.waitedLongEnough() {
 		return
 	}
 	for _, drained := range s.drained {
@@ -164,6 +144,18 @@
 	s.drained = nil
 }
 
+// waitedLongEnough reports whether the sessions are given up and the partition
+// could not be handed off in time. Its owners register it elsewhere once this process has ended.
+func (s *shell) waitedLongEnough() bool {
+	if s.directory.OwnedCount() > 0 {
+		return false
+	}
+	if s.givenUpAt.IsZero() {
+		s.givenUpAt = time.Now()
+	}
+	return time.Since(s.givenUpAt) >= s.manager.options.DrainWait
+}
+
 func (s *shell) execute(commands []directory.Command) {
 	for _, command := range commands {
 		switch command := command.(type) {
@@ -195,14 +187,18 @@
 func (s *shell) send(command directory.Send) {
 	manager, ctx := s.manager, s.ctx
 	manager.workers.Go(func() {
-		call, cancel := context.WithTimeout(ctx, manager.options.CallTimeout)
+		call, cancel := context.WithTimeout(ctx, command.Timeout)
 		defer cancel()
+		began := time.Now()
+		answered := directory.Answered{Call: command.Call}
 		response, err := manager.options.Caller.Call(call, command.Address, command.Request)
 		if err != nil {
 			manager.metrics.failedCalls.Inc()
-			response = nil
+			answered.Failure = evidenceOf(err, !stalled(time.Since(began), command.Timeout))
+		} else {
+			answered.Response = response
 		}
-		manager.post(func(s *shell) { s.handle(directory.Answered{Call: command.Call, Response: response}) })
+		manager.post(func(s *shell) { s.handle(answered) })
 	})
 }
 
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -88,6 +88,22 @@
 	return r.members[r.places[r.below(key)].member], true
 }
 
+// HolderExcept returns the member that would hold the key if those to be skipped
+// were not on the ring; false when nobody is left.
+func (r *Ring) HolderExcept(key uint64, skip func(Member) bool) (Member, bool) {
+	if len(r.places) == 0 {
+		return Member{}, false
+	}
+	first := r.below(key)
+	for step := range len(r.places) {
+		member := r.members[r.places[(first-step+len(r.places))%len(r.places)].member]
+		if !skip(member) {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
 // below finds the place with the largest hash strictly below the key, wrapping round to the largest of all.
 func (r *Ring) below(key uint64) int {
 	first := sort.Search(len(r.places), func(i int) bool { return r.places[i].hash >= key })
--- a/internal/sim/ownershipsuite/mutation.go
+++ b/internal/sim/ownershipsuite/mutation.go
@@ -24,6 +24,10 @@
 	MutationReissueCalls Mutation = "reissue-calls"
 	// MutationNoContact asks for a lease without having had an answer of the core.
 	MutationNoContact Mutation = "no-contact"
+	// MutationAwaitLeases takes no call that failed for a sign that its peer is lost.
+	MutationAwaitLeases Mutation = "await-leases"
+	// MutationKeepDisplaced ignores notices that another node took a session over.
+	MutationKeepDisplaced Mutation = "keep-displaced"
 	// MutationStayOut never renews again after authority was lost.
 	MutationStayOut Mutation = "stay-out"
 )
@@ -32,4 +36,5 @@
 var Mutations = []Mutation{
 	MutationKeepDuplicates, MutationDropRegistrations, MutationKeepPartition, MutationKeepAuthority, MutationSilentAuthority,
 	MutationNoEpoch, MutationNoFence, MutationReissueCalls, MutationNoContact, MutationStayOut,
+	MutationAwaitLeases, MutationKeepDisplaced,
 }
--- a/internal/sim/ownershipsuite/turns.go
+++ b/internal/sim/ownershipsuite/turns.go
@@ -80,6 +80,9 @@
 			if !answered || result.code == failure.NotOwner {
 				f.handle(directory.Forgotten{Session: request.session})
 			}
+			if !answered {
+				f.handle(directory.PeerFailed{Address: resolved.Owner.Address, Failure: directory.CallBroken})
+			}
 			answer(result)
 		})
 	}
