Hold the adapter to its formats, its size and its folder

Cause: nothing showed that a configuration comes back as it was sent, that names of the platform stay in platform/, or that the adapter decides nothing.

- make lint runs the check of the folder: under 1,000 lines without tests, no timers, locks, goroutines, channels or variables without a fixed value, and none of its names in a string or comment of a Go file elsewhere.
The names are read from its constants; single words such as Host and the names that net/http has too (MaxHeaderBytes, MaxBodyBytes) do not count.

--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,9 @@
 	$(GO) test ./...
 
 lint: tools
-	test -z "$$($(TOOLS)/gofumpt -l cmd internal)" || { $(TOOLS)/gofumpt -d cmd internal; exit 1; }
+	test -z "$$($(TOOLS)/gofumpt -l cmd internal platform)" || { $(TOOLS)/gofumpt -d cmd internal platform; exit 1; }
 	$(TOOLS)/golangci-lint run ./...
+	$(GO) test -count=1 -run "^Test(Folder|Names|TheCheck)" ./platform
 
 bench: build
 	$(BIN)/rosestand-lab bench
