Keep sessions and programs where their prompts are cached; simulate policies in virtual time

Cause: in a simulation of ten front nodes that decide apart, the first form of EXPECTED_FIRST_TOKEN did worse than PREFIX_AFFINITY: all front nodes began with the same server of a shared prefix, a miss was charged too little, and the model of caches forgot a session's own parts because each front node counted the shared parts against its share.

Now the order of candidates is the program's, leaving the first or the session's last server costs something, reading a prompt anew is charged for requests that the front node cannot see, and the model counts shared parts once.

Not proved: figures of real servers.

--- a/internal/promptcache/model.go
+++ b/internal/promptcache/model.go
@@ -8,6 +8,8 @@
 // Model estimates what each server keeps. Its owner drives it; it is not safe for concurrent use.
 type Model struct {
 	servers map[string]*serverCache
+	// fronts is the number of front nodes whose prompts fill the same servers.
+	fronts uint64
 	// prefixes holds what is known of a prefix wherever it is kept.
 	prefixes map[uint64]*prefix
 }
@@ -28,21 +30,20 @@
 
 // New makes a model that knows nothing.
 func New() *Model {
-	return &Model{servers: make(map[string]*serverCache), prefixes: make(map[uint64]*prefix)}
+	return &Model{servers: make(map[string]*serverCache), fronts: 1, prefixes: make(map[uint64]*prefix)}
 }
 
-// Resize makes a server known and sets how many tokens of this front node's prompts it keeps.
+// Resize makes a server known and sets how many tokens of parts it keeps: its capacity less what running requests
+// hold.
 func (m *Model) Resize(server string, room uint64) {
 	cache := m.cache(server)
 	cache.room = room
 	m.evict(cache)
 }
 
-// Room is the part of a server's cache that one of so many front nodes may count on: what
-// running requests leave free, shared evenly.
-func Room(capacity, pinned uint64, fronts int) uint64 {
-	return (capacity - min(capacity, pinned)) / uint64(max(fronts, 1))
-}
+// SetFronts tells how many front nodes send to the same servers. Each part that is not shared then stands for as many:
+// the others are taken to send as much. Parts that are kept already are counted anew when they are next sent.
+func (m *Model) SetFronts(fronts int) { m.fronts = uint64(max(fronts, 1)) }
 
 // Sent notes that a prompt was sent to a server, which from then on keeps its parts and lets those go that were
 // unused for longest.
@@ -147,9 +148,18 @@
 		m.prefixes[part.Prefix].holders++
 	}
 	kept.own = kept.own || own
+	cache.weigh(kept, m.weight(part))
 	cache.touch(kept)
 }
 
+// weight is the room that a part takes, with what other front nodes are taken to send meanwhile.
+func (m *Model) weight(part Part) uint64 {
+	if m.prefixes[part.Prefix].shared {
+		return uint64(part.Tokens)
+	}
+	return uint64(part.Tokens) * m.fronts
+}
+
 func (m *Model) evict(cache *serverCache) {
 	for cache.held > cache.room && cache.oldest() != nil {
 		m.drop(cache, cache.oldest())
--- a/internal/promptcache/servercache.go
+++ b/internal/promptcache/servercache.go
@@ -3,6 +3,8 @@
 // entry is a part that a server keeps, linked from the most to the least recently used one.
 type entry struct {
 	part Part
+	// weight is the room that the part is counted with.
+	weight uint64
 	// own is true when this front node sent the part there itself.
 	own         bool
 	newer, less *entry
@@ -34,11 +36,15 @@
 func (c *serverCache) add(part Part) *entry {
 	added := &entry{part: part}
 	c.entries[part.Prefix] = added
-	c.held += uint64(part.Tokens)
 	c.link(added)
 	return added
 }
 
+func (c *serverCache) weigh(kept *entry, weight uint64) {
+	c.held += weight - kept.weight
+	kept.weight = weight
+}
+
 func (c *serverCache) touch(used *entry) {
 	c.unlink(used)
 	c.link(used)
@@ -47,7 +53,7 @@
 func (c *serverCache) remove(removed *entry) {
 	c.unlink(removed)
 	delete(c.entries, removed.part.Prefix)
-	c.held -= uint64(removed.part.Tokens)
+	c.held -= removed.weight
 }
 
 func (c *serverCache) link(used *entry) {
--- a/internal/schedule/firsttoken.go
+++ b/internal/schedule/firsttoken.go
@@ -3,52 +3,95 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 )
 
+// The constants were chosen by the comparison in internal/schedule/schedulesim; see docs/POLICIES.md.
 const (
-	// othersShare is how much of the time that its prompt takes from each request at the server a choice is charged.
-	othersShare = 0.5
-	// otherZoneCost is what a choice outside the own zone is charged: it only decides between equals.
-	otherZoneCost = time.Millisecond
-	// orderCost is charged for each place in the order of the shared prefix, so that front nodes which know
-	// nothing of each other begin with the same servers.
+	// delayShare is the part of the time that a prompt takes to read which each other request at the server is
+	// charged for: all of them stand still meanwhile, but few are so near their objective that it matters.
+	delayShare = 0.25
+	// unseenRequests is how many requests of other front nodes are taken to be at a server: reports are too old and
+	// too few to tell. It makes reading a prompt anew dearer than waiting for as long.
+	unseenRequests = 5
+	// homeCost is charged for leaving the first server in the program's order. It keeps the sessions of a program
+	// together, also those that other front nodes own, which know nothing of what was read where.
+	homeCost = 30 * time.Millisecond
+	// orderCost is charged for each place in that order. It decides between equals.
 	orderCost = 200 * time.Microsecond
+	// lastCost is charged for leaving the session's last server, beyond what has to be read again.
+	lastCost = 15 * time.Millisecond
+	// otherZoneCost is charged for a choice outside the own zone: it decides between near equals only.
+	otherZoneCost = time.Millisecond
 	// pressureCost is charged when the server's memory would not hold the request beside those that run.
 	pressureCost = 500 * time.Millisecond
+	// reportMemory is the time constant with which what others had waiting at the time of a report is forgotten.
+	reportMemory = 400 * time.Millisecond
 )
 
-// expectedFirstToken takes the server at which the first token is expected
-// earliest, with what the choice costs the requests that are there already.
+// costedCandidate is a candidate with what its choice costs.
+type costedCandidate struct {
+	*Candidate
+	cost time.Duration
+}
+
+// expectedFirstToken takes the server at which the first token is expected earliest, with what the choice costs the
+// requests that are there already. A server without a free slot comes after all that have one.
 func (d *Decision) expectedFirstToken(request Request, candidates []*Candidate) {
 	request.Profile = request.Profile.withDefaults()
-	key := request.AffinityKey
-	if request.SharedPrefix != 0 {
-		key = strconv.FormatUint(request.SharedPrefix, 16)
-	}
-	order := rank(key, candidates)
-	costs := make(map[*Candidate]time.Duration, len(order))
-	for place, candidate := range order {
-		costs[candidate] = request.cost(candidate) + time.Duration(place)*orderCost
+	order := make([]costedCandidate, 0, len(candidates))
+	for place, candidate := range rank(request.AffinityKey, candidates) {
+		order = append(order, costedCandidate{candidate, request.cost(candidate, place)})
 	}
-	slices.SortStableFunc(order, func(a, b *Candidate) int { return cmp.Compare(costs[a], costs[b]) })
-	d.take(order[0], costs[order[0]].Seconds())
+	slices.SortStableFunc(order, func(a, b costedCandidate) int {
+		return cmp.Or(compareBool(a.isFull(), b.isFull()), cmp.Compare(a.cost, b.cost))
+	})
+	d.take(order[0].Candidate, order[0].cost.Seconds())
 	for _, candidate := range order[1:] {
-		d.pass(candidate, costs[candidate].Seconds(), ReasonLower)
+		reason := ReasonLower
+		if candidate.isFull() && !order[0].isFull() {
+			reason = ReasonFull
+		}
+		d.pass(candidate.Candidate, candidate.cost.Seconds(), reason)
 	}
 }
 
-// cost is what choosing the candidate is expected to cost this request and those at the server.
-func (r *Request) cost(candidate *Candidate) time.Duration {
-	cost := r.expectedWait(candidate)
-	if r.PromptTokens > 0 {
-		cost += r.costToOthers(candidate)
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
+	return 1
+}
+
+// isFull reports whether a request more would find no free slot, as far as is known.
+func (c *Candidate) isFull() bool {
+	return c.requests()+1 > c.slots()
+}
+
+// slots is the number of requests that the server runs at once.
+func (c *Candidate) slots() float64 { return float64(cmp.Or(c.Capacity, defaultCapacity)) }
+
+// cost is what choosing the candidate at a place in the program's order is expected to cost this request and those at
+// the server.
+func (r *Request) cost(candidate *Candidate, place int) time.Duration {
+	cost := r.expectedWait(candidate) + time.Duration(place)*orderCost
 	if r.Zone != "" && candidate.Zone != r.Zone {
 		cost += otherZoneCost
 	}
-	return cost
+	if r.PromptTokens == 0 {
+		return cost
+	}
+	if place > 0 {
+		cost += homeCost
+	}
+	if r.Last != "" && candidate.ID != r.Last {
+		cost += lastCost
+	}
+	return cost + r.delayOfOthers(candidate) + r.pressure(candidate)
 }
 
 // expectedWait is the expected time to the first token, or to the answer when there is no prompt.
@@ -56,6 +99,23 @@
 	return scale(r.slotWait(candidate)+r.work(candidate), cmp.Or(candidate.Slowness, 1)/candidate.Weight)
 }
 
+// slotWait is the expected time until a slot is free.
+func (r *Request) slotWait(candidate *Candidate) time.Duration {
+	excess := candidate.requests() + 1 - candidate.slots()
+	if excess <= 0 {
+		return 0
+	}
+	return scale(r.holding(), excess/candidate.slots())
+}
+
+// holding is how long a request holds its slot.
+func (r *Request) holding() time.Duration {
+	if r.PromptTokens == 0 {
+		return r.Profile.ServiceTime
+	}
+	return time.Duration(r.OutputTokens) * r.Profile.StepTime
+}
+
 func (r *Request) work(candidate *Candidate) time.Duration {
 	if r.PromptTokens == 0 {
 		return r.Profile.ServiceTime
@@ -72,39 +132,18 @@
 	return float64(candidate.PendingTokens) + candidate.othersWaiting()*r.Profile.MeanPrompt
 }
 
-// othersWaiting are the requests of other front nodes without a first token.
-func (c *Candidate) othersWaiting() float64 {
-	if c.ReportAge <= 0 {
-		return 0
-	}
-	return float64(c.Queued - min(c.Queued, c.WaitingAtReport))
-}
-
-// slotWait is the expected time until a slot is free.
-func (r *Request) slotWait(candidate *Candidate) time.Duration {
-	slots := float64(cmp.Or(candidate.Capacity, defaultCapacity))
-	excess := candidate.requests() + 1 - slots
-	if excess <= 0 {
-		return 0
-	}
-	return scale(r.holding(), excess/slots)
-}
-
-// holding is how long a request holds its slot.
-func (r *Request) holding() time.Duration {
-	if r.PromptTokens == 0 {
-		return r.Profile.ServiceTime
-	}
-	return time.Duration(r.OutputTokens) * r.Profile.StepTime
+// delayOfOthers is the time that reading the prompt takes from other requests at the server.
+func (r *Request) delayOfOthers(candidate *Candidate) time.Duration {
+	return scale(r.Profile.reading(r.uncached(candidate)), delayShare*(unseenRequests+candidate.requests()))
 }
 
-// costToOthers is the time that reading the prompt takes from the requests at the server.
-func (r *Request) costToOthers(candidate *Candidate) time.Duration {
-	cost := scale(r.Profile.reading(r.uncached(candidate)), othersShare*candidate.requests())
-	if needed := candidate.UsedTokens + r.PromptTokens + r.OutputTokens; candidate.CacheTokens > 0 && needed > candidate.CacheTokens {
-		cost += pressureCost
+// pressure is charged when a running request would be preempted for want of memory.
+func (r *Request) pressure(candidate *Candidate) time.Duration {
+	needed := candidate.UsedTokens + r.PromptTokens + r.OutputTokens
+	if candidate.CacheTokens > 0 && needed > candidate.CacheTokens {
+		return pressureCost
 	}
-	return cost
+	return 0
 }
 
 func scale(duration time.Duration, factor float64) time.Duration {
--- a/internal/schedule/policies.go
+++ b/internal/schedule/policies.go
@@ -83,7 +83,7 @@
 
 // candidateSlots is the capacity scaled by weight.
 func candidateSlots(candidate *Candidate) float64 {
-	return float64(cmp.Or(candidate.Capacity, defaultCapacity)) * candidate.Weight
+	return candidate.slots() * candidate.Weight
 }
 
 func (d *Decision) leastLoaded(request Request, candidates []*Candidate) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -56,7 +57,7 @@
 	CachedTokens uint64
 	// ReportAge is how old Running, Queued and UsedTokens are; zero or less means that nothing was reported.
 	ReportAge time.Duration
-	// WaitingAtReport is how many of Queued were this front node's own.
+	// WaitingAtReport is Waiting as it was when the load was reported.
 	WaitingAtReport uint32
 	// UsedTokens is the part of CacheTokens that running requests hold; zero CacheTokens is unknown.
 	UsedTokens  uint64
@@ -79,6 +80,15 @@
 	return float64(max(c.InFlight, c.Running+c.Queued))
 }
 
+// othersWaiting is how many requests of other front nodes are taken to have no first token yet.
+func (c *Candidate) othersWaiting() float64 {
+	if c.ReportAge <= 0 {
+		return 0
+	}
+	others := float64(c.Queued - min(c.Queued, c.WaitingAtReport))
+	return others * math.Exp(-c.ReportAge.Seconds()/reportMemory.Seconds())
+}
+
 // Request says what is to be placed, and by which policy.
 type Request struct {
 	Algorithm  protocol.SchedulingAlgorithm
@@ -104,9 +114,6 @@
 	// PromptTokens is the length of the prompt and OutputTokens how much is expected to be generated.
 	PromptTokens uint64
 	OutputTokens uint64
-	// SharedPrefix is the hash of the part that other prompts share; front nodes that know nothing of each other
-	// spread it to the same servers. Zero is none.
-	SharedPrefix uint64
 	// Profile is what the group's servers take for their work.
 	Profile Profile
 }
@@ -138,6 +145,7 @@
 	ReasonNotSubset  = "not in this front node's subset"
 	ReasonOverBound  = "load is over the bound"
 	ReasonLower      = "lower in the order"
+	ReasonFull       = "no free slot"
 	ReasonNotSampled = "not sampled"
 )
 
--- /dev/null
+++ b/internal/schedule/schedulesim/engine.go
@@ -0,0 +1,226 @@
+package schedulesim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/promptcache"
+)
+
+// EngineSpec is what all model servers of a fleet have in common.
+type EngineSpec struct {
+	// Slots is the number of requests in a batch, Queue how many more wait.
+	Slots int
+	Queue int
+	// CacheTokens is the memory shared by running requests and cached parts.
+	CacheTokens uint64
+	// StepTime is the time of a step; each running request and each thousand tokens of context add to it.
+	StepTime    time.Duration
+	PerRequest  time.Duration
+	PerThousand time.Duration
+	// PromptRate is the number of prompt tokens read in a millisecond, Chunk the most in one step.
+	PromptRate float64
+	Chunk      uint64
+}
+
+// generation is one request at an engine.
+type generation struct {
+	prompt promptcache.Prompt
+	output uint64
+	rank   uint32
+	// unread are the prompt tokens still to read, generated the output tokens so far.
+	unread    uint64
+	generated uint64
+
+	onFirst func()
+	onDone  func()
+}
+
+func (g *generation) context() uint64 { return g.prompt.Tokens() + g.generated }
+
+// engine is one model server: it runs steps while it has requests.
+type engine struct {
+	spec     EngineSpec
+	timeline *timeline
+	id       string
+	zone     string
+	// slowness scales the time of each step.
+	slowness float64
+	draining bool
+
+	waiting []*generation
+	batch   []*generation
+	cache   *promptcache.Model
+	busy    bool
+
+	// read counts all prompt tokens that were read.
+	read       uint64
+	preempted  int
+	busyTime   time.Duration
+	onReadPart func(promptcache.Part)
+}
+
+const cacheKey = ""
+
+func newEngine(spec EngineSpec, timeline *timeline, id, zone string) *engine {
+	return &engine{spec: spec, timeline: timeline, id: id, zone: zone, slowness: 1, cache: promptcache.New()}
+}
+
+// submit takes a request in; it is false when the server is full.
+func (e *engine) submit(request *generation) bool {
+	if len(e.waiting)+len(e.batch) >= e.spec.Slots+e.spec.Queue {
+		return false
+	}
+	e.waiting = append(e.waiting, request)
+	e.begin()
+	return true
+}
+
+func (e *engine) begin() {
+	if !e.busy && len(e.waiting)+len(e.batch) > 0 {
+		e.busy = true
+		e.step()
+	}
+}
+
+// running counts the requests that have their first token, as a report does.
+func (e *engine) running() (running, queued int) {
+	for _, request := range e.batch {
+		if request.generated > 0 {
+			running++
+		}
+	}
+	return running, len(e.waiting) + len(e.batch) - running
+}
+
+// used is the memory that running requests hold.
+func (e *engine) used() uint64 {
+	used := uint64(0)
+	for _, request := range e.batch {
+		used += request.context()
+	}
+	return used
+}
+
+// step reads a chunk of prompts and generates one token for each request whose prompt is read.
+func (e *engine) step() {
+	e.admit()
+	e.preempt()
+	decoding := 0
+	for _, request := range e.batch {
+		if request.unread == 0 {
+			decoding++
+		}
+	}
+	read := e.readChunk()
+	took := e.stepTime(decoding, read)
+	e.busyTime += took
+	e.timeline.after(took, e.finishStep)
+}
+
+func (e *engine) stepTime(decoding int, read uint64) time.Duration {
+	took := e.spec.StepTime + time.Duration(decoding)*e.spec.PerRequest
+	took += time.Duration(float64(e.spec.PerThousand) * float64(e.used()) / 1000)
+	took += time.Duration(float64(read) / e.spec.PromptRate * float64(time.Millisecond))
+	return time.Duration(float64(took) * e.slowness)
+}
+
+// admit fills the batch, the most urgent first.
+func (e *engine) admit() {
+	slices.SortStableFunc(e.waiting, func(a, b *generation) int { return int(a.rank) - int(b.rank) })
+	for len(e.waiting) > 0 && len(e.batch) < e.spec.Slots {
+		next := e.waiting[0]
+		if e.used()+next.context() > e.spec.CacheTokens && len(e.batch) > 0 {
+			return
+		}
+		e.waiting = e.waiting[1:]
+		e.place(next)
+	}
+}
+
+func (e *engine) place(request *generation) {
+	request.unread = request.context() - e.cache.Cached(cacheKey, request.prompt)
+	// The last token is read in any case.
+	request.unread = max(request.unread, 1)
+	e.batch = append(e.batch, request)
+	e.fit()
+}
+
+// fit leaves cached parts the memory that running requests do not hold.
+func (e *engine) fit() {
+	e.cache.Resize(cacheKey, e.spec.CacheTokens-min(e.spec.CacheTokens, e.used()))
+}
+
+// preempt puts the newest of the least urgent requests back while memory is short.
+func (e *engine) preempt() {
+	for len(e.batch) > 1 && e.used() > e.spec.CacheTokens {
+		victim := len(e.batch) - 1
+		for at := len(e.batch) - 1; at >= 0; at-- {
+			if e.batch[at].rank > e.batch[victim].rank {
+				victim = at
+			}
+		}
+		e.waiting = append(e.waiting, e.batch[victim])
+		e.batch = slices.Delete(e.batch, victim, victim+1)
+		e.preempted++
+	}
+}
+
+// readChunk reads the next piece of prompts in the order of the batch.
+func (e *engine) readChunk() uint64 {
+	read := uint64(0)
+	for _, request := range e.batch {
+		piece := min(request.unread, e.spec.Chunk-read)
+		request.unread -= piece
+		read += piece
+		if piece > 0 && request.unread == 0 {
+			e.keep(request)
+		}
+	}
+	e.read += read
+	return read
+}
+
+func (e *engine) keep(request *generation) {
+	if e.onReadPart != nil {
+		cached := e.cache.Cached(cacheKey, request.prompt)
+		passed := uint64(0)
+		for _, part := range request.prompt {
+			if passed += uint64(part.Tokens); passed > cached {
+				e.onReadPart(part)
+			}
+		}
+	}
+	e.cache.Sent(cacheKey, request.prompt, e.timeline.clock())
+}
+
+func (e *engine) finishStep() {
+	for _, request := range e.batch {
+		if request.unread > 0 {
+			continue
+		}
+		request.generated++
+		if request.generated == 1 {
+			request.onFirst()
+		}
+	}
+	e.retire()
+	e.fit()
+	e.busy = false
+	e.begin()
+}
+
+// retire takes out the requests that have all their output.
+func (e *engine) retire() {
+	var done []*generation
+	e.batch = slices.DeleteFunc(e.batch, func(request *generation) bool {
+		finished := request.generated >= request.output
+		if finished {
+			done = append(done, request)
+		}
+		return finished
+	})
+	for _, request := range done {
+		request.onDone()
+	}
+}
--- /dev/null
+++ b/internal/schedule/schedulesim/events.go
@@ -0,0 +1,54 @@
+package schedulesim
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a time; events of one time happen in the order in which they were set.
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].sequence < h[j].sequence
+}
+func (h eventHeap) Swap(i, j int)     { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(element any) { *h = append(*h, element.(event)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// timeline runs events in virtual time.
+type timeline struct {
+	now      time.Duration
+	sequence uint64
+	events   eventHeap
+}
+
+// after sets an event.
+func (t *timeline) after(wait time.Duration, run func()) {
+	t.sequence++
+	heap.Push(&t.events, event{at: t.now + max(wait, 0), sequence: t.sequence, run: run})
+}
+
+// runUntil runs the events up to an end.
+func (t *timeline) runUntil(end time.Duration) {
+	for len(t.events) > 0 && t.events[0].at <= end {
+		next := heap.Pop(&t.events).(event)
+		t.now = next.at
+		next.run()
+	}
+}
+
+// clock gives the virtual time as the decision packages take it.
+func (t *timeline) clock() time.Time { return time.Unix(1_000_000, 0).Add(t.now) }
--- /dev/null
+++ b/internal/schedule/schedulesim/fleet.go
@@ -0,0 +1,319 @@
+package schedulesim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/promptcache"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Options say what is played.
+type Options struct {
+	Seed      uint64
+	Algorithm protocol.SchedulingAlgorithm
+	Servers   int
+	Fronts    int
+	Engine    EngineSpec
+	Programs  []ProgramSpec
+	// Load scales the rates of programs.
+	Load float64
+	// Length is how long programs begin; Rest is how long those begun may go on.
+	Length time.Duration
+	Rest   time.Duration
+	// SamplesPerSecond is how many load reports one front node asks for.
+	SamplesPerSecond float64
+	// Digests is how often front nodes tell each other what servers read; zero is never.
+	Digests time.Duration
+	// Bursts, Release and Slow are what goes on beside.
+	Burst   Burst
+	Release Release
+	Slow    Slow
+}
+
+// Burst raises the rate of the first kind of program for a while.
+type Burst struct {
+	From, For time.Duration
+	Factor    float64
+}
+
+// Release replaces a share of the servers one by one.
+type Release struct {
+	From, Gap time.Duration
+	Share     float64
+}
+
+// Slow makes some servers slower for a while.
+type Slow struct {
+	From, For time.Duration
+	Servers   int
+	Factor    float64
+}
+
+// Result is what came of a play.
+type Result struct {
+	Programs int
+	InAim    int
+	Late     int
+	Failed   int
+	// ByKind is the share of programs of each kind that ended within their aim.
+	ByKind map[string]float64
+	// FirstTokens are the times to the first token, sorted.
+	FirstTokens []time.Duration
+	// Read counts the prompt tokens that servers read, ReadTwice those that some server had read before.
+	Read       uint64
+	ReadTwice  uint64
+	Preempted  int
+	Turns      int
+	Utilized   float64
+	kinds      map[string][2]int
+	readBefore map[uint64]bool
+}
+
+// Share is the part of programs that ended within their aim.
+func (r *Result) Share() float64 { return float64(r.InAim) / float64(max(r.Programs, 1)) }
+
+// Quantile gives the time to the first token that the share of turns did not exceed.
+func (r *Result) Quantile(share float64) time.Duration {
+	if len(r.FirstTokens) == 0 {
+		return 0
+	}
+	return r.FirstTokens[min(int(share*float64(len(r.FirstTokens))), len(r.FirstTokens)-1)]
+}
+
+type fleet struct {
+	options  Options
+	timeline *timeline
+	engines  []*engine
+	fronts   []*front
+	result   *Result
+	// planned decides programs, so that they are the same for each policy.
+	planned  *rand.Rand
+	started  int
+	replaced int
+	all      []*engine
+}
+
+const zones = 4
+
+// Play runs the fleet.
+func Play(options Options) *Result {
+	f := &fleet{
+		options: options, timeline: &timeline{}, planned: rand.New(rand.NewPCG(options.Seed, 1)),
+		result: &Result{kinds: make(map[string][2]int), readBefore: make(map[uint64]bool), ByKind: make(map[string]float64)},
+	}
+	for at := range options.Servers {
+		f.addEngine(fmt.Sprintf("server-%02d", at), fmt.Sprintf("zone-%d", at%zones))
+	}
+	for at := range options.Fronts {
+		random := rand.New(rand.NewPCG(options.Seed, uint64(100+at)))
+		f.fronts = append(f.fronts, newFront(f, fmt.Sprintf("front-%d", at), fmt.Sprintf("zone-%d", at%zones), random))
+	}
+	f.updateViews()
+	f.setEvents()
+	f.timeline.runUntil(options.Length + options.Rest)
+	f.finish()
+	return f.result
+}
+
+func (f *fleet) addEngine(id, zone string) *engine {
+	added := newEngine(f.options.Engine, f.timeline, id, zone)
+	added.onReadPart = f.readPart
+	f.engines = append(f.engines, added)
+	f.all = append(f.all, added)
+	return added
+}
+
+func (f *fleet) readPart(part promptcache.Part) {
+	f.result.Read += uint64(part.Tokens)
+	if f.result.readBefore[part.Prefix] {
+		f.result.ReadTwice += uint64(part.Tokens)
+	}
+	f.result.readBefore[part.Prefix] = true
+}
+
+func (f *fleet) updateViews() {
+	for _, front := range f.fronts {
+		front.view()
+	}
+}
+
+func (f *fleet) setEvents() {
+	for at := range f.options.Programs {
+		f.nextProgram(&f.options.Programs[at], at == 0)
+	}
+	for at, front := range f.fronts {
+		f.every(time.Duration(float64(time.Second)/f.options.SamplesPerSecond), time.Duration(at)*time.Millisecond, front.sample)
+	}
+	if f.options.Digests > 0 {
+		f.every(f.options.Digests, 0, f.exchangeDigests)
+	}
+	f.setSlow()
+	f.setRelease()
+}
+
+func (f *fleet) every(interval, offset time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		if f.timeline.now < f.options.Length+f.options.Rest {
+			f.timeline.after(interval, again)
+		}
+	}
+	f.timeline.after(interval+offset, again)
+}
+
+func (f *fleet) exchangeDigests() {
+	since := f.timeline.clock().Add(-10 * time.Second)
+	for _, from := range f.fronts {
+		digest := from.cache.Digest(since)
+		for _, to := range f.fronts {
+			if to != from {
+				to.cache.Merge(digest)
+			}
+		}
+	}
+}
+
+func (f *fleet) setSlow() {
+	for at := range f.options.Slow.Servers {
+		slow := f.engines[(at*5+2)%len(f.engines)]
+		f.timeline.after(f.options.Slow.From, func() { slow.slowness = f.options.Slow.Factor })
+		f.timeline.after(f.options.Slow.From+f.options.Slow.For, func() { slow.slowness = 1 })
+	}
+}
+
+// setRelease drains one server after the other, each replaced by an empty one.
+func (f *fleet) setRelease() {
+	count := int(f.options.Release.Share * float64(len(f.engines)))
+	for at := range count {
+		f.timeline.after(f.options.Release.From+time.Duration(at)*f.options.Release.Gap, func() { f.replace(f.all[at]) })
+	}
+}
+
+func (f *fleet) replace(old *engine) {
+	old.draining = true
+	f.engines = slices.DeleteFunc(slices.Clone(f.engines), func(e *engine) bool { return e == old })
+	for _, front := range f.fronts {
+		front.cache.Forget(old.id)
+	}
+	f.timeline.after(f.options.Release.Gap/2, func() {
+		f.replaced++
+		f.addEngine(fmt.Sprintf("server-new-%02d", f.replaced), old.zone)
+		f.updateViews()
+	})
+}
+
+// nextProgram lets programs of a kind begin at random times.
+func (f *fleet) nextProgram(spec *ProgramSpec, bursts bool) {
+	rate := spec.PerSecond * f.options.Load
+	now := f.timeline.now
+	if burst := f.options.Burst; bursts && burst.Factor > 0 && now >= burst.From && now < burst.From+burst.For {
+		rate *= burst.Factor
+	}
+	wait := time.Duration(f.planned.ExpFloat64() / rate * float64(time.Second))
+	if now+wait > f.options.Length {
+		return
+	}
+	f.timeline.after(wait, func() {
+		f.begin(spec)
+		f.nextProgram(spec, bursts)
+	})
+}
+
+func (f *fleet) begin(spec *ProgramSpec) {
+	f.started++
+	plan := planProgram(spec, f.planned)
+	p := &program{spec: spec, name: fmt.Sprintf("program-%d", f.started), started: f.timeline.now, ideal: plan.ideal(f.options.Engine)}
+	p.deadline = p.started + time.Duration(aimFactor*float64(p.ideal)) + aimMargin
+	l := &line{
+		program: p, session: p.name, front: f.fronts[f.planned.IntN(len(f.fronts))],
+		parts: []linePart{sharedPart(spec, f.planned)}, done: func() { f.end(p) },
+	}
+	f.result.Programs++
+	f.run(l, plan, 0)
+}
+
+func (f *fleet) end(p *program) {
+	kind := f.result.kinds[p.spec.Name]
+	kind[1]++
+	switch {
+	case p.failed:
+		f.result.Failed++
+	case f.timeline.now <= p.deadline:
+		f.result.InAim++
+		kind[0]++
+	default:
+		f.result.Late++
+	}
+	f.result.kinds[p.spec.Name] = kind
+}
+
+// run takes the turns of a line from one on.
+func (f *fleet) run(l *line, plan *linePlan, turn int) {
+	if turn == len(plan.turns) || l.program.failed {
+		l.done()
+		return
+	}
+	next := plan.turns[turn]
+	l.parts = append(slices.Clone(l.parts), linePart{id: fmt.Sprintf("%s/%d", l.session, turn), tokens: next.input})
+	chain := promptcache.NewChain("model", len(l.parts))
+	for _, part := range l.parts {
+		chain.Add(part.id, part.tokens)
+	}
+	issued := f.timeline.now
+	f.result.Turns++
+	onFirst := func() { f.result.FirstTokens = append(f.result.FirstTokens, f.timeline.now-issued) }
+	onDone := func() {
+		f.timeline.after(way/2, func() {
+			f.subAgents(l, next.subAgents, func() {
+				pause := next.pause
+				if turn+1 == len(plan.turns) {
+					pause = 0
+				}
+				f.timeline.after(pause, func() { f.run(l, plan, turn+1) })
+			})
+		})
+	}
+	onFail := func() {
+		l.program.failed = true
+		l.done()
+	}
+	l.front.issue(l, l.program.spec.Rank, chain.Prompt(), next.output, nil, onFirst, onDone, onFail)
+}
+
+// subAgents runs lines side by side that go on from what was said, and goes on when all are done.
+func (f *fleet) subAgents(parent *line, plans []*linePlan, then func()) {
+	if len(plans) == 0 {
+		then()
+		return
+	}
+	left := len(plans)
+	for at, plan := range plans {
+		sub := &line{
+			program: parent.program, session: fmt.Sprintf("%s.%d.%d", parent.session, len(parent.parts), at),
+			front: f.fronts[(f.started+at)%len(f.fronts)], parts: slices.Clone(parent.parts),
+		}
+		sub.done = func() {
+			if left--; left == 0 {
+				then()
+			}
+		}
+		f.run(sub, plan, 0)
+	}
+}
+
+func (f *fleet) finish() {
+	slices.Sort(f.result.FirstTokens)
+	busy := time.Duration(0)
+	for _, engine := range f.all {
+		f.result.Preempted += engine.preempted
+		busy += engine.busyTime
+	}
+	f.result.Utilized = busy.Seconds() / (f.options.Length.Seconds() * float64(f.options.Servers))
+	for name, kind := range f.result.kinds {
+		f.result.ByKind[name] = float64(kind[0]) / float64(kind[1])
+	}
+}
--- /dev/null
+++ b/internal/schedule/schedulesim/front.go
@@ -0,0 +1,156 @@
+package schedulesim
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/promptcache"
+	"github.com/rosestand/rosestand/internal/schedule"
+)
+
+const (
+	// reportLag is how old a report is when it is given.
+	reportLag = 100 * time.Millisecond
+	// reportLife is how long a report is believed.
+	reportLife = 2 * time.Second
+)
+
+// serverState is what a front node knows of one server.
+type serverState struct {
+	engine        *engine
+	inFlight      uint32
+	waiting       uint32
+	pendingTokens uint64
+	slowness      schedule.Slowness
+	report        report
+}
+
+type report struct {
+	at              time.Duration
+	known           bool
+	running, queued int
+	used            uint64
+	waiting         uint32
+}
+
+// front is one front node that decides by itself.
+type front struct {
+	fleet    *fleet
+	name     string
+	zone     string
+	random   *rand.Rand
+	cache    *promptcache.Model
+	profile  schedule.ProfileEstimator
+	servers  map[string]*serverState
+	sequence uint64
+}
+
+func newFront(fleet *fleet, name, zone string, random *rand.Rand) *front {
+	f := &front{fleet: fleet, name: name, zone: zone, random: random, cache: promptcache.New(), servers: make(map[string]*serverState)}
+	f.cache.SetFronts(fleet.options.Fronts)
+	return f
+}
+
+// view brings the servers known into line with those that run.
+func (f *front) view() {
+	for _, server := range f.fleet.engines {
+		if f.servers[server.id] == nil {
+			f.servers[server.id] = &serverState{engine: server}
+			f.cache.Resize(server.id, server.spec.CacheTokens)
+		}
+	}
+}
+
+// sample asks the one of two random servers that was asked longer ago.
+func (f *front) sample() {
+	servers := f.fleet.engines
+	one, two := f.servers[servers[f.random.IntN(len(servers))].id], f.servers[servers[f.random.IntN(len(servers))].id]
+	if two.report.at < one.report.at {
+		one = two
+	}
+	running, queued := one.engine.running()
+	taken := report{
+		at: f.fleet.timeline.now, known: true, running: running, queued: queued, used: one.engine.used(),
+		waiting: one.waiting,
+	}
+	f.fleet.timeline.after(reportLag, func() {
+		one.report = taken
+		f.cache.Resize(one.engine.id, one.engine.spec.CacheTokens-min(one.engine.spec.CacheTokens, taken.used))
+	})
+}
+
+func (f *front) candidates(prompt promptcache.Prompt) []schedule.Candidate {
+	now := f.fleet.timeline.clock()
+	candidates := make([]schedule.Candidate, 0, len(f.fleet.engines))
+	for _, server := range f.fleet.engines {
+		state := f.servers[server.id]
+		candidate := schedule.Candidate{
+			ID: server.id, Zone: server.zone, Draining: server.draining, Capacity: uint32(server.spec.Slots), Weight: 1,
+			InFlight: state.inFlight, Waiting: state.waiting, PendingTokens: state.pendingTokens,
+			CachedTokens: f.cache.Cached(server.id, prompt), CacheTokens: server.spec.CacheTokens,
+			Slowness: state.slowness.Factor(now),
+		}
+		if age := f.fleet.timeline.now - state.report.at; state.report.known && age < reportLife {
+			candidate.Running, candidate.Queued = uint32(state.report.running), uint32(state.report.queued)
+			candidate.UsedTokens, candidate.ReportAge = state.report.used, age
+			candidate.WaitingAtReport = state.report.waiting
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+// choose places one turn.
+func (f *front) choose(l *line, prompt promptcache.Prompt, output uint64, avoid []string) *serverState {
+	f.sequence++
+	request := schedule.Request{
+		Algorithm: f.fleet.options.Algorithm, Front: f.name, Zone: f.zone, SubsetSize: uint32(len(f.fleet.engines)),
+		AffinityKey: l.program.name, Last: l.last, Avoid: avoid, Sequence: f.sequence,
+		PromptTokens: prompt.Tokens(), OutputTokens: output, Profile: f.profile.Profile(),
+	}
+	return f.servers[schedule.Choose(request, f.candidates(prompt), f.random).Chosen]
+}
+
+// issue sends a turn to the server that the policy chooses, to another when that one is full.
+func (f *front) issue(l *line, rank uint32, prompt promptcache.Prompt, output uint64, avoid []string, onFirst, onDone func(), onFail func()) {
+	state := f.choose(l, prompt, output, avoid)
+	if state == nil || len(avoid) >= 3 {
+		onFail()
+		return
+	}
+	timeline := f.fleet.timeline
+	own := prompt.Tokens() - f.cache.Cached(state.engine.id, prompt)
+	ahead := state.pendingTokens
+	issued := timeline.now
+	f.cache.Sent(state.engine.id, prompt, timeline.clock())
+	state.inFlight++
+	state.waiting++
+	state.pendingTokens += own
+	request := &generation{prompt: prompt, output: output, rank: rank}
+	first := time.Duration(0)
+	firstSeen := func() {
+		state.waiting--
+		state.pendingTokens -= own
+		first = timeline.now
+		state.slowness.Observe(f.profile.Profile().FirstToken(own+ahead), first-issued, timeline.clock())
+		f.profile.ObserveFirstToken(own, ahead, first-issued)
+		onFirst()
+	}
+	request.onFirst = firstSeen
+	request.onDone = func() {
+		state.inFlight--
+		state.slowness.Observe(time.Duration(output)*f.profile.Profile().StepTime, timeline.now-first, timeline.clock())
+		f.profile.ObserveOutput(output, timeline.now-first)
+		l.last = state.engine.id
+		onDone()
+	}
+	timeline.after(way/2, func() {
+		if state.engine.submit(request) {
+			return
+		}
+		state.inFlight--
+		state.waiting--
+		state.pendingTokens -= own
+		f.issue(l, rank, prompt, output, append(avoid, state.engine.id), onFirst, onDone, onFail)
+	})
+}
--- /dev/null
+++ b/internal/schedule/schedulesim/workload.go
@@ -0,0 +1,154 @@
+package schedulesim
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/promptcache"
+)
+
+// ProgramSpec describes one kind of program.
+type ProgramSpec struct {
+	Name string
+	// PerSecond is the rate of new programs over the whole fleet.
+	PerSecond float64
+	// Rank of its turns; zero goes first.
+	Rank uint32
+	// Turns is the mean number of turns and MostTurns the largest.
+	Turns     float64
+	MostTurns int
+	// SharedTokens is the length of the part that programs share, InputTokens the mean of a turn's own part.
+	SharedTokens uint32
+	InputTokens  float64
+	// OutputTokens is the mean that a turn generates.
+	OutputTokens float64
+	// Pause is the mean time between two turns, tools included.
+	Pause time.Duration
+	// SubAgents is the share of programs that once start sub-agents with turns of their own, SubAgentCount how many.
+	SubAgents     float64
+	SubAgentCount int
+	SubAgentTurns int
+}
+
+const (
+	// sharedParts is the number of different shared parts, chosen with falling frequency.
+	sharedParts = 3
+	sharedSkew  = 0.7
+	spread      = 0.7
+	// way is the time that a turn spends outside of servers.
+	way = 26 * time.Millisecond
+	// noFork is the turn after which a line without sub-agents starts some.
+	noFork = -1
+	// aimFactor and aimMargin say by when a program should be over, from its time on idle servers.
+	aimFactor = 2.5
+	aimMargin = 200 * time.Millisecond
+)
+
+// program is one program under way.
+type program struct {
+	spec     *ProgramSpec
+	name     string
+	started  time.Duration
+	deadline time.Duration
+	// ideal is the time on idle servers, counted as the turns are made up.
+	ideal  time.Duration
+	failed bool
+}
+
+// line is one line of turns: the program's own or a sub-agent's.
+type line struct {
+	program *program
+	session string
+	front   *front
+	last    string
+	prompt  promptcache.Prompt
+	parts   []linePart
+	turns   int
+	done    func()
+}
+
+type linePart struct {
+	id     string
+	tokens uint32
+}
+
+// turnPlan is one turn with all that chance decides, fixed before any server is chosen.
+type turnPlan struct {
+	input     uint32
+	output    uint64
+	pause     time.Duration
+	subAgents []*linePlan
+}
+
+// linePlan is the plan of a whole line, so that policies are compared on the same programs.
+type linePlan struct {
+	turns []turnPlan
+}
+
+func planLine(spec *ProgramSpec, random *rand.Rand, turns, forkAfter int) *linePlan {
+	plan := &linePlan{}
+	for at := range turns {
+		turn := turnPlan{
+			input:  uint32(lognormal(random, spec.InputTokens, spread, 5*spec.InputTokens)),
+			output: uint64(lognormal(random, spec.OutputTokens, 0.8, 4*spec.OutputTokens)),
+			pause:  time.Duration(lognormal(random, float64(spec.Pause), 0.6, 4*float64(spec.Pause))),
+		}
+		if at == forkAfter {
+			for range spec.SubAgentCount {
+				turn.subAgents = append(turn.subAgents, planLine(spec, random, spec.SubAgentTurns, noFork))
+			}
+		}
+		plan.turns = append(plan.turns, turn)
+	}
+	return plan
+}
+
+func planProgram(spec *ProgramSpec, random *rand.Rand) *linePlan {
+	turns := max(int(math.Round(lognormal(random, spec.Turns, 0.4, float64(spec.MostTurns)))), 1)
+	forkAfter := noFork
+	if random.Float64() < spec.SubAgents {
+		forkAfter = random.IntN(turns)
+	}
+	return planLine(spec, random, turns, forkAfter)
+}
+
+// lognormal draws from a distribution of the mean, with the sigma of its logarithm, cut at the most.
+func lognormal(random *rand.Rand, mean, sigma, most float64) float64 {
+	return max(1, min(most, mean*math.Exp(random.NormFloat64()*sigma-sigma*sigma/2)))
+}
+
+// sharedPart draws one of the shared parts.
+func sharedPart(spec *ProgramSpec, random *rand.Rand) linePart {
+	weights, total := [sharedParts]float64{}, 0.0
+	for at := range weights {
+		weights[at] = math.Pow(float64(at+1), -sharedSkew)
+		total += weights[at]
+	}
+	drawn := random.Float64() * total
+	for at, weight := range weights {
+		if drawn -= weight; drawn < 0 {
+			return linePart{id: spec.Name + strconv.Itoa(at), tokens: spec.SharedTokens}
+		}
+	}
+	return linePart{id: spec.Name + "0", tokens: spec.SharedTokens}
+}
+
+// ideal is the time of a line on idle servers that have read all that it repeats.
+func (p *linePlan) ideal(engine EngineSpec) time.Duration {
+	total := time.Duration(0)
+	for at, turn := range p.turns {
+		total += way + time.Duration(float64(turn.input)/engine.PromptRate*float64(time.Millisecond))
+		total += time.Duration(turn.output) * (engine.StepTime + engine.PerRequest)
+		longest := time.Duration(0)
+		for _, sub := range turn.subAgents {
+			longest = max(longest, sub.ideal(engine))
+		}
+		total += longest
+		if at+1 < len(p.turns) {
+			total += turn.pause
+		}
+	}
+	return total
+}
--- a/internal/schedule/slowness.go
+++ b/internal/schedule/slowness.go
@@ -47,3 +47,12 @@
 	}
 	return s.logarithm * math.Exp(-max(now.Sub(s.at), 0).Seconds()/slownessMemory.Seconds())
 }
+
+// FactorWhileWaiting is the factor when the oldest request without a first token has waited for so long: it tells of
+// a server that became slow before any answer does.
+func (s *Slowness) FactorWhileWaiting(expected, waited time.Duration, now time.Time) float64 {
+	if expected <= 0 {
+		return s.Factor(now)
+	}
+	return max(s.Factor(now), min(float64(waited)/float64(expected), mostSlowness))
+}
