Charge the reservations of front nodes that are gone when they hold a budget

Cause: a reservation whose owner died stayed open until its own session was claimed again; other sessions of the program were told budget_held for ever. Now a front node that meets a held budget claims the sessions whose owners are no members any more, at which the ledger charges their ceilings, and reserves once more.

--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -60,9 +60,12 @@
 }
 
 func (r *turnRun) reserve(command turn.Reserve) turn.Event {
-	result := r.ledger("reserve", &protocol.LedgerOperation{
-		Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: command.Operation},
-	})
+	result := r.reserveOnce(command.Operation)
+	held := result.GetStatus() == protocol.LedgerStatus_LEDGER_BUDGET_HELD
+	// Reservations of owners that are gone may hold the budget: nothing would ever settle them.
+	if held && r.service.chargeLost(r.ctx, result.GetProgram(), r.incarnation) {
+		result = r.reserveOnce(command.Operation)
+	}
 	return turn.Reserved{Result: result}
 }
 
