Place turns of HTTP routes by what servers have cached and how fast they are

The front plane tells the group's model of each turn that it sends, of first tokens and of ends, and the policy gets cached and pending tokens, slowness, memory and ejections from it. Connections to servers that left the view are closed; turns carry their route's rank to the servers; one read of a conversation ends after 1 s.

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/dialect"
+	"github.com/rosestand/rosestand/internal/promptcache"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/turn"
@@ -43,22 +44,40 @@
 	return "http://" + b.description.Load().GetAddress() + path
 }
 
-// isServerFault tells a sick server from one that is busy or refused for good reason.
-func isServerFault(fault turn.BackEndFault) bool {
-	return fault == turn.FaultNotSent || fault == turn.FaultBroken || fault == turn.FaultMismatch
+// outcomeOf says what a fault of an attempt tells of the server's health.
+func outcomeOf(fault turn.BackEndFault) schedule.Outcome {
+	switch fault {
+	case turn.FaultNotSent:
+		return schedule.OutcomeUnreachable
+	case turn.FaultBroken, turn.FaultMismatch:
+		return schedule.OutcomeFault
+	case turn.FaultRefused, turn.FaultFenced, turn.FaultRejected:
+	}
+	return schedule.OutcomeNotExecuted
 }
 
 // record takes the outcome of one attempt for outlier ejection.
-func (b *backEnd) record(fault bool, now time.Time) {
+func (b *backEnd) record(outcome schedule.Outcome, now time.Time) {
 	b.mutex.Lock()
-	b.outlier.Record(fault, now)
+	b.outlier.Observe(outcome, now)
 	b.mutex.Unlock()
 }
 
-func (b *backEnd) health(now time.Time) (ejected bool, share float64) {
+// health is what is known of a server's faults.
+type health struct {
+	ejected     bool
+	share       float64
+	until       time.Time
+	unreachable bool
+}
+
+func (b *backEnd) health(now time.Time) health {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.outlier.Ejected(now), b.outlier.Share(now)
+	return health{
+		ejected: b.outlier.Ejected(now), share: b.outlier.Share(now),
+		until: b.outlier.Until(), unreachable: b.outlier.Unreachable(),
+	}
 }
 
 // report takes in the load that rides on an answer: "running=1,queued=0,capacity=16".
@@ -166,17 +185,23 @@
 	snapshot := make([]schedule.Candidate, 0, len(servers))
 	for _, server := range servers {
 		description := server.description.Load()
-		ejected, share := server.health(now)
+		known := server.health(now)
 		capacity := description.GetCapacity()
 		if reported := server.capacity.Load(); reported > 0 {
 			capacity = reported
 		}
 		running, queued := server.reported(now)
+		age := time.Duration(0)
+		if at := server.reportedAt.Load(); at > 0 {
+			age = time.Duration(now.UnixNano() - at)
+		}
 		snapshot = append(snapshot, schedule.Candidate{
-			ID: description.GetId(), Zone: description.GetZone(), Region: description.GetRegion(), Draining: server.draining.Load(), Ejected: ejected,
+			ID: description.GetId(), Zone: description.GetZone(), Region: description.GetRegion(), Draining: server.draining.Load(), Ejected: known.ejected,
+			EjectedUntil: known.until, Unreachable: known.unreachable && known.ejected,
+			ReportAge: age, UsedTokens: server.cacheUsed.Load(), CacheTokens: server.cacheTotal.Load(),
 			Capacity: capacity, InFlight: uint32(max(server.inFlight.Load(), 0)),
 			Running: running, Queued: queued,
-			Weight: zoneWeight(group, description.GetZone()) * share,
+			Weight: zoneWeight(group, description.GetZone()) * known.share,
 		})
 	}
 	return snapshot
@@ -201,6 +226,9 @@
 	region   string
 	front    string
 	sequence uint64
+	// prompt and output are those of a turn of an HTTP route.
+	prompt promptcache.Prompt
+	output uint64
 }
 
 // serversOf finds the servers of a group that serve a model or tool, or all of them when none is named.
@@ -212,7 +240,7 @@
 }
 
 // place runs the scheduling policy of a bundle.
-func (b *backEnds) place(p placement, now time.Time) schedule.Decision {
+func (b *backEnds) place(p placement, models *groupModels, now time.Time) schedule.Decision {
 	group := p.index.Group(p.key.group)
 	policy := p.index.Bundle().GetScheduling()
 	request := schedule.Request{
@@ -220,6 +248,9 @@
 		Front: p.front, Zone: p.zone, Region: p.region, ZoneLocalFirst: group.GetZoneLocalFirst(),
 		AffinityKey: p.affinity, Last: p.last, Avoid: p.avoid, Sequence: p.sequence,
 	}
+	found := candidates(b.serversOf(p.key), group, now)
+	request.Profile = models.complete(p.key.group, p.prompt, found, now)
+	request.PromptTokens, request.OutputTokens = p.prompt.Tokens(), p.output
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return schedule.Choose(request, candidates(b.serversOf(p.key), group, now), random)
+	return schedule.Choose(request, found, random)
 }
--- a/internal/front/chain.go
+++ b/internal/front/chain.go
@@ -43,7 +43,7 @@
 
 // readPage reads turns newest first; an empty answer is a missing turn.
 func (s *Service) readPage(ctx context.Context, program, last string) ([]*protocol.Turn, protocol.LedgerStatus) {
-	result := s.ledgerDo(ctx, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_ReadTurns{
+	result := s.ledgerWithin(ctx, chainTimeout, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_ReadTurns{
 		ReadTurns: &protocol.ReadTurns{LastTurn: last, Limit: historyPage},
 	}})
 	if result.GetStatus() == protocol.LedgerStatus_LEDGER_OK && len(result.GetTurns()) == 0 {
@@ -54,7 +54,7 @@
 
 // findForeign looks a turn up in all programs.
 func (s *Service) findForeign(ctx context.Context, id string) ([]*protocol.Turn, protocol.LedgerStatus) {
-	result := s.ledgerDo(ctx, &protocol.LedgerOperation{
+	result := s.ledgerWithin(ctx, chainTimeout, &protocol.LedgerOperation{
 		Program: id, Body: &protocol.LedgerOperation_FindTurn{FindTurn: &protocol.FindTurn{TurnId: id}},
 	})
 	if result.GetStatus() == protocol.LedgerStatus_LEDGER_OK && len(result.GetTurns()) == 0 {
--- a/internal/front/httpissue.go
+++ b/internal/front/httpissue.go
@@ -60,15 +60,31 @@
 
 func (c *routeClient) headers(request routedRequest, server string, left int64) []*protocol.HttpHeader {
 	given := request.http.GetHeaders()
-	headers := make([]*protocol.HttpHeader, 0, len(given)+3)
+	headers := make([]*protocol.HttpHeader, 0, len(given)+4)
 	headers = append(headers, given...)
 	headers = append(headers, &protocol.HttpHeader{Name: c.dialect.TimeLeft, Value: strconv.FormatInt(left, 10)})
+	if c.dialect.ServerRank != "" && request.http.GetKind() == protocol.HttpRouteKind_HTTP_STREAMING {
+		headers = append(headers, &protocol.HttpHeader{Name: c.dialect.ServerRank, Value: serverRank(request.http.GetRank())})
+	}
 	if c.dialect.TargetServer != "" {
 		headers = append(headers, &protocol.HttpHeader{Name: c.dialect.TargetServer, Value: server})
 	}
 	return headers
 }
 
+const (
+	// firstServerRank is the rank at servers of the most urgent routes, and rankStep the distance of the
+	// others; routes that a server knows no rank of have 5.
+	firstServerRank = 3
+	rankStep        = 2
+	lastServerRank  = 9
+)
+
+// serverRank maps a route's rank to one that servers know.
+func serverRank(rank uint32) string {
+	return strconv.Itoa(int(min(firstServerRank+rankStep*rank, lastServerRank)))
+}
+
 // faultOf reads the answers by which a server says that it did not run the
 // request, and finds those that are no answer to it. The exchange is ended then.
 func (c *routeClient) faultOf(response *serverconn.Response, requestID string) *backEndError {
@@ -115,4 +131,13 @@
 	return turn.CallDone{Status: status, Body: body, Headers: headers}, nil
 }
 
+// forgetGone closes the resting connections to servers that are in the view no more.
+func (c *routeClient) forgetGone(former, current *backEnds) {
+	for id, server := range former.byID {
+		if current.byID[id] == nil {
+			c.pool.Forget(server.description.Load().GetAddress())
+		}
+	}
+}
+
 func (c *routeClient) close() { c.pool.Close() }
--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -82,12 +82,14 @@
 	r.issuedAt = r.now()
 	r.explanation.step("issued", command.BackEnd)
 	r.server.inFlight.Add(1)
+	r.sent = r.service.models.sent(r.route.GetGroup(), r.server.id(), promptOf(r.request.GetHttp()), r.issuedAt)
 	response, err := r.service.routes.send(r.ctx, routedRequest{
 		server: r.server, requestID: r.request.GetRequestId(), http: r.request.GetHttp(),
 		body: joinItems(command.Items), deadline: r.deadline,
 	})
 	if err != nil {
 		r.server.inFlight.Add(-1)
+		r.endSent(false)
 		if reason := r.stopReason(); reason != 0 {
 			return turn.Stopped{Reason: reason}
 		}
--- a/internal/front/ledgeroperations.go
+++ b/internal/front/ledgeroperations.go
@@ -9,13 +9,19 @@
 
 const (
 	ledgerTimeout = 3 * time.Second
+	// chainTimeout bounds one read of a conversation: its caller hears soon when to come back.
+	chainTimeout = time.Second
 	historyPage   = 128
 )
 
 // ledgerDo carries out an operation. It is detached from the caller's context:
 // once sent, a change must be heard out, or its outcome would be unknown.
 func (s *Service) ledgerDo(ctx context.Context, operation *protocol.LedgerOperation) *protocol.LedgerResult {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	return s.ledgerWithin(ctx, ledgerTimeout, operation)
+}
+
+func (s *Service) ledgerWithin(ctx context.Context, limit time.Duration, operation *protocol.LedgerOperation) *protocol.LedgerResult {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	result, err := s.ledger.Do(ctx, operation)
 	if err != nil || result == nil {
--- a/internal/front/owner.go
+++ b/internal/front/owner.go
@@ -137,7 +137,7 @@
 // choose runs the policy and returns the server chosen, or nil.
 func (s *Service) choose(wanted placement) (*backEnd, schedule.Decision) {
 	servers := s.backEnds.Load()
-	decision := servers.place(wanted, s.clock.Now())
+	decision := servers.place(wanted, s.models, s.clock.Now())
 	return servers.byID[decision.Chosen], decision
 }
 
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -61,6 +61,7 @@
 
 	client       *backEndClient
 	routes       *routeClient
+	models       *groupModels
 	admission    *admission
 	sessions     *sessions
 	explanations *explanations
@@ -93,6 +94,7 @@
 		ownership: options.Ownership, caller: options.Caller, clock: options.Clock, logger: options.Logger,
 		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout),
 		routes:    newRouteClient(options.Dialect, options.Clock),
+		models:    newGroupModels(),
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
 		explanations: newExplanations(options.Clock, options.Self.GetName()),
 		stopped:      make(chan struct{}),
@@ -117,16 +119,22 @@
 		held = &backEnds{}
 	}
 	if s.backEnds.Load() == nil || held.version != view.BackEnds.GetVersion() {
-		s.backEnds.Store(held.next(view.BackEnds))
-	}
-	share := 1.0
-	if fronts := countFronts(view.Membership); fronts > 0 {
-		share = 1 / float64(fronts)
+		next := held.next(view.BackEnds)
+		s.backEnds.Store(next)
+		s.routes.forgetGone(held, next)
 	}
+	fronts := max(countFronts(view.Membership), 1)
+	share := 1 / float64(fronts)
 	s.share.Store(&share)
+	s.models.update(s.backEnds.Load(), fronts, s.cacheTokensOf)
 	s.boundAdmission()
 }
 
+// cacheTokensOf is the size of the KV cache of a group's servers; zero for servers without one.
+func (s *Service) cacheTokensOf(group string) uint64 {
+	return s.policies.Load().active.Group(group).GetEngine().GetCacheTokens()
+}
+
 func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
 func countFronts(view *protocol.MembershipView) int {
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -12,6 +12,7 @@
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/limit"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/turn"
 )
 
@@ -237,11 +238,13 @@
 
 func (r *callRun) issue(command turn.IssueCall) turn.Event {
 	r.explanation.step("issued", command.BackEnd)
+	issuedAt := r.now()
 	r.server.inFlight.Add(1)
 	event, err := r.send(command)
 	r.server.inFlight.Add(-1)
 	if err == nil {
-		r.server.record(false, r.now())
+		r.server.record(schedule.OutcomeAnswered, r.now())
+		r.service.models.called(r.route.GetGroup(), r.server.id(), r.now().Sub(issuedAt), r.now())
 		r.explanation.step("back end finished", command.BackEnd)
 		return event
 	}
@@ -269,7 +272,7 @@
 	if !errors.As(err, &fault) {
 		fault = &backEndError{fault: turn.FaultBroken, detail: err.Error()}
 	}
-	r.server.record(isServerFault(fault.fault), r.now())
+	r.server.record(outcomeOf(fault.fault), r.now())
 	r.service.metrics.attemptFaults.WithLabelValues(fault.fault.String()).Inc()
 	r.explanation.step("attempt failed: "+fault.fault.String(), command.BackEnd+": "+fault.detail)
 	return fault.event()
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosestand/rosestand/internal/limit"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/turn"
 )
 
@@ -30,6 +31,8 @@
 	began      time.Time
 	history    []*protocol.Item
 	generation answerStream
+	// sent is the turn at its server as the group's model sees it; nil for turns of no HTTP route.
+	sent       *sentTurn
 	server     *backEnd
 	issuedAt   time.Time
 	firstToken bool
@@ -96,15 +99,38 @@
 	switch event.(type) {
 	case turn.Token:
 		r.noteFirstToken()
+		r.noteTokens(event)
 	case turn.AnsweredWhole:
-		r.server.record(false, r.now())
+		r.server.record(schedule.OutcomeAnswered, r.now())
 	case turn.BackEndDone:
-		r.server.record(false, r.now())
+		r.server.record(schedule.OutcomeAnswered, r.now())
+		r.endSent(true)
 		r.explanation.step("back end finished", r.server.id())
 	}
 	return event
 }
 
+// noteTokens tells the group's model of the output that came.
+func (r *turnRun) noteTokens(event turn.Event) {
+	token, isToken := event.(turn.Token)
+	if r.sent == nil || !isToken {
+		return
+	}
+	if r.sent.tokens == 0 {
+		r.sent.firstToken(r.now())
+	}
+	r.sent.tokens += uint64(token.Tokens)
+}
+
+// endSent tells the group's model that the attempt is over.
+func (r *turnRun) endSent(whole bool) {
+	if r.sent == nil {
+		return
+	}
+	r.sent.ended(whole, r.now())
+	r.sent = nil
+}
+
 func (r *turnRun) noteFirstToken() {
 	r.tokens++
 	if r.firstToken {
@@ -123,7 +149,7 @@
 	if !errors.As(err, &fault) {
 		fault = &backEndError{fault: turn.FaultBroken, detail: err.Error()}
 	}
-	r.server.record(isServerFault(fault.fault), r.now())
+	r.server.record(outcomeOf(fault.fault), r.now())
 	if fault.fault == turn.FaultRefused {
 		r.service.admission.record(r.route.GetGroup(), limit.Sample{Refused: true})
 	}
@@ -134,6 +160,7 @@
 }
 
 func (r *turnRun) closeGeneration() {
+	r.endSent(false)
 	if r.generation == nil {
 		return
 	}
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -91,6 +91,7 @@
 
 func (r *turnRun) choose(avoid []string) turn.Event {
 	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), name: r.route.GetModel()}, r.key, avoid)
+	wanted.prompt, wanted.output = promptOf(r.request.GetHttp()), uint64(r.request.GetMaxOutputTokens())
 	server, decision := r.service.choose(wanted)
 	r.explanation.decided(decision)
 	if r.arm.shadow != nil && r.request.GetHttp() == nil {
--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -58,7 +58,7 @@
 		return
 	}
 	result := "ok"
-	if err := s.routes.sampleLoad(ctx, chosen); err != nil {
+	if err := s.routes.sampleLoad(ctx, chosen, s.models); err != nil {
 		result = "failed"
 	}
 	s.metrics.loadSamples.WithLabelValues(result).Inc()
@@ -150,7 +150,7 @@
 }
 
 // sampleLoad asks a server for its load in the words of the dialect.
-func (c *routeClient) sampleLoad(ctx context.Context, server *backEnd) error {
+func (c *routeClient) sampleLoad(ctx context.Context, server *backEnd, models *groupModels) error {
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
 	address := server.description.Load().GetAddress()
@@ -171,5 +171,6 @@
 		return errors.Wrap(err, "decode load report")
 	}
 	server.take(report, c.clock.Now())
+	models.reported(server.description.Load().GetGroup(), server.id(), report.CacheUsed, report.CacheTotal)
 	return nil
 }
