--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -15,6 +15,8 @@
 	routedTenant = "routes"
 	// defaultRetryAfter is told with a refusal that has no better word.
 	defaultRetryAfter = 100 * time.Millisecond
+	// repairRetry is told while the ledger or the core is being repaired, which takes about that long.
+	repairRetry = time.Second
 	// routedWriteTimeout is how long one piece of an answer may take to be written to a slow caller.
 	routedWriteTimeout = 10 * time.Second
 )
@@ -137,11 +139,7 @@
 	header := writer.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if status == http.StatusServiceUnavailable {
-		wait := time.Duration(f.GetRetryAfterMillis()) * time.Millisecond
-		if wait == 0 {
-			wait = defaultRetryAfter
-		}
-		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(retryWait(f).Seconds(), 'f', 3, 64))
 	}
 	text := f.GetCode() + ": " + f.GetMessage() + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
@@ -149,6 +147,21 @@
 	_, _ = writer.Write([]byte(text))
 }
 
+// retryWait is how long a caller should wait before it comes back. What another
+// front node can serve may be sent at once; what none can serve needs time to mend.
+func retryWait(f *protocol.Failure) time.Duration {
+	switch failure.Code(f.GetCode()) {
+	case failure.NotReady, failure.LedgerUnavailable:
+		return repairRetry
+	case failure.Draining, failure.NoAuthority, failure.NotOwner, failure.Fenced:
+		return defaultRetryAfter
+	}
+	if wait := time.Duration(f.GetRetryAfterMillis()) * time.Millisecond; wait > 0 {
+		return wait
+	}
+	return defaultRetryAfter
+}
+
 // routedStatus maps a failure to the status that callers of HTTP routes act on.
 func routedStatus(f *protocol.Failure) int {
 	code := failure.Code(f.GetCode())
