--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -104,6 +104,8 @@
 	configurations configurationHistory
 
 	electionDeadline time.Time
+	// failedElections counts those that this member began since it last heard a leader.
+	failedElections  int
 	refuseVotesUntil time.Time
 	votes            map[uint64]bool
 	transferCampaign bool
@@ -220,6 +222,7 @@
 	n.transferCampaign = false
 	if n.isVoter() {
 		n.campaign(PreCandidate, now)
+		n.failedElections++
 		return
 	}
 	n.resetElectionDeadline(now)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,14 +6,39 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
+const (
+	// electionSpread is the part of the election timeout by which deadlines are spread, so that voters rarely stand at once.
+	electionSpread = 2
+	// retryShare is the part of the election timeout after which a failed election is tried again, at the earliest.
+	retryShare = 4
+	// quickRetries is the number of failed elections after which a member waits for whole timeouts
+	// again, as one that the others do not hear or do not want should.
+	quickRetries = 4
+)
+
+// resetElectionDeadline waits for an election timeout and a little more.
 func (n *Node) resetElectionDeadline(now time.Time) {
-	spread := time.Duration(n.config.Random.Int64N(int64(n.config.ElectionTimeout)))
-	n.electionDeadline = now.Add(n.config.ElectionTimeout + spread)
+	n.electionDeadline = now.Add(n.config.ElectionTimeout + n.randomWait(n.config.ElectionTimeout/electionSpread))
+}
+
+// resetRetryDeadline waits for the answers to an election. Nobody leads then, as far as this member
+// knows, so that after a tie it need not wait for a whole election timeout.
+func (n *Node) resetRetryDeadline(now time.Time) {
+	if n.failedElections >= quickRetries {
+		n.resetElectionDeadline(now)
+		return
+	}
+	n.electionDeadline = now.Add(n.config.ElectionTimeout/retryShare + n.randomWait(n.config.ElectionTimeout/electionSpread))
+}
+
+func (n *Node) randomWait(limit time.Duration) time.Duration {
+	return time.Duration(n.config.Random.Int64N(int64(limit)))
 }
 
 // hearLeader notes a message of the leader of this term: the promise not to vote starts anew.
 func (n *Node) hearLeader(leader uint64, now time.Time) {
 	n.leader = leader
+	n.failedElections = 0
 	n.refuseVotesUntil = now.Add(n.config.ElectionTimeout)
 	n.resetElectionDeadline(now)
 }
@@ -47,7 +72,7 @@
 	n.role, n.leader = role, 0
 	n.incoming = incomingSnapshot{}
 	n.votes = map[uint64]bool{n.config.ID: true}
-	n.resetElectionDeadline(now)
+	n.resetRetryDeadline(now)
 	kind, term := protocol.ConsensusMessageKind_PRE_VOTE, n.term+1
 	if role == Candidate {
 		n.term++
@@ -84,12 +109,14 @@
 		n.becomeLeader(now)
 	case refused > len(voters)-quorum:
 		n.becomeFollower(n.term, 0, now)
+		n.resetRetryDeadline(now)
 	}
 }
 
 func (n *Node) becomeLeader(now time.Time) {
 	n.role, n.leader, n.votes = Leader, n.config.ID, nil
 	n.transferCampaign = false
+	n.failedElections = 0
 	n.transfer = transferState{}
 	n.rounds, n.peers, n.reads = nil, nil, nil
 	n.uncommittedBytes = 0
@@ -109,6 +136,20 @@
 		answer.Term = message.GetTerm()
 	}
 	n.send(answer)
+	if grant && n.yieldsTo(message) {
+		n.becomeFollower(n.term, 0, now)
+		n.resetRetryDeadline(now)
+	}
+}
+
+// yieldsTo reports whether this pre-candidate gives way to another one, so that two who stand at
+// once do not split the votes: to the longer log, and of equal logs to the higher id.
+func (n *Node) yieldsTo(rival *protocol.ConsensusMessage) bool {
+	if n.role != PreCandidate || rival.GetTerm() != n.term+1 {
+		return false
+	}
+	same := rival.GetLogIndex() == n.log.lastIndex() && rival.GetLogTerm() == n.log.lastTerm()
+	return !same || rival.GetFrom() > n.config.ID
 }
 
 func (n *Node) stepVote(message *protocol.ConsensusMessage, now time.Time) {
--- /dev/null
+++ b/internal/core/replica/baddays_test.go
@@ -0,0 +1,243 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// The stories of this file play days on which machines of a small core are lost one after another, each as soon as the one
+// before it had its time to catch up. The core bears the loss of one machine at a time, and of all processes at once.
+
+const (
+	// catchUp is the time that a machine has after its return, or its successor after its start, before the next one may go.
+	catchUp = 4200 * time.Millisecond
+	// leaderlessLimit is the longest time without a leader after the loss of one machine.
+	leaderlessLimit = 800 * time.Millisecond
+	// oneWayLimit is that of a machine that sends and hears nothing: a leader that is one gives up first.
+	oneWayLimit = 1200 * time.Millisecond
+	// restartLimit is the longest time without a leader after all processes have started again.
+	restartLimit = 800 * time.Millisecond
+)
+
+// quickOptions are those of a core that must repair itself within catchUp.
+func quickOptions(f *fleet) {
+	f.options.ElectionTimeout = 400 * time.Millisecond
+	f.options.HeartbeatInterval = 80 * time.Millisecond
+	f.options.ReplaceVoterAfter = 1500 * time.Millisecond
+}
+
+// badDay is a core of three voters and a standby under losses, with commands all along.
+type badDay struct {
+	*chaos
+	// at holds the machines that stand, by number; a replaced one has a number of its own.
+	at   []int
+	next int
+	// listed holds the machines that processes are told as seeds at their start; a replaced one stays in it for a while.
+	listed []int
+	// longest is the longest time without a leader.
+	longest time.Duration
+	// longestRestart is the longest time without a leader after all processes were started again.
+	longestRestart time.Duration
+}
+
+func newBadDay(f *fleet, seed uint64) *badDay {
+	d := &badDay{
+		chaos: &chaos{fleet: f, random: rand.New(rand.NewPCG(seed, 23)), unsure: map[string]bool{}, provoked: map[string]int{}},
+		at:    []int{1, 2, 3, 4}, next: 5, listed: []int{1, 2, 3, 4},
+	}
+	d.found(3)
+	f.founders = nil
+	f.seeds = []string{f.machine(1).address, f.machine(2).address, f.machine(3).address}
+	f.machine(4).start()
+	d.eventually("the standby is there", d.whole)
+	return d
+}
+
+// live passes time with commands every 40 ms and fails when the core is without a leader for too long.
+func (d *badDay) live(duration time.Duration, limit time.Duration) {
+	d.t.Helper()
+	without := time.Duration(0)
+	const step = 40 * time.Millisecond
+	for ; duration > 0; duration -= step {
+		if d.leader() == nil {
+			without += step
+		} else {
+			without = 0
+			d.propose()
+		}
+		d.longest = max(d.longest, without)
+		if without > limit {
+			for _, m := range d.running() {
+				d.t.Logf("%s: %v", m.name, m.replica.Status())
+			}
+			d.t.Fatalf("without a leader for more than %v; so far %v", limit, d.provoked)
+		}
+		d.pass(step)
+	}
+}
+
+// start starts a machine with three of the listed ones as its seeds, itself perhaps among them.
+func (d *badDay) start(m *machine) {
+	d.t.Helper()
+	d.seeds = nil
+	for _, place := range d.random.Perm(len(d.listed))[:3] {
+		d.seeds = append(d.seeds, d.machine(d.listed[place]).address)
+	}
+	m.start()
+}
+
+// someone picks a machine that stands: the leader, a follower or the standby.
+func (d *badDay) someone() int { return d.random.IntN(len(d.at)) }
+
+func (d *badDay) duration(from, to time.Duration) time.Duration {
+	return from + time.Duration(d.random.Int64N(int64(to-from)))
+}
+
+// lose brings about one loss and returns when the machine, or its successor, runs again.
+func (d *badDay) lose() {
+	place := d.someone()
+	m := d.machine(d.at[place])
+	down := d.duration(100*time.Millisecond, 6*time.Second)
+	switch d.random.IntN(8) {
+	case 0:
+		d.provoked["power lost"]++
+		m.crash()
+		d.live(down, leaderlessLimit)
+		d.start(m)
+	case 1, 2:
+		d.provoked["disk lost"]++
+		m.crash()
+		m.disk.Lose()
+		d.live(down, leaderlessLimit)
+		d.start(m)
+	case 3:
+		d.provoked["cut off"]++
+		d.setCut(m.address, true)
+		d.live(down, leaderlessLimit)
+		d.setCut(m.address, false)
+	case 4:
+		d.provoked["replaced"]++
+		m.crash()
+		d.live(d.duration(time.Second, 2500*time.Millisecond), leaderlessLimit)
+		d.at[place] = d.next
+		d.start(d.machine(d.next))
+		d.next++
+	case 5:
+		d.provoked["deaf or mute"]++
+		deaf := d.random.IntN(2) == 0
+		d.setOneWay(m.address, deaf, !deaf)
+		d.live(down, oneWayLimit)
+		d.setOneWay(m.address, false, false)
+	case 6:
+		d.provoked["all killed while one is down"]++
+		m.crash()
+		if d.random.IntN(2) == 0 {
+			m.disk.Lose()
+		}
+		d.live(d.duration(0, 3*time.Second), leaderlessLimit)
+		d.killAll(m)
+		d.live(d.duration(0, 2*time.Second), leaderlessLimit)
+		d.start(m)
+	default:
+		d.provoked["all killed"]++
+		d.killAll(nil)
+	}
+}
+
+// killAll ends all processes and starts them again with their disks, but for one that is down.
+func (d *badDay) killAll(down *machine) {
+	d.t.Helper()
+	for _, other := range d.running() {
+		other.halt()
+	}
+	d.pass(d.duration(50*time.Millisecond, time.Second))
+	d.startAll(down)
+}
+
+func (d *badDay) startAll(down *machine) {
+	d.t.Helper()
+	for _, number := range d.at {
+		if m := d.machine(number); m != down {
+			d.start(m)
+		}
+	}
+	began := time.Now()
+	d.eventually("somebody leads after the restart of all", func() bool { return d.leader() != nil })
+	d.longestRestart = max(d.longestRestart, time.Since(began))
+}
+
+// finalFault takes the power of all machines and the disk of one, right after an acknowledgement.
+func (d *badDay) finalFault() {
+	d.t.Helper()
+	d.propose()
+	for _, m := range d.running() {
+		m.crash()
+	}
+	d.machine(d.at[d.someone()]).disk.Lose()
+	d.startAll(nil)
+}
+
+func (d *badDay) checkAcknowledged() {
+	d.t.Helper()
+	d.eventually("all that stand have the same", func() bool {
+		leader := d.leader()
+		for _, m := range d.running() {
+			if leader == nil || !slices.Equal(m.state.all(), leader.state.all()) {
+				return false
+			}
+		}
+		return len(d.running()) == len(d.at)
+	})
+	for _, m := range d.running() {
+		d.audit(m)
+	}
+}
+
+func TestALossAfterEachCatchUpIsBorne(t *testing.T) {
+	provoked, longest, longestRestart := map[string]int{}, time.Duration(0), time.Duration(0)
+	for seed := uint64(1); seed <= 16; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			story(t, func(f *fleet) {
+				quickOptions(f)
+				d := newBadDay(f, seed)
+				for range 12 {
+					d.lose()
+					d.live(catchUp+d.duration(0, 300*time.Millisecond), leaderlessLimit)
+					d.listed = slices.Clone(d.at)
+				}
+				d.finalFault()
+				d.checkAcknowledged()
+				longest, longestRestart = max(longest, d.longest), max(longestRestart, d.longestRestart)
+				for kind, count := range d.provoked {
+					provoked[kind] += count
+				}
+				provoked["acknowledged"] += len(d.acknowledged)
+			})
+		})
+	}
+	t.Logf("provoked: %v; at most %v without a leader, %v after a restart of all", provoked, longest, longestRestart)
+	if longestRestart > restartLimit {
+		t.Errorf("without a leader for %v after a restart of all", longestRestart)
+	}
+	for _, kind := range []string{"power lost", "disk lost", "cut off", "replaced", "deaf or mute", "all killed while one is down", "all killed", "acknowledged"} {
+		if provoked[kind] < 8 {
+			t.Errorf("%s came only %d times", kind, provoked[kind])
+		}
+	}
+}
+
+func TestADeafLeaderDoesNotHoldBackTheNextOne(t *testing.T) {
+	story(t, func(f *fleet) {
+		quickOptions(f)
+		former := f.found(3)
+		f.setOneWay(former.address, true, false)
+		began := time.Now()
+		f.eventually("another one leads", func() bool { next := f.leader(); return next != nil && next != former })
+		if waited := time.Since(began); waited > oneWayLimit {
+			t.Errorf("its heartbeats held the next leader back for %v", waited)
+		}
+	})
+}
--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -21,6 +21,9 @@
 	"github.com/rosestand/rosestand/internal/wire"
 )
 
+// maxMachines bounds the numbers of machines.
+const maxMachines = 40
+
 var errUnreachable = errors.New("unreachable")
 
 // journal is a state machine that keeps its commands.
@@ -84,7 +87,9 @@
 	mutex    sync.Mutex
 	machines map[string]*machine
 	cut      map[string]bool
-	started  uint64
+	// deaf machines get nothing, mute ones send nothing that arrives.
+	deaf, mute map[string]bool
+	started    uint64
 }
 
 // story runs a test in a bubble of virtual time that ends when all goroutines have ended.
@@ -93,6 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
 			t: t, machines: map[string]*machine{}, cut: map[string]bool{},
+			deaf: map[string]bool{}, mute: map[string]bool{},
 			options: Options{SnapshotEntries: 50, SnapshotChunkBytes: 512},
 		}
 		defer f.stopAll()
@@ -214,10 +220,22 @@
 	f.cut[address] = cut
 }
 
+// setOneWay cuts off one direction of a machine's links.
+func (f *fleet) setOneWay(address string, deaf, mute bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.deaf[address], f.mute[address] = deaf, mute
+}
+
+// arrives reports whether what is sent from one address to another arrives; the fleet's lock is held.
+func (f *fleet) arrives(from, to string) bool {
+	return !f.cut[from] && !f.cut[to] && !f.mute[from] && !f.deaf[to]
+}
+
 func (f *fleet) running() (running []*machine) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for number := 1; number <= 9; number++ {
+	for number := 1; number <= maxMachines; number++ {
 		m := f.machines[fmt.Sprintf("127.0.0.1:%d", 7000+number)]
 		if m != nil && m.replica != nil {
 			running = append(running, m)
@@ -303,9 +321,10 @@
 	c.fleet.mutex.Lock()
 	m := c.fleet.machines[address]
 	var target *Replica
-	if m != nil && !c.fleet.cut[address] && !c.fleet.cut[c.from] {
+	if m != nil && c.fleet.arrives(c.from, address) {
 		target = m.replica
 	}
+	answered := c.fleet.arrives(address, c.from)
 	c.fleet.mutex.Unlock()
 	if target == nil {
 		return nil, &wire.NotSentError{Address: address, Cause: errUnreachable}
@@ -318,7 +337,12 @@
 	if err := proto.Unmarshal(bytes.Clone(data), &copied); err != nil {
 		return nil, err
 	}
-	return target.ServeWire(ctx, &copied)
+	answer, err := target.ServeWire(ctx, &copied)
+	if !answered {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return answer, err
 }
 
 func (c *caller) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
--- a/internal/core/replica/owner.go
+++ b/internal/core/replica/owner.go
@@ -30,6 +30,7 @@
 	configurationIndex uint64
 	leadingTerm        uint64
 	leadingSince       time.Time
+	wasLeader          bool
 	heardLeader        time.Time
 	nextPlan           time.Time
 	transferWaiters    []chan error
@@ -38,7 +39,7 @@
 
 func (o *owner) init(replica *Replica, clusterID string, initial consensus.InitialState) error {
 	o.replica, o.clusterID = replica, clusterID
-	o.transport = newTransport(replica.options.Caller, replica.options.ElectionTimeout, replica.metrics)
+	o.transport = newTransport(replica.options, replica.metrics)
 	o.snapshots = snapshots{saved: make(chan savedSnapshot, 1)}
 	o.waiters = newWaiters()
 	return o.buildNode(initial)
@@ -216,9 +217,10 @@
 func (o *owner) publish() {
 	now, status := o.now(), o.node.Status()
 	if status.Role != consensus.Leader || status.Term != o.leadingTerm {
-		o.leadingSince = time.Time{}
+		o.endLeadership(status.Role)
 		o.waiters.leadershipLost(o.leadingTerm, o.replica.notLeader())
 	}
+	o.wasLeader = status.Role == consensus.Leader
 	if status.Role == consensus.Leader && status.Term != o.leadingTerm {
 		o.leadingTerm = status.Term
 		o.replica.metrics.leaderships.Inc()
@@ -240,6 +242,16 @@
 	})
 }
 
+// endLeadership forgets a leadership that is over. What it sent and has not left yet is dropped: its heartbeats
+// would hold back the votes for the next leader.
+func (o *owner) endLeadership(role consensus.Role) {
+	o.leadingSince = time.Time{}
+	if o.wasLeader && role == consensus.Follower {
+		o.transport.purge()
+	}
+	o.wasLeader = false
+}
+
 func (o *owner) leaderAddress(status *consensus.Status) string {
 	if status.Leader == status.ID {
 		return o.replica.self.GetAddress()
--- a/internal/core/replica/transport.go
+++ b/internal/core/replica/transport.go
@@ -9,14 +9,22 @@
 	"github.com/rosestand/rosestand/internal/wire"
 )
 
-const sendQueue = 128
+const (
+	sendQueue = 128
+	// waitShare is the part of the election timeout after which a message is too old to be sent.
+	waitShare = 2
+)
 
 // transport sends messages to members, one goroutine for each address. A full queue loses its
-// oldest message, which the protocol makes up for.
+// oldest message, and one that has waited for long is not sent any more; the protocol makes up for
+// both. Old heartbeats would else go on to hold votes back after their leader has given up.
 type transport struct {
 	caller  wire.Caller
+	clock   Clock
 	timeout time.Duration
-	metrics *metrics
+	// longestWait is how long a message may wait in its queue.
+	longestWait time.Duration
+	metrics     *metrics
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -24,15 +32,22 @@
 
 	// All belong to the replica's owner goroutine. configured is what the configuration says,
 	// addresses what is used.
-	queues                map[string]chan *protocol.ConsensusMessage
+	queues                map[string]chan queuedMessage
 	addresses, configured map[uint64]string
 }
 
-func newTransport(caller wire.Caller, timeout time.Duration, metrics *metrics) *transport {
+// queuedMessage is a message on its way and when it was queued.
+type queuedMessage struct {
+	message *protocol.ConsensusMessage
+	since   time.Time
+}
+
+func newTransport(options Options, metrics *metrics) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &transport{
-		caller: caller, timeout: timeout, metrics: metrics, context: ctx, cancel: cancel,
-		queues: map[string]chan *protocol.ConsensusMessage{}, addresses: map[uint64]string{},
+		caller: options.Caller, clock: options.Clock, metrics: metrics, context: ctx, cancel: cancel,
+		timeout: options.ElectionTimeout, longestWait: options.ElectionTimeout / waitShare,
+		queues: map[string]chan queuedMessage{}, addresses: map[uint64]string{},
 		configured: map[uint64]string{},
 	}
 }
@@ -79,14 +94,15 @@
 	}
 	queue := t.queues[address]
 	if queue == nil {
-		queue = make(chan *protocol.ConsensusMessage, sendQueue)
+		queue = make(chan queuedMessage, sendQueue)
 		t.queues[address] = queue
 		t.running.Add(1)
 		go t.deliver(address, queue)
 	}
+	queued := queuedMessage{message: message, since: t.clock.Now()}
 	for {
 		select {
-		case queue <- message:
+		case queue <- queued:
 			return
 		default:
 		}
@@ -98,17 +114,34 @@
 	}
 }
 
-func (t *transport) deliver(address string, queue <-chan *protocol.ConsensusMessage) {
+// purge drops what waits, as when leadership was lost.
+func (t *transport) purge() {
+	for _, queue := range t.queues {
+		for waiting := len(queue); waiting > 0; waiting-- {
+			select {
+			case <-queue:
+				t.metrics.dropped.Inc()
+			default:
+			}
+		}
+	}
+}
+
+func (t *transport) deliver(address string, queue <-chan queuedMessage) {
 	defer t.running.Done()
 	for {
 		select {
 		case <-t.context.Done():
 			return
-		case message, open := <-queue:
+		case queued, open := <-queue:
 			if !open {
 				return
 			}
-			t.call(address, message)
+			if t.clock.Now().Sub(queued.since) > t.longestWait {
+				t.metrics.dropped.Inc()
+				continue
+			}
+			t.call(address, queued.message)
 		}
 	}
 }
