Notice a peer without power in less than a second while calls wait on it

Cause: a silent peer was noticed after 3 s, a dial to a dead machine took 2 s, and all callers of an address waited for the first caller's dial whatever their own deadlines. Now a connection with a young exchange or fresh answers is pinged after 150 ms of silence and given up 450 ms later; one that only holds long polls is pinged once a second as before. Connecting takes 300 ms at most, with the handshake 1 s, TCP_USER_TIMEOUT is 2 s, and each caller waits for a shared dial no longer than its own time. A process that stood still itself blames no peer.

Tests (go test -race ./internal/wire, virtual time) hold 1 s for a peer lost before and during a call, and at most 50 frames for a call that rests 20 s. Not proved: real machines without power.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -29,7 +29,7 @@
 	nextID    uint64
 	broken    error
 	lastUse   time.Time
-	lastHeard time.Time
+	silence   silence
 }
 
 // dial opens a connection and proves the cluster key.
@@ -54,7 +54,7 @@
 		done:       make(chan struct{}),
 		exchanges:  make(map[uint64]*exchange),
 		lastUse:    now,
-		lastHeard:  now,
+		silence:    silence{heardAt: now, activeAt: now},
 	}, nil
 }
 
@@ -67,11 +67,9 @@
 	}
 	c.nextID++
 	e := &exchange{id: c.nextID, client: c, ctx: ctx, wake: make(chan struct{}, 1)}
-	if len(c.exchanges) == 0 {
-		c.lastHeard = time.Now()
-	}
 	c.exchanges[e.id] = e
 	c.lastUse = time.Now()
+	c.silence.began(c.lastUse, len(c.exchanges) == 1)
 	c.mutex.Unlock()
 
 	frame := &protocol.Frame{Kind: protocol.FrameKind_FRAME_REQUEST, Id: e.id, Request: request}
@@ -118,7 +116,7 @@
 
 func (c *clientConnection) deliver(frame *protocol.Frame) {
 	c.mutex.Lock()
-	c.lastHeard = time.Now()
+	c.silence.heard(time.Now(), frame.GetKind() != protocol.FrameKind_FRAME_PING)
 	e := c.exchanges[frame.GetId()]
 	c.mutex.Unlock()
 	if e == nil {
@@ -157,21 +155,3 @@
 		e.end(&BrokenError{Address: c.address, Cause: cause})
 	}
 }
-
-// check is called by the pool at every ping interval: it pings while exchanges
-// are under way, breaks a silent connection and closes an idle one.
-func (c *clientConnection) check(now time.Time, idle time.Duration) {
-	c.mutex.Lock()
-	busy := len(c.exchanges) > 0
-	silent := busy && now.Sub(c.lastHeard) > silenceLimit
-	unused := !busy && now.Sub(c.lastUse) > idle
-	c.mutex.Unlock()
-	switch {
-	case silent:
-		c.breakWith(&SilentPeerError{Limit: silenceLimit})
-	case unused:
-		c.breakWith(&IdleError{})
-	case busy:
-		_ = c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_PING})
-	}
-}
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,7 +35,7 @@
 		o.DialTimeout = defaultDialTimeout
 	}
 	if o.Dial == nil {
-		dialer := &net.Dialer{}
+		dialer := &net.Dialer{Timeout: defaultConnectTimeout, Control: boundUnacknowledged}
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
@@ -53,40 +54,41 @@
 	onBroken []func(address string)
 	closed   bool
 	stop     chan struct{}
+	// dialing ends when the pool is closed.
+	dialing      context.Context
+	stopDialing  context.CancelFunc
+	becameActive chan struct{}
+	// watchful is true while the connections are looked at often.
+	watchful atomic.Bool
 }
 
-// slot holds the connection to one address; its mutex makes concurrent callers share one dial.
+// slot holds the connection to one address, or its opening, which concurrent callers share.
 type slot struct {
 	mutex      sync.Mutex
 	connection *clientConnection
+	opening    *openingConnection
+}
+
+// openingConnection is a connection that is being opened; the results may be read once done is closed.
+type openingConnection struct {
+	done       chan struct{}
+	connection *clientConnection
+	err        error
 }
 
 // NewPool makes an empty pool.
 func NewPool(options PoolOptions) *Pool {
 	options.fill()
-	p := &Pool{options: options, slots: make(map[string]*slot), open: make(map[*clientConnection]struct{}), stop: make(chan struct{})}
+	p := &Pool{
+		options: options, slots: make(map[string]*slot), open: make(map[*clientConnection]struct{}),
+		stop: make(chan struct{}), becameActive: make(chan struct{}, 1),
+	}
+	p.dialing, p.stopDialing = context.WithCancel(context.Background())
 	p.routines.Add(1)
 	go p.watch()
 	return p
 }
 
-// watch checks all connections at every ping interval.
-func (p *Pool) watch() {
-	defer p.routines.Done()
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-p.stop:
-			return
-		case now := <-ticker.C:
-			for _, connection := range p.connections() {
-				connection.check(now, p.options.IdleTimeout)
-			}
-		}
-	}
-}
-
 func (p *Pool) connections() []*clientConnection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -137,6 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.noteActive()
 	return opened, nil
 }
 
@@ -154,43 +157,82 @@
 	return s, nil
 }
 
+// connect returns the connection to an address, and opens it when there is none.
+// It waits no longer than the context, also when another caller has begun to open it.
 func (p *Pool) connect(ctx context.Context, address string) (*clientConnection, error) {
 	s, err := p.slot(address)
 	if err != nil {
 		return nil, err
 	}
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	if s.connection != nil {
+		defer s.mutex.Unlock()
 		return s.connection, nil
 	}
-	connection, err := dial(ctx, address, p.options, &p.counters)
-	if err != nil {
-		return nil, err
+	opening := s.opening
+	if opening == nil {
+		opening = &openingConnection{done: make(chan struct{})}
+		s.opening = opening
+		if !p.begin(func() { p.openSlot(s, address, opening) }) {
+			s.opening = nil
+			s.mutex.Unlock()
+			return nil, &ClosedError{}
+		}
+	}
+	s.mutex.Unlock()
+	select {
+	case <-opening.done:
+		return opening.connection, opening.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
+}
+
+// begin runs a goroutine that Close waits for; false when the pool was closed.
+func (p *Pool) begin(run func()) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
+		return false
+	}
+	p.routines.Go(run)
+	return true
+}
+
+// openSlot opens the connection of a slot for all that wait for it.
+func (p *Pool) openSlot(s *slot, address string, opening *openingConnection) {
+	connection, err := dial(p.dialing, address, p.options, &p.counters)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err == nil && !p.adopt(s, connection) {
 		_ = connection.connection.Close()
-		return nil, &ClosedError{}
+		connection, err = nil, &ClosedError{}
+	}
+	opening.connection, opening.err = connection, err
+	s.connection, s.opening = connection, nil
+	close(opening.done)
+}
+
+// adopt begins to read and write on a new connection; false when the pool was closed.
+func (p *Pool) adopt(s *slot, connection *clientConnection) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return false
 	}
-	s.connection = connection
 	p.open[connection] = struct{}{}
-	p.routines.Add(2)
-	go p.runReader(s, connection)
-	go p.runWriter(connection)
-	return connection, nil
+	p.routines.Go(func() { p.runReader(s, connection) })
+	p.routines.Go(func() { p.runWriter(connection) })
+	return true
 }
 
 func (p *Pool) runWriter(connection *clientConnection) {
-	defer p.routines.Done()
 	if err := connection.writer.run(connection.done); err != nil {
 		connection.breakWith(err)
 	}
 }
 
 func (p *Pool) runReader(s *slot, connection *clientConnection) {
-	defer p.routines.Done()
 	connection.breakWith(connection.read())
 	s.mutex.Lock()
 	if s.connection == connection {
@@ -219,6 +261,7 @@
 	p.mutex.Lock()
 	if !p.closed {
 		close(p.stop)
+		p.stopDialing()
 	}
 	p.closed = true
 	p.mutex.Unlock()
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -134,6 +135,11 @@
 
 func (s *Server) serveConnection(connection net.Conn) {
 	defer s.untrack(connection)
+	if socket, isSocket := connection.(syscall.Conn); isSocket {
+		if raw, err := socket.SyscallConn(); err == nil {
+			_ = boundUnacknowledged("", "", raw)
+		}
+	}
 	reader := bufio.NewReaderSize(&countingReader{connection: connection, counters: &s.counters}, readBufferBytes)
 	if _, err := shakeAsServer(connection, reader, s.options.Key); err != nil {
 		if s.options.OnRefused != nil {
--- /dev/null
+++ b/internal/wire/silence_test.go
@@ -0,0 +1,167 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.connections:
+		return connection, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// peer is a server in memory that can lose power.
+type peer struct {
+	listener *pipeListener
+	server   *wire.Server
+	pool     *wire.Pool
+	dark     atomic.Bool
+	dials    atomic.Int64
+}
+
+// darkConnection swallows what is written and delivers nothing while its peer has no power.
+type darkConnection struct {
+	net.Conn
+	peer   *peer
+	closed chan struct{}
+}
+
+func (c *darkConnection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if c.peer.dark.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return count, err
+}
+
+func (c *darkConnection) Write(data []byte) (int, error) {
+	if c.peer.dark.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+func (c *darkConnection) Close() error {
+	close(c.closed)
+	return c.Conn.Close()
+}
+
+// withPeer runs a test in virtual time with a server that answers after a wait.
+func withPeer(t *testing.T, answerAfter time.Duration, then func(p *peer)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		p := &peer{listener: newPipeListener()}
+		p.server = wire.NewServer(p.listener, handlerFunc(func(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+			select {
+			case <-time.After(answerAfter):
+				return echo(ctx, request, send)
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}), wire.ServerOptions{Key: testKey})
+		p.server.Start()
+		p.pool = wire.NewPool(wire.PoolOptions{Key: testKey, Node: "test", Dial: p.dial})
+		then(p)
+		p.pool.Close()
+		p.server.Close()
+	})
+}
+
+func (p *peer) dial(ctx context.Context, _ string) (net.Conn, error) {
+	p.dials.Add(1)
+	if p.dark.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	here, there := net.Pipe()
+	p.listener.connections <- there
+	return &darkConnection{Conn: here, peer: p, closed: make(chan struct{})}, nil
+}
+
+func TestAPeerWithoutPowerIsNoticedInLessThanASecond(t *testing.T) {
+	withPeer(t, time.Hour, func(p *peer) {
+		go func() {
+			<-time.After(10 * time.Second)
+			p.dark.Store(true)
+		}()
+		<-time.After(10 * time.Second)
+		synctest.Wait()
+		began := time.Now()
+		_, err := p.pool.Call(context.Background(), "peer", explain("x"))
+		var notSent *wire.NotSentError
+		if !errors.As(err, &notSent) || time.Since(began) > time.Second {
+			t.Fatalf("a dial to it took %s: %v", time.Since(began), err)
+		}
+	})
+	withPeer(t, time.Hour, func(p *peer) {
+		go func() {
+			<-time.After(100 * time.Millisecond)
+			p.dark.Store(true)
+		}()
+		began := time.Now()
+		_, err := p.pool.Call(context.Background(), "peer", explain("x"))
+		var silent *wire.SilentPeerError
+		if !errors.As(err, &silent) || time.Since(began) > time.Second {
+			t.Fatalf("after %s: %v", time.Since(began), err)
+		}
+	})
+}
+
+func TestASlowAnswerOfALivePeerIsWaitedFor(t *testing.T) {
+	withPeer(t, 20*time.Second, func(p *peer) {
+		if _, err := p.pool.Call(context.Background(), "peer", explain("x")); err != nil {
+			t.Fatal(err)
+		}
+		if frames := p.pool.Counters().SentFrames.Load(); frames > 50 {
+			t.Fatalf("%d frames for one call that rested", frames)
+		}
+	})
+}
+
+func TestACallWaitsForAnotherCallersDialNoLongerThanItsOwnTime(t *testing.T) {
+	withPeer(t, 0, func(p *peer) {
+		p.dark.Store(true)
+		go func() { _, _ = p.pool.Call(context.Background(), "peer", explain("x")) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		if _, err := p.pool.Call(ctx, "peer", explain("y")); !errors.Is(err, context.DeadlineExceeded) || time.Since(began) > 60*time.Millisecond {
+			t.Fatalf("after %s: %v", time.Since(began), err)
+		}
+		if p.dials.Load() != 1 {
+			t.Fatalf("%d dials", p.dials.Load())
+		}
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,13 +18,14 @@
 	// MaxFrameBytes bounds one frame; larger ones end the connection.
 	MaxFrameBytes = 16 << 20
 
-	handshakeTimeout    = 3 * time.Second
-	writeTimeout        = 10 * time.Second
-	defaultIdleTimeout  = 15 * time.Second
-	defaultDialTimeout  = 2 * time.Second
+	handshakeTimeout   = 3 * time.Second
+	writeTimeout       = 10 * time.Second
+	defaultIdleTimeout = 15 * time.Second
+	// defaultConnectTimeout bounds the opening of a connection; a machine without power answers nothing.
+	defaultConnectTimeout = 300 * time.Millisecond
+	// defaultDialTimeout bounds connecting and the handshake; a frozen process accepts and says nothing.
+	defaultDialTimeout  = time.Second
 	defaultCallDeadline = 30 * time.Second
-	pingInterval        = time.Second
-	silenceLimit        = 3 * time.Second
 	// answerQueue bounds the answers of one exchange that wait for a slow receiver.
 	answerQueue = 8192
 	// maxSpareBytes is the largest write buffer that a connection keeps for its next frames.
