--- a/internal/ledger/keeping.go
+++ b/internal/ledger/keeping.go
@@ -12,7 +12,10 @@
 	// kept for longer prolongs it for its request and program.
 	KeepingTime = 24 * time.Hour
 	// ShortestKeepingTime bounds what a program may name: far above the time for which a message can be late.
-	ShortestKeepingTime = 10 * time.Minute
+	ShortestKeepingTime = 2 * time.Minute
+	// ShortestProgramTime bounds how early an idle program's record is forgotten, and its budget with it. One that was
+	// stopped may come again, far sooner than that.
+	ShortestProgramTime = 10 * time.Minute
 )
 
 // keepingMillis gives the keeping time in force for the one that a record names.
@@ -26,7 +29,7 @@
 // ProgramKeptUntil tells in Unix milliseconds when a program's record may be
 // forgotten: nothing changed it for its keeping time, and none of its finished requests is kept for longer.
 func ProgramKeptUntil(record *protocol.ProgramRecord) int64 {
-	until := record.GetUpdatedAtMillis() + keepingMillis(record.GetKeepingMillis())
+	until := record.GetUpdatedAtMillis() + max(keepingMillis(record.GetKeepingMillis()), ShortestProgramTime.Milliseconds())
 	for _, finished := range record.GetFinished() {
 		until = max(until, finished.GetKeepUntilMillis())
 	}
--- /dev/null
+++ b/internal/ledgerclient/attempt.go
@@ -0,0 +1,80 @@
+package ledgerclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+type attemptOutcome int
+
+const (
+	// attemptFinal has the answer.
+	attemptFinal attemptOutcome = iota
+	// attemptNotSent surely has not taken effect.
+	attemptNotSent
+	// attemptBroken may have taken effect, or may do so later; this replica did not say.
+	attemptBroken
+	// attemptUndecided may have taken effect, or may do so later; the replica that answers could not decide now.
+	attemptUndecided
+)
+
+// attempt asks one replica, also when its caller has the answer of another one meanwhile. One that is silent for too long is tried last for a while.
+func (c *Client) attempt(ctx context.Context, to target, operation *protocol.LedgerOperation) attemptAnswer {
+	ends := time.Now().Add(c.options.AttemptTimeout)
+	if callerEnds, bounded := ctx.Deadline(); bounded && callerEnds.Before(ends) {
+		ends = callerEnds
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), ends)
+	defer cancel()
+	silence := time.AfterFunc(silenceOf(c.options.HedgeAfter), func() { c.suspects.add(to.address) })
+	planned := proto.CloneOf(operation)
+	planned.PlacementEpoch = to.epoch
+	response, err := c.caller.Call(ctx, to.address, &protocol.Request{Body: &protocol.Request_Ledger{Ledger: planned}})
+	silence.Stop()
+	if err != nil {
+		var answered *failure.Error
+		if !errors.As(err, &answered) {
+			c.suspects.add(to.address)
+		}
+		return attemptAnswer{outcome: outcomeOf(err), err: err}
+	}
+	c.suspects.clear(to.address)
+	result := response.GetLedger()
+	switch result.GetStatus() {
+	case protocol.LedgerStatus_LEDGER_STATUS_UNSPECIFIED, protocol.LedgerStatus_LEDGER_UNAVAILABLE,
+		protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT:
+		return attemptAnswer{outcome: attemptUndecided}
+	default:
+		return attemptAnswer{result: result, outcome: attemptFinal}
+	}
+}
+
+// silenceOf is how long a replica may be silent before it is suspected: longer than until the
+// next one is asked, so that a store that is only slow keeps its programs.
+func silenceOf(hedgeAfter time.Duration) time.Duration { return 2 * hedgeAfter }
+
+// outcomeOf tells what became of a try that has no answer. A failure that says
+// the operation itself is wrong is final.
+func outcomeOf(err error) attemptOutcome {
+	var notSent *wire.NotSentError
+	var failed *failure.Error
+	switch {
+	case errors.As(err, &notSent):
+		return attemptNotSent
+	case !errors.As(err, &failed):
+		return attemptBroken
+	case failed.Code() == failure.InvalidField || failed.Code() == failure.MissingField:
+		return attemptFinal
+	case failed.Failure.GetOutcome() == protocol.Outcome_NOT_RUN:
+		return attemptNotSent
+	default:
+		return attemptUndecided
+	}
+}
--- /dev/null
+++ b/internal/ledgerclient/race.go
@@ -0,0 +1,138 @@
+package ledgerclient
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// race is one operation on its way: usually one attempt after the other, with
+// a further one at another replica while one is silent.
+type race struct {
+	client    *Client
+	operation *protocol.LedgerOperation
+	answers   chan attemptAnswer
+	ended     chan struct{}
+	// inFlight counts attempts without an answer, tried names the replicas of this round.
+	inFlight int
+	tried    []string
+	// doubtful says that an attempt that ended may have taken effect, or may still do so.
+	doubtful bool
+	wait     time.Duration
+}
+
+// attemptAnswer is how one attempt ended.
+type attemptAnswer struct {
+	result  *protocol.LedgerResult
+	outcome attemptOutcome
+	err     error
+}
+
+// raceStep says what a race does next.
+type raceStep int
+
+const (
+	// stepNext tries the next replica at once.
+	stepNext raceStep = iota
+	// stepRest waits before the next try.
+	stepRest
+	// stepFinal has the answer.
+	stepFinal
+)
+
+// try sends the operation until an answer is final. doubtful says that an
+// earlier try may have taken effect, or may still do so.
+func (c *Client) try(ctx context.Context, operation *protocol.LedgerOperation) (result *protocol.LedgerResult, doubtful bool, err error) {
+	r := &race{client: c, operation: operation, answers: make(chan attemptAnswer), ended: make(chan struct{}), wait: firstWait}
+	defer close(r.ended)
+	for ctx.Err() == nil {
+		next, known := r.next()
+		step, answer := stepRest, attemptAnswer{}
+		if known {
+			r.start(ctx, next)
+			step, answer = r.listen(ctx, c.options.HedgeAfter)
+		}
+		if step == stepRest {
+			step, answer = r.rest(ctx)
+		}
+		if step == stepFinal {
+			return answer.result, r.doubtful || r.inFlight > 0, answer.err
+		}
+	}
+	return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE), r.doubtful || r.inFlight > 0, nil
+}
+
+// next gives the first replica that was not tried in this round. Without any a
+// new round begins after a rest.
+func (r *race) next() (target, bool) {
+	for _, each := range r.client.targets(r.operation) {
+		if !slices.Contains(r.tried, each.address) {
+			return each, true
+		}
+	}
+	r.tried = r.tried[:0]
+	return target{}, false
+}
+
+// start makes an attempt in the background. It outlives the operation, so that
+// a replica that stays silent becomes a suspect also when another one answered.
+func (r *race) start(ctx context.Context, to target) {
+	r.tried = append(r.tried, to.address)
+	r.inFlight++
+	go func() {
+		answer := r.client.attempt(ctx, to, r.operation)
+		select {
+		case r.answers <- answer:
+		case <-r.ended:
+		}
+	}()
+}
+
+// listen waits for an answer for a while. Silence lets the next replica be asked.
+func (r *race) listen(ctx context.Context, patience time.Duration) (raceStep, attemptAnswer) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case answer := <-r.answers:
+		return r.judge(answer)
+	case <-timer.C:
+		return stepNext, attemptAnswer{}
+	case <-ctx.Done():
+		return stepNext, attemptAnswer{}
+	}
+}
+
+func (r *race) judge(answer attemptAnswer) (raceStep, attemptAnswer) {
+	r.inFlight--
+	switch answer.outcome {
+	case attemptFinal:
+		return stepFinal, answer
+	case attemptNotSent:
+		return stepNext, answer
+	case attemptBroken:
+		r.doubtful = true
+		return stepNext, answer
+	default:
+		r.doubtful = true
+		return stepRest, answer
+	}
+}
+
+// rest waits, longer each time, and listens meanwhile.
+func (r *race) rest(ctx context.Context) (raceStep, attemptAnswer) {
+	wait := r.wait/2 + rand.N(r.wait/2+1)
+	r.wait = min(2*r.wait, longestWait)
+	if r.inFlight > 0 {
+		step, answer := r.listen(ctx, wait)
+		if step == stepRest {
+			step = stepNext
+		}
+		return step, answer
+	}
+	r.client.options.Wait(ctx, wait)
+	return stepNext, attemptAnswer{}
+}
--- /dev/null
+++ b/internal/ledgerclient/race_test.go
@@ -0,0 +1,164 @@
+package ledgerclient_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/ledgerclient"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// partlyFrozen never answers at some addresses and answers what it is told at the others.
+type partlyFrozen struct {
+	frozen map[string]bool
+	answer func(*protocol.LedgerOperation) *protocol.LedgerResult
+
+	mutex sync.Mutex
+	sent  []*protocol.LedgerOperation
+	asked map[string]int
+}
+
+func (p *partlyFrozen) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	p.mutex.Lock()
+	if p.asked == nil {
+		p.asked = map[string]int{}
+	}
+	p.asked[address]++
+	p.sent = append(p.sent, request.GetLedger())
+	p.mutex.Unlock()
+	if p.frozen[address] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &protocol.Response{Body: &protocol.Response_Ledger{Ledger: p.answer(request.GetLedger())}}, nil
+}
+
+func (p *partlyFrozen) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
+	return nil, context.Canceled
+}
+
+func (p *partlyFrozen) count(address string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.asked[address]
+}
+
+func always(status protocol.LedgerStatus) func(*protocol.LedgerOperation) *protocol.LedgerResult {
+	return func(*protocol.LedgerOperation) *protocol.LedgerResult { return &protocol.LedgerResult{Status: status} }
+}
+
+func clientOf(caller wire.Caller, hedgeAfter time.Duration) *ledgerclient.Client {
+	view := viewOf(7, "a", "b", "c")
+	return ledgerclient.New(caller, func() *corelink.View { return view }, ledgerclient.Options{HedgeAfter: hedgeAfter})
+}
+
+func TestASilentReplicaHoldsNothingUp(t *testing.T) {
+	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
+	client := clientOf(caller, time.Millisecond)
+	began := time.Now()
+	result, err := client.Do(t.Context(), reserve)
+	if err != nil || result.GetStatus() != ok {
+		t.Fatalf("got %v, %v", result, err)
+	}
+	if took := time.Since(began); took >= ledgerclient.DefaultAttemptTimeout {
+		t.Fatalf("took %v", took)
+	}
+}
+
+func TestASilentReplicaBecomesASuspect(t *testing.T) {
+	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
+	client := clientOf(caller, time.Millisecond)
+	for ends := time.Now().Add(20 * time.Second); ; {
+		before := caller.count("at-a")
+		if result, err := client.Do(t.Context(), reserve); err != nil || result.GetStatus() != ok {
+			t.Fatalf("got %v, %v", result, err)
+		}
+		if caller.count("at-a") == before {
+			return
+		}
+		if time.Now().After(ends) {
+			t.Fatal("the silent replica is asked first for ever")
+		}
+	}
+}
+
+func TestARefusalBesideASilentReplicaIsConfirmed(t *testing.T) {
+	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+		if operation.GetReserveTurn() != nil {
+			return &protocol.LedgerResult{Status: held, Epoch: 4}
+		}
+		return &protocol.LedgerResult{Status: ok}
+	}}
+	result, err := clientOf(caller, time.Millisecond).Do(t.Context(), reserve)
+	if err != nil || result.GetStatus() != held {
+		t.Fatalf("got %v, %v", result, err)
+	}
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	if release := caller.sent[len(caller.sent)-1].GetReleaseTurn(); release.GetRequestId() != "r" || release.GetEpoch() != 3 {
+		t.Fatalf("sent %v last", caller.sent[len(caller.sent)-1])
+	}
+}
+
+var claimingReserve = &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: &protocol.ReserveTurn{
+	RequestId: "r", Session: "s", Ceiling: 10, Fork: true, Claim: &protocol.ClaimSession{Session: "s", Owner: "front", Tenant: "t"},
+}}}
+
+func TestARefusedReservationWithAClaimGetsATombstoneThatNoClaimPasses(t *testing.T) {
+	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+		switch operation.GetBody().(type) {
+		case *protocol.LedgerOperation_ReserveTurn:
+			return &protocol.LedgerResult{Status: held, Epoch: 4}
+		case *protocol.LedgerOperation_ReleaseTurn:
+			return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_FENCED, Epoch: 5}
+		default:
+			return &protocol.LedgerResult{Status: ok}
+		}
+	}}
+	result, err := clientOf(caller, time.Millisecond).Do(t.Context(), claimingReserve)
+	if err != nil || result.GetStatus() != held {
+		t.Fatalf("got %v, %v", result, err)
+	}
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	released, refused := false, false
+	for _, operation := range caller.sent {
+		released = released || operation.GetReleaseTurn().GetEpoch() == 4
+		refused = refused || operation.GetRefuseRequest().GetRequestId() == "r"
+	}
+	if !released || !refused {
+		t.Fatalf("sent %v", caller.sent)
+	}
+}
+
+func TestTurnsOfOtherProgramsAreKeptAsLongAsOneThatContinuesThem(t *testing.T) {
+	caller := &partlyFrozen{answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+		if operation.GetProlongTurns() != nil && operation.GetProgram() == "older" {
+			return &protocol.LedgerResult{Status: ok, Turns: []*protocol.Turn{{Program: "older", PreviousProgram: "oldest", PreviousTurn: "t0"}}}
+		}
+		if operation.GetProlongTurns() != nil {
+			return &protocol.LedgerResult{Status: ok, Turns: []*protocol.Turn{{Program: operation.GetProgram()}}}
+		}
+		return &protocol.LedgerResult{Status: ok}
+	}}
+	settle := &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: &protocol.SettleTurn{
+		Turn: &protocol.Turn{Program: "p", PreviousProgram: "older", PreviousTurn: "t1", KeepUntilMillis: 99},
+	}}}
+	if result, err := clientOf(caller, time.Minute).Do(t.Context(), settle); err != nil || result.GetStatus() != ok {
+		t.Fatalf("got %v, %v", result, err)
+	}
+	var programs []string
+	for _, operation := range caller.sent {
+		programs = append(programs, operation.GetProgram())
+		if prolong := operation.GetProlongTurns(); prolong != nil && prolong.GetKeepUntilMillis() != 99 {
+			t.Errorf("prolonged until %d", prolong.GetKeepUntilMillis())
+		}
+	}
+	if len(programs) != 3 || programs[0] != "older" || programs[1] != "oldest" || programs[2] != "p" {
+		t.Fatalf("asked %v", programs)
+	}
+}
--- a/internal/register/ballot.go
+++ b/internal/register/ballot.go
@@ -66,6 +66,15 @@
 	return &Ballots{proposer: proposer}
 }
 
+// Advance makes the next ballot larger than any that was given before a time in Unix
+// milliseconds by proposers whose clocks agree. Replicas forget registers that nobody wrote
+// for long; one that missed the end still holds the old value, and every later ballot must be above it.
+func (b *Ballots) Advance(unixMillis int64) {
+	if unixMillis > 0 {
+		b.counter = max(b.counter, uint64(unixMillis))
+	}
+}
+
 // Next gives a ballot larger than the ones seen and than all given before.
 func (b *Ballots) Next(seen ...Ballot) Ballot {
 	for _, ballot := range seen {
--- /dev/null
+++ b/internal/store/chain.go
@@ -0,0 +1,139 @@
+package store
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
+)
+
+// keepWithChain keeps a turn and calls done on the group's goroutine. A replica that
+// lacks the turn before, since it was away when that one was kept, copies the
+// chain first: whoever counts this replica for the turn counts it for the chain,
+// which is kept as long. A joining replica is given the chain by the copy of its shard.
+func (g *group) keepWithChain(shard uint32, turn *protocol.Turn, done func(kept bool)) {
+	table := g.table(shard)
+	previous := previousKeyOf(turn)
+	_, found := table.turns.get(previous)
+	if found || previous == (turnKey{}) || table.view.Role != register.RoleActive {
+		g.keepTurn(shard, turn, func() { done(true) })
+		return
+	}
+	view := table.view
+	g.store.routines.Go(func() {
+		whole := g.store.fetchChain(view, turn)
+		g.mailbox.post(func() {
+			if !whole {
+				done(false)
+				return
+			}
+			g.keepTurn(shard, turn, func() { done(true) })
+		})
+	})
+}
+
+// fetchChain copies what leads up to a turn from other replicas. It succeeds too
+// when a majority says that the chain ends earlier.
+func (s *Store) fetchChain(view register.ShardView, turn *protocol.Turn) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, s.options.PeerTimeout)
+	defer cancel()
+	for next := previousInProgram(turn); next != ""; {
+		turns, status := s.fetchFromPeers(ctx, view, turn.GetProgram(), next, maximumTurns)
+		if len(turns) == 0 {
+			return status == protocol.LedgerStatus_LEDGER_TURN_MISSING
+		}
+		if !s.keepHere(view.Shard, turns) {
+			return false
+		}
+		next = previousInProgram(turns[len(turns)-1])
+	}
+	return true
+}
+
+// keepHere keeps turns, newest first, on this replica and reports whether all are durable.
+func (s *Store) keepHere(shard uint32, turns []*protocol.Turn) bool {
+	g := s.group(shard)
+	durable := make(chan struct{}, len(turns))
+	g.mailbox.post(func() {
+		for _, turn := range slices.Backward(turns) {
+			g.keepTurn(shard, turn, func() { durable <- struct{}{} })
+		}
+	})
+	for range turns {
+		select {
+		case <-durable:
+		case <-s.stopped:
+			return false
+		}
+	}
+	s.metrics.countRepaired(0, len(turns))
+	return true
+}
+
+// prolongChains makes every chain of a table last as long as its last turn. Turns of a copy come in any order.
+func (g *group) prolongChains(table *shardTable) {
+	type ending struct {
+		previous turnKey
+		until    uint32
+	}
+	var endings []ending
+	for _, entry := range table.turns.all() {
+		if entry.previous != (turnKey{}) {
+			endings = append(endings, ending{previous: entry.previous, until: entry.keepUntil})
+		}
+	}
+	for _, each := range endings {
+		g.prolong(table, each.previous, each.until)
+	}
+}
+
+// prolongTurns keeps a chain longer on a majority. The answer shows the oldest
+// turn of the program without its content, so that the caller sees which program goes on.
+func (s *Store) prolongTurns(ctx context.Context, shard register.ShardView, program string, prolong *protocol.ProlongTurns) (*protocol.LedgerResult, error) {
+	result := &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_OK}
+	for next := prolong.GetLastTurn(); next != ""; {
+		page, err := s.readTurns(ctx, shard, program, &protocol.ReadTurns{LastTurn: next})
+		if err != nil || page.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+			return page, err
+		}
+		if status := s.prolongPage(ctx, shard, page.GetTurns(), prolong.GetKeepUntilMillis()); status != protocol.LedgerStatus_LEDGER_OK {
+			return ledger.Answer(status), nil
+		}
+		oldest := page.GetTurns()[len(page.GetTurns())-1]
+		result.Turns = []*protocol.Turn{{
+			Id: oldest.GetId(), Program: program, PreviousTurn: oldest.GetPreviousTurn(), PreviousProgram: oldest.GetPreviousProgram(),
+		}}
+		next = previousInProgram(oldest)
+	}
+	return result, nil
+}
+
+// prolongPage keeps turns, newest first, anew with a later end where it is later.
+func (s *Store) prolongPage(ctx context.Context, shard register.ShardView, turns []*protocol.Turn, untilMillis int64) protocol.LedgerStatus {
+	deadline := s.deadlineOf(ctx)
+	g := s.group(shard.Shard)
+	statuses := make(chan protocol.LedgerStatus, len(turns))
+	for _, turn := range slices.Backward(turns) {
+		if turn.GetKeepUntilMillis() >= untilMillis {
+			statuses <- protocol.LedgerStatus_LEDGER_OK
+			continue
+		}
+		turn.KeepUntilMillis = untilMillis
+		g.mailbox.post(func() {
+			g.keepOnMajority(shard, turn, deadline, func(status protocol.LedgerStatus) { statuses <- status })
+		})
+	}
+	answer := protocol.LedgerStatus_LEDGER_OK
+	for range turns {
+		status, err := awaitAnswer(ctx, s, statuses)
+		if err != nil {
+			return protocol.LedgerStatus_LEDGER_UNAVAILABLE
+		}
+		if status != protocol.LedgerStatus_LEDGER_OK {
+			answer = status
+		}
+	}
+	return answer
+}
--- a/internal/store/copy.go
+++ b/internal/store/copy.go
@@ -86,6 +86,7 @@
 	same, err := ask(g, func() bool {
 		table := g.table(shard)
 		table.copied = table.generation == generation
+		g.prolongChains(table)
 		return table.copied
 	})
 	if err != nil {
@@ -179,8 +180,8 @@
 		}
 	}
 	for _, turn := range page.GetTurns() {
-		_, known := table.turns.get(turnKeyOf(turn.GetProgram(), turn.GetId()))
-		if known || (turnEntry{keepUntil: keepUntil(turn)}).expired(now) {
+		held, known := table.turns.get(turnKeyOf(turn.GetProgram(), turn.GetId()))
+		if known && held.keepUntil >= keepUntil(turn) || (turnEntry{keepUntil: keepUntil(turn)}).expired(now) {
 			continue
 		}
 		left++
--- /dev/null
+++ b/internal/store/findturn.go
@@ -0,0 +1,172 @@
+package store
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// heldTurns is what one group knows of a turn whose program is not known.
+type heldTurns struct {
+	entries []turnEntry
+	// shards are those for which the group's word counts.
+	shards []uint32
+}
+
+// entriesOf gives the places of all turns of one id.
+func (t *shardTable) entriesOf(id string) []turnEntry {
+	var entries []turnEntry
+	high := xxhash.Sum64String(id)
+	for key, entry := range t.turns.after(turnKey{high: high}) {
+		if key.high != high {
+			break
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
+func (g *group) findTurns(id string, current *topology) heldTurns {
+	var held heldTurns
+	for shard, table := range g.shards {
+		held.entries = append(held.entries, table.entriesOf(id)...)
+		if table.view.Epoch == current.shard(shard).Epoch && table.view.Role.Votes() {
+			held.shards = append(held.shards, shard)
+		}
+	}
+	return held
+}
+
+// findHere looks for a turn in all shards of this store, under the placement given.
+func (s *Store) findHere(id string, current *topology) (*protocol.FindTurnResponse, error) {
+	answer := &protocol.FindTurnResponse{PlacementEpoch: current.epoch}
+	for _, g := range s.groups {
+		held, err := ask(g, func() heldTurns { return g.findTurns(id, current) })
+		if err != nil {
+			return nil, err
+		}
+		answer.Shards = append(answer.Shards, held.shards...)
+		for _, entry := range held.entries {
+			turn, err := s.readTurn(entry, "", "")
+			if err != nil {
+				return nil, s.readFailed(err)
+			}
+			if turn.GetId() == id {
+				answer.Turn = turn
+				return answer, nil
+			}
+		}
+	}
+	return answer, nil
+}
+
+func (s *Store) serveFindTurn(request *protocol.FindTurnRequest) (*protocol.Response, error) {
+	answer, err := s.findHere(request.GetTurnId(), s.watch.current.Load())
+	if err != nil {
+		return nil, err
+	}
+	return &protocol.Response{Body: &protocol.Response_FindTurn{FindTurn: answer}}, nil
+}
+
+// findTurn looks for a turn on all stores. It is missing when in each shard a
+// majority that acts under the placement in force does not have it.
+func (s *Store) findTurn(ctx context.Context, find *protocol.FindTurn) (*protocol.LedgerResult, error) {
+	current := s.watch.current.Load()
+	if len(current.shards) == 0 {
+		return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE), nil
+	}
+	here, err := s.findHere(find.GetTurnId(), current)
+	if err != nil {
+		return nil, err
+	}
+	if here.GetTurn() != nil {
+		return foundTurn(here.GetTurn()), nil
+	}
+	search := &turnSearch{topology: current, lacking: map[uint32]map[string]bool{}}
+	search.add(s.options.Self.GetName(), here)
+	return s.askAll(ctx, find, search), nil
+}
+
+func foundTurn(turn *protocol.Turn) *protocol.LedgerResult {
+	return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_OK, Turns: []*protocol.Turn{turn}}
+}
+
+type findAnswer struct {
+	store  string
+	answer *protocol.FindTurnResponse
+}
+
+// askAll asks the other stores at once. The first that has the turn is believed.
+func (s *Store) askAll(ctx context.Context, find *protocol.FindTurn, search *turnSearch) *protocol.LedgerResult {
+	request := &protocol.Request{Body: &protocol.Request_FindTurn{FindTurn: &protocol.FindTurnRequest{TurnId: find.GetTurnId()}}}
+	others := search.topology.members(s.options.Self.GetName())
+	answers := make(chan findAnswer, len(others))
+	for _, store := range others {
+		s.peers.send(store, request, func(response *protocol.Response, _ error) {
+			answers <- findAnswer{store: store, answer: response.GetFindTurn()}
+		})
+	}
+	if turn := s.hear(ctx, search, answers, len(others)); turn != nil {
+		return foundTurn(turn)
+	}
+	if search.isMissing() && s.watch.current.Load().epoch == search.topology.epoch {
+		return ledger.Answer(protocol.LedgerStatus_LEDGER_TURN_MISSING)
+	}
+	return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE)
+}
+
+// hear takes answers in until one has the turn, all are there or the time is over.
+func (s *Store) hear(ctx context.Context, search *turnSearch, answers <-chan findAnswer, count int) *protocol.Turn {
+	var late lateAnswers
+	defer late.end()
+	for range count {
+		if search.isMissing() {
+			late.begin(s.options.Clock)
+		}
+		select {
+		case heard := <-answers:
+			if turn := heard.answer.GetTurn(); turn != nil {
+				return turn
+			}
+			search.add(heard.store, heard.answer)
+		case <-late.over:
+			return nil
+		case <-ctx.Done():
+			return nil
+		case <-s.stopped:
+			return nil
+		}
+	}
+	return nil
+}
+
+// turnSearch collects which stores lack a turn, by shard, under one placement.
+type turnSearch struct {
+	topology *topology
+	lacking  map[uint32]map[string]bool
+}
+
+func (t *turnSearch) add(store string, answer *protocol.FindTurnResponse) {
+	if answer == nil || answer.GetPlacementEpoch() != t.topology.epoch {
+		return
+	}
+	for _, shard := range answer.GetShards() {
+		if t.lacking[shard] == nil {
+			t.lacking[shard] = map[string]bool{}
+		}
+		t.lacking[shard][store] = true
+	}
+}
+
+func (t *turnSearch) isMissing() bool {
+	for _, view := range t.topology.shards {
+		lacking := t.lacking[view.Shard]
+		if !view.Quorum.Reached(func(store string) bool { return lacking[store] }) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -109,6 +109,7 @@
 // put replaces the state of a register and calls done once it is durable.
 func (g *group) put(table *shardTable, key registerKey, held *entry, state register.State, done func()) {
 	held.state = g.intern(state)
+	held.keptUntil = 0
 	pending := g.unsynced[held]
 	if pending == nil {
 		pending = &unsynced{}
--- a/internal/store/keep.go
+++ b/internal/store/keep.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		if store == k.group.store.options.Self.GetName() {
-			k.group.keepTurn(k.shard.Shard, k.turn, func() { k.answered(store, round, k.inForce()) })
+			k.group.keepWithChain(k.shard.Shard, k.turn, func(kept bool) { k.answered(store, round, kept && k.inForce()) })
 			continue
 		}
 		k.ask(store, round)
--- /dev/null
+++ b/internal/store/keeping_test.go
@@ -0,0 +1,233 @@
+package store_test
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// keepFor is long, since the clock of a fleet runs fast while something is awaited; briefly is the shortest time.
+const (
+	keepFor = 2 * time.Hour
+	briefly = 2 * time.Minute
+)
+
+// pass lets so much time pass in small steps.
+func (f *fleet) pass(wait time.Duration) {
+	GinkgoHelper()
+	ends := f.clock.Now().Add(wait)
+	f.until(func() bool { return !f.clock.Now().Before(ends) })
+}
+
+// turnsHeld gives the number of turns that each running store holds.
+func (f *fleet) turnsHeld() []uint64 {
+	var counts []uint64
+	for _, name := range f.names {
+		if running := f.running(name); running != nil {
+			counts = append(counts, running.Status().GetTurns())
+		}
+	}
+	return counts
+}
+
+// writeSnapshot keeps a program busy until a store has written its registers anew.
+func (f *fleet) writeSnapshot(name string, busy *program) {
+	GinkgoHelper()
+	before := f.members[name].disk.Files("data/registers")
+	f.until(func() bool {
+		busy.takeTurn()
+		now := f.members[name].disk.Files("data/registers")
+		return hasSnapshot(now) && !slices.Contains(now, before[0])
+	})
+}
+
+func find(turn string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Body: &protocol.LedgerOperation_FindTurn{FindTurn: &protocol.FindTurn{TurnId: turn}}}
+}
+
+var _ = Describe("a chain of turns with a short keeping time", func() {
+	It("is kept as a whole as long as its last turn, and then forgotten by every store", func() {
+		f := newFleet("a", "b", "c")
+		p := f.keptProgram("p", keepFor)
+		p.takeTurn()
+		f.clock.advance(110 * time.Minute)
+		p.takeTurn()
+		f.clock.advance(100 * time.Minute)
+		f.pass(2 * time.Minute)
+		p.expectKept()
+		Expect(f.turnsHeld()).To(HaveEach(BeEquivalentTo(2)))
+		f.clock.advance(20 * time.Minute)
+		f.until(func() bool { return f.do(p.readTurns(p.last())).GetStatus() == missing })
+		f.until(func() bool { return f.members["a"].store.Status().GetTurns() == 0 })
+	})
+
+	It("is kept as a whole also when all stores lose power meanwhile", func() {
+		f := newFleet("a", "b", "c")
+		p := f.keptProgram("p", keepFor)
+		p.takeTurn()
+		f.clock.advance(110 * time.Minute)
+		p.takeTurn()
+		f.clock.advance(80 * time.Minute)
+		f.pass(2 * time.Minute)
+		for _, name := range f.names {
+			f.stopOne(name, true)
+		}
+		for _, name := range f.names {
+			f.restart(name)
+		}
+		f.until(f.inForce)
+		p.expectKept()
+	})
+
+	It("is kept as a whole by a store that was away when it began", func() {
+		f := newFleet("a", "b", "c")
+		p := f.keptProgram("p", keepFor)
+		f.setCut("c", true)
+		p.takeTurn()
+		p.takeTurn()
+		f.setCut("c", false)
+		f.clock.advance(110 * time.Minute)
+		p.takeTurn()
+		f.until(func() bool { return f.members["c"].store.Status().GetTurns() == 3 })
+		f.clock.advance(100 * time.Minute)
+		f.pass(2 * time.Minute)
+		f.setCut("a", true)
+		p.expectKept()
+	})
+
+	It("is kept as a whole by a store that copied it", func() {
+		f := newFleet("a", "b", "c")
+		p := f.keptProgram("p", keepFor)
+		p.takeTurn()
+		f.clock.advance(110 * time.Minute)
+		p.takeTurn()
+		f.clock.advance(50 * time.Minute)
+		f.loseDisk("c")
+		f.until(f.whole)
+		f.loseDisk("b")
+		f.until(f.whole)
+		f.stopOne("a", true)
+		p.expectKept()
+	})
+
+	It("is kept longer by a turn of another program", func() {
+		f := newFleet("a", "b", "c")
+		older := f.keptProgram("older", keepFor)
+		older.takeTurn()
+		older.takeTurn()
+		f.clock.advance(110 * time.Minute)
+		later := &program{fleet: f, name: "later", keepFor: keepFor, previousProgram: "older", previousTurn: older.last()}
+		later.claim("front-2", 1)
+		later.takeTurn()
+		later.takeTurn()
+		f.clock.advance(100 * time.Minute)
+		f.pass(2 * time.Minute)
+		later.expectKept()
+		read := f.do(later.readTurns(later.last()))
+		Expect(read.GetLastTurn()).To(BeEmpty())
+		Expect(read.GetTurns()[1].GetPreviousProgram()).To(Equal("older"))
+		history := f.do(older.readTurns(older.last()))
+		Expect(history.GetStatus()).To(Equal(ok))
+		Expect(history.GetTurns()).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("a turn whose program is not known", func() {
+	It("is found on any store, and said to be missing only when a majority of each shard lacks it", func() {
+		f := newFleet("a", "b", "c", "d")
+		f.move(2, "a", "d")
+		f.until(f.whole)
+		var turns []string
+		for _, name := range []string{"p1", "p2", "p3", "p4", "p5", "p6"} {
+			p := f.program(name)
+			p.takeTurn()
+			turns = append(turns, p.last())
+		}
+		for _, turn := range turns {
+			found := f.do(find(turn))
+			Expect(found.GetStatus()).To(Equal(ok))
+			Expect(found.GetTurns()).To(HaveLen(1))
+			Expect(found.GetTurns()[0].GetId()).To(Equal(turn))
+		}
+		Expect(f.do(find("unheard-of")).GetStatus()).To(Equal(missing))
+		f.setCut("a", true)
+		Expect(f.do(find("unheard-of")).GetStatus()).To(Equal(missing))
+		f.setCut("b", true)
+		Expect(f.ask("c", shortTime, find("unheard-of")).GetStatus()).To(Equal(unavailable))
+	})
+
+	It("is never said to be missing by stores that lost it with their disks", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		f.setCut("c", true)
+		p.takeTurn()
+		f.setCut("c", false)
+		f.loseDisk("a")
+		Expect(f.ask("c", shortTime, find(p.last())).GetStatus()).NotTo(Equal(missing))
+		f.until(f.whole)
+		Expect(f.do(find(p.last())).GetStatus()).To(Equal(ok))
+	})
+})
+
+var _ = Describe("an idle program", func() {
+	It("leaves memory and disk after its keeping time, its calls too, while others stay", func() {
+		f := newFleet("a", "b", "c")
+		idle, lasting := f.keptProgram("idle", briefly), f.program("lasting")
+		idle.takeTurn()
+		lasting.takeTurn()
+		Expect(f.do(idle.beginCall("call")).GetStatus()).To(Equal(ok))
+		Expect(f.members["a"].store.Status().GetRegisters()).To(BeEquivalentTo(3))
+		f.clock.advance(5 * time.Minute)
+		f.until(func() bool { return f.members["a"].store.Status().GetRegisters() == 2 })
+		f.clock.advance(10 * time.Minute)
+		f.until(func() bool { return f.members["a"].store.Status().GetRegisters() == 1 })
+		f.clock.advance(time.Hour)
+		f.pass(time.Minute)
+		lasting.expectKept()
+		idle.claim("front-2", 1)
+		Expect(idle.epoch).To(BeEquivalentTo(1))
+	})
+
+	It("does not come back from a store that was away when it was forgotten and begun anew", func() {
+		f := newFleet("a", "b", "c")
+		p := f.keptProgram("p", briefly)
+		for range 20 {
+			p.takeTurn()
+		}
+		f.stopOne("c", false)
+		f.clock.advance(20 * time.Minute)
+		f.until(func() bool {
+			return f.members["a"].store.Status().GetRegisters() == 0 && f.members["b"].store.Status().GetRegisters() == 0
+		})
+		busy := f.program("busy")
+		busy.padding = strings.Repeat("x", 1000)
+		for _, name := range []string{"a", "b"} {
+			// A message that came late by the fast clock may have brought the register back, until it is collected again.
+			f.until(func() bool {
+				f.pass(time.Minute)
+				f.writeSnapshot(name, busy)
+				f.stopOne(name, false)
+				f.restart(name)
+				f.until(f.inForce)
+				return f.members[name].store.Status().GetRegisters() == 1
+			})
+		}
+		f.until(f.inForce)
+		anew := f.keptProgram("p", briefly)
+		anew.requests = 100
+		anew.takeTurn()
+		f.restart("c")
+		f.stopOne("b", false)
+		// The store that came back is not to collect by itself what it still holds.
+		f.step = time.Microsecond
+		anew.expectKept()
+		anew.takeTurn()
+		record := f.do(&protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ReadProgram{}}).GetProgram()
+		Expect(record.GetSettled()).To(BeEquivalentTo(7 * 2))
+	})
+})
--- a/internal/store/ledger.go
+++ b/internal/store/ledger.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/ledger"
@@ -22,6 +23,9 @@
 		errors.As(err, &invalid)
 		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, invalid.Reason, failure.WithPath(invalid.Path))
 	}
+	if body, ok := message.GetBody().(*protocol.LedgerOperation_FindTurn); ok {
+		return s.findTurn(ctx, body.FindTurn)
+	}
 	shard := s.shardOf(message.GetProgram())
 	if shard.Epoch == 0 || shard.Epoch == message.GetPlacementEpoch() && !shard.Role.Votes() {
 		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "this store does not serve the shard now",
@@ -30,10 +34,14 @@
 	if shard.Epoch != message.GetPlacementEpoch() {
 		return wrongPlacement(shard.Epoch), nil
 	}
-	if body, ok := message.GetBody().(*protocol.LedgerOperation_ReadTurns); ok {
+	switch body := message.GetBody().(type) {
+	case *protocol.LedgerOperation_ReadTurns:
 		return s.readTurns(ctx, shard, message.GetProgram(), body.ReadTurns)
+	case *protocol.LedgerOperation_ProlongTurns:
+		return s.prolongTurns(ctx, shard, message.GetProgram(), body.ProlongTurns)
+	default:
+		return s.propose(ctx, shard, message)
 	}
-	return s.propose(ctx, shard, message)
 }
 
 func wrongPlacement(epoch uint64) *protocol.LedgerResult {
@@ -45,11 +53,7 @@
 
 // propose hands an operation to the owner of its shard and waits.
 func (s *Store) propose(ctx context.Context, shard register.ShardView, message *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
-	left := DefaultOperationTime
-	if ends, bounded := ctx.Deadline(); bounded {
-		left = time.Until(ends)
-	}
-	deadline := s.options.Clock.Now().Add(left)
+	deadline := s.deadlineOf(ctx)
 	answer := make(chan *protocol.LedgerResult, 1)
 	op := &operation{
 		message:  message,
@@ -69,6 +73,15 @@
 	}
 }
 
+// deadlineOf gives the end of an operation by the store's clock.
+func (s *Store) deadlineOf(ctx context.Context) time.Time {
+	left := DefaultOperationTime
+	if ends, bounded := ctx.Deadline(); bounded {
+		left = time.Until(ends)
+	}
+	return s.options.Clock.Now().Add(left)
+}
+
 // begin starts an operation on the group's goroutine.
 func (g *group) begin(shard register.ShardView, op *operation) {
 	program := registerKey{program: op.message.GetProgram()}
@@ -95,24 +108,52 @@
 // the second one decides: it reads the program's register after the intent is
 // chosen, so an answer LEDGER_OK is ordered before every later claim, and an
 // owner that was fenced meanwhile never issues. The first one spares a request
-// whose owner is fenced already an intent that nobody would act on.
+// whose owner is fenced already an intent that nobody would act on; what this
+// replica holds is enough for it when the epoch is in force there.
 func (g *group) beginCall(shard register.ShardView, op *operation, begin *protocol.BeginCall) {
-	g.checkEpoch(shard, op, begin, func() {
-		key := registerKey{program: op.message.GetProgram(), call: begin.GetRequestId()}
-		intent := &operation{message: op.message, deadline: op.deadline, reply: func(result *protocol.LedgerResult) {
-			if result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
-				op.reply(result)
-				return
-			}
-			g.checkEpoch(shard, op, begin, func() { op.reply(result) })
-		}}
-		g.propose(shard, key, intent)
-	})
+	if record := g.programHere(shard, op.message.GetProgram()); isInForce(record, begin) {
+		g.writeIntent(shard, op, begin, record)
+		return
+	}
+	g.checkEpoch(shard, op, begin, func(record *protocol.ProgramRecord) { g.writeIntent(shard, op, begin, record) })
+}
+
+// programHere gives a program's record as this replica holds it, which may be old; nil without any.
+func (g *group) programHere(shard register.ShardView, program string) *protocol.ProgramRecord {
+	held, found := g.table(shard.Shard).registers.get(registerKey{program: program})
+	if !found {
+		return nil
+	}
+	record, err := decodeProgram(held.state.Value)
+	if err != nil {
+		return nil
+	}
+	return record
+}
+
+func isInForce(record *protocol.ProgramRecord, begin *protocol.BeginCall) bool {
+	return ledger.CheckEpoch(record, begin.GetSession(), begin.GetEpoch()).GetStatus() == protocol.LedgerStatus_LEDGER_OK
+}
+
+// writeIntent writes the intent and permits the call when its epoch is in force after that.
+func (g *group) writeIntent(shard register.ShardView, op *operation, begin *protocol.BeginCall, record *protocol.ProgramRecord) {
+	message := proto.CloneOf(op.message)
+	if begin.GetKeepingMillis() == 0 {
+		message.GetBeginCall().KeepingMillis = record.GetKeepingMillis()
+	}
+	intent := &operation{message: message, deadline: op.deadline, reply: func(result *protocol.LedgerResult) {
+		if result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
+			op.reply(result)
+			return
+		}
+		g.checkEpoch(shard, op, begin, func(*protocol.ProgramRecord) { op.reply(result) })
+	}}
+	g.propose(shard, registerKey{program: op.message.GetProgram(), call: begin.GetRequestId()}, intent)
 }
 
 // checkEpoch reads the program's register from a majority and goes on when the
 // epoch of the call is in force; else it answers the refusal.
-func (g *group) checkEpoch(shard register.ShardView, op *operation, begin *protocol.BeginCall, inForce func()) {
+func (g *group) checkEpoch(shard register.ShardView, op *operation, begin *protocol.BeginCall, inForce func(*protocol.ProgramRecord)) {
 	read := &operation{
 		message: &protocol.LedgerOperation{
 			Program: op.message.GetProgram(),
@@ -129,7 +170,7 @@
 				op.reply(check)
 				return
 			}
-			inForce()
+			inForce(result.GetProgram())
 		},
 	}
 	g.propose(shard, registerKey{program: op.message.GetProgram()}, read)
--- a/internal/store/maintain.go
+++ b/internal/store/maintain.go
@@ -8,9 +8,10 @@
 	"github.com/rosestand/rosestand/internal/register"
 )
 
-// maintain writes snapshots, collects turns and keeps the gauges, once in a while.
+// maintain writes snapshots, collects what need not be kept and keeps the gauges, once in a while.
 func (s *Store) maintain() {
 	collectAt := s.options.Clock.Now().Add(collectInterval)
+	forgetAt := s.options.Clock.Now().Add(forgetInterval)
 	for s.wait(maintenanceInterval) {
 		s.ViewChanged()
 		held := s.counts()
@@ -28,6 +29,14 @@
 			s.failUnlessStopped(err)
 			return
 		}
+		if now.Before(forgetAt) {
+			continue
+		}
+		forgetAt = now.Add(forgetInterval)
+		if err := s.forgetRegisters(now); err != nil {
+			s.failUnlessStopped(err)
+			return
+		}
 	}
 }
 
@@ -55,7 +64,12 @@
 
 // collect removes turns whose keeping time has ended, and log segments without any other.
 func (s *Store) collect(now time.Time) error {
-	first := s.turnSegments.firstNeeded(s.folder.turns.FirstSegment(), s.folder.turns.End().Segment, now)
+	held := s.folder.turns.FirstSegment()
+	first := s.turnSegments.firstNeeded(held, s.folder.turns.End().Segment, now)
+	if first == held && now.Before(s.collectAllAt) {
+		return nil
+	}
+	s.collectAllAt = now.Add(collectAllInterval)
 	for _, group := range s.groups {
 		if _, err := ask(group, func() bool { group.collectTurns(first, now); return true }); err != nil {
 			return err
@@ -67,6 +81,17 @@
 	return nil
 }
 
+// forgetRegisters removes what is past its keeping time from memory; the next snapshot leaves it out.
+func (s *Store) forgetRegisters(now time.Time) error {
+	for _, group := range s.groups {
+		failed, err := ask(group, func() error { return group.collectRegisters(now) })
+		if err := errors.CombineErrors(err, failed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // counts is what a store holds.
 type counts struct {
 	registers, turns uint64
--- a/internal/store/options.go
+++ b/internal/store/options.go
@@ -44,10 +44,13 @@
 	// and is so many times larger than what it holds.
 	snapshotSegments = 2
 	snapshotGrowth   = 4
-	collectInterval  = time.Minute
-	expirySlack      = time.Minute
-	registerFolder   = "registers"
-	turnFolder       = "turns"
+	collectInterval  = 5 * time.Second
+	// collectAllInterval bounds how long expired turns stay in the index when no segment can be removed.
+	collectAllInterval = time.Minute
+	forgetInterval     = 30 * time.Second
+	expirySlack        = 10 * time.Second
+	registerFolder     = "registers"
+	turnFolder         = "turns"
 	// maximumPendingBytes is out of reach: what waits for a sync is bounded by the requests under way.
 	maximumPendingBytes = 1 << 40
 )
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -217,12 +217,12 @@
 	return &protocol.Response{Body: &protocol.Response_ShardDigest{ShardDigest: answer}}, nil
 }
 
-// digest sums up the registers by key and ballot and the turns by key. Turns
-// whose keeping time has ended are left out, since replicas collect them at different times.
+// digest sums up the registers by key and ballot and the turns by key. What
+// is past its keeping time is left out, since replicas collect them at different times.
 func (t *shardTable) digest(buckets uint32, now time.Time) *protocol.ShardDigestResponse {
 	answer := &protocol.ShardDigestResponse{RegisterDigests: make([]uint64, buckets), TurnDigests: make([]uint64, buckets)}
 	for key, held := range t.registers.all() {
-		if accepted := held.state.Accepted; !accepted.IsZero() {
+		if accepted := held.state.Accepted; !accepted.IsZero() && !held.isForgotten(key, now) {
 			answer.RegisterDigests[key.hash()%uint64(buckets)] += xxhash.Sum64String(key.program + "\x00" + key.call + "\x00" + accepted.String())
 		}
 	}
--- a/internal/store/placement.go
+++ b/internal/store/placement.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/rosestand/rosestand/internal/corelink"
@@ -46,6 +47,19 @@
 	return register.ShardView{Shard: shard}
 }
 
+// members names every store that holds a replica but one, in a fixed order.
+func (t *topology) members(but string) []string {
+	var members []string
+	for _, view := range t.shards {
+		for _, store := range view.Quorum.Members() {
+			if store != but && !slices.Contains(members, store) {
+				members = append(members, store)
+			}
+		}
+	}
+	return members
+}
+
 // placementWatch publishes the topology in force to every goroutine.
 type placementWatch struct {
 	core    Core
--- a/internal/store/proposal.go
+++ b/internal/store/proposal.go
@@ -65,6 +65,7 @@
 		p.startNext()
 		return
 	}
+	p.group.ballots.Advance(p.group.store.options.Clock.Now().UnixMilli())
 	p.group.store.metrics.changes.Inc()
 	p.group.store.metrics.batched.Add(float64(len(p.active)))
 	p.change = register.NewChange(register.ChangeOptions{
@@ -324,6 +325,7 @@
 		p.startNext()
 		return
 	}
+	p.group.ballots.Advance(p.group.store.options.Clock.Now().UnixMilli())
 	p.send(change.Retry())
 }
 
--- a/internal/store/readturns.go
+++ b/internal/store/readturns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -16,6 +17,8 @@
 	maximumTurns = 256
 	// maximumTurnBytes bounds the turns of one answer, well under a frame.
 	maximumTurnBytes = 8 << 20
+	// missingGrace is how long the other replicas are heard after a majority said that a turn is missing.
+	missingGrace = 100 * time.Millisecond
 )
 
 // localTurn reads one turn from the log of this store; nil when it is not here.
@@ -29,7 +32,7 @@
 	return s.readTurn(found, program, id)
 }
 
-// readTurn reads a turn from its position. A segment removed meanwhile held expired turns only.
+// readTurn reads a turn from its position, with the end of its keeping time as it is now. A segment removed meanwhile held expired turns only.
 func (s *Store) readTurn(at turnEntry, program, id string) (*protocol.Turn, error) {
 	encoded, err := s.folder.turns.Read(at.position())
 	var removed *storage.PositionError
@@ -47,6 +50,9 @@
 	if program != "" && (turn.GetProgram() != program || turn.GetId() != id) {
 		return nil, nil
 	}
+	if at.keepUntil > keepUntil(turn) {
+		turn.KeepUntilMillis = int64(at.keepUntil) * time.Second.Milliseconds()
+	}
 	return turn, nil
 }
 
@@ -64,11 +70,19 @@
 		}
 		turns = append(turns, turn)
 		bytes += proto.Size(turn)
-		last = turn.GetPreviousTurn()
+		last = previousInProgram(turn)
 	}
 	return turns, nil
 }
 
+// previousInProgram gives the turn before; none when it is of another program, whose chain is read there.
+func previousInProgram(turn *protocol.Turn) string {
+	if continuesOtherProgram(turn) {
+		return ""
+	}
+	return turn.GetPreviousTurn()
+}
+
 // readTurns answers a chain of turns, newest first. A turn that this store
 // lacks is asked of the others and kept here; it is said to be missing only
 // when a majority of the placement in force says so.
@@ -98,7 +112,7 @@
 			bytes += proto.Size(turn)
 		}
 		result.Turns = append(result.Turns, turns...)
-		next = turns[len(turns)-1].GetPreviousTurn()
+		next = previousInProgram(turns[len(turns)-1])
 	}
 	result.LastTurn = next
 	return result, nil
@@ -123,6 +137,26 @@
 	answered bool
 }
 
+// lateAnswers lets the rest of the replicas be heard for a while once a majority decides.
+type lateAnswers struct {
+	over chan struct{}
+	stop func()
+}
+
+// begin starts the time at the first call.
+func (l *lateAnswers) begin(clock Clock) {
+	if l.over == nil {
+		over := make(chan struct{})
+		l.over, l.stop = over, clock.AfterFunc(missingGrace, func() { close(over) })
+	}
+}
+
+func (l *lateAnswers) end() {
+	if l.stop != nil {
+		l.stop()
+	}
+}
+
 // fetchFromPeers asks all other replicas at once and returns the first turns
 // found. Without any it returns LEDGER_TURN_MISSING when a majority does not
 // have the turn, and LEDGER_UNAVAILABLE otherwise.
@@ -147,8 +181,16 @@
 		})
 	}
 	lacking := map[string]bool{self: s.saysMissing(shard)}
+	isMissing := func() bool { return shard.Quorum.Reached(func(store string) bool { return lacking[store] }) }
+	var late lateAnswers
+	defer late.end()
 	for range asked {
+		if isMissing() {
+			late.begin(s.options.Clock)
+		}
 		select {
+		case <-late.over:
+			return nil, protocol.LedgerStatus_LEDGER_TURN_MISSING
 		case answer := <-answers:
 			if len(answer.turns) > 0 {
 				return answer.turns, protocol.LedgerStatus_LEDGER_OK
@@ -158,7 +200,7 @@
 			return nil, protocol.LedgerStatus_LEDGER_UNAVAILABLE
 		}
 	}
-	if shard.Quorum.Reached(func(store string) bool { return lacking[store] }) {
+	if isMissing() {
 		return nil, protocol.LedgerStatus_LEDGER_TURN_MISSING
 	}
 	return nil, protocol.LedgerStatus_LEDGER_UNAVAILABLE
--- a/internal/store/registers.go
+++ b/internal/store/registers.go
@@ -40,6 +40,8 @@
 	// headEpoch is the placement epoch under which this store's own change of
 	// the value was chosen last; zero when another store may have changed it since.
 	headEpoch uint64
+	// keptUntil is the end of the value's keeping time in Unix seconds, rounded up; zero when it is not known.
+	keptUntil uint32
 }
 
 // unsynced holds back the answers that show a state of a register which is not durable yet.
--- a/internal/store/replicahandler.go
+++ b/internal/store/replicahandler.go
@@ -88,5 +88,11 @@
 		reply(refused)
 		return
 	}
-	g.keepTurn(request.GetShard(), request.GetTurn(), func() { reply(answer()) })
+	g.keepWithChain(request.GetShard(), request.GetTurn(), func(kept bool) {
+		judged := answer()
+		if !kept && judged.GetRefusal() == notRefused {
+			judged.Refusal = protocol.ReplicaRefusal_REPLICA_NOT_READY
+		}
+		reply(judged)
+	})
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,6 +30,8 @@
 	turnSegments    segmentExpiry
 	// indexedSegment is the first segment of turns that the index on disk does not cover.
 	indexedSegment uint64
+	// collectAllAt is when expired turns are dropped from the index although no segment can be removed.
+	collectAllAt time.Time
 	// turnsDamaged says that the log of turns was found damaged, so that no index may spare a start to read it.
 	turnsDamaged atomic.Bool
 
--- a/internal/store/turnindex.go
+++ b/internal/store/turnindex.go
@@ -11,18 +11,31 @@
 	"github.com/rosestand/rosestand/internal/storage"
 )
 
-// turnKey is a 128-bit hash of program and turn id; the record on disk has both in full.
+// turnKey is a hash of the turn id and one of program and turn id; the record on disk has both in
+// full. Turns of one id lie side by side, whatever their programs.
 type turnKey struct {
 	high, low uint64
 }
 
 func turnKeyOf(program, id string) turnKey {
-	joined := make([]byte, 0, len(program)+len(id)+2)
+	joined := make([]byte, 0, len(program)+len(id)+1)
 	joined = append(joined, program...)
 	joined = append(joined, 0)
 	joined = append(joined, id...)
-	high := xxhash.Sum64(joined)
-	return turnKey{high: high, low: xxhash.Sum64(append(joined, 1))}
+	return turnKey{high: xxhash.Sum64String(id), low: xxhash.Sum64(joined)}
+}
+
+// previousKeyOf gives the key of the turn that this one continues; zero when it begins a
+// conversation or continues one of another program, whose shard is another.
+func previousKeyOf(turn *protocol.Turn) turnKey {
+	if turn.GetPreviousTurn() == "" || continuesOtherProgram(turn) {
+		return turnKey{}
+	}
+	return turnKeyOf(turn.GetProgram(), turn.GetPreviousTurn())
+}
+
+func continuesOtherProgram(turn *protocol.Turn) bool {
+	return turn.GetPreviousProgram() != "" && turn.GetPreviousProgram() != turn.GetProgram()
 }
 
 // place implements treeKey.
@@ -39,8 +52,9 @@
 type turnEntry struct {
 	segment uint32
 	offset  uint32
-	// keepUntil is in Unix seconds, rounded up.
+	// keepUntil is in Unix seconds, rounded up. It is no earlier than that of any turn that continues this one.
 	keepUntil uint32
+	previous  turnKey
 }
 
 func (e turnEntry) position() storage.Position {
@@ -57,7 +71,7 @@
 	if millis == 0 {
 		millis = turn.GetKeptAtMillis() + ledger.KeepingTime.Milliseconds()
 	}
-	return uint32(min((millis+999)/1000, int64(^uint32(0))))
+	return secondsOf(millis)
 }
 
 // segmentExpiry remembers for each segment of the turn log when its last turn ends.
@@ -94,14 +108,36 @@
 	if err != nil {
 		return err
 	}
-	return s.folder.turns.Replay(storage.Position{Segment: segment}, func(position storage.Position, encoded []byte) error {
+	var prolonging []restoredTurn
+	err = s.folder.turns.Replay(storage.Position{Segment: segment}, func(position storage.Position, encoded []byte) error {
 		record, err := decodeRecord(encoded)
 		if err == nil {
 			turn := record.GetTurn()
-			s.restoreTurn(record.GetShard(), turnKeyOf(turn.GetProgram(), turn.GetId()), turnEntryAt(position, turn))
+			entry := turnEntryAt(position, turn)
+			s.restoreTurn(record.GetShard(), turnKeyOf(turn.GetProgram(), turn.GetId()), entry)
+			if entry.previous != (turnKey{}) {
+				prolonging = append(prolonging, restoredTurn{shard: record.GetShard(), entry: entry})
+			}
 		}
 		return err
 	})
+	if err != nil {
+		return err
+	}
+	for _, turn := range prolonging {
+		s.group(turn.shard).prolong(s.group(turn.shard).table(turn.shard), turn.entry.previous, turn.entry.keepUntil)
+	}
+	now := s.options.Clock.Now()
+	for _, group := range s.groups {
+		group.collectTurns(0, now)
+	}
+	return nil
+}
+
+// restoredTurn is a turn whose chain has to be kept as long as it is.
+type restoredTurn struct {
+	shard uint32
+	entry turnEntry
 }
 
 func turnEntryAt(position storage.Position, turn *protocol.Turn) turnEntry {
@@ -109,15 +145,16 @@
 		segment:   uint32(position.Segment),
 		offset:    uint32(position.Offset),
 		keepUntil: keepUntil(turn),
+		previous:  previousKeyOf(turn),
 	}
 }
 
 // keepTurn writes a turn and calls done on the group's goroutine once it is
-// durable here. A turn that is kept already is not written again.
+// durable here. A turn that is kept already, and for as long, is not written again.
 func (g *group) keepTurn(shard uint32, turn *protocol.Turn, done func()) {
 	table := g.table(shard)
 	key := turnKeyOf(turn.GetProgram(), turn.GetId())
-	if _, kept := table.turns.get(key); kept {
+	if held, kept := table.turns.get(key); kept && held.keepUntil >= keepUntil(turn) {
 		done()
 		return
 	}
@@ -132,6 +169,8 @@
 	}
 	g.store.metrics.written.WithLabelValues(turnFolder).Add(float64(len(encoded)))
 	g.keeping[key] = []func(){done}
+	// The chain must not be collected while the write is under way.
+	g.prolong(table, previousKeyOf(turn), keepUntil(turn))
 	g.store.turnCommits.AppendAsync([][]byte{encoded}, func(positions []storage.Position, err error) {
 		if err != nil {
 			g.store.fail(&LogError{Log: turnFolder, Cause: err})
@@ -142,8 +181,12 @@
 }
 
 func (g *group) turnKept(table *shardTable, key turnKey, entry turnEntry) {
+	if held, kept := table.turns.get(key); kept {
+		entry.keepUntil = max(entry.keepUntil, held.keepUntil)
+	}
 	table.turns.put(key, entry)
 	g.store.turnSegments.note(entry)
+	g.prolong(table, entry.previous, entry.keepUntil)
 	waiting := g.keeping[key]
 	delete(g.keeping, key)
 	for _, done := range waiting {
@@ -151,6 +194,22 @@
 	}
 }
 
+// prolong keeps a turn, and those that lead up to it, as long as one that continues it.
+func (g *group) prolong(table *shardTable, key turnKey, until uint32) {
+	for key != (turnKey{}) {
+		entry, found := table.turns.get(key)
+		if !found {
+			return
+		}
+		if entry.keepUntil < until {
+			entry.keepUntil = until
+			table.turns.put(key, entry)
+			g.store.turnSegments.note(entry)
+		}
+		key = entry.previous
+	}
+}
+
 // collectTurns drops the entries of segments before first, and expired ones.
 func (g *group) collectTurns(first uint64, now time.Time) {
 	for _, table := range g.shards {
--- a/internal/store/turnsnapshot.go
+++ b/internal/store/turnsnapshot.go
@@ -14,9 +14,12 @@
 // before the index is written beside the log anew.
 const turnIndexSegments = 16
 
-// indexRecordBytes is the size of one entry of the turn index on disk: shard,
-// key, segment, offset and end of the keeping time, big-endian.
-const indexRecordBytes = 4 + 16 + 12
+// turnIndexForm begins the turn index on disk; an index that begins otherwise is not read.
+const turnIndexForm = "RSTTIX\x00\x02"
+
+// indexRecordBytes is the size of one entry of the turn index on disk: shard, key, segment,
+// offset, end of the keeping time and key of the turn before, big-endian.
+const indexRecordBytes = 4 + 16 + 12 + 16
 
 // saveTurnIndex writes the places of all turns, so that a start need not read the turns themselves.
 func (s *Store) saveTurnIndex() error {
@@ -37,6 +40,9 @@
 
 // writeTurnIndex asks for one shard at a time, so that no owner is held up for long.
 func (s *Store) writeTurnIndex(writer io.Writer) error {
+	if _, err := io.WriteString(writer, turnIndexForm); err != nil {
+		return err
+	}
 	for _, group := range s.groups {
 		shards, err := ask(group, group.shardNumbers)
 		if err != nil {
@@ -72,6 +78,8 @@
 		encoded = binary.BigEndian.AppendUint32(encoded, entry.segment)
 		encoded = binary.BigEndian.AppendUint32(encoded, entry.offset)
 		encoded = binary.BigEndian.AppendUint32(encoded, entry.keepUntil)
+		encoded = binary.BigEndian.AppendUint64(encoded, entry.previous.high)
+		encoded = binary.BigEndian.AppendUint64(encoded, entry.previous.low)
 	}
 	return encoded
 }
@@ -99,6 +107,10 @@
 
 func (s *Store) readTurnIndex(_ uint64, content io.Reader) error {
 	reader := bufio.NewReader(content)
+	var form [len(turnIndexForm)]byte
+	if _, err := io.ReadFull(reader, form[:]); err != nil || string(form[:]) != turnIndexForm {
+		return &storage.CorruptError{Path: s.folder.turnPath(), Reason: "an index of another form"}
+	}
 	first := s.folder.turns.FirstSegment()
 	var record [indexRecordBytes]byte
 	for {
@@ -113,6 +125,7 @@
 			segment:   binary.BigEndian.Uint32(record[20:]),
 			offset:    binary.BigEndian.Uint32(record[24:]),
 			keepUntil: binary.BigEndian.Uint32(record[28:]),
+			previous:  turnKey{high: binary.BigEndian.Uint64(record[32:]), low: binary.BigEndian.Uint64(record[40:])},
 		}
 		if uint64(entry.segment) >= first {
 			s.restoreTurn(shard, key, entry)
@@ -120,10 +133,8 @@
 	}
 }
 
-// restoreTurn fills the index at the start, while no goroutine runs.
+// restoreTurn fills the index at the start, while no goroutine runs. An expired turn stays until it is known that none continues it.
 func (s *Store) restoreTurn(shard uint32, key turnKey, entry turnEntry) {
-	if !entry.expired(s.options.Clock.Now()) {
-		s.group(shard).table(shard).turns.put(key, entry)
-	}
+	s.group(shard).table(shard).turns.put(key, entry)
 	s.turnSegments.note(entry)
 }
