Place the shards of a silent store on its successor within seconds

Cause: shards of a store that was gone for good stayed where they were for a minute, four at a time, one command after the other's end. Now a store that is silent for 2.5 s is replaced when another one has joined since (story internal/core/successor_test.go, which failed before); without a successor its shards move after 20 s; 24 shards move at a time and their commands go out together. A new leader knows of no earlier joins, and waits the 20 s then.

--- a/internal/controlstate/placement.go
+++ b/internal/controlstate/placement.go
@@ -43,7 +43,7 @@
 	if shards == 0 || shards > maxShards || replicas == 0 || replicas > maxReplicas {
 		return refuse(codeInvalidOrder, "the numbers of shards and replicas are out of range")
 	}
-	stores := usableStores(s.placement, s.membership.GetNodes())
+	stores := UsableStores(s.placement, s.membership.GetNodes())
 	if zones := countZones(stores); zones < replicas {
 		return refuse(codeInvalidOrder, fmt.Sprintf("stores in %d distinct zones are needed, there are %d", replicas, zones))
 	}
--- a/internal/controlstate/planner.go
+++ b/internal/controlstate/planner.go
@@ -44,7 +44,7 @@
 
 func newPlan(input PlanInput) *plan {
 	p := &plan{input: input, loads: map[string]int{}, moving: map[uint32]bool{}, free: input.MaxMoves}
-	for _, node := range usableStores(input.Placement, input.Nodes) {
+	for _, node := range UsableStores(input.Placement, input.Nodes) {
 		if !input.Lost[node.GetName()] {
 			p.usable = append(p.usable, node)
 		}
@@ -213,8 +213,8 @@
 	return false
 }
 
-// usableStores lists the stores that may take shards, by name.
-func usableStores(placement *protocol.Placement, nodes []*protocol.Node) []*protocol.Node {
+// UsableStores lists the stores that may take shards, by name.
+func UsableStores(placement *protocol.Placement, nodes []*protocol.Node) []*protocol.Node {
 	var stores []*protocol.Node
 	for _, node := range nodes {
 		if usable(placement, node) {
--- a/internal/controlstate/spread.go
+++ b/internal/controlstate/spread.go
@@ -94,7 +94,7 @@
 
 // CountStoreZones gives the number of distinct zones with a store that may take shards.
 func CountStoreZones(placement *protocol.Placement, nodes []*protocol.Node) int {
-	return countZones(usableStores(placement, nodes))
+	return countZones(UsableStores(placement, nodes))
 }
 
 func countZones(stores []*protocol.Node) int {
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -14,14 +14,20 @@
 	// storeSettle is how long the set of stores must be unchanged before the first placement.
 	storeSettle = time.Second
 	// replaceStoreAfter is how long a store may be without a lease before its shards are placed elsewhere.
-	replaceStoreAfter = time.Minute
-	// maxMoves bounds the shards that move at one time.
-	maxMoves = 4
+	replaceStoreAfter = 20 * time.Second
+	// replaceSilentAfter is how long a store may be silent before its shards are placed on a store that has none: a new
+	// store beside a silent one is its successor. It is above two renewals of a lease.
+	replaceSilentAfter = 2500 * time.Millisecond
+	// successorWindow is how long a store that joined counts as the successor of one that falls silent.
+	successorWindow = 15 * time.Second
+	// maxMoves bounds the shards that move at one time. A store that is lost, or that is to be emptied, is replaced in
+	// seconds, since the next one may be lost then.
+	maxMoves = 24
 	// reconcileRetry is the wait after a proposal of the reconciler failed or was refused.
 	reconcileRetry = time.Second
 )
 
-// reconciler brings the state towards what settings and stores ask for, one command at a time.
+// reconciler brings the state towards what settings and stores ask for, a few commands at a time.
 type reconciler struct {
 	firstKeys    []*protocol.SignOffKey
 	shardCount   uint32
@@ -33,15 +39,21 @@
 	stores       string
 	storesSince  time.Time
 	absentStores map[string]time.Time
+	// replaced are the silent stores whose shards go to a successor.
+	replaced map[string]bool
+	// joined is when stores were first seen by this leader.
+	joined map[string]time.Time
 }
 
 func (r *reconciler) reset() {
 	r.stores, r.storesSince = "", time.Time{}
 	r.absentStores = map[string]time.Time{}
+	r.replaced = map[string]bool{}
+	r.joined = nil
 	r.waitTil = time.Time{}
 }
 
-// reconcile proposes the next command that is due, if any.
+// reconcile proposes the next commands that are due, if any, one after the other.
 func (o *owner) reconcile(now time.Time) {
 	r := o.reconciler
 	view := o.machine.View()
@@ -49,16 +61,20 @@
 	if r.busy || now.Before(r.waitTil) || !o.leads() {
 		return
 	}
-	command := r.next(view, now)
-	if command == nil {
+	commands := r.next(view, o.lostStores(view, now), now)
+	if len(commands) == 0 {
 		return
 	}
 	r.busy = true
 	var result *protocol.CommandResult
 	o.work(func(ctx context.Context) error {
-		var err error
-		result, err = o.proposer.propose(ctx, command)
-		return err
+		for _, command := range commands {
+			var err error
+			if result, err = o.proposer.propose(ctx, command); err != nil || !result.GetAccepted() {
+				return err
+			}
+		}
+		return nil
 	}, func(now time.Time, err error) {
 		r.busy = false
 		if err != nil || !result.GetAccepted() {
@@ -103,6 +119,79 @@
 	r.absentStores = absent
 }
 
+// lostStores names the stores whose shards are to be placed elsewhere: those without a
+// lease for long, and those that are silent while a store that joined lately is there to take over.
+func (o *owner) lostStores(view *controlstate.View, now time.Time) map[string]bool {
+	o.observeSilence(view, now)
+	lost := o.reconciler.lost(now)
+	for store := range o.reconciler.replaced {
+		lost[store] = true
+	}
+	return lost
+}
+
+// observeSilence brings the set of stores that are being replaced up to date. A
+// store stays in it until it is heard of again, so that the move to its successor is not left half done.
+func (o *owner) observeSilence(view *controlstate.View, now time.Time) {
+	r := o.reconciler
+	r.observeJoins(view, now)
+	silent := map[string]bool{}
+	for store := range r.absentStores {
+		silent[store] = true
+	}
+	for _, node := range view.Membership.GetNodes() {
+		if node.GetKind() == protocol.NodeKind_STORE && o.silence(node, now) >= replaceSilentAfter {
+			silent[node.GetName()] = true
+		}
+	}
+	successor := len(silent) > 0 && r.hasSuccessor(view, silent, now)
+	for store := range silent {
+		if successor {
+			r.replaced[store] = true
+		}
+	}
+	for store := range r.replaced {
+		if !silent[store] {
+			delete(r.replaced, store)
+		}
+	}
+}
+
+// silence is how long a node has not renewed its lease, as far as this leader knows.
+func (o *owner) silence(node *protocol.Node, now time.Time) time.Duration {
+	heard := o.nodes.expiry(node.GetName(), node.GetIncarnation()).Add(-o.nodes.length)
+	return now.Sub(heard)
+}
+
+// hasSuccessor reports whether a store that joined lately is there to take shards over.
+func (r *reconciler) hasSuccessor(view *controlstate.View, silent map[string]bool, now time.Time) bool {
+	for _, node := range controlstate.UsableStores(view.Placement, view.Membership.GetNodes()) {
+		joined, known := r.joined[node.GetName()]
+		if known && !silent[node.GetName()] && now.Sub(joined) < successorWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// observeJoins notes when stores joined. Those that were there when this leader
+// began, or before the first placement, succeed nobody.
+func (r *reconciler) observeJoins(view *controlstate.View, now time.Time) {
+	first := r.joined == nil || len(view.Placement.GetShards()) == 0
+	if r.joined == nil {
+		r.joined = map[string]time.Time{}
+	}
+	for _, node := range view.Membership.GetNodes() {
+		if _, known := r.joined[node.GetName()]; known || node.GetKind() != protocol.NodeKind_STORE {
+			continue
+		}
+		r.joined[node.GetName()] = now
+		if first {
+			r.joined[node.GetName()] = time.Time{}
+		}
+	}
+}
+
 func (r *reconciler) lost(now time.Time) map[string]bool {
 	lost := map[string]bool{}
 	for store, since := range r.absentStores {
@@ -113,22 +202,23 @@
 	return lost
 }
 
-func (r *reconciler) next(view *controlstate.View, now time.Time) *protocol.Command {
+func (r *reconciler) next(view *controlstate.View, lost map[string]bool, now time.Time) []*protocol.Command {
 	if r.wantsKeys(view) {
-		return &protocol.Command{Body: &protocol.Command_SeedSignOffKeys{
+		return []*protocol.Command{{Body: &protocol.Command_SeedSignOffKeys{
 			SeedSignOffKeys: &protocol.SeedSignOffKeysCommand{Keys: r.firstKeys},
-		}}
+		}}}
 	}
 	if len(view.Placement.GetShards()) == 0 {
 		return r.firstPlacement(view, now)
 	}
 	steps := controlstate.Plan(controlstate.PlanInput{
-		Placement: view.Placement, Nodes: view.Membership.GetNodes(), Lost: r.lost(now), MaxMoves: maxMoves,
+		Placement: view.Placement, Nodes: view.Membership.GetNodes(), Lost: lost, MaxMoves: maxMoves,
 	})
-	if len(steps) == 0 {
-		return nil
+	commands := make([]*protocol.Command, 0, len(steps))
+	for _, step := range steps {
+		commands = append(commands, &protocol.Command{Body: &protocol.Command_MoveShard{MoveShard: step}})
 	}
-	return &protocol.Command{Body: &protocol.Command_MoveShard{MoveShard: steps[0]}}
+	return commands
 }
 
 // wantsKeys reports that the settings of this leader name other first keys than the state, and that they still count.
@@ -147,12 +237,12 @@
 	return false
 }
 
-func (r *reconciler) firstPlacement(view *controlstate.View, now time.Time) *protocol.Command {
+func (r *reconciler) firstPlacement(view *controlstate.View, now time.Time) []*protocol.Command {
 	zones := controlstate.CountStoreZones(view.Placement, view.Membership.GetNodes())
 	if zones < int(r.replicaCount) || now.Sub(r.storesSince) < storeSettle {
 		return nil
 	}
-	return &protocol.Command{Body: &protocol.Command_InitializePlacement{
+	return []*protocol.Command{{Body: &protocol.Command_InitializePlacement{
 		InitializePlacement: &protocol.InitializePlacementCommand{ShardCount: r.shardCount, ReplicaCount: r.replicaCount, OverRegions: true},
-	}}
+	}}}
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -121,6 +121,7 @@
 			shardCount:   options.ShardCount,
 			replicaCount: options.ReplicaCount,
 			absentStores: map[string]time.Time{},
+			replaced:     map[string]bool{},
 		},
 	}
 	return service
--- /dev/null
+++ b/internal/core/successor_test.go
@@ -0,0 +1,74 @@
+package core_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/core"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var _ = Describe("the shards of a store that is gone", func() {
+	const step = 50 * time.Millisecond
+	var leader *member
+	var f *fleet
+	// pass lets time pass while the stores named renew their leases and copy what they are to copy.
+	pass := func(span time.Duration, stores ...*protocol.Node) {
+		for range span / step {
+			for _, store := range stores {
+				leader.renew(store, nil)
+			}
+			f.advance(step)
+			leader.reportCopies()
+		}
+	}
+	stores := func(numbers ...int) []*protocol.Node {
+		var nodes []*protocol.Node
+		for _, number := range numbers {
+			nodes = append(nodes, storeNode(fmt.Sprintf("s%d", number), fmt.Sprintf("z%d", number)))
+		}
+		return nodes
+	}
+	// whole reports whether every shard has three replicas that vote, none of them on a store.
+	whole := func(without string) bool {
+		for _, shard := range leader.machine.View().Placement.GetShards() {
+			if len(shard.GetNext()) > 0 || len(shard.GetCurrent()) != core.DefaultReplicaCount {
+				return false
+			}
+			for _, replica := range shard.GetCurrent() {
+				if replica.GetStore() == without || replica.GetState() != protocol.ReplicaState_REPLICA_ACTIVE {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	BeforeEach(func() {
+		f = newFleet(1, nil)
+		leader = f.lead(f.members[0])
+		pass(3*time.Second, stores(0, 1, 2, 3)...)
+		Expect(leader.machine.View().Placement.GetShards()).To(HaveLen(core.DefaultShardCount))
+	})
+
+	It("are on its successor within four seconds of the successor's start", func() {
+		pass(time.Second, stores(0, 1, 2)...)
+		successor := storeNode("s4", "z3")
+		pass(4*time.Second, append(stores(0, 1, 2), successor)...)
+		Expect(whole("s3")).To(BeTrue())
+	})
+
+	It("stay where they are while it is silent for as long as a restart takes, and no other store is there", func() {
+		epoch := leader.machine.View().Placement.GetEpoch()
+		pass(4*time.Second, stores(0, 1, 2)...)
+		pass(time.Second, stores(0, 1, 2, 3)...)
+		Expect(leader.machine.View().Placement.GetEpoch()).To(Equal(epoch))
+	})
+
+	It("are on the other stores when no successor comes", func() {
+		pass(40*time.Second, stores(0, 1, 2)...)
+		Expect(whole("s3")).To(BeTrue())
+	})
+})
