--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -59,14 +59,14 @@
 }
 
 // begin registers an exchange and queues its request.
-func (c *clientConnection) begin(ctx context.Context, request *protocol.Request) (*exchange, error) {
+func (c *clientConnection) begin(ctx context.Context, request *protocol.Request, single bool) (*exchange, error) {
 	c.mutex.Lock()
 	if c.broken != nil {
 		c.mutex.Unlock()
 		return nil, &NotSentError{Address: c.address, Cause: c.broken}
 	}
 	c.nextID++
-	e := &exchange{id: c.nextID, client: c, ctx: ctx, wake: make(chan struct{}, 1)}
+	e := &exchange{id: c.nextID, client: c, ctx: ctx, single: single, wake: make(chan struct{}, 1)}
 	c.exchanges[e.id] = e
 	c.lastUse = time.Now()
 	c.silence.began(c.lastUse, len(c.exchanges) == 1)
@@ -102,9 +102,10 @@
 
 // read delivers frames until the connection ends, and returns why it did.
 func (c *clientConnection) read() error {
+	reader := frameReader{reader: c.reader}
 	for {
 		frame := &protocol.Frame{}
-		if err := readMessage(c.reader, MaxFrameBytes, frame); err != nil {
+		if err := reader.read(MaxFrameBytes, frame); err != nil {
 			return err
 		}
 		if err := validateFrame(frame); err != nil {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -14,6 +14,8 @@
 	id     uint64
 	client *clientConnection
 	ctx    context.Context
+	// single is true when one answer ends the exchange.
+	single bool
 
 	mutex   sync.Mutex
 	answers []*protocol.Response
@@ -36,6 +38,7 @@
 		return false
 	}
 	e.answers = append(e.answers, answer)
+	e.ended = e.single
 	e.signal()
 	return true
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -11,7 +11,11 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-const lengthBytes = 4
+const (
+	lengthBytes = 4
+	// firstSpareBytes holds a usual small frame.
+	firstSpareBytes = 512
+)
 
 // appendFrame encodes a message after its four-byte big-endian length.
 func appendFrame(buffer []byte, message proto.Message) ([]byte, error) {
@@ -31,16 +35,28 @@
 
 // readMessage reads one length-prefixed message, refusing lengths over limit before it reads on.
 func readMessage(reader *bufio.Reader, limit uint32, message proto.Message) error {
-	var prefix [lengthBytes]byte
-	if _, err := io.ReadFull(reader, prefix[:]); err != nil {
+	once := frameReader{reader: reader}
+	return once.read(limit, message)
+}
+
+// frameReader reads the messages of one connection, with one buffer for all small ones.
+type frameReader struct {
+	reader *bufio.Reader
+	prefix [lengthBytes]byte
+	spare  []byte
+}
+
+// read reads the next message. Decoding copies what the message keeps.
+func (r *frameReader) read(limit uint32, message proto.Message) error {
+	if _, err := io.ReadFull(r.reader, r.prefix[:]); err != nil {
 		return err
 	}
-	size := binary.BigEndian.Uint32(prefix[:])
+	size := binary.BigEndian.Uint32(r.prefix[:])
 	if size > limit {
 		return &FrameError{Reason: "length over the limit"}
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(reader, body); err != nil {
+	body := r.buffer(int(size))
+	if _, err := io.ReadFull(r.reader, body); err != nil {
 		return errors.Wrap(err, "truncated frame")
 	}
 	if err := proto.Unmarshal(body, message); err != nil {
@@ -49,6 +65,17 @@
 	return nil
 }
 
+// buffer is memory for one body; a large one is not kept.
+func (r *frameReader) buffer(size int) []byte {
+	if size > maxSpareBytes {
+		return make([]byte, size)
+	}
+	if cap(r.spare) < size {
+		r.spare = make([]byte, size, max(size, firstSpareBytes))
+	}
+	return r.spare[:size]
+}
+
 // validateFrame checks what every frame must carry.
 func validateFrame(frame *protocol.Frame) error {
 	switch frame.GetKind() {
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -117,7 +117,7 @@
 		defer cancel()
 		ctx = bounded
 	}
-	stream, err := p.Open(ctx, address, request)
+	stream, err := p.start(ctx, address, request, true)
 	if err != nil {
 		return nil, err
 	}
@@ -131,11 +131,19 @@
 
 // Open implements Caller.
 func (p *Pool) Open(ctx context.Context, address string, request *protocol.Request) (Stream, error) {
+	opened, err := p.start(ctx, address, request, false)
+	if err != nil {
+		return nil, err
+	}
+	return opened, nil
+}
+
+func (p *Pool) start(ctx context.Context, address string, request *protocol.Request, single bool) (*exchange, error) {
 	connection, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
-	opened, err := connection.begin(ctx, request)
+	opened, err := connection.begin(ctx, request, single)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -195,12 +195,17 @@
 }
 
 func (c *servedConnection) read(reader *bufio.Reader) {
+	frames := frameReader{reader: reader}
+	var refreshed time.Time
 	for {
-		if err := c.connection.SetReadDeadline(time.Now().Add(serverSilence)); err != nil {
-			return
+		if now := time.Now(); now.Sub(refreshed) > deadlineRefresh {
+			refreshed = now
+			if err := c.connection.SetReadDeadline(now.Add(serverSilence)); err != nil {
+				return
+			}
 		}
 		frame := &protocol.Frame{}
-		if err := readMessage(reader, MaxFrameBytes, frame); err != nil {
+		if err := frames.read(MaxFrameBytes, frame); err != nil {
 			return
 		}
 		if err := validateFrame(frame); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,6 +26,8 @@
 	// defaultDialTimeout bounds connecting and the handshake; a frozen process accepts and says nothing.
 	defaultDialTimeout  = time.Second
 	defaultCallDeadline = 30 * time.Second
+	// deadlineRefresh is how old a deadline of a connection may be before it is set anew.
+	deadlineRefresh = time.Second
 	// answerQueue bounds the answers of one exchange that wait for a slow receiver.
 	answerQueue = 8192
 	// maxSpareBytes is the largest write buffer that a connection keeps for its next frames.
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -29,6 +29,8 @@
 	spare   []byte
 	failed  error
 	wake    chan struct{}
+	// refreshed is when the write deadline was last set; only the writing goroutine uses it.
+	refreshed time.Time
 }
 
 func newFrameWriter(connection net.Conn, counters *Counters) *frameWriter {
@@ -80,8 +82,11 @@
 	w.spare = nil
 	w.mutex.Unlock()
 	if len(batch) > 0 {
-		if err := w.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return err
+		if now := time.Now(); now.Sub(w.refreshed) > deadlineRefresh {
+			w.refreshed = now
+			if err := w.connection.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+				return err
+			}
 		}
 		if _, err := w.connection.Write(batch); err != nil {
 			return err
