--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build run fleet test lint bench chaos scale fuzz generate tools clean
+.PHONY: build run run-platform fleet test lint bench chaos scale fuzz generate tools clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -20,6 +20,9 @@
 run: build
 	$(BIN)/rosestand-lab run --duration $(DURATION)
 
+run-platform: build
+	$(BIN)/rosestand-lab run-platform --duration $(DURATION)
+
 fleet: build
 	$(BIN)/rosestand-lab fleet
 
