Send what waits for a front node that came back while a call to its former life was answered

Cause: an answer to a call to an earlier incarnation put that incarnation's state in the place of the present one, and the sessions that waited for it were never sent. The spec failed before.

--- a/internal/directory/salvage.go
+++ b/internal/directory/salvage.go
@@ -228,9 +228,12 @@
 	}
 }
 
-// wake has the next pump look at a peer.
+// wake has the next pump look at a peer. An answer to an earlier incarnation
+// must not take the place of the one that is known now.
 func (d *Directory) wake(to *peer) {
-	d.working[to.member.Name] = to
+	if d.peers[to.member.Name] == to {
+		d.working[to.member.Name] = to
+	}
 }
 
 // sendNext sends withdrawals first, then registrations, notices and questions.
--- a/internal/directory/takeover_test.go
+++ b/internal/directory/takeover_test.go
@@ -206,3 +206,25 @@
 		Expect(node.directory.Suspects()).To(BeZero())
 	})
 })
+
+var _ = Describe("an answer to a call to an earlier incarnation", func() {
+	It("does not keep the sessions that wait for the present one from being sent", func() {
+		fleet := newFleet(trio...)
+		node, session := fleet.nodes["a"], heldBy(trio, "c", "b")
+		node.resolve(session)
+		late := node.directory.Handle(node.at(), directory.PeerBroken{Address: "c:1"})
+		Expect(late).To(HaveLen(1), "a probe that is answered late")
+		fleet.intercept = func(from, to string, _ *protocol.Request) (*protocol.Response, bool) {
+			return nil, from == "c" && to == "a"
+		}
+		node.authority = false
+		fleet.nodes["c"].reincarnate()
+		fleet.publish(trio...)
+		Expect(node.directory.OnSalvageList(session)).To(BeTrue())
+		node.handle(directory.Answered{Call: late[0].(directory.Send).Call})
+		node.authority = true
+		fleet.settle()
+		Expect(node.directory.OnSalvageList(session)).To(BeFalse())
+		Expect(fleet.nodes["c"].registeredOwner(session)).To(Equal("a"))
+	})
+})
