--- a/internal/corelink/fakecore_test.go
+++ b/internal/corelink/fakecore_test.go
@@ -25,6 +25,8 @@
 	leader string
 	term   uint64
 	down   map[string]bool
+	// silent addresses answer nothing.
+	silent map[string]bool
 	delay  time.Duration
 	refuse bool
 	// refusal is the reason given when refuse is set.
@@ -54,8 +56,12 @@
 
 func (c *fakeCore) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
 	c.mutex.Lock()
-	down, delay := c.down[address], c.delay
+	down, silent, delay := c.down[address], c.silent[address], c.delay
 	c.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if down {
 		return nil, &wire.NotSentError{Address: address, Cause: context.DeadlineExceeded}
 	}
@@ -81,6 +87,7 @@
 	if request.GetLocateCore() != nil {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
+		c.counts["locates"]++
 		return &protocol.Response{Body: &protocol.Response_LocateCore{LocateCore: &protocol.LocateCoreResponse{
 			LeaderAddress: c.leader, CoreAddresses: []string{firstLeader, secondLeader}, Term: c.term, ClusterId: "cluster",
 		}}}, nil
@@ -194,6 +201,12 @@
 	change()
 }
 
+func (c *fakeCore) count(what string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.counts[what]
+}
+
 func (c *fakeCore) lastRenewal() *protocol.RenewLeaseRequest {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/corelink/link.go
+++ b/internal/corelink/link.go
@@ -30,7 +30,9 @@
 	DefaultPollWait      = 10 * time.Second
 	defaultCallTimeout   = 2 * time.Second
 	shortestRenewTimeout = 500 * time.Millisecond
-	pollSlack            = 5 * time.Second
+	// longestRetry is the longest wait after a renewal or poll that had no answer.
+	longestRetry = 200 * time.Millisecond
+	pollSlack    = 5 * time.Second
 	// releaseTimeout bounds what Stop spends on the release; a lease that was not released runs out by itself.
 	releaseTimeout = time.Second
 	// longestRefusedWait bounds the wait of a node that the core refuses with a reason.
@@ -245,6 +247,12 @@
 	return l.locator.known()
 }
 
+// SetSeeds replaces the addresses at which the core is looked for. Core processes
+// known from answers are still asked, too.
+func (l *Link) SetSeeds(seeds []string) {
+	l.locator.setSeeds(seeds)
+}
+
 // SetDraining says so to the core with the next renewal, which is sent at once.
 func (l *Link) SetDraining(draining bool) {
 	select {
--- a/internal/corelink/locator.go
+++ b/internal/corelink/locator.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosestand/rosestand/internal/failure"
@@ -15,9 +15,17 @@
 )
 
 const (
-	locateTimeout    = time.Second
-	firstRetryDelay  = 25 * time.Millisecond
-	longestRetry     = time.Second
+	locateTimeout = time.Second
+	// othersWait is how long a search goes on once a process has answered that it knows no leader.
+	othersWait = 50 * time.Millisecond
+	// searchGap is the shortest time between a search that failed and the next one, whoever asks for it.
+	searchGap       = 50 * time.Millisecond
+	firstRetryDelay = 25 * time.Millisecond
+	// electionRetry is the longest wait between two searches while an election may be under way,
+	// outageRetry after a search has failed for longer than electionSpan.
+	electionRetry    = 100 * time.Millisecond
+	electionSpan     = 3 * time.Second
+	outageRetry      = 500 * time.Millisecond
 	maxCoreAddresses = 16
 )
 
@@ -34,18 +42,37 @@
 type locator struct {
 	caller  wire.Caller
 	self    *protocol.Node
-	seeds   []string
 	metrics *metrics
-	// current is replaced as a whole; its messages are never changed.
+	// seeds and current are replaced as a whole; what they point to is never changed.
+	seeds   atomic.Pointer[[]string]
 	current atomic.Pointer[protocol.LocateCoreResponse]
+
+	mutex sync.Mutex
+	// running is the search under way, which concurrent callers share; nil without one.
+	running *search
+	// failingSince is when searches began to fail, failedAt when the last one did; zero after one that found the leader.
+	failingSince, failedAt time.Time
+}
+
+// search is one round of questions; the results may be read once done is closed.
+type search struct {
+	done   chan struct{}
+	leader string
+	err    error
 }
 
 func newLocator(caller wire.Caller, self *protocol.Node, seeds []string, metrics *metrics) *locator {
-	l := &locator{caller: caller, self: self, seeds: slices.Clone(seeds), metrics: metrics}
+	l := &locator{caller: caller, self: self, metrics: metrics}
+	l.setSeeds(seeds)
 	l.current.Store(&protocol.LocateCoreResponse{})
 	return l
 }
 
+func (l *locator) setSeeds(seeds []string) {
+	copied := slices.Clone(seeds)
+	l.seeds.Store(&copied)
+}
+
 func (l *locator) known() *protocol.LocateCoreResponse {
 	return l.current.Load()
 }
@@ -71,9 +98,61 @@
 	return l.locate(ctx)
 }
 
-// locate asks all processes it may ask at once and takes the answer with the highest term.
-// It returns as soon as one names a leader of a term not older than the one known.
+// locate searches for the leader, or waits for the search that is under way.
 func (l *locator) locate(ctx context.Context) (string, error) {
+	l.mutex.Lock()
+	shared := l.running
+	if shared == nil && time.Since(l.failedAt) < searchGap {
+		l.mutex.Unlock()
+		return "", &CoreNotFoundError{}
+	}
+	if shared == nil {
+		shared = &search{done: make(chan struct{})}
+		l.running = shared
+		l.mutex.Unlock()
+		l.search(ctx, shared)
+		return shared.leader, shared.err
+	}
+	l.mutex.Unlock()
+	select {
+	case <-shared.done:
+		return shared.leader, shared.err
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// search makes one round of questions for all that wait for it.
+func (l *locator) search(ctx context.Context, shared *search) {
+	shared.leader, shared.err = l.askAll(ctx)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.running = nil
+	if shared.err == nil {
+		l.failingSince, l.failedAt = time.Time{}, time.Time{}
+	} else {
+		l.failedAt = time.Now()
+	}
+	if shared.err != nil && l.failingSince.IsZero() {
+		l.failingSince = l.failedAt
+	}
+	close(shared.done)
+}
+
+// longestRetry is the longest wait until the next search.
+func (l *locator) longestRetry() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.failingSince.IsZero() || time.Since(l.failingSince) < electionSpan {
+		return electionRetry
+	}
+	return outageRetry
+}
+
+// askAll asks all processes it may ask at once and takes the answer with the highest term.
+// It returns as soon as one names a leader of a term not older than the one known, and soon
+// after one has answered that it knows none.
+func (l *locator) askAll(ctx context.Context) (string, error) {
 	l.metrics.locates.Inc()
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
@@ -82,13 +161,18 @@
 	for _, address := range addresses {
 		go func() { answers <- l.ask(ctx, address) }()
 	}
+	var enough <-chan time.Time
 	for range addresses {
-		answer := <-answers
-		if answer == nil {
-			continue
-		}
-		if l.learn(answer) {
-			return l.known().GetLeaderAddress(), nil
+		select {
+		case answer := <-answers:
+			if answer != nil && l.learn(answer) {
+				return l.known().GetLeaderAddress(), nil
+			}
+			if answer != nil && enough == nil {
+				enough = time.After(othersWait)
+			}
+		case <-enough:
+			return "", &CoreNotFoundError{Asked: len(addresses)}
 		}
 	}
 	return "", &CoreNotFoundError{Asked: len(addresses)}
@@ -96,7 +180,7 @@
 
 // addresses lists cores known before, then the seeds, without this process itself.
 func (l *locator) addresses() []string {
-	all := append(slices.Clone(l.known().GetCoreAddresses()), l.seeds...)
+	all := append(slices.Clone(l.known().GetCoreAddresses()), *l.seeds.Load()...)
 	unique := make([]string, 0, len(all))
 	for _, address := range all {
 		if address != "" && address != l.self.GetAddress() && !slices.Contains(unique, address) {
@@ -163,9 +247,7 @@
 // broke while the request was under way is tried again only for requests that
 // the core takes twice with the effect of once.
 func (l *Link) CallCore(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = firstRetryDelay
-	wait.MaxInterval = longestRetry
+	var wait time.Duration
 	var last error
 	for {
 		response, again, err := l.tryCore(ctx, request)
@@ -173,10 +255,11 @@
 			return response, err
 		}
 		last = err
+		wait = nextWait(wait, l.locator.longestRetry())
 		select {
 		case <-ctx.Done():
 			return nil, errors.CombineErrors(last, ctx.Err())
-		case <-time.After(wait.NextBackOff()):
+		case <-time.After(jitter(wait)):
 		}
 	}
 }
--- a/internal/corelink/owner.go
+++ b/internal/corelink/owner.go
@@ -144,7 +144,7 @@
 		o.renewTimer.Reset(0)
 		return
 	}
-	o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
+	o.renewWait = nextWait(o.renewWait, longestRetry)
 	o.renewTimer.Reset(jitter(o.renewWait))
 }
 
@@ -175,7 +175,7 @@
 		o.refused(now, renewal, answer.GetRefusal(), err)
 	case err != nil:
 		o.link.metrics.renewals.WithLabelValues("failed").Inc()
-		o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
+		o.renewWait = nextWait(o.renewWait, longestRetry)
 		o.renewTimer.Reset(jitter(o.renewWait))
 	default:
 		o.granted(now, renewal, answer)
@@ -229,7 +229,7 @@
 		return
 	}
 	o.refusedWait, o.refusal = 0, ""
-	o.renewWait = nextWait(o.renewWait, o.link.options.RenewInterval)
+	o.renewWait = nextWait(o.renewWait, longestRetry)
 	o.renewTimer.Reset(jitter(o.renewWait))
 }
 
