Give HTTP routes stories of their own; mend what they found in answers, streams and bounds

The routes had hardly any tests of their own. Stories now tell what passes through unchanged, how a route is found, the bounds, the time left, and what becomes of refusals, broken and foreign answers and cut streams.

- A refusal that carries another request's id was taken for one of this request, which was then sent to another server though it may have run.
It is a foreign answer now.
A refusal without an id still counts.
- A server's 408, 429 or 503 without its word that it did not run the request was passed on, and callers read these as a promise.
They are answered 502 now, and only repeatable requests go on to another server.
- A repeatable request could run at three servers where its route allows one or two.
Runs are bounded by the route; refusals still move on within three sends.
- A time left of 0 counted as none told, so the server got the route's whole time.
Nothing is sent now.
- A line of an event that fills the read buffer (4 KiB) to the byte ended the event early, so that a stream with it as its last line was broken off.
An event of many short lines was not bounded.
A stream that ends with one blank line too many was broken off.
A block of comments alone counted as tokens and left a line feed in the history.
- An answer to HEAD lost its length.

--- /dev/null
+++ b/internal/front/export_test.go
@@ -0,0 +1,68 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/rosestand/rosestand/internal/dialect"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// NewRouteHandler serves the callers of HTTP routes at a service.
+func NewRouteHandler(service *Service, words dialect.Dialect) http.Handler {
+	return &routeAPI{service: service, dialect: words}
+}
+
+// RouteListener is a listener for callers of HTTP routes on a port of loopback.
+type RouteListener struct {
+	listener *routeListener
+	clock    Clock
+}
+
+// NewRouteListener makes a listener that is not open yet.
+func NewRouteListener(address string, handler http.Handler, clock Clock) *RouteListener {
+	return &RouteListener{listener: newRouteListener(address, handler, log.New(io.Discard)), clock: clock}
+}
+
+// Start opens the listener.
+func (l *RouteListener) Start() error { return l.listener.start() }
+
+// Drain takes the listener out of use as a draining front node does.
+func (l *RouteListener) Drain(ctx context.Context) error {
+	return l.listener.drain(ctx, l.listener.beginDrain(l.clock))
+}
+
+// Stop ends what is left.
+func (l *RouteListener) Stop() error { return l.listener.stop() }
+
+// MaxEventBytes bounds one event of a stream.
+const MaxEventBytes = maxEventBytes
+
+// StreamBufferBytes is what is read of a stream at once.
+const StreamBufferBytes = streamBufferBytes
+
+// ReadStreamEvents reads the events of a stream, each with its data, until the stream ends or breaks off.
+func ReadStreamEvents(stream io.Reader) (events, data [][]byte, err error) {
+	read := &httpStream{reader: bufio.NewReaderSize(stream, streamBufferBytes)}
+	for {
+		event, err := read.readEvent()
+		if err != nil {
+			return events, data, err
+		}
+		events = append(events, event)
+		data = append(data, dataOf(event))
+	}
+}
+
+// TokenUsage reads the header that tells the tokens of a turn.
+func TokenUsage(text string) (prompt, most uint32) { return tokenUsage(text) }
+
+// PromptParts reads the header that names the parts of a prompt.
+func PromptParts(text string) []*protocol.PromptPart { return promptParts(text) }
+
+// MaxPromptParts bounds the parts that are read.
+const MaxPromptParts = maxPromptParts
--- a/internal/front/httpheaders.go
+++ b/internal/front/httpheaders.go
@@ -9,11 +9,13 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
+const contentLength = "Content-Length"
+
 // connectionHeaders concern one connection only and are not passed on (RFC 9110, section 7.6.1).
 var connectionHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Content-Length": true, "Host": true,
+	contentLength: true, "Host": true,
 }
 
 // endToEndHeaders gives the headers that are passed on, sorted by name.
@@ -32,6 +34,16 @@
 	return passed
 }
 
+// answerHeaders gives the headers of a whole answer that are passed on. The
+// length stands for no body only in an answer to a HEAD request, and is kept there.
+func answerHeaders(method string, header http.Header) []*protocol.HttpHeader {
+	passed := endToEndHeaders(header)
+	if length := header.Get(contentLength); method == http.MethodHead && length != "" {
+		passed = append(passed, &protocol.HttpHeader{Name: contentLength, Value: length})
+	}
+	return passed
+}
+
 func namedInConnection(header http.Header) map[string]bool {
 	values := header["Connection"]
 	if len(values) == 0 {
--- a/internal/front/httpissue.go
+++ b/internal/front/httpissue.go
@@ -89,23 +89,40 @@
 // request, and finds those that are no answer to it. The exchange is ended then.
 func (c *routeClient) faultOf(response *serverconn.Response, requestID string) *backEndError {
 	header := response.Header
-	if response.Status == http.StatusMisdirectedRequest || header.Get(c.dialect.NotExecuted) != "" {
+	refused := response.Status == http.StatusMisdirectedRequest || header.Get(c.dialect.NotExecuted) != ""
+	echoed := header.Get(c.dialect.RequestID)
+	// A refusal may carry no id; one with another id speaks of another request.
+	if echoed != requestID && (echoed != "" || !refused) {
+		response.Discard()
+		return &backEndError{fault: turn.FaultMismatch, detail: "the answer belongs to request " + strconv.Quote(echoed)}
+	}
+	if refused {
 		detail := "the server refused with status " + strconv.Itoa(response.Status)
 		_, _ = response.ReadAll(maxFaultAnswerBytes)
 		response.Close()
 		return &backEndError{fault: turn.FaultRefused, retryAfter: retryAfterOf(header), detail: detail}
 	}
-	if echoed := header.Get(c.dialect.RequestID); echoed != requestID {
-		response.Discard()
-		return &backEndError{fault: turn.FaultMismatch, detail: "the answer belongs to request " + strconv.Quote(echoed)}
-	}
 	if header.Get(c.dialect.Signature) == "" {
 		response.Discard()
 		return &backEndError{fault: turn.FaultBroken, detail: "the answer has no proof of its server"}
 	}
+	if promisesNotRun(response.Status) {
+		response.Discard()
+		return &backEndError{fault: turn.FaultBroken, detail: "the server answered " + strconv.Itoa(response.Status) + " without saying that it did not run the request"}
+	}
 	return nil
 }
 
+// promisesNotRun reports whether callers take a status as a promise that the request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func retryAfterOf(header http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
 	if err != nil || seconds < 0 {
@@ -125,7 +142,7 @@
 		response.Discard()
 		return nil, &backEndError{fault: turn.FaultBroken, detail: err.Error()}
 	}
-	headers := endToEndHeaders(response.Header)
+	headers := answerHeaders(request.http.GetMethod(), response.Header)
 	status := uint32(response.Status)
 	response.Close()
 	return turn.CallDone{Status: status, Body: body, Headers: headers}, nil
--- a/internal/front/httpstream.go
+++ b/internal/front/httpstream.go
@@ -55,8 +55,13 @@
 	case err != nil:
 		return nil, &backEndError{fault: turn.FaultBroken, detail: "the stream broke off: " + err.Error()}
 	}
-	s.done.OutputTokens += uint64(s.eventTokens)
-	return turn.Token{Event: event, Data: dataOf(event), Tokens: s.eventTokens}, nil
+	token := turn.Token{Event: event, Data: dataOf(event)}
+	if token.Data != nil {
+		// A block of comments alone brings no tokens.
+		token.Tokens = s.eventTokens
+	}
+	s.done.OutputTokens += uint64(token.Tokens)
+	return token, nil
 }
 
 func (s *httpStream) head() (turn.Event, error) {
@@ -77,40 +82,54 @@
 
 func (*partialEventError) Error() string { return "the stream ended inside an event" }
 
-// readEvent reads up to the blank line that ends an event; io.EOF says that the stream ended whole.
+// largeEventError says that an event is larger than this process takes.
+type largeEventError struct{}
+
+func (*largeEventError) Error() string { return "an event is too large" }
+
+// readEvent reads up to the blank line that ends an event; io.EOF says that the
+// stream ended whole. Blank lines before an event, or at the stream's end, go along.
 func (s *httpStream) readEvent() ([]byte, error) {
 	var event []byte
+	lineStart, filled := 0, false
 	for {
-		line, err := s.reader.ReadSlice('\n')
-		event = append(event, line...)
+		piece, err := s.reader.ReadSlice('\n')
+		event = append(event, piece...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEventBytes:
+		case len(event) > maxEventBytes:
+			return nil, &largeEventError{}
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
+		case errors.Is(err, io.EOF) && lineStart == len(event) && !filled && len(event) > 0:
+			return event, nil
 		case errors.Is(err, io.EOF) && len(event) > 0:
 			return nil, &partialEventError{}
 		case err != nil:
 			return nil, err
-		case isBlank(line) && len(event) > len(line):
+		}
+		blank := isBlank(event[lineStart:])
+		if blank && filled {
 			return event, nil
 		}
+		lineStart, filled = len(event), !blank
 	}
 }
 
 func isBlank(line []byte) bool { return len(line) == 1 || len(line) == 2 && line[0] == '\r' }
 
-// dataOf joins the data lines of an event.
+// dataOf joins the data lines of an event; it is nil when there is none.
 func dataOf(event []byte) []byte {
 	var data []byte
-	found := false
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		value, isData := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), []byte(dataField))
 		if !isData {
 			continue
 		}
-		if found {
+		if data == nil {
+			data = []byte{}
+		} else {
 			data = append(data, '\n')
 		}
-		found = true
 		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
 	}
 	return data
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -87,16 +87,23 @@
 	down bool
 	// holdRefusals, when set, keeps tombstones back until it is closed.
 	holdRefusals chan struct{}
-	seen         map[string]int
-	programs     map[string]*protocol.ProgramRecord
-	calls        map[string]*protocol.CallRecord
-	turns        map[string]*protocol.Turn
+	// intercept, when set, may answer an operation in the ledger's place; nil lets it through.
+	intercept func(operation *protocol.LedgerOperation) *protocol.LedgerResult
+	seen      map[string]int
+	programs  map[string]*protocol.ProgramRecord
+	calls     map[string]*protocol.CallRecord
+	turns     map[string]*protocol.Turn
 }
 
 func (l *memoryLedger) Do(_ context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
 	if l.holdRefusals != nil && operation.GetRefuseRequest() != nil {
 		<-l.holdRefusals
 	}
+	if l.intercept != nil {
+		if result := l.intercept(operation); result != nil {
+			return result, nil
+		}
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.seen[strings.TrimPrefix(fmt.Sprintf("%T", operation.GetBody()), "*protocol.LedgerOperation_")]++
@@ -105,7 +112,10 @@
 	}
 	operation = proto.CloneOf(operation)
 	if read := operation.GetReadTurns(); read != nil {
-		return l.read(read), nil
+		return l.read(operation.GetProgram(), read), nil
+	}
+	if find := operation.GetFindTurn(); find != nil {
+		return l.find(find.GetTurnId()), nil
 	}
 	if call := ledger.CallOf(operation); call != "" {
 		key := operation.GetProgram() + "/" + call
@@ -125,19 +135,41 @@
 	return result, nil
 }
 
-func (l *memoryLedger) read(read *protocol.ReadTurns) *protocol.LedgerResult {
+// read follows a chain within one program, as stores do.
+func (l *memoryLedger) read(program string, read *protocol.ReadTurns) *protocol.LedgerResult {
 	result := ledger.Answer(protocol.LedgerStatus_LEDGER_OK)
 	for next := read.GetLastTurn(); next != "" && len(result.Turns) < int(read.GetLimit()); {
 		kept := l.turns[next]
-		if kept == nil {
+		if kept == nil || kept.GetProgram() != program {
 			return ledger.Answer(protocol.LedgerStatus_LEDGER_TURN_MISSING)
 		}
 		result.Turns = append(result.Turns, kept)
 		next = kept.GetPreviousTurn()
+		if kept.GetPreviousProgram() != "" {
+			next = ""
+		}
 	}
 	return result
 }
 
+// find looks a turn up in all programs.
+func (l *memoryLedger) find(id string) *protocol.LedgerResult {
+	kept := l.turns[id]
+	if kept == nil {
+		return ledger.Answer(protocol.LedgerStatus_LEDGER_TURN_MISSING)
+	}
+	result := ledger.Answer(protocol.LedgerStatus_LEDGER_OK)
+	result.Turns = []*protocol.Turn{kept}
+	return result
+}
+
+// turn gives a kept turn, or nil.
+func (l *memoryLedger) turn(id string) *protocol.Turn {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.turns[id]
+}
+
 func (l *memoryLedger) setDown(down bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -350,6 +382,8 @@
 	link      *fakeLink
 	ownership *fakeOwnership
 	server    *httptest.Server
+	// routes serves callers of HTTP routes once a story asks for it.
+	routes *httptest.Server
 }
 
 const (
--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -123,6 +123,9 @@
 		taken.program = taken.session
 	}
 	taken.left = a.timeFor(header, route)
+	if taken.left <= 0 {
+		return nil, failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the caller's time is over")
+	}
 	taken.budget = headerNumber(header, a.dialect.TokenBudget)
 	prompt, most := tokenUsage(header.Get(a.dialect.TokenUsage))
 	taken.most = most
@@ -158,18 +161,24 @@
 // timeFor is how long a request may take: as long as its caller waits and its route allows.
 func (a *routeAPI) timeFor(header http.Header, route *protocol.HttpRoute) time.Duration {
 	allowed := time.Duration(route.GetTimeoutMillis()) * time.Millisecond
-	asked := headerNumber(header, a.dialect.TimeLeft)
-	if asked == 0 {
+	asked, told := wholeNumber(header.Get(a.dialect.TimeLeft))
+	if !told {
 		return allowed
 	}
 	return min(allowed, time.Duration(min(asked, mostTimeoutMillis))*time.Millisecond)
 }
 
-// headerNumber reads a whole number, or one with a fraction that is cut off; zero when there is none.
+// wholeNumber reads a whole number, or one with a fraction that is cut off; false when there is none.
+func wholeNumber(text string) (uint64, bool) {
+	whole, _, _ := strings.Cut(text, ".")
+	number, err := strconv.ParseInt(whole, 10, 64)
+	return uint64(max(number, 0)), err == nil
+}
+
+// headerNumber reads a header as wholeNumber does; zero when there is none.
 func headerNumber(header http.Header, name string) uint64 {
-	text, _, _ := strings.Cut(header.Get(name), ".")
-	number, err := strconv.ParseUint(text, 10, 63)
-	if err != nil {
+	number, told := wholeNumber(header.Get(name))
+	if !told {
 		return 0
 	}
 	return number
--- /dev/null
+++ b/internal/front/routefaults_test.go
@@ -0,0 +1,305 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// badAnswer is what a server sends on a connection in place of the answer to a request; then it closes.
+type badAnswer func(seen seenRequest) string
+
+// badAnswers are those after which the request may have run.
+var badAnswers = map[string]badAnswer{
+	"none at all":              func(seenRequest) string { return "" },
+	"bytes that are no answer": func(seenRequest) string { return "\x16\x03\x01 garbage\r\n\r\n" },
+	"a head that breaks off":   func(seen seenRequest) string { return rawHead(seen, "Content-Length: 2\r\n")[:40] },
+	"a body shorter than told": func(seen seenRequest) string { return rawHead(seen, "Content-Length: 10\r\n") + "short" },
+	"chunks without their end": func(seen seenRequest) string {
+		return rawHead(seen, "Transfer-Encoding: chunked\r\n") + "5\r\nshort\r\n"
+	},
+	"garbage in place of a chunk": func(seen seenRequest) string {
+		return rawHead(seen, "Transfer-Encoding: chunked\r\n") + "zz\r\nshort\r\n0\r\n\r\n"
+	},
+	"one without proof": func(seen seenRequest) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nfalse", words.RequestID, seen.id())
+	},
+	"one of another request": func(seenRequest) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\n%s: proof\r\nContent-Length: 5\r\n\r\nfalse", words.RequestID, words.Signature)
+	},
+	"one of no request": func(seenRequest) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: proof\r\nContent-Length: 5\r\n\r\nfalse", words.Signature)
+	},
+	"a refusal of another request": func(seenRequest) string {
+		return fmt.Sprintf("HTTP/1.1 503 Full\r\n%s: other\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", words.RequestID, words.NotExecuted)
+	},
+	"a wrong address for another request": func(seenRequest) string {
+		return fmt.Sprintf("HTTP/1.1 421 Misdirected\r\n%s: other\r\nContent-Length: 0\r\n\r\n", words.RequestID)
+	},
+	"a 503 that does not say that it was not run": func(seen seenRequest) string {
+		return fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: proof\r\nContent-Length: 4\r\n\r\nbusy", words.RequestID, seen.id(), words.Signature)
+	},
+}
+
+// badStreams are answers of streams after which the caller must see a broken connection.
+var badStreams = map[string]badAnswer{
+	"ends inside an event": func(seen seenRequest) string {
+		return rawHead(seen, "Content-Type: text/event-stream\r\nConnection: close\r\n") + event(1, "one") + "id: 2\ndata: tw"
+	},
+	"ends before the blank line of an event": func(seen seenRequest) string {
+		return rawHead(seen, "Content-Type: text/event-stream\r\nConnection: close\r\n") + event(1, "one") + "id: 2\ndata: two\n"
+	},
+	"is cut between events": func(seen seenRequest) string {
+		return rawHead(seen, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(event(1, "one"))
+	},
+	"is cut inside a chunk": func(seen seenRequest) string {
+		return rawHead(seen, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(event(1, "one")) + "40\r\nid: 2\n"
+	},
+	"turns into garbage": func(seen seenRequest) string {
+		return rawHead(seen, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(event(1, "one")) + "\x00\xff?\r\n"
+	},
+}
+
+func chunk(text string) string {
+	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n"
+}
+
+var _ = Describe("a server of HTTP routes", func() {
+	var r *rig
+	var f1 *node
+	var arrivals atomic.Int32
+
+	BeforeEach(func() {
+		r = newRouteRig()
+		f1 = r.front("f1")
+		arrivals.Store(0)
+	})
+
+	// badOnce adds two servers, of which the one asked first answers badly.
+	badOnce := func(bad badAnswer, good func(seen seenRequest) string) [2]*standIn {
+		var servers [2]*standIn
+		for at := range servers {
+			servers[at] = r.rawServer(fmt.Sprintf("s%d", at+1), func(server *standIn, connection net.Conn, reader *bufio.Reader) {
+				for {
+					seen, more := server.take(reader)
+					if !more {
+						return
+					}
+					if arrivals.Add(1) == 1 {
+						_, _ = io.WriteString(connection, bad(seen))
+						return
+					}
+					_, _ = io.WriteString(connection, good(seen))
+				}
+			})
+		}
+		return servers
+	}
+	whole := func(seen seenRequest) string { return rawHead(seen, "Content-Length: 4\r\n") + "true" }
+
+	for name, bad := range badAnswers {
+		It("that gives "+name+" ends a request that may not be repeated, with no promise and no further send", func() {
+			servers := badOnce(bad, whole)
+			got := f1.route(routed{target: nonRepeatablePath, headers: with(words.RequestID, "r1")})
+			Expect(got.status).To(Equal(http.StatusBadGateway), got.body)
+			Expect(got.header).NotTo(HaveKey(words.Signature))
+			Expect(got.header).NotTo(HaveKey("Retry-After"))
+			Expect(got.body).NotTo(ContainSubstring("false"))
+			Expect(count(servers[0], servers[1])).To(Equal(1))
+		})
+
+		It("that gives "+name+" ends a stream, with no promise and no further send", func() {
+			servers := badOnce(bad, whole)
+			got := f1.route(routed{target: streamPath, headers: with(words.RequestID, "r1")})
+			Expect(got.status).To(Equal(http.StatusBadGateway), got.body)
+			Expect(got.header).NotTo(HaveKey(words.Signature))
+			Expect(count(servers[0], servers[1])).To(Equal(1))
+		})
+
+		It("that gives "+name+" is followed by another one for a request that may be repeated", func() {
+			servers := badOnce(bad, whole)
+			got := f1.route(routed{target: repeatablePath, headers: with(words.RequestID, "r1")})
+			Expect(got.status).To(Equal(http.StatusOK), got.body)
+			Expect(got.body).To(Equal("true"))
+			Expect(servers[0].requests()).To(HaveLen(1))
+			Expect(servers[1].requests()).To(HaveLen(1))
+		})
+	}
+
+	DescribeTable("may have run a repeatable request as often as the route allows", func(allowed uint32, sends int) {
+		r.changeBundle(func(active *protocol.Bundle) { active.HttpRoutes[0].MaxAttempts = allowed })
+		var servers []*standIn
+		for at := range 6 {
+			servers = append(servers, r.server(fmt.Sprintf("s%d", at), breakOff))
+		}
+		got := f1.route(routed{target: repeatablePath})
+		Expect(got.status).To(Equal(http.StatusBadGateway), got.body)
+		Expect(count(servers...)).To(Equal(sends))
+	},
+		Entry("once when it says nothing", uint32(0), 1),
+		Entry("once", uint32(1), 1),
+		Entry("twice", uint32(2), 2),
+		Entry("four times", uint32(4), 4),
+	)
+
+	for name, refusal := range map[string]http.HandlerFunc{
+		"503":               refuseWith(http.StatusServiceUnavailable, ""),
+		"429":               refuseWith(http.StatusTooManyRequests, "1"),
+		"another one's 421": answerWith(http.StatusMisdirectedRequest, ""),
+		"400 without an id": func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set(words.NotExecuted, "1")
+			writer.WriteHeader(http.StatusBadRequest)
+		},
+	} {
+		DescribeTable("that refuses with "+name+" is followed by another one", func(path string, answer http.HandlerFunc, wanted string) {
+			var servers []*standIn
+			for at := range 3 {
+				servers = append(servers, r.server(fmt.Sprintf("s%d", at), func(writer http.ResponseWriter, request *http.Request) {
+					if arrivals.Add(1) < 3 {
+						refusal(writer, request)
+						return
+					}
+					answer(writer, request)
+				}))
+			}
+			got := f1.route(routed{target: path, headers: with(words.RequestID, "r1"), body: "b"})
+			Expect(got.status).To(Equal(http.StatusOK), got.body)
+			Expect(got.body).To(Equal(wanted))
+			for _, server := range servers {
+				Expect(server.bodies()).To(Equal([]string{"b"}), "each is asked once")
+			}
+		},
+			Entry("for a repeatable request", repeatablePath, answerWith(http.StatusOK, "yes"), "yes"),
+			Entry("for one that may not be repeated", nonRepeatablePath, answerWith(http.StatusOK, "yes"), "yes"),
+			Entry("for a stream", streamPath, streamOf("yes"), event(1, "yes")),
+		)
+	}
+
+	DescribeTable("may refuse so often that the caller is refused with the time to come back", func(path string) {
+		var servers []*standIn
+		for at := range 6 {
+			servers = append(servers, r.server(fmt.Sprintf("s%d", at), refuseWith(http.StatusServiceUnavailable, "1.5")))
+		}
+		got := f1.route(routed{target: path})
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).To(Equal("1.500"))
+		Expect(got.header).NotTo(HaveKey(words.Signature))
+		Expect(count(servers...)).To(Equal(3), "sends are bounded")
+	},
+		Entry("for a repeatable request", repeatablePath),
+		Entry("for one that may not be repeated", nonRepeatablePath),
+		Entry("for a stream", streamPath),
+	)
+
+	DescribeTable("is not there", func(path string) {
+		got := f1.route(routed{target: path})
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header).To(HaveKey("Retry-After"))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		r.announce("gone", routeGroup, listener.Addr().String())
+		_ = listener.Close()
+		got = f1.route(routed{target: path})
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable), "nothing was sent")
+		Expect(got.header).To(HaveKey("Retry-After"))
+	},
+		Entry("for a call", nonRepeatablePath),
+		Entry("for a stream", streamPath),
+	)
+
+	It("that refuses after one that may have run leaves no promise", func() {
+		var servers []*standIn
+		for at := range 2 {
+			servers = append(servers, r.server(fmt.Sprintf("s%d", at), func(writer http.ResponseWriter, request *http.Request) {
+				if arrivals.Add(1) == 1 {
+					breakOff(writer, request)
+				}
+				refuseWith(http.StatusServiceUnavailable, "")(writer, request)
+			}))
+		}
+		Expect(f1.route(routed{target: repeatablePath}).status).To(Equal(http.StatusBadGateway))
+		Expect(count(servers...)).To(Equal(2))
+	})
+
+	DescribeTable("that drains gets nothing", func(path string) {
+		server := r.server("s1", answerWith(http.StatusOK, "ok"))
+		Expect(f1.route(routed{target: path}).status).To(Equal(http.StatusOK))
+		r.changeServer("s1", func(server *protocol.BackEnd) { server.State = protocol.BackEndState_DRAINING })
+		Expect(f1.route(routed{target: path}).status).To(Equal(http.StatusServiceUnavailable))
+		r.server("s2", answerWith(http.StatusOK, "ok"))
+		for range 5 {
+			Expect(f1.route(routed{target: path}).status).To(Equal(http.StatusOK))
+		}
+		Expect(server.requests()).To(HaveLen(1))
+	},
+		Entry("for a call", nonRepeatablePath),
+		Entry("for a stream", streamPath),
+	)
+
+	DescribeTable("that sends more behind an answer gives it to nobody", func(path string) {
+		r.rawServer("s1", func(server *standIn, connection net.Conn, reader *bufio.Reader) {
+			seen, more := server.take(reader)
+			if !more {
+				return
+			}
+			surplus := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: r%d\r\n%s: proof\r\nContent-Length: 5\r\n\r\nwrong",
+				words.RequestID, len(server.requests())+1, words.Signature)
+			_, _ = io.WriteString(connection, whole(seen)+surplus)
+			_, _ = reader.ReadByte()
+		})
+		for number := 1; number <= 5; number++ {
+			got := f1.route(routed{target: path, headers: with(words.RequestID, fmt.Sprintf("r%d", number))})
+			Expect(got.status).To(Equal(http.StatusOK))
+			Expect(got.body).To(Equal("true"))
+		}
+	},
+		Entry("for a call", nonRepeatablePath),
+		Entry("for a stream", streamPath),
+	)
+
+	DescribeTable("stops when the caller leaves", func(path string, begin func(http.ResponseWriter, *http.Request)) {
+		arrived, ended := make(chan struct{}), make(chan struct{})
+		servers := []*standIn{}
+		for at := range 2 {
+			servers = append(servers, r.server(fmt.Sprintf("s%d", at), func(writer http.ResponseWriter, request *http.Request) {
+				begin(writer, request)
+				close(arrived)
+				<-request.Context().Done()
+				close(ended)
+			}))
+		}
+		ctx, leave := context.WithCancel(context.Background())
+		f1.routeServer()
+		left := make(chan error, 1)
+		go func() {
+			response, err := f1.begin(ctx, routed{target: path})
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			left <- err
+		}()
+		<-arrived
+		leave()
+		Expect(<-left).To(MatchError(context.Canceled))
+		<-ended
+		r.settled(f1)
+		Expect(count(servers...)).To(Equal(1))
+	},
+		Entry("a repeatable call", repeatablePath, func(http.ResponseWriter, *http.Request) {}),
+		Entry("a call that may not be repeated", nonRepeatablePath, func(http.ResponseWriter, *http.Request) {}),
+		Entry("a stream before its first event", streamPath, func(http.ResponseWriter, *http.Request) {}),
+		Entry("a stream in the midst", streamPath, func(writer http.ResponseWriter, request *http.Request) {
+			streamOf("one")(writer, request)
+		}),
+	)
+})
--- /dev/null
+++ b/internal/front/routes_test.go
@@ -0,0 +1,281 @@
+package front_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var _ = Describe("a request of an HTTP route", func() {
+	var r *rig
+	var f1 *node
+
+	BeforeEach(func() {
+		r = newRouteRig()
+		f1 = r.front("f1")
+	})
+
+	DescribeTable("reaches the server unchanged", func(method, body string, chunked bool) {
+		server := r.server("s1", answerWith(http.StatusOK, "ok"))
+		const target = "/write/a%2Fb/%E2%82%AC/..;v=1/?q=a+b&&r=%41&s"
+		got := f1.route(routed{
+			method: method, target: target, host: "SHOP.example:8080", body: body, chunked: chunked,
+			headers: with(words.RequestID, "r1", "X-Many", "one", "X-Many", "two", "Content-Type", "a/b", "Cookie", "c=d; e",
+				"Connection", "X-Hop", "X-Hop", "here", "Te", "gzip", "Proxy-Authorization", "secret", "Accept-Encoding", "identity"),
+		})
+		Expect(got.status).To(Equal(http.StatusOK), got.body)
+		Expect(server.requests()).To(HaveLen(1))
+		seen := server.requests()[0]
+		Expect(seen.method).To(Equal(method))
+		Expect(seen.target).To(Equal(target))
+		Expect(seen.host).To(Equal("SHOP.example:8080"))
+		Expect(seen.body).To(Equal(body))
+		wanted := http.Header{
+			http.CanonicalHeaderKey(words.RequestID): {"r1"}, "X-Many": {"one", "two"}, "Content-Type": {"a/b"},
+			"Cookie": {"c=d; e"}, "Accept-Encoding": {"identity"}, words.TimeLeft: {"2000"}, words.TargetServer: {"s1"},
+		}
+		if length, told := seen.header["Content-Length"]; told {
+			wanted["Content-Length"] = length
+		}
+		Expect(seen.header).To(Equal(wanted))
+	},
+		Entry("without a body", http.MethodGet, "", false),
+		Entry("with a body of a length", http.MethodPost, "some bytes\x00\xff", false),
+		Entry("with a body in chunks", http.MethodPut, strings.Repeat("piece ", 3000), true),
+		Entry("by a method of its own", "REPORT", "x", false),
+	)
+
+	It("is made an id when it brings none, which the server's answer must carry", func() {
+		server := r.server("s1", answerWith(http.StatusOK, "ok"))
+		Expect(f1.route(routed{target: "/write/"}).status).To(Equal(http.StatusOK))
+		Expect(f1.route(routed{target: "/write/"}).status).To(Equal(http.StatusOK))
+		first, second := server.requests()[0].id(), server.requests()[1].id()
+		Expect(first).NotTo(BeEmpty())
+		Expect(second).NotTo(Equal(first))
+	})
+
+	Describe("finding its route", func() {
+		BeforeEach(func() {
+			r.changeBundle(func(active *protocol.Bundle) {
+				add := func(host, prefix, group string) {
+					active.HttpRoutes = append(active.HttpRoutes, &protocol.HttpRoute{
+						Name: host + prefix, Host: host, Prefix: prefix, Kind: protocol.HttpRouteKind_HTTP_NON_REPEATABLE,
+						TimeoutMillis: 1000, Targets: []*protocol.WeightedGroup{{Group: group, Weight: 1}},
+					})
+				}
+				add(routeHost, "/a/", "short")
+				add(routeHost, "/a/b/", "long")
+				add("other.example", "/a/", "other")
+			})
+			for _, group := range []string{"short", "long", "other"} {
+				r.serverOf(group, group, answerWith(http.StatusOK, group))
+			}
+		})
+
+		DescribeTable("takes the longest prefix of its host", func(host, target, wanted string) {
+			Expect(f1.route(routed{target: target, host: host}).body).To(Equal(wanted))
+		},
+			Entry("the longer one", routeHost, "/a/b/c", "long"),
+			Entry("the longer one itself", routeHost, "/a/b/", "long"),
+			Entry("the shorter one where the longer does not begin the path", routeHost, "/a/bc/", "short"),
+			Entry("an escaped slash is no slash", routeHost, "/a/b%2Fc", "short"),
+			Entry("another host", "other.example", "/a/b/c", "other"),
+			Entry("a query is no part of the path", routeHost, "/a/?/a/b/", "short"),
+		)
+
+		DescribeTable("is answered 404 without one", func(host, target string) {
+			got := f1.route(routed{target: target, host: host})
+			Expect(got.status).To(Equal(http.StatusNotFound))
+			Expect(got.header).NotTo(HaveKey(words.Signature))
+		},
+			Entry("an unknown path", routeHost, "/b/"),
+			Entry("a prefix without its slash", routeHost, "/a"),
+			Entry("an unknown host", "none.example", "/a/"),
+		)
+	})
+
+	It("is answered 503 with the time to come back while no bundle is in force", func() {
+		r.put(&corelink.View{Configuration: &protocol.Configuration{Version: 9}, Membership: r.view.Membership, BackEnds: r.view.BackEnds})
+		got := f1.route(routed{target: "/read/"})
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).To(Equal("1.000"))
+	})
+
+	Describe("bounds", func() {
+		var server *standIn
+
+		BeforeEach(func() {
+			r.changeBundle(func(active *protocol.Bundle) {
+				active.Limits.MaxHeaderBytes, active.Limits.MaxBodyBytes = 1000, 100
+			})
+			server = r.server("s1", answerWith(http.StatusOK, "ok"))
+		})
+
+		DescribeTable("let it through within and refuse it beyond", func(sent routed, status int) {
+			sent.target = "/write/"
+			Expect(f1.route(sent).status).To(Equal(status))
+			Expect(server.requests()).To(HaveLen(map[int]int{http.StatusOK: 1}[status]))
+		},
+			Entry("a body at the bound", routed{body: strings.Repeat("x", 100)}, http.StatusOK),
+			Entry("a body beyond", routed{body: strings.Repeat("x", 101)}, http.StatusRequestEntityTooLarge),
+			Entry("a body in chunks beyond", routed{body: strings.Repeat("x", 101), chunked: true}, http.StatusRequestEntityTooLarge),
+			Entry("a header within", routed{headers: with("X-Long", strings.Repeat("x", 900))}, http.StatusOK),
+			Entry("a header beyond", routed{headers: with("X-Long", strings.Repeat("x", 1000))}, http.StatusRequestHeaderFieldsTooLarge),
+			Entry("many headers beyond", routed{headers: with("X-A", strings.Repeat("x", 500), "X-B", strings.Repeat("x", 500))},
+				http.StatusRequestHeaderFieldsTooLarge),
+		)
+	})
+
+	Describe("time left", func() {
+		DescribeTable("is passed on, never more than its caller's or the route's", func(told http.Header, wanted string) {
+			server := r.server("s1", answerWith(http.StatusOK, "ok"))
+			Expect(f1.route(routed{target: "/write/", headers: told}).status).To(Equal(http.StatusOK))
+			Expect(server.requests()[0].header[words.TimeLeft]).To(Equal([]string{wanted}))
+		},
+			Entry("the caller's when it is shorter", with(words.TimeLeft, "700"), "700"),
+			Entry("a fraction is cut off", with(words.TimeLeft, "700.9"), "700"),
+			Entry("the route's when the caller's is longer", with(words.TimeLeft, "70000"), "2000"),
+			Entry("the route's when the caller's is beyond every number", with(words.TimeLeft, "99999999999999999999"), "2000"),
+			Entry("the route's when the caller tells none", nil, "2000"),
+		)
+
+		DescribeTable("that is over lets nothing reach a server", func(path string) {
+			server := r.server("s1", answerWith(http.StatusOK, "ok"))
+			for _, told := range []string{"0", "0.4"} {
+				got := f1.route(routed{target: path, headers: with(words.TimeLeft, told)})
+				Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+			}
+			Expect(server.requests()).To(BeEmpty())
+		},
+			Entry("a call", nonRepeatablePath),
+			Entry("a stream", streamPath),
+		)
+
+		DescribeTable("shrinks by what was spent before a further send", func(path string, answer http.HandlerFunc) {
+			slow := func(writer http.ResponseWriter, request *http.Request) {
+				r.clock.advance(300 * time.Millisecond)
+				refuseWith(http.StatusServiceUnavailable, "")(writer, request)
+			}
+			first := true
+			handler := func(writer http.ResponseWriter, request *http.Request) {
+				if first {
+					first = false
+					slow(writer, request)
+					return
+				}
+				answer(writer, request)
+			}
+			s1, s2 := r.server("s1", handler), r.server("s2", handler)
+			Expect(f1.route(routed{target: path, headers: with(words.TimeLeft, "1000")}).status).To(Equal(http.StatusOK))
+			var told []string
+			for _, seen := range append(s1.requests(), s2.requests()...) {
+				told = append(told, seen.header.Get(words.TimeLeft))
+			}
+			Expect(told).To(ConsistOf("1000", "700"))
+		},
+			Entry("a call", nonRepeatablePath, answerWith(http.StatusOK, "ok")),
+			Entry("a stream", streamPath, streamOf("a")),
+		)
+
+		DescribeTable("ends what a silent server was given, with no promise", func(path string) {
+			arrived, left := make(chan struct{}), make(chan struct{})
+			r.server("s1", func(_ http.ResponseWriter, request *http.Request) {
+				close(arrived)
+				<-request.Context().Done()
+				close(left)
+			})
+			answered := f1.routeAside(routed{target: path})
+			<-arrived
+			r.clock.advance(routeTimeoutMillis * time.Millisecond)
+			Expect((<-answered).status).To(Equal(http.StatusGatewayTimeout))
+			<-left
+		},
+			Entry("a repeatable call", repeatablePath),
+			Entry("a non-repeatable call", nonRepeatablePath),
+			Entry("a stream", streamPath),
+		)
+	})
+})
+
+var _ = Describe("an answer on an HTTP route", func() {
+	// exchange gives the bytes of an answer as a caller reads them.
+	exchange := func(n *node, method, target string) string {
+		connection, err := net.Dial("tcp", n.routeServer().Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = connection.Close() }()
+		_, err = fmt.Fprintf(connection, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: r1\r\nConnection: close\r\n\r\n", method, target, routeHost, words.RequestID)
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := io.ReadAll(connection)
+		Expect(err).NotTo(HaveOccurred())
+		return string(answer)
+	}
+	// parts splits an answer into its status line, the sorted header lines without those of the connection, and its body.
+	parts := func(answer string) (status string, lines []string, body string) {
+		head, body, found := strings.Cut(answer, "\r\n\r\n")
+		Expect(found).To(BeTrue(), answer)
+		all := strings.Split(head, "\r\n")
+		for _, line := range all[1:] {
+			if line != "Connection: close" {
+				lines = append(lines, line)
+			}
+		}
+		return all[0], lines, body
+	}
+
+	DescribeTable("is the server's, byte for byte", func(method, path, status, lines, body string) {
+		r := newRouteRig()
+		f1 := r.front("f1")
+		r.rawServer("s1", func(server *standIn, connection net.Conn, reader *bufio.Reader) {
+			for {
+				if _, more := server.take(reader); !more {
+					return
+				}
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 %s\r\n%s: r1\r\n%s: proof\r\n%s\r\n%s", status, words.RequestID, words.Signature, lines, body)
+			}
+		})
+		gotStatus, gotLines, gotBody := parts(exchange(f1, method, path))
+		Expect(gotStatus).To(Equal("HTTP/1.1 " + status))
+		wanted := []string{words.RequestID + ": r1", words.Signature + ": proof"}
+		for line := range strings.SplitSeq(strings.TrimSuffix(lines, "\r\n"), "\r\n") {
+			if line != "" && !strings.HasPrefix(line, "Keep-Alive") {
+				wanted = append(wanted, line)
+			}
+		}
+		Expect(gotLines).To(ConsistOf(wanted))
+		Expect(gotBody).To(Equal(body))
+	},
+		Entry("a success without a type or date", "GET", repeatablePath, "200 OK", "Content-Length: 2\r\n", "ok"),
+		Entry("with headers given twice and an encoding", "POST", nonRepeatablePath, "203 Non-Authoritative Information",
+			"Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nContent-Encoding: x-own\r\nDate: long ago\r\nContent-Length: 3\r\n", "\x00\xff\n"),
+		Entry("of a server that tells how long it keeps the connection", "GET", repeatablePath, "200 OK",
+			"Keep-Alive: timeout=3\r\nContent-Length: 2\r\n", "ok"),
+		Entry("an empty one", "POST", nonRepeatablePath, "200 OK", "Content-Length: 0\r\n", ""),
+		Entry("without content", "POST", nonRepeatablePath, "204 No Content", "", ""),
+		Entry("not modified", "GET", repeatablePath, "304 Not Modified", "Etag: \"x\"\r\n", ""),
+		Entry("a refusal of the server's own kind", "GET", repeatablePath, "404 Not Found", "Content-Length: 4\r\n", "none"),
+		Entry("a failure of the server", "POST", nonRepeatablePath, "500 Internal Server Error", "Content-Length: 4\r\n", "oops"),
+		Entry("a failure in place of a stream", "POST", streamPath, "500 Internal Server Error", "Content-Length: 4\r\n", "oops"),
+		Entry("a success in place of a stream", "POST", streamPath, "200 OK", "Content-Type: text/plain\r\nContent-Length: 4\r\n", "oops"),
+		Entry("the head alone", "HEAD", repeatablePath, "200 OK", "Content-Length: 4711\r\n", ""),
+	)
+
+	It("may have no length and end with its connection", func() {
+		r := newRouteRig()
+		f1 := r.front("f1")
+		r.rawServer("s1", func(server *standIn, connection net.Conn, reader *bufio.Reader) {
+			seen, _ := server.take(reader)
+			_, _ = io.WriteString(connection, rawHead(seen, "Connection: close\r\n")+"until the end")
+		})
+		Expect(f1.route(routed{target: repeatablePath}).body).To(Equal("until the end"))
+	})
+})
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -33,7 +33,7 @@
 	if taken.http.GetStateful() {
 		request.PreviousTurn = taken.previous
 	}
-	stream := &routedStream{writer: writer, controller: http.NewResponseController(writer)}
+	stream := &routedStream{writer: writer, method: taken.http.GetMethod(), controller: http.NewResponseController(writer)}
 	if err := a.service.relayTurn(ctx, request, stream.send); err != nil {
 		stream.fail(failure.From(err))
 	}
@@ -42,6 +42,7 @@
 // routedStream writes a server's stream to a caller, each event as it comes.
 type routedStream struct {
 	writer     http.ResponseWriter
+	method     string
 	controller *http.ResponseController
 	begun      bool
 }
@@ -57,7 +58,7 @@
 		return s.write(body.Delta.GetEvent())
 	case *protocol.TurnEvent_Answered:
 		s.begun = true
-		writeAnswer(s.writer, body.Answered)
+		writeAnswer(s.writer, s.method, body.Answered)
 	case *protocol.TurnEvent_Failed:
 		s.fail(body.Failed)
 	}
@@ -110,7 +111,7 @@
 	case answer.GetFailure() != nil:
 		writeRoutedFailure(writer, answer.GetFailure())
 	default:
-		writeAnswer(writer, &protocol.HttpAnswer{Status: answer.GetStatus(), Headers: answer.GetHeaders(), Body: answer.GetBody()})
+		writeAnswer(writer, taken.http.GetMethod(), &protocol.HttpAnswer{Status: answer.GetStatus(), Headers: answer.GetHeaders(), Body: answer.GetBody()})
 	}
 }
 
@@ -122,16 +123,21 @@
 	}
 }
 
-// writeAnswer writes a server's whole answer.
-func writeAnswer(writer http.ResponseWriter, answer *protocol.HttpAnswer) {
+// writeAnswer writes a server's whole answer to a request of a method.
+func writeAnswer(writer http.ResponseWriter, method string, answer *protocol.HttpAnswer) {
 	copyHeaders(writer.Header(), answer.GetHeaders())
-	if status := answer.GetStatus(); status != http.StatusNoContent && status != http.StatusNotModified {
+	if hasBody(method, answer.GetStatus()) {
 		writer.Header().Set("Content-Length", strconv.Itoa(len(answer.GetBody())))
 	}
 	writer.WriteHeader(int(answer.GetStatus()))
 	_, _ = writer.Write(answer.GetBody())
 }
 
+// hasBody reports whether an answer has a body, whose length is told then.
+func hasBody(method string, status uint32) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // writeRoutedFailure answers with a failure of this system. A status that
 // promises that nothing ran is used only where that is certain.
 func writeRoutedFailure(writer http.ResponseWriter, f *protocol.Failure) {
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -86,7 +86,7 @@
 		machine: turn.NewCall(turn.CallParameters{
 			Request: request, Owner: s.name, Incarnation: grant.Incarnation(), Repeatable: !route.GetNonRepeatable(),
 			Budget: arm.budget(request.GetProgramBudget(), request.GetTenant()), BundleVersion: arm.version(),
-			Attempt: uuid.NewString(), Unrecorded: request.GetHttp() != nil, Attempts: callAttempts(request),
+			Attempt: uuid.NewString(), Unrecorded: request.GetHttp() != nil, Attempts: callAttempts(request), Runs: callRuns(request),
 		}),
 	}
 }
@@ -99,6 +99,14 @@
 	return max(request.GetHttp().GetMaxAttempts(), routedSends)
 }
 
+// callRuns bounds the servers that may have run a call of an HTTP route; zero leaves it to callAttempts.
+func callRuns(request *protocol.ToolCallRequest) uint32 {
+	if request.GetHttp() == nil {
+		return 0
+	}
+	return max(request.GetHttp().GetMaxAttempts(), 1)
+}
+
 func (s *Service) startCall(run *callRun, caller context.Context, left time.Duration, cancel context.CancelCauseFunc) {
 	expired := s.clock.After(left)
 	finished := make(chan struct{})
--- a/internal/turn/event.go
+++ b/internal/turn/event.go
@@ -45,7 +45,7 @@
 	Text   string
 	Tokens uint32
 	// Event and Data are set for a turn of an HTTP route: one whole event of the
-	// server's stream, byte for byte, and its data.
+	// server's stream, byte for byte, and its data, which is nil when the event has none.
 	Event []byte
 	Data  []byte
 }
--- a/internal/turn/stream.go
+++ b/internal/turn/stream.go
@@ -36,7 +36,7 @@
 	m.tokens += uint64(token.Tokens)
 	m.passed += uint64(token.Tokens)
 	m.text.WriteString(token.Text)
-	if token.Event != nil {
+	if token.Data != nil {
 		m.output = append(append(m.output, token.Data...), '\n')
 	}
 	return append(commands, m.emit(&protocol.TurnEvent{Body: &protocol.TurnEvent_Delta{
--- a/internal/turn/toolcall.go
+++ b/internal/turn/toolcall.go
@@ -26,7 +26,9 @@
 	// Attempt is unique to this machine; only the attempt that wrote the intent may issue the call.
 	Attempt string
 	// Attempts bounds the tries at back ends; zero means DefaultMaxAttempts.
-	Attempts      uint32
+	Attempts uint32
+	// Runs bounds the back ends that may have run a repeatable call; zero bounds it by Attempts alone.
+	Runs          uint32
 	BundleVersion uint64
 }
 
@@ -58,6 +60,8 @@
 	backEnd  string
 	avoid    []string
 	tries    uint32
+	// runs counts the tries that may have run the call.
+	runs uint32
 
 	failure        *protocol.Failure
 	operationBegan time.Time
--- a/internal/turn/toolending.go
+++ b/internal/turn/toolending.go
@@ -16,11 +16,14 @@
 	m.avoid = append(m.avoid, m.backEnd)
 	unsure := event.Fault == FaultBroken || event.Fault == FaultMismatch
 	m.ranEver = m.ranEver || unsure
+	if unsure {
+		m.runs++
+	}
 	m.failure = callFailure(event)
 	if m.ranEver {
 		m.failure.Outcome = protocol.Outcome_UNKNOWN
 	}
-	final := event.Fault == FaultFenced || event.Fault == FaultRejected || unsure && !m.parameters.Repeatable
+	final := event.Fault == FaultFenced || event.Fault == FaultRejected || unsure && !m.mayRunAgain()
 	if final || m.tries >= m.parameters.Attempts {
 		return m.giveUp(now)
 	}
@@ -28,6 +31,11 @@
 	return []Command{AskRetry{}}
 }
 
+// mayRunAgain reports whether the call may be issued again after tries that may have run it.
+func (m *CallMachine) mayRunAgain() bool {
+	return m.parameters.Repeatable && (m.parameters.Runs == 0 || m.runs < m.parameters.Runs)
+}
+
 func callFailure(event BackEndFailed) *protocol.Failure {
 	switch event.Fault {
 	case FaultRefused:
