Keep authority over a clock step and succeed a former life whose clock was ahead

Cause: a wall clock set forward by more than the rest of a lease ended it, and with it every turn under way; a node that came back after its clock was set back had a smaller incarnation than its own lease and was refused until that ran out, asked ever more seldom. The wall clock now has a tolerance of 6 s, which leaves a machine that was suspended for longer without authority as before, at most 10.5 s after its last renewal; the ledger's epochs fence what is shorter. A refused node that finds itself in the view, at its own address, under a larger incarnation goes on above that.

The test of suspension keeps its 10 s and gained a step of 5 s that must not end authority.

--- a/internal/corelink/outage_test.go
+++ b/internal/corelink/outage_test.go
@@ -134,3 +134,28 @@
 		g.Expect(core.count("locates")-before).To(BeNumerically("<=", 20*4), "twenty searches a second of four processes, whoever asks")
 	})
 }
+
+// The clock was set back while the node was down, so its former life has the larger incarnation.
+func TestGivenAFormerLifeWithALargerIncarnationThenTheNodeSucceedsItAtOnce(t *testing.T) {
+	core := newFakeCore()
+	former := &protocol.Node{Name: "front-1", Kind: protocol.NodeKind_FRONT, Incarnation: 1 << 50, Address: "10.0.0.5:1"}
+	core.latest = &protocol.PollControlResponse{Membership: &protocol.MembershipView{Version: 7, Nodes: []*protocol.Node{former}}}
+	core.refusesBelow = former.GetIncarnation() + 1
+	started(t, core, func(g *WithT, link *corelink.Link) {
+		g.Expect(untilReady(g, link)).To(BeNumerically("<=", readyAfter))
+		g.Expect(link.Self().GetIncarnation()).To(BeNumerically(">", former.GetIncarnation()))
+	})
+}
+
+// Another machine uses the name: they must not take the lease from each other in turn.
+func TestGivenTheNameAtAnotherAddressThenTheNodeDoesNotSucceedIt(t *testing.T) {
+	core := newFakeCore()
+	other := &protocol.Node{Name: "front-1", Kind: protocol.NodeKind_FRONT, Incarnation: 1 << 50, Address: "10.0.0.6:1"}
+	core.latest = &protocol.PollControlResponse{Membership: &protocol.MembershipView{Version: 7, Nodes: []*protocol.Node{other}}}
+	core.refusesBelow = other.GetIncarnation() + 1
+	started(t, core, func(g *WithT, link *corelink.Link) {
+		pass(10 * time.Second)
+		g.Expect(link.HasAuthority()).To(BeFalse())
+		g.Expect(link.Self().GetIncarnation()).To(BeNumerically("<", other.GetIncarnation()))
+	})
+}
--- a/internal/corelink/owner.go
+++ b/internal/corelink/owner.go
@@ -29,6 +29,8 @@
 	// refusedWait is the wait after the last refusal with a reason, zero when there is none; refusal is that reason.
 	refusedWait time.Duration
 	refusal     string
+	// wasRefused is true from a refusal until a lease is granted.
+	wasRefused bool
 	// lapseLogged is true from the line about lost authority until a lease is held again.
 	lapseLogged bool
 	renewTimer  *time.Timer
@@ -187,7 +189,7 @@
 }
 
 func (o *owner) granted(now time.Time, renewal lease.Renewal, answer *protocol.RenewLeaseResponse) {
-	o.renewWait, o.refusedWait, o.refusal, o.lapseLogged = 0, 0, "", false
+	o.renewWait, o.refusedWait, o.refusal, o.lapseLogged, o.wasRefused = 0, 0, "", false, false
 	had := o.link.HasAuthority()
 	duration := time.Duration(answer.GetDurationMillis()) * time.Millisecond
 	if !o.holder.Granted(now, renewal, duration, answer.GetLatest().GetMembership()) {
@@ -222,6 +224,14 @@
 	o.link.metrics.renewals.WithLabelValues("refused").Inc()
 	o.holder.Refused(now, renewal)
 	o.lapsed()
+	o.wasRefused = true
+	if o.succeed() {
+		return
+	}
+	if !o.polling && o.link.View().Membership == nil {
+		// The view may show a former life of this node.
+		o.pollTimer.Reset(0)
+	}
 	if refusal != nil || err != nil {
 		o.noteRefusal(refusal, err)
 		o.refusedWait = min(max(2*o.refusedWait, o.link.options.RenewInterval), longestRefusedWait)
@@ -233,6 +243,28 @@
 	o.renewTimer.Reset(jitter(o.renewWait))
 }
 
+// succeed goes on under a larger incarnation when the view has this node, at its
+// own address, under one that is not smaller: that is a former life of it, since
+// one process alone can listen there, and the clock that incarnations are made
+// of was set back. It asks for the lease at once then.
+func (o *owner) succeed() bool {
+	now := time.Now()
+	if !o.wasRefused || o.holder.Held(now) {
+		return false
+	}
+	for _, node := range o.link.View().Membership.GetNodes() {
+		former := node.GetIncarnation()
+		if node.GetName() != o.self.GetName() || node.GetAddress() != o.self.GetAddress() || former < o.holder.Incarnation() {
+			continue
+		}
+		o.holder.Succeed(now, former)
+		o.lapsed()
+		o.renewTimer.Reset(0)
+		return true
+	}
+	return false
+}
+
 // noteRefusal logs the reason when it is another one than before.
 func (o *owner) noteRefusal(refusal *protocol.Refusal, err error) {
 	reason := refusal.GetCode() + ": " + refusal.GetMessage()
--- a/internal/corelink/poll.go
+++ b/internal/corelink/poll.go
@@ -78,6 +78,7 @@
 		return
 	}
 	o.link.view.Store(next)
+	o.succeed()
 	o.link.metrics.observe(next.Versions())
 	// The notifier takes the view before the next poll is sent, so the channel has room.
 	o.link.changed <- next
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// Succeed makes the next incarnation larger than one that a former life of the
+// node had, as after its clock was set back. It does nothing while a lease is held.
+func (h *Holder) Succeed(now time.Time, former uint64) {
+	if h.granted || h.released || former < h.incarnation {
+		return
+	}
+	h.incarnation = former
+	h.lapse(now)
+}
+
 // Released ends authority for good.
 func (h *Holder) Released() {
 	h.released = true
@@ -178,9 +188,15 @@
 	return Before(now, h.Ends())
 }
 
-// Before reports whether now is before ends by the monotonic clock and by the
-// wall clock. The monotonic clock stands still while a machine is suspended;
-// a wall clock that was set forward costs one renewal, never safety.
+// wallTolerance is how far the wall clock may be ahead of what the monotonic
+// clock says before it counts as a sign of suspension.
+const wallTolerance = 6 * time.Second
+
+// Before reports whether now is before ends by the monotonic clock, and by the
+// wall clock with a tolerance. The monotonic clock stands still while a machine is
+// suspended; the wall clock may be set forward by some seconds while it runs,
+// which must not cost the turns under way. A suspension that is shorter than the
+// tolerance is not seen; the epochs of the ledger fence what is done after it.
 func Before(now, ends time.Time) bool {
-	return !ends.IsZero() && now.Before(ends) && now.Round(0).Before(ends.Round(0))
+	return !ends.IsZero() && now.Before(ends) && now.Round(0).Before(ends.Round(0).Add(wallTolerance))
 }
--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -168,6 +168,9 @@
 	if lease.Before(woken, ends) {
 		t.Fatal("held after a suspension")
 	}
+	if !lease.Before(suspended(now, 5), ends) {
+		t.Fatal("a wall clock set forward by 5 s ended it")
+	}
 	if !lease.Before(now, ends) || lease.Before(now, time.Time{}) {
 		t.Fatal("the ordinary cases are wrong")
 	}
@@ -210,3 +213,24 @@
 		}
 	})
 }
+
+func TestANodeWhoseClockWasSetBackSucceedsItsFormerLife(t *testing.T) {
+	holder := newHolder()
+	before := holder.Incarnation()
+	holder.Succeed(start, before-1)
+	if holder.Incarnation() != before {
+		t.Fatal("a smaller incarnation changed it")
+	}
+	former := before + 1<<50
+	holder.Succeed(start, former)
+	if holder.Incarnation() <= former {
+		t.Fatalf("%d does not succeed %d", holder.Incarnation(), former)
+	}
+	renewal, _ := holder.Send(start)
+	holder.Granted(start, renewal, duration, 0)
+	held := holder.Incarnation()
+	holder.Succeed(start, held+5)
+	if holder.Incarnation() != held {
+		t.Fatal("it gave a lease up that it holds")
+	}
+}
