Judge how long parts are kept by all servers together

Cause: with thirty front nodes a part that is not shared counted thirty times at its one server, so that a session of seven turns pushed its own first parts out of the model and looked uncached at its own server.

Now each server is bounded by what this front node sent there, and the sum over all servers by what all front nodes are taken to have sent.

Tried on a copy and dropped: charging the shared part half or not at all in a request's own wait.

--- a/internal/promptcache/model.go
+++ b/internal/promptcache/model.go
@@ -10,6 +10,11 @@
 	servers map[string]*serverCache
 	// fronts is the number of front nodes whose prompts fill the same servers.
 	fronts uint64
+	// held is what all servers keep, with what other front nodes are taken to have sent, and room what they can keep.
+	held uint64
+	room uint64
+	// uses counts the uses of parts, which tells which was used longest ago.
+	uses uint64
 	// prefixes holds what is known of a prefix wherever it is kept.
 	prefixes map[uint64]*prefix
 }
@@ -37,12 +42,14 @@
 // hold.
 func (m *Model) Resize(server string, room uint64) {
 	cache := m.cache(server)
+	m.room += room - cache.room
 	cache.room = room
 	m.evict(cache)
 }
 
 // SetFronts tells how many front nodes send to the same servers. Each part that is not shared then stands for as many:
-// the others are taken to send as much. Parts that are kept already are counted anew when they are next sent.
+// the others are taken to send as much, though not at the same time to the same server, so that only all servers
+// together tell how long a part is kept. Parts that are kept already are counted anew when they are next sent.
 func (m *Model) SetFronts(fronts int) { m.fronts = uint64(max(fronts, 1)) }
 
 // Sent notes that a prompt was sent to a server, which from then on keeps its parts and lets those go that were
@@ -102,6 +109,7 @@
 	for cache.oldest() != nil {
 		m.drop(cache, cache.oldest())
 	}
+	m.room -= cache.room
 	delete(m.servers, server)
 }
 
@@ -119,6 +127,7 @@
 	if cache == nil {
 		cache = newServerCache()
 		m.servers[server] = cache
+		m.room += cache.room
 	}
 	return cache
 }
@@ -160,7 +169,11 @@
 		m.prefixes[part.Prefix].holders++
 	}
 	kept.own = kept.own || own
-	cache.weigh(kept, m.weight(part))
+	weight := m.weight(part)
+	m.held += weight - kept.weight
+	kept.weight = weight
+	m.uses++
+	kept.usedAt = m.uses
 	cache.touch(kept)
 }
 
@@ -172,14 +185,34 @@
 	return uint64(part.Tokens) * m.fronts
 }
 
+// evict lets parts go while there are more than fit the server, or all servers together.
 func (m *Model) evict(cache *serverCache) {
 	for cache.held > cache.room && cache.oldest() != nil {
 		m.drop(cache, cache.oldest())
 	}
+	for m.held > m.room {
+		oldest := m.longestUnused()
+		if oldest == nil {
+			return
+		}
+		m.drop(oldest, oldest.oldest())
+	}
+}
+
+// longestUnused is the server that keeps the part which was unused for longest.
+func (m *Model) longestUnused() *serverCache {
+	var found *serverCache
+	for _, cache := range m.servers {
+		if oldest := cache.oldest(); oldest != nil && (found == nil || oldest.usedAt < found.oldest().usedAt) {
+			found = cache
+		}
+	}
+	return found
 }
 
 func (m *Model) drop(cache *serverCache, dropped *entry) {
 	cache.remove(dropped)
+	m.held -= dropped.weight
 	known := m.prefixes[dropped.part.Prefix]
 	known.holders--
 	if known.holders == 0 {
--- a/internal/promptcache/servercache.go
+++ b/internal/promptcache/servercache.go
@@ -3,8 +3,10 @@
 // entry is a part that a server keeps, linked from the most to the least recently used one.
 type entry struct {
 	part Part
-	// weight is the room that the part is counted with.
+	// weight is the room that the part is counted with among all servers.
 	weight uint64
+	// usedAt is the number of the part's last use.
+	usedAt uint64
 	// own is true when this front node sent the part there itself.
 	own         bool
 	newer, less *entry
@@ -36,15 +38,11 @@
 func (c *serverCache) add(part Part) *entry {
 	added := &entry{part: part}
 	c.entries[part.Prefix] = added
+	c.held += uint64(part.Tokens)
 	c.link(added)
 	return added
 }
 
-func (c *serverCache) weigh(kept *entry, weight uint64) {
-	c.held += weight - kept.weight
-	kept.weight = weight
-}
-
 func (c *serverCache) touch(used *entry) {
 	c.unlink(used)
 	c.link(used)
@@ -53,7 +51,7 @@
 func (c *serverCache) remove(removed *entry) {
 	c.unlink(removed)
 	delete(c.entries, removed.part.Prefix)
-	c.held -= removed.weight
+	c.held -= uint64(removed.part.Tokens)
 }
 
 func (c *serverCache) link(used *entry) {
