--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -21,6 +22,7 @@
 type RouteListener struct {
 	listener *routeListener
 	clock    Clock
+	noticed  <-chan time.Time
 }
 
 // NewRouteListener makes a listener that is not open yet.
@@ -31,10 +33,14 @@
 // Start opens the listener.
 func (l *RouteListener) Start() error { return l.listener.start() }
 
-// Drain takes the listener out of use as a draining front node does.
-func (l *RouteListener) Drain(ctx context.Context) error {
-	return l.listener.drain(ctx, l.listener.beginDrain(l.clock))
-}
+// Address is where callers find it.
+func (l *RouteListener) Address() string { return l.listener.bound.String() }
+
+// BeginDrain lets callers go, as a draining front node does first.
+func (l *RouteListener) BeginDrain() { l.noticed = l.listener.beginDrain(l.clock) }
+
+// Drain takes the listener out of use, as a draining front node does last.
+func (l *RouteListener) Drain(ctx context.Context) error { return l.listener.drain(ctx, l.noticed) }
 
 // Stop ends what is left.
 func (l *RouteListener) Stop() error { return l.listener.stop() }
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -134,8 +134,12 @@
 	}
 	r.owner = owner
 	r.noteOwner(owner)
+	left, err := r.service.millisUntil(r.deadline)
+	if err != nil {
+		return err
+	}
 	request := shallowCopy(r.request)
-	request.TimeLeftMillis = max(uint32(r.deadline.Sub(r.service.clock.Now()).Milliseconds()), 1)
+	request.TimeLeftMillis = left
 	request.LastAttempt = r.at.attempt
 	request.LookupViewVersion = owner.ViewVersion
 	if owner.Local {
@@ -144,6 +148,15 @@
 	return r.serveRemote(ctx, owner.Address, request)
 }
 
+// millisUntil is the time left until a deadline, at least a millisecond; past it there is none to be given away.
+func (s *Service) millisUntil(deadline time.Time) (uint32, error) {
+	left := deadline.Sub(s.clock.Now())
+	if left <= 0 {
+		return 0, failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the deadline passed while the owner was looked for")
+	}
+	return max(uint32(left.Milliseconds()), 1), nil
+}
+
 // shallowCopy gives a request whose own fields may be changed; what they lead to is shared.
 func shallowCopy(request *protocol.TurnRequest) *protocol.TurnRequest {
 	return &protocol.TurnRequest{
--- a/internal/front/ingresscall.go
+++ b/internal/front/ingresscall.go
@@ -80,13 +80,16 @@
 		record.Owner, record.PartitionHolder = owner.Name, owner.PartitionHolder
 	})
 	explanation.step("owner found", owner.Name)
+	left, err := s.millisUntil(deadline)
+	if err != nil {
+		return owner, nil, err
+	}
 	sent := &protocol.ToolCallRequest{
 		RequestId: request.GetRequestId(), Tenant: request.GetTenant(), Program: request.GetProgram(), Session: request.GetSession(),
 		Tool: request.GetTool(), Arguments: request.GetArguments(), ProgramBudget: request.GetProgramBudget(),
 		Ingress: request.GetIngress(), Nonce: request.GetNonce(), Priority: request.GetPriority(),
-		FirstSend: request.GetFirstSend(), Http: request.GetHttp(),
+		FirstSend: request.GetFirstSend(), Http: request.GetHttp(), TimeLeftMillis: left,
 	}
-	sent.TimeLeftMillis = max(uint32(deadline.Sub(s.clock.Now()).Milliseconds()), 1)
 	if owner.Local {
 		response, err := s.runCall(ctx, sent)
 		return owner, response, err
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -239,9 +239,14 @@
 	incarnation uint64
 	revoked     atomic.Bool
 	refuse      error
+	// resolving, when set, is called while an owner is looked up.
+	resolving func()
 }
 
 func (o *fakeOwnership) Resolve(_ context.Context, session, _ string) (directory.Owner, error) {
+	if o.resolving != nil {
+		o.resolving()
+	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	owner := o.owners[session]
--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -122,6 +122,9 @@
 	if taken.program == "" {
 		taken.program = taken.session
 	}
+	if route.GetStateful() && taken.program == "" {
+		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "a turn of this route must name its program", failure.WithPath("program"))
+	}
 	taken.left = a.timeFor(header, route)
 	if taken.left <= 0 {
 		return nil, failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the caller's time is over")
--- /dev/null
+++ b/internal/front/routeingress_test.go
@@ -0,0 +1,282 @@
+package front_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// Requests of session c1 of program p1, one of each kind.
+var (
+	ownedTurn  = routedTurn{id: "r1", input: "in"}.sent()
+	ownedTalk  = routed{target: streamPath, body: "in", headers: with(words.RequestID, "r1", words.Session, "c1", words.Program, "p1")}
+	ownedWrite = routed{target: nonRepeatablePath, body: "in", headers: ownedTalk.headers}
+	ownedRead  = routed{target: repeatablePath, body: "in", headers: ownedTalk.headers}
+)
+
+var _ = Describe("a request of an HTTP route whose session another front node owns", func() {
+	var r *rig
+	var f1, f2 *node
+
+	BeforeEach(func() {
+		r = newRouteRig()
+		f1, f2 = r.front("f1"), r.front("f2")
+		f1.ownership.setOwner("c1", "f2")
+	})
+
+	// bothKinds answers streams with an event and others whole.
+	bothKinds := func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == streamPath || request.URL.Path == turnPath {
+			streamOf("yes")(writer, request)
+			return
+		}
+		answerWith(http.StatusOK, "yes")(writer, request)
+	}
+	// answerOf lets virtual time pass until the answer is there.
+	answerOf := func(answered <-chan routedAnswer) (got routedAnswer) {
+		Eventually(func() bool {
+			r.clock.advance(20 * time.Millisecond)
+			select {
+			case got = <-answered:
+				return true
+			default:
+				return false
+			}
+		}).Should(BeTrue())
+		return got
+	}
+
+	DescribeTable("is brought there and its answer back", func(sent routed, wanted string) {
+		server := r.server("s1", bothKinds)
+		f1.ownership.refuse = failure.New(failure.NotOwner, protocol.Outcome_NOT_RUN, "not here")
+		got := f1.route(sent)
+		Expect(got.status).To(Equal(http.StatusOK), got.body)
+		Expect(got.body).To(Equal(wanted))
+		Expect(got.broken).NotTo(HaveOccurred())
+		Expect(server.bodies()).To(Equal([]string{"in"}))
+	},
+		Entry("a turn", ownedTurn, event(1, "yes")),
+		Entry("a stream", ownedTalk, event(1, "yes")),
+		Entry("a call that may not be repeated", ownedWrite, "yes"),
+		Entry("a call that may be repeated", ownedRead, "yes"),
+	)
+
+	DescribeTable("is brought to the next owner when nobody took it", func(sent routed, hinder func()) {
+		server := r.server("s1", bothKinds)
+		hinder()
+		answered := f1.routeAside(sent)
+		Eventually(func() int {
+			r.clock.advance(20 * time.Millisecond)
+			f1.ownership.mutex.Lock()
+			defer f1.ownership.mutex.Unlock()
+			return f1.ownership.forgotten["c1"]
+		}).Should(BeNumerically(">", 0))
+		f1.ownership.setOwner("c1", "f1")
+		got := answerOf(answered)
+		Expect(got.status).To(Equal(http.StatusOK), got.body)
+		Expect(server.requests()).To(HaveLen(1))
+	},
+		Entry("a turn to an unreachable one", ownedTurn, func() { r.network.unreachable["f2"] = true }),
+		Entry("a stream to an unreachable one", ownedTalk, func() { r.network.unreachable["f2"] = true }),
+		Entry("a call to an unreachable one", ownedWrite, func() { r.network.unreachable["f2"] = true }),
+		Entry("a turn to one that is no owner", ownedTurn, func() {
+			f2.ownership.refuse = failure.New(failure.NotOwner, protocol.Outcome_NOT_RUN, "not here")
+		}),
+		Entry("a stream to one that is no owner", ownedTalk, func() {
+			f2.ownership.refuse = failure.New(failure.NotOwner, protocol.Outcome_NOT_RUN, "not here")
+		}),
+		Entry("a call to one that drains", ownedWrite, func() {
+			f2.ownership.refuse = failure.New(failure.Draining, protocol.Outcome_NOT_RUN, "draining")
+		}),
+	)
+
+	DescribeTable("is answered 503 with the time to come back when no owner is found", func(sent routed) {
+		server := r.server("s1", bothKinds)
+		r.network.unreachable["f2"] = true
+		got := answerOf(f1.routeAside(sent))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable), got.body)
+		Expect(got.header).To(HaveKey("Retry-After"))
+		Expect(server.requests()).To(BeEmpty())
+	},
+		Entry("a turn", ownedTurn),
+		Entry("a stream", ownedTalk),
+		Entry("a call that may not be repeated", ownedWrite),
+		Entry("a call that may be repeated", ownedRead),
+	)
+
+	DescribeTable("is answered with no promise and not sent again when the owner is lost while a server is at work", func(sent routed) {
+		arrived, release := make(chan struct{}), make(chan struct{})
+		server := r.server("s1", func(writer http.ResponseWriter, request *http.Request) {
+			close(arrived)
+			<-release
+			bothKinds(writer, request)
+		})
+		r.network.cut["f2"], r.network.cutWhen["f2"] = 0, arrived
+		got := f1.route(sent)
+		close(release)
+		Expect(got.status).To(Equal(http.StatusBadGateway), got.body)
+		Expect(got.header).NotTo(HaveKey("Retry-After"))
+		r.settled(f2)
+		Expect(server.requests()).To(HaveLen(1))
+	},
+		Entry("a turn", ownedTurn),
+		Entry("a stream", ownedTalk),
+		Entry("a call that may not be repeated", ownedWrite),
+	)
+
+	It("may be run anew when it is repeatable and the owner was lost", func() {
+		arrived := make(chan struct{}, 2)
+		r.server("s1", func(writer http.ResponseWriter, request *http.Request) {
+			arrived <- struct{}{}
+			bothKinds(writer, request)
+		})
+		lost := make(chan struct{})
+		r.network.cut["f2"], r.network.cutWhen["f2"] = 0, lost
+		answered := f1.routeAside(ownedRead)
+		<-arrived
+		close(lost)
+		Expect(answerOf(answered).status).To(Equal(http.StatusOK))
+	})
+
+	Describe("and is lost after taking it", func() {
+		var server *standIn
+		var reserving, refused chan struct{}
+
+		// loseBeforeReserving breaks the owner's stream off while its reservation is held up until the ingress
+		// has asked for the tombstone.
+		loseBeforeReserving := func(tombstone func(*protocol.LedgerOperation) *protocol.LedgerResult) routedAnswer {
+			reserving, refused = make(chan struct{}), make(chan struct{})
+			r.ledger.intercept = func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+				if operation.GetReserveTurn() != nil {
+					close(reserving)
+					<-refused
+				}
+				if operation.GetRefuseRequest() != nil {
+					return tombstone(operation)
+				}
+				return nil
+			}
+			r.network.cut["f2"], r.network.cutWhen["f2"] = 0, reserving
+			got := f1.route(ownedTurn)
+			close(refused)
+			r.settled(f2)
+			return got
+		}
+
+		BeforeEach(func() { server = r.server("s1", bothKinds) })
+
+		It("is answered 503 when the ledger takes its tombstone, and never runs", func() {
+			got := loseBeforeReserving(func(*protocol.LedgerOperation) *protocol.LedgerResult { return nil })
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable), got.body)
+			Expect(server.requests()).To(BeEmpty(), "the late reservation meets the tombstone")
+		})
+
+		It("is answered 502 when the ledger gives no word", func() {
+			got := loseBeforeReserving(func(*protocol.LedgerOperation) *protocol.LedgerResult {
+				return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE)
+			})
+			Expect(got.status).To(Equal(http.StatusBadGateway), got.body)
+			Expect(got.header).NotTo(HaveKey("Retry-After"))
+		})
+	})
+
+	It("breaks off when the owner is lost in the midst of a stream", func() {
+		r.server("s1", streamOf("one", "two", "three"))
+		r.network.cut["f2"] = 3
+		got := f1.route(ownedTalk)
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.body).To(Equal(event(1, "one") + event(2, "two")))
+		Expect(got.broken).To(HaveOccurred())
+	})
+
+	DescribeTable("ends at its server when the caller leaves", func(sent routed) {
+		arrived, ended := make(chan struct{}), make(chan struct{})
+		r.server("s1", func(_ http.ResponseWriter, request *http.Request) {
+			close(arrived)
+			<-request.Context().Done()
+			close(ended)
+		})
+		f1.routeServer()
+		ctx, leave := context.WithCancel(context.Background())
+		left := make(chan error, 1)
+		go func() {
+			response, err := f1.begin(ctx, sent)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			left <- err
+		}()
+		<-arrived
+		leave()
+		Expect(<-left).To(MatchError(context.Canceled))
+		<-ended
+	},
+		Entry("a turn", ownedTurn),
+		Entry("a call", ownedWrite),
+	)
+
+	DescribeTable("gets no time anew when its time is over by then", func(sent routed) {
+		server := r.server("s1", bothKinds)
+		f1.ownership.resolving = func() { r.clock.advance(routeTimeoutMillis*time.Millisecond + time.Millisecond) }
+		got := f1.route(sent)
+		Expect(got.status).To(BeElementOf(http.StatusServiceUnavailable, http.StatusGatewayTimeout))
+		Expect(server.requests()).To(BeEmpty())
+	},
+		Entry("a turn", ownedTurn),
+		Entry("a stream", ownedTalk),
+		Entry("a call", ownedWrite),
+	)
+})
+
+var _ = Describe("a draining front node", func() {
+	It("answers what it reads with Connection: close, and whole, before it closes", func() {
+		r := newRouteRig()
+		r.changeBundle(func(active *protocol.Bundle) {
+			for _, route := range active.HttpRoutes {
+				route.TimeoutMillis = 60_000
+			}
+		})
+		f1 := r.front("f1")
+		arrived, release := make(chan struct{}), make(chan struct{})
+		r.server("s1", func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path != nonRepeatablePath {
+				answerWith(http.StatusOK, "quick")(writer, request)
+				return
+			}
+			close(arrived)
+			<-release
+			answerWith(http.StatusOK, "slow")(writer, request)
+		})
+		let := sync.OnceFunc(func() { close(release) })
+		DeferCleanup(let)
+		listener := newDrainingListener(r, f1)
+		Expect(listener.call(repeatablePath)).To(Equal(kept{body: "quick"}))
+		slow := make(chan kept, 1)
+		go func() {
+			defer GinkgoRecover()
+			slow <- listener.call(nonRepeatablePath)
+		}()
+		<-arrived
+
+		listener.BeginDrain()
+		drained := make(chan error, 1)
+		go func() { drained <- listener.Drain(context.Background()) }()
+		Expect(listener.call(repeatablePath)).To(Equal(kept{body: "quick", closing: true}), "those who hand connections out have not noticed yet")
+		r.clock.advance(10 * time.Second)
+		Consistently(drained, "20ms").ShouldNot(Receive(), "a request is under way")
+		let()
+		Expect(<-slow).To(Equal(kept{body: "slow", closing: true}))
+		Expect(<-drained).To(Succeed())
+		_, err := http.Get("http://" + listener.Address() + repeatablePath)
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/front/routelistener.go
+++ b/internal/front/routelistener.go
@@ -23,6 +23,8 @@
 	address string
 	server  *http.Server
 	done    chan error
+	// bound is the address in use once the listener is open.
+	bound net.Addr
 }
 
 func newRouteListener(address string, handler http.Handler, logger *log.Logger) *routeListener {
@@ -43,6 +45,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers of HTTP routes")
 	}
+	l.bound = listener.Addr()
 	go func() {
 		err := l.server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
