Let a draining front node pass on the requests that it has read

Cause: a node that drains owns nothing new, so a request that it had read was refused as draining. Now it has the holder of the session take it in and passes the request on there; for a session of its own partition it waits for the view that shows the drain.

Test changed: a resolve at a drained node is no longer refused but must name another owner that has the session.

--- a/internal/directory/handover_test.go
+++ b/internal/directory/handover_test.go
@@ -8,7 +8,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosestand/rosestand/internal/directory"
-	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -128,7 +127,10 @@
 		Expect(node.directory.Drained()).To(BeFalse(), "a turn is under way")
 		Expect(fleet.nodes["a"].registeredOwner(idle)).To(BeEmpty())
 		Expect(fleet.nodes["b"].registeredOwner(inPartition)).To(Equal("a"))
-		Expect(node.resolve("never seen").Code).To(Equal(failure.Draining))
+		passedOn := node.resolve("never seen")
+		Expect(passedOn.Code).To(BeEmpty())
+		Expect(passedOn.Owner.Local).To(BeFalse())
+		Expect(fleet.nodes[passedOn.Owner.Name].owns("never seen")).To(BeTrue())
 
 		node.handle(directory.GrantEnded{Session: busy})
 		fleet.settle()
--- a/internal/directory/holder.go
+++ b/internal/directory/holder.go
@@ -70,9 +70,24 @@
 	if request.GetViewVersion() <= d.base.Version && !d.ownerInBase(wanted) {
 		return protocol.DirectoryStatus_INCORRECT_PARTITION, nil
 	}
+	if wanted.GetOwner() == d.self.Name {
+		return d.takeInHere(wanted, key)
+	}
 	return protocol.DirectoryStatus_DIRECTORY_OK, d.takeIn(wanted, key, request.GetViewVersion())
 }
 
+// takeInHere owns a session for a draining node that has a request for it.
+func (d *Directory) takeInHere(wanted *protocol.Registration, key uint64) (protocol.DirectoryStatus, *protocol.Registration) {
+	if d.draining || wanted.GetOwnerIncarnation() != d.self.Incarnation {
+		return protocol.DirectoryStatus_INCORRECT_PARTITION, nil
+	}
+	session := d.own(wanted.GetSession(), wanted.GetProgram(), d.nextSequence(), true)
+	taken := d.takeIn(d.registrationOf(session), key, d.view.Version)
+	session.claim = taken.GetClaim()
+	d.continueResolve(session.name)
+	return protocol.DirectoryStatus_DIRECTORY_OK, taken
+}
+
 // takeIn registers an owner in place of none, or of one that is lost.
 func (d *Directory) takeIn(wanted *protocol.Registration, key, senderVersion uint64) *protocol.Registration {
 	var former *protocol.Registration
--- a/internal/directory/resolve.go
+++ b/internal/directory/resolve.go
@@ -166,8 +166,13 @@
 
 // registerHere takes a session in whose partition this node holds itself.
 func (d *Directory) registerHere(running *resolve) {
+	if d.draining && len(d.view.ring.Members()) == 1 {
+		d.fail(running, failure.Draining)
+		return
+	}
 	if d.draining || !d.view.Has(d.self.Name, d.self.Incarnation) {
-		d.failDraining(running)
+		// The next view names another holder.
+		d.retry(running)
 		return
 	}
 	session := d.own(running.session, running.program, d.nextSequence(), true)
@@ -192,10 +197,14 @@
 	request := &protocol.LookupSessionRequest{
 		Session: running.session, ViewVersion: d.view.Version, Suspects: d.namedSuspects(),
 	}
-	if !d.draining && d.at.Authority {
+	registers := !d.draining && d.at.Authority
+	switch {
+	case registers:
 		request.Registration = d.firstRegistration(running)
+	case d.draining && d.at.Authority:
+		request.Registration = d.registrationFor(running, holder)
 	}
-	running.call = d.emitCall(&call{kind: callLookup, peer: to, resolve: running, registers: request.Registration != nil}, &protocol.Request{
+	running.call = d.emitCall(&call{kind: callLookup, peer: to, resolve: running, registers: registers}, &protocol.Request{
 		Body: &protocol.Request_LookupSession{LookupSession: request},
 	})
 }
@@ -209,6 +218,15 @@
 	}
 }
 
+// registrationFor has the holder take a session in itself, so that a draining
+// node, which owns nothing any more, can pass on the requests that it has read.
+func (d *Directory) registrationFor(running *resolve, holder ring.Member) *protocol.Registration {
+	return &protocol.Registration{
+		Session: running.session, Program: running.program, Owner: holder.Name, OwnerIncarnation: holder.Incarnation,
+		ViewVersion: d.view.Version,
+	}
+}
+
 func (d *Directory) lookupAnswered(done *call, answer *protocol.LookupSessionResponse) {
 	running := done.resolve
 	if d.resolves[running.session] != running || running.call != done.number {
--- a/internal/directory/takeover_test.go
+++ b/internal/directory/takeover_test.go
@@ -228,3 +228,31 @@
 		Expect(fleet.nodes["c"].registeredOwner(session)).To(Equal("a"))
 	})
 })
+
+var _ = Describe("a draining node that has read a request", func() {
+	It("passes it on to the holder, which takes the session in", func() {
+		fleet := newFleet(trio...)
+		leaving, session := fleet.nodes["a"], heldBy(trio, "c", "")
+		leaving.draining = true
+		leaving.handle(directory.DrainBegun{})
+		Expect(fleet.resolveWithin(soon, "a", session).Owner.Name).To(Equal("c"))
+		code, _ := fleet.nodes["c"].directory.Begin(fleet.nodes["c"].at(), session)
+		Expect(code).To(BeEmpty())
+		Expect(fleet.nodes["b"].resolve(session).Owner.Name).To(Equal("c"))
+	})
+
+	It("finds an owner for a session of its own partition as soon as the view shows the drain", func() {
+		fleet := newFleet(trio...)
+		leaving, session := fleet.nodes["a"], heldBy(trio, "a", "c")
+		leaving.resolve(session)
+		leaving.draining = true
+		leaving.handle(directory.DrainBegun{})
+		ticket := leaving.ask(session)
+		fleet.advance(soon)
+		fleet.publish(trio...)
+		fleet.advance(3 * soon)
+		Expect(leaving.resolved).To(HaveKey(ticket))
+		Expect(leaving.resolved[ticket].Code).To(BeEmpty())
+		Expect(leaving.resolved[ticket].Owner.Name).To(Equal("c"))
+	})
+})
--- a/internal/sim/ownershipsuite/front.go
+++ b/internal/sim/ownershipsuite/front.go
@@ -19,6 +19,7 @@
 	shortestTick  = 5 * time.Millisecond
 	longestTick   = 250 * time.Millisecond
 	drainGrace    = 8 * time.Second
+	drainWait     = time.Second
 	leaseMargin   = 500 * time.Millisecond
 )
 
@@ -43,8 +44,10 @@
 	// contacted is true while answers of the core arrive.
 	contacted bool
 	draining  bool
-	released  bool
-	stayOut   bool
+	// drainingSince is when the drain began, givenUpAt when the last session had been given up.
+	drainingSince, givenUpAt time.Time
+	released                 bool
+	stayOut                  bool
 }
 
 // sessionEpoch is what the owner knows of a session it claimed.
@@ -420,21 +423,35 @@
 	}
 	f.environment.Tracef("drains")
 	f.draining = true
+	f.drainingSince = f.now()
 	f.handle(directory.DrainBegun{})
+	f.environment.After(0, f.renew)
 	f.environment.After(drainGrace, f.stop)
 }
 
 func (f *front) checkDrained() {
-	if f.draining && !f.released && f.directory.Drained() {
+	if f.draining && !f.released && (f.directory.Drained() || f.waitedLongEnough()) {
 		f.environment.Tracef("drained")
 		f.stop()
 	}
 }
 
+// waitedLongEnough is what the shell decides when the partition could not be handed off in time.
+func (f *front) waitedLongEnough() bool {
+	if f.directory.OwnedCount() > 0 {
+		return false
+	}
+	if f.givenUpAt.IsZero() {
+		f.givenUpAt = f.now()
+	}
+	return f.now().Sub(f.givenUpAt) >= drainWait
+}
+
 func (f *front) stop() {
 	if f.released {
 		return
 	}
+	f.suite.report.Drains = append(f.suite.report.Drains, f.now().Sub(f.drainingSince))
 	f.released = true
 	self := f.self()
 	f.holder.Released()
--- a/internal/sim/ownershipsuite/suite.go
+++ b/internal/sim/ownershipsuite/suite.go
@@ -44,6 +44,8 @@
 	Faults []sim.Fault
 	// Policy is the recovery policy; default salvage with settle-then-yield.
 	Policy directory.Policy
+	// RollingStops has this many front nodes stop gently, one each RollingInterval, from 12 s on.
+	RollingStops int
 	// QuietNetwork loses, repeats and slows no message.
 	QuietNetwork bool
 	// ResolveBound is how long an owner may take to be found; zero for no rule about it.
@@ -92,6 +94,8 @@
 	// Resolves are the times that the front nodes took to find an owner, in order of length; Unresolved could not.
 	Resolves   []time.Duration
 	Unresolved int
+	// Drains are the times from a stop to the end of the process.
+	Drains []time.Duration
 	// Yields counts sessions given up by reason.
 	Yields map[directory.YieldReason]int
 }
@@ -200,21 +204,41 @@
 	if s.options.FaultCount >= 0 {
 		s.scheduleDrains()
 	}
+	s.scheduleRollingStops()
 	s.world.After(s.healed, s.callersProbe)
 }
 
+const (
+	rollingBegin = 12 * time.Second
+	// RollingInterval is the time between two stops of a rolling restart.
+	RollingInterval = 1200 * time.Millisecond
+)
+
+// scheduleRollingStops stops front nodes gently one after the other.
+func (s *suite) scheduleRollingStops() {
+	for i := range s.options.RollingStops {
+		at := rollingBegin + time.Duration(i)*RollingInterval
+		s.stopGently(s.fronts[i%len(s.fronts)], at)
+	}
+}
+
+// stopGently has a front node drain; the machine starts it again.
+func (s *suite) stopGently(target sim.Address, at time.Duration) {
+	s.world.After(at, func() {
+		if f, running := s.world.Machine(target).Process().(*front); running {
+			f.beginDrain()
+		}
+	})
+	s.healed = max(s.healed, at+drainGrace+time.Second)
+}
+
 // scheduleDrains stops two front nodes gently in the middle of everything.
 func (s *suite) scheduleDrains() {
 	random := s.world.Random("drains")
 	for range 2 {
 		at := faultsBegin + time.Duration(random.Int64N(int64(faultsEnd-faultsBegin)))
 		target := s.fronts[random.IntN(len(s.fronts))]
-		s.world.After(at, func() {
-			if f, running := s.world.Machine(target).Process().(*front); running {
-				f.beginDrain()
-			}
-		})
-		s.healed = max(s.healed, at+drainGrace+time.Second)
+		s.stopGently(target, at)
 	}
 }
 
--- a/internal/sim/ownershipsuite/takeover_test.go
+++ b/internal/sim/ownershipsuite/takeover_test.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// longestDrain bounds a stop whose last turn may wait for a back end or a late message.
+const longestDrain = 4 * time.Second
+
 func fronts(count int) []sim.Address {
 	return []sim.Address{"front-1", "front-2", "front-3", "front-4", "front-5"}[:count]
 }
@@ -87,3 +90,25 @@
 	t.Logf("%d resolves, %d without an owner, p99 %s, longest %s, %d turns and %d calls done, %d answers refused", count, report.Unresolved,
 		report.Resolves[count*99/100], report.Resolves[count-1], report.Turns, report.Calls, report.Refused)
 }
+
+// Half of the front nodes stop gently, one each 1.2 s, while callers go on to ask all of them.
+func TestARollingRestartKeepsEverySessionServed(t *testing.T) {
+	for seed := int64(1); seed <= fixedSeeds; seed++ {
+		report := ownershipsuite.Run(seed, ownershipsuite.Options{
+			FaultCount: -1, QuietNetwork: true, RollingStops: 5, ResolveBound: 800 * time.Millisecond,
+		})
+		checkRun(t, report)
+		if len(report.Drains) != 5 {
+			t.Errorf("seed %d: %d drains", seed, len(report.Drains))
+		}
+		for _, took := range report.Drains {
+			if took > longestDrain {
+				t.Errorf("seed %d: a drain took %s", seed, took)
+			}
+		}
+		if seed == 1 {
+			logResolves(t, report)
+			t.Logf("drains %v, yields %v, %d lapses", report.Drains, report.Yields, report.Lapses)
+		}
+	}
+}
--- a/internal/sim/ownershipsuite/turns.go
+++ b/internal/sim/ownershipsuite/turns.go
@@ -62,7 +62,7 @@
 	ticket := f.lastTicket
 	began, incarnation := f.now(), f.holder.Incarnation()
 	f.tickets[ticket] = func(resolved directory.Resolved) {
-		if f.suite.world.Elapsed() > resolveChecksBegin && f.held() && f.holder.Incarnation() == incarnation && !f.draining {
+		if f.suite.world.Elapsed() > resolveChecksBegin && f.held() && f.holder.Incarnation() == incarnation {
 			f.suite.rules.resolved(request.session, f.now().Sub(began), resolved.Code == "")
 		}
 		f.resolved(request, resolved, answer)
