Take over from a front node that was started again before its view is there

Cause: an answer under a larger incarnation than the view has proves that the life in the view is gone, but was only counted as no answer, so its sessions waited for the next view.

--- a/internal/directory/answer.go
+++ b/internal/directory/answer.go
@@ -22,10 +22,14 @@
 		done.peer.probe = 0
 		d.wake(done.peer)
 	}
+	incarnation := incarnationOf(event.Response)
 	switch {
 	case event.Response == nil:
 		defer d.notePeer(done.peer, event.Failure, done.kind == callProbe)
-	case d.isSameLife(done.peer, event.Response):
+	case incarnation > done.peer.member.Incarnation:
+		// The one that the view has is gone, and a view with the next one is on its way.
+		defer d.notePeer(done.peer, CallRefused, done.kind == callProbe)
+	case incarnation == 0 || incarnation == done.peer.member.Incarnation:
 		d.trust(done.peer, done.kind == callProbe)
 	default:
 		d.notePeer(done.peer, CallUnanswered, false)
@@ -46,22 +50,18 @@
 	}
 }
 
-// isSameLife reports whether an answer came from the incarnation that was
-// asked. Another one shows that the view is about to change.
-func (d *Directory) isSameLife(asked *peer, response *protocol.Response) bool {
-	if d.peers[asked.member.Name] != asked {
-		return false
-	}
-	var incarnation uint64
+// incarnationOf is the incarnation that answered; zero when the answer does not name it.
+func incarnationOf(response *protocol.Response) uint64 {
 	switch body := response.GetBody().(type) {
 	case *protocol.Response_LookupSession:
-		incarnation = body.LookupSession.GetIncarnation()
+		return body.LookupSession.GetIncarnation()
 	case *protocol.Response_RegisterSessions:
-		incarnation = body.RegisterSessions.GetIncarnation()
+		return body.RegisterSessions.GetIncarnation()
 	case *protocol.Response_UnregisterSessions:
-		incarnation = body.UnregisterSessions.GetIncarnation()
+		return body.UnregisterSessions.GetIncarnation()
+	default:
+		return 0
 	}
-	return incarnation == 0 || incarnation == asked.member.Incarnation
 }
 
 // backoff doubles the policy's retry delay with each failure up to a limit, with jitter.
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -70,6 +70,9 @@
 // trust takes in that a member answered. Only an answer to a probe ends a
 // suspicion: one to an earlier call may have been on its way when the member was lost.
 func (d *Directory) trust(found *peer, probe bool) {
+	if d.peers[found.member.Name] != found {
+		return
+	}
 	suspected := d.isSuspect(found.member.Name, found.member.Incarnation)
 	if suspected && !probe {
 		return
--- a/internal/directory/takeover_test.go
+++ b/internal/directory/takeover_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -256,3 +257,22 @@
 		Expect(leaving.resolved[ticket].Owner.Name).To(Equal("c"))
 	})
 })
+
+var _ = Describe("an owner that was started again at once", func() {
+	It("is taken over as soon as its next life has answered, before a view shows it", func() {
+		fleet := refusing(trio...)
+		session := heldBy(trio, "c", "")
+		fleet.nodes["a"].resolve(session)
+		Expect(fleet.nodes["b"].resolve(session).Owner.Name).To(Equal("a"))
+		fleet.names = fleet.names[1:]
+		reborn := fleet.add("a")
+		reborn.self.Incarnation += 1000
+		reborn.directory = directory.New(directory.Options{Self: reborn.self, Random: rand.New(rand.NewPCG(1, 2))})
+		fleet.nodes["b"].handle(directory.PeerBroken{Address: "a:1"})
+		Expect(fleet.resolveWithin(soon, "b", session).Owner.Local).To(BeTrue())
+		fleet.publish(trio...)
+		fleet.settle()
+		Expect(fleet.nodes["b"].directory.Suspects()).To(BeZero())
+		Expect(reborn.resolve(session).Owner.Name).To(Equal("b"))
+	})
+})
