Bound what is taken from a peer's digest of prompts, and measure a choice

Cause: a digest longer than DigestSize was merged whole, so that a faulty peer could push everything else out of the model.

--- a/internal/promptcache/digest.go
+++ b/internal/promptcache/digest.go
@@ -91,9 +91,10 @@
 	return names
 }
 
-// Merge learns from a peer's digest. Servers that this model does not know, and indexes out of range, are passed over.
+// Merge learns from a peer's digest. Servers that this model does not know, indexes out of range, and prefixes beyond the
+// size of a digest are passed over.
 func (m *Model) Merge(digest Digest) {
-	for _, named := range slices.Backward(digest.Prefixes) {
+	for _, named := range slices.Backward(digest.Prefixes[:min(len(digest.Prefixes), DigestSize)]) {
 		for _, index := range named.Servers {
 			if int(index) >= len(digest.Servers) {
 				continue
--- a/internal/promptcache/promptcache_test.go
+++ b/internal/promptcache/promptcache_test.go
@@ -168,6 +168,20 @@
 	model.Digest(start)
 }
 
+func TestADigestThatIsTooLongIsCut(t *testing.T) {
+	model := promptcache.New()
+	model.Resize("s1", 100_000)
+	long := promptcache.Digest{Servers: []string{"s1"}}
+	for at := range uint64(2 * promptcache.DigestSize) {
+		long.Prefixes = append(long.Prefixes, promptcache.DigestPrefix{Prefix: at + 1, Tokens: 1, Servers: []uint32{0}})
+	}
+	model.Merge(long)
+	last := promptcache.Prompt{{Prefix: promptcache.DigestSize, Tokens: 1}}
+	beyond := promptcache.Prompt{{Prefix: promptcache.DigestSize + 1, Tokens: 1}}
+	expectCached(t, model, "s1", last, 1)
+	expectCached(t, model, "s1", beyond, 0)
+}
+
 func TestLookingAPromptUpAllocatesNothing(t *testing.T) {
 	model := promptcache.New()
 	known := prompt("shared", "a", "b", "c")
--- a/internal/schedule/firsttoken_test.go
+++ b/internal/schedule/firsttoken_test.go
@@ -306,3 +306,13 @@
 		}
 	})
 }
+
+// BenchmarkChoose places a turn among 72 servers.
+func BenchmarkChoose(b *testing.B) {
+	candidates := engines(72)
+	request := turn("p")
+	request.SubsetSize = 72
+	for b.Loop() {
+		schedule.Choose(request, candidates, nil)
+	}
+}
