--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -18,6 +18,8 @@
 const (
 	// sampleInterval is the mean time between two samples of one front node, whatever the number of servers.
 	sampleInterval = 500 * time.Millisecond
+	// fleetSampleInterval bounds the samples of all front nodes together: it is the least mean time between two.
+	fleetSampleInterval = 50 * time.Millisecond
 	sampleTimeout  = 500 * time.Millisecond
 	// sampleAge is how old a report must be to be worth a sample.
 	sampleAge      = 250 * time.Millisecond
@@ -31,7 +33,8 @@
 // keeps the ceilings up to date.
 func (s *Service) watchLoad(ctx context.Context) {
 	for {
-		wait := sampleInterval/2 + rand.N(sampleInterval)
+		mean := max(sampleInterval, time.Duration(float64(fleetSampleInterval) / *s.share.Load()))
+		wait := mean/2 + rand.N(mean)
 		select {
 		case <-s.clock.After(wait):
 		case <-ctx.Done():
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -11,7 +11,7 @@
 const (
 	DefaultDialTimeout = 600 * time.Millisecond
 	// DefaultIdleLife is how long a connection may rest unless its server says otherwise.
-	DefaultIdleLife = 8 * time.Second
+	DefaultIdleLife = 30 * time.Second
 	// idleMargin is kept from the time after which a server says that it closes a resting connection.
 	idleMargin = 500 * time.Millisecond
 	// keepAliveProbe is how often a silent connection is probed, so that a server without power is noticed.
