--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -58,7 +58,11 @@
 	if n.role == Leader {
 		n.failReads()
 	}
-	if n.role != Follower {
+	switch {
+	case n.role == Follower:
+	case leader == 0:
+		n.resetRetryDeadline(now)
+	default:
 		n.resetElectionDeadline(now)
 	}
 	n.role, n.leader = Follower, leader
@@ -109,7 +113,6 @@
 		n.becomeLeader(now)
 	case refused > len(voters)-quorum:
 		n.becomeFollower(n.term, 0, now)
-		n.resetRetryDeadline(now)
 	}
 }
 
@@ -138,7 +141,6 @@
 	n.send(answer)
 	if grant && n.yieldsTo(message) {
 		n.becomeFollower(n.term, 0, now)
-		n.resetRetryDeadline(now)
 	}
 }
 
--- a/internal/core/replica/owner.go
+++ b/internal/core/replica/owner.go
@@ -146,6 +146,17 @@
 	if o.failure == nil {
 		o.maybeSnapshot()
 	}
+	o.restartTransfers()
+}
+
+// restartTransfers begins the transfers anew whose snapshot was not there any more; their first pieces go out with the next
+// output. It does so once a turn of the owner: while a newer snapshot is on the disk that the node does not know of yet, the
+// node goes on to name the one before it, which cannot be read any more.
+func (o *owner) restartTransfers() {
+	for _, member := range o.snapshots.stale {
+		o.node.RestartSnapshot(member, o.now())
+	}
+	o.snapshots.stale = nil
 }
 
 func (o *owner) carryOut() {
@@ -155,13 +166,10 @@
 			o.fail(err)
 			return
 		}
-		stale := o.sendAll(ready.Messages)
+		o.sendAll(ready.Messages)
 		o.apply(ready.Committed)
 		o.waiters.confirm(ready.Reads)
 		o.node.Advance(ready, o.now())
-		for _, member := range stale {
-			o.node.RestartSnapshot(member, o.now())
-		}
 		o.waiters.applied(o.node.Applied())
 	}
 	o.fitConfiguration()
@@ -180,17 +188,17 @@
 	return o.replica.disk.save(ready)
 }
 
-// sendAll sends messages and returns the members whose snapshot must begin anew.
-func (o *owner) sendAll(messages []*protocol.ConsensusMessage) (stale []uint64) {
+// sendAll sends messages. A piece of a snapshot that is not there any more is
+// left out, and the transfer to its member begins anew with the newest snapshot.
+func (o *owner) sendAll(messages []*protocol.ConsensusMessage) {
 	for _, message := range messages {
 		if message.GetKind() == protocol.ConsensusMessageKind_SNAPSHOT_CHUNK && !o.fillChunk(message) {
-			stale = append(stale, message.GetTo())
+			o.snapshots.stale = append(o.snapshots.stale, message.GetTo())
 			continue
 		}
 		message.ClusterId, message.FromAddress = o.clusterID, o.replica.self.GetAddress()
 		o.transport.send(message)
 	}
-	return stale
 }
 
 func (o *owner) apply(entries []*protocol.Entry) {
--- a/internal/core/replica/snapshots.go
+++ b/internal/core/replica/snapshots.go
@@ -21,6 +21,8 @@
 	used   time.Time
 	// appliedBytes is the size of the entries applied since the last snapshot was taken.
 	appliedBytes int
+	// stale are the members whose transfer named a snapshot that was not there any more.
+	stale []uint64
 }
 
 type savedSnapshot struct {
