Compare the policies on longer programs and larger batches as well

Cause: the costs of EXPECTED_FIRST_TOKEN were chosen on one kind of engine and program; they might have fitted that alone.

--- a/internal/schedule/schedulesim/compare_test.go
+++ b/internal/schedule/schedulesim/compare_test.go
@@ -68,10 +68,29 @@
 	{"high_load", func(o *schedulesim.Options) { o.Load = 1.6 }},
 	{"high_load_burst", func(o *schedulesim.Options) { o.Load, o.Burst = 1.6, burst }},
 	{"double_load", func(o *schedulesim.Options) { o.Load = 2 }},
+	{"longer_programs", longerPrograms},
+	{"longer_programs_slow_burst", func(o *schedulesim.Options) {
+		longerPrograms(o)
+		o.Load, o.Burst = 1.6, burst
+		o.Slow = schedulesim.Slow{From: 6 * time.Second, For: 10 * time.Second, Servers: 2, Factor: 4}
+	}},
 	{"sixty_servers", func(o *schedulesim.Options) { o.Load, o.Servers, o.Fronts = 8, 60, 30 }},
 	{"sixty_servers_subset_16", func(o *schedulesim.Options) { o.Load, o.Servers, o.Fronts, o.SubsetSize = 8, 60, 30, 16 }},
 }
 
+// longerPrograms has larger batches, slower engines and programs of up to 22 turns.
+func longerPrograms(o *schedulesim.Options) {
+	o.Engine = schedulesim.EngineSpec{
+		Slots: 64, Queue: 192, CacheTokens: 252_000, StepTime: 6730 * time.Microsecond, PerRequest: 22 * time.Microsecond,
+		PerThousand: 7 * time.Microsecond, PromptRate: 30.6, Chunk: 1024,
+	}
+	long := &o.Programs[1]
+	long.PerSecond, long.Turns, long.MostTurns, long.SubAgents = 4, 11, 22, 0.15
+	for at := range o.Programs {
+		o.Programs[at].Pause = 150 * time.Millisecond
+	}
+}
+
 func play(scenario scenario, variant variant, seed uint64) *schedulesim.Result {
 	options := standard(seed)
 	options.Algorithm, options.Digests = variant.algorithm, variant.digests
