--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -41,10 +41,12 @@
 func provideLink(process *daemon.Process, node *protocol.NodeSettings, settings *protocol.FrontSettings,
 	caller wire.Caller, logger *log.Logger, registerer prometheus.Registerer,
 ) *corelink.Link {
-	return corelink.New(corelink.Options{
+	link := corelink.New(corelink.Options{
 		Self: process.Self, Seeds: node.GetSeeds(), Caller: caller, Logger: logger, Registerer: registerer,
 		RenewInterval: millis(settings.GetLeaseRenewMillis()),
 	})
+	process.OnSettings(func(changed *protocol.NodeSettings) { link.SetSeeds(changed.GetSeeds()) })
+	return link
 }
 
 func provideOwnership(settings *protocol.FrontSettings, link *corelink.Link, pool *wire.Pool,
