--- a/internal/directory/answer.go
+++ b/internal/directory/answer.go
@@ -22,6 +22,9 @@
 		done.peer.probe = 0
 		d.wake(done.peer)
 	}
+	if event.Response != nil {
+		d.noteDuration(d.at.Now.Sub(done.sentAt))
+	}
 	incarnation := incarnationOf(event.Response)
 	switch {
 	case event.Response == nil:
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -87,6 +87,8 @@
 	peers    map[string]*peer
 	calls    map[uint64]*call
 	lastCall uint64
+	// lately is how long answers to this node's calls take of late.
+	lately time.Duration
 	// working are the peers, by name, that may have something to be told.
 	working map[string]*peer
 	stats   Stats
--- a/internal/directory/salvage.go
+++ b/internal/directory/salvage.go
@@ -97,6 +97,7 @@
 	resolve   *resolve
 	// registers is true when the call may have registered this node as the owner.
 	registers bool
+	sentAt    time.Time
 	// incarnation is this node's at the time of the call.
 	incarnation uint64
 }
@@ -342,6 +343,7 @@
 	sent.inForce = d.inForce
 	sent.incarnation = d.self.Incarnation
 	sent.number = d.lastCall
+	sent.sentAt = d.at.Now
 	d.calls[d.lastCall] = sent
 	timeout := d.lookupTimeout(sent.peer)
 	if len(sent.items) > 0 || len(sent.displaced) > 0 {
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -32,6 +32,10 @@
 	DefaultSuspicionBound = 75 * time.Millisecond
 	// mostFalseSuspicions bounds how often the silence limit of a peer is doubled.
 	mostFalseSuspicions = 2
+	// latelyFactor is how many times longer than answers took of late a call may be unanswered.
+	latelyFactor = 4
+	// durationsRemembered is over how many answers the durations are followed.
+	durationsRemembered = 32
 	// falseSuspicionMemory is how long a suspicion that was in vain is held against the next one.
 	falseSuspicionMemory = 30 * time.Second
 	// recentlyHeard is how fresh an answer of a peer must be for hearsay about it to be ignored.
@@ -257,9 +261,22 @@
 	return holder, found && d.isSelf(next)
 }
 
-// lookupTimeout is how long a lookup or probe may take; a peer that was suspected in vain gets more.
+// noteDuration follows how long answers take of late: up at once, down slowly.
+func (d *Directory) noteDuration(took time.Duration) {
+	if took >= d.lately {
+		d.lately = took
+		return
+	}
+	d.lately -= (d.lately - took) / durationsRemembered
+}
+
+// lookupTimeout is how long a lookup or probe may take. It grows with what
+// answers take of late, since on busy machines a late answer shows no loss, and for
+// a peer that was suspected in vain.
 func (d *Directory) lookupTimeout(to *peer) time.Duration {
-	return d.options.SilenceLimit / 2 << min(to.falseSuspicions, mostFalseSuspicions)
+	usual := d.options.SilenceLimit / 2
+	adapted := min(max(usual, latelyFactor*d.lately), usual<<mostFalseSuspicions)
+	return max(adapted, usual<<min(to.falseSuspicions, mostFalseSuspicions))
 }
 
 // relayTimeout is shorter than what the node that asked waits.
--- a/internal/directory/takeover_test.go
+++ b/internal/directory/takeover_test.go
@@ -276,3 +276,27 @@
 		Expect(reborn.resolve(session).Owner.Name).To(Equal("b"))
 	})
 })
+
+var _ = Describe("the patience with a silent member", func() {
+	timeout := func(fleet *fleet) time.Duration {
+		commands := fleet.nodes["a"].directory.Handle(fleet.nodes["a"].at(), directory.PeerBroken{Address: "c:1"})
+		Expect(commands).To(HaveLen(1))
+		sent := commands[0].(directory.Send)
+		fleet.nodes["a"].handle(directory.Answered{Call: sent.Call, Response: fleet.nodes["c"].serve(sent.Request)})
+		return sent.Timeout
+	}
+
+	It("grows with what answers take of late, up to four times, and shrinks again", func() {
+		fleet := newFleet(trio...)
+		usual := timeout(fleet)
+		Expect(usual).To(Equal(directory.DefaultSilenceLimit / 2))
+		slow := fleet.nodes["a"].directory.Handle(fleet.nodes["a"].at(), directory.PeerBroken{Address: "c:1"})[0].(directory.Send)
+		fleet.now = fleet.now.Add(100 * time.Millisecond)
+		fleet.nodes["a"].handle(directory.Answered{Call: slow.Call, Response: fleet.nodes["c"].serve(slow.Request)})
+		Expect(timeout(fleet)).To(And(BeNumerically(">", 350*time.Millisecond), BeNumerically("<=", 4*usual)))
+		for range 100 {
+			timeout(fleet)
+		}
+		Expect(timeout(fleet)).To(Equal(usual))
+	})
+})
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -24,8 +24,9 @@
 
 	timer  *time.Timer
 	tickAt time.Time
-	// salvaging is what the log was last told.
+	// salvaging and suspects are what the log was last told.
 	salvaging bool
+	suspects  int
 }
 
 func newShell(manager *Manager, ctx context.Context) *shell {
@@ -202,9 +203,13 @@
 	})
 }
 
-// publish writes the counters out, and a line when the salvage list fills or empties.
+// publish writes the counters out, and a line when the salvage list fills or empties or the suspects change.
 func (s *shell) publish() {
 	s.manager.metrics.publish(s.directory)
+	if suspects := s.directory.Suspects(); suspects != s.suspects {
+		s.suspects = suspects
+		s.manager.logger.Info("suspects changed", "front_nodes", suspects, "view", s.directory.ViewVersion())
+	}
 	if salvaging := s.directory.SalvageLength() > 0; salvaging != s.salvaging {
 		s.salvaging = salvaging
 		s.manager.logger.Info("salvage list changed", "sessions", s.directory.SalvageLength(),
