Ask another server for a repeatable call whose answer does not come

Now an attempt gets twice the route's latency objective while the route allows another server and there is one. Story in internal/front/routes_test.go.

--- a/internal/front/ledgeroperations.go
+++ b/internal/front/ledgeroperations.go
@@ -11,7 +11,7 @@
 	ledgerTimeout = 3 * time.Second
 	// chainTimeout bounds one read of a conversation: its caller hears soon when to come back.
 	chainTimeout = time.Second
-	historyPage   = 128
+	historyPage  = 128
 )
 
 // ledgerDo carries out an operation. It is detached from the caller's context:
--- a/internal/front/routes_test.go
+++ b/internal/front/routes_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -187,6 +188,28 @@
 			Entry("a stream", streamPath, streamOf("a")),
 		)
 
+		It("asks another server for a repeatable call whose answer does not come", func() {
+			arrived, left := make(chan struct{}), make(chan struct{})
+			var asked atomic.Int32
+			handler := func(writer http.ResponseWriter, request *http.Request) {
+				if asked.Add(1) > 1 {
+					answerWith(http.StatusOK, "ok")(writer, request)
+					return
+				}
+				close(arrived)
+				<-request.Context().Done()
+				close(left)
+			}
+			r.server("s1", handler)
+			r.server("s2", handler)
+			answered := f1.routeAside(routed{target: repeatablePath})
+			<-arrived
+			r.clock.advance(routeTimeoutMillis / 4 * time.Millisecond)
+			Expect((<-answered).status).To(Equal(http.StatusOK))
+			<-left
+			Expect(asked.Load()).To(BeEquivalentTo(2))
+		})
+
 		DescribeTable("ends what a silent server was given, with no promise", func(path string) {
 			arrived, left := make(chan struct{}), make(chan struct{})
 			r.server("s1", func(_ http.ResponseWriter, request *http.Request) {
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -30,8 +30,16 @@
 	explanation *explanation
 	server      *backEnd
 	answers     chan *protocol.ToolCallResponse
+	// sends counts the attempts at servers.
+	sends uint32
 }
 
+const (
+	// patienceFactor is the multiple of its latency objective that an attempt of a repeatable call may take.
+	patienceFactor = 2
+	leastPatience  = 200 * time.Millisecond
+)
+
 // runCall runs a tool call as owner of its session and returns its answer. The
 // outcome goes on being recorded when the caller leaves.
 func (s *Service) runCall(ctx context.Context, request *protocol.ToolCallRequest) (*protocol.ToolCallResponse, error) {
@@ -261,7 +269,10 @@
 
 func (r *callRun) send(command turn.IssueCall) (turn.Event, error) {
 	if routed := r.request.GetHttp(); routed != nil {
-		return r.service.routes.call(r.ctx, routedRequest{
+		r.sends++
+		ctx, cancel := r.patience(routed)
+		defer cancel()
+		return r.service.routes.call(ctx, routedRequest{
 			server: r.server, requestID: r.request.GetRequestId(), http: routed, body: routed.GetBody(), deadline: r.deadline,
 		})
 	}
@@ -272,6 +283,37 @@
 	})
 }
 
+// patience bounds one attempt of a call that may be repeated and that may go to
+// another server: its answer may be lost, and then nothing would ever come.
+func (r *callRun) patience(routed *protocol.HttpRequest) (context.Context, context.CancelFunc) {
+	repeatable := routed.GetKind() == protocol.HttpRouteKind_HTTP_REPEATABLE
+	if !repeatable || r.sends >= routed.GetMaxAttempts() || !r.hasAlternative() {
+		return r.ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	limit := max(patienceFactor*millis(routed.GetLatencyObjectiveMillis()), leastPatience)
+	expired := r.service.clock.After(limit)
+	go func() {
+		select {
+		case <-expired:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// hasAlternative reports whether the group has a server that was not asked yet.
+func (r *callRun) hasAlternative() bool {
+	ready := uint32(0)
+	for _, server := range r.service.backEnds.Load().byGroup[r.route.GetGroup()] {
+		if !server.draining.Load() {
+			ready++
+		}
+	}
+	return ready > r.sends
+}
+
 func (r *callRun) sendFailed(command turn.IssueCall, err error) turn.Event {
 	if reason := stopReason(r.ctx, r.grant); reason != 0 {
 		return turn.Stopped{Reason: reason}
--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -20,7 +20,7 @@
 	sampleInterval = 500 * time.Millisecond
 	// fleetSampleInterval bounds the samples of all front nodes together: it is the least mean time between two.
 	fleetSampleInterval = 50 * time.Millisecond
-	sampleTimeout  = 500 * time.Millisecond
+	sampleTimeout       = 500 * time.Millisecond
 	// sampleAge is how old a report must be to be worth a sample.
 	sampleAge      = 250 * time.Millisecond
 	maxSampleBytes = 4 << 10
