--- a/internal/core/replica/baddays_test.go
+++ b/internal/core/replica/baddays_test.go
@@ -186,6 +186,7 @@
 
 func (d *badDay) checkAcknowledged() {
 	d.t.Helper()
+	d.eventually("three voters and a standby stand, and no member that is gone", d.whole)
 	d.eventually("all that stand have the same", func() bool {
 		leader := d.leader()
 		for _, m := range d.running() {
--- a/internal/core/replica/membership.go
+++ b/internal/core/replica/membership.go
@@ -333,6 +333,9 @@
 	if next == nil {
 		return
 	}
+	// The step after this one is due as soon as this one is committed: between a promotion and the removal that it is for,
+	// there is one voter too many that is lost.
+	o.nextPlan = now.Add(o.replica.options.HeartbeatInterval / ticksPerHeartbeat)
 	o.proposeChange(next.configuration, next.reason, make(chan proposalResult, 1))
 }
 
--- a/internal/core/replica/plan.go
+++ b/internal/core/replica/plan.go
@@ -10,6 +10,9 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
+// goneLearnerFactor is how many times longer than a voter a standby may be silent before it is removed.
+const goneLearnerFactor = 10
+
 // caughtUpEntries is how many entries a learner may lag and still count as caught up.
 const caughtUpEntries = 64
 
@@ -36,7 +39,7 @@
 // replace are removed, and none is removed unless a majority of the rest is alive.
 func planChange(view *membershipView) *change {
 	decisions := []func(*membershipView) *change{
-		promoteStandby, removeReplacedVoter, removeSupersededLearner, demoteSurplusVoter,
+		promoteStandby, removeReplacedVoter, removeSupersededLearner, demoteSurplusVoter, removeGoneLearner,
 	}
 	for _, decide := range decisions {
 		if found := decide(view); found != nil {
@@ -202,6 +205,17 @@
 	return nil
 }
 
+// removeGoneLearner removes a standby that has been silent for very long, as one whose machine was replaced by another; if it
+// comes back it joins again.
+func removeGoneLearner(view *membershipView) *change {
+	for _, member := range view.configuration.GetMembers() {
+		if !member.GetVoter() && view.silence(member.GetId()) >= goneLearnerFactor*view.goneAfter {
+			return &change{configuration: withoutMember(view.configuration, member.GetId()), reason: "remove gone standby " + member.GetName()}
+		}
+	}
+	return nil
+}
+
 // demoteSurplusVoter makes one voter a standby when there are more than wanted and all are
 // alive, as after a lost one came back; one of the region with most voters goes first, then of the
 // zone with most, never the leader.
--- a/internal/core/replica/plan_test.go
+++ b/internal/core/replica/plan_test.go
@@ -41,6 +41,8 @@
 		{"a replaced machine need not be waited for", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 3}, {name: "c", zone: "3"}}, "promote c"},
 		{"a replaced voter goes when its successor votes", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 3}, {name: "c", zone: "3", voter: true}}, "remove lost voter c"},
 		{"a replaced learner goes", []planned{a, b, c, {name: "d", silent: 3}, {name: "d"}}, "remove former d"},
+		{"a standby that was silent for very long goes", []planned{a, b, c, {name: "d", silent: 101}}, "remove gone standby d"},
+		{"but stays for as long as it may come back", []planned{a, b, c, {name: "d", silent: 99}}, ""},
 		{"a live member is never taken for replaced", []planned{a, b, c, {name: "d"}, {name: "d"}}, ""},
 		{"one too many is demoted, from a shared zone", []planned{a, b, c, {name: "d", zone: "2", voter: true}}, "demote d"},
 		{"nobody is demoted while one is silent", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 3}, {name: "d", zone: "2", voter: true}}, ""},
