--- a/internal/directory/takeover_test.go
+++ b/internal/directory/takeover_test.go
@@ -300,3 +300,17 @@
 		Expect(timeout(fleet)).To(Equal(usual))
 	})
 })
+
+var _ = Describe("a new session", func() {
+	It("costs one round trip to its holder, and nothing afterwards", func() {
+		fleet := newFleet(trio...)
+		session := heldBy(trio, "c", "")
+		fleet.sent = nil
+		Expect(fleet.nodes["a"].resolve(session).Owner.Local).To(BeTrue())
+		Expect(fleet.nodes["a"].resolve(session).Owner.Local).To(BeTrue())
+		Expect(fleet.sent).To(HaveLen(1))
+		Expect(fleet.nodes["b"].resolve(session).Owner.Name).To(Equal("a"))
+		Expect(fleet.nodes["b"].resolve(session).Owner.CacheHit).To(BeTrue())
+		Expect(fleet.sent).To(HaveLen(2))
+	})
+})
