--- a/internal/front/httpissue.go
+++ b/internal/front/httpissue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -58,18 +59,24 @@
 	return response, nil
 }
 
+// headers are those of the caller with those of the front node, whose words stand in place of the caller's.
 func (c *routeClient) headers(request routedRequest, server string, left int64) []*protocol.HttpHeader {
-	given := request.http.GetHeaders()
-	headers := make([]*protocol.HttpHeader, 0, len(given)+4)
-	headers = append(headers, given...)
-	headers = append(headers, &protocol.HttpHeader{Name: c.dialect.TimeLeft, Value: strconv.FormatInt(left, 10)})
+	own := []*protocol.HttpHeader{{Name: c.dialect.TimeLeft, Value: strconv.FormatInt(left, 10)}}
 	if c.dialect.ServerRank != "" && request.http.GetKind() == protocol.HttpRouteKind_HTTP_STREAMING {
-		headers = append(headers, &protocol.HttpHeader{Name: c.dialect.ServerRank, Value: serverRank(request.http.GetRank())})
+		own = append(own, &protocol.HttpHeader{Name: c.dialect.ServerRank, Value: serverRank(request.http.GetRank())})
 	}
 	if c.dialect.TargetServer != "" {
-		headers = append(headers, &protocol.HttpHeader{Name: c.dialect.TargetServer, Value: server})
+		own = append(own, &protocol.HttpHeader{Name: c.dialect.TargetServer, Value: server})
+	}
+	given := request.http.GetHeaders()
+	headers := make([]*protocol.HttpHeader, 0, len(given)+len(own))
+	for _, header := range given {
+		isSame := func(other *protocol.HttpHeader) bool { return other.GetName() == header.GetName() }
+		if !slices.ContainsFunc(own, isSame) {
+			headers = append(headers, header)
+		}
 	}
-	return headers
+	return append(headers, own...)
 }
 
 const (
--- a/internal/front/routes_test.go
+++ b/internal/front/routes_test.go
@@ -56,6 +56,20 @@
 		Entry("by a method of its own", "REPORT", "x", false),
 	)
 
+	DescribeTable("carries the front node's words in place of its caller's", func(path string, names []string) {
+		server := r.server("s1", answerWith(http.StatusOK, "ok"))
+		told := with(words.TimeLeft, "700", words.TargetServer, "other", words.ServerRank, "0")
+		Expect(f1.route(routed{target: path, headers: told}).status).To(Equal(http.StatusOK))
+		seen := server.requests()[0].header
+		for _, name := range names {
+			Expect(seen[name]).To(HaveLen(1), name)
+		}
+		Expect(seen.Get(words.TargetServer)).To(Equal("s1"))
+	},
+		Entry("on a call", nonRepeatablePath, []string{words.TimeLeft, words.TargetServer}),
+		Entry("on a stream", streamPath, []string{words.TimeLeft, words.TargetServer, words.ServerRank}),
+	)
+
 	It("is made an id when it brings none, which the server's answer must carry", func() {
 		server := r.server("s1", answerWith(http.StatusOK, "ok"))
 		Expect(f1.route(routed{target: "/write/"}).status).To(Equal(http.StatusOK))
--- a/internal/front/routeturns_test.go
+++ b/internal/front/routeturns_test.go
@@ -177,6 +177,14 @@
 		})
 	})
 
+	It("under an id that was used before is neither run again nor answered as though whole", func() {
+		server := r.server("s1", turnServer)
+		f1.take(routedTurn{id: "t1", input: "one"})
+		got := f1.route(routedTurn{id: "t1", input: "one"}.sent())
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+		Expect(server.requests()).To(HaveLen(1))
+	})
+
 	Describe("that goes on from a turn", func() {
 		var server *standIn
 
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -139,10 +139,30 @@
 
 func (w *wholeReader) Read(buffer []byte) (int, error) {
 	count, err := w.response.answer.Body.Read(buffer)
-	if err == io.EOF {
-		w.response.whole = true
+	if err != io.EOF {
+		return count, err
+	}
+	if !w.response.endIsProved() {
+		return count, io.ErrUnexpectedEOF
+	}
+	w.response.whole = true
+	return count, io.EOF
+}
+
+// endIsProved reports whether the end of the body is the server's own. A body
+// without a length ends with its connection; while a request is being written, a
+// reset may be told to the writer alone and look like an end to the reader.
+func (r *Response) endIsProved() bool {
+	hasLength := r.answer.ContentLength >= 0 || len(r.answer.TransferEncoding) > 0 || r.answer.Body == http.NoBody
+	if hasLength || r.written == nil {
+		return true
+	}
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+		return false
 	}
-	return count, err
 }
 
 // ReadAll reads the whole body up to a limit.
--- a/internal/turn/ending.go
+++ b/internal/turn/ending.go
@@ -42,6 +42,10 @@
 func (m *Machine) answerFinished(finished *protocol.FinishedRequest, now time.Time) []Command {
 	switch finished.GetOutcome() {
 	case protocol.RequestOutcome_OUTCOME_SETTLED:
+		if m.isHTTP() {
+			// The head of that answer is not kept, and its id was to be used once.
+			return m.end(failure.New(failure.OutcomeUnknown, protocol.Outcome_RAN, "a request under this id was answered before").Failure)
+		}
 		m.state = stateReadingKept
 		return append(m.leave(), ReadKept{TurnID: finished.GetTurnId()})
 	case protocol.RequestOutcome_OUTCOME_NOT_RUN:
--- /dev/null
+++ b/internal/turn/httpturn_test.go
@@ -0,0 +1,332 @@
+package turn_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+const routedInput = "new input"
+
+// httpRequest is a turn of an HTTP route.
+func httpRequest(stateful bool, budget uint64, previous string) *protocol.TurnRequest {
+	return &protocol.TurnRequest{
+		FirstSend: true, PreviousTurn: previous, ProgramBudget: budget, Input: []*protocol.Item{{Data: []byte(routedInput)}},
+		Http: &protocol.HttpRequest{Route: "turns", Stateful: stateful},
+	}
+}
+
+func routedEvent(data string) turn.Token {
+	return turn.Token{Tokens: 1, Event: []byte("data: " + data + "\n\n"), Data: []byte(data)}
+}
+
+var (
+	routedHead = turn.Head{Answer: &protocol.HttpAnswer{Status: 200}}
+	routedDone = turn.BackEndDone{}
+	routedBusy = turn.AnsweredWhole{Answer: &protocol.HttpAnswer{Status: 500, Body: []byte("busy")}}
+)
+
+func TestAnHTTPTurnIsKeptWithItsDataBeforeItCompletes(t *testing.T) {
+	s := newScript(httpRequest(true, 100, "t0")).
+		on("history", turn.HistoryRead{
+			Items: []*protocol.Item{{Data: []byte("old")}}, Tokens: 4, Program: "p0", Status: protocol.LedgerStatus_LEDGER_OK,
+		}).
+		on("issue", routedHead, routedEvent("a"), turn.Token{Event: []byte(": comment\n\n")}, routedEvent(""), routedDone).run()
+	if s.last().GetCompleted() == nil || s.count("issue") != 1 {
+		t.Fatalf("ended with %v", s.last())
+	}
+	settled := false
+	for _, command := range s.commands {
+		switch command := command.(type) {
+		case turn.Reserve:
+			if !command.Operation.GetFork() || command.Operation.GetClaim() == nil || command.Operation.GetCeiling() != ceiling {
+				t.Fatalf("reserved by %v", command.Operation)
+			}
+		case turn.Issue:
+			if len(command.Items) != 2 || string(command.Items[0].GetData()) != "old" || string(command.Items[1].GetData()) != routedInput {
+				t.Fatalf("issued %v", command.Items)
+			}
+		case turn.Settle:
+			settled = true
+			kept := command.Operation.GetTurn()
+			if string(kept.GetOutput()[0].GetData()) != "a\n\n" || kept.GetPreviousProgram() != "p0" || kept.GetOutputTokens() != 2 {
+				t.Fatalf("kept %v", kept)
+			}
+		case turn.Emit:
+			if command.Event.GetCompleted() != nil && !settled {
+				t.Fatal("completed before it was kept")
+			}
+		}
+	}
+}
+
+func TestAnHTTPTurnWithoutALedgerAsksItForNothing(t *testing.T) {
+	for name, answer := range map[string][]turn.Event{
+		"a stream":        {routedHead, routedEvent("a"), routedDone},
+		"a whole answer":  {routedBusy},
+		"a broken stream": {routedHead, routedEvent("a"), turn.BackEndFailed{Fault: turn.FaultBroken}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(httpRequest(false, 0, "")).on("issue", answer...).run()
+			if !s.machine.Done() || s.count("reserve")+s.count("settle")+s.count("release")+s.count("refuse")+s.count("claim") != 0 {
+				t.Fatalf("commands %v", s.commands)
+			}
+		})
+	}
+}
+
+func TestAWholeAnswerEndsAnHTTPTurnAndIsCharged(t *testing.T) {
+	s := newScript(httpRequest(true, 100, "")).on("issue", routedBusy).run()
+	if string(s.last().GetAnswered().GetBody()) != "busy" || s.released().GetTokens() != 1 || s.count("settle") != 0 {
+		t.Fatalf("ended with %v, released %v", s.last(), s.released())
+	}
+}
+
+func TestAnHTTPTurnThatMayHaveRunIsNotIssuedAgain(t *testing.T) {
+	for _, fault := range []turn.BackEndFault{turn.FaultBroken, turn.FaultMismatch} {
+		s := newScript(httpRequest(true, 100, "")).on("issue", turn.BackEndFailed{Fault: fault}).run()
+		if s.count("issue") != 1 || s.last().GetFailed().GetOutcome() != protocol.Outcome_UNKNOWN || s.released().GetTokens() != 1 {
+			t.Fatalf("%v: %d issues, ended with %v, released %v", fault, s.count("issue"), s.last(), s.released())
+		}
+	}
+}
+
+func TestAnHTTPTurnIsRefusedWithTheLedgersReason(t *testing.T) {
+	missing := turn.HistoryRead{Status: protocol.LedgerStatus_LEDGER_TURN_MISSING}
+	away := turn.HistoryRead{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE}
+	wantFailure(t, newScript(httpRequest(true, 9, "t0")).on("history", missing).run(), failure.TurnMissing, protocol.Outcome_NOT_RUN)
+	wantFailure(t, newScript(httpRequest(true, 9, "t0")).on("history", away).run(), failure.LedgerUnavailable, protocol.Outcome_NOT_RUN)
+	spent := turn.Reserved{Result: status(protocol.LedgerStatus_LEDGER_BUDGET_SPENT)}
+	s := newScript(httpRequest(true, 9, "")).on("reserve", spent).run()
+	wantFailure(t, s, failure.BudgetSpent, protocol.Outcome_NOT_RUN)
+	if s.count("issue") != 0 {
+		t.Fatal("issued without a reservation")
+	}
+}
+
+// httpObserver checks what the caller, the servers and the ledger see of one HTTP turn.
+type httpObserver struct {
+	t          *rapid.T
+	ledgered   bool
+	stateful   bool
+	reserved   bool
+	settled    bool
+	mayHaveRun bool
+	issuedNow  bool
+	slots      int
+	passed     uint64
+	released   *protocol.ReleaseTurn
+	terminal   *protocol.TurnEvent
+}
+
+func (o *httpObserver) command(command turn.Command) {
+	switch command := command.(type) {
+	case turn.Issue:
+		switch {
+		case o.terminal != nil:
+			o.t.Fatal("issued after its end")
+		case o.ledgered && !o.reserved:
+			o.t.Fatal("issued without a reservation")
+		case o.mayHaveRun:
+			o.t.Fatal("issued again although it may have run")
+		case string(command.Items[len(command.Items)-1].GetData()) != routedInput:
+			o.t.Fatalf("issued %v", command.Items)
+		}
+		o.issuedNow = true
+	case turn.Leave:
+		o.slots--
+	case turn.Release:
+		o.released = command.Operation
+	case turn.Emit:
+		o.emit(command.Event)
+	case turn.Reserve, turn.Settle, turn.Refuse:
+		if !o.ledgered {
+			o.t.Fatalf("%T asked of the ledger", command)
+		}
+	}
+}
+
+func (o *httpObserver) emit(event *protocol.TurnEvent) {
+	if o.terminal != nil {
+		o.t.Fatalf("event %v after the last one", event)
+	}
+	o.passed += uint64(event.GetDelta().GetTokens())
+	if event.GetCompleted() != nil || event.GetFailed() != nil || event.GetAnswered() != nil {
+		o.terminal = event
+	}
+	if event.GetCompleted() != nil && o.stateful && !o.settled {
+		o.t.Fatal("completed before the ledger had the turn")
+	}
+}
+
+func (o *httpObserver) answer(event turn.Event) {
+	switch event := event.(type) {
+	case turn.Admitted:
+		o.slots++
+	case turn.Reserved:
+		o.reserved = event.Result.GetStatus() == protocol.LedgerStatus_LEDGER_OK
+	case turn.Settled:
+		o.settled = o.settled || event.Result.GetStatus() == protocol.LedgerStatus_LEDGER_OK ||
+			event.Result.GetFinished().GetOutcome() == protocol.RequestOutcome_OUTCOME_SETTLED
+	case turn.BackEndFailed:
+		surelyNot := event.Fault == turn.FaultNotSent || event.Fault == turn.FaultRefused
+		o.mayHaveRun = o.mayHaveRun || o.issuedNow && !surelyNot
+		o.issuedNow = false
+	case turn.Head, turn.Token, turn.AnsweredWhole, turn.BackEndDone:
+		o.mayHaveRun = true
+	case turn.Stopped:
+		o.mayHaveRun = o.mayHaveRun || o.issuedNow
+	}
+}
+
+func (o *httpObserver) check() {
+	f := o.terminal.GetFailed()
+	switch {
+	case o.terminal == nil:
+		o.t.Fatal("the caller was never answered")
+	case o.passed > ceiling:
+		o.t.Fatalf("%d tokens passed on under a ceiling of %d", o.passed, ceiling)
+	case o.slots != 0:
+		o.t.Fatalf("%d slots kept", o.slots)
+	case f.GetOutcome() == protocol.Outcome_NOT_RUN && o.mayHaveRun:
+		o.t.Fatalf("called not run although it may have run: %v", f)
+	case o.ledgered && o.mayHaveRun && !o.settled && o.released != nil && o.released.GetTokens() < max(o.passed, 1):
+		o.t.Fatalf("%d tokens passed on, %d charged", o.passed, o.released.GetTokens())
+	case o.ledgered && !o.mayHaveRun && o.reserved && o.released.GetTokens() != 0:
+		o.t.Fatalf("charged %d tokens although nothing ran", o.released.GetTokens())
+	}
+}
+
+// drawRoutedPiece draws what the server of an HTTP turn may do next; a head comes first of all.
+func drawRoutedPiece(t *rapid.T, begun bool) turn.Event {
+	drawn := rapid.IntRange(0, 9).Draw(t, "piece")
+	switch {
+	case begun && drawn == 0:
+		// Once a server began to answer, the answer can only break off or prove foreign.
+		return turn.BackEndFailed{Fault: turn.BackEndFault(rapid.IntRange(3, 4).Draw(t, "late fault")), Detail: "drawn"}
+	case drawn == 0:
+		return turn.BackEndFailed{Fault: turn.BackEndFault(rapid.IntRange(1, 4).Draw(t, "fault")), Detail: "drawn"}
+	case drawn == 1:
+		return drawStop(t)
+	case !begun && drawn == 2:
+		return routedBusy
+	case !begun && drawn < 6:
+		return turn.BackEndFailed{Fault: turn.BackEndFault(rapid.IntRange(1, 2).Draw(t, "refusal")), Detail: "drawn"}
+	case !begun:
+		return routedHead
+	case drawn == 2:
+		return routedDone
+	case drawn == 3:
+		return turn.BackEndFailed{Fault: turn.FaultBroken, Detail: "drawn"}
+	default:
+		return routedEvent("x")
+	}
+}
+
+func TestNoHTTPTurnLiesWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stateful, budget := rapid.Bool().Draw(t, "stateful"), rapid.Uint64Range(0, 1).Draw(t, "budget")
+		previous := rapid.SampledFrom([]string{"", "t0"}).Draw(t, "previous")
+		s := newScript(httpRequest(stateful, budget, previous))
+		o := &httpObserver{t: t, stateful: stateful, ledgered: stateful || budget > 0}
+		pending := s.machine.Apply(turn.Begun{}, s.now)
+		streaming, begun := false, false
+		for step := 0; !s.machine.Done() || len(pending) > 0; step++ {
+			if step > 2000 {
+				t.Fatal("the turn never ends")
+			}
+			var event turn.Event
+			switch {
+			case len(pending) > 0:
+				command := pending[0]
+				pending = pending[1:]
+				if interrupted(t, command) {
+					// A stop that goes before an issue counts as though the issue had gone out.
+					_, issue := command.(turn.Issue)
+					o.mayHaveRun = o.mayHaveRun || issue
+					pending = s.machine.Apply(drawStop(t), s.now)
+					continue
+				}
+				o.command(command)
+				s.now = s.now.Add(10 * time.Millisecond)
+				switch command.(type) {
+				case turn.Issue:
+					streaming, begun = true, false
+					continue
+				case turn.StopBackEnd:
+					streaming = false
+					continue
+				}
+				event = drawAnswer(t, command)
+			case streaming:
+				event = drawRoutedPiece(t, begun)
+				begun = true
+			}
+			if event == nil {
+				continue
+			}
+			o.answer(event)
+			if _, whole := event.(turn.AnsweredWhole); whole || isEnd(event) {
+				streaming = false
+			}
+			pending = append(pending, s.machine.Apply(event, s.now)...)
+		}
+		o.check()
+	})
+}
+
+func TestARepeatableCallRunsAtNoMoreServersThanAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		allowed := rapid.Uint32Range(1, 3).Draw(t, "runs")
+		machine := turn.NewCall(turn.CallParameters{
+			Request: &protocol.ToolCallRequest{RequestId: "r1", FirstSend: true, Http: &protocol.HttpRequest{}},
+			Owner:   "f1", Attempt: "a1", Unrecorded: true, Repeatable: true, Attempts: 6, Runs: allowed,
+		})
+		now, runs, issues, answers := start, uint32(0), 0, 0
+		pending := machine.Apply(turn.Begun{}, now)
+		for len(pending) > 0 {
+			command := pending[0]
+			pending = pending[1:]
+			if interrupted(t, command) {
+				pending = machine.Apply(drawStop(t), now)
+				continue
+			}
+			event := drawAnswer(t, command)
+			switch command := command.(type) {
+			case turn.IssueCall:
+				issues++
+				fault, failed := event.(turn.BackEndFailed)
+				if !failed || fault.Fault == turn.FaultBroken || fault.Fault == turn.FaultMismatch {
+					runs++
+				}
+			case turn.Answer:
+				answers++
+				if command.Response.GetFailure().GetOutcome() == protocol.Outcome_NOT_RUN && runs > 0 {
+					t.Fatalf("called not run although it may have run: %v", command.Response)
+				}
+			}
+			if event != nil {
+				pending = append(pending, machine.Apply(event, now)...)
+			}
+		}
+		if runs > allowed || issues > 6 || answers != 1 {
+			t.Fatalf("%d runs of %d, %d issues, %d answers", runs, allowed, issues, answers)
+		}
+	})
+}
+
+func TestHTTPTurnsDoNotShareTheirRequest(t *testing.T) {
+	request := httpRequest(true, 9, "t0")
+	before := proto.CloneOf(request)
+	before.RequestId, before.Session, before.Program, before.Nonce = "r1", "s1", "p1", "n1"
+	newScript(request).on("issue", routedHead, routedEvent("a"), routedDone).run()
+	if !proto.Equal(request, before) {
+		t.Fatalf("changed to %v", request)
+	}
+}
