Suspect a front node at once whose pings were unanswered

Cause: a forward to a frozen owner is given up after 0.6 s without an answer to a ping; a probe of 175 ms more found out nothing that this had not shown. A table of what each error of a call shows is tested.

--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -14,7 +14,7 @@
 const (
 	// CallUnanswered shows nothing about the peer.
 	CallUnanswered CallFailure = iota
-	// CallRefused: nothing listens at the address.
+	// CallRefused: nothing listens at the address, or pings on its connection were unanswered for long.
 	CallRefused
 	// CallPowerless: the process answers that it may not act, as just after its start or after it lost its lease.
 	CallPowerless
--- a/internal/ownership/evidence.go
+++ b/internal/ownership/evidence.go
@@ -31,7 +31,8 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return directory.CallRefused
 	case errors.As(err, &silent):
-		return directory.CallSilent
+		// Pings were unanswered for longer than a probe would be waited for.
+		return directory.CallRefused
 	case isTimeout(err):
 		if silenceCounts {
 			return directory.CallSilent
--- /dev/null
+++ b/internal/ownership/evidence_test.go
@@ -0,0 +1,52 @@
+package ownership
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/directory"
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+func TestWhatTheErrorOfACallShows(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	reset := &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	dialTimeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	notRun := func(code failure.Code) error { return failure.New(code, protocol.Outcome_NOT_RUN, "no") }
+	for name, example := range map[string]struct {
+		err    error
+		silent bool
+		want   directory.CallFailure
+	}{
+		"refused":                        {&wire.NotSentError{Cause: refused}, true, directory.CallRefused},
+		"reset under way":                {&wire.BrokenError{Cause: reset}, true, directory.CallBroken},
+		"closed under way":               {&wire.BrokenError{Cause: io.EOF}, true, directory.CallBroken},
+		"reset in the handshake":         {&wire.NotSentError{Cause: reset}, true, directory.CallBroken},
+		"pings unanswered":               {&wire.BrokenError{Cause: &wire.SilentPeerError{Limit: time.Second}}, false, directory.CallRefused},
+		"no answer in time":              {context.DeadlineExceeded, true, directory.CallSilent},
+		"no connection in time":          {&wire.NotSentError{Cause: dialTimeout}, true, directory.CallSilent},
+		"a deadline of another's":        {context.DeadlineExceeded, false, directory.CallUnanswered},
+		"no lease":                       {notRun(failure.NoAuthority), true, directory.CallPowerless},
+		"not ready":                      {notRun(failure.NotReady), true, directory.CallPowerless},
+		"another refusal":                {notRun(failure.Overloaded), true, directory.CallUnanswered},
+		"cancelled":                      {&wire.NotSentError{Cause: context.Canceled}, true, directory.CallUnanswered},
+		"closed by this process":         {&wire.BrokenError{Cause: &wire.ClosedError{}}, true, directory.CallUnanswered},
+		"closed by this process, unused": {&wire.BrokenError{Cause: &wire.IdleError{}}, true, directory.CallUnanswered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := evidenceOf(example.err, example.silent); got != example.want {
+				t.Fatalf("%d, want %d", got, example.want)
+			}
+		})
+	}
+	if !stalled(4*time.Second, time.Second) || stalled(time.Second+time.Millisecond, time.Second) {
+		t.Fatal("a process that stood still is not told from one that waited")
+	}
+}
