--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -249,8 +249,8 @@
 		AffinityKey: p.affinity, Last: p.last, Avoid: p.avoid, Sequence: p.sequence,
 	}
 	found := candidates(b.serversOf(p.key), group, now)
-	request.Profile = models.complete(p.key.group, p.prompt, found, now)
-	request.PromptTokens, request.OutputTokens = p.prompt.Tokens(), p.output
+	models.complete(&request, p.key.group, p.prompt, found, now)
+	request.OutputTokens = p.output
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return schedule.Choose(request, found, random)
 }
--- a/internal/front/groupmodels.go
+++ b/internal/front/groupmodels.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// complete adds to the candidates of a decision what is known of them.
-func (m *groupModels) complete(group string, prompt promptcache.Prompt, candidates []schedule.Candidate, now time.Time) schedule.Profile {
+// complete adds to a decision what is known of its prompt and of the candidates.
+func (m *groupModels) complete(request *schedule.Request, group string, prompt promptcache.Prompt, candidates []schedule.Candidate, now time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	model := m.group(group)
@@ -114,7 +114,8 @@
 		candidate.CachedTokens = model.cache.Cached(candidate.ID, prompt)
 		candidate.Slowness = held.slowness.Factor(now)
 	}
-	return model.profile.Profile()
+	request.Profile = model.profile.Profile()
+	request.PromptTokens, request.SharedTokens = prompt.Tokens(), model.cache.Shared(prompt)
 }
 
 // sentTurn is a turn on its way at a server.
--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -135,8 +135,12 @@
 }
 
 // routedTicket is a request's claim to a slot.
-func routedTicket(routed *protocol.HttpRequest, tenant string, deadline time.Time) limit.Ticket {
-	return limit.Ticket{Class: rankClass(routed.GetRank()), Tenant: tenant, Weight: 1, Deadline: deadline}
+func routedTicket(routed *protocol.HttpRequest, tenant string, deadline, now time.Time) limit.Ticket {
+	ticket := limit.Ticket{Class: rankClass(routed.GetRank()), Tenant: tenant, Weight: 1, Deadline: deadline}
+	if left := routed.GetProgramTimeLeftMillis(); left > 0 {
+		ticket.ProgramDeadline = now.Add(millis(left))
+	}
+	return ticket
 }
 
 // rankClass maps a route's rank to a class of the admission.
--- a/internal/front/lane.go
+++ b/internal/front/lane.go
@@ -15,6 +15,8 @@
 	fair int
 	// room is the capacity that other front nodes do not use, as far as this one knows.
 	room int
+	// spare is how many requests may go beyond the slots while the servers are under half taken.
+	spare int
 }
 
 // lane is the way to one server group: who waits for it and how many may use it.
@@ -41,6 +43,7 @@
 func (l *lane) bound(most ceiling) []limit.Decision {
 	l.ceiling = most
 	l.queue.SetSureSlots(most.fair)
+	l.queue.SetSpare(most.spare)
 	return l.queue.SetSlots(l.slots())
 }
 
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -229,7 +229,7 @@
 
 func (r *callRun) ticket() limit.Ticket {
 	if routed := r.request.GetHttp(); routed != nil {
-		return routedTicket(routed, r.request.GetTenant(), r.deadline)
+		return routedTicket(routed, r.request.GetTenant(), r.deadline, r.now())
 	}
 	return limit.Ticket{
 		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -51,7 +51,7 @@
 
 func (r *turnRun) ticket() limit.Ticket {
 	if routed := r.request.GetHttp(); routed != nil {
-		return routedTicket(routed, r.request.GetTenant(), r.deadline)
+		return routedTicket(routed, r.request.GetTenant(), r.deadline, r.now())
 	}
 	return limit.Ticket{
 		Class: r.request.GetPriority(), Tenant: r.request.GetTenant(),
--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosestand/rosestand/internal/limit"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/serverconn"
@@ -108,7 +109,9 @@
 	subsets := s.subsets(now)
 	for group, servers := range s.backEnds.Load().byGroup {
 		all := candidates(servers, index.Group(group), now)
-		ceilings[group] = ceilingOf(all, subsets[group], *s.share.Load())
+		bounds := ceilingOf(all, subsets[group], *s.share.Load())
+		bounds.spare = spareOf(all, *s.share.Load())
+		ceilings[group] = bounds
 	}
 	s.admission.bound(ceilings)
 }
@@ -129,6 +132,18 @@
 	return ceiling{known: true, fair: int(math.Ceil(total * overCommit * share)), room: int(room)}
 }
 
+// spareOf is how many requests may go beyond the slots while the servers are under half taken, as far as is known.
+func spareOf(all []schedule.Candidate, share float64) int {
+	places, taken := 0, 0
+	for _, candidate := range all {
+		if isUsable(candidate) {
+			places += int(candidate.Capacity)
+			taken += int(max(candidate.InFlight, candidate.Running+candidate.Queued))
+		}
+	}
+	return limit.Spare(places, taken, int(math.Round(1/share)))
+}
+
 func isUsable(candidate schedule.Candidate) bool { return !candidate.Draining && !candidate.Ejected }
 
 // capacityOf adds the capacities up; it is not known when a server tells none.
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -15,7 +15,7 @@
 
 // Packages lists the decision packages, relative to the module's root.
 var Packages = []string{
-	"internal/ring", "internal/directory", "internal/lease", "internal/turn", "internal/schedule", "internal/limit",
+	"internal/ring", "internal/directory", "internal/lease", "internal/turn", "internal/schedule", "internal/promptcache", "internal/limit",
 	"internal/ledger", "internal/register", "internal/consensus", "internal/controlstate", "internal/bundle", "internal/views",
 }
 
