Show that hundreds of releases are in force on a polling front node within 100 ms each

350 HTTP routes sent whole each time reach the node as deltas (internal/core, in virtual time with the default coalescing interval). The interface for adapters is split into two files, by what it is about.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rosestand/rosestand/internal/controlstate"
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-// The methods in this file are the control plane's interface for adapters in
+// The methods in this file and in announce.go are the control plane's interface for adapters in
 // the same process. Each is answered by the leader; at another member it fails
 // so that IsNotLeader holds, and LeaderHTTPAddress says where to ask. Errors are
 // of type *failure.Error; one with the outcome UNKNOWN may or may not have taken
@@ -142,126 +141,3 @@
 		return StoreServing, nil
 	}
 }
-
-// announcement is what the leader makes of a back end's announcement.
-type announcement int
-
-const (
-	announcementNotLeader announcement = iota
-	// announcementLate came after a later one and changes nothing.
-	announcementLate
-	// announcementHeld says what the view holds already; the lease was renewed.
-	announcementHeld
-	// announcementNews says something that must be written to the log.
-	announcementNews
-)
-
-// AnnounceBackEnd takes in a back end's own word about itself and renews its lease; the log is written only when something
-// changed. The sequence rises with every call of an incarnation: a call with a lower one than was seen before changes nothing,
-// nor does one of a back end that was removed. A back end that was draining stays so. With the state DRAINING it returns nil
-// only once every front node whose lease runs has a view in force that says so, which takes a lease of a front node at most.
-func (s *Service) AnnounceBackEnd(ctx context.Context, announced *protocol.BackEnd, sequence uint64) error {
-	if announced.GetId() == "" {
-		return failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "must be set", failure.WithPath("id"))
-	}
-	outcome, err := s.noteAnnouncement(ctx, announced, sequence)
-	if err != nil {
-		return err
-	}
-	if outcome == announcementNews {
-		if err := s.writeAnnouncement(ctx, announced, sequence); err != nil {
-			return err
-		}
-	}
-	if announced.GetState() != protocol.BackEndState_DRAINING {
-		return nil
-	}
-	return s.awaitDrained(ctx, announced.GetId())
-}
-
-// noteAnnouncement decides at the owner, which orders announcements, and renews the lease of a back end that says nothing new.
-func (s *Service) noteAnnouncement(ctx context.Context, announced *protocol.BackEnd, sequence uint64) (announcement, error) {
-	outcome := announcementNotLeader
-	id, incarnation := announced.GetId(), announced.GetIncarnation()
-	asked := s.owner.ask(ctx, func(now time.Time) {
-		switch {
-		case !s.owner.leads():
-		case s.owner.late(id, incarnation, sequence, now):
-			outcome = announcementLate
-		case s.machine.View().Holds(announced) && s.owner.backEnds.renew(id, incarnation, now):
-			outcome = announcementHeld
-		default:
-			outcome = announcementNews
-		}
-	})
-	if !asked {
-		return outcome, contextFailure(ctx)
-	}
-	switch outcome {
-	case announcementNotLeader:
-		return outcome, notLeaderFailure()
-	case announcementLate:
-		s.metrics.backEndLeases.WithLabelValues("late").Inc()
-	case announcementHeld:
-		s.metrics.backEndLeases.WithLabelValues("renewed").Inc()
-	}
-	return outcome, nil
-}
-
-// late notes the sequence of an announcement and reports whether it came after a later one, or after the back end left.
-func (o *owner) late(id string, incarnation, sequence uint64, now time.Time) bool {
-	if o.machine.View().Outdated(id, incarnation, sequence) {
-		return true
-	}
-	return sequence != 0 && !o.announced.note(id, incarnation, sequence, now)
-}
-
-// writeAnnouncement writes an announcement to the log and begins the lease of what is new in the view.
-func (s *Service) writeAnnouncement(ctx context.Context, announced *protocol.BackEnd, sequence uint64) error {
-	_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_UpsertBackEnd{
-		UpsertBackEnd: &protocol.UpsertBackEndCommand{BackEnd: announced, Sequence: sequence},
-	}})
-	if err != nil {
-		return err
-	}
-	s.metrics.backEndLeases.WithLabelValues("changed").Inc()
-	_, err = s.noteAnnouncement(ctx, announced, sequence)
-	return err
-}
-
-// awaitDrained returns once no front node sends to a back end any more; it fails when the back end is still ready.
-func (s *Service) awaitDrained(ctx context.Context, id string) error {
-	view := s.machine.View()
-	if held := view.BackEnd(id); held != nil && held.GetState() != protocol.BackEndState_DRAINING {
-		return failure.New(failure.InvalidOrder, protocol.Outcome_NOT_RUN, "a later announcement says that the back end is ready", failure.WithPath("sequence"))
-	}
-	return s.awaitBackEnds(ctx, view)
-}
-
-// awaitBackEnds waits until every front node under a lease has the back ends of the view in force, at most as long as a lease lasts.
-func (s *Service) awaitBackEnds(ctx context.Context, view *controlstate.View) error {
-	bounded, cancel := context.WithTimeout(ctx, s.lease+2*leaseMargin)
-	defer cancel()
-	return s.owner.awaitDrain(bounded, view.BackEnds.GetVersion())
-}
-
-// RemoveBackEnd takes out a back end that says that it left: its incarnation is not taken in again. It returns nil once every
-// front node whose lease runs has a view without it in force. Removing one that is gone is acknowledged.
-func (s *Service) RemoveBackEnd(ctx context.Context, id string, sequence uint64) error {
-	if id == "" {
-		return failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "must be set", failure.WithPath("id"))
-	}
-	if err := s.requireLeader(); err != nil {
-		return err
-	}
-	if !s.machine.View().Departed(id) {
-		_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_RemoveBackEnd{
-			RemoveBackEnd: &protocol.RemoveBackEndCommand{Id: id, Departed: true, Sequence: sequence},
-		}})
-		if err != nil {
-			return err
-		}
-		s.metrics.backEndLeases.WithLabelValues("departed").Inc()
-	}
-	return s.awaitBackEnds(ctx, s.machine.View())
-}
--- a/internal/core/control_test.go
+++ b/internal/core/control_test.go
@@ -25,6 +25,33 @@
 	return made
 }
 
+// manyRoutes is a whole bundle of HTTP routes of which one has another time-out.
+func manyRoutes(version uint64, changed int) *protocol.Bundle {
+	made := &protocol.Bundle{Version: version, Groups: []*protocol.ServerGroup{{Name: "desk"}}}
+	for number := range 350 {
+		made.HttpRoutes = append(made.HttpRoutes, &protocol.HttpRoute{
+			Name: fmt.Sprintf("r%03d", number), Host: "h", Prefix: fmt.Sprintf("/%d/", number), TimeoutMillis: 1000,
+			Kind: protocol.HttpRouteKind_HTTP_REPEATABLE, Targets: []*protocol.WeightedGroup{{Group: "desk", Weight: 1}},
+		})
+	}
+	made.HttpRoutes[changed].TimeoutMillis = 2000
+	return made
+}
+
+// pollDeltas polls for what is newer than a version of the configuration.
+func (m *member) pollDeltas(ctx context.Context, node *protocol.Node, configuration uint64) (*protocol.PollControlResponse, error) {
+	known := m.machine.View().Versions()
+	known.Configuration = configuration
+	var answered *protocol.PollControlResponse
+	err := m.service.Serve(ctx, &protocol.Request{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{
+		Node: node.GetName(), Incarnation: node.GetIncarnation(), Known: known, WaitMillis: 20_000, AcceptsDeltas: true,
+	}}}, func(response *protocol.Response) error {
+		answered = response.GetPollControl()
+		return nil
+	})
+	return answered, err
+}
+
 var _ = Describe("the control plane as an adapter sees it", func() {
 	var f *fleet
 	var leader *member
@@ -107,6 +134,56 @@
 			Expect(winners).To(Equal(1))
 		})
 
+		It("are in force on a polling front node within 100 ms each, over hundreds of changes, as deltas", func() {
+			front := frontNode("f1", 1)
+			held, wholes := make(chan *protocol.Configuration, 1), 0
+			Expect(leader.service.ReleaseBundle(ctx, manyRoutes(1, 0), 0)).To(Succeed())
+			ended, polls := context.WithCancel(ctx)
+			var group sync.WaitGroup
+			group.Go(func() {
+				defer GinkgoRecover()
+				configuration := &protocol.Configuration{}
+				for ended.Err() == nil {
+					answer, err := leader.pollDeltas(ended, front, configuration.GetVersion())
+					if err != nil {
+						continue
+					}
+					if whole := answer.GetConfiguration(); whole != nil {
+						wholes++
+						configuration = whole
+					}
+					if delta := answer.GetConfigurationDelta(); delta != nil {
+						configuration, err = bundle.ApplyDelta(configuration, delta)
+						Expect(err).NotTo(HaveOccurred())
+					}
+					select {
+					case <-held:
+					default:
+					}
+					held <- configuration
+				}
+			})
+			DeferCleanup(func() {
+				polls()
+				group.Wait()
+			})
+			for version := uint64(2); version < 302; version++ {
+				Expect(leader.service.ReleaseBundle(ctx, manyRoutes(version, int(version)), version-1)).To(Succeed())
+				f.advance(core.DefaultCoalesce)
+				var inForce *protocol.Configuration
+				Eventually(func() uint64 {
+					select {
+					case inForce = <-held:
+					default:
+					}
+					return inForce.GetActive().GetVersion()
+				}).Should(Equal(version))
+			}
+			polls()
+			group.Wait()
+			Expect(wholes).To(Equal(1))
+		})
+
 		It("are forbidden where the settings do not trust operators", func() {
 			strict := newFleet(1, nil)
 			service := strict.lead(strict.members[0]).service
