--- a/internal/front/routes_test.go
+++ b/internal/front/routes_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/corelink"
 	"github.com/rosestand/rosestand/internal/protocol"
@@ -119,6 +120,23 @@
 		)
 	})
 
+	It("goes by the bundle in force from the moment it is there", func() {
+		former, next := r.server("s1", answerWith(http.StatusOK, "former")), r.serverOf("next", "n1", answerWith(http.StatusOK, "next"))
+		Expect(f1.route(routed{target: "/write/"}).body).To(Equal("former"))
+		Expect(f1.route(routed{target: "/new/"}).status).To(Equal(http.StatusNotFound))
+		r.changeBundle(func(active *protocol.Bundle) {
+			moved, added := active.HttpRoutes[1], proto.CloneOf(active.HttpRoutes[0])
+			moved.Targets = []*protocol.WeightedGroup{{Group: "next", Weight: 1}}
+			added.Name, added.Prefix = "added", "/new/"
+			active.HttpRoutes = []*protocol.HttpRoute{moved, added}
+		})
+		Expect(f1.route(routed{target: "/write/"}).body).To(Equal("next"))
+		Expect(f1.route(routed{target: "/new/"}).body).To(Equal("former"))
+		Expect(f1.route(routed{target: "/read/"}).status).To(Equal(http.StatusNotFound))
+		Expect(count(former)).To(Equal(2))
+		Expect(count(next)).To(Equal(1))
+	})
+
 	It("is answered 503 with the time to come back while no bundle is in force", func() {
 		r.put(&corelink.View{Configuration: &protocol.Configuration{Version: 9}, Membership: r.view.Membership, BackEnds: r.view.BackEnds})
 		got := f1.route(routed{target: "/read/"})
