--- a/internal/store/fleet_test.go
+++ b/internal/store/fleet_test.go
@@ -27,6 +27,8 @@
 const (
 	shardCount   = 4
 	segmentBytes = 16 << 10
+	// usualPace makes timers short and leaves a machine that is busy time for what a deadline of seconds bounds.
+	usualPace = 5
 	// patience bounds how long a test looks for something that must come.
 	patience = 20 * time.Second
 )
@@ -111,12 +113,16 @@
 	clock   *testClock
 	members map[string]*member
 	names   []string
-	// step is how far the clock moves while an operation is awaited.
-	step time.Duration
-
-	mutex     sync.Mutex
-	view      *corelink.View
-	cut       map[string]bool
+	// pace is how much faster than the wall clock the fleet's runs while an operation is awaited.
+	pace time.Duration
+
+	mutex sync.Mutex
+	view  *corelink.View
+	cut   map[string]bool
+	// frozen stores hear and say nothing until the channel is closed; what was sent to them arrives then.
+	frozen map[string]chan struct{}
+	// stale holds the views of stores that do not hear the core.
+	stale     map[string]*corelink.View
 	intercept func(to string, request *protocol.Request)
 }
 
@@ -126,7 +132,7 @@
 
 // newFleetOn puts something between each store and its disk.
 func newFleetOn(wrap func(name string, filesystem storage.Filesystem) storage.Filesystem, names ...string) *fleet {
-	f := &fleet{wrap: wrap, clock: newTestClock(), members: map[string]*member{}, names: names, cut: map[string]bool{}, view: &corelink.View{}, step: time.Millisecond}
+	f := &fleet{wrap: wrap, clock: newTestClock(), members: map[string]*member{}, names: names, cut: map[string]bool{}, stale: map[string]*corelink.View{}, frozen: map[string]chan struct{}{}, view: &corelink.View{}, pace: usualPace}
 	for number, name := range names {
 		f.members[name] = &member{name: name, disk: simdisk.New(rand.New(rand.NewPCG(uint64(number), 7)))}
 		f.start(name)
@@ -156,7 +162,7 @@
 	self := &protocol.Node{Name: name, Kind: protocol.NodeKind_STORE, Incarnation: m.starts, Address: name}
 	failure := make(chan error, 1)
 	started, err := store.New(store.Options{
-		Self: self, Caller: &network{fleet: f, from: name}, Core: &link{fleet: f}, Clock: f.clock, Groups: 2,
+		Self: self, Caller: &network{fleet: f, from: name}, Core: &link{fleet: f, store: name}, Clock: f.clock, Groups: 2,
 		Settings:    &protocol.StoreSettings{SegmentBytes: segmentBytes},
 		PeerTimeout: 100 * time.Millisecond, Logger: log.New(io.Discard), Fatal: func(err error) { failure <- err }, Seed: m.starts,
 	}, folder)
@@ -259,6 +265,48 @@
 	return f.view
 }
 
+func (f *fleet) freeze(name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.frozen[name] = make(chan struct{})
+}
+
+func (f *fleet) thaw(name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	close(f.frozen[name])
+	delete(f.frozen, name)
+}
+
+func (f *fleet) isFrozen(name string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.frozen[name] != nil
+}
+
+// viewOf gives the view that a store has.
+func (f *fleet) viewOf(name string) *corelink.View {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if old := f.stale[name]; old != nil {
+		return old
+	}
+	return f.view
+}
+
+// setStale keeps a store from hearing of new views, or lets it hear of the newest.
+func (f *fleet) setStale(name string, stale bool) {
+	f.mutex.Lock()
+	delete(f.stale, name)
+	if stale {
+		f.stale[name] = f.view
+	}
+	f.mutex.Unlock()
+	if running := f.running(name); running != nil {
+		running.ViewChanged()
+	}
+}
+
 // move begins to replace a store by another in one shard.
 func (f *fleet) move(shard uint32, from, to string) {
 	placed := proto.CloneOf(f.View().Placement.GetShards()[shard])
@@ -340,9 +388,8 @@
 // ask sends an operation to one store only.
 func (f *fleet) ask(name string, limit time.Duration, operation *protocol.LedgerOperation) *protocol.LedgerResult {
 	GinkgoHelper()
-	shard := ledger.ShardOf(operation.GetProgram(), shardCount)
 	operation = proto.CloneOf(operation)
-	operation.PlacementEpoch = f.View().Placement.GetShards()[shard].GetEpoch()
+	operation.PlacementEpoch = f.epochOf(operation)
 	return f.await(func() (*protocol.LedgerResult, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
@@ -351,6 +398,19 @@
 	})
 }
 
+// epochOf gives the epoch of the shard that an operation is about.
+func (f *fleet) epochOf(operation *protocol.LedgerOperation) uint64 {
+	return shardOf(f.View(), operation).GetEpoch()
+}
+
+func shardOf(view *corelink.View, operation *protocol.LedgerOperation) *protocol.ShardPlacement {
+	return view.Placement.GetShards()[ledger.ShardOf(operation.GetProgram(), shardCount)]
+}
+
+func boundedContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), shortTime)
+}
+
 func (f *fleet) await(run func() (*protocol.LedgerResult, error)) *protocol.LedgerResult {
 	GinkgoHelper()
 	type answer struct {
@@ -362,13 +422,16 @@
 		result, err := run()
 		answers <- answer{result, err}
 	}()
+	last := time.Now()
 	for {
 		select {
 		case got := <-answers:
 			Expect(got.err).NotTo(HaveOccurred())
 			return got.result
 		default:
-			f.clock.advance(f.step)
+			now := time.Now()
+			f.clock.advance(f.pace * now.Sub(last))
+			last = now
 		}
 	}
 }
--- a/internal/store/keeping_test.go
+++ b/internal/store/keeping_test.go
@@ -224,7 +224,7 @@
 		f.restart("c")
 		f.stopOne("b", false)
 		// The store that came back is not to collect by itself what it still holds.
-		f.step = time.Microsecond
+		f.pace = 1
 		anew.expectKept()
 		anew.takeTurn()
 		record := f.do(&protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ReadProgram{}}).GetProgram()
--- a/internal/store/network_test.go
+++ b/internal/store/network_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosestand/rosestand/internal/corelink"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/store"
 	"github.com/rosestand/rosestand/internal/wire"
 )
 
@@ -22,6 +23,10 @@
 	to := n.fleet.members[address].store
 	cut := n.fleet.cut[address] || n.fleet.cut[n.from]
 	intercept := n.fleet.intercept
+	thawed := n.fleet.frozen[address]
+	if from := n.fleet.frozen[n.from]; from != nil {
+		thawed = from
+	}
 	n.fleet.mutex.Unlock()
 	if cut || to == nil {
 		return nil, &wire.NotSentError{Address: address, Cause: errors.New("cut")}
@@ -29,6 +34,13 @@
 	if intercept != nil {
 		intercept(address, request)
 	}
+	if thawed != nil {
+		return n.callLater(ctx, thawed, to, request)
+	}
+	return serve(ctx, to, request)
+}
+
+func serve(ctx context.Context, to *store.Store, request *protocol.Request) (*protocol.Response, error) {
 	var answer *protocol.Response
 	err := to.Serve(ctx, proto.CloneOf(request), func(response *protocol.Response) error {
 		answer = proto.CloneOf(response)
@@ -37,14 +49,38 @@
 	return answer, err
 }
 
+// callLater delivers a request once the frozen store wakes, whether or not its caller still waits.
+func (n *network) callLater(ctx context.Context, thawed <-chan struct{}, to *store.Store, request *protocol.Request) (*protocol.Response, error) {
+	type answered struct {
+		response *protocol.Response
+		err      error
+	}
+	answers := make(chan answered, 1)
+	copied := proto.CloneOf(request)
+	go func() {
+		<-thawed
+		response, err := serve(context.Background(), to, copied)
+		answers <- answered{response: response, err: err}
+	}()
+	select {
+	case answer := <-answers:
+		return answer.response, answer.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (n *network) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
 	return nil, errors.New("stores are not streamed to")
 }
 
 // link is a store's link to the core, which the fleet plays itself.
-type link struct{ fleet *fleet }
+type link struct {
+	fleet *fleet
+	store string
+}
 
-func (l *link) View() *corelink.View                     { return l.fleet.View() }
+func (l *link) View() *corelink.View                     { return l.fleet.viewOf(l.store) }
 func (l *link) Ready() bool                              { return true }
 func (l *link) LocateCore() *protocol.LocateCoreResponse { return &protocol.LocateCoreResponse{} }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -213,10 +213,10 @@
 		for range 400 {
 			p.takeTurn()
 		}
-		files := len(f.members["a"].disk.Files("data/turns"))
-		Expect(files).To(BeNumerically(">", 2))
+		segments := func() int { return len(segmentsOf(f.members["a"].disk.Files("data/turns"))) }
+		Expect(segments()).To(BeNumerically(">", 2))
 		f.clock.advance(ledger.KeepingTime + 10*time.Minute)
-		f.until(func() bool { return len(f.members["a"].disk.Files("data/turns")) == 1 })
+		f.until(func() bool { return segments() == 1 })
 		f.until(func() bool { return f.do(p.readTurns(p.last())).GetStatus() == missing })
 	})
 })
@@ -323,6 +323,11 @@
 	}
 }
 
+// segmentsOf leaves out the index beside a log.
+func segmentsOf(files []string) []string {
+	return slices.DeleteFunc(files, func(file string) bool { return !strings.HasSuffix(file, ".log") })
+}
+
 func hasSnapshot(files []string) bool {
 	return slices.ContainsFunc(files, func(file string) bool { return strings.HasSuffix(file, ".snapshot") })
 }
--- a/internal/store/storebench/bench.go
+++ b/internal/store/storebench/bench.go
@@ -192,6 +192,8 @@
 	text     string
 	programs int
 	turns    int
+	// keepFor is how long turns are kept; zero leaves it to the ledger.
+	keepFor time.Duration
 }
 
 func (c *caller) run(ctx context.Context, ends time.Time) {
@@ -206,6 +208,7 @@
 	claimed := c.do(ctx, nil, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_ClaimSession{
 		ClaimSession: &protocol.ClaimSession{
 			Session: session, Owner: "front", OwnerIncarnation: 1, Tenant: "bench", Budget: turnCeiling * uint64(c.turns),
+			KeepingMillis: c.keepFor.Milliseconds(),
 		},
 	}})
 	previous := ""
@@ -221,6 +224,9 @@
 			Output:       []*protocol.Item{{Role: "assistant", Text: c.text}},
 			KeptAtMillis: time.Now().UnixMilli(),
 		}
+		if c.keepFor > 0 {
+			kept.KeepUntilMillis = time.Now().Add(c.keepFor).UnixMilli()
+		}
 		c.do(ctx, c.recorder.settle, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_SettleTurn{
 			SettleTurn: &protocol.SettleTurn{
 				RequestId: request, Session: session, Epoch: claimed.GetEpoch(), Tokens: turnCeiling / 2, Turn: kept,
--- a/internal/store/storebench/bench_test.go
+++ b/internal/store/storebench/bench_test.go
@@ -78,3 +78,16 @@
 		b.ReportMetric(rebuild.Restart.Seconds(), "s/restart")
 	}
 }
+
+// BenchmarkSteady reports what stores take under 75 turns a second of 10 KB that are kept for 60 s.
+func BenchmarkSteady(b *testing.B) {
+	for b.Loop() {
+		steady, err := storebench.MeasureSteady(b.Context(), b.TempDir(), storebench.SteadyOptions{
+			TurnsPerSecond: 75, TurnBytes: 10_000, KeepFor: time.Minute, Duration: 4 * time.Minute, TurnsOfProgram: 5,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Log("\n" + steady.String())
+	}
+}
--- /dev/null
+++ b/internal/store/storebench/steady.go
@@ -0,0 +1,106 @@
+package storebench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// SteadyOptions describe a load that goes on for several keeping times.
+type SteadyOptions struct {
+	TurnsPerSecond, TurnBytes int
+	KeepFor, Duration         time.Duration
+	// TurnsOfProgram is how many turns a program has before the next one begins.
+	TurnsOfProgram int
+}
+
+// Steady is what stores take over time under a steady load with a short keeping time.
+type Steady struct {
+	Samples []SteadySample
+	Failed  int64
+	// ProcessorShare is the processor time of three stores and their callers by the time it took.
+	ProcessorShare float64
+}
+
+// SteadySample is taken at one moment.
+type SteadySample struct {
+	After time.Duration
+	// Heap is that of the whole process, with three stores and their callers.
+	Heap uint64
+	// DiskBytes are those of the logs of one store.
+	DiskBytes, Turns, Registers uint64
+}
+
+func (s *Steady) String() string {
+	var text strings.Builder
+	for _, sample := range s.Samples {
+		fmt.Fprintf(&text, "%3.0f s: heap %d MB, logs of a store %d MB, %d turns, %d registers\\n",
+			sample.After.Seconds(), sample.Heap>>20, sample.DiskBytes>>20, sample.Turns, sample.Registers)
+	}
+	fmt.Fprintf(&text, "%.2f processors for three stores and callers, failed %d", s.ProcessorShare, s.Failed)
+	return text.String()
+}
+
+// MeasureSteady keeps a load up and looks at the stores ten times.
+func MeasureSteady(ctx context.Context, folder string, options SteadyOptions) (*Steady, error) {
+	data, err := os.MkdirTemp(folder, "storebench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make data folder")
+	}
+	defer func() { _ = os.RemoveAll(data) }()
+	f, err := startFleet(data, replicaCount)
+	if err != nil {
+		return nil, err
+	}
+	steady := f.runSteadily(ctx, options)
+	return steady, f.stop()
+}
+
+const steadySamples = 10
+
+func (f *fleet) runSteadily(ctx context.Context, options SteadyOptions) *Steady {
+	result := &Steady{}
+	began, before := time.Now(), f.usage()
+	recorders := make(chan *recorder)
+	go f.beginPrograms(ctx, options, began.Add(options.Duration), recorders)
+	for number := range steadySamples {
+		time.Sleep(time.Until(began.Add(options.Duration * time.Duration(number+1) / steadySamples)))
+		status := f.stores[0].store.Status()
+		result.Samples = append(result.Samples, SteadySample{
+			After: time.Since(began), Heap: heapBytes(),
+			DiskBytes: status.GetBytes(), Turns: status.GetTurns(), Registers: status.GetRegisters(),
+		})
+	}
+	result.ProcessorShare = f.usage().since(before).processor.Seconds() / time.Since(began).Seconds()
+	for each := range recorders {
+		result.Failed += each.failed
+	}
+	return result
+}
+
+// beginPrograms begins programs at an even pace, each on its own, and closes the channel once all are over.
+func (f *fleet) beginPrograms(ctx context.Context, options SteadyOptions, ends time.Time, recorders chan<- *recorder) {
+	pause := time.Second * time.Duration(options.TurnsOfProgram) / time.Duration(options.TurnsPerSecond)
+	var finished []chan *recorder
+	for number := 0; time.Now().Before(ends) && ctx.Err() == nil; number++ {
+		done := make(chan *recorder, 1)
+		finished = append(finished, done)
+		go func() {
+			one := &caller{
+				fleet: f, recorder: newRecorder(), begins: ends, text: strings.Repeat("x", options.TurnBytes),
+				turns: options.TurnsOfProgram, keepFor: options.KeepFor,
+			}
+			one.runProgram(ctx, fmt.Sprintf("steady-%d", number), ends.Add(time.Minute))
+			done <- &recorder{failed: one.recorder.failed}
+		}()
+		time.Sleep(pause)
+	}
+	for _, done := range finished {
+		recorders <- <-done
+	}
+	close(recorders)
+}
