Keep a program's turns in its zone while that costs them little

Now a program's home server is in the zone of its front node, and another zone costs a call or turn 5 ms. One test said that a home in another zone is kept at equal cost; it now says that the own zone wins then, and that 3,000 tokens waiting there make the other one win.

--- a/internal/schedule/firsttoken.go
+++ b/internal/schedule/firsttoken.go
@@ -25,8 +25,9 @@
 	orderCost = 200 * time.Microsecond
 	// lastCost is charged for leaving the session's last server, beyond what has to be read again.
 	lastCost = 15 * time.Millisecond
-	// otherZoneCost is charged for a choice outside the own zone: it decides between near equals only.
-	otherZoneCost = time.Millisecond
+	// otherZoneCost is charged for a choice outside the own zone, whose bytes between zones are paid for: it decides
+	// between near equals only.
+	otherZoneCost = 5 * time.Millisecond
 	// pressureCost is charged when the server's memory would not hold the request beside those that run.
 	pressureCost = 500 * time.Millisecond
 	// callSlownessPower and callLoadWeight weigh slowness and requests at a server when a request without a prompt
@@ -47,7 +48,7 @@
 // requests that are there already. A server without a free slot comes after all that have one.
 func (d *Decision) expectedFirstToken(request Request, candidates []*Candidate) {
 	request.Profile = request.Profile.withDefaults()
-	order := request.costs(rank(request.AffinityKey, candidates))
+	order := request.costs(request.programOrder(candidates))
 	slices.SortStableFunc(order, func(a, b costedCandidate) int {
 		return cmp.Or(compareBool(a.isFull(), b.isFull()), cmp.Compare(a.cost, b.cost))
 	})
@@ -61,6 +62,19 @@
 	}
 }
 
+// programOrder ranks the candidates for the request's program. Those of the own zone come first for a turn, whose
+// prompt and answer are many bytes: a program keeps to one zone, so that its home is there as well.
+func (r *Request) programOrder(candidates []*Candidate) []*Candidate {
+	order := rank(r.AffinityKey, candidates)
+	if r.Zone == "" || r.PromptTokens == 0 {
+		return order
+	}
+	slices.SortStableFunc(order, func(a, b *Candidate) int {
+		return compareBool(a.Zone != r.Zone, b.Zone != r.Zone)
+	})
+	return order
+}
+
 // costs adds to each candidate, in the program's order, what its choice costs.
 func (r *Request) costs(order []*Candidate) []costedCandidate {
 	home := slices.IndexFunc(order, func(c *Candidate) bool { return c.Slowness < homeSlowness })
--- a/internal/schedule/firsttoken_test.go
+++ b/internal/schedule/firsttoken_test.go
@@ -216,6 +216,9 @@
 	candidates[home].Zone = "z1"
 	candidates[1-home].PendingTokens = 100
 	candidates[home].CachedTokens = 200
+	// A program's home is in the own zone while that costs a turn little more than another zone does.
+	expectChosen(t, turn("p"), candidates, 1-home)
+	candidates[1-home].PendingTokens = 3000
 	expectChosen(t, turn("p"), candidates, home)
 	// With the home busy, the next in the order gives way to one of the own zone.
 	candidates = engines(3)
