Show that daemons ask the seeds of a changed settings file

Cause: that front nodes and stores pass new seeds to their link was not shown. A daemon is started with one seed, given another by SIGHUP, and the second must be asked.

--- /dev/null
+++ b/cmd/rosestand-platform/main_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/daemon"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/settings"
+	"github.com/rosestand/rosestand/internal/store"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const (
+	clusterKey = "0123456789abcdef-test-cluster-key"
+	patience   = 30 * time.Second
+)
+
+// seed is a process that only says that it knows no core, and notes that it was asked.
+type seed struct {
+	address string
+	asked   chan struct{}
+}
+
+func (s *seed) Serve(_ context.Context, _ *protocol.Request, send func(*protocol.Response) error) error {
+	select {
+	case s.asked <- struct{}{}:
+	default:
+	}
+	return send(&protocol.Response{Body: &protocol.Response_LocateCore{LocateCore: &protocol.LocateCoreResponse{}}})
+}
+
+func newSeed(t *testing.T) *seed {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &seed{address: listener.Addr().String(), asked: make(chan struct{}, 1)}
+	server := wire.NewServer(listener, s, wire.ServerOptions{Key: []byte(clusterKey)})
+	server.Start()
+	t.Cleanup(server.Close)
+	return s
+}
+
+func (s *seed) await(t *testing.T) {
+	t.Helper()
+	select {
+	case <-s.asked:
+	case <-time.After(patience):
+		t.Fatalf("seed %s was not asked", s.address)
+	}
+}
+
+// writeSettings puts a settings file with one seed in place whole.
+func writeSettings(t *testing.T, folder, seedAddress string) string {
+	t.Helper()
+	path := filepath.Join(folder, "settings.json")
+	document := fmt.Sprintf(`{"node": {"name": "n", "zone": "z", "internal_address": "127.0.0.1:0", "http_address": "127.0.0.1:0",
+		"cluster_key_file": %q, "data_folder": %q, "seeds": [%q]}}`, filepath.Join(folder, "key"), filepath.Join(folder, "data"), seedAddress)
+	for name, content := range map[string]string{"key": clusterKey, "settings.new": document} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.Rename(filepath.Join(folder, "settings.new"), path); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// checkNewSeeds starts a daemon with one seed, gives it another by SIGHUP, and waits until that one is asked.
+func checkNewSeeds[S settings.Message](t *testing.T, kind settings.Kind[S], module daemon.Module[S]) {
+	t.Helper()
+	first, second := newSeed(t), newSeed(t)
+	folder := t.TempDir()
+	path := writeSettings(t, folder, first.address)
+	signals, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	exit := make(chan int, 1)
+	var output bytes.Buffer
+	go func() {
+		exit <- daemon.Execute(kind, module, daemon.Environment{
+			Arguments: []string{"--settings", path}, Output: &output, Errors: &output, Signals: signals, Reload: reload,
+		})
+	}()
+	first.await(t)
+	writeSettings(t, folder, second.address)
+	reload <- syscall.SIGHUP
+	second.await(t)
+	signals <- syscall.SIGTERM
+	select {
+	case code := <-exit:
+		if code != daemon.ExitStopped {
+			t.Errorf("exit %d\n%s", code, output.String())
+		}
+	case <-time.After(patience):
+		t.Fatal("the daemon did not stop")
+	}
+}
+
+func TestAFrontNodeAsksNewSeeds(t *testing.T) { checkNewSeeds(t, settings.Front, frontModule) }
+
+func TestAStoreAsksNewSeeds(t *testing.T) { checkNewSeeds(t, settings.Store, store.Module) }
