--- a/internal/core/replica/baddays_test.go
+++ b/internal/core/replica/baddays_test.go
@@ -31,6 +31,7 @@
 	f.options.ElectionTimeout = 400 * time.Millisecond
 	f.options.HeartbeatInterval = 80 * time.Millisecond
 	f.options.ReplaceVoterAfter = 1500 * time.Millisecond
+	f.latency, f.syncTime = 2*time.Millisecond, 2*time.Millisecond
 }
 
 // badDay is a core of three voters and a standby under losses, with commands all along.
@@ -302,3 +303,37 @@
 		f.eventually("the lagging member caught up", func() bool { return len(lagging.state.all()) == commands })
 	})
 }
+
+// stopGently ends the process as a SIGTERM does.
+func (m *machine) stopGently(grace time.Duration) {
+	m.fleet.mutex.Lock()
+	replica := m.replica
+	m.fleet.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	_ = replica.Stop(ctx)
+	m.fleet.mutex.Lock()
+	m.replica = nil
+	m.fleet.mutex.Unlock()
+}
+
+func TestRestartsInTurnLeaveNoGapWithoutALeader(t *testing.T) {
+	story(t, func(f *fleet) {
+		quickOptions(f)
+		d := newBadDay(f, 1)
+		for round := range 12 {
+			m := d.machine(d.at[round%len(d.at)])
+			if leader := d.leader(); leader != nil && round%3 == 0 {
+				m = leader
+			}
+			m.stopGently(time.Second)
+			d.live(300*time.Millisecond, leaderlessLimit)
+			d.start(m)
+			d.live(700*time.Millisecond, leaderlessLimit)
+		}
+		if d.longest > 200*time.Millisecond {
+			t.Errorf("without a leader for %v", d.longest)
+		}
+		d.checkAcknowledged()
+	})
+}
--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
 	"github.com/rosestand/rosestand/internal/storage/simdisk"
 	"github.com/rosestand/rosestand/internal/wire"
 )
@@ -89,6 +90,10 @@
 	cut      map[string]bool
 	// deaf machines get nothing, mute ones send nothing that arrives.
 	deaf, mute map[string]bool
+	// latency is the time that a message takes one way.
+	latency time.Duration
+	// syncTime is the time that the sync of a file takes.
+	syncTime time.Duration
 	started    uint64
 }
 
@@ -149,7 +154,7 @@
 	options.Self = &protocol.CoreMember{Name: m.name, Address: m.address, HttpAddress: "http-" + m.address, Zone: m.zone}
 	options.Founders, options.Seeds = f.founders, f.seeds
 	if options.Filesystem == nil {
-		options.Folder, options.Filesystem = "core", m.disk
+		options.Folder, options.Filesystem = "core", slowFilesystem{Filesystem: m.disk, syncTime: f.syncTime}
 	}
 	options.Caller = &caller{fleet: f, from: m.address}
 	state, fatal := &journal{}, make(chan error, 1)
@@ -166,6 +171,37 @@
 	return replica.Start(context.Background())
 }
 
+// slowFilesystem makes each sync of a file take time.
+type slowFilesystem struct {
+	storage.Filesystem
+	syncTime time.Duration
+}
+
+func (s slowFilesystem) Create(path string) (storage.File, error) {
+	return s.slow(s.Filesystem.Create(path))
+}
+
+func (s slowFilesystem) Open(path string) (storage.File, error) {
+	return s.slow(s.Filesystem.Open(path))
+}
+
+func (s slowFilesystem) slow(file storage.File, err error) (storage.File, error) {
+	if err != nil || s.syncTime == 0 {
+		return file, err
+	}
+	return slowFile{File: file, syncTime: s.syncTime}, nil
+}
+
+type slowFile struct {
+	storage.File
+	syncTime time.Duration
+}
+
+func (s slowFile) Sync() error {
+	<-time.NewTimer(s.syncTime).C
+	return s.File.Sync()
+}
+
 // crash ends the process at once and loses what was not synced.
 func (m *machine) crash() {
 	m.fleet.setCut(m.address, true)
@@ -337,7 +373,13 @@
 	if err := proto.Unmarshal(bytes.Clone(data), &copied); err != nil {
 		return nil, err
 	}
+	if err := c.travel(ctx); err != nil {
+		return nil, err
+	}
 	answer, err := target.ServeWire(ctx, &copied)
+	if err := c.travel(ctx); err != nil {
+		return nil, err
+	}
 	if !answered {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -345,6 +387,19 @@
 	return answer, err
 }
 
+// travel passes the time of one way.
+func (c *caller) travel(ctx context.Context) error {
+	if c.fleet.latency == 0 {
+		return nil
+	}
+	select {
+	case <-time.NewTimer(c.fleet.latency).C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (c *caller) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
 	return nil, errUnreachable
 }
