--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -94,7 +94,7 @@
 	latency time.Duration
 	// syncTime is the time that the sync of a file takes.
 	syncTime time.Duration
-	started    uint64
+	started  uint64
 }
 
 // story runs a test in a bubble of virtual time that ends when all goroutines have ended.
