--- a/internal/ledgerclient/attempt.go
+++ b/internal/ledgerclient/attempt.go
@@ -30,7 +30,9 @@
 func (c *Client) attempt(ctx context.Context, to target, operation *protocol.LedgerOperation) attemptAnswer {
 	began := time.Now()
 	ends := began.Add(c.options.AttemptTimeout)
-	if callerEnds, bounded := ctx.Deadline(); bounded && callerEnds.Before(ends) {
+	callerEnds, bounded := ctx.Deadline()
+	endsWithCaller := bounded && callerEnds.Before(ends)
+	if endsWithCaller {
 		ends = callerEnds
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), ends)
@@ -46,7 +48,8 @@
 	silence.Stop()
 	if err != nil {
 		var answered *failure.Error
-		if !errors.As(err, &answered) {
+		ranOut := endsWithCaller && errors.Is(err, context.DeadlineExceeded)
+		if !ranOut && !errors.As(err, &answered) {
 			c.suspects.add(to.address)
 		}
 		return attemptAnswer{outcome: outcomeOf(err), err: err}
--- a/internal/ledgerclient/race_test.go
+++ b/internal/ledgerclient/race_test.go
@@ -162,3 +162,19 @@
 		t.Fatalf("asked %v", programs)
 	}
 }
+
+func TestACallerWithLittleTimeSuspectsNobody(t *testing.T) {
+	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
+	client := clientOf(caller, time.Minute)
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		result, err := client.Do(ctx, reserve)
+		cancel()
+		if err != nil || result.GetStatus() != unavailable {
+			t.Fatalf("got %v, %v", result, err)
+		}
+	}
+	if asked := caller.count("at-a"); asked != 2 {
+		t.Fatalf("asked the first replica %d times of 2", asked)
+	}
+}
--- a/internal/store/chain.go
+++ b/internal/store/chain.go
@@ -17,7 +17,9 @@
 	table := g.table(shard)
 	previous := previousKeyOf(turn)
 	_, found := table.turns.get(previous)
-	if found || previous == (turnKey{}) || table.view.Role != register.RoleActive {
+	// What is written before this turn is durable before it.
+	_, underWay := g.keeping[previous]
+	if found || underWay || previous == (turnKey{}) || table.view.Role != register.RoleActive {
 		g.keepTurn(shard, turn, func() { done(true) })
 		return
 	}
--- a/internal/store/restart_bench_test.go
+++ b/internal/store/restart_bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosestand/rosestand/internal/corelink"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
 	"github.com/rosestand/rosestand/internal/storage"
 )
 
@@ -86,3 +87,44 @@
 		})
 	}
 }
+
+// writeRegisterLog changes programs' registers as a store does, without the snapshots that maintenance writes.
+func writeRegisterLog(b testing.TB, path string, programs, changes, valueBytes int) {
+	opened := openStore(b, path)
+	value := make([]byte, valueBytes)
+	done := make(chan struct{}, programs)
+	for change := range changes {
+		for number := range programs {
+			shard := uint32(number % 64)
+			g := opened.group(shard)
+			g.mailbox.post(func() {
+				table := g.table(shard)
+				key := registerKey{program: fmt.Sprintf("program-%d", number)}
+				held := table.entry(key)
+				next := register.State{Accepted: register.Ballot{Counter: uint64(change) + 1, Proposer: "a"}, Value: value}
+				g.put(table, key, held, next, func() { done <- struct{}{} })
+			})
+		}
+		for range programs {
+			<-done
+		}
+	}
+	if err := opened.Stop(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkRestartRegisters reports a start with a log of registers as long as it gets before a snapshot is due.
+func BenchmarkRestartRegisters(b *testing.B) {
+	path := b.TempDir()
+	writeRegisterLog(b, path, 14_000, 5, 400)
+	for b.Loop() {
+		opened := openStore(b, path)
+		if held := opened.counts().registers; held != 14_000 {
+			b.Fatalf("%d registers", held)
+		}
+		if err := opened.Stop(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
