--- a/internal/sim/ownershipsuite/takeover_test.go
+++ b/internal/sim/ownershipsuite/takeover_test.go
@@ -1,6 +1,7 @@
 package ownershipsuite_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,3 +113,17 @@
 		}
 	}
 }
+
+// Of 76 front nodes 42 are killed at once; whoever is asked then goes round as many as stand before the session on the ring.
+func TestAnOwnerIsFoundSoonAfterMostOfALargeFleetWasKilled(t *testing.T) {
+	var killed []sim.Address
+	for i := range 42 {
+		killed = append(killed, sim.Address(fmt.Sprintf("front-%d", i+1)))
+	}
+	report := ownershipsuite.Run(1, ownershipsuite.Options{
+		Fronts: 76, Sessions: 300, FaultCount: -1, QuietNetwork: true, ResolveBound: 800 * time.Millisecond,
+		Faults: []sim.Fault{{At: 14 * time.Second, Kind: sim.FaultKill, Targets: killed, Duration: 3500 * time.Millisecond}},
+	})
+	checkRun(t, report)
+	logResolves(t, report)
+}
