Let a third of the simulator's turns fork and claim in one step

The state suite's fronts claimed and reserved in two steps and each turn followed the last one of its session. Every third request, by its name, now claims and reserves at once and forks from the turn of its program that was acknowledged last, while others of the session may be open.

--- a/internal/sim/statesuite/turnscript.go
+++ b/internal/sim/statesuite/turnscript.go
@@ -1,6 +1,10 @@
 package statesuite
 
 import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -8,12 +12,16 @@
 	return &protocol.LedgerOperation{Program: program}
 }
 
+func (f *front) claimOf(session string) *protocol.ClaimSession {
+	return &protocol.ClaimSession{
+		Session: session, Owner: f.name("owner"), OwnerIncarnation: 1, Tenant: "tenant", Budget: programBudget,
+	}
+}
+
 // claim makes this front the owner of a session and gives the epoch, or zero.
 func (f *front) claim(program, session string, done func(epoch uint64, lastTurn string)) {
 	claim := operationOf(program)
-	claim.Body = &protocol.LedgerOperation_ClaimSession{ClaimSession: &protocol.ClaimSession{
-		Session: session, Owner: f.name("owner"), OwnerIncarnation: 1, Tenant: "tenant", Budget: programBudget,
-	}}
+	claim.Body = &protocol.LedgerOperation_ClaimSession{ClaimSession: f.claimOf(session)}
 	f.apply(claim, func(result *protocol.LedgerResult) {
 		if result.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
 			done(0, "")
@@ -23,8 +31,13 @@
 	})
 }
 
-// runTurn claims the session, reserves, passes tokens on, keeps the turn and settles.
+// runTurn claims the session, reserves, passes tokens on, keeps the turn and settles. Some turns fork
+// from any kept turn of their program, and claim and reserve in one step.
 func (f *front) runTurn(turn forwardedTurn, done func()) {
+	if turn.forks() {
+		f.reserveFork(turn, f.suite.lastKeptOf(turn.program), done)
+		return
+	}
 	f.claim(turn.program, turn.session, func(epoch uint64, lastTurn string) {
 		if epoch == 0 {
 			done()
@@ -34,22 +47,47 @@
 	})
 }
 
+// forks picks every third request by its name, so that a request forks at whichever front it runs.
+func (t forwardedTurn) forks() bool { return xxhash.Sum64String(t.request)%3 == 0 }
+
+func (f *front) reserveFork(turn forwardedTurn, previous string, done func()) {
+	reserve := operationOf(turn.program)
+	reserve.Body = &protocol.LedgerOperation_ReserveTurn{ReserveTurn: &protocol.ReserveTurn{
+		RequestId: turn.request, Session: turn.session, Ceiling: turnCeiling, PreviousTurn: previous, Fork: true,
+		Claim: f.claimOf(turn.session),
+	}}
+	f.apply(reserve, func(result *protocol.LedgerResult) { f.reserved(turn, result, result.GetEpoch(), previous, done) })
+}
+
+// lastKeptOf gives the turn of a program that was acknowledged last, or an empty text.
+func (s *suite) lastKeptOf(program string) string {
+	for _, kept := range slices.Backward(s.keptTurns) {
+		if kept.program == program {
+			return kept.id
+		}
+	}
+	return ""
+}
+
 func (f *front) reserve(turn forwardedTurn, epoch uint64, lastTurn string, done func()) {
 	reserve := operationOf(turn.program)
 	reserve.Body = &protocol.LedgerOperation_ReserveTurn{ReserveTurn: &protocol.ReserveTurn{
 		RequestId: turn.request, Session: turn.session, Epoch: epoch, Ceiling: turnCeiling, PreviousTurn: lastTurn,
 	}}
-	f.apply(reserve, func(result *protocol.LedgerResult) {
-		switch {
-		case result.GetStatus() == protocol.LedgerStatus_LEDGER_OK, f.suite.options.Mutation == FrontSkipsReservation:
-			f.suite.noteRun(turn.request)
-			f.passTokens(turn, epoch, lastTurn, 0, done)
-		case result == nil:
-			done()
-		default:
-			f.refuse(turn, done)
-		}
-	})
+	f.apply(reserve, func(result *protocol.LedgerResult) { f.reserved(turn, result, epoch, lastTurn, done) })
+}
+
+// reserved runs a turn under the reservation that was made, or refuses it.
+func (f *front) reserved(turn forwardedTurn, result *protocol.LedgerResult, epoch uint64, previous string, done func()) {
+	switch {
+	case result.GetStatus() == protocol.LedgerStatus_LEDGER_OK, f.suite.options.Mutation == FrontSkipsReservation:
+		f.suite.noteRun(turn.request)
+		f.passTokens(turn, epoch, previous, 0, done)
+	case result == nil:
+		done()
+	default:
+		f.refuse(turn, done)
+	}
 }
 
 // refuse tells a caller that its request was not run, once the ledger says that it never will be.
--- a/internal/store/storebench/steady.go
+++ b/internal/store/storebench/steady.go
@@ -38,7 +38,7 @@
 func (s *Steady) String() string {
 	var text strings.Builder
 	for _, sample := range s.Samples {
-		fmt.Fprintf(&text, "%3.0f s: heap %d MB, logs of a store %d MB, %d turns, %d registers\\n",
+		fmt.Fprintf(&text, "%3.0f s: heap %d MB, logs of a store %d MB, %d turns, %d registers\n",
 			sample.After.Seconds(), sample.Heap>>20, sample.DiskBytes>>20, sample.Turns, sample.Registers)
 	}
 	fmt.Fprintf(&text, "%.2f processors for three stores and callers, failed %d", s.ProcessorShare, s.Failed)
