--- a/internal/core/replica/baddays_test.go
+++ b/internal/core/replica/baddays_test.go
@@ -106,7 +106,7 @@
 	place := d.someone()
 	m := d.machine(d.at[place])
 	down := d.duration(100*time.Millisecond, 6*time.Second)
-	switch d.random.IntN(8) {
+	switch d.random.IntN(9) {
 	case 0:
 		d.provoked["power lost"]++
 		m.crash()
@@ -130,6 +130,11 @@
 		d.at[place] = d.next
 		d.start(d.machine(d.next))
 		d.next++
+	case 8:
+		d.provoked["frozen"]++
+		m.freeze()
+		d.live(down, leaderlessLimit)
+		m.wake()
 	case 5:
 		d.provoked["deaf or mute"]++
 		deaf := d.random.IntN(2) == 0
@@ -228,7 +233,7 @@
 	if longestRestart > restartLimit {
 		t.Errorf("without a leader for %v after a restart of all", longestRestart)
 	}
-	for _, kind := range []string{"power lost", "disk lost", "cut off", "replaced", "deaf or mute", "all killed while one is down", "all killed", "acknowledged"} {
+	for _, kind := range []string{"power lost", "disk lost", "cut off", "replaced", "deaf or mute", "frozen", "all killed while one is down", "all killed", "acknowledged"} {
 		if provoked[kind] < 8 {
 			t.Errorf("%s came only %d times", kind, provoked[kind])
 		}
--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -76,6 +76,48 @@
 	replica *Replica
 	state   *journal
 	fatal   chan error
+	clock   *freezableClock
+}
+
+// freezableClock stands for the processor of a machine: whoever asks it for the time while the machine is frozen goes on when it
+// wakes. The owner of a replica asks before all that it does.
+type freezableClock struct {
+	systemClock
+	mutex sync.Mutex
+	// woken is closed when the machine wakes; nil while it is not frozen.
+	woken chan struct{}
+}
+
+func (c *freezableClock) Now() time.Time {
+	c.mutex.Lock()
+	woken := c.woken
+	c.mutex.Unlock()
+	if woken != nil {
+		<-woken
+	}
+	return c.systemClock.Now()
+}
+
+func (c *freezableClock) frozen() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.woken != nil
+}
+
+// freeze stops a machine; nothing reaches it or leaves it until it wakes.
+func (m *machine) freeze() {
+	m.clock.mutex.Lock()
+	m.clock.woken = make(chan struct{})
+	m.clock.mutex.Unlock()
+	m.fleet.setCut(m.address, true)
+}
+
+func (m *machine) wake() {
+	m.fleet.setCut(m.address, false)
+	m.clock.mutex.Lock()
+	defer m.clock.mutex.Unlock()
+	close(m.clock.woken)
+	m.clock.woken = nil
 }
 
 // fleet is a network of machines in one process and in virtual time.
@@ -157,7 +199,8 @@
 		options.Folder, options.Filesystem = "core", slowFilesystem{Filesystem: m.disk, syncTime: f.syncTime}
 	}
 	options.Caller = &caller{fleet: f, from: m.address}
-	state, fatal := &journal{}, make(chan error, 1)
+	state, fatal, clock := &journal{}, make(chan error, 1), &freezableClock{}
+	options.Clock = clock
 	options.Machine = state
 	options.Random = rand.New(rand.NewPCG(f.started, 11))
 	options.OnFatal = func(err error) { fatal <- err }
@@ -166,7 +209,7 @@
 		return err
 	}
 	f.mutex.Lock()
-	m.replica, m.state, m.fatal = replica, state, fatal
+	m.replica, m.state, m.fatal, m.clock = replica, state, fatal, clock
 	f.mutex.Unlock()
 	return replica.Start(context.Background())
 }
@@ -285,7 +328,7 @@
 	f.t.Helper()
 	var leader *machine
 	for _, m := range f.running() {
-		if !m.replica.IsLeader() {
+		if m.clock.frozen() || !m.replica.IsLeader() {
 			continue
 		}
 		if leader != nil {
