Tell callers when a start is likely to be over, not a second from whenever they came

Not measured yet: the effect. The story of a node without a bundle says more than before: 1.1 s at the start, what is left of it later, 0.3 s when the start takes longer.

--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -19,7 +19,10 @@
 	// defaultRoutedBodyBytes and defaultRoutedHeaderBytes bound requests unless the bundle does.
 	defaultRoutedBodyBytes   = 4 << 20
 	defaultRoutedHeaderBytes = 32 << 10
-	notReadyRetry            = 200 * time.Millisecond
+	// usualStart is how long a start takes when the core starts as well and has to find a leader.
+	usualStart = 1100 * time.Millisecond
+	// leastStartRetry is told by a front node whose start takes longer than that.
+	leastStartRetry = 300 * time.Millisecond
 	// requestLineBytes is what a request line and the separators of a header may take beside names and values.
 	headerSeparatorBytes = 4
 )
@@ -63,11 +66,16 @@
 	left     time.Duration
 }
 
+// startLeft is how long this front node's start will take yet, as far as can be told.
+func (s *Service) startLeft() time.Duration {
+	return max(usualStart-s.clock.Now().Sub(s.startedAt), leastStartRetry)
+}
+
 // takeIn finds the route and reads the request within the bounds of the bundle in force.
 func (a *routeAPI) takeIn(request *http.Request) (*takenRequest, error) {
 	index := a.service.policies.Load().active
 	if index.Bundle() == nil {
-		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no bundle is in force yet", failure.WithRetryAfter(notReadyRetry))
+		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no bundle is in force yet", failure.WithRetryAfter(a.service.startLeft()))
 	}
 	route := index.HTTPRoute(request.Host, request.URL.EscapedPath())
 	if route == nil {
--- a/internal/front/routes_test.go
+++ b/internal/front/routes_test.go
@@ -141,7 +141,11 @@
 		r.put(&corelink.View{Configuration: &protocol.Configuration{Version: 9}, Membership: r.view.Membership, BackEnds: r.view.BackEnds})
 		got := f1.route(routed{target: "/read/"})
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
-		Expect(got.header.Get("Retry-After")).To(Equal("1.000"))
+		Expect(got.header.Get("Retry-After")).To(Equal("1.100"), "what a start takes")
+		r.clock.advance(600 * time.Millisecond)
+		Expect(f1.route(routed{target: "/read/"}).header.Get("Retry-After")).To(Equal("0.500"), "what is left of it")
+		r.clock.advance(time.Minute)
+		Expect(f1.route(routed{target: "/read/"}).header.Get("Retry-After")).To(Equal("0.300"), "no start takes as long")
 	})
 
 	Describe("bounds", func() {
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -15,7 +15,7 @@
 	routedTenant = "routes"
 	// defaultRetryAfter is told with a refusal that has no better word.
 	defaultRetryAfter = 100 * time.Millisecond
-	// repairRetry is told while the ledger or the core is being repaired, which takes about that long.
+	// repairRetry is told while the ledger is being repaired, which takes about that long.
 	repairRetry = time.Second
 	// routedWriteTimeout is how long one piece of an answer may take to be written to a slow caller.
 	routedWriteTimeout = 10 * time.Second
@@ -157,7 +157,7 @@
 // front node can serve may be sent at once; what none can serve needs time to mend.
 func retryWait(f *protocol.Failure) time.Duration {
 	switch failure.Code(f.GetCode()) {
-	case failure.NotReady, failure.LedgerUnavailable:
+	case failure.LedgerUnavailable:
 		return repairRetry
 	case failure.Draining, failure.NoAuthority, failure.NotOwner, failure.Fenced:
 		return defaultRetryAfter
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -56,6 +56,8 @@
 	arms     atomic.Pointer[armSet]
 	share    atomic.Pointer[float64]
 	sequence atomic.Uint64
+	// startedAt is when this front node was made.
+	startedAt time.Time
 	// underWay counts the turns and calls run as owner.
 	underWay atomic.Int64
 
@@ -98,6 +100,7 @@
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
 		explanations: newExplanations(options.Clock, options.Self.GetName()),
 		stopped:      make(chan struct{}),
+		startedAt:    options.Clock.Now(),
 	}
 	s.heartbeats = newHeartbeats(options.Link, options.Clock, s.metrics)
 	s.viewChanged(options.Link.View())
