Keep as many voters and replicas as the losses to be borne ask for

Cause: three voters and three replicas bear one loss; a deployment may tell that two machines may be lost at once. tolerated_losses makes the defaults of target_voters and replica_count twice that and one, replicas no more than there are zones and never below three.

Where there are fewer zones than twice the losses and one, one loss less is borne than was asked for; the placement spreads over zones and this changes nothing of that.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -36,6 +36,7 @@
 	maxCopyBytes        = 1 << 40
 	maxScrubSeconds     = 7 * 86_400
 	maxLeaseRenewMillis = 60_000
+	maxToleratedLosses  = (maxVoters - 1) / 2
 )
 
 func checkNode(node *protocol.NodeSettings, faults *checker) {
@@ -129,6 +130,7 @@
 	requireOdd("replica_count", settings.GetReplicaCount(), faults)
 	faults.between("snapshot_entries", uint64(settings.GetSnapshotEntries()), 1, maxSnapshotEntries)
 	faults.between("max_body_bytes", settings.GetMaxBodyBytes(), minBodyBytes, maxBodyBytes)
+	faults.between("tolerated_losses", uint64(settings.GetToleratedLosses()), 0, maxToleratedLosses)
 	checkZoneRegions(settings.GetZoneRegions(), faults)
 	if lease := settings.GetBackEndLeaseMillis(); lease != 0 {
 		faults.between("back_end_lease_millis", uint64(lease), minLeaseMillis, maxLeaseMillis)
--- a/internal/settings/help.go
+++ b/internal/settings/help.go
@@ -38,6 +38,7 @@
 	"coalesce_millis":         withDefault("shortest time between two answers with news to the same node, in milliseconds", defaultCoalesceMillis),
 	"trust_operators":         "take orders without an operator's token, and sign them off by the core's own word",
 	"back_end_lease_millis":   "silence after which a back end counts as gone, in milliseconds; 0 takes the default of the core",
+	"tolerated_losses":        "machines that may be lost at once; decides the defaults of target-voters and replica-count",
 	"zone_regions":            "regions of zones, each zone=region, for back ends that name their zone alone",
 	"segment_bytes":           withDefault("size at which a log segment is closed, in bytes", defaultSegmentBytes),
 	"copy_bytes_per_second":   withDefault("bytes a second that copying shards may use", defaultCopyBytesPerSecond),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -288,3 +288,24 @@
 		t.Errorf("faults at %s", got)
 	}
 }
+
+func TestToleratedLossesDecideVotersAndReplicas(t *testing.T) {
+	zones := "--zone-regions=a=r,b=r,c=r,d=r"
+	for arguments, want := range map[string][2]uint32{
+		"--tolerated-losses=0":                                     {3, 3},
+		"--tolerated-losses=1":                                     {3, 3},
+		"--tolerated-losses=2":                                     {5, 5},
+		"--tolerated-losses=2 " + zones:                            {5, 3},
+		"--tolerated-losses=2 --zone-regions=a=r":                  {5, 3},
+		"--tolerated-losses=2 --target-voters=7 --replica-count=1": {7, 1},
+	} {
+		loaded, err := load(t, validCore, strings.Fields(arguments)...)
+		if err != nil || loaded.GetTargetVoters() != want[0] || loaded.GetReplicaCount() != want[1] {
+			t.Errorf("%s: %d voters, %d replicas: %v", arguments, loaded.GetTargetVoters(), loaded.GetReplicaCount(), err)
+		}
+	}
+	_, err := load(t, validCore, "--tolerated-losses", "5")
+	if got := faultPaths(t, err); len(got) != 1 || got[0] != "tolerated_losses" {
+		t.Errorf("faults at %v", got)
+	}
+}
