--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -20,7 +20,7 @@
 	defaultReplaceVoterMillis  = 10_000
 	defaultSnapshotEntries     = 10_000
 	defaultCoalesceMillis      = 100
-	defaultSegmentBytes        = 64 << 20
+	defaultSegmentBytes        = 16 << 20
 	defaultCopyBytesPerSecond  = 64 << 20
 	defaultScrubIntervalSecond = 600
 
