--- a/internal/front/routeturns_test.go
+++ b/internal/front/routeturns_test.go
@@ -106,6 +106,18 @@
 			Expect(server.bodyOf("t3")).To(Equal(before + third))
 		})
 
+		It("over more turns than the ledger gives at once", func() {
+			const turns = 300
+			whole := before
+			for number := 3; number <= turns; number++ {
+				id := fmt.Sprint("t", number)
+				f1.take(routedTurn{id: id, previous: fmt.Sprint("t", number-1), input: "+"})
+				whole += "+" + output(id)
+			}
+			r.front("f2").take(routedTurn{id: "last", previous: fmt.Sprint("t", turns), input: third})
+			Expect(server.bodyOf("last")).To(Equal(whole + third))
+		})
+
 		DescribeTable("over a turn of another program, and on from there", func(lost bool) {
 			at := f1
 			if lost {
