Ask a member that others cannot reach at most four times a second

Cause: a node cut off from a healthy member names it in each request, and each had the receiver ask that member again, while lookups to it waited for the answer.

--- a/internal/directory/salvage.go
+++ b/internal/directory/salvage.go
@@ -39,6 +39,7 @@
 	// heardAt is when the peer last answered; falseSuspicions counts those that an answer ended.
 	heardAt         time.Time
 	suspectedAt     time.Time
+	hearsayAt       time.Time
 	falseSuspicions int
 	call            uint64
 	// probe is the call under way that only asks whether the peer is there.
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -40,6 +40,9 @@
 	falseSuspicionMemory = 30 * time.Second
 	// recentlyHeard is how fresh an answer of a peer must be for hearsay about it to be ignored.
 	recentlyHeard = 5 * time.Millisecond
+	// hearsayInterval is the shortest time between two questions to a member because of hearsay. A
+	// node that is cut off from a healthy member names it in each of its requests.
+	hearsayInterval = 250 * time.Millisecond
 	// mostNamedSuspects bounds the suspects named in one request.
 	mostNamedSuspects = 64
 )
@@ -167,15 +170,17 @@
 
 // hearsay has each member that another node could not reach asked whether it is
 // there. Only what this node finds itself makes it suspect a member.
-func (d *Directory) hearsay(named []*protocol.Suspect) {
-	for _, each := range named {
+func (d *Directory) hearsay(suspects []*protocol.Suspect) {
+	for _, each := range suspects {
 		front, found := d.base.byName[each.GetName()]
 		if !found || front.Incarnation != each.GetIncarnation() || front.Name == d.self.Name {
 			continue
 		}
-		if known := d.peers[front.Name]; known != nil && d.at.Now.Sub(known.heardAt) < recentlyHeard {
+		named := d.peer(front.Member)
+		if d.at.Now.Sub(named.heardAt) < recentlyHeard || d.at.Now.Sub(named.hearsayAt) < hearsayInterval {
 			continue
 		}
+		named.hearsayAt = d.at.Now
 		d.doubt(front.Member)
 	}
 }
--- a/internal/directory/takeover_test.go
+++ b/internal/directory/takeover_test.go
@@ -314,3 +314,20 @@
 		Expect(fleet.sent).To(HaveLen(2))
 	})
 })
+
+var _ = Describe("hearsay about a member that is there", func() {
+	It("makes a node ask it at most four times a second", func() {
+		fleet := newFleet(trio...)
+		holder := fleet.nodes["b"]
+		suspect := &protocol.Suspect{Name: "c", Incarnation: fleet.nodes["c"].self.Incarnation}
+		fleet.sent = nil
+		for range 200 {
+			fleet.now = fleet.now.Add(step)
+			holder.serve(&protocol.Request{Body: &protocol.Request_LookupSession{LookupSession: &protocol.LookupSessionRequest{
+				Session: heldBy(trio, "b", ""), ViewVersion: fleet.version, Suspects: []*protocol.Suspect{suspect},
+			}}})
+		}
+		Expect(len(fleet.sent)).To(And(BeNumerically(">=", 1), BeNumerically("<=", 5)))
+		Expect(holder.directory.Suspects()).To(BeZero())
+	})
+})
