Make no standby of the core a voter that was not heard within three heartbeats

A standby that had just lost its disk could be made a voter for two election timeouts more, beside the voter that it was to replace: two of four were gone then, and nobody led. The row of the table fails with a window of 3 s; the package's tests pass. Not closed: a loss within the window.

--- a/internal/core/replica/membership.go
+++ b/internal/core/replica/membership.go
@@ -14,8 +14,10 @@
 const (
 	// aliveElectionTimeouts is the silence, in election timeouts, below which a member is alive.
 	aliveElectionTimeouts = 2
-	maxMembers            = 64
-	maxRetired            = 64
+	// freshHeartbeats is the silence, in heartbeat intervals, below which a standby may become a voter.
+	freshHeartbeats = 3
+	maxMembers      = 64
+	maxRetired      = 64
 )
 
 // MemberRetiredError refuses a member that an operator removed; its folder must be emptied first.
@@ -319,6 +321,7 @@
 		configuration: status.Configuration, self: status.ID, lastIndex: status.LastIndex,
 		contacts: contacts, now: o.now(), targetVoters: options.TargetVoters,
 		aliveWithin: aliveElectionTimeouts * options.ElectionTimeout, goneAfter: options.ReplaceVoterAfter,
+		freshWithin: freshHeartbeats * options.HeartbeatInterval,
 	}
 }
 
--- a/internal/core/replica/plan.go
+++ b/internal/core/replica/plan.go
@@ -27,6 +27,9 @@
 	// aliveWithin is the silence below which a member counts as alive, goneAfter the one from
 	// which it is to be replaced.
 	aliveWithin, goneAfter time.Duration
+	// freshWithin is the silence below which a standby may become a voter: one that has just been lost must not, since a
+	// majority of the voters might then be gone.
+	freshWithin time.Duration
 }
 
 // change is one step of membership and why it is taken.
@@ -164,7 +167,7 @@
 
 func (v *membershipView) caughtUp(id uint64) bool {
 	contact, known := v.contacts[id]
-	return known && v.alive(id) && contact.Match > 0 && contact.Match+caughtUpEntries >= v.lastIndex
+	return known && v.silence(id) < v.freshWithin && contact.Match > 0 && contact.Match+caughtUpEntries >= v.lastIndex
 }
 
 // removeReplacedVoter removes a lost voter once there are voters enough without it.
--- a/internal/core/replica/plan_test.go
+++ b/internal/core/replica/plan_test.go
@@ -31,6 +31,7 @@
 		{"too few voters", []planned{a, {name: "d", zone: "1"}}, "promote d"},
 		{"a learner that lags waits", []planned{a, {name: "d", zone: "1", lag: 500}}, ""},
 		{"a silent learner waits", []planned{a, {name: "d", zone: "1", silent: 3}}, ""},
+		{"a learner that was not heard for a moment waits", []planned{a, {name: "d", zone: "1", silent: 1}}, ""},
 		{"a zone without a voter goes first", []planned{a, b, {name: "d", zone: "1"}, {name: "e", zone: "3"}}, "promote e"},
 		{"standbys stay when there are voters enough", []planned{a, b, c, {name: "d", zone: "3"}}, ""},
 		{"a silent voter is waited for", []planned{a, b, {name: "c", zone: "3", voter: true, silent: 9}, {name: "d", zone: "3"}}, ""},
@@ -53,6 +54,7 @@
 			view := &membershipView{
 				configuration: &protocol.CoreConfiguration{}, self: 1, lastIndex: last, now: now,
 				contacts: map[uint64]consensus.Contact{}, targetVoters: 3, aliveWithin: 2 * time.Second, goneAfter: 10 * time.Second,
+				freshWithin: time.Second,
 			}
 			for position, member := range tt.members {
 				id := uint64(position + 1)
@@ -80,6 +82,7 @@
 		view := &membershipView{
 			configuration: &protocol.CoreConfiguration{}, self: 1, lastIndex: 10, now: now,
 			contacts: map[uint64]consensus.Contact{}, targetVoters: 3, aliveWithin: 2 * time.Second, goneAfter: 10 * time.Second,
+			freshWithin: time.Second,
 		}
 		for id := uint64(1); id <= uint64(voters+learners); id++ {
 			view.configuration.Members = append(view.configuration.Members, &protocol.CoreMember{
@@ -168,6 +171,7 @@
 	view := &membershipView{
 		configuration: &protocol.CoreConfiguration{}, self: 1, lastIndex: 10, now: now,
 		contacts: map[uint64]consensus.Contact{}, targetVoters: targetVoters, aliveWithin: 2 * time.Second, goneAfter: 10 * time.Second,
+		freshWithin: time.Second,
 	}
 	for position, member := range members {
 		id := uint64(position + 1)
