Copy each shard on its own, so that a silent source holds up none of the others

Shards were copied in rounds: the next ones began only when all of a round were done, and a source that did not answer was asked for a page five times, 1 s each. A frozen store could so hold up the emptying of another by some 6 s. Each shard is now copied on its own, eight at once, the next one begins when one is done, and a source that is silent twice is given up for that try.

--- a/internal/store/copy.go
+++ b/internal/store/copy.go
@@ -21,28 +21,67 @@
 	reportAgain = time.Second
 	// copiesAtOnce bounds the shards that are copied side by side.
 	copiesAtOnce = 8
-	// pageAttempts bounds the tries of one page.
-	pageAttempts = 5
-	reportTime   = 5 * time.Second
+	// pageAttempts bounds the tries of one page, silentAttempts those without any answer.
+	pageAttempts   = 5
+	silentAttempts = 2
+	reportTime     = 5 * time.Second
 )
 
+// copies are the shards that are copied side by side, and what the core was told of them.
+type copies struct {
+	mutex    sync.Mutex
+	running  map[uint32]bool
+	reported map[uint32]reportedCopy
+}
+
 // reportedCopy is a copy that the core was told of.
 type reportedCopy struct {
 	epoch uint64
 	at    time.Time
 }
 
+func newCopies() *copies {
+	return &copies{running: map[uint32]bool{}, reported: map[uint32]reportedCopy{}}
+}
+
+// begin reports whether a shard may be copied now: it is not yet, there is a place, and the
+// core was not told of this copy a short time ago.
+func (c *copies) begin(view register.ShardView, now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	told := c.reported[view.Shard]
+	wasTold := told.epoch == view.Epoch && now.Sub(told.at) < reportAgain
+	if c.running[view.Shard] || len(c.running) >= copiesAtOnce || wasTold {
+		return false
+	}
+	c.running[view.Shard] = true
+	return true
+}
+
+func (c *copies) end(view register.ShardView, wasTold bool, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.running, view.Shard)
+	if wasTold {
+		c.reported[view.Shard] = reportedCopy{epoch: view.Epoch, at: now}
+	}
+}
+
 // copyShards copies the shards that this store rebuilds or joins, some side by side, and
-// tells the core of each. It goes on telling until the placement says so.
+// tells the core of each. It goes on telling until the placement says so. A source
+// that does not answer holds up the copy of its own shard only.
 func (s *Store) copyShards() {
-	reported := map[uint32]reportedCopy{}
+	under := newCopies()
 	for {
 		pause := copyCheck
-		if waiting := s.waitingCopies(reported); len(waiting) > 0 {
-			for _, view := range s.copyAll(waiting) {
-				reported[view.Shard] = reportedCopy{epoch: view.Epoch, at: s.options.Clock.Now()}
+		for _, view := range s.watch.current.Load().shards {
+			if !view.WaitsForCopy(s.options.Self.GetName(), s.options.Self.GetStorageId()) {
+				continue
 			}
 			pause = copyRetry
+			if under.begin(view, s.options.Clock.Now()) {
+				s.routines.Go(func() { s.copyAndReport(under, view) })
+			}
 		}
 		if !s.waitOr(pause, s.copyPoke) {
 			return
@@ -50,45 +89,17 @@
 	}
 }
 
-// waitingCopies gives the shards that the placement waits for, but for those whose copy was reported a short time ago.
-func (s *Store) waitingCopies(reported map[uint32]reportedCopy) []register.ShardView {
-	now := s.options.Clock.Now()
-	var waiting []register.ShardView
-	for _, view := range s.watch.current.Load().shards {
-		if !view.WaitsForCopy(s.options.Self.GetName(), s.options.Self.GetStorageId()) {
-			continue
-		}
-		told := reported[view.Shard]
-		if told.epoch != view.Epoch || now.Sub(told.at) >= reportAgain {
-			waiting = append(waiting, view)
-		}
-	}
-	return waiting
-}
-
-// copyAll copies shards side by side and gives those of which the core was told.
-func (s *Store) copyAll(waiting []register.ShardView) []register.ShardView {
-	var mutex sync.Mutex
-	var told []register.ShardView
-	var copies sync.WaitGroup
-	places := make(chan struct{}, copiesAtOnce)
-	for _, view := range waiting {
-		places <- struct{}{}
-		copies.Go(func() {
-			defer func() { <-places }()
-			if err := s.copyShard(view); err != nil {
-				s.options.Logger.Debug("shard not copied yet", "shard", view.Shard, "error", err)
-				return
-			}
-			if s.reportCopied(view) {
-				mutex.Lock()
-				told = append(told, view)
-				mutex.Unlock()
-			}
-		})
+// copyAndReport copies one shard; when that succeeds the next one may begin at once.
+func (s *Store) copyAndReport(under *copies, view register.ShardView) {
+	err := s.copyShard(view)
+	told := err == nil && s.reportCopied(view)
+	under.end(view, told, s.options.Clock.Now())
+	switch {
+	case err != nil:
+		s.options.Logger.Debug("shard not copied yet", "shard", view.Shard, "error", err)
+	case told:
+		signal(s.copyPoke)
 	}
-	copies.Wait()
-	return told
 }
 
 // copyShard reads the shard from enough replicas of the current set: the first
@@ -218,6 +229,7 @@
 // fetchPage asks for a page under the placement epoch in force, again if it changes meanwhile.
 func (s *Store) fetchPage(shard uint32, source string, request *protocol.FetchShardRequest) (*protocol.FetchShardResponse, error) {
 	var last error
+	silent := 0
 	for attempt := range pageAttempts {
 		request.PlacementEpoch = s.shardView(shard).Epoch
 		ctx, cancel := context.WithTimeout(s.ctx, s.options.PeerTimeout)
@@ -227,6 +239,9 @@
 		switch {
 		case err != nil:
 			last = err
+			if silent++; silent == silentAttempts {
+				return nil, last
+			}
 		case page == nil:
 			return nil, &AnswerError{Store: source}
 		case page.GetRefusal() != notRefused:
