Place shards also where there are fewer zones or stores than replicas

Cause: the first placement waited for as many zones with stores as a shard has replicas, for ever; a deployment of two zones, or one that bears two losses in four zones, would have had no ledger. Found by reading, for deployments that nobody here has seen. Now, after four seconds without a new store, replicas share zones on different stores, and where there are fewer stores than replicas the largest odd number is taken. Story: internal/core/successor_test.go, 'the first placement' (two zones, one zone, two stores failed before).

--- a/internal/controlstate/placement.go
+++ b/internal/controlstate/placement.go
@@ -44,7 +44,10 @@
 		return refuse(codeInvalidOrder, "the numbers of shards and replicas are out of range")
 	}
 	stores := UsableStores(s.placement, s.membership.GetNodes())
-	if zones := countZones(stores); zones < replicas {
+	if command.GetSharedZones() && len(stores) < replicas {
+		return refuse(codeInvalidOrder, fmt.Sprintf("%d stores are needed, there are %d", replicas, len(stores)))
+	}
+	if zones := countZones(stores); zones < replicas && !command.GetSharedZones() {
 		return refuse(codeInvalidOrder, fmt.Sprintf("stores in %d distinct zones are needed, there are %d", replicas, zones))
 	}
 	placement := s.editPlacement(index)
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -13,6 +13,9 @@
 const (
 	// storeSettle is how long the set of stores must be unchanged before the first placement.
 	storeSettle = time.Second
+	// sharedZonesSettle is the same where there are fewer zones with stores than replicas: a store of another zone may
+	// yet come. A deployment with few zones, or few stores, is served all the same.
+	sharedZonesSettle = 4 * time.Second
 	// replaceStoreAfter is how long a store may be without a lease before its shards are placed elsewhere.
 	replaceStoreAfter = 20 * time.Second
 	// replaceSilentAfter is how long a store may be silent before its shards are placed on a store that has none: a new
@@ -238,11 +241,28 @@
 }
 
 func (r *reconciler) firstPlacement(view *controlstate.View, now time.Time) []*protocol.Command {
+	unchanged := now.Sub(r.storesSince)
 	zones := controlstate.CountStoreZones(view.Placement, view.Membership.GetNodes())
-	if zones < int(r.replicaCount) || now.Sub(r.storesSince) < storeSettle {
+	placement := &protocol.InitializePlacementCommand{ShardCount: r.shardCount, ReplicaCount: r.replicaCount, OverRegions: true}
+	switch {
+	case zones >= int(r.replicaCount) && unchanged >= storeSettle:
+	case unchanged >= sharedZonesSettle:
+		stores := controlstate.UsableStores(view.Placement, view.Membership.GetNodes())
+		placement.ReplicaCount, placement.SharedZones = replicasFor(len(stores), r.replicaCount), true
+	default:
 		return nil
 	}
-	return []*protocol.Command{{Body: &protocol.Command_InitializePlacement{
-		InitializePlacement: &protocol.InitializePlacementCommand{ShardCount: r.shardCount, ReplicaCount: r.replicaCount, OverRegions: true},
-	}}}
+	if placement.GetReplicaCount() == 0 {
+		return nil
+	}
+	return []*protocol.Command{{Body: &protocol.Command_InitializePlacement{InitializePlacement: placement}}}
+}
+
+// replicasFor is the largest odd number of replicas that so many stores can hold, at most the number wanted.
+func replicasFor(stores int, wanted uint32) uint32 {
+	possible := min(uint32(stores), wanted)
+	if possible > 0 && possible%2 == 0 {
+		possible--
+	}
+	return possible
 }
--- a/internal/core/successor_test.go
+++ b/internal/core/successor_test.go
@@ -72,3 +72,30 @@
 		Expect(whole("s3")).To(BeTrue())
 	})
 })
+
+var _ = Describe("the first placement", func() {
+	DescribeTable("serves a deployment with few zones or stores as well", func(zones []string, replicas int) {
+		f := newFleet(1, nil)
+		leader := f.lead(f.members[0])
+		for range 100 {
+			for number, zone := range zones {
+				leader.renew(storeNode(fmt.Sprintf("s%d", number), zone), nil)
+			}
+			f.advance(50 * time.Millisecond)
+		}
+		shards := leader.machine.View().Placement.GetShards()
+		Expect(shards).To(HaveLen(core.DefaultShardCount))
+		for _, shard := range shards {
+			holders := map[string]bool{}
+			for _, replica := range shard.GetCurrent() {
+				holders[replica.GetStore()] = true
+			}
+			Expect(holders).To(HaveLen(replicas))
+		}
+	},
+		Entry("three zones", []string{"z0", "z1", "z2"}, 3),
+		Entry("two zones of two stores", []string{"z0", "z0", "z1", "z1"}, 3),
+		Entry("one zone", []string{"z0", "z0", "z0"}, 3),
+		Entry("two stores", []string{"z0", "z1"}, 1),
+	)
+})
