--- a/internal/store/storebench/bench_test.go
+++ b/internal/store/storebench/bench_test.go
@@ -91,3 +91,16 @@
 		b.Log("\n" + steady.String())
 	}
 }
+
+// BenchmarkCosts reports what one operation of each kind takes by itself.
+func BenchmarkCosts(b *testing.B) {
+	for b.Loop() {
+		costs, err := storebench.MeasureCosts(b.Context(), b.TempDir(), 500)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, cost := range costs {
+			b.Log(cost)
+		}
+	}
+}
