Let the ledger forget idle programs of HTTP routes; blame no server for an expired deadline

Now a program is kept for three keeping times of its turns, three minutes at least, and a send that was never tried tells nothing. Test: internal/front/blame_test.go (failed before).

--- /dev/null
+++ b/internal/front/blame_test.go
@@ -0,0 +1,15 @@
+package front_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/front"
+	"github.com/rosestand/rosestand/internal/schedule"
+)
+
+func TestAnExpiredDeadlineTellsNothingOfTheServer(t *testing.T) {
+	if got := front.OutcomeOfExpired(&manualClock{now: time.Unix(1_000_000, 0)}); got != schedule.OutcomeNotExecuted {
+		t.Fatalf("the server is blamed with outcome %d", got)
+	}
+}
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/turn"
 )
 
@@ -34,6 +35,16 @@
 	fault      turn.BackEndFault
 	retryAfter time.Duration
 	detail     string
+	// blameless faults tell nothing of the server, as when the caller's time was over before.
+	blameless bool
+}
+
+// outcome says what the attempt tells of the server's health.
+func (e *backEndError) outcome() schedule.Outcome {
+	if e.blameless {
+		return schedule.OutcomeNotExecuted
+	}
+	return outcomeOf(e.fault)
 }
 
 func (e *backEndError) Error() string { return fmt.Sprintf("%s: %s", e.fault, e.detail) }
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/rosestand/rosestand/internal/dialect"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/schedule"
 )
 
 // NewRouteHandler serves the callers of HTTP routes at a service.
@@ -72,3 +74,18 @@
 
 // MaxPromptParts bounds the parts that are read.
 const MaxPromptParts = maxPromptParts
+
+// OutcomeOfExpired is what a send whose deadline has passed tells of its server's health.
+func OutcomeOfExpired(clock Clock) schedule.Outcome {
+	server := (&backEnds{}).keep(&protocol.BackEnd{Id: "s1", Address: "127.0.0.1:1"})
+	client := newRouteClient(dialect.Default(), clock)
+	defer client.close()
+	_, err := client.send(context.Background(), routedRequest{
+		server: server, requestID: "r1", http: &protocol.HttpRequest{}, deadline: clock.Now(),
+	})
+	var fault *backEndError
+	if !errors.As(err, &fault) {
+		return schedule.OutcomeAnswered
+	}
+	return fault.outcome()
+}
--- a/internal/front/httpissue.go
+++ b/internal/front/httpissue.go
@@ -39,7 +39,7 @@
 func (c *routeClient) send(ctx context.Context, request routedRequest) (*serverconn.Response, error) {
 	left := request.deadline.Sub(c.clock.Now()).Milliseconds()
 	if left <= 0 {
-		return nil, &backEndError{fault: turn.FaultNotSent, detail: "the deadline has passed"}
+		return nil, &backEndError{fault: turn.FaultNotSent, detail: "the deadline has passed", blameless: true}
 	}
 	description := request.server.description.Load()
 	response, err := c.pool.Do(ctx, description.GetAddress(), &serverconn.Request{
@@ -51,7 +51,7 @@
 		if errors.HasType(err, (*serverconn.NotSentError)(nil)) {
 			fault = turn.FaultNotSent
 		}
-		return nil, &backEndError{fault: fault, detail: err.Error()}
+		return nil, &backEndError{fault: fault, detail: err.Error(), blameless: fault == turn.FaultNotSent && ctx.Err() != nil}
 	}
 	if fault := c.faultOf(response, request.requestID); fault != nil {
 		return nil, fault
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -322,7 +322,7 @@
 	if !errors.As(err, &fault) {
 		fault = &backEndError{fault: turn.FaultBroken, detail: err.Error()}
 	}
-	r.server.record(outcomeOf(fault.fault), r.now())
+	r.server.record(fault.outcome(), r.now())
 	r.service.metrics.attemptFaults.WithLabelValues(fault.fault.String()).Inc()
 	r.explanation.step("attempt failed: "+fault.fault.String(), command.BackEnd+": "+fault.detail)
 	return fault.event()
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -149,7 +149,7 @@
 	if !errors.As(err, &fault) {
 		fault = &backEndError{fault: turn.FaultBroken, detail: err.Error()}
 	}
-	r.server.record(outcomeOf(fault.fault), r.now())
+	r.server.record(fault.outcome(), r.now())
 	if fault.fault == turn.FaultRefused {
 		r.service.admission.record(r.route.GetGroup(), limit.Sample{Refused: true})
 	}
--- a/internal/serverconn/connection.go
+++ b/internal/serverconn/connection.go
@@ -21,7 +21,7 @@
 	return &connection{address: address, Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}
 }
 
-func (c *connection) close() { _ = c.Conn.Close() }
+func (c *connection) close() { _ = c.Close() }
 
 // isClean reports whether nothing has arrived on a resting connection: neither
 // its end nor bytes that belong to no request.
--- a/internal/turn/httpturn.go
+++ b/internal/turn/httpturn.go
@@ -13,6 +13,13 @@
 // hears the end at once while the ledger is told. Any kept turn may be
 // continued by it, by several at the same time.
 
+// keptTimes is how many keeping times of a turn the ledger keeps what it knows of an idle program: a
+// program that was stopped may come again within one.
+const keptTimes = 3
+
+// leastKept stands for the keeping time of a route that names none.
+const leastKept = time.Minute
+
 func (m *Machine) isHTTP() bool { return m.parameters.Request.GetHttp() != nil }
 
 // isKept reports whether the turn is kept for others to continue.
@@ -46,6 +53,7 @@
 		Claim: &protocol.ClaimSession{
 			Session: request.GetSession(), Owner: m.parameters.Owner, OwnerIncarnation: m.parameters.Incarnation,
 			Tenant: request.GetTenant(), Budget: m.parameters.Budget,
+			KeepingMillis: (keptTimes * max(m.parameters.KeepFor, leastKept)).Milliseconds(),
 		},
 	}}
 }
