--- a/internal/serverconn/pool_test.go
+++ b/internal/serverconn/pool_test.go
@@ -66,7 +66,11 @@
 	return request, string(body)
 }
 
+// dialBound is far above what a dial on loopback needs, also on a busy machine.
+const dialBound = 30 * time.Second
+
 func newPool(t *testing.T, options serverconn.Options) *serverconn.Pool {
+	options.DialTimeout = dialBound
 	pool := serverconn.New(options)
 	t.Cleanup(pool.Close)
 	return pool
