Keep five replicas where two losses are borne, also in fewer than five zones

Cause: the number of replicas was bounded by the zones, because a placement needed a zone for each. With three replicas two lost disks lose what was acknowledged.

--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -60,7 +60,7 @@
 func fillCore(settings *protocol.CoreSettings) {
 	if losses := settings.GetToleratedLosses(); losses > 0 && losses <= maxToleratedLosses {
 		fill(&settings.TargetVoters, majorityOver(losses))
-		fill(&settings.ReplicaCount, min(majorityOver(losses), mostReplicas(len(settings.GetZoneRegions()))))
+		fill(&settings.ReplicaCount, majorityOver(losses))
 	}
 	fill(&settings.TargetVoters, defaultTargetVoters)
 	fill(&settings.ElectionTimeoutMillis, defaultElectionMillis)
@@ -77,15 +77,6 @@
 // majorityOver is the smallest group of which a majority is left after the losses.
 func majorityOver(losses uint32) uint32 { return 2*losses + 1 }
 
-// mostReplicas is the largest odd number of replicas that can be in distinct zones, and never below the default:
-// fewer would lose data silently. Without a word on zones there is no bound.
-func mostReplicas(zones int) uint32 {
-	if zones == 0 {
-		return maxReplicas
-	}
-	return uint32(max(zones-1+zones%2, defaultReplicaCount))
-}
-
 func fillStore(settings *protocol.StoreSettings) {
 	fill(&settings.SegmentBytes, defaultSegmentBytes)
 	fill(&settings.CopyBytesPerSecond, defaultCopyBytesPerSecond)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -295,8 +295,8 @@
 		"--tolerated-losses=0":                                     {3, 3},
 		"--tolerated-losses=1":                                     {3, 3},
 		"--tolerated-losses=2":                                     {5, 5},
-		"--tolerated-losses=2 " + zones:                            {5, 3},
-		"--tolerated-losses=2 --zone-regions=a=r":                  {5, 3},
+		"--tolerated-losses=2 " + zones:                            {5, 5},
+		"--tolerated-losses=2 --zone-regions=a=r":                  {5, 5},
 		"--tolerated-losses=2 --target-voters=7 --replica-count=1": {7, 1},
 	} {
 		loaded, err := load(t, validCore, strings.Fields(arguments)...)
