Cover software and model versions of back ends by the checksum of views

A delta on a wrong base that differs in these fields only would not have been noticed. Also: the rig's test of a killed process asked for its memory once, right after the start, and found none yet on a busy machine; it asks until there is some, within a bound.

--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
@@ -40,12 +41,20 @@
 	return started
 }
 
+// usageBound is far above the time in which a started process has memory.
+const usageBound = 30 * time.Second
+
 func TestKilledProcessIsGone(t *testing.T) {
 	p := start(t, "wait")
 	if !p.Running() {
 		t.Fatal("not running")
 	}
-	if usage, err := p.Usage(); err != nil || usage.ResidentBytes == 0 {
+	// The process may not have its memory yet.
+	usage, err := p.Usage()
+	for began := time.Now(); err == nil && usage.ResidentBytes == 0 && time.Since(began) < usageBound; usage, err = p.Usage() {
+		runtime.Gosched()
+	}
+	if err != nil || usage.ResidentBytes == 0 {
 		t.Fatalf("usage %+v, %v", usage, err)
 	}
 	if err := p.Kill(); err != nil {
--- a/internal/views/checksum.go
+++ b/internal/views/checksum.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -48,14 +50,24 @@
 func BackEndsChecksum(backEnds []*protocol.BackEnd) uint64 {
 	h := &hasher{}
 	for _, backEnd := range backEnds {
-		h.text(backEnd.GetId(), backEnd.GetAddress(), backEnd.GetZone(), backEnd.GetRegion(), backEnd.GetGroup())
+		h.text(backEnd.GetId(), backEnd.GetAddress(), backEnd.GetZone(), backEnd.GetRegion(), backEnd.GetGroup(), backEnd.GetSoftwareVersion())
 		h.list(backEnd.GetModels())
 		h.list(backEnd.GetTools())
 		h.number(uint64(backEnd.GetKind()), uint64(backEnd.GetState()), backEnd.GetIncarnation(), uint64(backEnd.GetCapacity()))
+		h.versions(backEnd.GetModelVersions())
 	}
 	return h.sum()
 }
 
+// versions takes a map in the order of its keys.
+func (h *hasher) versions(versions map[string]uint64) {
+	h.number(uint64(len(versions)))
+	for _, name := range slices.Sorted(maps.Keys(versions)) {
+		h.text(name)
+		h.number(versions[name])
+	}
+}
+
 // PlacementChecksum covers every field of the placement but its epoch.
 func PlacementChecksum(placement *protocol.Placement) uint64 {
 	h := &hasher{}
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -18,6 +18,11 @@
 	fields := message.Descriptor().Fields()
 	for i := range fields.Len() {
 		field := fields.Get(i)
+		if field.IsMap() {
+			key := scalar(field.MapKey(), number).MapKey()
+			message.Mutable(field).Map().Set(key, scalar(field.MapValue(), number))
+			continue
+		}
 		value := scalar(field, number)
 		if field.IsList() {
 			list := message.Mutable(field).List()
