--- a/internal/core/replica/disk.go
+++ b/internal/core/replica/disk.go
@@ -31,11 +31,15 @@
 	if err := filesystem.MakeFolder(path); err != nil {
 		return nil, err
 	}
+	snapshots := filepath.Join(folder, snapshotFolder)
+	if err := storage.RemoveUnfinishedSnapshots(filesystem, snapshots); err != nil {
+		return nil, err
+	}
 	log, err := storage.OpenLog(filesystem, path, storage.LogOptions{})
 	if err != nil {
 		return nil, err
 	}
-	return &disk{filesystem: filesystem, log: log, snapshots: filepath.Join(folder, snapshotFolder)}, nil
+	return &disk{filesystem: filesystem, log: log, snapshots: snapshots}, nil
 }
 
 func (d *disk) write(records ...*protocol.CoreRecord) error {
@@ -106,7 +110,8 @@
 	})
 }
 
-// loadSnapshot reads the newest snapshot; its metadata is nil when there is none.
+// loadSnapshot reads the newest snapshot; its metadata is nil when there is none. The owner may call it while a newer one is
+// being saved.
 func (d *disk) loadSnapshot() (metadata *protocol.SnapshotMetadata, state []byte, err error) {
 	_, _, err = storage.LoadNewestSnapshot(d.filesystem, d.snapshots, func(_ uint64, content io.Reader) error {
 		metadata, err = readMetadata(content)
--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -203,7 +203,10 @@
 	options.Clock = clock
 	options.Machine = state
 	options.Random = rand.New(rand.NewPCG(f.started, 11))
-	options.OnFatal = func(err error) { fatal <- err }
+	options.OnFatal = func(err error) {
+		f.t.Logf("the storage of %s failed: %v", m.name, err)
+		fatal <- err
+	}
 	replica, err := New(options)
 	if err != nil {
 		return err
--- a/internal/ledgerclient/attempt.go
+++ b/internal/ledgerclient/attempt.go
@@ -24,6 +24,8 @@
 	attemptBroken
 	// attemptUndecided may have taken effect, or may do so later; the replica that answers could not decide now.
 	attemptUndecided
+	// attemptOutOfTime may have taken effect, or may do so later, and the caller's time is over.
+	attemptOutOfTime
 )
 
 // attempt asks one replica, also when its caller has the answer of another one meanwhile. One that is silent for too long is tried last for a while.
@@ -47,9 +49,11 @@
 	response, err := c.caller.Call(ctx, to.address, &protocol.Request{Body: &protocol.Request_Ledger{Ledger: planned}})
 	silence.Stop()
 	if err != nil {
+		if endsWithCaller && errors.Is(err, context.DeadlineExceeded) {
+			return attemptAnswer{outcome: attemptOutOfTime, err: err}
+		}
 		var answered *failure.Error
-		ranOut := endsWithCaller && errors.Is(err, context.DeadlineExceeded)
-		if !ranOut && !errors.As(err, &answered) {
+		if !errors.As(err, &answered) {
 			c.suspects.add(to.address)
 		}
 		return attemptAnswer{outcome: outcomeOf(err), err: err}
--- a/internal/ledgerclient/race.go
+++ b/internal/ledgerclient/race.go
@@ -135,6 +135,9 @@
 	case attemptBroken:
 		r.doubtful = true
 		return stepNext, answer
+	case attemptOutOfTime:
+		r.doubtful = true
+		return stepFinal, attemptAnswer{result: ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE)}
 	default:
 		r.doubtful = true
 		return stepRest, answer
--- a/internal/ledgerclient/race_test.go
+++ b/internal/ledgerclient/race_test.go
@@ -178,3 +178,30 @@
 		t.Fatalf("asked the first replica %d times of 2", asked)
 	}
 }
+
+// outOfTime answers at one address that the time is over, a moment before the caller's own timer says so.
+type outOfTime struct{ partlyFrozen }
+
+func (o *outOfTime) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	response, err := o.partlyFrozen.Call(ctx, address, request)
+	if address == "at-a" {
+		return nil, context.DeadlineExceeded
+	}
+	return response, err
+}
+
+func TestAnAttemptThatEndsWithItsCallerIsTheLastOne(t *testing.T) {
+	caller := &outOfTime{partlyFrozen{answer: always(ok)}}
+	client := clientOf(caller, time.Minute)
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), ledgerclient.DefaultAttemptTimeout/2)
+		result, err := client.Do(ctx, reserve)
+		cancel()
+		if err != nil || result.GetStatus() != unavailable {
+			t.Fatalf("got %v, %v", result, err)
+		}
+	}
+	if asked := caller.count("at-a"); asked != 2 {
+		t.Fatalf("asked the first replica %d times of 2", asked)
+	}
+}
--- a/internal/sim/statesuite/coredisk.go
+++ b/internal/sim/statesuite/coredisk.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := storage.RemoveUnfinishedSnapshots(filesystem, snapshotFolder); err != nil {
+		return nil, err
+	}
 	log, err := storage.OpenLog(filesystem, logFolder, storage.LogOptions{SegmentBytes: segmentBytes})
 	if err != nil {
 		return nil, err
--- a/internal/sim/statesuite/storeprocess.go
+++ b/internal/sim/statesuite/storeprocess.go
@@ -219,6 +219,9 @@
 
 func (p *storeProcess) load() error {
 	disk := p.environment.Disk()
+	if err := storage.RemoveUnfinishedSnapshots(disk, snapshotFolder); err != nil {
+		return err
+	}
 	segment, _, err := storage.LoadNewestSnapshot(disk, snapshotFolder, func(_ uint64, reader io.Reader) error {
 		content, err := io.ReadAll(reader)
 		if err != nil {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -105,15 +105,12 @@
 }
 
 // LoadNewestSnapshot checks the snapshot with the highest number and hands its content to read. It
-// returns *CorruptError when that snapshot is damaged: older ones may lack the log that followed them. Temporary
-// files left by a crash are removed. A folder without snapshots gives found false.
+// returns *CorruptError when that snapshot is damaged: older ones may lack the log that followed them. A folder without
+// snapshots gives found false. It changes no file, so another goroutine may save a snapshot meanwhile.
 func LoadNewestSnapshot(filesystem Filesystem, folder string, read func(number uint64, content io.Reader) error) (number uint64, found bool, err error) {
 	if err := filesystem.MakeFolder(folder); err != nil {
 		return 0, false, err
 	}
-	if err := removeTemporary(filesystem, folder); err != nil {
-		return 0, false, err
-	}
 	numbers, err := listNumbered(filesystem, folder, snapshotSuffix)
 	if err != nil || len(numbers) == 0 {
 		return 0, false, err
@@ -126,7 +123,12 @@
 	return number, true, loadSnapshot(filesystem, filepath.Join(folder, snapshotName(number)), number, read)
 }
 
-func removeTemporary(filesystem Filesystem, folder string) error {
+// RemoveUnfinishedSnapshots deletes the temporary files that a crash left. It must run before the first snapshot is saved: one
+// that is being written would be deleted as well.
+func RemoveUnfinishedSnapshots(filesystem Filesystem, folder string) error {
+	if err := filesystem.MakeFolder(folder); err != nil {
+		return err
+	}
 	entries, err := filesystem.List(folder)
 	if err != nil {
 		return err
--- a/internal/storage/snapshot_test.go
+++ b/internal/storage/snapshot_test.go
@@ -69,6 +69,37 @@
 		}
 	})
 
+	It("given one that is being saved, when the newest is loaded meanwhile, then both succeed", func() {
+		disk := newDisk(1)
+		Expect(save(disk, 1, "old")).To(Succeed())
+		var loaded string
+		err := storage.SaveSnapshot(disk, folder, 2, func(writer io.Writer) error {
+			var loadErr error
+			_, loaded, _, loadErr = load(disk)
+			Expect(loadErr).NotTo(HaveOccurred())
+			_, err := io.WriteString(writer, "new")
+			return err
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded).To(Equal("old"))
+		_, newest, _, err := load(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(newest).To(Equal("new"))
+	})
+
+	It("given one that a crash cut short, then it is removed at the next opening and the one before is loaded", func() {
+		disk := newDisk(1)
+		Expect(save(disk, 1, "old")).To(Succeed())
+		unfinished, err := disk.Create(folder + "/0000000000000002.snapshot.tmp")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(unfinished.Close()).To(Succeed())
+		Expect(storage.RemoveUnfinishedSnapshots(disk, folder)).To(Succeed())
+		Expect(disk.Files(folder)).To(HaveLen(1))
+		_, content, _, err := load(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(content).To(Equal("old"))
+	})
+
 	It("given a writer that fails, then keeps the one before and leaves no file", func() {
 		disk := newDisk(1)
 		Expect(save(disk, 1, "old")).To(Succeed())
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -59,6 +59,9 @@
 		if err := requireFiles(filesystem, filepath.Join(path, name), identity.Fresh); err != nil {
 			return nil, err
 		}
+		if err := storage.RemoveUnfinishedSnapshots(filesystem, filepath.Join(path, name)); err != nil {
+			return nil, err
+		}
 	}
 	options := storage.LogOptions{SegmentBytes: segmentBytes}
 	folder.registers, err = storage.OpenLog(filesystem, filepath.Join(path, registerFolder), options)
