--- /dev/null
+++ b/internal/lab/command/report.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/mattn/go-isatty"
+	"github.com/spf13/cobra"
+
+	"github.com/rosestand/rosestand/internal/lab/dayreport"
+)
+
+const leastChartWidth = 20
+
+type reportOptions struct {
+	width  int
+	output string
+}
+
+// newReport draws the report of a played day.
+func newReport(e *environment) *cobra.Command {
+	var options reportOptions
+	command := &cobra.Command{
+		Use:   "report FILE",
+		Short: "Draw the report of a day that a bench has played: outcomes and times over time, disruptions, kinds of requests",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			return e.report(arguments[0], options)
+		},
+	}
+	flags := command.Flags()
+	flags.IntVar(&options.width, "width", dayreport.ChartWidth, "width of the charts in characters")
+	flags.StringVar(&options.output, "output", "", "SVG file that takes the charts as well")
+	return command
+}
+
+func (e *environment) report(path string, options reportOptions) error {
+	if options.width < leastChartWidth {
+		return &FlagError{Flag: "width", Reason: fmt.Sprintf("must be %d or more", leastChartWidth)}
+	}
+	day, err := dayreport.Read(path)
+	if err != nil {
+		return err
+	}
+	day.Print(e.output, dayreport.Terminal{Width: options.width, Color: isTerminal(e.output)})
+	if options.output == "" {
+		return nil
+	}
+	return day.SaveFigure(options.output)
+}
+
+// isTerminal reports whether colors are understood where the output goes.
+func isTerminal(output io.Writer) bool {
+	file, isFile := output.(*os.File)
+	return isFile && isatty.IsTerminal(file.Fd()) && os.Getenv("NO_COLOR") == ""
+}
