Let the laboratory bring up a deployment of a file

Cause: run and chaos knew two sites, both of four even zones, one mix of programs and the machine's processors. A deployment unlike them could not be played.

The fleet's FrontEnvironment became an environment by kind, so bench sets its bound on processors by the same type; kill-one and experiment hand their load and shape to the callers in place of changing them after.

--- a/internal/lab/command/bench.go
+++ b/internal/lab/command/bench.go
@@ -17,6 +17,7 @@
 
 	"github.com/rosestand/rosestand/internal/lab/benchmark"
 	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/deployment"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
 	"github.com/rosestand/rosestand/internal/lab/modelserver"
 	"github.com/rosestand/rosestand/internal/lab/report"
@@ -154,7 +155,7 @@
 	sizes.Fronts = fronts
 	layout := fleet.Options{
 		Sizes: sizes, LogLevel: "warn", Rates: fastRates(),
-		FrontEnvironment: []string{fmt.Sprintf("GOMAXPROCS=%d", frontCores)},
+		Environment: deployment.Processors{Front: frontCores}.Environment(),
 	}
 	err = e.withFleet("bench", layout, func(f *fleet.Fleet) error {
 		loops, err = e.benchOn(ctx, f, options, tables)
--- a/internal/lab/command/chaos.go
+++ b/internal/lab/command/chaos.go
@@ -9,21 +9,24 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
-	"github.com/rosestand/rosestand/internal/lab/caller"
 	"github.com/rosestand/rosestand/internal/lab/chaos"
+	"github.com/rosestand/rosestand/internal/lab/deployment"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
 	"github.com/rosestand/rosestand/internal/lab/report"
 	"github.com/rosestand/rosestand/internal/lab/site"
 	"github.com/rosestand/rosestand/internal/lab/standin"
 )
 
+// chaosRate is the rate of conversations under which fleets are broken.
+const chaosRate = 8
+
 type chaosOptions struct {
-	site     string
+	deploymentOptions
 	duration time.Duration
 	seed     uint64
-	rate     float64
 	faults   float64
 	relays   bool
 }
@@ -35,14 +38,17 @@
 		Short: "Break the whole fleet of a site under load by a seeded schedule, then audit",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return e.chaos(command.Context(), options)
+			chosen, err := options.chooseWhole(command.Flags())
+			if err != nil {
+				return err
+			}
+			return e.chaos(command.Context(), chosen, options)
 		},
 	}
 	flags := command.Flags()
-	flags.StringVar(&options.site, "site", string(site.Caroni), "caroni, menon, or both for a small fleet")
+	options.register(flags, site.Caroni, "caroni, menon, or both for a small fleet", chaosRate)
 	flags.DurationVar(&options.duration, "duration", 10*time.Minute, "how long faults and new conversations come")
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of the schedule, the callers and the stand-ins' faults")
-	flags.Float64Var(&options.rate, "rate", 8, "conversations a second outside of bursts")
 	flags.Float64Var(&options.faults, "faults", 0.002, "probability of each fault of the stand-ins on a request")
 	flags.BoolVar(&options.relays, "relays", true, "put relays before internal addresses, so that links can be cut")
 	return command
@@ -56,33 +62,28 @@
 	return plan
 }
 
-func (e *environment) chaos(ctx context.Context, options chaosOptions) error {
+func (e *environment) chaos(ctx context.Context, chosen *deployment.Deployment, options chaosOptions) error {
 	if options.duration <= 0 || options.duration > maxDuration {
 		return &FlagError{Flag: "duration", Reason: "must be above 0 and at most " + maxDuration.String()}
 	}
-	sizes, err := site.SizesOf(site.Name(options.site))
-	if err != nil {
-		return err
-	}
 	faults := faultPlan(options.faults, options.seed)
 	if err := faults.Validate(); err != nil {
 		return err
 	}
-	layout := fleet.Options{Sizes: sizes, LogLevel: "info", Faults: faults, Relays: options.relays}
-	return e.withFleet("chaos-"+options.site, layout, func(f *fleet.Fleet) error {
-		return e.chaosOn(ctx, f, sizes, options)
+	layout := chosen.Fleet()
+	layout.Faults, layout.Relays = faults, options.relays
+	return e.withFleet("chaos-"+chosen.Name, layout, func(f *fleet.Fleet) error {
+		return e.chaosOn(ctx, f, chosen, options)
 	})
 }
 
-func (e *environment) chaosOn(ctx context.Context, f *fleet.Fleet, sizes site.Sizes, options chaosOptions) error {
+func (e *environment) chaosOn(ctx context.Context, f *fleet.Fleet, chosen *deployment.Deployment, options chaosOptions) error {
 	orders, err := e.start(ctx, f)
 	if err != nil {
 		return err
 	}
-	load := caller.DefaultLoad()
-	load.ConversationsPerSecond = options.rate
-	callers := e.callers(f, site.Name(options.site), load, options.duration, options.seed)
-	steps := chaos.Plan(countsOf(sizes), options.duration, options.seed)
+	callers := e.callers(f, chosen, options.duration, options.seed)
+	steps := chaos.Plan(countsOf(chosen.Sizes), options.duration, options.seed)
 	if !options.relays {
 		steps = slices.DeleteFunc(steps, needsRelays)
 	}
@@ -104,6 +105,15 @@
 	})
 }
 
+// chooseWhole gives the whole fleet of the site chosen.
+func (o *chaosOptions) chooseWhole(flags *pflag.FlagSet) (*deployment.Deployment, error) {
+	sizes, err := site.SizesOf(site.Name(o.site))
+	if err != nil {
+		return nil, err
+	}
+	return o.choose(flags, sizes)
+}
+
 func needsRelays(step chaos.Step) bool {
 	return step.Action == chaos.Cut || step.Action == chaos.CutOneWay || step.Action == chaos.SplitCore
 }
--- a/internal/lab/command/experiment.go
+++ b/internal/lab/command/experiment.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
 	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/deployment"
 	"github.com/rosestand/rosestand/internal/lab/experiment"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
 	"github.com/rosestand/rosestand/internal/lab/report"
@@ -155,8 +156,8 @@
 			return nil, false, err
 		}
 	}
-	callers := e.callers(f, file.Site, file.Load, file.Duration(), seed)
-	callers.Shape = file.Shape
+	served := &deployment.Deployment{Callers: file.Site, Load: file.Load, Shape: file.Shape}
+	callers := e.callers(f, served, file.Duration(), seed)
 	if book, err = e.converse(ctx, f, callers); err != nil {
 		return nil, false, err
 	}
--- a/internal/lab/command/killone.go
+++ b/internal/lab/command/killone.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
 	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/deployment"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
 	"github.com/rosestand/rosestand/internal/lab/killone"
 	"github.com/rosestand/rosestand/internal/lab/report"
@@ -105,10 +106,10 @@
 	if err != nil {
 		return err
 	}
-	load := caller.DefaultLoad()
-	load.ConversationsPerSecond, load.BurstFactor = options.rate, 1
-	callers := e.callers(f, site.Name(options.site), load, killWarmUp+time.Duration(options.kills)*killWindow, options.seed)
-	callers.Shape.LongShare, callers.Shape.ThinkMillis, callers.Shape.SmallBudgetShare = 1, killThinking, 0
+	served := deployment.Of(site.Name(options.site), site.Sizes{})
+	served.Load.ConversationsPerSecond, served.Load.BurstFactor = options.rate, 1
+	served.Shape.LongShare, served.Shape.ThinkMillis, served.Shape.SmallBudgetShare = 1, killThinking, 0
+	callers := e.callers(f, served, killWarmUp+time.Duration(options.kills)*killWindow, options.seed)
 	var disturbed []audit.Interval
 	book, err := e.converseBeside(ctx, f, callers, func() (err error) {
 		disturbed, err = arm.kill(ctx, f, options.kills)
--- a/internal/lab/command/lifecycle.go
+++ b/internal/lab/command/lifecycle.go
@@ -9,8 +9,8 @@
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
 	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/deployment"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
-	"github.com/rosestand/rosestand/internal/lab/site"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -68,9 +68,9 @@
 }
 
 // callers are the settings of callers that talk to every front node of a fleet.
-func (e *environment) callers(f *fleet.Fleet, name site.Name, load caller.Load, duration time.Duration, seed uint64) caller.Options {
+func (e *environment) callers(f *fleet.Fleet, served *deployment.Deployment, duration time.Duration, seed uint64) caller.Options {
 	return caller.Options{
-		Fronts: f.Fronts(), Site: name, Load: load, Shape: caller.DefaultShape(),
+		Fronts: f.Fronts(), Site: served.Callers, Load: served.Load, Shape: served.Shape,
 		Duration: duration, Grace: conversationGrace, Seed: seed, Run: filepath.Base(f.Folder()),
 		Zones: zonesOf(f), Credentials: f.Credentials(),
 	}
--- a/internal/lab/command/run.go
+++ b/internal/lab/command/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosestand/rosestand/internal/lab/audit"
 	"github.com/rosestand/rosestand/internal/lab/caller"
+	"github.com/rosestand/rosestand/internal/lab/deployment"
 	"github.com/rosestand/rosestand/internal/lab/fleet"
 	"github.com/rosestand/rosestand/internal/lab/report"
 	"github.com/rosestand/rosestand/internal/lab/site"
@@ -19,10 +20,9 @@
 const serverStopGrace = 8 * time.Second
 
 type runOptions struct {
-	site     string
+	deploymentOptions
 	duration time.Duration
 	seed     uint64
-	rate     float64
 }
 
 func newRun(e *environment) *cobra.Command {
@@ -32,35 +32,36 @@
 		Short: "Bring up a small fleet, run callers of both sites against it, audit, stop",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return e.run(command.Context(), options)
+			chosen, err := options.choose(command.Flags(), site.Small())
+			if err != nil {
+				return err
+			}
+			return e.run(command.Context(), chosen, options)
 		},
 	}
 	flags := command.Flags()
-	flags.StringVar(&options.site, "site", string(site.Both), "callers of caroni, menon or both")
+	options.register(flags, site.Both, "callers of caroni, menon or both", caller.DefaultLoad().ConversationsPerSecond)
 	flags.DurationVar(&options.duration, "duration", 20*time.Second, "how long new conversations open")
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of the callers")
-	flags.Float64Var(&options.rate, "rate", caller.DefaultLoad().ConversationsPerSecond, "conversations a second outside of bursts")
 	return command
 }
 
 // run is `rosestand-lab run` from start to stop.
-func (e *environment) run(ctx context.Context, options runOptions) error {
+func (e *environment) run(ctx context.Context, chosen *deployment.Deployment, options runOptions) error {
 	if options.duration <= 0 || options.duration > maxDuration {
 		return &FlagError{Flag: "duration", Reason: "must be above 0 and at most " + maxDuration.String()}
 	}
-	return e.withFleet("run", fleet.Options{Sizes: site.Small(), LogLevel: "info"}, func(f *fleet.Fleet) error {
-		return e.runOn(ctx, f, options)
+	return e.withFleet("run", chosen.Fleet(), func(f *fleet.Fleet) error {
+		return e.runOn(ctx, f, chosen, options)
 	})
 }
 
-func (e *environment) runOn(ctx context.Context, f *fleet.Fleet, options runOptions) error {
+func (e *environment) runOn(ctx context.Context, f *fleet.Fleet, chosen *deployment.Deployment, options runOptions) error {
 	orders, err := e.start(ctx, f)
 	if err != nil {
 		return err
 	}
-	load := caller.DefaultLoad()
-	load.ConversationsPerSecond = options.rate
-	callers := e.callers(f, site.Name(options.site), load, options.duration, options.seed)
+	callers := e.callers(f, chosen, options.duration, options.seed)
 	book, err := e.converseBeside(ctx, f, callers, func() error {
 		released, err := e.release(ctx, f, options.duration/2)
 		orders = append(orders, released...)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -39,9 +39,9 @@
 	Faults         standin.FaultPlan
 	// Relays puts a relay before the internal address of every daemon, so that links can be cut.
 	Relays bool
-	// FrontEnvironment is added to the environment of front nodes.
-	FrontEnvironment []string
-	Logger           *log.Logger
+	// Environment is added to the environment of the processes of each kind.
+	Environment map[Kind][]string
+	Logger      *log.Logger
 }
 
 // Fleet is a set of processes under one rig. Its methods are for one goroutine
@@ -167,7 +167,7 @@
 	}
 	started, err := f.spawner.Start(process.Spec{
 		Name: member.Name, Binary: filepath.Join(f.options.Binaries, binary), Args: arguments,
-		LogFile: f.LogFile(member), Folder: f.options.Folder, Environment: f.environment(member),
+		LogFile: f.LogFile(member), Folder: f.options.Folder, Environment: f.options.Environment[member.Kind],
 	})
 	if err != nil {
 		return err
@@ -177,13 +177,6 @@
 	return nil
 }
 
-func (f *Fleet) environment(member *Member) []string {
-	if member.Kind == KindFront {
-		return f.options.FrontEnvironment
-	}
-	return nil
-}
-
 // EmptyData removes the data folder of a member whose process is gone.
 func (f *Fleet) EmptyData(member *Member) error {
 	if p := f.Process(member); p != nil && p.Running() {
--- a/internal/lab/fleet/layout.go
+++ b/internal/lab/fleet/layout.go
@@ -41,7 +41,7 @@
 	var members []*Member
 	add := func(kind Kind, prefix string, count int, change func(*Member, int)) {
 		for i := range count {
-			member := &Member{Name: fmt.Sprintf("%s-%d", prefix, i+1), Kind: kind, Zone: i % sizes.Zones}
+			member := &Member{Name: fmt.Sprintf("%s-%d", prefix, i+1), Kind: kind, Zone: sizes.ZoneOf(i)}
 			change(member, i)
 			members = append(members, member)
 		}
--- a/internal/lab/fleet/settings.go
+++ b/internal/lab/fleet/settings.go
@@ -55,7 +55,7 @@
 
 func (f *Fleet) nodeSettings(member *Member) *protocol.NodeSettings {
 	node := &protocol.NodeSettings{
-		Name: member.Name, Zone: f.options.Sizes.Zone(member.Zone), Region: region,
+		Name: member.Name, Zone: f.options.Sizes.ZoneName(member.Zone), Region: region,
 		InternalAddress: member.Internal, HttpAddress: member.HTTP,
 		Seeds: f.seeds(member), ClusterKeyFile: f.secrets.clusterKeyFile,
 		LogLevel: f.options.LogLevel, StopGraceMillis: stopGraceMillis, AdvertisedAddress: member.Relay,
@@ -100,7 +100,7 @@
 
 func (f *Fleet) backEnd(member *Member) backends.Server {
 	server := backends.Server{
-		ID: member.Name, Address: member.HTTP, Zone: f.options.Sizes.Zone(member.Zone), Region: region,
+		ID: member.Name, Address: member.HTTP, Zone: f.options.Sizes.ZoneName(member.Zone), Region: region,
 		Faults: f.options.Faults,
 	}
 	if member.Tool {
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/rosestand/rosestand/internal/bundle"
 )
@@ -62,6 +63,9 @@
 	Zones        int `json:"zones"`
 	ModelServers int `json:"model_servers"`
 	ToolServers  int `json:"tool_servers"`
+	// ZoneWeights deals the processes of each kind unevenly: of a sum of the weights, each zone gets its weight. Empty deals
+	// them round the zones one by one.
+	ZoneWeights []int `json:"zone_weights,omitempty"`
 }
 
 // Small is the fleet that `rosestand-lab run` brings up.
@@ -102,5 +106,52 @@
 	return fmt.Sprintf("unknown site %q: caroni, menon or both", string(e.Name))
 }
 
-// Zone names the i-th zone; machines are dealt round the zones.
-func (s Sizes) Zone(i int) string { return fmt.Sprintf("zone-%d", i%s.Zones+1) }
+// Faults says what is wrong with sizes that a file gives, in the order of the fields.
+func (s Sizes) Faults() []string {
+	var faults []string
+	required := []struct {
+		name  string
+		value int
+	}{
+		{"voters", s.Voters},
+		{"stores", s.Stores},
+		{"fronts", s.Fronts},
+		{"zones", s.Zones},
+		{"model_servers", s.ModelServers},
+		{"tool_servers", s.ToolServers},
+	}
+	for _, field := range required {
+		if field.value < 1 {
+			faults = append(faults, field.name+" must be 1 or more")
+		}
+	}
+	if s.Standbys < 0 {
+		faults = append(faults, "standbys must not be negative")
+	}
+	if len(s.ZoneWeights) > 0 && (len(s.ZoneWeights) != s.Zones || slices.Min(s.ZoneWeights) < 1) {
+		faults = append(faults, "zone_weights must name a weight of 1 or more for each zone")
+	}
+	return faults
+}
+
+// ZoneOf gives the zone of the i-th process of a kind, counted from 0.
+func (s Sizes) ZoneOf(i int) int {
+	dealt := 0
+	for _, weight := range s.ZoneWeights {
+		dealt += weight
+	}
+	if dealt <= 0 {
+		return i % s.Zones
+	}
+	place := i % dealt
+	for zone, weight := range s.ZoneWeights {
+		if place < weight {
+			return zone
+		}
+		place -= weight
+	}
+	return 0
+}
+
+// ZoneName names a zone that is counted from 0.
+func (s Sizes) ZoneName(zone int) string { return fmt.Sprintf("zone-%d", zone+1) }
