Let a log be read while a new segment waits for the disk

Cause: beginning a segment held the mutex of the log over a sync of the segment before, one of the new file and one of its folder. While a disk stalled, reads and Size waited with the writers, so a store could not say how it was.

Excluded: a sync of the newest segment alone never held the mutex.

Before: the new spec, run on the former log, timed out after its 30 s without an answer. After: go test ./internal/storage, 34 specs pass in 0.2 s; also with -race.

--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -36,8 +36,11 @@
 func (e *FailedError) Unwrap() error { return e.Cause }
 
 // DiskFull says whether the cause was a lack of room.
-func (e *FailedError) DiskFull() bool {
-	return errors.Is(e.Cause, syscall.ENOSPC) || errors.Is(e.Cause, syscall.EDQUOT)
+func (e *FailedError) DiskFull() bool { return IsDiskFull(e.Cause) }
+
+// IsDiskFull says whether an error of this package or of a Filesystem comes from a lack of room.
+func IsDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
 }
 
 // RecordSizeError reports a record that is empty or over LogOptions.MaximumRecordBytes. Nothing was written.
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -68,6 +68,10 @@
 	cut    int64
 	failed error
 	closed bool
+	// sealing is true while the newest segment is finished and the next one created, which may wait for the disk. Writers
+	// wait for sealed meanwhile; readers need not.
+	sealing bool
+	sealed  *sync.Cond
 }
 
 type segmentFile struct {
@@ -101,6 +105,9 @@
 func (l *Log) writeToNewest(record []byte) (position Position, full bool, err error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	for l.sealing {
+		l.sealed.Wait()
+	}
 	if err := l.usable(); err != nil {
 		return Position{}, false, err
 	}
@@ -199,50 +206,81 @@
 	return err
 }
 
+// rotate needs the syncing lock.
 func (l *Log) rotate() (uint64, error) {
 	if err := l.syncNewest(); err != nil {
 		return 0, err
 	}
+	newest, err := l.seal()
+	if err != nil {
+		return 0, err
+	}
+	created, err := l.finishAndCreate(newest)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.sealing = false
+	l.sealed.Broadcast()
+	if err != nil {
+		return 0, err
+	}
+	l.segments = append(l.segments, created)
+	return created.number, nil
+}
+
+// seal keeps writers from the newest segment until it is finished.
+func (l *Log) seal() (*segmentFile, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err := l.usable(); err != nil {
+		return nil, err
+	}
 	// Writers may have come between the sync and the lock.
 	if err := l.flush(); err != nil {
-		return 0, err
+		return nil, err
 	}
-	newest := l.newest()
+	l.sealing = true
+	return l.newest(), nil
+}
+
+// finishAndCreate syncs the sealed segment and creates the one after it. The mutex is not held, so that a disk that stalls
+// holds up no reader.
+func (l *Log) finishAndCreate(newest *segmentFile) (*segmentFile, error) {
 	if newest.written != newest.durable {
 		if err := newest.file.Sync(); err != nil {
-			return 0, l.fail("sync", newest.path, err)
+			return nil, l.failUnlocked("sync", newest.path, err)
 		}
+		l.mutex.Lock()
 		newest.durable = newest.written
+		l.mutex.Unlock()
 	}
-	return newest.number + 1, l.addSegment(newest.number + 1)
+	return l.createSegment(newest.number+1, newest.size)
 }
 
-// addSegment creates a segment with a durable header and name. The mutex is held.
-func (l *Log) addSegment(number uint64) error {
+// createSegment creates a segment with a durable header and name.
+func (l *Log) createSegment(number uint64, previousLength int64) (*segmentFile, error) {
 	path := filepath.Join(l.folder, segmentName(number))
 	file, err := l.filesystem.Create(path)
 	if err != nil {
-		return l.fail("create", path, err)
+		return nil, l.failUnlocked("create", path, err)
 	}
-	var previousLength int64
-	if len(l.segments) > 0 {
-		previousLength = l.newest().size
+	if operation, err := l.beginSegment(file, number, previousLength); err != nil {
+		return nil, errors.CombineErrors(l.failUnlocked(operation, path, err), file.Close())
 	}
-	created := &segmentFile{number: number, path: path, file: file}
-	l.segments = append(l.segments, created)
+	return &segmentFile{
+		number: number, path: path, file: file,
+		written: segmentHeaderBytes, size: segmentHeaderBytes, durable: segmentHeaderBytes,
+	}, nil
+}
+
+// beginSegment makes the header and the name of a new segment durable; it names the operation that failed.
+func (l *Log) beginSegment(file File, number uint64, previousLength int64) (operation string, err error) {
 	if _, err := file.WriteAt(segmentHeader(number, previousLength), 0); err != nil {
-		return l.fail("write", path, err)
+		return "write", err
 	}
 	if err := file.Sync(); err != nil {
-		return l.fail("sync", path, err)
-	}
-	if err := l.filesystem.SyncFolder(l.folder); err != nil {
-		return l.fail("sync folder of", path, err)
+		return "sync", err
 	}
-	created.written, created.size, created.durable = segmentHeaderBytes, segmentHeaderBytes, segmentHeaderBytes
-	return nil
+	return "sync folder of", l.filesystem.SyncFolder(l.folder)
 }
 
 // RemoveBefore deletes the segments with numbers below segment; the newest one stays in any case. The
@@ -348,6 +386,13 @@
 	return l.failed
 }
 
+// failUnlocked is fail for callers that do not hold the mutex.
+func (l *Log) failUnlocked(operation, path string, cause error) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.fail(operation, path, cause)
+}
+
 // fail keeps the first failure. The mutex is held.
 func (l *Log) fail(operation, path string, cause error) error {
 	if l.failed == nil {
--- a/internal/storage/logopen.go
+++ b/internal/storage/logopen.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -20,6 +21,7 @@
 // a segment is absent. What it leaves is synced, so a record once replayed stays.
 func OpenLog(filesystem Filesystem, folder string, options LogOptions) (*Log, error) {
 	log := &Log{filesystem: filesystem, folder: folder, options: options.withDefaults()}
+	log.sealed = sync.NewCond(&log.mutex)
 	if err := filesystem.MakeFolder(folder); err != nil {
 		return nil, err
 	}
@@ -65,7 +67,11 @@
 		}
 	}
 	if len(l.segments) == 0 {
-		return l.addSegment(1)
+		created, err := l.createSegment(1, 0)
+		if err == nil {
+			l.segments = append(l.segments, created)
+		}
+		return err
 	}
 	newest := l.newest()
 	if err := newest.file.Sync(); err != nil {
--- a/internal/storage/simdisk/disk.go
+++ b/internal/storage/simdisk/disk.go
@@ -30,6 +30,7 @@
 type Counters struct {
 	Syncs        int
 	FailedSyncs  int
+	StalledSyncs int
 	PowerLosses  int
 	TornFiles    int
 	LostBytes    int64
@@ -53,8 +54,10 @@
 	capacity    int64
 	syncsToFail int
 	syncsToPass int
-	storageIDs  int
-	counters    Counters
+	// resumed is closed when syncs go on; nil while they are not stalled.
+	resumed    chan struct{}
+	storageIDs int
+	counters   Counters
 }
 
 // nameChange binds a name to a file, or to none, and frees the former name of a renamed file.
@@ -179,6 +182,7 @@
 
 // SyncFolder makes the names in a folder durable.
 func (d *Disk) SyncFolder(path string) error {
+	d.waitWhileStalled()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	path = filepath.Clean(path)
--- a/internal/storage/simdisk/faults.go
+++ b/internal/storage/simdisk/faults.go
@@ -108,6 +108,38 @@
 	d.syncsToPass, d.syncsToFail = pass, count
 }
 
+// StallSyncs makes every sync of a file or folder wait until ResumeSyncs is called.
+func (d *Disk) StallSyncs() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.resumed == nil {
+		d.resumed = make(chan struct{})
+	}
+}
+
+// ResumeSyncs lets the syncs that StallSyncs holds up, and all later ones, go on.
+func (d *Disk) ResumeSyncs() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.resumed != nil {
+		close(d.resumed)
+		d.resumed = nil
+	}
+}
+
+// waitWhileStalled returns once syncs are not held up. The mutex is not held.
+func (d *Disk) waitWhileStalled() {
+	d.mutex.Lock()
+	resumed := d.resumed
+	if resumed != nil {
+		d.counters.StalledSyncs++
+	}
+	d.mutex.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+}
+
 // SetCapacity bounds the bytes of all files; zero takes the bound away.
 func (d *Disk) SetCapacity(bytes int64) {
 	d.mutex.Lock()
--- a/internal/storage/simdisk/file.go
+++ b/internal/storage/simdisk/file.go
@@ -133,6 +133,7 @@
 // Sync makes the content durable. A sync chosen to fail forgets what was dirty, as operating systems do, so that the next one
 // succeeds without it.
 func (h *handle) Sync() error {
+	h.disk.waitWhileStalled()
 	err := h.lock()
 	defer h.disk.mutex.Unlock()
 	if err != nil {
--- /dev/null
+++ b/internal/storage/stall_test.go
@@ -0,0 +1,81 @@
+package storage_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/storage"
+)
+
+// neverWithin bounds the wait for what must come on a machine of any speed.
+const neverWithin = 30 * time.Second
+
+var _ = Describe("A disk that stalls or runs full", func() {
+	It("given a new segment that waits for the disk, when the log is read, then it answers", func() {
+		disk := newDisk(21)
+		log := open(disk, storage.LogOptions{})
+		position, err := log.Write(payload(1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Sync()).To(Succeed())
+
+		disk.StallSyncs()
+		rotated := make(chan error, 1)
+		go func() {
+			_, err := log.Rotate()
+			rotated <- err
+		}()
+		Eventually(func() int { return disk.Counters().StalledSyncs }, neverWithin).Should(BeNumerically(">", 0))
+		read := make(chan string, 1)
+		go func() {
+			record, _ := log.Read(position)
+			_, _ = log.Size(), log.End()
+			read <- string(record)
+		}()
+		Eventually(read, neverWithin).Should(Receive(Equal(string(payload(1)))))
+		Expect(rotated).NotTo(Receive())
+
+		disk.ResumeSyncs()
+		Eventually(rotated, neverWithin).Should(Receive(BeNil()))
+		Expect(log.Close()).To(Succeed())
+	})
+
+	It("given a writer that comes while a new segment waits for the disk, when the disk goes on, then nothing is lost", func() {
+		disk := newDisk(22)
+		log := open(disk, storage.LogOptions{})
+		expected := written(log, 0, 5)
+		Expect(log.Sync()).To(Succeed())
+		disk.StallSyncs()
+		rotated, wrote := make(chan error, 1), make(chan error, 1)
+		go func() {
+			_, err := log.Rotate()
+			rotated <- err
+		}()
+		Eventually(func() int { return disk.Counters().StalledSyncs }, neverWithin).Should(BeNumerically(">", 0))
+		go func() {
+			_, err := log.Write(payload(5))
+			wrote <- err
+		}()
+		disk.ResumeSyncs()
+		Eventually(rotated, neverWithin).Should(Receive(BeNil()))
+		Eventually(wrote, neverWithin).Should(Receive(BeNil()))
+		Expect(log.Sync()).To(Succeed())
+		Expect(log.Close()).To(Succeed())
+		log = open(disk, storage.LogOptions{})
+		Expect(replayed(log)).To(Equal(append(expected, string(payload(5)))))
+		Expect(log.Close()).To(Succeed())
+	})
+
+	It("given room or none, when the room is probed, then it says so and leaves no file", func() {
+		disk := newDisk(23)
+		Expect(disk.MakeFolder(folder)).To(Succeed())
+		disk.SetCapacity(100 << 10)
+		Expect(storage.ProbeSpace(disk, folder, 90<<10)).To(Succeed())
+		err := storage.ProbeSpace(disk, folder, 110<<10)
+		Expect(storage.IsDiskFull(err)).To(BeTrue())
+		Expect(disk.Files(folder)).To(BeEmpty())
+		disk.SetCapacity(0)
+		Expect(storage.ProbeSpace(disk, folder, 110<<10)).To(Succeed())
+	})
+})
