Reopen a store whose disk was full in place of ending the process

Cause: a log that fails takes nothing more, and the store answered a full disk by ending its process, as for any other failed write.

A lack of room is outlived any number of times, another failed write once; a damaged folder ends the process as before.

Registers have segments of 4 MiB.

Excluded: going on with the tables in memory. They are ahead of the disk after a failed write, and a promise from them could be lost.

The specs run each store under its supervisor now.

Conclusion: a full disk costs a store its votes while it is full, and no exit. The space of turns is bounded by their keeping time alone.

--- /dev/null
+++ b/internal/store/disk_test.go
@@ -0,0 +1,139 @@
+package store_test
+
+import (
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// answerOf asks one store only, while time passes, and gives its result or why it has surely not begun.
+func (f *fleet) answerOf(name string, operation *protocol.LedgerOperation) (result *protocol.LedgerResult, refused *failure.Error) {
+	GinkgoHelper()
+	operation.PlacementEpoch = f.epochOf(operation)
+	result = f.await(func() (*protocol.LedgerResult, error) {
+		ctx, cancel := boundedContext()
+		defer cancel()
+		response, err := (&network{fleet: f}).Call(ctx, name, &protocol.Request{Body: &protocol.Request_Ledger{Ledger: operation}})
+		if errors.As(err, &refused) {
+			return nil, nil
+		}
+		return response.GetLedger(), err
+	})
+	return result, refused
+}
+
+func (f *fleet) serving(name string) bool { return f.running(name).Serving() }
+
+func (f *fleet) stillStands(name string) {
+	GinkgoHelper()
+	Expect(f.members[name].failure).NotTo(Receive(), "the process was told to end")
+}
+
+var _ = Describe("a store whose disk fails", func() {
+	It("given a full disk, then the store refuses, stays up, and serves all that was acknowledged once there is room", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		for range 20 {
+			p.takeTurn()
+		}
+		disk := f.members["a"].disk
+		disk.SetCapacity(disk.Used())
+		f.until(func() bool {
+			p.takeTurn()
+			return !f.serving("a")
+		})
+		_, refused := f.answerOf("a", p.reserve())
+		Expect(refused).NotTo(BeNil())
+		Expect(refused.Code()).To(Equal(failure.Unavailable))
+		Expect(refused.Failure.GetOutcome()).To(Equal(protocol.Outcome_NOT_RUN))
+		for range 20 {
+			p.takeTurn()
+		}
+		Expect(f.serving("a")).To(BeFalse())
+		f.stillStands("a")
+
+		disk.SetCapacity(0)
+		f.until(func() bool { return f.serving("a") && f.inForce() })
+		f.setCut("b", true)
+		for range 20 {
+			p.takeTurn()
+		}
+		p.expectKept()
+		f.stillStands("a")
+	})
+
+	It("given a disk that runs full again and again, then nothing acknowledged is lost", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		for round := range 6 {
+			name := f.names[round%len(f.names)]
+			disk := f.members[name].disk
+			disk.SetCapacity(disk.Used() + int64(round)*97)
+			f.until(func() bool {
+				p.takeTurn()
+				return !f.serving(name)
+			})
+			disk.SetCapacity(0)
+			f.until(func() bool { return f.serving(name) && f.inForce() })
+			f.stillStands(name)
+		}
+		for _, cut := range f.names {
+			f.setCut(cut, true)
+			p.expectKept()
+			f.setCut(cut, false)
+		}
+	})
+
+	It("given one failed sync, then the store goes on from what is on the disk; given another, the process ends", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		p.takeTurn()
+		f.members["a"].disk.FailSyncs(0, 1)
+		f.until(func() bool {
+			p.takeTurn()
+			return !f.serving("a")
+		})
+		f.until(func() bool { return f.serving("a") && f.inForce() })
+		f.stillStands("a")
+		f.setCut("c", true)
+		p.takeTurn()
+		p.expectKept()
+		f.setCut("c", false)
+
+		f.members["a"].disk.FailSyncs(0, 1)
+		f.until(func() bool {
+			p.takeTurn()
+			return len(f.members["a"].failure) == 1
+		})
+		Expect(f.serving("a")).To(BeFalse())
+	})
+
+	It("given a disk that stalls, then the store answers what needs no sync, and goes on when the disk does", func() {
+		f := newFleet("a", "b", "c")
+		p := f.program("p")
+		p.takeTurn()
+		disk := f.members["a"].disk
+		disk.StallSyncs()
+		DeferCleanup(disk.ResumeSyncs)
+		f.until(func() bool {
+			p.takeTurn()
+			return disk.Counters().StalledSyncs > 0
+		})
+		for range 10 {
+			p.takeTurn()
+		}
+		Expect(f.running("a").Status().GetRegisters()).To(BeNumerically(">", 0))
+		Expect(f.serving("a")).To(BeTrue())
+
+		disk.ResumeSyncs()
+		f.setCut("b", true)
+		for range 10 {
+			p.takeTurn()
+		}
+		p.expectKept()
+		f.stillStands("a")
+	})
+})
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -12,7 +12,20 @@
 // Unwrap returns the cause.
 func (e *RecordError) Unwrap() error { return e.Cause }
 
-// LogError says that a log of the store failed, for instance on a full disk; the process must stop.
+// StorageReplacedError says that the folder was found damaged when it was opened again, and begins anew under another storage
+// id; the process must stop, since it is known under the former one.
+type StorageReplacedError struct {
+	Cause error
+}
+
+func (e *StorageReplacedError) Error() string {
+	return fmt.Sprintf("the folder has another storage id now: %v", e.Cause)
+}
+
+// Unwrap returns what was found damaged.
+func (e *StorageReplacedError) Unwrap() error { return e.Cause }
+
+// LogError says that a log of the store failed, for instance on a full disk; the store must stop.
 type LogError struct {
 	Log   string
 	Cause error
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -63,16 +63,16 @@
 			return nil, err
 		}
 	}
-	options := storage.LogOptions{SegmentBytes: segmentBytes}
-	folder.registers, err = storage.OpenLog(filesystem, filepath.Join(path, registerFolder), options)
+	registerOptions := storage.LogOptions{SegmentBytes: registerSegmentBytes(segmentBytes)}
+	folder.registers, err = storage.OpenLog(filesystem, filepath.Join(path, registerFolder), registerOptions)
 	if err != nil {
 		return nil, err
 	}
 	if err := folder.requireSnapshot(); err != nil {
 		return nil, errors.CombineErrors(err, folder.registers.Close())
 	}
-	options.CheckedBefore = folder.indexedBefore()
-	folder.turns, err = storage.OpenLog(filesystem, folder.turnPath(), options)
+	turnOptions := storage.LogOptions{SegmentBytes: segmentBytes, CheckedBefore: folder.indexedBefore()}
+	folder.turns, err = storage.OpenLog(filesystem, folder.turnPath(), turnOptions)
 	if err != nil {
 		return nil, errors.CombineErrors(err, folder.registers.Close())
 	}
--- a/internal/store/fx.go
+++ b/internal/store/fx.go
@@ -22,25 +22,34 @@
 // readyCondition is the name under which a store's readiness is shown.
 const readyCondition = "core"
 
+// diskCondition is the name under which a store without a usable disk is shown.
+const diskCondition = "disk"
+
 // Module is the store plane. It provides the folder, the link to the core, the
-// Store and its wire.Handler, and starts and stops them with the process.
+// Supervisor of the store and its wire.Handler, and starts and stops them with the process.
 func Module(settings *protocol.StoreSettings) fx.Option {
 	return fx.Module("store",
 		fx.Supply(settings),
 		fx.Provide(
+			provideOpener,
 			provideFolder,
 			provideIdentity,
 			provideLink,
 			provideStore,
-			func(s *Store) wire.Handler { return s },
+			func(s *Supervisor) wire.Handler { return s },
 		),
 		fx.Invoke(run),
 	)
 }
 
-func provideFolder(settings *protocol.StoreSettings, node *protocol.NodeSettings, logger *log.Logger) (*Folder, error) {
+func provideOpener(settings *protocol.StoreSettings, node *protocol.NodeSettings) FolderOpener {
 	options := Options{Settings: settings}
-	folder, err := OpenFolder(storage.OSFilesystem{}, filepath.Join(node.GetDataFolder(), ledgerFolder), options.segmentBytes())
+	path := filepath.Join(node.GetDataFolder(), ledgerFolder)
+	return func() (*Folder, error) { return OpenFolder(storage.OSFilesystem{}, path, options.segmentBytes()) }
+}
+
+func provideFolder(open FolderOpener, logger *log.Logger) (*Folder, error) {
+	folder, err := open()
 	if err != nil {
 		return nil, err
 	}
@@ -77,10 +86,10 @@
 }
 
 func provideStore(
-	settings *protocol.StoreSettings, self identity, folder *Folder, caller wire.Caller, link *corelink.Link,
+	settings *protocol.StoreSettings, self identity, folder *Folder, open FolderOpener, caller wire.Caller, link *corelink.Link,
 	logger *log.Logger, registerer prometheus.Registerer, process *daemon.Process,
-) (*Store, error) {
-	return New(Options{
+) (*Supervisor, error) {
+	return NewSupervisor(Options{
 		Self:       proto.CloneOf(self.node),
 		Caller:     caller,
 		Core:       link,
@@ -89,10 +98,10 @@
 		Registerer: registerer,
 		Fatal:      process.Fail,
 		Seed:       self.node.GetIncarnation(),
-	}, folder)
+	}, folder, open)
 }
 
-func run(lifecycle fx.Lifecycle, store *Store, link *corelink.Link, process *daemon.Process) {
+func run(lifecycle fx.Lifecycle, store *Supervisor, link *corelink.Link, process *daemon.Process) {
 	link.Subscribe(func(*corelink.View) { store.ViewChanged() })
 	process.Readiness.AddCheck(readyCondition, func() string {
 		if !link.Ready() {
@@ -100,6 +109,12 @@
 		}
 		return ""
 	})
+	process.Readiness.AddCheck(diskCondition, func() string {
+		if !store.Serving() {
+			return "the store waits for its disk"
+		}
+		return ""
+	})
 	process.OnDrain("store", func(context.Context) error {
 		link.SetDraining(true)
 		return nil
--- a/internal/store/maintain.go
+++ b/internal/store/maintain.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosestand/rosestand/internal/register"
+	"github.com/rosestand/rosestand/internal/storage"
 )
 
 // maintain writes snapshots, collects what need not be kept and keeps the gauges, once in a while.
@@ -16,11 +17,11 @@
 		s.ViewChanged()
 		held := s.counts()
 		s.metrics.observe(held)
-		if err := s.saveSnapshots(held); err != nil {
+		now := s.options.Clock.Now()
+		if err := s.saveSnapshots(held, now); err != nil {
 			s.failUnlessStopped(err)
 			return
 		}
-		now := s.options.Clock.Now()
 		if now.Before(collectAt) {
 			continue
 		}
@@ -40,9 +41,23 @@
 	}
 }
 
-// saveSnapshots writes what a start would otherwise read from long logs.
-func (s *Store) saveSnapshots(held counts) error {
-	if s.folder.registers.Size() > max(snapshotSegments*s.options.segmentBytes(), snapshotGrowth*held.registerBytes) {
+// saveSnapshots writes what a start would otherwise read from long logs. A snapshot for which there is no room is tried again
+// later: the logs still take records, and hold all that it would.
+func (s *Store) saveSnapshots(held counts, now time.Time) error {
+	if now.Before(s.snapshotsAfter) {
+		return nil
+	}
+	err := s.saveDueSnapshots(held)
+	if !storage.IsDiskFull(err) || s.logFailed() {
+		return err
+	}
+	s.snapshotsAfter = now.Add(snapshotRetry)
+	s.options.Logger.Warn("no room for a snapshot", "error", err)
+	return nil
+}
+
+func (s *Store) saveDueSnapshots(held counts) error {
+	if s.folder.registers.Size() > max(snapshotSegments*s.options.registerSegmentBytes(), snapshotGrowth*held.registerBytes) {
 		if err := s.saveRegisters(); err != nil {
 			return err
 		}
@@ -54,6 +69,11 @@
 	return nil
 }
 
+// logFailed reports whether one of the logs takes no records any more.
+func (s *Store) logFailed() bool {
+	return s.folder.registers.Failed() != nil || s.folder.turns.Failed() != nil
+}
+
 // failUnlessStopped ends the store unless the error only says that it stops already.
 func (s *Store) failUnlessStopped(err error) {
 	var stopped *StoppedError
--- a/internal/store/options.go
+++ b/internal/store/options.go
@@ -29,8 +29,12 @@
 
 // Defaults of Options.
 const (
-	DefaultGroups        = 8
-	DefaultSegmentBytes  = 16 << 20
+	DefaultGroups       = 8
+	DefaultSegmentBytes = 16 << 20
+	// DefaultRegisterSegmentBytes bounds the segments of the log of registers, which is rewritten as a snapshot when it has
+	// grown by two of them.
+	DefaultRegisterSegmentBytes = 4 << 20
+
 	DefaultCopyBytes     = 64 << 20
 	DefaultScrubInterval = 10 * time.Minute
 	DefaultPeerTimeout   = time.Second
@@ -44,7 +48,9 @@
 	// and is so many times larger than what it holds.
 	snapshotSegments = 2
 	snapshotGrowth   = 4
-	collectInterval  = 5 * time.Second
+	// snapshotRetry is the pause before a snapshot is tried again that had no room.
+	snapshotRetry   = 30 * time.Second
+	collectInterval = 5 * time.Second
 	// collectAllInterval bounds how long expired turns stay in the index when no segment can be removed.
 	collectAllInterval = time.Minute
 	forgetInterval     = 30 * time.Second
@@ -71,6 +77,8 @@
 	Registerer  prometheus.Registerer
 	// Fatal is told of an error that the store cannot outlive, such as a failed sync.
 	Fatal func(error)
+	// metrics, when set, are counted on in place of new ones.
+	metrics *metrics
 	// Seed makes backoff repeatable in tests.
 	Seed uint64
 }
@@ -94,6 +102,9 @@
 	if o.Registerer == nil {
 		o.Registerer = prometheus.NewRegistry()
 	}
+	if o.metrics == nil {
+		o.metrics = newMetrics(o.Registerer)
+	}
 	if o.Fatal == nil {
 		logger := o.Logger
 		o.Fatal = func(err error) { logger.Error("store failed", "error", err) }
@@ -107,6 +118,15 @@
 	return DefaultSegmentBytes
 }
 
+func (o *Options) registerSegmentBytes() int64 {
+	return registerSegmentBytes(o.segmentBytes())
+}
+
+// registerSegmentBytes gives the size of a segment of registers beside segments of turns of a size.
+func registerSegmentBytes(turnSegmentBytes int64) int64 {
+	return min(turnSegmentBytes, DefaultRegisterSegmentBytes)
+}
+
 func (o *Options) copyBytesPerSecond() uint64 {
 	if bytes := o.Settings.GetCopyBytesPerSecond(); bytes > 0 {
 		return bytes
--- /dev/null
+++ b/internal/store/space_test.go
@@ -0,0 +1,83 @@
+package store
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/register"
+	"github.com/rosestand/rosestand/internal/storage/simdisk"
+)
+
+const (
+	smallDiskBytes = 64 << 20
+	// registerSpaceBytes is what registers that are rewritten for ever may take on the disk when they hold little.
+	registerSpaceBytes = 16 << 20
+	valueBytes         = 1 << 10
+	changesASecond     = 2000
+	changedRegisters   = 200
+	secondsOfChanges   = 60
+)
+
+// stoppedClock stands still, so that a store does by itself nothing that depends on the time.
+type stoppedClock struct{}
+
+func (stoppedClock) Now() time.Time { return time.Unix(1_800_000_000, 0) }
+
+func (stoppedClock) AfterFunc(time.Duration, func()) func() { return func() {} }
+
+// rewrite changes registers over and over and waits until all of it is durable.
+func rewrite(t *testing.T, s *Store, second int) {
+	t.Helper()
+	durable := make(chan struct{}, changesASecond)
+	for change := range changesASecond {
+		key := registerKey{program: fmt.Sprintf("program-%d", change%changedRegisters)}
+		group := s.group(0)
+		group.mailbox.post(func() {
+			table := group.table(0)
+			state := register.State{Value: make([]byte, valueBytes)}
+			state.Accepted.Counter = uint64(second*changesASecond + change)
+			group.put(table, key, table.entry(key), state, func() { durable <- struct{}{} })
+		})
+	}
+	for range changesASecond {
+		<-durable
+	}
+}
+
+func TestRegistersThatChangeForEverFitASmallDisk(t *testing.T) {
+	disk := simdisk.New(rand.New(rand.NewPCG(1, 1)))
+	disk.SetCapacity(smallDiskBytes)
+	folder, err := OpenFolder(disk, "data", DefaultSegmentBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(Options{
+		Self: &protocol.Node{Name: "a"}, Core: idleCore{}, Clock: stoppedClock{}, Logger: log.New(io.Discard),
+		Fatal: func(err error) { t.Errorf("the store failed: %v", err) },
+	}, folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Start()
+	largest := int64(0)
+	for second := range secondsOfChanges {
+		rewrite(t, s, second)
+		largest = max(largest, disk.Used())
+		if err := s.saveSnapshots(s.counts(), s.options.Clock.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes at most for %d MiB written", largest, secondsOfChanges*changesASecond*valueBytes>>20)
+	if largest > registerSpaceBytes {
+		t.Errorf("the store filled %d bytes, more than %d", largest, int64(registerSpaceBytes))
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -33,6 +33,8 @@
 	indexedSegment uint64
 	// collectAllAt is when expired turns are dropped from the index although no segment can be removed.
 	collectAllAt time.Time
+	// snapshotsAfter is when snapshots may be tried again that had no room.
+	snapshotsAfter time.Time
 	// turnsDamaged says that the log of turns was found damaged, so that no index may spare a start to read it.
 	turnsDamaged atomic.Bool
 
@@ -58,7 +60,7 @@
 		options:      options,
 		folder:       folder,
 		watch:        newPlacementWatch(options.Core, options.Self),
-		metrics:      newMetrics(options.Registerer),
+		metrics:      options.metrics,
 		proposerName: proposerName(options.Self.GetName(), folder),
 		ctx:          ctx,
 		cancel:       cancel,
@@ -149,7 +151,7 @@
 // for the failed write is ever answered.
 func (s *Store) fail(err error) {
 	s.failOnce.Do(func() {
-		s.options.Logger.Error("store failed; the process must stop", "error", err)
+		s.options.Logger.Error("store failed", "error", err)
 		s.options.Fatal(err)
 	})
 }
