Notice within a second that the ledger is out of reach, and go by way of another front node

Cause: a front node that is cut off from the stores took turns in and let each wait for its operations: 3 s for every one (LEDGER_UNAVAILABLE after 3 s three times out of three, a trial with three silent replicas on the code before), for as long as the cut lasted, and stayed ready.

Change: the client of the ledger notices for each shard, from its own operations, that replicas (0.5 s) or all ways (1 s) answer nothing. Operations go by way of another front node meanwhile; without a way, what would begin something ends at once and the front plane refuses turns with 503, Retry-After and the outcome not run before anything is sent. What ends a turn goes on trying. Probes only reach for shards that are out and, in a silence of a second, one more. A node is not ready when no way is left and at most half of the three front nodes that it asks answer: stores that are down do not make the fleet unready.

Excluded: handing sessions over (needs the ledger itself for the epoch, fences turns under way), being unready at once (all nodes at the same time when stores are down), the core's word (a store's lease does not say who reaches it).

Figures, in virtual time, go test -race -count=20 -cpu 1,2,8 ./internal/ledgerclient, ok: the first operation after a cut is answered within 1.5 s by way of another node, later ones within 20 ms; without a way the first ends within 1.5 s and later ones after 0 s; both are known to have ended 1.5 s after the cut is mended; 5 to 10 probes in 10 s without traffic, at most 200 messages while cut off.

Conclusion: a cut front node serves over its peers, or says within a second that it cannot.

--- a/internal/front/dependencies.go
+++ b/internal/front/dependencies.go
@@ -24,6 +24,12 @@
 type Ledger interface {
 	// Do carries out one operation; the result is LEDGER_UNAVAILABLE when no majority answered in time.
 	Do(ctx context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error)
+	// DoDirectly carries one operation out for another front node that the stores do not answer.
+	DoDirectly(ctx context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error)
+	// Unreachable reports whether operations on a program have gone unanswered for a while.
+	Unreachable(program string) bool
+	// CutOff reports whether the ledger is out of reach for this front node, but not for most others.
+	CutOff() bool
 }
 
 // Grant is the permission to act as owner of a session for one turn or call.
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -89,3 +89,6 @@
 	}
 	return fault.outcome()
 }
+
+// NotReady says why a front node should get no connections; empty when it should.
+func NotReady(service *Service) string { return service.notReady() }
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -59,8 +60,22 @@
 	return manager
 }
 
-func provideLedger(caller wire.Caller, link *corelink.Link) *ledgerclient.Client {
-	return ledgerclient.New(caller, link.View, ledgerclient.Options{})
+func provideLedger(lifecycle fx.Lifecycle, process *daemon.Process, caller wire.Caller, link *corelink.Link) *ledgerclient.Client {
+	client := ledgerclient.New(caller, link.View, ledgerclient.Options{Self: process.Self})
+	ctx, cancel := context.WithCancel(context.Background())
+	var probes sync.WaitGroup
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			probes.Go(func() { client.Run(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			probes.Wait()
+			return nil
+		},
+	})
+	return client
 }
 
 func provideService(process *daemon.Process, link *corelink.Link, ledger *ledgerclient.Client, manager *ownership.Manager,
--- a/internal/front/ledgeroperations.go
+++ b/internal/front/ledgeroperations.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -30,6 +31,25 @@
 	return result
 }
 
+// refuseUnreachable refuses what needs the ledger while that is out of reach: nothing has been sent anywhere, and
+// the caller hears at once when to come back. It is nil while the ledger answers.
+func (s *Service) refuseUnreachable(program string) *protocol.Failure {
+	if !s.ledger.Unreachable(program) {
+		return nil
+	}
+	return failure.New(failure.LedgerUnavailable, protocol.Outcome_NOT_RUN, "the ledger is out of reach",
+		failure.WithRetryAfter(repairRetry)).Failure
+}
+
+// serveLedger carries an operation out for another front node.
+func (s *Service) serveLedger(ctx context.Context, operation *protocol.LedgerOperation, send func(*protocol.Response) error) error {
+	result, err := s.ledger.DoDirectly(ctx, operation)
+	if err != nil {
+		return err
+	}
+	return send(&protocol.Response{Body: &protocol.Response_Ledger{Ledger: result}})
+}
+
 // readTurns follows a conversation back from its last turn, oldest turn first.
 func (s *Service) readTurns(ctx context.Context, program, lastTurn string) ([]*protocol.Turn, protocol.LedgerStatus) {
 	var newestFirst []*protocol.Turn
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -85,6 +85,8 @@
 	mutex sync.Mutex
 	// down makes every operation unavailable; seen counts them by kind.
 	down bool
+	// unreachable is what the client says of every program, and cutOff of its front node.
+	unreachable, cutOff atomic.Bool
 	// holdRefusals, when set, keeps tombstones back until it is closed.
 	holdRefusals chan struct{}
 	// intercept, when set, may answer an operation in the ledger's place; nil lets it through.
@@ -135,6 +137,17 @@
 	return result, nil
 }
 
+// DoDirectly carries an operation out for another front node.
+func (l *memoryLedger) DoDirectly(ctx context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	return l.Do(ctx, operation)
+}
+
+// Unreachable reports what the story says.
+func (l *memoryLedger) Unreachable(string) bool { return l.unreachable.Load() }
+
+// CutOff reports what the story says.
+func (l *memoryLedger) CutOff() bool { return l.cutOff.Load() }
+
 // read follows a chain within one program, as stores do.
 func (l *memoryLedger) read(program string, read *protocol.ReadTurns) *protocol.LedgerResult {
 	result := ledger.Answer(protocol.LedgerStatus_LEDGER_OK)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -198,6 +198,8 @@
 		return "no lease or no fresh view yet"
 	case s.policies.Load().active.Bundle() == nil:
 		return "no bundle is in force"
+	case s.ledger.CutOff():
+		return "cut off from the ledger and from the front nodes that reach it"
 	default:
 		return ""
 	}
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -219,6 +219,10 @@
 }
 
 func (r *callRun) admit() turn.Event {
+	if refused := r.refuseUnreachable(); refused != nil {
+		r.explanation.step("not admitted", refused.GetMessage())
+		return turn.NotAdmitted{Failure: refused}
+	}
 	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), r.ticket())
 	if refused != nil {
 		r.explanation.step("not admitted", refused.GetMessage())
@@ -227,6 +231,24 @@
 	return turn.Admitted{}
 }
 
+// refuseUnreachable refuses a call that needs the ledger while that is out of reach.
+func (r *callRun) refuseUnreachable() *protocol.Failure {
+	refused := r.service.refuseUnreachable(r.key.program)
+	if refused == nil || !r.needsLedger() {
+		return nil
+	}
+	return refused
+}
+
+// needsLedger reports whether the call is recorded in the ledger, or its session's epoch is not held yet.
+func (r *callRun) needsLedger() bool {
+	if r.request.GetHttp() != nil {
+		return false
+	}
+	held := r.service.sessions.claimOf(r.key, r.request.GetTenant(), r.grant.Incarnation())
+	return r.route.GetNonRepeatable() || !held.known
+}
+
 func (r *callRun) ticket() limit.Ticket {
 	if routed := r.request.GetHttp(); routed != nil {
 		return routedTicket(routed, r.request.GetTenant(), r.deadline, r.now())
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -40,6 +40,10 @@
 }
 
 func (r *turnRun) admit() turn.Event {
+	if refused := r.refuseUnreachable(); refused != nil {
+		r.explanation.step("not admitted", refused.GetMessage())
+		return turn.NotAdmitted{Failure: refused}
+	}
 	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), r.ticket())
 	if refused != nil {
 		r.explanation.step("not admitted", refused.GetMessage())
@@ -49,6 +53,14 @@
 	return turn.Admitted{}
 }
 
+// refuseUnreachable refuses a turn that needs the ledger while that is out of reach.
+func (r *turnRun) refuseUnreachable() *protocol.Failure {
+	if !r.machine.IsLedgered() {
+		return nil
+	}
+	return r.service.refuseUnreachable(r.key.program)
+}
+
 func (r *turnRun) ticket() limit.Ticket {
 	if routed := r.request.GetHttp(); routed != nil {
 		return routedTicket(routed, r.request.GetTenant(), r.deadline, r.now())
--- a/internal/front/wirehandler.go
+++ b/internal/front/wirehandler.go
@@ -8,7 +8,8 @@
 )
 
 // Serve answers the requests of peers: turns and calls to be run as owner,
-// directory requests, explanations and where the core is.
+// directory requests, explanations, where the core is, and operations of the
+// ledger for front nodes that do not reach the stores.
 func (s *Service) Serve(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
 	switch body := request.GetBody().(type) {
 	case *protocol.Request_Turn:
@@ -17,6 +18,8 @@
 		return s.serveResume(ctx, body.ResumeTurn, send)
 	case *protocol.Request_ToolCall:
 		return s.serveCall(ctx, body.ToolCall, send)
+	case *protocol.Request_Ledger:
+		return s.serveLedger(ctx, body.Ledger, send)
 	case *protocol.Request_Explain:
 		return send(&protocol.Response{Body: &protocol.Response_Explain{Explain: &protocol.ExplainResponse{
 			Explanations: s.explanations.of(body.Explain.GetRequestId()),
--- a/internal/ledgerclient/attempt.go
+++ b/internal/ledgerclient/attempt.go
@@ -48,6 +48,7 @@
 	planned.PlacementEpoch = to.epoch
 	response, err := c.caller.Call(ctx, to.address, &protocol.Request{Body: &protocol.Request_Ledger{Ledger: planned}})
 	silence.Stop()
+	c.noteRelay(to, err)
 	if err != nil {
 		if endsWithCaller && errors.Is(err, context.DeadlineExceeded) {
 			return attemptAnswer{outcome: attemptOutOfTime, err: err}
@@ -67,6 +68,7 @@
 		return attemptAnswer{outcome: attemptUndecided}
 	default:
 		c.suspects.clear(to.address)
+		c.noteAnswer(to, operation)
 		if !ledger.IsRead(operation) {
 			c.hedges.note(to.address, time.Now())
 		}
@@ -74,6 +76,23 @@
 	}
 }
 
+// noteRelay remembers that another front node answered, be it with a failure.
+func (c *Client) noteRelay(to target, err error) {
+	var answered *failure.Error
+	if to.relay && (err == nil || errors.As(err, &answered)) {
+		c.relays.note(to.address, time.Now())
+	}
+}
+
+// noteAnswer remembers that the shard of an operation answered.
+func (c *Client) noteAnswer(to target, operation *protocol.LedgerOperation) {
+	shard, now := c.shardOf(operation), time.Now()
+	c.shards.answered(shard, now)
+	if !to.relay {
+		c.replicas.answered(shard, now)
+	}
+}
+
 // silenceOf is how long a replica may be silent before it is suspected: longer than until the
 // next one is asked, so that a store that is only slow keeps its programs.
 func silenceOf(hedgeAfter time.Duration) time.Duration { return 2 * hedgeAfter }
--- a/internal/ledgerclient/client.go
+++ b/internal/ledgerclient/client.go
@@ -3,11 +3,15 @@
 // silent, and tries again, with growing random waits, until an answer is final or the context ends. Every operation is
 // idempotent under its identifiers, so trying again is safe whatever became of the try before.
 //
+// While no replica of a shard answers this front node, operations go by way of other front nodes. A shard that answers
+// by no way is unreachable: what would begin something fails at once until probes find that it answers again.
+//
 // Source: design page, program ledger.
 package ledgerclient
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosestand/rosestand/internal/corelink"
@@ -25,6 +29,8 @@
 	longestWait           = 250 * time.Millisecond
 	// releaseTime is what the marking of a refused reservation may take beyond the caller's deadline.
 	releaseTime = 2 * time.Second
+	// relayedTimeout bounds what is done for another front node, which asks elsewhere then.
+	relayedTimeout = 300 * time.Millisecond
 )
 
 // Options configure a Client; zero values stand for the defaults.
@@ -36,6 +42,9 @@
 	HedgeAfter time.Duration
 	// Deadline bounds an operation whose context has none.
 	Deadline time.Duration
+	// Self is the front node that asks. While the replicas of a shard do not answer it, operations go by way of
+	// other front nodes; without a Self they do not.
+	Self *protocol.Node
 	// Wait returns after the time or when the context ends; tests replace it.
 	Wait func(ctx context.Context, wait time.Duration)
 }
@@ -48,6 +57,14 @@
 	// suspects are tried last for a while.
 	suspects suspects
 	hedges   *hedges
+	// replicas knows which shards do not answer to this front node, shards which do not answer by any way.
+	replicas *outages
+	shards   *outages
+	relays   *relays
+	// watched is true while Run probes shards.
+	watched atomic.Bool
+	// firstProbed is the first shard of the next round of probes; it belongs to Run.
+	firstProbed uint32
 }
 
 // New makes a client that reads placement and addresses from view.
@@ -64,7 +81,11 @@
 	if options.Wait == nil {
 		options.Wait = waitFor
 	}
-	return &Client{caller: caller, view: view, options: options, hedges: newHedges(time.Now())}
+	now := time.Now()
+	return &Client{
+		caller: caller, view: view, options: options, hedges: newHedges(now),
+		replicas: newOutages(replicaOutageAfter, now), shards: newOutages(shardOutageAfter, now), relays: newRelays(),
+	}
 }
 
 func waitFor(ctx context.Context, wait time.Duration) {
@@ -84,19 +105,41 @@
 // run before Do returns, so that no late copy of it takes effect. Before a turn
 // is settled that continues one of another program, that one is kept as long.
 func (c *Client) Do(ctx context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	return c.do(ctx, operation, raceOptions{patient: endsSomething(operation)})
+}
+
+// DoDirectly carries an operation out for another front node: as Do does, but by asking replicas only. The answer
+// is LEDGER_UNAVAILABLE at once when they do not answer this front node either.
+func (c *Client) DoDirectly(ctx context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayedTimeout)
+	defer cancel()
+	return c.do(ctx, operation, raceOptions{directly: true})
+}
+
+// endsSomething reports whether an operation ends what has begun, so that it is worth waiting for the ledger.
+func endsSomething(operation *protocol.LedgerOperation) bool {
+	switch operation.GetBody().(type) {
+	case *protocol.LedgerOperation_SettleTurn, *protocol.LedgerOperation_ReleaseTurn, *protocol.LedgerOperation_FinishCall:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Client) do(ctx context.Context, operation *protocol.LedgerOperation, options raceOptions) (*protocol.LedgerResult, error) {
 	if _, bounded := ctx.Deadline(); !bounded {
 		limited, cancel := context.WithTimeout(ctx, c.options.Deadline)
 		defer cancel()
 		ctx = limited
 	}
-	if status, err := c.prolongForeignChain(ctx, operation); status != protocol.LedgerStatus_LEDGER_OK {
+	if status, err := c.prolongForeignChain(ctx, operation, options); status != protocol.LedgerStatus_LEDGER_OK {
 		return ledger.Answer(status), err
 	}
-	result, doubtful, err := c.try(ctx, operation)
+	result, doubtful, err := c.run(ctx, operation, options)
 	if err != nil || !doubtful || !isRefusedReservation(operation.GetReserveTurn(), result) {
 		return result, err
 	}
-	return c.confirmRefusal(ctx, operation, result)
+	return c.confirmRefusal(ctx, operation, result, options)
 }
 
 // isRefusedReservation reports whether a reservation has not taken effect
@@ -124,19 +167,21 @@
 
 // confirmRefusal releases the request, which marks it as not run. When that
 // cannot be done the answer is LEDGER_UNAVAILABLE: nothing may be claimed.
-func (c *Client) confirmRefusal(ctx context.Context, operation *protocol.LedgerOperation, refusal *protocol.LedgerResult) (*protocol.LedgerResult, error) {
+func (c *Client) confirmRefusal(ctx context.Context, operation *protocol.LedgerOperation, refusal *protocol.LedgerResult,
+	options raceOptions,
+) (*protocol.LedgerResult, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
 	defer cancel()
 	reserve := operation.GetReserveTurn()
-	released, _, err := c.try(ctx, releaseOf(operation.GetProgram(), reserve, refusal.GetEpoch()))
+	released, _, err := c.run(ctx, releaseOf(operation.GetProgram(), reserve, refusal.GetEpoch()), options)
 	if err == nil && released.GetStatus() == protocol.LedgerStatus_LEDGER_FENCED && reserve.GetClaim() != nil {
 		// A late copy would claim the session once more, so the epoch does not keep it out.
-		released, _, err = c.try(ctx, &protocol.LedgerOperation{
+		released, _, err = c.run(ctx, &protocol.LedgerOperation{
 			Program: operation.GetProgram(),
 			Body: &protocol.LedgerOperation_RefuseRequest{RefuseRequest: &protocol.RefuseRequest{
 				RequestId: reserve.GetRequestId(), Session: reserve.GetSession(),
 			}},
-		})
+		}, options)
 	}
 	if err != nil {
 		return nil, err
@@ -151,16 +196,16 @@
 
 // prolongForeignChain keeps the turns of other programs that a turn continues as long as the
 // turn itself. That some are gone is no reason not to settle a turn that has run.
-func (c *Client) prolongForeignChain(ctx context.Context, operation *protocol.LedgerOperation) (protocol.LedgerStatus, error) {
+func (c *Client) prolongForeignChain(ctx context.Context, operation *protocol.LedgerOperation, options raceOptions) (protocol.LedgerStatus, error) {
 	turn := operation.GetSettleTurn().GetTurn()
 	until := turn.GetKeepUntilMillis()
 	for turn.GetPreviousProgram() != "" && turn.GetPreviousProgram() != turn.GetProgram() {
-		result, _, err := c.try(ctx, &protocol.LedgerOperation{
+		result, _, err := c.run(ctx, &protocol.LedgerOperation{
 			Program: turn.GetPreviousProgram(),
 			Body: &protocol.LedgerOperation_ProlongTurns{ProlongTurns: &protocol.ProlongTurns{
 				LastTurn: turn.GetPreviousTurn(), KeepUntilMillis: until,
 			}},
-		})
+		}, options)
 		switch {
 		case err != nil:
 			return protocol.LedgerStatus_LEDGER_UNAVAILABLE, err
--- /dev/null
+++ b/internal/ledgerclient/outage_test.go
@@ -0,0 +1,286 @@
+package ledgerclient_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/ledgerclient"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+const (
+	// knownWithin is how soon a front node has to know of a cut, and of its end.
+	knownWithin = 1500 * time.Millisecond
+	// atOnce is what an answer may take that waits for nobody.
+	atOnce = 20 * time.Millisecond
+	// callTimeout is how long the front plane waits for one operation.
+	callTimeout = 3 * time.Second
+)
+
+// frontFleet is three front nodes and three stores in memory. Messages over a cut link are lost.
+type frontFleet struct {
+	mutex sync.Mutex
+	// cut names the links that lose messages, as "from>to".
+	cut map[string]bool
+	// sent counts the messages over each link.
+	sent    map[string]int
+	clients map[string]*ledgerclient.Client
+}
+
+// frontLink is the network as one front node sees it.
+type frontLink struct {
+	fleet *frontFleet
+	from  string
+}
+
+func newFrontFleet(ctx context.Context) *frontFleet {
+	fleet := &frontFleet{cut: map[string]bool{}, sent: map[string]int{}, clients: map[string]*ledgerclient.Client{}}
+	view := viewOf(7, "a", "b", "c")
+	for _, name := range []string{"f1", "f2", "f3"} {
+		view.Membership.Nodes = append(view.Membership.Nodes, &protocol.Node{Name: name, Kind: protocol.NodeKind_FRONT, Address: name})
+	}
+	for _, name := range []string{"f1", "f2", "f3"} {
+		fleet.clients[name] = ledgerclient.New(&frontLink{fleet: fleet, from: name}, func() *corelink.View { return view },
+			ledgerclient.Options{Self: &protocol.Node{Name: name}})
+		go fleet.clients[name].Run(ctx)
+	}
+	return fleet
+}
+
+// change cuts links or mends them.
+func (f *frontFleet) change(isCut bool, from string, to ...string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, each := range to {
+		f.cut[from+">"+each] = isCut
+	}
+}
+
+// sentBy counts the messages that a front node has sent.
+func (f *frontFleet) sentBy(from string, to ...string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	total := 0
+	for _, each := range to {
+		total += f.sent[from+">"+each]
+	}
+	return total
+}
+
+func (l *frontLink) Call(ctx context.Context, address string, request *protocol.Request) (*protocol.Response, error) {
+	link := l.from + ">" + address
+	l.fleet.mutex.Lock()
+	l.fleet.sent[link]++
+	isCut := l.fleet.cut[link]
+	l.fleet.mutex.Unlock()
+	if isCut {
+		<-ctx.Done()
+		return nil, &wire.BrokenError{Address: address, Cause: ctx.Err()}
+	}
+	result := &protocol.LedgerResult{Status: ok}
+	if peer := l.fleet.clients[address]; peer != nil {
+		var err error
+		if result, err = peer.DoDirectly(ctx, request.GetLedger()); err != nil {
+			return nil, err
+		}
+	}
+	return &protocol.Response{Body: &protocol.Response_Ledger{Ledger: result}}, nil
+}
+
+func (l *frontLink) Open(context.Context, string, *protocol.Request) (wire.Stream, error) {
+	return nil, errors.New("not streamed")
+}
+
+// do carries an operation out as the front plane does and measures it.
+func (f *frontFleet) do(t *testing.T, name string, operation *protocol.LedgerOperation) (protocol.LedgerStatus, time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	began := time.Now()
+	result, err := f.clients[name].Do(ctx, operation)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.GetStatus(), time.Since(began)
+}
+
+func (f *frontFleet) expect(t *testing.T, name string, status protocol.LedgerStatus, within time.Duration) {
+	t.Helper()
+	if got, took := f.do(t, name, reserve); got != status || took > within {
+		t.Errorf("%s: got %v after %v, wanted %v within %v", name, got, took, status, within)
+	}
+}
+
+func (f *frontFleet) expectState(t *testing.T, name string, unreachable, cutOff bool) {
+	t.Helper()
+	client := f.clients[name]
+	if client.Unreachable("p") != unreachable || client.CutOff() != cutOff {
+		t.Errorf("%s: unreachable %t, cut off %t, wanted %t and %t", name, client.Unreachable("p"), client.CutOff(), unreachable, cutOff)
+	}
+}
+
+// inFleet runs a story in virtual time.
+func inFleet(t *testing.T, story func(t *testing.T, fleet *frontFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			// Attempts outlive their operations; they end by themselves.
+			time.Sleep(callTimeout)
+		}()
+		story(t, newFrontFleet(ctx))
+	})
+}
+
+var (
+	stores = []string{"at-a", "at-b", "at-c"}
+	settle = &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: &protocol.SettleTurn{RequestId: "r"}}}
+)
+
+func TestAFrontNodeThatIsCutOffFromTheStoresGoesByWayOfAnotherOne(t *testing.T) {
+	inFleet(t, func(t *testing.T, fleet *frontFleet) {
+		fleet.expect(t, "f1", ok, atOnce)
+		fleet.change(true, "f1", stores...)
+		fleet.expect(t, "f1", ok, knownWithin)
+		before := fleet.sentBy("f1", stores...)
+		for range 5 {
+			fleet.expect(t, "f1", ok, atOnce)
+			fleet.expectState(t, "f1", false, false)
+		}
+		if more := fleet.sentBy("f1", stores...) - before; more > 0 {
+			t.Errorf("%d more operations were sent over the cut", more)
+		}
+		time.Sleep(10 * time.Second)
+		fleet.expect(t, "f1", ok, atOnce)
+
+		fleet.change(false, "f1", stores...)
+		time.Sleep(knownWithin)
+		before = fleet.sentBy("f1", "f2", "f3")
+		fleet.expect(t, "f1", ok, atOnce)
+		if more := fleet.sentBy("f1", "f2", "f3") - before; more > 0 {
+			t.Error("goes by way of others after the cut was mended")
+		}
+	})
+}
+
+func TestAFrontNodeThatReachesNeitherStoresNorOthersIsCutOff(t *testing.T) {
+	inFleet(t, func(t *testing.T, fleet *frontFleet) {
+		fleet.expect(t, "f1", ok, atOnce)
+		everybody := append([]string{"f2", "f3"}, stores...)
+		fleet.change(true, "f1", everybody...)
+		fleet.expect(t, "f1", unavailable, knownWithin)
+		fleet.expectState(t, "f1", true, true)
+		fleet.expect(t, "f1", unavailable, 0)
+		if status, took := fleet.do(t, "f1", settle); status != unavailable || took < callTimeout {
+			t.Errorf("a turn that ran is given up with %v after %v", status, took)
+		}
+		time.Sleep(20 * time.Second)
+		fleet.expectState(t, "f1", true, true)
+		fleet.expectState(t, "f2", false, false)
+
+		fleet.change(false, "f1", everybody...)
+		time.Sleep(knownWithin)
+		fleet.expectState(t, "f1", false, false)
+		fleet.expect(t, "f1", ok, atOnce)
+	})
+}
+
+func TestFrontNodesAreNotCutOffWhenTheStoresAreDown(t *testing.T) {
+	inFleet(t, func(t *testing.T, fleet *frontFleet) {
+		names := []string{"f1", "f2", "f3"}
+		for _, name := range names {
+			fleet.change(true, name, stores...)
+		}
+		fleet.expect(t, "f1", unavailable, knownWithin)
+		for range 40 {
+			for _, name := range names {
+				if fleet.clients[name].CutOff() {
+					t.Fatalf("%s counts as cut off", name)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, name := range names {
+			fleet.expectState(t, name, true, false)
+			fleet.expect(t, name, unavailable, 0)
+		}
+		for _, name := range names {
+			fleet.change(false, name, stores...)
+		}
+		time.Sleep(knownWithin)
+		for _, name := range names {
+			fleet.expectState(t, name, false, false)
+			fleet.expect(t, name, ok, atOnce)
+		}
+	})
+}
+
+func TestAFrontNodeWithoutTrafficFindsOutByFewProbes(t *testing.T) {
+	inFleet(t, func(t *testing.T, fleet *frontFleet) {
+		everybody := append([]string{"f2", "f3"}, stores...)
+		time.Sleep(10 * time.Second)
+		if probes := fleet.sentBy("f1", everybody...); probes < 5 || probes > 10 {
+			t.Errorf("%d probes in 10 s without traffic", probes)
+		}
+		fleet.change(true, "f1", everybody...)
+		time.Sleep(idleKnownWithin)
+		fleet.expectState(t, "f1", true, true)
+		before := fleet.sentBy("f1", everybody...)
+		time.Sleep(10 * time.Second)
+		if probes := fleet.sentBy("f1", everybody...) - before; probes > mostProbes {
+			t.Errorf("%d probes in 10 s without traffic while cut off", probes)
+		}
+	})
+}
+
+const (
+	// idleKnownWithin is how soon a front node without traffic has to know of a cut.
+	idleKnownWithin = 4 * time.Second
+	// mostProbes bounds what a front node without traffic sends in 10 s while it is cut off.
+	mostProbes = 200
+)
+
+func TestTrafficTakesThePlaceOfProbes(t *testing.T) {
+	inFleet(t, func(t *testing.T, fleet *frontFleet) {
+		for range 20 {
+			fleet.expect(t, "f1", ok, atOnce)
+			time.Sleep(500 * time.Millisecond)
+		}
+		if sent := fleet.sentBy("f1", stores...); sent != 20 {
+			t.Errorf("%d messages for 20 operations: %v", sent, fleet.sent)
+		}
+	})
+}
+
+func TestOneSilentReplicaSendsNothingByWayOfOthers(t *testing.T) {
+	inFleet(t, func(t *testing.T, fleet *frontFleet) {
+		fleet.change(true, "f1", "at-a")
+		for range 100 {
+			fleet.expect(t, "f1", ok, knownWithin)
+			fleet.expectState(t, "f1", false, false)
+			time.Sleep(50 * time.Millisecond)
+		}
+		if relayed := fleet.sentBy("f1", "f2", "f3"); relayed > 0 {
+			t.Errorf("%d operations went by way of others while replicas answered", relayed)
+		}
+	})
+}
+
+func TestAShardOfWhichOneReplicaIsReachedIsServed(t *testing.T) {
+	inFleet(t, func(t *testing.T, fleet *frontFleet) {
+		fleet.change(true, "f1", "at-a", "at-b")
+		for range 100 {
+			fleet.expect(t, "f1", ok, knownWithin)
+			fleet.expectState(t, "f1", false, false)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
--- a/internal/ledgerclient/race.go
+++ b/internal/ledgerclient/race.go
@@ -13,8 +13,10 @@
 // race is one operation on its way: usually one attempt after the other, with
 // a further one at another replica while one is silent.
 type race struct {
+	raceOptions
 	client    *Client
 	operation *protocol.LedgerOperation
+	shard     uint32
 	answers   chan attemptAnswer
 	ended     chan struct{}
 	// inFlight counts attempts without an answer, tried names the replicas of this round.
@@ -22,7 +24,17 @@
 	tried    []string
 	// doubtful says that an attempt that ended may have taken effect, or may still do so.
 	doubtful bool
-	wait     time.Duration
+	// relayed says that another front node was asked, beyond the attempts that are under way else.
+	relayed bool
+	wait    time.Duration
+}
+
+// raceOptions say how far an operation goes for its answer.
+type raceOptions struct {
+	// directly asks replicas only, not other front nodes.
+	directly bool
+	// patient goes on while the shard is unreachable, until the context ends.
+	patient bool
 }
 
 // attemptAnswer is how one attempt ended.
@@ -47,12 +59,16 @@
 	stepFinal
 )
 
-// try sends the operation until an answer is final. doubtful says that an
+// run sends the operation until an answer is final. doubtful says that an
 // earlier try may have taken effect, or may still do so.
-func (c *Client) try(ctx context.Context, operation *protocol.LedgerOperation) (result *protocol.LedgerResult, doubtful bool, err error) {
-	r := &race{client: c, operation: operation, answers: make(chan attemptAnswer), ended: make(chan struct{}), wait: firstWait}
-	defer close(r.ended)
-	for ctx.Err() == nil {
+func (c *Client) run(ctx context.Context, operation *protocol.LedgerOperation, options raceOptions) (result *protocol.LedgerResult, doubtful bool, err error) {
+	r := &race{
+		raceOptions: options, client: c, operation: operation, shard: c.shardOf(operation),
+		answers: make(chan attemptAnswer), ended: make(chan struct{}), wait: firstWait,
+	}
+	r.begin()
+	defer r.end()
+	for ctx.Err() == nil && !r.isHopeless() {
 		next, known := r.next()
 		step, answer := stepRest, attemptAnswer{}
 		if known {
@@ -69,10 +85,42 @@
 	return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE), r.doubtful || r.inFlight > 0, nil
 }
 
+func (r *race) begin() {
+	now := time.Now()
+	r.client.replicas.begin(r.shard, now)
+	r.client.shards.begin(r.shard, now)
+}
+
+func (r *race) end() {
+	now := time.Now()
+	r.client.replicas.end(r.shard, now)
+	r.client.shards.end(r.shard, now)
+	close(r.ended)
+}
+
+// isHopeless reports whether there is no use in waiting longer: the shard is unreachable, and what the operation would
+// begin is better begun later.
+func (r *race) isHopeless() bool {
+	if r.patient || !r.client.watched.Load() {
+		return false
+	}
+	now := time.Now()
+	return r.client.shards.isOut(r.shard, now) || r.directly && r.client.replicas.isOut(r.shard, now)
+}
+
+// mayRelay reports whether another front node is worth asking besides the attempts that are under way.
+func (r *race) mayRelay() bool {
+	if r.directly || r.relayed || !r.client.replicas.isOut(r.shard, time.Now()) {
+		return false
+	}
+	r.relayed = len(r.client.relayAddresses()) > 0
+	return r.relayed
+}
+
 // next gives the first replica that was not tried in this round. Without any a
 // new round begins after a rest.
 func (r *race) next() (target, bool) {
-	for _, each := range r.client.targets(r.operation) {
+	for _, each := range r.client.targets(r.operation, r.directly) {
 		if !slices.Contains(r.tried, each.address) {
 			return each, true
 		}
@@ -102,7 +150,7 @@
 	for {
 		inFlight := r.inFlight
 		step, answer := r.listen(ctx, r.client.options.HedgeAfter)
-		if step != stepNext || r.inFlight < inFlight || ctx.Err() != nil {
+		if step != stepNext || r.inFlight < inFlight || ctx.Err() != nil || r.isHopeless() || r.mayRelay() {
 			return step, answer
 		}
 		if r.inFlight < attemptsAtOnce && !r.client.hedges.heardSince(asked.address, began) && r.client.hedges.take(time.Now()) {
--- /dev/null
+++ b/internal/ledgerclient/relays.go
@@ -0,0 +1,85 @@
+package ledgerclient
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// relaySample is how many other front nodes are asked to carry operations out.
+	relaySample = 3
+	// heardWithin is how old the last word of another front node may be.
+	heardWithin = 2 * time.Second
+)
+
+// relays remembers when other front nodes answered, whatever they said.
+type relays struct {
+	mutex sync.Mutex
+	heard map[string]time.Time
+}
+
+func newRelays() *relays { return &relays{heard: map[string]time.Time{}} }
+
+func (r *relays) note(address string, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.heard[address] = now
+}
+
+// countHeard is the number of addresses that answered lately.
+func (r *relays) countHeard(addresses []string, now time.Time) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := 0
+	for _, address := range addresses {
+		if at, known := r.heard[address]; known && now.Sub(at) < heardWithin {
+			count++
+		}
+	}
+	return count
+}
+
+// relayAddresses names the front nodes that may carry operations out for this one: always the same few, those of
+// other zones first, because a cut often takes a whole zone. Without a name of its own a client has none.
+func (c *Client) relayAddresses() []string {
+	self := c.options.Self
+	if self.GetName() == "" {
+		return nil
+	}
+	var others []*protocol.Node
+	for _, node := range c.view().Membership.GetNodes() {
+		if node.GetKind() == protocol.NodeKind_FRONT && node.GetName() != self.GetName() && node.GetAddress() != "" {
+			others = append(others, node)
+		}
+	}
+	slices.SortFunc(others, func(a, b *protocol.Node) int {
+		if sameZone := a.GetZone() == self.GetZone(); sameZone != (b.GetZone() == self.GetZone()) {
+			return cmp.Compare(boolRank(sameZone), boolRank(!sameZone))
+		}
+		return cmp.Compare(relayHash(self, a), relayHash(self, b))
+	})
+	var addresses []string
+	for _, node := range others[:min(len(others), relaySample)] {
+		addresses = append(addresses, node.GetAddress())
+	}
+	return addresses
+}
+
+// boolRank puts what is false before what is true.
+func boolRank(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// relayHash spreads the front nodes that are cut off over those that are not.
+func relayHash(self, other *protocol.Node) uint64 {
+	return xxhash.Sum64String(self.GetName() + "\x00" + other.GetName())
+}
--- a/internal/ledgerclient/targets.go
+++ b/internal/ledgerclient/targets.go
@@ -1,37 +1,51 @@
 package ledgerclient
 
 import (
+	"time"
+
 	"github.com/rosestand/rosestand/internal/corelink"
 	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-// target is one replica to try.
+// target is one replica to try, or another front node that tries them.
 type target struct {
 	address string
 	epoch   uint64
+	relay   bool
 }
 
 // targets gives the live replicas for an operation in the order in which they are tried. All
-// fronts agree on the order, so that one store proposes for a program.
-func (c *Client) targets(operation *protocol.LedgerOperation) []target {
+// fronts agree on the order, so that one store proposes for a program. While none of them answers
+// this front node, other front nodes come first, unless replicas are to be asked directly.
+func (c *Client) targets(operation *protocol.LedgerOperation, directly bool) []target {
 	view := c.view()
 	shards := view.Placement.GetShards()
 	if len(shards) == 0 {
 		return nil
 	}
-	shard := findShard(view.Placement, ledger.ShardOf(placedBy(operation), len(shards)))
+	shard := findShard(view.Placement, c.shardOf(operation))
 	epoch := shard.GetEpoch()
 	if epoch == 0 {
 		epoch = view.Placement.GetEpoch()
 	}
 	var targets []target
+	if !directly && c.replicas.isOut(c.shardOf(operation), time.Now()) {
+		for _, address := range c.suspects.last(c.relayAddresses()) {
+			targets = append(targets, target{address: address, relay: true})
+		}
+	}
 	for _, address := range c.suspects.last(c.liveReplicas(view, shard)) {
 		targets = append(targets, target{address: address, epoch: epoch})
 	}
 	return targets
 }
 
+// shardOf is the shard that serves an operation.
+func (c *Client) shardOf(operation *protocol.LedgerOperation) uint32 {
+	return ledger.ShardOf(placedBy(operation), c.shardCount())
+}
+
 // placedBy gives the text whose shard serves the operation. Any store can look for a turn whose program is not known.
 func placedBy(operation *protocol.LedgerOperation) string {
 	if find := operation.GetFindTurn(); find != nil {
--- a/internal/turn/ending.go
+++ b/internal/turn/ending.go
@@ -136,7 +136,7 @@
 // releaseWith ends the reservation and answers the caller by what the ledger says.
 func (m *Machine) releaseWith(f *protocol.Failure, tokens uint64, now time.Time) []Command {
 	m.failure = f
-	if m.isHTTP() && !m.isLedgered() {
+	if !m.IsLedgered() {
 		return m.end(f)
 	}
 	m.state = stateReleasing
--- a/internal/turn/httpturn.go
+++ b/internal/turn/httpturn.go
@@ -25,14 +25,17 @@
 // isKept reports whether the turn is kept for others to continue.
 func (m *Machine) isKept() bool { return m.parameters.Request.GetHttp().GetStateful() }
 
-// isLedgered reports whether the ledger has a part in the turn.
-func (m *Machine) isLedgered() bool {
+// IsLedgered reports whether the ledger has a part in the turn.
+func (m *Machine) IsLedgered() bool {
+	if !m.isHTTP() {
+		return true
+	}
 	return m.parameters.Request.GetProgram() != "" && (m.isKept() || m.parameters.Request.GetProgramBudget() > 0)
 }
 
 func (m *Machine) admittedHTTP() []Command {
 	switch {
-	case !m.isLedgered():
+	case !m.IsLedgered():
 		m.state = stateChoosing
 		return []Command{Choose{}}
 	case m.isKept() && m.parameters.Request.GetPreviousTurn() != "":
@@ -79,7 +82,7 @@
 // finishedUnkept ends a turn that nobody continues: its answer does not wait for the charge.
 func (m *Machine) finishedUnkept(now time.Time) []Command {
 	completed := m.emitCompleted()
-	if !m.isLedgered() {
+	if !m.IsLedgered() {
 		m.state = stateDone
 		return append(append(m.leave(), completed), Finish{})
 	}
