--- a/internal/lab/simcommand/simcommand.go
+++ b/internal/lab/simcommand/simcommand.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosestand/rosestand/internal/sim"
 	"github.com/rosestand/rosestand/internal/sim/ownershipsuite"
+	"github.com/rosestand/rosestand/internal/sim/servingsuite"
 	"github.com/rosestand/rosestand/internal/sim/statesuite"
 )
 
@@ -30,7 +31,7 @@
 type UnknownSuiteError struct{ Suite string }
 
 func (e *UnknownSuiteError) Error() string {
-	return fmt.Sprintf("there is no suite %q; there are state, ownership and all", e.Suite)
+	return fmt.Sprintf("there is no suite %q; there are state, ownership, serving and all", e.Suite)
 }
 
 // UnknownMutationError names a mutation that the suites to run do not have.
@@ -77,6 +78,11 @@
 			Faults: faults, Mutation: ownershipsuite.Mutation(chosen.mutation), Trace: trace,
 		}).Report
 	}},
+	{name: "serving", mutations: func() []string { return namesOf(servingsuite.Mutations()) }, run: func(seed int64, faults []sim.Fault, chosen options, trace io.Writer) sim.Report {
+		return servingsuite.Run(seed, servingsuite.Options{
+			Faults: faults, Mutation: servingsuite.Mutation(chosen.mutation), Trace: trace,
+		}).Report
+	}},
 }
 
 func namesOf[M ~string](mutations []M) []string {
@@ -102,7 +108,7 @@
 		},
 	}
 	flags := command.Flags()
-	flags.StringVar(&chosen.suite, "suite", allSuites, "state, ownership or all")
+	flags.StringVar(&chosen.suite, "suite", allSuites, "state, ownership, serving or all")
 	flags.StringVar(&chosen.shape, "shape", string(statesuite.ShapeZones), "fleet of the state suite: zones, or regions (three of two zones, cut from each other and lost)")
 	flags.Int64Var(&chosen.first, "seed", 1, "first seed")
 	flags.IntVar(&chosen.seeds, "seeds", defaultSeeds, "number of seeds to run")
--- a/internal/lab/simcommand/simcommand_test.go
+++ b/internal/lab/simcommand/simcommand_test.go
@@ -29,6 +29,15 @@
 	}
 }
 
+func TestEachSuiteIsReachable(t *testing.T) {
+	for _, suite := range []string{"state", "ownership", "serving"} {
+		output, _, err := execute("--suite", suite, "--seeds", "1")
+		if err != nil || !strings.Contains(output, "suite "+suite+": 1 runs") {
+			t.Fatalf("%v\n%s", err, output)
+		}
+	}
+}
+
 func TestViolationIsPrintedWithItsReplay(t *testing.T) {
 	output, trace, err := execute("--suite", "state", "--seeds", "1", "--trace", "--mutation", "front-skips-tombstone")
 	var violated *simcommand.ViolatedError
--- /dev/null
+++ b/internal/sim/servingsuite/commands.go
@@ -0,0 +1,141 @@
+package servingsuite
+
+import (
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+// execute carries one command out. It returns the event that answers it at once, or nil when there is none or when
+// the answer comes later.
+func (r *run) execute(command turn.Command) turn.Event {
+	switch command := command.(type) {
+	case turn.Admit:
+		r.admit()
+	case turn.Leave:
+		r.front.admission.leave(r.group())
+	case turn.ReadHistory:
+		return turn.HistoryRead{Status: protocol.LedgerStatus_LEDGER_OK}
+	case turn.Choose:
+		return r.choose(command.Avoid)
+	case turn.AskRetry:
+		return turn.RetryDecided{Granted: r.front.retries.Retry()}
+	case turn.Issue:
+		r.issue(command.Epoch)
+	case turn.IssueCall:
+		r.issue(command.Epoch)
+	case turn.StopBackEnd:
+		r.closeExchange()
+	case turn.Emit:
+		r.emit(command.Event)
+	case turn.Answer:
+		r.emit(command.Response)
+	case turn.Pause:
+		r.pause(command.For)
+	case turn.ReadKept:
+		r.readKept(command.TurnID)
+	default:
+		return r.operate(command)
+	}
+	return nil
+}
+
+// operate carries out the commands that the ledger answers.
+func (r *run) operate(command turn.Command) turn.Event {
+	operation := &protocol.LedgerOperation{Program: r.program()}
+	var answer func(*protocol.LedgerResult) turn.Event
+	switch command := command.(type) {
+	case turn.Claim:
+		operation.Body = &protocol.LedgerOperation_ClaimSession{ClaimSession: command.Operation}
+		answer = func(result *protocol.LedgerResult) turn.Event { return turn.Claimed{Result: result} }
+	case turn.Reserve:
+		if r.front.suite.options.Mutation == MutationSkipReservation {
+			return turn.Reserved{Result: &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_OK, Epoch: 1}}
+		}
+		operation.Body = &protocol.LedgerOperation_ReserveTurn{ReserveTurn: command.Operation}
+		answer = func(result *protocol.LedgerResult) turn.Event { return turn.Reserved{Result: result} }
+	case turn.Settle:
+		operation.Body = &protocol.LedgerOperation_SettleTurn{SettleTurn: command.Operation}
+		answer = func(result *protocol.LedgerResult) turn.Event { return turn.Settled{Result: result} }
+	case turn.Release:
+		operation.Body = &protocol.LedgerOperation_ReleaseTurn{ReleaseTurn: command.Operation}
+		answer = func(result *protocol.LedgerResult) turn.Event { return turn.Released{Result: result} }
+	case turn.BeginCall:
+		operation.Body = &protocol.LedgerOperation_BeginCall{BeginCall: command.Operation}
+		answer = func(result *protocol.LedgerResult) turn.Event { return turn.CallBegun{Result: result} }
+	case turn.FinishCall:
+		operation.Body = &protocol.LedgerOperation_FinishCall{FinishCall: command.Operation}
+		answer = func(result *protocol.LedgerResult) turn.Event { return turn.CallFinished{Result: result} }
+	case turn.RefuseCall:
+		r.refuse(false, func(result *protocol.LedgerResult) turn.Event { return turn.CallRefused{Result: result} })
+		return nil
+	case turn.Refuse:
+		r.refuse(command.AtOnce, func(result *protocol.LedgerResult) turn.Event { return turn.Refused{Result: result} })
+		return nil
+	default:
+		return nil
+	}
+	r.waits = true
+	r.front.operate(operation, ledgerTimeout, func(result *protocol.LedgerResult) { r.feed(answer(result)) })
+	return nil
+}
+
+// refuse puts the tombstone. One that is refused at once does not wait long for it, but it is put all the same.
+func (r *run) refuse(atOnce bool, answer func(*protocol.LedgerResult) turn.Event) {
+	r.waits = true
+	heard := false
+	once := func(result *protocol.LedgerResult) {
+		if !heard {
+			heard = true
+			r.feed(answer(result))
+		}
+	}
+	if atOnce {
+		r.front.environment.After(tombstoneBound, func() {
+			once(&protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE})
+		})
+	}
+	r.tombstone(ledgerTimeout, once)
+}
+
+// pause waits before the ledger is asked again; lost authority ends the wait for good.
+func (r *run) pause(wait time.Duration) {
+	r.waits = true
+	r.front.environment.After(wait, func() {
+		if !r.valid() {
+			r.feed(turn.Stopped{Reason: turn.StopAuthority})
+			return
+		}
+		r.feed(turn.Waited{})
+	})
+}
+
+func (r *run) readKept(id string) {
+	r.waits = true
+	r.front.suite.count(KeptTurnsRead)
+	r.front.transport.call(ledgerAddress, readTurn{id: id}, ledgerTimeout, func(body any) {
+		answer, answered := body.(turnRead)
+		status := protocol.LedgerStatus_LEDGER_OK
+		switch {
+		case !answered:
+			status = protocol.LedgerStatus_LEDGER_UNAVAILABLE
+		case answer.turn == nil:
+			status = protocol.LedgerStatus_LEDGER_TURN_MISSING
+		}
+		r.feed(turn.KeptRead{Turn: answer.turn, Status: status})
+	})
+}
+
+func (r *run) choose(avoid []string) turn.Event {
+	chosen := r.front.choose(r.group(), r.program(), r.front.last[r.session()], avoid)
+	if chosen == "" {
+		return turn.NotChosen{Failure: failure.New(failure.NoBackEnd, protocol.Outcome_NOT_RUN, "no server can take the request",
+			failure.WithRetryAfter(busyRetry)).Failure}
+	}
+	r.server = r.front.servers[chosen]
+	r.front.last[r.session()] = chosen
+	r.front.suite.rules.chosen(chosen)
+	return turn.Chosen{BackEnd: chosen}
+}
