Answer 503 for what is stopped before it is issued, and for what its server refused meanwhile

Cause: the machine of a turn or call is in its issued state from the moment it asks for an issue. A stop that goes before the issue, a stop while a connection is still opened, and one beside a server's refusal all counted as if the server might have run it: charged a token, answered 502 or 504, promised nothing. Second cause: an ingress gave up its knowledge that no other copy exists once an owner had begun the turn, also when that owner said that it never runs.

Change: the event of a stop says whether the command that is open had no effect. A turn or call whose earlier attempts did not run either is released without a charge and answered 503 with Retry-After; a reservation that was never asked for is not taken back. A refusal by an owner that did not take the request keeps the first send a first send. A call that a stopping front node may be running counts as sent.

Conclusion: of stops, only those that found an attempt at a server are answered without a promise.

--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/turn"
 )
@@ -39,6 +41,12 @@
 	blameless bool
 }
 
+// surelyDidNotRun reports whether a failed attempt did not run: nothing was sent, or the server refused it.
+func surelyDidNotRun(err error) bool {
+	var failed *backEndError
+	return errors.As(err, &failed) && (failed.fault == turn.FaultNotSent || failed.fault == turn.FaultRefused)
+}
+
 // outcome says what the attempt tells of the server's health.
 func (e *backEndError) outcome() schedule.Outcome {
 	if e.blameless {
--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -90,10 +90,7 @@
 	if err != nil {
 		r.server.inFlight.Add(-1)
 		r.endSent(false)
-		if reason := r.stopReason(); reason != 0 {
-			return turn.Stopped{Reason: reason}
-		}
-		return r.attemptFailed(err)
+		return r.issueFailed(err)
 	}
 	r.generation = newHTTPStream(response, r.request.GetHttp().GetEventTokens())
 	return nil
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -142,6 +142,15 @@
 	request.TimeLeftMillis = left
 	request.LastAttempt = r.at.attempt
 	request.LookupViewVersion = owner.ViewVersion
+	err = r.serveBy(ctx, owner, request)
+	if isNotTaken(err) {
+		// This owner's copy of the request never runs.
+		r.request.FirstSend = request.GetFirstSend()
+	}
+	return err
+}
+
+func (r *relay) serveBy(ctx context.Context, owner directory.Owner, request *protocol.TurnRequest) error {
 	if owner.Local {
 		return r.serveLocal(ctx, request)
 	}
--- a/internal/front/ingresscall.go
+++ b/internal/front/ingresscall.go
@@ -92,17 +92,28 @@
 	}
 	if owner.Local {
 		response, err := s.runCall(ctx, sent)
+		if err != nil && failure.From(err).GetOutcome() != protocol.Outcome_NOT_RUN {
+			request.FirstSend = false
+		}
 		return owner, response, err
 	}
 	s.metrics.forwarded.Inc()
 	response, err := s.caller.Call(ctx, owner.Address, &protocol.Request{Body: &protocol.Request_ToolCall{ToolCall: sent}})
-	var notSent *wire.NotSentError
-	if err == nil || !errors.As(err, &notSent) && !isNotTaken(err) {
+	if !isUntaken(response.GetToolCall(), err) {
 		request.FirstSend = false
 	}
 	return owner, response.GetToolCall(), err
 }
 
+// isUntaken reports whether an owner surely does not run the copy of a call that was sent to it.
+func isUntaken(response *protocol.ToolCallResponse, err error) bool {
+	var notSent *wire.NotSentError
+	if err != nil {
+		return errors.As(err, &notSent) || isNotTaken(err)
+	}
+	return response.GetFailure() != nil && isNotTakenFailure(response.GetFailure())
+}
+
 // refuseCall refuses a call truthfully, as refuseTurn does for turns.
 func (s *Service) refuseCall(ctx context.Context, request *protocol.ToolCallRequest, nonRepeatable bool, f *protocol.Failure) (*protocol.ToolCallResponse, error) {
 	if request.GetFirstSend() {
--- a/internal/front/routeingress_test.go
+++ b/internal/front/routeingress_test.go
@@ -189,6 +189,22 @@
 		})
 	})
 
+	DescribeTable("is answered 503 when its server refuses it while the owner loses its authority", func(sent routed) {
+		server := r.server("s1", func(writer http.ResponseWriter, request *http.Request) {
+			f2.ownership.revoked.Store(true)
+			refuseWith(http.StatusServiceUnavailable, "")(writer, request)
+		})
+		got := answerOf(f1.routeAside(sent))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable), got.body)
+		Expect(got.header).To(HaveKey("Retry-After"))
+		Expect(server.requests()).To(HaveLen(1))
+	},
+		Entry("a turn", ownedTurn),
+		Entry("a stream", ownedTalk),
+		Entry("a call that may not be repeated", ownedWrite),
+		Entry("a call that may be repeated", ownedRead),
+	)
+
 	It("breaks off when the owner is lost in the midst of a stream", func() {
 		r.server("s1", streamOf("one", "two", "three"))
 		r.network.cut["f2"] = 3
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -145,7 +145,7 @@
 		command := pending[0]
 		pending = pending[1:]
 		if reason := stopReason(r.ctx, r.grant); reason != 0 && turn.Interruptible(command) {
-			pending = r.machine.Apply(turn.Stopped{Reason: reason}, r.now())
+			pending = r.machine.Apply(turn.StopBefore(reason), r.now())
 			continue
 		}
 		if event := r.execute(command); event != nil {
@@ -338,7 +338,7 @@
 
 func (r *callRun) sendFailed(command turn.IssueCall, err error) turn.Event {
 	if reason := stopReason(r.ctx, r.grant); reason != 0 {
-		return turn.Stopped{Reason: reason}
+		return turn.Stopped{Reason: reason, WithoutEffect: surelyDidNotRun(err)}
 	}
 	var fault *backEndError
 	if !errors.As(err, &fault) {
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -55,7 +55,7 @@
 		command := pending[0]
 		pending = pending[1:]
 		if reason := r.stopReason(); reason != 0 && turn.Interruptible(command) {
-			pending = r.machine.Apply(turn.Stopped{Reason: reason}, r.now())
+			pending = r.machine.Apply(turn.StopBefore(reason), r.now())
 			continue
 		}
 		if event := r.execute(command); event != nil {
@@ -69,6 +69,14 @@
 
 func (r *turnRun) now() time.Time { return r.service.clock.Now() }
 
+// issueFailed is the event of an attempt that got no answer. A stop goes before the failure that it may have caused.
+func (r *turnRun) issueFailed(err error) turn.Event {
+	if reason := r.stopReason(); reason != 0 {
+		return turn.Stopped{Reason: reason, WithoutEffect: surelyDidNotRun(err)}
+	}
+	return r.attemptFailed(err)
+}
+
 func (r *turnRun) stopReason() turn.StopReason { return stopReason(r.ctx, r.grant) }
 
 // stopReason says why the turn or call must end now; zero when it need not.
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -136,10 +136,7 @@
 	})
 	if err != nil {
 		r.server.inFlight.Add(-1)
-		if reason := r.stopReason(); reason != 0 {
-			return turn.Stopped{Reason: reason}
-		}
-		return r.attemptFailed(err)
+		return r.issueFailed(err)
 	}
 	r.generation = generation
 	return nil
--- a/internal/turn/event.go
+++ b/internal/turn/event.go
@@ -134,7 +134,15 @@
 )
 
 // Stopped ends the turn from outside.
-type Stopped struct{ Reason StopReason }
+type Stopped struct {
+	Reason StopReason
+	// WithoutEffect says that the command that is not answered yet surely did nothing: it was not carried out,
+	// nothing was sent for it, or the back end refused it.
+	WithoutEffect bool
+}
+
+// StopBefore is the stop that goes before a command, which is not carried out then.
+func StopBefore(reason StopReason) Stopped { return Stopped{Reason: reason, WithoutEffect: true} }
 
 func (Begun) event()         {}
 func (Claimed) event()       {}
--- a/internal/turn/machine.go
+++ b/internal/turn/machine.go
@@ -120,7 +120,7 @@
 // the current state does not wait for is ignored: it is a late answer.
 func (m *Machine) Apply(event Event, now time.Time) []Command {
 	if stop, stopped := event.(Stopped); stopped {
-		return m.stop(stop.Reason, now)
+		return m.stop(stop, now)
 	}
 	switch m.state {
 	case stateNew:
--- a/internal/turn/machine_test.go
+++ b/internal/turn/machine_test.go
@@ -314,6 +314,25 @@
 	}
 }
 
+func TestWhatIsStoppedBeforeItIsIssuedDidNotRun(t *testing.T) {
+	stopped := turn.StopBefore(turn.StopDeadline)
+	unsent := newScript(&protocol.TurnRequest{}).on("issue", stopped).run()
+	wantFailure(t, unsent, failure.DeadlineExceeded, protocol.Outcome_NOT_RUN)
+	if released := unsent.released(); released == nil || released.GetTokens() != 0 {
+		t.Fatalf("released %v", released)
+	}
+	unreserved := newScript(&protocol.TurnRequest{FirstSend: true}).on("reserve", stopped).run()
+	wantFailure(t, unreserved, failure.DeadlineExceeded, protocol.Outcome_NOT_RUN)
+	if unreserved.released() != nil {
+		t.Fatalf("released %v although nothing was reserved", unreserved.released())
+	}
+	sentBefore := newScript(&protocol.TurnRequest{}).on("issue", broken).on("choose", turn.Chosen{BackEnd: "b1"}, stopped).run()
+	wantFailure(t, sentBefore, failure.DeadlineExceeded, protocol.Outcome_UNKNOWN)
+	if sentBefore.released().GetTokens() == 0 {
+		t.Fatal("a turn that may have run was released as not run")
+	}
+}
+
 func TestSettleIsTriedAgainAndTheCallerIsAnsweredMeanwhile(t *testing.T) {
 	unavailable := turn.Settled{Result: status(protocol.LedgerStatus_LEDGER_UNAVAILABLE)}
 	answers := []turn.Event{}
--- a/internal/turn/stream.go
+++ b/internal/turn/stream.go
@@ -182,28 +182,27 @@
 	return m.releaseWith(f, max(m.passed, chargedAtOnce), now)
 }
 
-func (m *Machine) stop(reason StopReason, now time.Time) []Command {
-	f := stopFailure(reason)
+func (m *Machine) stop(event Stopped, now time.Time) []Command {
+	f := stopFailure(event.Reason)
 	switch m.state {
 	case stateNew, stateClaiming, stateReading, stateAdmitting:
-		if reason == StopAuthority {
-			return m.endHere(f)
-		}
-		return m.refuse(f, now)
+		return m.stopUnreserved(f, event.Reason, now)
 	case stateReserving:
+		if event.WithoutEffect {
+			return m.stopUnreserved(f, event.Reason, now)
+		}
 		return m.releaseWith(f, 0, now)
 	case stateChoosing, stateAskingRetry:
 		m.failure = f
 		return m.giveUp(now)
 	case stateIssued:
-		m.ranEver = true
-		return first(m.charge(f, now), StopBackEnd{})
+		return m.stopIssued(f, event, now)
 	case stateSettling:
-		if reason == StopAuthority {
+		if event.Reason == StopAuthority {
 			return m.notKept(failure.NoAuthority, "the turn ran but the front node lost its authority before it was kept")
 		}
 	case stateReleasing:
-		if reason == StopAuthority {
+		if event.Reason == StopAuthority {
 			return first(m.end(m.unproved()), ForgetSession{})
 		}
 	case stateRefusing, stateReadingKept, stateDone:
@@ -212,6 +211,24 @@
 	return nil
 }
 
+// stopUnreserved stops a turn that holds nothing in the ledger.
+func (m *Machine) stopUnreserved(f *protocol.Failure, reason StopReason, now time.Time) []Command {
+	if reason == StopAuthority {
+		return m.endHere(f)
+	}
+	return m.refuse(f, now)
+}
+
+// stopIssued stops a turn that was to be issued. When that attempt surely did not run, the ones before it count.
+func (m *Machine) stopIssued(f *protocol.Failure, event Stopped, now time.Time) []Command {
+	if event.WithoutEffect && m.sequence == 0 {
+		m.failure = f
+		return m.giveUp(now)
+	}
+	m.ranEver = true
+	return first(m.charge(f, now), StopBackEnd{})
+}
+
 func stopFailure(reason StopReason) *protocol.Failure {
 	switch reason {
 	case StopDeadline:
--- a/internal/turn/toolcall_test.go
+++ b/internal/turn/toolcall_test.go
@@ -90,6 +90,18 @@
 			answers: map[string][]turn.Event{"issue": {busy}, "retry": {turn.RetryDecided{}}},
 			code:    failure.Overloaded, outcome: protocol.Outcome_NOT_RUN, counts: map[string]int{"finish": 1},
 		},
+		"did not run when it is stopped before it is issued": {
+			answers: map[string][]turn.Event{"issue": {turn.StopBefore(turn.StopDeadline)}},
+			code:    failure.DeadlineExceeded, outcome: protocol.Outcome_NOT_RUN, counts: map[string]int{"finish": 1},
+		},
+		"is unknown when it is stopped while a server may have it": {
+			answers: map[string][]turn.Event{"issue": {turn.Stopped{Reason: turn.StopDeadline}}},
+			code:    failure.DeadlineExceeded, outcome: protocol.Outcome_UNKNOWN, counts: map[string]int{"finish": 0},
+		},
+		"is unknown when it is stopped before it is issued again": {
+			repeatable: true, answers: map[string][]turn.Event{"issue": {broken, turn.StopBefore(turn.StopDeadline)}},
+			code: failure.DeadlineExceeded, outcome: protocol.Outcome_UNKNOWN, counts: map[string]int{"issue": 2},
+		},
 		"cannot promise a refusal that was not recorded": {
 			answers: map[string][]turn.Event{
 				"issue": {busy}, "retry": {turn.RetryDecided{}}, "finish": {turn.CallFinished{Result: status(protocol.LedgerStatus_LEDGER_FENCED)}},
--- a/internal/turn/toolending.go
+++ b/internal/turn/toolending.go
@@ -177,8 +177,11 @@
 		m.failure = f
 		return m.giveUp(now)
 	case callIssued:
-		m.ranEver = true
 		m.failure = f
+		if event.WithoutEffect {
+			return m.giveUp(now)
+		}
+		m.ranEver = true
 		return first(m.giveUp(now), StopBackEnd{})
 	case callFinishing:
 		if event.Reason == StopAuthority {
