Let a core replica go on after a full disk, and take new seeds while it runs

Cause: the first write that failed ended the process, a full disk as well as a failed sync. Now the member stops leading and acknowledging at once, refuses requests as surely not run, and after an election timeout opens its log again as after a crash, once the disk has 1 MiB of room. The state machine keeps what it applied, since an entry is synced here before it is applied, and entries that it has are not applied twice. A lack of room is outlived any number of times, another failed write once; at the next, and at damage, OnFatal is called as before.

Excluded: following from memory without a log. A member must not acknowledge what it has not synced, so it could only listen. Excluded too: a fault in a stall.

Cause: they were read once. Replica.SetSeeds replaces them and hangs on Process.OnSettings; a replica that waits to join by seeds at which nobody is joins by the new ones.

Changed test: TestFailedSyncStopsTheMember demanded the end of the process at the first failed sync. TestOneFailedSyncIsOutlivedAndTheNextOneIsNot takes its place: no acknowledgement and no leadership after the first, nothing acknowledged lost, and all that the former test demanded after the second.

--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -40,7 +40,7 @@
 	logger *log.Logger, registerer prometheus.Registerer,
 ) (*replica.Replica, error) {
 	self := process.Self
-	return replica.New(replica.Options{
+	built, err := replica.New(replica.Options{
 		Self: &protocol.CoreMember{
 			Name: self.GetName(), Address: self.GetAddress(), HttpAddress: self.GetHttpAddress(), Zone: self.GetZone(), Region: self.GetRegion(),
 		},
@@ -59,6 +59,11 @@
 		Registerer:        registerer,
 		OnFatal:           process.Fail,
 	})
+	if err != nil {
+		return nil, err
+	}
+	process.OnSettings(func(changed *protocol.NodeSettings) { built.SetSeeds(changed.GetSeeds()) })
+	return built, nil
 }
 
 func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
--- a/internal/core/replica/api.go
+++ b/internal/core/replica/api.go
@@ -45,7 +45,7 @@
 	Self *protocol.CoreMember
 	// Founders are the internal addresses of the processes that found a new cluster together.
 	Founders []string
-	// Seeds are internal addresses of other processes, of any kind.
+	// Seeds are internal addresses of other processes, of any kind. Replica.SetSeeds replaces them.
 	Seeds []string
 	// TargetVoters is the number of voters the leader keeps. Default 3.
 	TargetVoters int
@@ -76,6 +76,7 @@
 	Logger *log.Logger
 	// Registerer takes the replica's metrics; it may be nil.
 	Registerer prometheus.Registerer
-	// OnFatal is called once when storage failed: the replica has stopped and the process must end.
+	// OnFatal is called once when storage failed in a way that the replica does not outlive: it has stopped, and the process
+	// must end.
 	OnFatal func(error)
 }
--- a/internal/core/replica/disk.go
+++ b/internal/core/replica/disk.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"bytes"
 	"encoding/binary"
 	"io"
 	"path/filepath"
@@ -169,8 +168,3 @@
 		ClusterId: clusterID, Founder: founder,
 	}}}
 }
-
-// restoreMachine loads state into the machine.
-func restoreMachine(machine StateMachine, state []byte) error {
-	return machine.Restore(bytes.NewReader(state))
-}
--- /dev/null
+++ b/internal/core/replica/disk_test.go
@@ -0,0 +1,241 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// stallLimit is the longest time without a leader after the disk of the leader has stalled.
+const stallLimit = 2 * time.Second
+
+// others lists the running machines but one.
+func (f *fleet) others(without *machine) (others []*machine) {
+	for _, m := range f.running() {
+		if m != without {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// commit has commands acknowledged by whoever leads and adds them to those before.
+func (f *fleet) commit(before []string, count int) []string {
+	f.t.Helper()
+	for range count {
+		command := fmt.Sprintf("command %d", len(before))
+		f.eventually("a command is acknowledged", func() bool {
+			leader := f.leader()
+			return leader != nil && leader.propose(command) == nil
+		})
+		before = append(before, command)
+	}
+	return before
+}
+
+// provokeFailure proposes to a machine until its disk has failed; what it does not acknowledge may be kept all the same.
+func (f *fleet) provokeFailure(leader *machine) {
+	f.t.Helper()
+	f.eventually("the disk fails", func() bool {
+		if !leader.replica.IsLeader() {
+			return true
+		}
+		if leader.propose("provoked") == nil {
+			f.t.Error("a command was acknowledged after the disk failed")
+		}
+		return false
+	})
+}
+
+func (m *machine) toldToEnd() bool {
+	select {
+	case err := <-m.fatal:
+		m.fleet.t.Logf("%s was told to end: %v", m.name, err)
+		return true
+	default:
+		return false
+	}
+}
+
+// consistent waits until all running machines have the same commands, those that were acknowledged among them and in their order.
+func (f *fleet) consistent(acknowledged []string) {
+	f.t.Helper()
+	f.eventually("all have the same", func() bool {
+		running := f.running()
+		first := running[0].state.all()
+		for _, m := range running[1:] {
+			if fmt.Sprint(m.state.all()) != fmt.Sprint(first) {
+				return false
+			}
+		}
+		next := 0
+		for _, command := range first {
+			if next < len(acknowledged) && command == acknowledged[next] {
+				next++
+			}
+		}
+		return next == len(acknowledged)
+	})
+}
+
+func TestALeaderWithAFullDiskGoesOnWhenThereIsRoom(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		acknowledged := f.commit(nil, 20)
+		leader.disk.SetCapacity(leader.disk.Used())
+		f.provokeFailure(leader)
+		f.eventually("another one leads", func() bool { return f.leader() != nil && f.leader() != leader })
+		acknowledged = f.commit(acknowledged, 20)
+		f.pass(5 * time.Second)
+
+		err := leader.propose("refused")
+		var refused *NotLeaderError
+		if !errors.As(err, &refused) {
+			t.Errorf("a replica without room answers %v", err)
+		}
+		admission := &protocol.Request{Body: &protocol.Request_JoinCore{JoinCore: &protocol.JoinCoreRequest{Member: leader.replica.self}}}
+		if _, err := leader.replica.ServeWire(context.Background(), admission); err == nil {
+			t.Error("a replica without room admits a member")
+		}
+		if leader.toldToEnd() {
+			t.Error("a full disk ended the process")
+		}
+
+		leader.disk.SetCapacity(0)
+		f.consistent(acknowledged)
+		others := f.others(leader)
+		others[0].halt()
+		acknowledged = f.commit(acknowledged, 20)
+		f.consistent(acknowledged)
+		if leader.toldToEnd() {
+			t.Error("the process was told to end after there was room")
+		}
+	})
+}
+
+func TestACoreWhoseDisksAreAllFullComesBack(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		acknowledged := f.commit(nil, 60)
+		for _, m := range f.running() {
+			m.disk.SetCapacity(m.disk.Used())
+		}
+		f.provokeFailure(f.waitForLeader())
+		f.pass(10 * time.Second)
+		for _, m := range f.running() {
+			if m.propose("refused") == nil {
+				t.Errorf("%s acknowledged a command without room", m.name)
+			}
+		}
+		for _, m := range f.running() {
+			m.disk.SetCapacity(0)
+		}
+		acknowledged = f.commit(acknowledged, 60)
+		f.consistent(acknowledged)
+		for _, m := range f.running() {
+			if m.toldToEnd() {
+				t.Errorf("%s was told to end", m.name)
+			}
+		}
+	})
+}
+
+func TestAFollowerWithAFullDiskFollowsAgainWhenThereIsRoom(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		follower := f.others(leader)[0]
+		acknowledged := f.commit(nil, 20)
+		follower.disk.SetCapacity(follower.disk.Used())
+		// So many that the follower needs a snapshot.
+		acknowledged = f.commit(acknowledged, 200)
+		follower.disk.SetCapacity(0)
+		f.agree(acknowledged)
+		if follower.toldToEnd() {
+			t.Error("a full disk ended the process")
+		}
+	})
+}
+
+func TestOneFailedSyncIsOutlivedAndTheNextOneIsNot(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		acknowledged := f.commit(nil, 20)
+		leader.disk.FailSyncs(0, 1)
+		if err := leader.propose("not durable here"); err == nil {
+			t.Error("a command was acknowledged after a failed sync")
+		}
+		if leader.replica.IsLeader() {
+			t.Error("it leads after a failed sync")
+		}
+		acknowledged = f.commit(acknowledged, 20)
+		f.consistent(acknowledged)
+		if leader.toldToEnd() {
+			t.Fatal("one failed sync ended the process")
+		}
+
+		f.eventually("it leads again", func() bool {
+			former := f.leader()
+			if former != nil && former != leader {
+				_ = former.replica.TransferLeadership(context.Background(), leader.name)
+			}
+			return former == leader
+		})
+		leader.disk.FailSyncs(0, 1)
+		if err := leader.propose("not durable here either"); err == nil {
+			t.Error("a command was acknowledged after the second failed sync")
+		}
+		f.eventually("it is told to end", leader.toldToEnd)
+		if leader.replica.IsLeader() {
+			t.Error("it leads after the second failed sync")
+		}
+		if err := leader.propose("again"); err == nil {
+			t.Error("the failed member goes on")
+		}
+	})
+}
+
+func TestALeaderWhoseDiskStallsIsReplacedAndAnswers(t *testing.T) {
+	story(t, func(f *fleet) {
+		leader := f.found(3)
+		acknowledged := f.commit(nil, 20)
+		leader.disk.StallSyncs()
+		began := time.Now()
+		abandoned, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		_, _, err := leader.replica.Propose(abandoned, []byte("stalled"))
+		var unknown *UnknownOutcomeError
+		if !errors.As(err, &unknown) {
+			t.Errorf("a command on a stalled disk: %v", err)
+		}
+		f.eventually("another one leads", func() bool { return f.leader() != nil && f.leader() != leader })
+		if waited := time.Since(began); waited > stallLimit {
+			t.Errorf("without a leader for %v", waited)
+		}
+		asked := time.Now()
+		if leader.replica.IsLeader() || leader.replica.Status().GetLeaderLease() {
+			t.Error("a leader with a stalled disk still leads")
+		}
+		if time.Since(asked) != 0 {
+			t.Error("it waited for its disk to say so")
+		}
+		acknowledged = f.commit(acknowledged, 20)
+		f.pass(5 * time.Second)
+		leader.disk.ResumeSyncs()
+		f.consistent(acknowledged)
+		if leader.toldToEnd() {
+			t.Error("a stall ended the process")
+		}
+	})
+}
+
+func TestAReplicaThatWaitsForItsDiskRefusesAsNotRun(t *testing.T) {
+	answered := Failure(&DiskUnavailableError{Cause: errUnreachable})
+	if answered.Code() != failure.Unavailable || answered.Failure.GetOutcome() != protocol.Outcome_NOT_RUN {
+		t.Errorf("answered %v", answered)
+	}
+}
--- a/internal/core/replica/errors.go
+++ b/internal/core/replica/errors.go
@@ -50,6 +50,17 @@
 // Error implements error.
 func (e *StoppedError) Error() string { return "the replica is stopped" }
 
+// DiskUnavailableError says that the replica waits for its disk; the request has surely not run.
+type DiskUnavailableError struct{ Cause error }
+
+// Error implements error.
+func (e *DiskUnavailableError) Error() string {
+	return fmt.Sprintf("the replica waits for its disk: %v", e.Cause)
+}
+
+// Unwrap returns the failure of the disk.
+func (e *DiskUnavailableError) Unwrap() error { return e.Cause }
+
 // MemberUnknownError says that the configuration has no such member.
 type MemberUnknownError struct{ Member string }
 
--- a/internal/core/replica/joining.go
+++ b/internal/core/replica/joining.go
@@ -33,6 +33,12 @@
 	}
 }
 
+// SetSeeds replaces the addresses of other processes that are asked for the core, from the next attempt to join on.
+func (r *Replica) SetSeeds(seeds []string) {
+	own := slices.Clone(seeds)
+	r.seeds.Store(&own)
+}
+
 func (r *Replica) joinOnce(ctx context.Context, patience time.Duration) {
 	view := r.view.Load()
 	silent := r.options.Clock.Now().Sub(view.heardLeader) >= silentElectionTimeouts*r.options.ElectionTimeout
@@ -122,7 +128,7 @@
 	result := &survey{
 		statuses: map[string]*protocol.CoreStatusResponse{}, located: map[string]*protocol.LocateCoreResponse{},
 	}
-	addresses := slices.Concat(r.options.Founders, r.options.Seeds)
+	addresses := slices.Concat(r.options.Founders, *r.seeds.Load())
 	for _, member := range view.status.Configuration.GetMembers() {
 		addresses = append(addresses, member.GetAddress())
 	}
--- a/internal/core/replica/owner.go
+++ b/internal/core/replica/owner.go
@@ -65,7 +65,6 @@
 
 // run serves until the replica stops or its storage fails.
 func (o *owner) run() {
-	defer o.finish()
 	interval := o.replica.options.HeartbeatInterval / ticksPerHeartbeat
 	timer := o.replica.options.Clock.NewTimer(0)
 	defer func() { timer.Stop() }()
@@ -78,7 +77,7 @@
 		case proposal := <-o.replica.proposals:
 			o.propose(proposal)
 		case request := <-o.replica.requests:
-			request()
+			request.run()
 		case saved := <-o.snapshots.saved:
 			o.snapshotSaved(saved)
 		case <-timer.C():
@@ -102,7 +101,7 @@
 		case proposal := <-o.replica.proposals:
 			o.propose(proposal)
 		case request := <-o.replica.requests:
-			request()
+			request.run()
 		default:
 			return
 		}
@@ -204,11 +203,7 @@
 func (o *owner) apply(entries []*protocol.Entry) {
 	for _, entry := range entries {
 		o.snapshots.appliedBytes += len(entry.GetData())
-		var result []byte
-		if entry.GetKind() == protocol.EntryKind_ENTRY_COMMAND {
-			result = o.replica.options.Machine.Apply(entry.GetIndex(), entry.GetData())
-		}
-		o.waiters.resolve(entry, result)
+		o.waiters.resolve(entry, o.replica.applyToMachine(entry))
 	}
 }
 
@@ -293,30 +288,23 @@
 	o.replica.logInfo("founded a cluster", "cluster", clusterID)
 }
 
-// fail stops the member: after a failed write nothing more may be promised.
+// fail ends the run of this owner: after a failed write nothing more may be promised.
 func (o *owner) fail(err error) {
-	if o.failure != nil {
-		return
-	}
-	o.failure = err
-	if o.replica.options.Logger != nil {
-		o.replica.options.Logger.Error("core storage failed", "error", err)
-	}
-	if o.replica.options.OnFatal != nil {
-		go o.replica.options.OnFatal(err)
+	if o.failure == nil {
+		o.failure = err
 	}
 }
 
-// finish answers whoever waits and ends the senders.
-func (o *owner) finish() {
+// retire answers whoever waits with the cause and ends the senders.
+func (o *owner) retire(cause error) {
 	o.leadingSince = time.Time{}
 	shown := *o.replica.view.Load()
 	shown.leaseEnds, shown.leadingSince = time.Time{}, time.Time{}
+	shown.status.Role, shown.status.Leader = consensus.Follower, 0
 	o.replica.view.Store(&shown)
-	close(o.replica.stopped)
-	o.waiters.stop()
+	o.waiters.stop(cause)
 	for _, waiter := range o.transferWaiters {
-		waiter <- &StoppedError{}
+		waiter <- cause
 	}
 	o.transport.close()
 	o.snapshots.wait()
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -38,7 +38,7 @@
 
 	inbound   chan *protocol.ConsensusMessage
 	proposals chan *proposal
-	requests  chan func()
+	requests  chan request
 	stop      chan struct{}
 	stopped   chan struct{}
 	stopOnce  sync.Once
@@ -49,7 +49,14 @@
 	cancel     context.CancelFunc
 
 	view  atomic.Pointer[view]
+	seeds atomic.Pointer[[]string]
 	owner owner
+	// The rest belongs to the owner goroutine.
+	// machineIndex is the last entry that the state machine has applied, be it by a snapshot. It is ahead of what the node
+	// applied when the log was opened again: the machine keeps its state then.
+	machineIndex uint64
+	// otherFailures counts the failures of the disk that were no lack of room.
+	otherFailures int
 }
 
 // New opens the data folder and restores the state machine from the newest snapshot. An error
@@ -76,10 +83,11 @@
 		self:      proto.Clone(options.Self).(*protocol.CoreMember),
 		inbound:   make(chan *protocol.ConsensusMessage, inboundQueue),
 		proposals: make(chan *proposal, proposalQueue),
-		requests:  make(chan func(), requestQueue),
+		requests:  make(chan request, requestQueue),
 		stop:      make(chan struct{}),
 		stopped:   make(chan struct{}),
 	}
+	replica.SetSeeds(options.Seeds)
 	replica.self.Id, replica.self.Voter = memberID(identity.StorageID), false
 	if err := replica.open(); err != nil {
 		_ = disk.close()
@@ -129,8 +137,8 @@
 	if err != nil {
 		return err
 	}
-	if snapshot != nil {
-		if err := restoreMachine(r.options.Machine, state); err != nil {
+	if snapshot.GetIndex() > r.machineIndex {
+		if err := r.restoreMachine(snapshot, state); err != nil {
 			return err
 		}
 	}
@@ -146,7 +154,7 @@
 	r.running.Add(2)
 	go func() {
 		defer r.running.Done()
-		r.owner.run()
+		r.run()
 	}()
 	go func() {
 		defer r.running.Done()
@@ -190,35 +198,6 @@
 // ID returns the random id of this member, made with its data folder.
 func (r *Replica) ID() uint64 { return r.self.GetId() }
 
-// do runs a function on the owner goroutine and waits for it.
-func (r *Replica) do(ctx context.Context, run func()) error {
-	done := make(chan struct{})
-	select {
-	case <-r.stopped:
-		return &StoppedError{}
-	default:
-	}
-	select {
-	case r.requests <- func() { run(); close(done) }:
-	default:
-		r.metrics.overloads.Inc()
-		return &OverloadedError{Queue: "requests"}
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return &UnknownOutcomeError{Cause: ctx.Err()}
-	case <-r.stopped:
-	}
-	select {
-	case <-done:
-		return nil
-	default:
-		return &StoppedError{}
-	}
-}
-
 // memberID derives the id from the identity of the data folder, so that an emptied folder is
 // another member.
 func memberID(storageID string) uint64 {
--- a/internal/core/replica/service.go
+++ b/internal/core/replica/service.go
@@ -102,6 +102,7 @@
 	var unknown *UnknownOutcomeError
 	var overloaded *OverloadedError
 	var stopped *StoppedError
+	var disk *DiskUnavailableError
 	var size *consensus.CommandSizeError
 	wait := failure.WithRetryAfter(retryAfter)
 	switch {
@@ -115,7 +116,7 @@
 		return failure.New(failure.Overloaded, protocol.Outcome_NOT_RUN, err.Error(), wait)
 	case errors.As(err, &size):
 		return failure.New(failure.BodyTooLarge, protocol.Outcome_NOT_RUN, err.Error())
-	case errors.As(err, &stopped):
+	case errors.As(err, &stopped), errors.As(err, &disk):
 		return failure.New(failure.Unavailable, protocol.Outcome_NOT_RUN, err.Error(), wait)
 	default:
 		return nil
--- a/internal/core/replica/snapshots.go
+++ b/internal/core/replica/snapshots.go
@@ -6,12 +6,16 @@
 
 	"github.com/rosestand/rosestand/internal/consensus"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage"
 )
 
 // cachedSnapshotFor is how long a snapshot that is being transferred stays in memory after the
 // last piece was read from it.
 const cachedSnapshotFor = 30 * time.Second
 
+// snapshotRetry is the pause before a snapshot is tried again for which there was no room.
+const snapshotRetry = 10 * time.Second
+
 // snapshots is the owner's view of snapshots being taken and transferred.
 type snapshots struct {
 	saving bool
@@ -19,6 +23,8 @@
 	cached *protocol.SnapshotMetadata
 	data   []byte
 	used   time.Time
+	// retryAt is when a snapshot is tried again for which there was no room.
+	retryAt time.Time
 	// appliedBytes is the size of the entries applied since the last snapshot was taken.
 	appliedBytes int
 	// stale are the members whose transfer named a snapshot that was not there any more.
@@ -27,7 +33,9 @@
 
 type savedSnapshot struct {
 	metadata *protocol.SnapshotMetadata
-	err      error
+	// appliedBytes is the size of the entries since the snapshot before it.
+	appliedBytes int
+	err          error
 }
 
 // wait lets a snapshot that is being written finish, so that the disk can be closed.
@@ -43,7 +51,11 @@
 	o.dropCachedSnapshot()
 	status, options := o.node.Status(), o.replica.options
 	due := status.Applied-status.SnapshotIndex >= options.SnapshotEntries || o.snapshots.appliedBytes >= options.SnapshotBytes
-	if o.snapshots.saving || !due {
+	if o.snapshots.saving || !due || o.now().Before(o.snapshots.retryAt) {
+		return
+	}
+	if status.Applied < o.replica.machineIndex {
+		// The machine's state is that of a later entry than the snapshot would name.
 		return
 	}
 	var state bytes.Buffer
@@ -53,16 +65,24 @@
 	}
 	metadata := o.node.SnapshotMetadata()
 	o.replica.metrics.snapshotBytes.Set(float64(state.Len()))
+	disk, saved, appliedBytes := o.replica.disk, o.snapshots.saved, o.snapshots.appliedBytes
 	o.snapshots.saving, o.snapshots.appliedBytes = true, 0
-	disk, saved := o.replica.disk, o.snapshots.saved
 	go func() {
-		saved <- savedSnapshot{metadata: metadata, err: disk.saveSnapshot(metadata, state.Bytes())}
+		err := disk.saveSnapshot(metadata, state.Bytes())
+		saved <- savedSnapshot{metadata: metadata, appliedBytes: appliedBytes, err: err}
 	}()
 }
 
 // snapshotSaved shortens the log under a snapshot that has become durable.
 func (o *owner) snapshotSaved(saved savedSnapshot) {
 	o.snapshots.saving = false
+	if storage.IsDiskFull(saved.err) {
+		// The log still takes records, and holds all that the snapshot would.
+		o.snapshots.retryAt = o.now().Add(snapshotRetry)
+		o.snapshots.appliedBytes += saved.appliedBytes
+		o.replica.logWarning("no room for a snapshot", "error", saved.err)
+		return
+	}
 	if saved.err != nil {
 		o.fail(saved.err)
 		return
@@ -88,7 +108,7 @@
 // goes first: a state that it cannot restore must not become durable.
 func (o *owner) installSnapshot(ready consensus.Ready) error {
 	received := ready.Snapshot
-	if err := restoreMachine(o.replica.options.Machine, received.Data); err != nil {
+	if err := o.replica.restoreMachine(received.Metadata, received.Data); err != nil {
 		return err
 	}
 	if err := o.replica.disk.saveSnapshot(received.Metadata, received.Data); err != nil {
--- /dev/null
+++ b/internal/core/replica/space_test.go
@@ -0,0 +1,75 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/storage/simdisk"
+)
+
+const (
+	smallDiskBytes = 64 << 20
+	// controlSpaceBytes is what a core may take on its disk with a small state and the default bounds.
+	controlSpaceBytes = 32 << 20
+	largeCommandBytes = 256 << 10
+	largeCommands     = 500
+)
+
+// lastCommand is a state machine whose state is one command.
+type lastCommand struct{ command []byte }
+
+func (l *lastCommand) Apply(_ uint64, command []byte) []byte {
+	l.command = command
+	return nil
+}
+
+func (l *lastCommand) Snapshot(writer io.Writer) error {
+	_, err := writer.Write(l.command)
+	return err
+}
+
+func (l *lastCommand) Restore(reader io.Reader) (err error) {
+	l.command, err = io.ReadAll(reader)
+	return err
+}
+
+func TestLogAndSnapshotsFitASmallDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := simdisk.New(rand.New(rand.NewPCG(1, 1)))
+		disk.SetCapacity(smallDiskBytes)
+		built, err := New(Options{
+			Self:     &protocol.CoreMember{Name: "core-1", Address: "127.0.0.1:7001"},
+			Founders: []string{"127.0.0.1:7001"}, Folder: "core", Filesystem: disk, Machine: &lastCommand{},
+			Random:  rand.New(rand.NewPCG(2, 2)),
+			OnFatal: func(err error) { t.Errorf("the replica failed: %v", err) },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := built.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for !built.IsLeader() {
+			<-time.NewTimer(DefaultReplaceVoterAfter).C
+		}
+		largest := int64(0)
+		for range largeCommands {
+			if _, _, err := built.Propose(t.Context(), make([]byte, largeCommandBytes)); err != nil {
+				t.Fatal(err)
+			}
+			largest = max(largest, disk.Used())
+		}
+		if err := built.Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d bytes at most for %d MiB of commands", largest, largeCommands*largeCommandBytes>>20)
+		if largest > controlSpaceBytes {
+			t.Errorf("the replica filled %d bytes, more than %d", largest, int64(controlSpaceBytes))
+		}
+	})
+}
--- a/internal/core/replica/waiters.go
+++ b/internal/core/replica/waiters.go
@@ -33,16 +33,12 @@
 		return r.notLeader()
 	}
 	done := make(chan error, 1)
-	select {
-	case <-r.stopped:
-		return &StoppedError{}
-	default:
-	}
-	select {
-	case r.requests <- func() { r.owner.read(done) }:
-	default:
-		r.metrics.overloads.Inc()
-		return &OverloadedError{Queue: "requests"}
+	err := r.enqueue(request{
+		run:    func() { r.owner.read(done) },
+		refuse: func(err error) { done <- err },
+	})
+	if err != nil {
+		return err
 	}
 	select {
 	case err := <-done:
@@ -131,14 +127,15 @@
 	w.confirmed = nil
 }
 
-func (w *waiters) stop() {
+// stop answers all that wait when the owner ends for a cause.
+func (w *waiters) stop(cause error) {
 	for _, done := range w.proposals {
-		done <- proposalResult{err: &UnknownOutcomeError{Cause: &StoppedError{}}}
+		done <- proposalResult{err: &UnknownOutcomeError{Cause: cause}}
 	}
 	for _, done := range w.reads {
-		done <- &StoppedError{}
+		done <- cause
 	}
 	for _, read := range w.confirmed {
-		read.done <- &StoppedError{}
+		read.done <- cause
 	}
 }
