Bound the heads of servers' answers at 64 KiB

Cause: status line and headers of an answer were read without any bound, so that one server could fill a front node's memory.

Change: while a head is read no more than MaxHeadBytes come from the connection, provisional answers included. Bodies keep their own bounds.

A head of exactly 64 KiB is taken, one a byte larger is not.

Conclusion: what a server may send before its answer counts has an end.

--- a/internal/serverconn/answers_test.go
+++ b/internal/serverconn/answers_test.go
@@ -42,6 +42,107 @@
 	}
 }
 
+// headOf gives the head of an answer of so many bytes, with a body of two.
+func headOf(size int) string {
+	const begin, end = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", "\r\n"
+	const name, lineEnd, most = "X: ", "\r\n", 1 << 10
+	var head strings.Builder
+	head.WriteString(begin)
+	for left := size - len(begin) - len(end); left > 0; {
+		line := min(left, most)
+		if rest := left - line; rest > 0 && rest <= len(name)+len(lineEnd) {
+			line -= most / 2
+		}
+		head.WriteString(name + strings.Repeat("x", line-len(name)-len(lineEnd)) + lineEnd)
+		left -= line
+	}
+	head.WriteString(end)
+	return head.String()
+}
+
+func TestHeadsOfAnswersAreBounded(t *testing.T) {
+	provisional := "HTTP/1.1 103 Early\r\n\r\n"
+	for name, story := range map[string]struct {
+		answer  string
+		isTaken bool
+	}{
+		"as large as is allowed":               {answer: headOf(serverconn.MaxHeadBytes) + "ab", isTaken: true},
+		"a byte larger":                        {answer: headOf(serverconn.MaxHeadBytes+1) + "ab"},
+		"one header without an end":            {answer: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 4*serverconn.MaxHeadBytes)},
+		"a status line without an end":         {answer: "HTTP/1.1 200 " + strings.Repeat("x", 4*serverconn.MaxHeadBytes)},
+		"provisional answers without an end":   {answer: strings.Repeat(provisional, 4*serverconn.MaxHeadBytes/len(provisional))},
+		"a large one after a provisional one":  {answer: provisional + headOf(serverconn.MaxHeadBytes) + "ab"},
+		"a small one, and a body that is long": {answer: "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 4*serverconn.MaxHeadBytes), isTaken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			served := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+				if request, _ := readRequest(t, reader); request != nil {
+					_, _ = io.WriteString(connection, story.answer)
+				}
+			})
+			pool := newPool(t, serverconn.Options{})
+			response, err := pool.Do(context.Background(), served.address(), post("a"))
+			if story.isTaken {
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := response.ReadAll(int64(len(story.answer))); err != nil {
+					t.Error(err)
+				}
+				response.Close()
+				return
+			}
+			var broken *serverconn.BrokenError
+			var tooLarge *serverconn.HeadTooLargeError
+			if !errors.As(err, &broken) || !errors.As(err, &tooLarge) || tooLarge.Limit != serverconn.MaxHeadBytes {
+				t.Fatalf("gave %v", err)
+			}
+		})
+	}
+}
+
+func TestAConnectionWithAHeadThatIsTooLargeIsNotUsedAgain(t *testing.T) {
+	served := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			request, _ := readRequest(t, reader)
+			if request == nil {
+				return
+			}
+			_, _ = io.WriteString(connection, headOf(serverconn.MaxHeadBytes+1)+"ab")
+		}
+	})
+	pool := newPool(t, serverconn.Options{})
+	for range 2 {
+		if _, err := pool.Do(context.Background(), served.address(), post("a")); err == nil {
+			t.Fatal("the head was taken")
+		}
+	}
+	if pool.Opened() != 2 {
+		t.Fatalf("%d connections were opened", pool.Opened())
+	}
+}
+
+func TestTheBoundOfHeadsCountsForEachExchange(t *testing.T) {
+	served := newServer(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			request, _ := readRequest(t, reader)
+			if request == nil {
+				return
+			}
+			_, _ = io.WriteString(connection, headOf(serverconn.MaxHeadBytes)+"ab")
+		}
+	})
+	pool := newPool(t, serverconn.Options{})
+	for range 3 {
+		if got := whole(t, pool, served.address(), "a"); got != "ab" {
+			t.Fatalf("got %q", got)
+		}
+	}
+	if pool.Opened() != 1 {
+		t.Fatalf("%d connections were opened", pool.Opened())
+	}
+}
+
 func TestAnAnswerWithoutALengthEndsWithItsConnectionAndIsNotReused(t *testing.T) {
 	ending := once(t, "HTTP/1.1 200 OK\r\n\r\nuntil the end")
 	pool := newPool(t, serverconn.Options{})
--- a/internal/serverconn/connection.go
+++ b/internal/serverconn/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -13,12 +14,43 @@
 type connection struct {
 	address string
 	net.Conn
+	source  *boundedSource
 	reader  *bufio.Reader
 	expires time.Time
 }
 
 func newConnection(address string, opened net.Conn) *connection {
-	return &connection{address: address, Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}
+	source := &boundedSource{from: opened}
+	return &connection{address: address, Conn: opened, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+}
+
+// boundedSource reads from a connection, up to a bound while there is one.
+type boundedSource struct {
+	from    io.Reader
+	bounded bool
+	left    int64
+	// exceeded is set once more than the bound was asked for: readers of lines hide the error of a line cut short.
+	exceeded bool
+}
+
+// bound lets so many more bytes be read before a *HeadTooLargeError.
+func (s *boundedSource) bound(limit int64) { s.bounded, s.left = true, limit }
+
+// unbound lets any number of bytes be read.
+func (s *boundedSource) unbound() { s.bounded = false }
+
+// Read implements io.Reader.
+func (s *boundedSource) Read(buffer []byte) (int, error) {
+	if !s.bounded {
+		return s.from.Read(buffer)
+	}
+	if s.left <= 0 {
+		s.exceeded = true
+		return 0, &HeadTooLargeError{Limit: MaxHeadBytes}
+	}
+	count, err := s.from.Read(buffer[:min(int64(len(buffer)), s.left)])
+	s.left -= int64(count)
+	return count, err
 }
 
 func (c *connection) close() { _ = c.Close() }
--- a/internal/serverconn/errors.go
+++ b/internal/serverconn/errors.go
@@ -30,6 +30,11 @@
 
 func (e *TooLargeError) Error() string { return "the answer is too large" }
 
+// HeadTooLargeError says that the status line and headers of an answer are larger than this process takes.
+type HeadTooLargeError struct{ Limit int64 }
+
+func (e *HeadTooLargeError) Error() string { return "the head of the answer is too large" }
+
 // ClosedError says that the pool is closed.
 type ClosedError struct{}
 
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -17,6 +17,8 @@
 	// the answer, since a server may answer before it has read the whole.
 	writeAsideBytes = 8 << 10
 	keepAliveHeader = "Keep-Alive"
+	// MaxHeadBytes bounds status line and headers of an answer, those of the provisional answers before it included.
+	MaxHeadBytes = 64 << 10
 )
 
 // Request is one request to a server. Method, Target, Host and Headers go as they are.
@@ -95,10 +97,15 @@
 	return nil
 }
 
-// readHead skips provisional answers.
+// readHead skips provisional answers. The error is a *HeadTooLargeError when the head goes beyond its bound.
 func readHead(from *connection, method string) (*http.Response, error) {
+	from.source.bound(MaxHeadBytes)
+	defer from.source.unbound()
 	for {
 		answer, err := http.ReadResponse(from.reader, &http.Request{Method: method})
+		if from.source.exceeded {
+			return nil, &HeadTooLargeError{Limit: MaxHeadBytes}
+		}
 		if err != nil {
 			return nil, err
 		}
