Hold the story's slow reader up until the front node has cut it

Cause: the story "cuts a reader that falls too far behind with a typed end" let its reader go on as soon as the model server had written its last word into the socket. Whether the front node had read more than maxReaderLag of them by then was up to the scheduler; when it had not, the reader kept pace, nobody was cut and the turn went on for ever.

Excluded: a fault of the cut itself.

Change: the reader is held in its first event until the server sees that the front node has given the turn up, which only the cut brings about. The story now also wants that the reader gets nothing more. Nothing is eased: the typed end and the released reservation are asked as before.

Conclusion: the verdict does not depend on scheduling any more.

--- a/internal/front/wire_test.go
+++ b/internal/front/wire_test.go
@@ -57,21 +57,21 @@
 		for at := range text {
 			text[at] = "w"
 		}
-		sent := make(chan struct{})
+		// The reader is held up until the front node has cut it: it gives the back end up then.
+		givenUp := make(chan struct{})
 		r.backEnd("m1", modelServer, func(writer http.ResponseWriter, request *http.Request) {
 			writeWords(writer, text...)
-			close(sent)
 			<-request.Context().Done()
+			close(givenUp)
 		})
 		request := &protocol.TurnRequest{RequestId: "r", Session: "s", Program: "p", Tenant: tenant, Model: model}
-		first := true
+		passedOn := 0
 		err := serve(&protocol.Request{Body: &protocol.Request_Turn{Turn: request}}, func(*protocol.Response) error {
-			if first {
-				<-sent
-				first = false
-			}
+			<-givenUp
+			passedOn++
 			return nil
 		})
+		Expect(passedOn).To(Equal(1), "a reader that is cut gets nothing more")
 		Expect(failure.Is(err, failure.SlowReader)).To(BeTrue(), "%v", err)
 		Eventually(func() []*protocol.Reservation { return r.ledger.program("p").GetReservations() }).Should(BeEmpty())
 	})
