Split the front plane's test rig and its stories of turns by job

The clock, the ledger, the fakes of link and ownership, the network and the callers of the rig have files of their own now, and so have turns whose session another front node owns.

--- /dev/null
+++ b/internal/front/memoryledger_test.go
@@ -0,0 +1,136 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// memoryLedger decides by the real rules over records in memory.
+type memoryLedger struct {
+	clock *manualClock
+	mutex sync.Mutex
+	// down makes every operation unavailable; seen counts them by kind.
+	down bool
+	// unreachable is what the client says of every program, and cutOff of its front node.
+	unreachable, cutOff atomic.Bool
+	// holdRefusals, when set, keeps tombstones back until it is closed.
+	holdRefusals chan struct{}
+	// intercept, when set, may answer an operation in the ledger's place; nil lets it through.
+	intercept func(operation *protocol.LedgerOperation) *protocol.LedgerResult
+	seen      map[string]int
+	programs  map[string]*protocol.ProgramRecord
+	calls     map[string]*protocol.CallRecord
+	turns     map[string]*protocol.Turn
+}
+
+func (l *memoryLedger) Do(_ context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	if l.holdRefusals != nil && operation.GetRefuseRequest() != nil {
+		<-l.holdRefusals
+	}
+	if l.intercept != nil {
+		if result := l.intercept(operation); result != nil {
+			return result, nil
+		}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.seen[strings.TrimPrefix(fmt.Sprintf("%T", operation.GetBody()), "*protocol.LedgerOperation_")]++
+	if l.down {
+		return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE), nil
+	}
+	operation = proto.CloneOf(operation)
+	if read := operation.GetReadTurns(); read != nil {
+		return l.read(operation.GetProgram(), read), nil
+	}
+	if find := operation.GetFindTurn(); find != nil {
+		return l.find(find.GetTurnId()), nil
+	}
+	if call := ledger.CallOf(operation); call != "" {
+		key := operation.GetProgram() + "/" + call
+		changed, result := ledger.ApplyCall(l.calls[key], operation, l.clock.Now())
+		if changed != nil {
+			l.calls[key] = changed
+		}
+		return result, nil
+	}
+	if settle := operation.GetSettleTurn(); settle != nil {
+		l.turns[settle.GetTurn().GetId()] = settle.GetTurn()
+	}
+	changed, result := ledger.Apply(l.programs[operation.GetProgram()], operation, l.clock.Now())
+	if changed != nil {
+		l.programs[operation.GetProgram()] = changed
+	}
+	return result, nil
+}
+
+// DoDirectly carries an operation out for another front node.
+func (l *memoryLedger) DoDirectly(ctx context.Context, operation *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+	return l.Do(ctx, operation)
+}
+
+// Unreachable reports what the story says.
+func (l *memoryLedger) Unreachable(string) bool { return l.unreachable.Load() }
+
+// CutOff reports what the story says.
+func (l *memoryLedger) CutOff() bool { return l.cutOff.Load() }
+
+// read follows a chain within one program, as stores do.
+func (l *memoryLedger) read(program string, read *protocol.ReadTurns) *protocol.LedgerResult {
+	result := ledger.Answer(protocol.LedgerStatus_LEDGER_OK)
+	for next := read.GetLastTurn(); next != "" && len(result.Turns) < int(read.GetLimit()); {
+		kept := l.turns[next]
+		if kept == nil || kept.GetProgram() != program {
+			return ledger.Answer(protocol.LedgerStatus_LEDGER_TURN_MISSING)
+		}
+		result.Turns = append(result.Turns, kept)
+		next = kept.GetPreviousTurn()
+		if kept.GetPreviousProgram() != "" {
+			next = ""
+		}
+	}
+	return result
+}
+
+// find looks a turn up in all programs.
+func (l *memoryLedger) find(id string) *protocol.LedgerResult {
+	kept := l.turns[id]
+	if kept == nil {
+		return ledger.Answer(protocol.LedgerStatus_LEDGER_TURN_MISSING)
+	}
+	result := ledger.Answer(protocol.LedgerStatus_LEDGER_OK)
+	result.Turns = []*protocol.Turn{kept}
+	return result
+}
+
+// turn gives a kept turn, or nil.
+func (l *memoryLedger) turn(id string) *protocol.Turn {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.turns[id]
+}
+
+func (l *memoryLedger) setDown(down bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.down = down
+}
+
+func (l *memoryLedger) count(kind string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.seen[kind]
+}
+
+func (l *memoryLedger) program(name string) *protocol.ProgramRecord {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.programs[name]
+}
