Lose two stores at once, and bring them back while programs take turns

Shards with five replicas must bear two losses; only one at a time was played with the real driver. Now two of the stores are killed, lose power or their disks, are cut off or frozen, in any two ways, while programs take turns and turns are looked up; at the end all lose power and two their disks.

With three replicas the first loss of two leaves no majority and the specs fail.

--- a/internal/store/baddays_test.go
+++ b/internal/store/baddays_test.go
@@ -27,14 +27,18 @@
 	// kept holds each acknowledged turn with its program.
 	kept    map[string]*program
 	ordered []string
+	// doubtful holds reservations without a clear answer, which may still be made.
+	doubtful []*protocol.LedgerOperation
 	// broken is the store that is away, empty when none is.
 	broken string
 	log    []string
 }
 
-func newBadDay(seed uint64) *badDay {
+func newBadDay(seed uint64) *badDay { return newBadDayOn(newFleet("a", "b", "c", "d"), seed) }
+
+func newBadDayOn(stores *fleet, seed uint64) *badDay {
 	day := &badDay{
-		fleet:  newFleet("a", "b", "c", "d"),
+		fleet:  stores,
 		random: rand.New(rand.NewPCG(seed, 11)),
 		kept:   map[string]*program{},
 	}
@@ -180,6 +184,9 @@
 			continue
 		}
 		answer := d.fleet.tryUnder(name, before.GetEpoch(), reserve)
+		if status := answer.GetStatus(); status == unavailable || status == protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT {
+			d.doubtful = append(d.doubtful, reserve)
+		}
 		Expect(answer.GetStatus()).NotTo(Equal(ok), "stale %s reserved: %s", name, d.history())
 	}
 }
--- a/internal/store/fleet_test.go
+++ b/internal/store/fleet_test.go
@@ -25,8 +25,10 @@
 )
 
 const (
-	shardCount   = 4
-	segmentBytes = 16 << 10
+	shardCount = 4
+	// usualReplicas are those of each shard of a fleet that bears one loss.
+	usualReplicas = 3
+	segmentBytes  = 16 << 10
 	// usualPace makes timers short and leaves a machine that is busy time for what a deadline of seconds bounds.
 	usualPace = 5
 	// patience bounds how long a test looks for something that must come.
@@ -132,6 +134,11 @@
 
 // newFleetOn puts something between each store and its disk.
 func newFleetOn(wrap func(name string, filesystem storage.Filesystem) storage.Filesystem, names ...string) *fleet {
+	return newFleetOf(usualReplicas, wrap, names...)
+}
+
+// newFleetOf places each shard on the first stores.
+func newFleetOf(replicas int, wrap func(name string, filesystem storage.Filesystem) storage.Filesystem, names ...string) *fleet {
 	f := &fleet{wrap: wrap, clock: newTestClock(), members: map[string]*member{}, names: names, cut: map[string]bool{}, stale: map[string]*corelink.View{}, frozen: map[string]chan struct{}{}, view: &corelink.View{}, pace: usualPace}
 	for number, name := range names {
 		f.members[name] = &member{name: name, disk: simdisk.New(rand.New(rand.NewPCG(uint64(number), 7)))}
@@ -140,7 +147,7 @@
 	placement := &protocol.Placement{}
 	for shard := range uint32(shardCount) {
 		placed := &protocol.ShardPlacement{Shard: shard}
-		for _, name := range names[:3] {
+		for _, name := range names[:replicas] {
 			placed.Current = append(placed.Current, f.replica(name, protocol.ReplicaState_REPLICA_ACTIVE))
 		}
 		placement.Shards = append(placement.Shards, placed)
@@ -212,6 +219,11 @@
 // loseDisk empties a store's disk and starts it again, and tells the core's placement of it.
 func (f *fleet) loseDisk(name string) {
 	f.stopOne(name, false)
+	f.restartEmpty(name)
+}
+
+// restartEmpty starts a stopped store with an empty disk.
+func (f *fleet) restartEmpty(name string) {
 	f.members[name].disk.Lose()
 	f.start(name)
 	f.setCut(name, false)
