Let a start wait for room on a full disk

Cause: a process that was started again while its disk was full could not write its identity and incarnation, and ended with 1, time after time.

Excluded: waiting before the ports are opened. Nothing may be written before the ports are had, which a spec of the daemon demands; so nobody answers at the open ports meanwhile, and peers take the process for a frozen one.

--- a/internal/daemon/errors.go
+++ b/internal/daemon/errors.go
@@ -30,6 +30,11 @@
 // Unwrap returns the cause.
 func (e *DataFolderError) Unwrap() error { return e.Cause }
 
+// stoppedBeforeStartError says that the process was asked to stop while it waited for room on its disk.
+type stoppedBeforeStartError struct{}
+
+func (e *stoppedBeforeStartError) Error() string { return "stopped before the start" }
+
 // StageError says in which stage of a start or stop something failed.
 type StageError struct {
 	Stage string
--- a/internal/daemon/folder.go
+++ b/internal/daemon/folder.go
@@ -25,8 +25,9 @@
 	identity storage.Identity
 }
 
-// openDataFolder locks the folder and reads its identity. An empty path means that the process keeps nothing.
-func openDataFolder(path string) (*dataFolder, error) {
+// openDataFolder locks the folder, waits until it has room and reads its identity. An empty path means that the process
+// keeps nothing. hasRoom returns false when the process is asked to stop.
+func openDataFolder(path string, hasRoom func(path string) bool) (*dataFolder, error) {
 	if path == "" {
 		return &dataFolder{}, nil
 	}
@@ -34,6 +35,9 @@
 	if err != nil {
 		return nil, &DataFolderError{Path: path, Cause: err}
 	}
+	if !hasRoom(path) {
+		return nil, errors.CombineErrors(&stoppedBeforeStartError{}, lock.Close())
+	}
 	identity, err := storage.OpenIdentity(storage.OSFilesystem{}, path)
 	if err != nil {
 		return nil, &DataFolderError{Path: path, Cause: errors.CombineErrors(err, lock.Close())}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -17,6 +17,7 @@
 
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/settings"
+	"github.com/rosestand/rosestand/internal/storage"
 	"github.com/rosestand/rosestand/internal/wire"
 )
 
@@ -69,7 +70,14 @@
 		return err
 	}
 	defer func() { failed = errors.CombineErrors(failed, opened.close()) }()
-	folder, err := openDataFolder(node.GetDataFolder())
+	folder, err := openDataFolder(node.GetDataFolder(), func(path string) bool {
+		return waitForSpace(storage.OSFilesystem{}, path, logger, environment.Signals)
+	})
+	var stopped *stoppedBeforeStartError
+	if errors.As(err, &stopped) {
+		logger.Info("stopped while the start waited for room on the disk")
+		return nil
+	}
 	if err != nil {
 		return err
 	}
