Refuse calls at once that expect to miss their objective by waiting

Cause: a call of an HTTP route with a latency objective waited for a slot as long as the queue allows (2 s, or 0.5 s expected), also when its objective was lost by that. The fields for it, MaxWait and ExpectedWork, were never set, while docs/POLICIES.md said that a quarter of the objective bounds the wait.

Change: a ticket may bound the wait that it expects on entry; calls with an objective get a quarter of it. What waits already is not refused for it. Streams have no such bound: what is theirs goes by their program's time.

ExpectedWork: a front node does not know what is left of a program; trials with the work of this one call alone were of a model in which the call is the program, and show nothing of programs.

It was played in the model only, no fleet of processes was measured.

--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -92,3 +92,8 @@
 
 // NotReady says why a front node should get no connections; empty when it should.
 func NotReady(service *Service) string { return service.notReady() }
+
+// MaxExpectedWait is the longest wait for a slot that a request of an HTTP route may expect.
+func MaxExpectedWait(routed *protocol.HttpRequest) time.Duration {
+	return routedTicket(routed, "", time.Time{}, time.Time{}).MaxExpectedWait
+}
--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -131,12 +131,19 @@
 	}
 }
 
+// expectedWaitShare is the part of its latency objective that a call may expect to wait for a slot. One that has to
+// expect more is refused at once, while its caller still has time to be served elsewhere.
+const expectedWaitShare = 0.25
+
 // routedTicket is a request's claim to a slot.
 func routedTicket(routed *protocol.HttpRequest, tenant string, deadline, now time.Time) limit.Ticket {
 	ticket := limit.Ticket{Class: rankClass(routed.GetRank()), Tenant: tenant, Weight: 1, Deadline: deadline}
 	if left := routed.GetProgramTimeLeftMillis(); left > 0 {
 		ticket.ProgramDeadline = now.Add(millis(left))
 	}
+	if routed.GetKind() != protocol.HttpRouteKind_HTTP_STREAMING {
+		ticket.MaxExpectedWait = time.Duration(expectedWaitShare * float64(millis(routed.GetLatencyObjectiveMillis())))
+	}
 	return ticket
 }
 
--- a/internal/limit/expectation.go
+++ b/internal/limit/expectation.go
@@ -137,9 +137,12 @@
 	if class.held(ticket.Tenant) == 0 || ticket.Refusals > 0 {
 		share = firstWaitShare
 	}
-	return wait > time.Duration(share*float64(q.maxWait)) || ticket.MaxWait > 0 && wait > ticket.MaxWait
+	return wait > time.Duration(share*float64(q.maxWait)) || exceeds(wait, ticket.MaxWait) || exceeds(wait, ticket.MaxExpectedWait)
 }
 
+// exceeds reports whether a wait is longer than a bound; zero is none.
+func exceeds(wait, bound time.Duration) bool { return bound > 0 && wait > bound }
+
 // hasLongQueue reports whether more tickets wait than run.
 func (q *Queue) hasLongQueue() bool {
 	waiting := 0
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -41,6 +41,9 @@
 	// MaxWait bounds how long the ticket waits if that is less than the queue's bound; zero is the queue's. A refusal
 	// that the caller is to recover from within its latency objective comes within a quarter of that.
 	MaxWait time.Duration
+	// MaxExpectedWait bounds the wait that the ticket may expect when it enters: one that would miss its objective by
+	// waiting is refused at once. A ticket that waits already is not refused for it. Zero is no bound of its own.
+	MaxExpectedWait time.Duration
 	// ProgramDeadline is when the whole program should be over, and ExpectedWork how long what is left of it is
 	// expected to take when nothing waits. Of a tenant's tickets those with the least time to spare go first.
 	ProgramDeadline time.Time
--- a/internal/limit/urgency_test.go
+++ b/internal/limit/urgency_test.go
@@ -227,3 +227,23 @@
 		t.Fatalf("served %v", served)
 	}
 }
+
+func TestATicketThatExpectsToMissItsObjectiveIsRefusedAtOnceAndOneThatWaitsIsNot(t *testing.T) {
+	s := newTickets(1000, 2*time.Second, 2)
+	now := atEase(s)
+	bounded := limit.Ticket{Class: interactive, Tenant: "a", MaxExpectedWait: 400 * time.Millisecond}
+	for range 2 {
+		s.put(bounded, now)
+	}
+	first, second := s.put(bounded, now), s.put(bounded, now)
+	if s.verdicts[first].Verdict != 0 {
+		t.Fatalf("one that expects a wait of 250 ms: %+v", s.verdicts[first])
+	}
+	if refused := s.verdicts[second]; refused.Verdict != limit.RefuseFull || refused.RetryAfter == 0 {
+		t.Fatalf("one that expects a wait of 500 ms: %+v", refused)
+	}
+	s.note(s.queue.Expire(now.Add(time.Second)))
+	if s.verdicts[first].Verdict != 0 {
+		t.Fatalf("one that has waited for a second: %+v", s.verdicts[first])
+	}
+}
--- /dev/null
+++ b/internal/schedule/schedulesim/admission.go
@@ -0,0 +1,175 @@
+package schedulesim
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/limit"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// AdmissionOptions say what is played with the queues of front nodes before one group of servers.
+type AdmissionOptions struct {
+	Seed   uint64
+	Fronts int
+	// Slots are those of all servers together, of which each front node has its share.
+	Slots int
+	// PerSecond is the rate of calls over the whole fleet.
+	PerSecond float64
+	// Work is the mean time that a call holds its slot.
+	Work time.Duration
+	// Objective is the time within which a call counts as well served, and Timeout how long its caller tries.
+	Objective time.Duration
+	Timeout   time.Duration
+	// MostSends is how often a caller sends one call.
+	MostSends int
+	// MaxWaitShare is the part of the objective that a ticket waits at most, MaxExpectedShare the part that it may
+	// expect to wait when it enters; zero leaves it to the queue.
+	MaxWaitShare     float64
+	MaxExpectedShare float64
+	Length           time.Duration
+}
+
+// AdmissionResult is what came of a play.
+type AdmissionResult struct {
+	Calls int
+	// InObjective counts the calls that ended within the objective of their first send, Served those that ended at all.
+	InObjective int
+	Served      int
+	// Refusals counts single refusals, LateRefusals those that came after lateRefusal.
+	Refusals     int
+	LateRefusals int
+}
+
+// lateRefusal is the time after which a refusal comes late.
+const lateRefusal = 50 * time.Millisecond
+
+// Add counts the result of another play along.
+func (r *AdmissionResult) Add(other *AdmissionResult) {
+	r.Calls += other.Calls
+	r.InObjective += other.InObjective
+	r.Served += other.Served
+	r.Refusals += other.Refusals
+	r.LateRefusals += other.LateRefusals
+}
+
+// ShareOf is a count as a part of all calls.
+func (r *AdmissionResult) ShareOf(count int) float64 {
+	return float64(count) / float64(max(r.Calls, 1))
+}
+
+// admissionFront is one front node's queue with the calls that wait in it.
+type admissionFront struct {
+	play    *admissionPlay
+	queue   *limit.Queue
+	waiting map[uint64]*admissionCall
+}
+
+type admissionCall struct {
+	begun  time.Duration
+	sentAt time.Duration
+	work   time.Duration
+	sends  int
+}
+
+type admissionPlay struct {
+	options  AdmissionOptions
+	timeline *timeline
+	fronts   []*admissionFront
+	random   *rand.Rand
+	nextID   uint64
+	result   *AdmissionResult
+}
+
+// PlayAdmission runs calls through the queues of front nodes.
+func PlayAdmission(options AdmissionOptions) *AdmissionResult {
+	p := &admissionPlay{
+		options: options, timeline: &timeline{}, random: rand.New(rand.NewPCG(options.Seed, 3)), result: &AdmissionResult{},
+	}
+	for range options.Fronts {
+		p.fronts = append(p.fronts, &admissionFront{
+			play: p, queue: limit.NewQueue(0, 0, options.Slots/options.Fronts), waiting: map[uint64]*admissionCall{},
+		})
+	}
+	p.nextCall()
+	p.timeline.runUntil(options.Length + options.Timeout)
+	return p.result
+}
+
+func (p *admissionPlay) nextCall() {
+	wait := time.Duration(p.random.ExpFloat64() / p.options.PerSecond * float64(time.Second))
+	if p.timeline.now+wait > p.options.Length {
+		return
+	}
+	p.timeline.after(wait, func() {
+		p.result.Calls++
+		work := lognormal(p.random, float64(p.options.Work), spread, 5*float64(p.options.Work))
+		p.send(&admissionCall{begun: p.timeline.now, work: time.Duration(work)})
+		p.nextCall()
+	})
+}
+
+// send brings a call to any front node.
+func (p *admissionPlay) send(call *admissionCall) {
+	front := p.fronts[p.random.IntN(len(p.fronts))]
+	p.nextID++
+	call.sentAt = p.timeline.now
+	call.sends++
+	front.waiting[p.nextID] = call
+	front.decide(front.queue.Enter(p.ticket(call), p.timeline.clock()))
+	front.setAlarm()
+}
+
+func (p *admissionPlay) ticket(call *admissionCall) limit.Ticket {
+	begun := p.timeline.clock().Add(call.begun - p.timeline.now)
+	return limit.Ticket{
+		ID: p.nextID, Class: protocol.Priority_INTERACTIVE, Weight: 1, Deadline: begun.Add(p.options.Timeout),
+		MaxWait: p.ofObjective(p.options.MaxWaitShare), MaxExpectedWait: p.ofObjective(p.options.MaxExpectedShare),
+	}
+}
+
+func (p *admissionPlay) ofObjective(share float64) time.Duration {
+	return time.Duration(share * float64(p.options.Objective))
+}
+
+func (f *admissionFront) decide(decisions []limit.Decision) {
+	for _, decision := range decisions {
+		call := f.waiting[decision.ID]
+		delete(f.waiting, decision.ID)
+		if decision.Verdict == limit.Run {
+			f.play.timeline.after(call.work, func() { f.ended(call) })
+			continue
+		}
+		f.play.refused(call, decision.RetryAfter)
+	}
+}
+
+func (f *admissionFront) ended(call *admissionCall) {
+	took := f.play.timeline.now - call.begun
+	if took <= f.play.options.Timeout {
+		f.play.result.Served++
+	}
+	if took <= f.play.options.Objective {
+		f.play.result.InObjective++
+	}
+	f.decide(f.queue.Leave(f.play.timeline.clock()))
+}
+
+// refused lets the caller come back when it was told to.
+func (p *admissionPlay) refused(call *admissionCall, retryAfter time.Duration) {
+	p.result.Refusals++
+	if p.timeline.now-call.sentAt > lateRefusal {
+		p.result.LateRefusals++
+	}
+	if call.sends < p.options.MostSends && p.timeline.now+retryAfter < call.begun+p.options.Timeout {
+		p.timeline.after(retryAfter, func() { p.send(call) })
+	}
+}
+
+func (f *admissionFront) setAlarm() {
+	next := f.queue.NextExpiry()
+	if next.IsZero() {
+		return
+	}
+	f.play.timeline.after(next.Sub(f.play.timeline.clock()), func() { f.decide(f.queue.Expire(f.play.timeline.clock())) })
+}
--- /dev/null
+++ b/internal/schedule/schedulesim/admission_test.go
@@ -0,0 +1,96 @@
+package schedulesim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/schedule/schedulesim"
+)
+
+// admissionCase is one load on the queues of ten front nodes before sixty slots.
+type admissionCase struct {
+	load      float64
+	objective time.Duration
+}
+
+var admissionCases = []admissionCase{
+	{0.8, 300 * time.Millisecond},
+	{0.95, 300 * time.Millisecond},
+	{1.1, 300 * time.Millisecond},
+	{1.5, 300 * time.Millisecond},
+	{0.95, 800 * time.Millisecond},
+	{1.1, 800 * time.Millisecond},
+	{1.5, 800 * time.Millisecond},
+}
+
+// admissionVariant is how tickets are bounded.
+type admissionVariant struct {
+	name                  string
+	waitShare, entryShare float64
+}
+
+var (
+	unbounded       = admissionVariant{name: "unbounded"}
+	boundedWait     = admissionVariant{name: "bounded_wait", waitShare: 0.25}
+	boundedExpected = admissionVariant{name: "bounded_expected_wait", entryShare: 0.25}
+)
+
+// playAdmission adds up plays of five seeds.
+func playAdmission(c admissionCase, variant admissionVariant) *schedulesim.AdmissionResult {
+	const seeds, slots, work = 5, 60, 100 * time.Millisecond
+	total := &schedulesim.AdmissionResult{}
+	for seed := range uint64(seeds) {
+		total.Add(schedulesim.PlayAdmission(schedulesim.AdmissionOptions{
+			Seed: seed, Fronts: 10, Slots: slots, PerSecond: c.load * slots / work.Seconds(), Work: work,
+			Objective: c.objective, Timeout: 2 * time.Second, MostSends: 5,
+			MaxWaitShare: variant.waitShare, MaxExpectedShare: variant.entryShare, Length: 12 * time.Second,
+		}))
+	}
+	return total
+}
+
+func TestRefusingCallsThatExpectToMissTheirObjectiveServesMoreWithinIt(t *testing.T) {
+	// refusedInstead is the part of calls that may go unserved for it under overload.
+	const refusedInstead = 0.07
+	for _, c := range admissionCases {
+		before, after := playAdmission(c, unbounded), playAdmission(c, boundedExpected)
+		if after.ShareOf(after.InObjective) <= before.ShareOf(before.InObjective) {
+			t.Errorf("%+v: %.3f within the objective, %.3f without the bound", c, after.ShareOf(after.InObjective), before.ShareOf(before.InObjective))
+		}
+		if after.ShareOf(after.Served) < before.ShareOf(before.Served)-refusedInstead {
+			t.Errorf("%+v: %.3f served, %.3f without the bound", c, after.ShareOf(after.Served), before.ShareOf(before.Served))
+		}
+		if after.LateRefusals*100 > after.Refusals {
+			t.Errorf("%+v: %d of %d refusals came late", c, after.LateRefusals, after.Refusals)
+		}
+	}
+}
+
+func TestBoundingTheWaitItselfMakesRefusalsLate(t *testing.T) {
+	for _, c := range admissionCases[:3] {
+		got := playAdmission(c, boundedWait)
+		if got.LateRefusals*20 < got.Refusals {
+			t.Errorf("%+v: %d of %d refusals came late: is this bound better now?", c, got.LateRefusals, got.Refusals)
+		}
+	}
+}
+
+// BenchmarkAdmission gives the figures for bounds on waits of docs/POLICIES.md.
+func BenchmarkAdmission(b *testing.B) {
+	for _, c := range admissionCases {
+		for _, variant := range []admissionVariant{unbounded, boundedWait, boundedExpected} {
+			b.Run(fmt.Sprintf("load_%.2f/%v/%s", c.load, c.objective, variant.name), func(b *testing.B) {
+				var result *schedulesim.AdmissionResult
+				for range b.N {
+					result = playAdmission(c, variant)
+				}
+				b.ReportMetric(result.ShareOf(result.InObjective), "in_objective")
+				b.ReportMetric(result.ShareOf(result.Served), "served")
+				b.ReportMetric(result.ShareOf(result.Refusals), "refusals/call")
+				b.ReportMetric(result.ShareOf(result.LateRefusals), "late_refusals/call")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
