Refuse turns at the ingress at once while it is cut off

Cause: a front node that reaches neither the ledger nor other front nodes still looked for the owners of sessions that are not its own, up to the end of the request's window, before it refused.

Change: while it is cut off it refuses turns that need the ledger before the look-up. Whether a turn needs it is now asked of the request in one place (turn.IsLedgered). The check of being cut off looks at the cheap signs first.

--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -95,6 +95,10 @@
 // run tries owners until one answers. A request that is sent again carries the
 // same id, so that an owner or the ledger knows it.
 func (r *relay) run(ctx context.Context) error {
+	if refused := r.service.refuseCutOff(r.request); refused != nil {
+		r.explanation.step("not taken in", refused.GetMessage())
+		return r.service.refuseTurn(ctx, r.request, refused, r.deliverKept)
+	}
 	lastTry := r.service.clock.Now().Add(windowFor(r.request.GetHttp()))
 	if lastTry.After(r.deadline) {
 		lastTry = r.deadline
--- a/internal/front/ledgeroperations.go
+++ b/internal/front/ledgeroperations.go
@@ -6,6 +6,7 @@
 
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
 )
 
 const (
@@ -37,6 +38,19 @@
 	if !s.ledger.Unreachable(program) {
 		return nil
 	}
+	return unreachableFailure()
+}
+
+// refuseCutOff refuses a turn that needs the ledger while this front node is cut off from it and from the others: a
+// look-up of the turn's owner would find nobody either.
+func (s *Service) refuseCutOff(request *protocol.TurnRequest) *protocol.Failure {
+	if !s.ledger.CutOff() || !turn.IsLedgered(request) {
+		return nil
+	}
+	return unreachableFailure()
+}
+
+func unreachableFailure() *protocol.Failure {
 	return failure.New(failure.LedgerUnavailable, protocol.Outcome_NOT_RUN, "the ledger is out of reach",
 		failure.WithRetryAfter(repairRetry)).Failure
 }
--- a/internal/front/unreachable_test.go
+++ b/internal/front/unreachable_test.go
@@ -74,6 +74,15 @@
 			Expect(server.requests()).To(BeEmpty())
 		})
 
+		It("refuses what others own at once while it is cut off from them as well", func() {
+			f1.ownership.setOwner("c1", "f2")
+			r.network.unreachable["f2"] = true
+			r.ledger.cutOff.Store(true)
+			got := f1.route(ownedTurn)
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable), got.body)
+			Expect(got.header.Get("Retry-After")).To(Equal("1.000"))
+		})
+
 		It("serves again as soon as the ledger answers", func() {
 			Expect(f1.route(ownedTurn).status).To(Equal(http.StatusServiceUnavailable))
 			r.ledger.setDown(false)
--- a/internal/ledgerclient/watch.go
+++ b/internal/ledgerclient/watch.go
@@ -52,14 +52,11 @@
 // front nodes that it asks answer that they cannot either, the stores are at fault and not this node.
 func (c *Client) CutOff() bool {
 	now := time.Now()
-	others := c.relayAddresses()
-	if !c.watched.Load() || len(others) == 0 {
-		return false
-	}
-	if c.shards.silentFor(now) < shardOutageAfter || !c.shards.anyOut(c.shardCount(), now) {
+	if !c.watched.Load() || c.shards.silentFor(now) < shardOutageAfter || !c.shards.anyOut(c.shardCount(), now) {
 		return false
 	}
-	return 2*c.relays.countHeard(others, now) <= len(others)
+	others := c.relayAddresses()
+	return len(others) > 0 && 2*c.relays.countHeard(others, now) <= len(others)
 }
 
 func (c *Client) shardCount() int { return len(c.view().Placement.GetShards()) }
--- a/internal/turn/httpturn.go
+++ b/internal/turn/httpturn.go
@@ -26,11 +26,14 @@
 func (m *Machine) isKept() bool { return m.parameters.Request.GetHttp().GetStateful() }
 
 // IsLedgered reports whether the ledger has a part in the turn.
-func (m *Machine) IsLedgered() bool {
-	if !m.isHTTP() {
+func (m *Machine) IsLedgered() bool { return IsLedgered(m.parameters.Request) }
+
+// IsLedgered reports whether the ledger has a part in the turn of a request.
+func IsLedgered(request *protocol.TurnRequest) bool {
+	if request.GetHttp() == nil {
 		return true
 	}
-	return m.parameters.Request.GetProgram() != "" && (m.isKept() || m.parameters.Request.GetProgramBudget() > 0)
+	return request.GetProgram() != "" && (request.GetHttp().GetStateful() || request.GetProgramBudget() > 0)
 }
 
 func (m *Machine) admittedHTTP() []Command {
