Keep a front node going when a lookup's caller leaves while it is passed on

Cause: a front node passes a lookup on to a holder that the asking node cannot reach. When the holder did not answer, the node queued "this peer failed" with a closure over the answer that names the holder, and then put the answer of a second try into the same variable. When the asking node had left meanwhile the second answer was empty before the closure ran, and the process ended with a nil pointer.

The holder is kept in a variable of its own. The new test, 40 fleets in virtual time, ended with that nil pointer before the change (go test ./internal/ownership -run CallerLeaves) and passes with it, under the race detector too; go test ./internal/ownership -count=3 and ./internal/sim/ownershipsuite pass.

Excluded: a fault of the hollow nodes; they only start the manager, and its goroutine is the one that ended.

--- a/internal/ownership/serve.go
+++ b/internal/ownership/serve.go
@@ -24,16 +24,16 @@
 	if err != nil || answer.relay == nil {
 		return answer.response, err
 	}
-	passedOn := relayed(request)
-	response, failed := m.passOn(ctx, answer.relay, passedOn)
+	holder, passedOn := answer.relay, relayed(request)
+	response, failed := m.passOn(ctx, holder, passedOn)
 	if response != nil {
 		return response, nil
 	}
 	m.post(func(s *shell) {
-		s.handle(directory.PeerFailed{Address: answer.relay.Address, Failure: failed})
+		s.handle(directory.PeerFailed{Address: holder.Address, Failure: failed})
 	})
-	answer, err = m.serveOnce(ctx, passedOn)
-	return answer.response, err
+	second, err := m.serveOnce(ctx, passedOn)
+	return second.response, err
 }
 
 // serveOnce has the owner goroutine work a request through.
--- a/internal/ownership/takeover_test.go
+++ b/internal/ownership/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"syscall"
 	"testing"
@@ -9,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/wire"
 )
 
@@ -86,3 +88,35 @@
 		f.g.Expect(f.nodes["a"].gaveUp()).To(BeEmpty())
 	})
 }
+
+func TestGivenALookupWhoseCallerLeavesWhileItIsPassedOnThenTheNodeGoesOn(t *testing.T) {
+	const fleets = 40
+	left := 0
+	for i := range fleets {
+		given(t, trio, func(f *fleet) {
+			sessions := f.ownedBy("b", "c", i+1)
+			f.cut("a", "c")
+			if err := f.lookUpBriefly("a", sessions[i], "c"); errors.Is(err, context.DeadlineExceeded) {
+				left++
+			}
+			pass(time.Second)
+			f.g.Expect(f.resolve("a", "another").Name).NotTo(BeEmpty())
+		})
+	}
+	if left == 0 {
+		t.Error("no lookup was passed on to a holder that did not answer in time")
+	}
+}
+
+// lookUpBriefly asks a node, for a millisecond, in place of a holder that the asking node could not reach.
+func (f *fleet) lookUpBriefly(asked, session, suspect string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	lookup := &protocol.LookupSessionRequest{
+		Session: session, ViewVersion: f.version, Suspects: []*protocol.Suspect{{Name: suspect, Incarnation: 1}},
+	}
+	_, err := f.nodes[asked].manager.ServeDirectory(ctx, &protocol.Request{
+		Body: &protocol.Request_LookupSession{LookupSession: lookup},
+	})
+	return err
+}
