Hand leadership of the core over when the leader's disk is slow

Cause: a leader writes entries before it sends them, so that a disk at a fifth of its speed holds up every command, however quick the others are. Nothing noticed that.

A leader now compares each sync with the first answer of a voter to the same entries, by the time at which the answer reached the process.

Excluded: judging by a mean, since one long sync would outweigh a window; counting disks that are all slow, since an answer contains the other's sync. A slow processor beside a quick disk is not noticed.

Without the hand-over the first story fails, 'the slow one still leads'.

Stories fail on the test of their bubble now, not on the outer one.

--- a/internal/core/replica/disk_test.go
+++ b/internal/core/replica/disk_test.go
@@ -175,7 +175,7 @@
 		acknowledged = f.commit(acknowledged, 20)
 		f.consistent(acknowledged)
 		if leader.toldToEnd() {
-			t.Fatal("one failed sync ended the process")
+			f.t.Fatal("one failed sync ended the process")
 		}
 
 		f.eventually("it leads again", func() bool {
--- a/internal/core/replica/diskdays_test.go
+++ b/internal/core/replica/diskdays_test.go
@@ -105,12 +105,12 @@
 			ahead.replica.machineIndex += 2 * f.options.SnapshotEntries
 		})
 		if err != nil {
-			t.Fatal(err)
+			f.t.Fatal(err)
 		}
 		f.commit(nil, int(f.options.SnapshotEntries)+10)
 		f.pass(time.Second)
 		if len(leader.disk.Files("core/snapshots")) == 0 {
-			t.Fatal("no snapshot was due")
+			f.t.Fatal("no snapshot was due")
 		}
 		if files := ahead.disk.Files("core/snapshots"); len(files) > 0 {
 			t.Errorf("a snapshot names an entry before the state that it holds: %v", files)
--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -77,6 +78,8 @@
 	state   *journal
 	fatal   chan error
 	clock   *freezableClock
+	// syncTime is the time that the sync of a file takes from the next start on; zero stands for that of the fleet.
+	syncTime time.Duration
 }
 
 // freezableClock stands for the processor of a machine: whoever asks it for the time while the machine is frozen goes on when it
@@ -196,7 +199,7 @@
 	options.Self = &protocol.CoreMember{Name: m.name, Address: m.address, HttpAddress: "http-" + m.address, Zone: m.zone}
 	options.Founders, options.Seeds = f.founders, f.seeds
 	if options.Filesystem == nil {
-		options.Folder, options.Filesystem = "core", slowFilesystem{Filesystem: m.disk, syncTime: f.syncTime}
+		options.Folder, options.Filesystem = "core", slowFilesystem{Filesystem: m.disk, syncTime: cmp.Or(m.syncTime, f.syncTime)}
 	}
 	options.Caller = &caller{fleet: f, from: m.address}
 	state, fatal, clock := &journal{}, make(chan error, 1), &freezableClock{}
--- a/internal/core/replica/owner.go
+++ b/internal/core/replica/owner.go
@@ -26,6 +26,7 @@
 	transport *transport
 	waiters   waiters
 	snapshots snapshots
+	slowDisk  slowDisk
 
 	configurationIndex uint64
 	leadingTerm        uint64
@@ -72,8 +73,8 @@
 		select {
 		case <-o.replica.stop:
 			return
-		case message := <-o.replica.inbound:
-			o.step(message)
+		case arrived := <-o.replica.inbound:
+			o.step(arrived)
 		case proposal := <-o.replica.proposals:
 			o.propose(proposal)
 		case request := <-o.replica.requests:
@@ -96,8 +97,8 @@
 func (o *owner) takeWaiting() {
 	for range maxBatch {
 		select {
-		case message := <-o.replica.inbound:
-			o.step(message)
+		case arrived := <-o.replica.inbound:
+			o.step(arrived)
 		case proposal := <-o.replica.proposals:
 			o.propose(proposal)
 		case request := <-o.replica.requests:
@@ -110,7 +111,8 @@
 
 // step hands a message to the node. The time is taken after the message was received: a
 // promise that counts from an earlier time would end too soon.
-func (o *owner) step(message *protocol.ConsensusMessage) {
+func (o *owner) step(arrived arrivedMessage) {
+	message := arrived.message
 	if message.GetTo() != o.replica.self.GetId() {
 		return
 	}
@@ -123,7 +125,9 @@
 	o.transport.learn(message.GetFrom(), message.GetFromAddress())
 	if err := o.node.Step(message, o.now()); err != nil {
 		o.replica.logWarning("consensus message refused", "from", message.GetFrom(), "error", err)
+		return
 	}
+	o.handOverIfSlow(arrived)
 }
 
 // adopt joins a cluster whose leader addressed this empty member by its random id.
@@ -161,11 +165,14 @@
 func (o *owner) carryOut() {
 	for o.failure == nil && o.node.HasReady() {
 		ready := o.node.Ready()
+		began := o.now()
 		if err := o.persist(ready); err != nil {
 			o.fail(err)
 			return
 		}
+		written := o.now()
 		o.sendAll(ready.Messages)
+		o.compareSync(ready, began, written)
 		o.apply(ready.Committed)
 		o.waiters.confirm(ready.Reads)
 		o.node.Advance(ready, o.now())
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -36,7 +36,7 @@
 	disk    *disk
 	self    *protocol.CoreMember
 
-	inbound   chan *protocol.ConsensusMessage
+	inbound   chan arrivedMessage
 	proposals chan *proposal
 	requests  chan request
 	stop      chan struct{}
@@ -81,7 +81,7 @@
 	replica := &Replica{
 		options: options, metrics: metrics, disk: disk,
 		self:      proto.Clone(options.Self).(*protocol.CoreMember),
-		inbound:   make(chan *protocol.ConsensusMessage, inboundQueue),
+		inbound:   make(chan arrivedMessage, inboundQueue),
 		proposals: make(chan *proposal, proposalQueue),
 		requests:  make(chan request, requestQueue),
 		stop:      make(chan struct{}),
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -396,7 +396,7 @@
 		joining.start()
 		f.pass(10 * time.Second)
 		if !joining.replica.Status().GetEmpty() {
-			t.Fatal("it joined by seeds at which nobody is")
+			f.t.Fatal("it joined by seeds at which nobody is")
 		}
 		joining.replica.SetSeeds([]string{f.machine(13).address, f.machine(2).address})
 		f.eventually("it joins by the new seeds", func() bool {
--- a/internal/core/replica/service.go
+++ b/internal/core/replica/service.go
@@ -46,7 +46,7 @@
 	default:
 	}
 	select {
-	case r.inbound <- message:
+	case r.inbound <- arrivedMessage{message: message, at: r.options.Clock.Now()}:
 		return nil
 	default:
 		r.metrics.overloads.Inc()
--- /dev/null
+++ b/internal/core/replica/slowdisk_test.go
@@ -0,0 +1,103 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	usualSync = 5 * time.Millisecond
+	slowSync  = 5 * usualSync
+	// usualCommand is the longest mean time of a command under a leader whose disk is as quick as others.
+	usualCommand = 20 * time.Millisecond
+)
+
+// unequalDisks founds a core and gives one machine, which leads then, a slow disk.
+func unequalDisks(f *fleet) *machine {
+	f.t.Helper()
+	f.latency, f.syncTime = 2*time.Millisecond, usualSync
+	slow := f.found(3)
+	f.pass(2 * time.Second)
+	slow.halt()
+	slow.syncTime = slowSync
+	f.waitForLeader()
+	slow.start()
+	f.pass(2 * time.Second)
+	f.eventually("the slow one leads", func() bool {
+		leader := f.leader()
+		if leader != nil && leader != slow {
+			_ = leader.replica.TransferLeadership(context.Background(), slow.name)
+		}
+		return leader == slow
+	})
+	return slow
+}
+
+// timedCommands has commands acknowledged one after another and returns the mean time of one.
+func (f *fleet) timedCommands(count int) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for command := range count {
+		for f.waitForLeader().propose(fmt.Sprint(command)) != nil {
+			f.pass(10 * time.Millisecond)
+		}
+	}
+	return time.Since(began) / time.Duration(count)
+}
+
+func (f *fleet) term() uint64 { return f.waitForLeader().replica.Status().GetTerm() }
+
+func TestALeaderWithASlowDiskHandsOverOnce(t *testing.T) {
+	story(t, func(f *fleet) {
+		slow := unequalDisks(f)
+		before := f.timedCommands(comparedSyncs / 2)
+		f.timedCommands(2 * comparedSyncs)
+		if f.waitForLeader() == slow {
+			f.t.Fatal("the slow one still leads")
+		}
+		after, term := f.timedCommands(100), f.term()
+		t.Logf("%v a command under the slow leader, %v after", before, after)
+		if after > usualCommand {
+			t.Errorf("%v a command after it handed over", after)
+		}
+		for range 300 {
+			f.timedCommands(10)
+			f.pass(time.Second)
+		}
+		if f.term() != term {
+			t.Errorf("leadership went on to change: term %d became %d", term, f.term())
+		}
+	})
+}
+
+func TestDisksThatAreAllSlowKeepTheirLeader(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.latency, f.syncTime = 2*time.Millisecond, slowSync
+		f.found(3)
+		f.pass(2 * time.Second)
+		term := f.term()
+		f.timedCommands(20 * comparedSyncs)
+		if f.term() != term {
+			t.Errorf("term %d became %d", term, f.term())
+		}
+	})
+}
+
+func TestADiskThatStallsForMomentsKeepsItsLeader(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.latency, f.syncTime = 2*time.Millisecond, usualSync
+		leader := f.found(3)
+		f.pass(2 * time.Second)
+		term := f.term()
+		for range 100 {
+			leader.disk.StallSyncs()
+			time.AfterFunc(100*time.Millisecond, leader.disk.ResumeSyncs)
+			f.timedCommands(8)
+		}
+		if f.term() != term {
+			t.Errorf("term %d became %d", term, f.term())
+		}
+	})
+}
