Let a request wait for the end of its front node's start

Now a request waits for the first bundle in the first 1.1 s, 0.5 s and a quarter of its caller's time at most; the wait is taken off its time. One that is given up then is answered at once, as before. Excluded: other refusals of that moment; the print shows no other but those of programs that have spent their budget.

The new stories of front fail without the change.

--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -97,3 +97,6 @@
 func MaxExpectedWait(routed *protocol.HttpRequest) time.Duration {
 	return routedTicket(routed, "", time.Time{}, time.Time{}).MaxExpectedWait
 }
+
+// StartWaiters is how many requests wait for the first bundle.
+func (s *Service) StartWaiters() int { return int(s.startWaiters.Load()) }
--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -19,10 +19,6 @@
 	// defaultRoutedBodyBytes and defaultRoutedHeaderBytes bound requests unless the bundle does.
 	defaultRoutedBodyBytes   = 4 << 20
 	defaultRoutedHeaderBytes = 32 << 10
-	// usualStart is how long a start takes when the core starts as well and has to find a leader.
-	usualStart = 1100 * time.Millisecond
-	// leastStartRetry is told by a front node whose start takes longer than that.
-	leastStartRetry = 300 * time.Millisecond
 	// requestLineBytes is what a request line and the separators of a header may take beside names and values.
 	headerSeparatorBytes = 4
 )
@@ -66,14 +62,9 @@
 	left     time.Duration
 }
 
-// startLeft is how long this front node's start will take yet, as far as can be told.
-func (s *Service) startLeft() time.Duration {
-	return max(usualStart-s.clock.Now().Sub(s.startedAt), leastStartRetry)
-}
-
 // takeIn finds the route and reads the request within the bounds of the bundle in force.
 func (a *routeAPI) takeIn(request *http.Request) (*takenRequest, error) {
-	index := a.service.policies.Load().active
+	index, waited := a.bundleInForce(request)
 	if index.Bundle() == nil {
 		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no bundle is in force yet", failure.WithRetryAfter(a.service.startLeft()))
 	}
@@ -89,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return a.read(request, index, route, body)
+	return a.read(request, index, route, body, waited)
 }
 
 func orDefault(value, standard uint64) uint64 {
@@ -109,8 +100,10 @@
 	return uint64(total)
 }
 
-// read takes what the headers say.
-func (a *routeAPI) read(request *http.Request, index *bundle.Index, route *protocol.HttpRoute, body []byte) (*takenRequest, error) {
+// read takes what the headers say. What the request waited already is gone from its time.
+func (a *routeAPI) read(
+	request *http.Request, index *bundle.Index, route *protocol.HttpRoute, body []byte, waited time.Duration,
+) (*takenRequest, error) {
 	header := request.Header
 	taken := &takenRequest{
 		id: header.Get(a.dialect.RequestID), program: header.Get(a.dialect.Program), session: header.Get(a.dialect.Session),
@@ -133,7 +126,7 @@
 	if route.GetStateful() && taken.program == "" {
 		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "a turn of this route must name its program", failure.WithPath("program"))
 	}
-	taken.left = a.timeFor(header, route)
+	taken.left = a.timeFor(header, route) - waited
 	if taken.left <= 0 {
 		return nil, failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the caller's time is over")
 	}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -58,6 +58,11 @@
 	sequence atomic.Uint64
 	// startedAt is when this front node was made.
 	startedAt time.Time
+	// hasBundle is closed by startOnce when the first bundle is in force.
+	hasBundle chan struct{}
+	startOnce sync.Once
+	// startWaiters is how many requests wait for the first bundle.
+	startWaiters atomic.Int32
 	// underWay counts the turns and calls run as owner.
 	underWay atomic.Int64
 
@@ -101,6 +106,7 @@
 		explanations: newExplanations(options.Clock, options.Self.GetName()),
 		stopped:      make(chan struct{}),
 		startedAt:    options.Clock.Now(),
+		hasBundle:    make(chan struct{}),
 	}
 	s.heartbeats = newHeartbeats(options.Link, options.Clock, s.metrics)
 	s.viewChanged(options.Link.View())
@@ -115,6 +121,9 @@
 		next := newPolicies(view.Configuration)
 		s.arms.Store(nextArms(s.arms.Load(), next))
 		s.policies.Store(next)
+		if next.active.Bundle() != nil {
+			s.startEnded()
+		}
 		s.admission.configure(next.active.Bundle().GetLimits())
 	}
 	held := s.backEnds.Load()
