Have one machine clock in the core in place of two

internal/core and internal/core/replica each had a clock of the machine with the same code; the replica's is exported now and both use it. No change of behaviour: go test ./internal/core passes, and of ./internal/core/replica the stories of disks.

--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -84,7 +84,7 @@
 	return New(Options{
 		Consensus:    consensus,
 		Machine:      machine,
-		Clock:        systemClock{},
+		Clock:        replica.SystemClock{},
 		Lease:        millis(settings.GetLeaseMillis()),
 		ShardCount:   settings.GetShardCount(),
 		ReplicaCount: settings.GetReplicaCount(),
@@ -128,22 +128,3 @@
 		},
 	})
 }
-
-// systemClock is the machine's monotonic clock.
-type systemClock struct{}
-
-// Now returns the time with its monotonic reading.
-func (systemClock) Now() time.Time { return time.Now() }
-
-// NewTimer returns a timer that fires once.
-func (systemClock) NewTimer(after time.Duration) replica.Timer {
-	return systemTimer{timer: time.NewTimer(after)}
-}
-
-type systemTimer struct{ timer *time.Timer }
-
-// C is where the timer fires.
-func (t systemTimer) C() <-chan time.Time { return t.timer.C }
-
-// Stop keeps the timer from firing.
-func (t systemTimer) Stop() { t.timer.Stop() }
--- a/internal/core/replica/clock.go
+++ b/internal/core/replica/clock.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// systemClock is the machine's monotonic clock.
-type systemClock struct{}
+// SystemClock is the machine's monotonic clock.
+type SystemClock struct{}
 
 // Now returns the time with its monotonic reading.
-func (systemClock) Now() time.Time { return time.Now() }
+func (SystemClock) Now() time.Time { return time.Now() }
 
 // NewTimer starts a timer of the machine's clock.
-func (systemClock) NewTimer(after time.Duration) Timer {
+func (SystemClock) NewTimer(after time.Duration) Timer {
 	return systemTimer{timer: time.NewTimer(after)}
 }
 
--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -85,7 +85,7 @@
 // freezableClock stands for the processor of a machine: whoever asks it for the time while the machine is frozen goes on when it
 // wakes. The owner of a replica asks before all that it does.
 type freezableClock struct {
-	systemClock
+	SystemClock
 	mutex sync.Mutex
 	// woken is closed when the machine wakes; nil while it is not frozen.
 	woken chan struct{}
@@ -98,7 +98,7 @@
 	if woken != nil {
 		<-woken
 	}
-	return c.systemClock.Now()
+	return c.SystemClock.Now()
 }
 
 func (c *freezableClock) frozen() bool {
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -119,7 +119,7 @@
 		o.SnapshotChunkBytes = consensus.DefaultSnapshotChunkBytes
 	}
 	if o.Clock == nil {
-		o.Clock = systemClock{}
+		o.Clock = SystemClock{}
 	}
 	if o.Random == nil {
 		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
