Bound the expected wait of no call whose program tells its time

Cause: calls of a program were refused early for their own objective too. Calls that tell the time of their program go by that, as streams do; others keep the bound. The test has the case and fails without.

--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -139,7 +139,9 @@
 func routedTicket(routed *protocol.HttpRequest, tenant string, deadline, now time.Time) limit.Ticket {
 	ticket := limit.Ticket{Class: rankClass(routed.GetRank()), Tenant: tenant, Weight: 1, Deadline: deadline}
 	if left := routed.GetProgramTimeLeftMillis(); left > 0 {
+		// A program fails with one of its calls, so a call that is late is worth more to it than one refused.
 		ticket.ProgramDeadline = now.Add(millis(left))
+		return ticket
 	}
 	if routed.GetKind() != protocol.HttpRouteKind_HTTP_STREAMING {
 		ticket.MaxExpectedWait = time.Duration(expectedWaitShare * float64(millis(routed.GetLatencyObjectiveMillis())))
--- a/internal/front/ticket_test.go
+++ b/internal/front/ticket_test.go
@@ -21,4 +21,10 @@
 	if got := front.MaxExpectedWait(&protocol.HttpRequest{Kind: protocol.HttpRouteKind_HTTP_REPEATABLE}); got != 0 {
 		t.Errorf("without an objective the bound is %v", got)
 	}
+	ofProgram := &protocol.HttpRequest{
+		Kind: protocol.HttpRouteKind_HTTP_REPEATABLE, LatencyObjectiveMillis: 800, ProgramTimeLeftMillis: 5000,
+	}
+	if got := front.MaxExpectedWait(ofProgram); got != 0 {
+		t.Errorf("a call whose program told its time is bound to %v", got)
+	}
 }
