--- a/internal/ledgerclient/outage_test.go
+++ b/internal/ledgerclient/outage_test.go
@@ -134,7 +134,7 @@
 		defer func() {
 			cancel()
 			// Attempts outlive their operations; they end by themselves.
-			time.Sleep(callTimeout)
+			pass(callTimeout)
 		}()
 		story(t, newFrontFleet(ctx))
 	})
@@ -158,11 +158,11 @@
 		if more := fleet.sentBy("f1", stores...) - before; more > 0 {
 			t.Errorf("%d more operations were sent over the cut", more)
 		}
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		fleet.expect(t, "f1", ok, atOnce)
 
 		fleet.change(false, "f1", stores...)
-		time.Sleep(knownWithin)
+		pass(knownWithin)
 		before = fleet.sentBy("f1", "f2", "f3")
 		fleet.expect(t, "f1", ok, atOnce)
 		if more := fleet.sentBy("f1", "f2", "f3") - before; more > 0 {
@@ -182,12 +182,12 @@
 		if status, took := fleet.do(t, "f1", settle); status != unavailable || took < callTimeout {
 			t.Errorf("a turn that ran is given up with %v after %v", status, took)
 		}
-		time.Sleep(20 * time.Second)
+		pass(20 * time.Second)
 		fleet.expectState(t, "f1", true, true)
 		fleet.expectState(t, "f2", false, false)
 
 		fleet.change(false, "f1", everybody...)
-		time.Sleep(knownWithin)
+		pass(knownWithin)
 		fleet.expectState(t, "f1", false, false)
 		fleet.expect(t, "f1", ok, atOnce)
 	})
@@ -206,7 +206,7 @@
 					t.Fatalf("%s counts as cut off", name)
 				}
 			}
-			time.Sleep(100 * time.Millisecond)
+			pass(100 * time.Millisecond)
 		}
 		for _, name := range names {
 			fleet.expectState(t, name, true, false)
@@ -215,7 +215,7 @@
 		for _, name := range names {
 			fleet.change(false, name, stores...)
 		}
-		time.Sleep(knownWithin)
+		pass(knownWithin)
 		for _, name := range names {
 			fleet.expectState(t, name, false, false)
 			fleet.expect(t, name, ok, atOnce)
@@ -226,15 +226,15 @@
 func TestAFrontNodeWithoutTrafficFindsOutByFewProbes(t *testing.T) {
 	inFleet(t, func(t *testing.T, fleet *frontFleet) {
 		everybody := append([]string{"f2", "f3"}, stores...)
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		if probes := fleet.sentBy("f1", everybody...); probes < 5 || probes > 10 {
 			t.Errorf("%d probes in 10 s without traffic", probes)
 		}
 		fleet.change(true, "f1", everybody...)
-		time.Sleep(idleKnownWithin)
+		pass(idleKnownWithin)
 		fleet.expectState(t, "f1", true, true)
 		before := fleet.sentBy("f1", everybody...)
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		if probes := fleet.sentBy("f1", everybody...) - before; probes > mostProbes {
 			t.Errorf("%d probes in 10 s without traffic while cut off", probes)
 		}
@@ -252,7 +252,7 @@
 	inFleet(t, func(t *testing.T, fleet *frontFleet) {
 		for range 20 {
 			fleet.expect(t, "f1", ok, atOnce)
-			time.Sleep(500 * time.Millisecond)
+			pass(500 * time.Millisecond)
 		}
 		if sent := fleet.sentBy("f1", stores...); sent != 20 {
 			t.Errorf("%d messages for 20 operations: %v", sent, fleet.sent)
@@ -266,7 +266,7 @@
 		for range 100 {
 			fleet.expect(t, "f1", ok, knownWithin)
 			fleet.expectState(t, "f1", false, false)
-			time.Sleep(50 * time.Millisecond)
+			pass(50 * time.Millisecond)
 		}
 		if relayed := fleet.sentBy("f1", "f2", "f3"); relayed > 0 {
 			t.Errorf("%d operations went by way of others while replicas answered", relayed)
@@ -280,7 +280,10 @@
 		for range 100 {
 			fleet.expect(t, "f1", ok, knownWithin)
 			fleet.expectState(t, "f1", false, false)
-			time.Sleep(50 * time.Millisecond)
+			pass(50 * time.Millisecond)
 		}
 	})
 }
+
+// pass lets virtual time go on.
+func pass(duration time.Duration) { <-time.NewTimer(duration).C }
