Wait for every store before the spec of a chain moves the clock

Cause: 'is kept as a whole as long as its last turn' let two hours pass right after a settle was answered, which a majority of the stores suffices for. On a busy machine the third store had not kept the turn yet, and the spec, which demands two turns of every store, found [2, 1, 2]: once in 3 runs of the suite with 2 processors at a load average of 22. Not the chain was broken, but the turn was late.

The spec now waits until every store holds the turn before the clock moves, and demands the same of every store at the end as before.

Excluded: that the supervisor of stores has part in it; no store of that spec fails.

--- a/internal/store/keeping_test.go
+++ b/internal/store/keeping_test.go
@@ -35,6 +35,14 @@
 	return counts
 }
 
+// allHold waits until every running store holds so many turns: a settle is answered once a majority does.
+func (f *fleet) allHold(turns uint64) {
+	GinkgoHelper()
+	f.until(func() bool {
+		return !slices.ContainsFunc(f.turnsHeld(), func(held uint64) bool { return held != turns })
+	})
+}
+
 // writeSnapshot keeps a program busy until a store has written its registers anew.
 func (f *fleet) writeSnapshot(name string, busy *program) {
 	GinkgoHelper()
@@ -55,8 +63,10 @@
 		f := newFleet("a", "b", "c")
 		p := f.keptProgram("p", keepFor)
 		p.takeTurn()
+		f.allHold(1)
 		f.clock.advance(110 * time.Minute)
 		p.takeTurn()
+		f.allHold(2)
 		f.clock.advance(100 * time.Minute)
 		f.pass(2 * time.Minute)
 		p.expectKept()
