Let the others hear of a return before a second store that was away is asked

The others take a placement in on a goroutine of their own; until they have, the former one is in force and a reservation under it is right.

The spec waits until every store that is not away acts under the newest placement, and demands the same as before.

--- a/internal/store/fleet_test.go
+++ b/internal/store/fleet_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sort"
 	"sync"
 	"testing"
@@ -361,9 +362,12 @@
 }
 
 // inForce reports whether every store that can be reached acts under the placement published last.
-func (f *fleet) inForce() bool {
+func (f *fleet) inForce() bool { return f.inForceBut() }
+
+// inForceBut is inForce without regard to stores that are away.
+func (f *fleet) inForceBut(away ...string) bool {
 	for name, m := range f.members {
-		if !f.cut[name] && m.store.Status().GetPlacementEpoch() != f.View().Placement.GetEpoch() {
+		if !slices.Contains(away, name) && !f.cut[name] && m.store.Status().GetPlacementEpoch() != f.View().Placement.GetEpoch() {
 			return false
 		}
 	}
--- a/internal/store/twolosses_test.go
+++ b/internal/store/twolosses_test.go
@@ -95,7 +95,10 @@
 		d.takeTurn()
 		d.lookUp()
 	}
+	away := []string{d.fleet.names[names[0]], d.fleet.names[names[1]]}
 	for each, place := range names {
+		// Until the others act under the placement that came with the first return, they rightly serve the one before.
+		d.fleet.until(func() bool { return d.fleet.inForceBut(away[each:]...) })
 		chosen[each].end(d, d.fleet.names[place])
 	}
 	for range turnsBetweenLosses {
