Name to a holder the suspects that it gained from, and few others

Cause: every registration and every request to register again named all suspects of its sender, up to 64. A holder that asked for registrations also had to find nodes that share all of its suspicions, and not only those that it waits for, before they said complete. Now a request to register again names the suspects that the holder has gained ranges from. Registrations name those to it, and eight others at most, by which it hears of them; look-ups name all as before, since the owner of a session may be any of them.

Excluded: naming none unasked. In fleets with up to eight suspects nothing changes so, and a first complete suffices.

The bytes at size are not measured again yet.

--- a/internal/directory/salvage.go
+++ b/internal/directory/salvage.go
@@ -31,6 +31,8 @@
 	dueSince uint64
 	// partialKnowledge goes with the completion owed: other nodes may have registrations in what the peer gained.
 	partialKnowledge bool
+	// gainedFrom are the suspects that the peer named last as the former holders of what it gained.
+	gainedFrom []*protocol.Suspect
 	// ask is true while the peer is to be asked to register again.
 	ask bool
 	// doubted is true while the peer is asked whether it is there.
@@ -290,7 +292,7 @@
 	request := &protocol.RegisterSessionsRequest{
 		ViewVersion: d.view.Version, Cause: cause, Registrations: registrationsOf(batch),
 		From: d.self.Name, Complete: complete, PartialKnowledge: complete && to.partialKnowledge,
-		Suspects: d.namedSuspects(),
+		Suspects: d.suspectsFor(to),
 	}
 	d.send(&call{kind: callRegister, peer: to, items: batch, complete: complete}, &protocol.Request{
 		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
@@ -315,7 +317,7 @@
 func (d *Directory) sendAsk(to *peer) {
 	to.ask = false
 	d.stats.ResendRequests++
-	request := &protocol.RegisterSessionsRequest{ViewVersion: d.view.Version, From: d.self.Name, Resend: true, Suspects: d.namedSuspects()}
+	request := &protocol.RegisterSessionsRequest{ViewVersion: d.view.Version, From: d.self.Name, Resend: true, Suspects: d.gainedFrom()}
 	d.send(&call{kind: callAsk, peer: to}, &protocol.Request{
 		Body: &protocol.Request_RegisterSessions{RegisterSessions: request},
 	})
@@ -354,7 +356,8 @@
 	return d.lastCall
 }
 
-// resend answers a holder that waits for this node: everything owned there is registered again.
+// resend answers a holder that waits for this node: everything owned there is registered again. The suspects are those that
+// the holder has gained ranges from.
 func (d *Directory) resend(from string, version uint64, suspects []*protocol.Suspect) {
 	front, found := d.view.byName[from]
 	if !found || d.view.Version < version {
@@ -367,11 +370,12 @@
 			d.salvageSession(session)
 		}
 	}
+	holder := d.peer(front.Member)
+	holder.gainedFrom = suspects
 	if !d.suspectsAll(suspects) {
 		// The holder waits for a word that says that they cannot be reached; it comes once this node has found so.
 		return
 	}
-	holder := d.peer(front.Member)
 	d.owe(holder)
 }
 
--- a/internal/directory/suspect.go
+++ b/internal/directory/suspect.go
@@ -45,6 +45,8 @@
 	hearsayInterval = 250 * time.Millisecond
 	// mostNamedSuspects bounds the suspects named in one request.
 	mostNamedSuspects = 64
+	// mostOtherSuspects bounds those named to a holder that has not gained from them.
+	mostOtherSuspects = 8
 )
 
 // isSuspect reports whether this node could not reach a member of the view.
@@ -208,6 +210,43 @@
 	return named
 }
 
+// gainedFrom lists the suspects from which this node has gained ranges that others may have registrations in. Others are not
+// named when those are asked for: a node that reaches one of them would not say complete.
+func (d *Directory) gainedFrom() []*protocol.Suspect {
+	gained := make(map[string]uint64)
+	for _, each := range d.gains {
+		for name, incarnation := range each.suspects {
+			if d.isSuspect(name, incarnation) {
+				gained[name] = incarnation
+			}
+		}
+	}
+	named := make([]*protocol.Suspect, 0, min(len(gained), mostNamedSuspects))
+	for _, name := range sortedKeys(gained) {
+		if len(named) < mostNamedSuspects {
+			named = append(named, &protocol.Suspect{Name: name, Incarnation: gained[name]})
+		}
+	}
+	return named
+}
+
+// suspectsFor lists this node's suspects for a holder: those that it has gained from, and a few others. A lost zone has many,
+// and naming all to everyone costs its square.
+func (d *Directory) suspectsFor(holder *peer) []*protocol.Suspect {
+	var named []*protocol.Suspect
+	others := 0
+	for _, name := range sortedKeys(d.suspects) {
+		if !names(holder.gainedFrom, name, d.suspects[name]) {
+			others++
+			if others > mostOtherSuspects {
+				continue
+			}
+		}
+		named = append(named, &protocol.Suspect{Name: name, Incarnation: d.suspects[name]})
+	}
+	return named
+}
+
 // names reports whether a member is among the suspects of a request.
 func names(suspects []*protocol.Suspect, name string, incarnation uint64) bool {
 	for _, each := range suspects {
--- a/internal/directory/takeover_test.go
+++ b/internal/directory/takeover_test.go
@@ -1,7 +1,9 @@
 package directory_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -331,3 +333,67 @@
 		Expect(holder.directory.Suspects()).To(BeZero())
 	})
 })
+
+// route is who sends to whom.
+type route struct{ from, to string }
+
+// namedByRegistrations notes the most suspects that one registration names beyond those that its holder said it had gained from.
+func (f *fleet) namedByRegistrations() (mostOthers *int, gainedNamed *int) {
+	asked := map[route][]string{}
+	mostOthers, gainedNamed = new(int), new(int)
+	f.intercept = func(from, to string, request *protocol.Request) (*protocol.Response, bool) {
+		register := request.GetRegisterSessions()
+		var suspects []string
+		for _, each := range register.GetSuspects() {
+			suspects = append(suspects, each.GetName())
+		}
+		switch {
+		case register == nil || register.GetCause() == protocol.RegistrationCause_CAUSE_NEW:
+		case register.GetResend():
+			asked[route{from: to, to: from}] = suspects
+		default:
+			others := 0
+			for _, name := range suspects {
+				if slices.Contains(asked[route{from: from, to: to}], name) {
+					*gainedNamed++
+				} else {
+					others++
+				}
+			}
+			*mostOthers = max(*mostOthers, others)
+		}
+		return nil, false
+	}
+	return mostOthers, gainedNamed
+}
+
+var _ = Describe("the loss of many front nodes at once", func() {
+	It("names all that a holder gained from to it, and few others", func() {
+		var everyone []string
+		for number := range 40 {
+			everyone = append(everyone, fmt.Sprintf("n%02d", number))
+		}
+		fleet := refusing(everyone...)
+		lost, left := everyone[:16], everyone[16:]
+		for number := range 400 {
+			fleet.nodes[everyone[number%len(everyone)]].resolve(fmt.Sprint("session", number))
+		}
+		fleet.settle()
+		mostOthers, gainedNamed := fleet.namedByRegistrations()
+		for _, name := range lost {
+			fleet.nodes[name].gone = true
+		}
+		for _, name := range left {
+			for _, away := range lost {
+				fleet.nodes[name].handle(directory.PeerFailed{Address: away + ":1", Failure: directory.CallRefused})
+			}
+		}
+		fleet.settle()
+		Expect(*gainedNamed).To(BeNumerically(">", 100))
+		Expect(*mostOthers).To(BeNumerically("<=", 8))
+		for _, name := range left {
+			Expect(fleet.nodes[name].directory.Suspects()).To(Equal(len(lost)))
+			Expect(fleet.nodes[name].directory.SalvageLength()).To(BeZero())
+		}
+	})
+})
