--- a/internal/sim/servingsuite/rules.go
+++ b/internal/sim/servingsuite/rules.go
@@ -45,7 +45,9 @@
 	// the queue's own policy; standardErrors is by how much more chance may have it look.
 	shareTolerance = 0.03
 	standardErrors = 2
-	percentPoints  = 100
+	// mostTolerance is never exceeded, however few the decisions.
+	mostTolerance = 0.1
+	percentPoints = 100
 )
 
 // rules are the checkers of one run and what they remember.
@@ -322,7 +324,7 @@
 // tolerance is what may be chance: half is the most that the deviation of one decision can be.
 func (c comparison) tolerance() float64 {
 	const mostDeviation = 0.5
-	return shareTolerance + standardErrors*mostDeviation/math.Sqrt(c.weight)
+	return min(mostTolerance, shareTolerance+standardErrors*mostDeviation/math.Sqrt(c.weight))
 }
 
 func (c *comparison) add(urgent, lesser *share) {
