Let the leader of before lead again at once when all core members restart

Now the promise names its leader and is durable before it is answered, and the leader it names may be voted for at once: who stands has left its term for good. The member that led stands at its first tick. A second cause, found on the way by printing the messages: the first messages of a restarted member were dropped, because the transport learned the addresses only after the first output. A core process that knows no leader also holds the answer to whoever looks for one back, until it knows one.

Excluded: a slow disk (15 ms from leader to leading); slow starts (the members were up).

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -99,6 +99,9 @@
 	term   uint64
 	vote   uint64
 	leader uint64
+	// promisedTo is the last leader whose lease may rest on this member's promise not to vote; durable, since the
+	// promise outlives a restart.
+	promisedTo uint64
 
 	log            entryLog
 	configurations configurationHistory
@@ -129,7 +132,9 @@
 }
 
 // New builds a node from what its disk holds. The error is a *StateError. A node that starts
-// refuses to vote for one election timeout, since it may have promised so before.
+// refuses to vote for one election timeout, since it may have promised so before, but not to the
+// leader that it promised it to. A node that led stands for election at once: where all members
+// restarted, nobody else need wait for that time-out.
 func New(config Config, initial InitialState, now time.Time) (*Node, error) {
 	node := &Node{config: config.withDefaults()}
 	if err := node.restore(initial); err != nil {
@@ -137,6 +142,9 @@
 	}
 	node.refuseVotesUntil = now.Add(node.config.ElectionTimeout)
 	node.resetElectionDeadline(now)
+	if node.promisedTo == node.config.ID {
+		node.electionDeadline = now
+	}
 	return node, nil
 }
 
@@ -202,6 +210,7 @@
 	}
 	n.log.commit = max(n.log.commit, hardState.GetCommit())
 	n.term, n.vote = hardState.GetTerm(), hardState.GetVotedFor()
+	n.promisedTo = hardState.GetPromisedTo()
 	n.saved = n.hardState()
 	if lastTerm := n.log.lastTerm(); lastTerm > n.term {
 		n.term, n.vote = lastTerm, 0
@@ -222,7 +231,9 @@
 	n.transferCampaign = false
 	if n.isVoter() {
 		n.campaign(PreCandidate, now)
-		n.failedElections++
+		if !n.resumesLeadership(now) {
+			n.failedElections++
+		}
 		return
 	}
 	n.resetElectionDeadline(now)
@@ -247,5 +258,5 @@
 }
 
 func (n *Node) hardState() *protocol.HardState {
-	return &protocol.HardState{Term: n.term, VotedFor: n.vote, Commit: n.log.commit}
+	return &protocol.HardState{Term: n.term, VotedFor: n.vote, Commit: n.log.commit, PromisedTo: n.promisedTo}
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -14,6 +14,9 @@
 	// quickRetries is the number of failed elections after which a member waits for whole timeouts
 	// again, as one that the others do not hear or do not want should.
 	quickRetries = 4
+	// resumeShare is the part of the election timeout after which a member that led before its restart asks again.
+	// It is short, since others that restarted with it vote for nobody else yet and no ties come about.
+	resumeShare = 8
 )
 
 // resetElectionDeadline waits for an election timeout and a little more.
@@ -24,31 +27,42 @@
 // resetRetryDeadline waits for the answers to an election. Nobody leads then, as far as this member
 // knows, so that after a tie it need not wait for a whole election timeout.
 func (n *Node) resetRetryDeadline(now time.Time) {
-	if n.failedElections >= quickRetries {
+	switch {
+	case n.resumesLeadership(now):
+		n.electionDeadline = now.Add(n.config.ElectionTimeout / resumeShare)
+	case n.failedElections >= quickRetries:
 		n.resetElectionDeadline(now)
-		return
+	default:
+		n.electionDeadline = now.Add(n.config.ElectionTimeout/retryShare + n.randomWait(n.config.ElectionTimeout/electionSpread))
 	}
-	n.electionDeadline = now.Add(n.config.ElectionTimeout/retryShare + n.randomWait(n.config.ElectionTimeout/electionSpread))
+}
+
+// resumesLeadership reports whether this member led before its restart and other members that restarted
+// with it may still be bound by their promise to it.
+func (n *Node) resumesLeadership(now time.Time) bool {
+	return n.promisedTo == n.config.ID && now.Before(n.refuseVotesUntil)
 }
 
 func (n *Node) randomWait(limit time.Duration) time.Duration {
 	return time.Duration(n.config.Random.Int64N(int64(limit)))
 }
 
-// hearLeader notes a message of the leader of this term: the promise not to vote starts anew.
+// hearLeader notes a message of the leader of this term: the promise not to vote starts anew. It is durable, with
+// the leader that it was given to, before the message is answered.
 func (n *Node) hearLeader(leader uint64, now time.Time) {
-	n.leader = leader
+	n.leader, n.promisedTo = leader, leader
 	n.failedElections = 0
 	n.refuseVotesUntil = now.Add(n.config.ElectionTimeout)
 	n.resetElectionDeadline(now)
 }
 
-// refusesVotes reports whether a leader's lease may rest on this node.
-func (n *Node) refusesVotes(now time.Time) bool {
+// refusesVotesTo reports whether a lease may rest on this node that the candidate's election would break. A leader
+// that stands for election has left the term that it led for good, so the promise given to it does not bind against itself.
+func (n *Node) refusesVotesTo(candidate uint64, now time.Time) bool {
 	if n.role == Leader {
 		return now.Before(n.LeaseEnds(now))
 	}
-	return now.Before(n.refuseVotesUntil)
+	return candidate != n.promisedTo && now.Before(n.refuseVotesUntil)
 }
 
 func (n *Node) becomeFollower(term, leader uint64, now time.Time) {
@@ -118,6 +132,7 @@
 
 func (n *Node) becomeLeader(now time.Time) {
 	n.role, n.leader, n.votes = Leader, n.config.ID, nil
+	n.promisedTo = n.config.ID
 	n.transferCampaign = false
 	n.failedElections = 0
 	n.transfer = transferState{}
@@ -129,7 +144,7 @@
 }
 
 func (n *Node) stepPreVote(message *protocol.ConsensusMessage, now time.Time) {
-	grant := message.GetTerm() > n.term && !n.refusesVotes(now) &&
+	grant := message.GetTerm() > n.term && !n.refusesVotesTo(message.GetFrom(), now) &&
 		n.log.upToDate(message.GetLogIndex(), message.GetLogTerm())
 	answer := &protocol.ConsensusMessage{
 		Kind: protocol.ConsensusMessageKind_PRE_VOTE_RESPONSE, To: message.GetFrom(), Reject: !grant,
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -41,7 +41,7 @@
 	if n.hardStateChanged() {
 		ready.HardState = n.hardState()
 	}
-	ready.MustSync = ready.Snapshot != nil || len(ready.Entries) > 0 || n.voteChanged()
+	ready.MustSync = ready.Snapshot != nil || len(ready.Entries) > 0 || n.promiseChanged()
 	ready.Committed = n.log.from(n.log.applied+1, n.applicable(), defaultCommittedBytes)
 	n.received, n.messages, n.readResults = nil, nil, nil
 	return ready
@@ -70,9 +70,10 @@
 func (n *Node) applicable() uint64 { return min(n.log.commit, n.log.stable) }
 
 func (n *Node) hardStateChanged() bool {
-	return n.voteChanged() || n.saved.GetCommit() != n.log.commit
+	return n.promiseChanged() || n.saved.GetCommit() != n.log.commit
 }
 
-func (n *Node) voteChanged() bool {
-	return n.saved.GetTerm() != n.term || n.saved.GetVotedFor() != n.vote
+// promiseChanged reports whether the term, the vote or the leader promised to is not durable yet.
+func (n *Node) promiseChanged() bool {
+	return n.saved.GetTerm() != n.term || n.saved.GetVotedFor() != n.vote || n.saved.GetPromisedTo() != n.promisedTo
 }
--- /dev/null
+++ b/internal/consensus/restart_test.go
@@ -0,0 +1,148 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// restartAll starts all members anew from what they made durable.
+func (s *script) restartAll() {
+	for id := range s.nodes {
+		s.restart(id)
+	}
+}
+
+// tickAll lets every member look at its clock, lowest id first.
+func (s *script) tickAll() {
+	for id := uint64(1); id <= uint64(len(s.nodes)); id++ {
+		s.nodes[id].Tick(s.now)
+	}
+	s.run()
+}
+
+func TestALeaderThatRestartsWithAllOthersLeadsAgainAtOnce(t *testing.T) {
+	s := newScript(t, 3, 0)
+	term := s.elect(2).Status().Term
+	s.restartAll()
+	s.now = s.now.Add(time.Millisecond)
+	s.tickAll()
+	if leader := s.nodes[2]; leader.Role() != Leader || leader.Status().Term <= term {
+		t.Fatalf("the former leader is %v in term %d, led term %d", leader.Role(), leader.Status().Term, term)
+	}
+	if !s.now.Before(s.nodes[2].LeaseEnds(s.now)) {
+		t.Error("it leads without a lease")
+	}
+}
+
+func TestALeaderThatRestartsAloneLeadsAgainAtOnce(t *testing.T) {
+	s := newScript(t, 3, 0)
+	s.elect(2)
+	s.restart(2)
+	s.now = s.now.Add(time.Millisecond)
+	s.tickAll()
+	if s.nodes[2].Role() != Leader {
+		t.Fatalf("the former leader is %v", s.nodes[2].Role())
+	}
+}
+
+func TestMembersThatRestartedPromiseNothingToOthersWhileTheLeaderLives(t *testing.T) {
+	for name, preVote := range map[string]bool{"vote": false, "pre-vote": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, 3, 0)
+			leader := s.elect(1)
+			s.restart(2)
+			s.restart(3)
+			s.pass = passNone
+			kind := protocol.ConsensusMessageKind_VOTE
+			if preVote {
+				kind = protocol.ConsensusMessageKind_PRE_VOTE
+			}
+			s.deliver(s.vote(kind, 3, 2, leader.Status().Term+1))
+			s.run()
+			for _, answer := range s.held {
+				if !answer.GetReject() {
+					t.Fatalf("a member that restarted under the lease of %d said %v", 1, answer)
+				}
+			}
+			if !s.now.Before(leader.LeaseEnds(s.now)) {
+				t.Fatal("the story has no lease to break")
+			}
+		})
+	}
+}
+
+func TestThePromiseToALeaderIsDurableBeforeItIsAnswered(t *testing.T) {
+	s := newScript(t, 3, 0)
+	s.pass = func(message *protocol.ConsensusMessage) bool {
+		return message.GetKind() != protocol.ConsensusMessageKind_APPEND
+	}
+	s.elect(1)
+	for _, message := range s.held {
+		if message.GetTo() == 2 {
+			s.deliver(message)
+			break
+		}
+	}
+	ready := s.nodes[2].Ready()
+	if !ready.MustSync || ready.HardState.GetPromisedTo() != 1 {
+		t.Errorf("the leader is answered with the hard state %v, synced %t", ready.HardState, ready.MustSync)
+	}
+	if len(ready.Messages) != 1 || ready.Messages[0].GetKind() != protocol.ConsensusMessageKind_APPEND_RESPONSE {
+		t.Errorf("answers: %v", ready.Messages)
+	}
+}
+
+func TestALeaderThatAnotherReplacedHasNoPromiseLeft(t *testing.T) {
+	s := newScript(t, 3, 0)
+	s.elect(1)
+	s.elect(3)
+	s.restart(2)
+	s.pass = passNone
+	s.deliver(s.vote(protocol.ConsensusMessageKind_VOTE, 1, 2, s.nodes[3].Status().Term+1))
+	s.run()
+	for _, answer := range s.held {
+		if !answer.GetReject() {
+			t.Fatalf("a former leader got %v while another one leads", answer)
+		}
+	}
+}
+
+func TestALeaderThatRestartsBeforeTheOthersAsksThemAgainSoon(t *testing.T) {
+	s := newScript(t, 3, 0)
+	s.elect(2)
+	s.restartAll()
+	s.pass = passNone
+	s.now = s.now.Add(time.Millisecond)
+	s.tickAll()
+	s.held, s.pass = nil, passAll
+	const step = DefaultElectionTimeout / 100
+	for waited := time.Duration(0); s.nodes[2].Role() != Leader; waited += step {
+		if waited > DefaultElectionTimeout/4 {
+			t.Fatalf("the former leader is %v after %v", s.nodes[2].Role(), waited)
+		}
+		s.now = s.now.Add(step)
+		s.tickAll()
+	}
+}
+
+func TestALeaderThatRestartsAloneInACutOffPlaceAsksWithoutEnd(t *testing.T) {
+	s := newScript(t, 3, 0)
+	s.elect(2)
+	s.restart(2)
+	s.pass = passNone
+	asked := 0
+	for elapsed := time.Duration(0); elapsed < 10*DefaultElectionTimeout; elapsed += 10 * time.Millisecond {
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.nodes[2].Tick(s.now)
+		s.held = nil
+		s.run()
+		asked += len(s.held)
+	}
+	// Both others are asked: some nine times while they may be bound to it, four times soon after, then once in a time-out.
+	const least, most = 2 * 15, 2 * 30
+	if asked < least || asked > most {
+		t.Errorf("asked %d times in ten election timeouts", asked)
+	}
+}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -41,7 +41,7 @@
 	case protocol.ConsensusMessageKind_VOTE:
 		// The promise to the leader holds against new terms too, or a removed or
 		// cut-off member could end a lease.
-		if n.refusesVotes(now) && !message.GetTransfer() {
+		if n.refusesVotesTo(message.GetFrom(), now) && !message.GetTransfer() {
 			return false
 		}
 	case protocol.ConsensusMessageKind_TIMEOUT_NOW:
--- a/internal/core/replica/owner.go
+++ b/internal/core/replica/owner.go
@@ -33,6 +33,7 @@
 	leadingSince       time.Time
 	wasLeader          bool
 	heardLeader        time.Time
+	leaderKnown        leaderSignal
 	nextPlan           time.Time
 	transferWaiters    []chan error
 	failure            error
@@ -58,6 +59,8 @@
 	}
 	o.node = node
 	o.heardLeader = o.now()
+	// The node may have messages to send at its first tick.
+	o.fitConfiguration()
 	o.publish()
 	return nil
 }
@@ -248,7 +251,7 @@
 	o.replica.view.Store(&view{
 		clusterID: o.clusterID, status: status, leaseEnds: leaseEnds,
 		leadingSince: o.leadingSince, heardLeader: o.heardLeader,
-		leaderAddress: o.leaderAddress(&status),
+		leaderAddress: o.leaderAddress(&status), leaderKnown: o.leaderKnown.observe(status.Leader != 0),
 	})
 }
 
--- /dev/null
+++ b/internal/core/replica/resume_test.go
@@ -0,0 +1,71 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/consensus"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+func TestTheLeaderOfBeforeLeadsAgainSoonAfterARestartOfAll(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		for range 5 {
+			former := f.waitForLeader()
+			for _, m := range f.running() {
+				m.crash()
+			}
+			for number := 1; number <= 3; number++ {
+				f.machine(number).start()
+			}
+			began := time.Now()
+			leader := f.waitForLeader()
+			if leader != former {
+				t.Errorf("%s leads after the restart, %s led before it", leader.name, former.name)
+			}
+			if waited := time.Since(began); waited >= consensus.DefaultElectionTimeout/2 {
+				t.Errorf("no leader for %v", waited)
+			}
+		}
+	})
+}
+
+func locate(m *machine, wait time.Duration) *protocol.LocateCoreResponse {
+	answer, err := m.replica.ServeWire(context.Background(), &protocol.Request{Body: &protocol.Request_LocateCore{
+		LocateCore: &protocol.LocateCoreRequest{WaitMillis: uint32(wait / time.Millisecond)},
+	}})
+	if err != nil {
+		m.fleet.t.Errorf("locate: %v", err)
+	}
+	return answer.GetLocateCore()
+}
+
+func TestWhoeverLooksForTheLeaderIsToldOnceThereIsOne(t *testing.T) {
+	story(t, func(f *fleet) {
+		f.found(3)
+		f.waitForLeader()
+		for _, m := range f.running() {
+			m.crash()
+		}
+		first := f.machine(1)
+		first.start()
+		if answer := locate(first, 0); answer.GetLeaderAddress() != "" {
+			t.Errorf("a member alone names the leader %q", answer.GetLeaderAddress())
+		}
+		began := time.Now()
+		const wait = 300 * time.Millisecond
+		if answer := locate(first, wait); answer.GetLeaderAddress() != "" || time.Since(began) != wait {
+			t.Errorf("a member alone names the leader %q after %v", answer.GetLeaderAddress(), time.Since(began))
+		}
+		answers := make(chan *protocol.LocateCoreResponse, 1)
+		go func() { answers <- locate(first, maxLocateWait) }()
+		f.machine(2).start()
+		f.machine(3).start()
+		leader := f.waitForLeader()
+		if answer := <-answers; answer.GetLeaderAddress() != leader.address {
+			t.Errorf("the leader is at %s, told was %q", leader.address, answer.GetLeaderAddress())
+		}
+	})
+}
--- a/internal/core/replica/service.go
+++ b/internal/core/replica/service.go
@@ -28,7 +28,8 @@
 	case *protocol.Request_CoreStatus:
 		return &protocol.Response{Body: &protocol.Response_CoreStatus{CoreStatus: r.Status()}}, nil
 	case *protocol.Request_LocateCore:
-		return &protocol.Response{Body: &protocol.Response_LocateCore{LocateCore: r.locateCore()}}, nil
+		wait := time.Duration(body.LocateCore.GetWaitMillis()) * time.Millisecond
+		return &protocol.Response{Body: &protocol.Response_LocateCore{LocateCore: r.locateCoreWithin(ctx, wait)}}, nil
 	default:
 		return nil, failure.New(failure.UnknownRequest, protocol.Outcome_NOT_RUN, "not a request to the core's consensus group")
 	}
--- a/internal/core/replica/view.go
+++ b/internal/core/replica/view.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,6 +10,9 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
+// maxLocateWait bounds how long the answer to a locate_core request is held back, whatever it asks for.
+const maxLocateWait = time.Second
+
 // view is what the owner goroutine shows to the others; immutable.
 type view struct {
 	clusterID    string
@@ -19,6 +23,8 @@
 	leaderAddress string
 	// heardLeader is when this member last followed a leader or led.
 	heardLeader time.Time
+	// leaderKnown is closed once a leader is known; a view without one has a channel that its successors close.
+	leaderKnown <-chan struct{}
 }
 
 func (v *view) leader() *protocol.CoreMember {
@@ -62,6 +68,22 @@
 	return status
 }
 
+// locateCoreWithin answers as soon as this member knows a leader, and after the wait in any case.
+func (r *Replica) locateCoreWithin(ctx context.Context, wait time.Duration) *protocol.LocateCoreResponse {
+	if wait <= 0 {
+		return r.locateCore()
+	}
+	timer := r.options.Clock.NewTimer(min(wait, maxLocateWait))
+	defer timer.Stop()
+	select {
+	case <-r.view.Load().leaderKnown:
+	case <-timer.C():
+	case <-ctx.Done():
+	case <-r.stopped:
+	}
+	return r.locateCore()
+}
+
 func (r *Replica) locateCore() *protocol.LocateCoreResponse {
 	view := r.view.Load()
 	leader := view.leader()
