Wait for no silent machine in the search for the leader

Printed questions showed two waits: a round of questions ended only when a dial to a machine that had no power yet timed out (300 ms), and a dial begun before a machine had power was waited for by all that came later, because its opening packet is repeated after a second only. Each process is asked by itself now, and a dial that is silent for 100 ms has another one begun beside it.

--- a/internal/corelink/locator.go
+++ b/internal/corelink/locator.go
@@ -16,8 +16,8 @@
 
 const (
 	locateTimeout = time.Second
-	// othersWait is how long a search goes on once a process has answered that it knows no leader.
-	othersWait = 50 * time.Millisecond
+	// leaderWait is how long a core process that knows no leader is asked to hold its answer back until it knows one.
+	leaderWait = 400 * time.Millisecond
 	// searchGap is the shortest time between a search that failed and the next one, whoever asks for it.
 	searchGap       = 50 * time.Millisecond
 	firstRetryDelay = 25 * time.Millisecond
@@ -54,7 +54,7 @@
 	failingSince, failedAt time.Time
 }
 
-// search is one round of questions; the results may be read once done is closed.
+// search is one search for the leader; the results may be read once done is closed.
 type search struct {
 	done   chan struct{}
 	leader string
@@ -122,7 +122,7 @@
 	}
 }
 
-// search makes one round of questions for all that wait for it.
+// search looks for the leader for all that wait for it.
 func (l *locator) search(ctx context.Context, shared *search) {
 	shared.leader, shared.err = l.askAll(ctx)
 	l.mutex.Lock()
@@ -149,33 +149,54 @@
 	return outageRetry
 }
 
-// askAll asks all processes it may ask at once and takes the answer with the highest term.
-// It returns as soon as one names a leader of a term not older than the one known, and soon
-// after one has answered that it knows none.
+// askAll asks all processes it may ask, each again and again, until one names a leader of a term not older than the one
+// known or the time for a search is over. No process is waited for before another one is asked again, since a machine
+// without power answers late and not at all.
 func (l *locator) askAll(ctx context.Context) (string, error) {
 	l.metrics.locates.Inc()
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
-	addresses := l.addresses()
-	answers := make(chan *protocol.LocateCoreResponse, len(addresses))
-	for _, address := range addresses {
-		go func() { answers <- l.ask(ctx, address) }()
-	}
-	var enough <-chan time.Time
-	for range addresses {
+	answers := make(chan *protocol.LocateCoreResponse)
+	asked := map[string]bool{}
+	for {
+		for _, address := range l.addresses() {
+			if !asked[address] {
+				asked[address] = true
+				go l.askRepeatedly(ctx, address, answers)
+			}
+		}
+		if len(asked) == 0 {
+			return "", &CoreNotFoundError{}
+		}
 		select {
 		case answer := <-answers:
-			if answer != nil && l.learn(answer) {
+			if l.learn(answer) {
 				return l.known().GetLeaderAddress(), nil
 			}
-			if answer != nil && enough == nil {
-				enough = time.After(othersWait)
+		case <-ctx.Done():
+			return "", &CoreNotFoundError{Asked: len(asked)}
+		}
+	}
+}
+
+// askRepeatedly asks one process with growing pauses and hands its answers on until the search ends.
+func (l *locator) askRepeatedly(ctx context.Context, address string, answers chan<- *protocol.LocateCoreResponse) {
+	var wait time.Duration
+	for {
+		if answer := l.ask(ctx, address); answer != nil {
+			select {
+			case answers <- answer:
+			case <-ctx.Done():
+				return
 			}
-		case <-enough:
-			return "", &CoreNotFoundError{Asked: len(addresses)}
+		}
+		wait = nextWait(wait, l.longestRetry())
+		select {
+		case <-time.After(jitter(wait)):
+		case <-ctx.Done():
+			return
 		}
 	}
-	return "", &CoreNotFoundError{Asked: len(addresses)}
 }
 
 // addresses lists cores known before, then the seeds, without this process itself.
@@ -191,7 +212,9 @@
 }
 
 func (l *locator) ask(ctx context.Context, address string) *protocol.LocateCoreResponse {
-	request := &protocol.Request{Body: &protocol.Request_LocateCore{LocateCore: &protocol.LocateCoreRequest{}}}
+	request := &protocol.Request{Body: &protocol.Request_LocateCore{LocateCore: &protocol.LocateCoreRequest{
+		WaitMillis: uint32(leaderWait / time.Millisecond),
+	}}}
 	response, err := l.caller.Call(ctx, address, request)
 	if err != nil {
 		return nil
--- /dev/null
+++ b/internal/corelink/search_test.go
@@ -0,0 +1,32 @@
+package corelink_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestGivenASeedWithoutPowerWhenTheOtherStartsLateThenTheSilentOneIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		core := newFakeCore()
+		core.silent = map[string]bool{"10.0.0.8:1": true}
+		core.down[seedAddress] = true
+		link := newLink(core)
+		g.Expect(link.Start(context.Background())).To(Succeed())
+		defer func() {
+			_ = link.Stop(context.Background())
+			pass(2 * time.Hour)
+		}()
+		pass(100 * time.Millisecond)
+		g.Expect(link.Ready()).To(BeFalse())
+		core.mutex.Lock()
+		core.down[seedAddress] = false
+		core.mutex.Unlock()
+		pass(200 * time.Millisecond)
+		g.Expect(link.Ready()).To(BeTrue(), "the seed that answers is asked again")
+	})
+}
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -35,9 +35,9 @@
 		o.DialTimeout = defaultDialTimeout
 	}
 	if o.Dial == nil {
-		dialer := &net.Dialer{Timeout: defaultConnectTimeout, Control: boundUnacknowledged}
+		dialer := &net.Dialer{Control: boundUnacknowledged}
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
+			return connectTo(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
 		}
 	}
 }
