Hold the port of a server that is gone while a spec asks for it

With many test binaries at once the request reached a server of another one: "is not there" got its answer (6 times in 48 runs), and specs there saw a request too many (3 times; one had the header Rosestand-Server: gone).

Excluded: a second send by the front node under test; the surplus requests had another host process, request id and target server.

Mend: internal/lab/closedport binds a port without listening on it, so that it refuses and cannot be given away until it is released. Its test checks both.

Conclusion: nothing of the product changed. Not proved: the same pattern in other packages, which was not searched for beyond these.

--- a/internal/front/routefaults_test.go
+++ b/internal/front/routefaults_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/rosestand/rosestand/internal/lab/closedport"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -205,10 +206,10 @@
 		got := f1.route(routed{target: path})
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(got.header).To(HaveKey("Retry-After"))
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		gone, err := closedport.Hold()
 		Expect(err).NotTo(HaveOccurred())
-		r.announce("gone", routeGroup, listener.Addr().String())
-		_ = listener.Close()
+		DeferCleanup(gone.Release)
+		r.announce("gone", routeGroup, gone.Address())
 		got = f1.route(routed{target: path})
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable), "nothing was sent")
 		Expect(got.header).To(HaveKey("Retry-After"))
--- /dev/null
+++ b/internal/lab/closedport/closedport_test.go
@@ -0,0 +1,26 @@
+package closedport_test
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/rosestand/rosestand/internal/lab/closedport"
+)
+
+func TestAHeldPortRefusesConnectionsAndIsGivenToNobodyElse(t *testing.T) {
+	port, err := closedport.Hold()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.Dial("tcp", port.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatalf("a connection gave %v", err)
+	}
+	if _, err := net.Listen("tcp", port.Address()); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Fatalf("a listener gave %v", err)
+	}
+	if err := port.Release(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/serverconn/pool_test.go
+++ b/internal/serverconn/pool_test.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/rosestand/rosestand/internal/lab/closedport"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/serverconn"
 )
@@ -219,15 +220,18 @@
 }
 
 func TestFailuresSayWhetherTheRequestMayHaveRun(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gone, err := closedport.Hold()
 	if err != nil {
 		t.Fatal(err)
 	}
-	dead := listener.Addr().String()
-	_ = listener.Close()
+	t.Cleanup(func() {
+		if err := gone.Release(); err != nil {
+			t.Error(err)
+		}
+	})
 	pool := newPool(t, serverconn.Options{})
 	var notSent *serverconn.NotSentError
-	if _, err := pool.Do(context.Background(), dead, post("a")); !errors.As(err, &notSent) {
+	if _, err := pool.Do(context.Background(), gone.Address(), post("a")); !errors.As(err, &notSent) {
 		t.Fatalf("a refused connection gave %v", err)
 	}
 	silent := newServer(t, func(_ net.Conn, reader *bufio.Reader) { readRequest(t, reader) })
