Let the clock of a front node end its contexts, and test time wait for requests

Cause: specs moved a clock of their own, but the contexts of requests ended by the wall clock: 2.1 s after a routed request came in, 0.5 s for a sample of a server's load. And they moved that clock by 10 ms to 1 s at every poll, whatever the request was doing, so that a slow machine used its time up. Under -race two specs of a session owned elsewhere got "deadline_exceeded" where they wait for an owner.

Excluded: a fault of the front node; the deadline had passed by both clocks, and the answer to that is right.

Mend: Clock has WithTimeout, which the contexts for answers, load samples, heartbeats and reports use; the system's is context.WithTimeout, so nothing changes in production. In specs: - backoffs pass only while a request waits for one; - a sample of the load is waited for before time moves on: "asks a bounded number of servers" looked for any alarm, and there always is one; - a refusal that a slow ledger holds back must come after exactly its 40 ms, no longer within 4 s of the wall clock; - the reports of arms and the window of heartbeats are waited for before time passes; - a service has settled when nothing is under way, for which no time passes any more.

Conclusion: time-outs at the ledger's client, at dials and at writes to slow readers still go by the wall clock; none is near in these specs.

--- a/internal/front/api_test.go
+++ b/internal/front/api_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosestand/rosestand/internal/corelink"
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/front"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -135,7 +136,8 @@
 		}
 		Expect(versions["5"]).To(BeNumerically(">", 8))
 		Expect(versions["6"]).To(BeNumerically(">", 8))
-		r.clock.advance(time.Second)
+		Eventually(r.clock.isSet).WithArguments(front.ArmReportInterval).Should(BeTrue())
+		r.clock.advance(front.ArmReportInterval)
 		var report *protocol.ReportArmsRequest
 		Eventually(reported).Should(Receive(&report))
 		total := uint64(0)
@@ -178,7 +180,9 @@
 				}()
 			}
 			Eventually(func() int {
-				r.clock.advance(10 * time.Millisecond)
+				if r.clock.isSet(front.HeartbeatWindow) {
+					r.clock.advance(front.HeartbeatWindow)
+				}
 				return len(answered)
 			}).Should(Equal(3))
 			Expect((<-answered).at("interval_seconds")).To(Equal("2"))
@@ -197,7 +201,9 @@
 				answered <- f1.do(http.MethodPost, "/v1/backends/heartbeat", heartbeat, nil)
 			}()
 			Eventually(func() int {
-				r.clock.advance(10 * time.Millisecond)
+				if r.clock.isSet(front.HeartbeatWindow) {
+					r.clock.advance(front.HeartbeatWindow)
+				}
 				return len(answered)
 			}).Should(Equal(1))
 			away := <-answered
--- a/internal/front/arms.go
+++ b/internal/front/arms.go
@@ -143,7 +143,7 @@
 	if len(report.GetSamples()) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, armReportTimeout)
+	ctx, cancel := s.clock.WithTimeout(ctx, armReportTimeout)
 	defer cancel()
 	_, err := s.link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_ReportArms{ReportArms: report}})
 	if err != nil {
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -26,6 +26,10 @@
 func (wallClock) Now() time.Time                            { return time.Now() }
 func (wallClock) After(wait time.Duration) <-chan time.Time { return time.After(wait) }
 
+func (wallClock) WithTimeout(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, limit)
+}
+
 // BenchmarkTurns measures turns through one front node that owns all sessions,
 // with a ledger in memory. Caller and model server run in the same process, so
 // a turn's cost here holds theirs too. The difference between two lengths is the
--- a/internal/front/clock_test.go
+++ b/internal/front/clock_test.go
@@ -1,20 +1,26 @@
 package front_test
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/rosestand/rosestand/internal/front"
 )
 
 // manualClock moves only when a story says so.
 type manualClock struct {
 	mutex  sync.Mutex
 	now    time.Time
-	alarms []alarm
+	alarms []*alarm
 }
 
+// alarm is one wait of a manualClock.
 type alarm struct {
 	at   time.Time
-	ring chan time.Time
+	wait time.Duration
+	ring func(now time.Time)
 }
 
 func (c *manualClock) Now() time.Time {
@@ -24,24 +30,106 @@
 }
 
 func (c *manualClock) After(wait time.Duration) <-chan time.Time {
+	rung := make(chan time.Time, 1)
+	c.set(wait, func(now time.Time) { rung <- now })
+	return rung
+}
+
+// WithTimeout implements front.Clock.
+func (c *manualClock) WithTimeout(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx := &timeoutContext{Context: parent, done: make(chan struct{})}
+	set := c.set(limit, func(time.Time) { ctx.end(context.DeadlineExceeded) })
+	stop := context.AfterFunc(parent, func() { ctx.end(parent.Err()) })
+	return ctx, func() {
+		c.unset(set)
+		stop()
+		ctx.end(context.Canceled)
+	}
+}
+
+// timeoutContext ends with its parent or when it is told to.
+type timeoutContext struct {
+	context.Context
+	done chan struct{}
+
+	mutex sync.Mutex
+	err   error
+}
+
+func (c *timeoutContext) Done() <-chan struct{} { return c.done }
+
+func (c *timeoutContext) Err() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.err
+}
+
+func (c *timeoutContext) end(err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.err == nil {
+		c.err = err
+		close(c.done)
+	}
+}
+
+func (c *manualClock) set(wait time.Duration, ring func(now time.Time)) *alarm {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	set := alarm{at: c.now.Add(wait), ring: make(chan time.Time, 1)}
+	set := &alarm{at: c.now.Add(wait), wait: wait, ring: ring}
 	c.alarms = append(c.alarms, set)
-	return set.ring
+	return set
+}
+
+func (c *manualClock) unset(former *alarm) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.alarms = slices.DeleteFunc(c.alarms, func(set *alarm) bool { return set == former })
 }
 
 func (c *manualClock) advance(by time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.now = c.now.Add(by)
-	kept := c.alarms[:0]
+	kept := make([]*alarm, 0, len(c.alarms))
 	for _, set := range c.alarms {
 		if set.at.After(c.now) {
 			kept = append(kept, set)
 			continue
 		}
-		set.ring <- c.now
+		set.ring(c.now)
 	}
 	c.alarms = kept
 }
+
+// isSet reports whether somebody waits for an alarm that was set to ring after just that time.
+func (c *manualClock) isSet(wait time.Duration) bool {
+	return c.isAnySet(func(set time.Duration) bool { return set == wait })
+}
+
+// awaitsSample reports whether a front node waits until it asks the next server for its load.
+func (c *manualClock) awaitsSample() bool {
+	return c.isAnySet(func(set time.Duration) bool {
+		return set >= front.SampleInterval/2 && set < front.SampleInterval*3/2 && set != front.SampleTimeout
+	})
+}
+
+func (c *manualClock) isAnySet(matches func(wait time.Duration) bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.ContainsFunc(c.alarms, func(set *alarm) bool { return matches(set.wait) })
+}
+
+// passBackoff lets the time pass for which a request waits until it looks for an owner again. No time passes while none
+// waits, so that a busy machine takes nothing from the time in which a request is answered.
+func (c *manualClock) passBackoff() {
+	for wait := front.FirstBackoff; ; wait = min(2*wait, front.MostBackoff) {
+		if c.isSet(wait) {
+			c.advance(wait)
+			return
+		}
+		if wait == front.MostBackoff {
+			return
+		}
+	}
+}
--- a/internal/front/dependencies.go
+++ b/internal/front/dependencies.go
@@ -61,6 +61,8 @@
 type Clock interface {
 	Now() time.Time
 	After(wait time.Duration) <-chan time.Time
+	// WithTimeout gives a context that ends with context.DeadlineExceeded after a time.
+	WithTimeout(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc)
 }
 
 type systemClock struct{}
@@ -70,3 +72,8 @@
 
 // After implements Clock.
 func (systemClock) After(wait time.Duration) <-chan time.Time { return time.After(wait) }
+
+// WithTimeout implements Clock.
+func (systemClock) WithTimeout(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, limit)
+}
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -100,3 +100,17 @@
 
 // StartWaiters is how many requests wait for the first bundle.
 func (s *Service) StartWaiters() int { return int(s.startWaiters.Load()) }
+
+// UnderWay is how many turns and calls a service works on.
+func (s *Service) UnderWay() int64 { return s.underWay.Load() }
+
+// Waits of a service that stories let pass.
+const (
+	FirstBackoff        = firstBackoff
+	MostBackoff         = mostBackoff
+	KeyedRefusalTimeout = keyedRefusalTimeout
+	HeartbeatWindow     = heartbeatWindow
+	ArmReportInterval   = armReportInterval
+	SampleInterval      = sampleInterval
+	SampleTimeout       = sampleTimeout
+)
--- a/internal/front/heartbeats.go
+++ b/internal/front/heartbeats.go
@@ -87,7 +87,7 @@
 	for _, entry := range batch {
 		request.Heartbeats = append(request.Heartbeats, &protocol.BackEndHeartbeat{BackEnd: entry.backEnd})
 	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	ctx, cancel := h.clock.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	response, err := h.link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_RelayHeartbeats{RelayHeartbeats: request}})
 	answer := relayAnswer{intervalSeconds: max(response.GetRelayHeartbeats().GetIntervalSeconds(), heartbeatSeconds), err: err}
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -45,7 +45,7 @@
 		return
 	}
 	left := timeLeft(request.GetTimeLeftMillis())
-	ctx, cancel := context.WithTimeout(c.Request.Context(), left+answerSlack)
+	ctx, cancel := a.service.clock.WithTimeout(c.Request.Context(), left+answerSlack)
 	defer cancel()
 	if stream {
 		a.streamTurn(ctx, c, request, policy)
@@ -182,7 +182,7 @@
 		writeError(c, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), timeLeft(request.GetTimeLeftMillis())+answerSlack)
+	ctx, cancel := a.service.clock.WithTimeout(c.Request.Context(), timeLeft(request.GetTimeLeftMillis())+answerSlack)
 	defer cancel()
 	response, err := a.service.relayCall(ctx, request, nonRepeatable)
 	if err != nil {
--- a/internal/front/httpbackends.go
+++ b/internal/front/httpbackends.go
@@ -102,7 +102,7 @@
 		writeError(c, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), heartbeatTimeout+time.Second)
+	ctx, cancel := a.service.clock.WithTimeout(c.Request.Context(), heartbeatTimeout+time.Second)
 	defer cancel()
 	answer := a.service.heartbeats.relay(ctx, backEnd)
 	if answer.err != nil {
@@ -138,7 +138,7 @@
 		writeError(c, missingField("incarnation"))
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), drainTimeoutAll)
+	ctx, cancel := a.service.clock.WithTimeout(c.Request.Context(), drainTimeoutAll)
 	defer cancel()
 	response, err := a.service.link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_DrainBackEnd{
 		DrainBackEnd: &protocol.DrainBackEndRequest{Id: c.Param("id"), Incarnation: body.Incarnation},
@@ -154,7 +154,7 @@
 func (a *api) getExplanation(c *gin.Context) {
 	id := c.Param("id")
 	found := a.service.explanations.of(id)
-	ctx, cancel := context.WithTimeout(c.Request.Context(), explainTimeout)
+	ctx, cancel := a.service.clock.WithTimeout(c.Request.Context(), explainTimeout)
 	defer cancel()
 	found = append(found, a.service.askPeers(ctx, id, found)...)
 	if len(found) == 0 {
--- a/internal/front/httpread.go
+++ b/internal/front/httpread.go
@@ -75,7 +75,7 @@
 		writeError(c, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), resumeDeadline)
+	ctx, cancel := a.service.clock.WithTimeout(c.Request.Context(), resumeDeadline)
 	defer cancel()
 	found, err := a.service.findTurn(ctx, query, policy.GetName())
 	if err != nil {
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/front"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -84,9 +85,12 @@
 		r.put(&corelink.View{Configuration: r.view.Configuration, Membership: members, BackEnds: r.view.BackEnds})
 		r.tellLoad("m1", `{"running":8,"queued":4,"capacity":8}`)
 		Eventually(func() int {
-			r.clock.advance(200 * time.Millisecond)
+			if r.clock.awaitsSample() {
+				r.clock.advance(200 * time.Millisecond)
+			}
 			return r.asked("m1")
 		}).Should(BeNumerically(">=", 2), "the load of a server without answers is asked for")
+		Eventually(r.clock.awaitsSample).Should(BeTrue(), "the answer was taken")
 		ctx, leave := context.WithCancel(context.Background())
 		defer leave()
 		for at := range 10 {
@@ -104,8 +108,8 @@
 		}
 		const rounds = 200
 		for range rounds {
+			Eventually(r.clock.awaitsSample).Should(BeTrue())
 			r.clock.advance(150 * time.Millisecond)
-			Eventually(r.clock.waiting).Should(BeNumerically(">", 0))
 		}
 		total, servers := 0, 0
 		for at := range 40 {
@@ -188,16 +192,10 @@
 				answered <- f1.turn(turnBody(key, ""), headers{"Idempotency-Key": key})
 			}()
 		}
+		Eventually(r.clock.isSet).WithArguments(front.KeyedRefusalTimeout).Should(BeTrue())
+		r.clock.advance(front.KeyedRefusalTimeout)
 		var refused answer
-		Eventually(func() bool {
-			r.clock.advance(10 * time.Millisecond)
-			select {
-			case refused = <-answered:
-				return true
-			default:
-				return false
-			}
-		}, "4s").Should(BeTrue())
+		Eventually(answered).Should(Receive(&refused))
 		Expect(refused.errorCode()).To(Equal("overloaded"))
 		Expect(refused.outcome()).To(Equal("unknown"))
 		Expect(refused.header.Get("Retry-After")).NotTo(BeEmpty())
@@ -262,10 +260,3 @@
 	<-ctx.Done()
 	_ = response.Body.Close()
 }
-
-// waiting is the number of alarms that are set.
-func (c *manualClock) waiting() int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return len(c.alarms)
-}
--- a/internal/front/ownedturns_test.go
+++ b/internal/front/ownedturns_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net/http"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -43,14 +42,13 @@
 		done := make(chan []sseEvent)
 		go func() { done <- readEvents(bufio.NewReader(response.Body), 10) }()
 		Eventually(func() int {
-			r.clock.advance(time.Second)
 			f1.ownership.mutex.Lock()
 			defer f1.ownership.mutex.Unlock()
 			return f1.ownership.forgotten["s1"]
 		}).Should(Equal(1))
 		var events []sseEvent
 		Eventually(func() bool {
-			r.clock.advance(20 * time.Millisecond)
+			r.clock.passBackoff()
 			select {
 			case events = <-done:
 				return true
@@ -71,7 +69,7 @@
 		}()
 		var got answer
 		Eventually(func() bool {
-			r.clock.advance(time.Second)
+			r.clock.passBackoff()
 			select {
 			case got = <-answered:
 				return true
@@ -94,7 +92,7 @@
 			answered <- f1.turn(turnBody("s1", ""), nil)
 		}()
 		Eventually(func() int {
-			r.clock.advance(time.Second)
+			r.clock.passBackoff()
 			return len(answered)
 		}).Should(Equal(1))
 		got := <-answered
@@ -118,7 +116,7 @@
 		}).Should(Equal(1))
 		f1.ownership.setOwner("s1", "f3")
 		Eventually(func() int {
-			r.clock.advance(time.Second)
+			r.clock.passBackoff()
 			return len(answered)
 		}).Should(Equal(1))
 		Expect((<-answered).outcome()).To(Equal("not_run"))
@@ -140,7 +138,7 @@
 		f1.ownership.setOwner("s1", "f1")
 		var got answer
 		Eventually(func() bool {
-			r.clock.advance(50 * time.Millisecond)
+			r.clock.passBackoff()
 			select {
 			case got = <-answered:
 				return true
--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,7 +36,7 @@
 		writeRoutedFailure(writer, failure.From(err))
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), taken.left+routedAnswerSlack)
+	ctx, cancel := a.service.clock.WithTimeout(request.Context(), taken.left+routedAnswerSlack)
 	defer cancel()
 	if taken.http.GetKind() == protocol.HttpRouteKind_HTTP_STREAMING {
 		a.serveStream(ctx, writer, taken)
--- a/internal/front/routeingress_test.go
+++ b/internal/front/routeingress_test.go
@@ -41,10 +41,10 @@
 		}
 		answerWith(http.StatusOK, "yes")(writer, request)
 	}
-	// answerOf lets virtual time pass until the answer is there.
+	// answerOf lets the backoffs pass until the answer is there.
 	answerOf := func(answered <-chan routedAnswer) (got routedAnswer) {
 		Eventually(func() bool {
-			r.clock.advance(20 * time.Millisecond)
+			r.clock.passBackoff()
 			select {
 			case got = <-answered:
 				return true
@@ -75,7 +75,6 @@
 		hinder()
 		answered := f1.routeAside(sent)
 		Eventually(func() int {
-			r.clock.advance(20 * time.Millisecond)
 			f1.ownership.mutex.Lock()
 			defer f1.ownership.mutex.Unlock()
 			return f1.ownership.forgotten["c1"]
--- a/internal/front/routerig_test.go
+++ b/internal/front/routerig_test.go
@@ -12,7 +12,6 @@
 	"net/url"
 	"strings"
 	"sync"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -369,13 +368,8 @@
 
 // settled returns when nothing is under way at a front node any more.
 func (r *rig) settled(n *node) {
-	drained := make(chan error, 1)
-	go func() { drained <- n.service.Drain(context.Background()) }()
-	Eventually(func() int {
-		r.clock.advance(10 * time.Millisecond)
-		return len(drained)
-	}).Should(Equal(1))
-	Expect(<-drained).To(Succeed())
+	Eventually(n.service.UnderWay).Should(BeZero())
+	Expect(n.service.Drain(context.Background())).To(Succeed())
 }
 
 // drainingListener is a front node's own listener for callers of HTTP routes.
--- a/internal/front/tools_test.go
+++ b/internal/front/tools_test.go
@@ -176,7 +176,7 @@
 			answered <- call(valve, "k1")
 		}()
 		Eventually(func() int {
-			r.clock.advance(time.Second)
+			r.clock.passBackoff()
 			return len(answered)
 		}).Should(Equal(1))
 		Expect((<-answered).outcome()).To(Equal("not_run"))
--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -169,7 +169,7 @@
 
 // sampleLoad asks a server for its load in the words of the dialect.
 func (c *routeClient) sampleLoad(ctx context.Context, server *backEnd, models *groupModels) error {
-	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
+	ctx, cancel := c.clock.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
 	address := server.description.Load().GetAddress()
 	response, err := c.pool.Do(ctx, address, &serverconn.Request{Method: http.MethodGet, Target: c.dialect.ReportPath, Host: address})
