Give the burst of ended leases one verdict on every interleaving

Cause: the spec "of leases that end at one time is told in two answers" read the version of a whole membership only. The removals are proposed side by side and the poll wakes at the first of them, so its first answer has any number of them. With few left over, the second answer is a delta; the spec then compared 0 with the leader's version. Besides, both polls were begun without waiting until they wait, so the clock could move between the reading of the time and the making of the timer.

Excluded: a fault of the leader.

A gate before the log decides how many removals the first answer has: 1 (for a poll that waits as for one that begins), half, all but five, all but one, and all. The second answer must be held back, then have all the rest. The spec with the order left to the scheduler stays, with the same checks. The look for 20 ms that nothing comes is replaced by the proof that the poll is held back.

Conclusion: the spec no longer depends on scheduling. Not proved: other specs of the package.

--- a/internal/core/coalesce_test.go
+++ b/internal/core/coalesce_test.go
@@ -6,19 +6,24 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/rosestand/rosestand/internal/core"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/views"
 )
 
 var _ = Describe("a burst of changes", func() {
 	var f *fleet
 	var leader *member
 	watcher := frontNode("watcher", 1)
+	// burst is how many other nodes there are.
+	const burst = 40
 	BeforeEach(func() {
 		f = newFleet(1, nil)
 		leader = f.lead(f.members[0])
 		leader.renew(watcher, nil)
-		for i := range 40 {
+		for i := range burst {
 			leader.renew(frontNode(fmt.Sprintf("f%d", i), 1), nil)
 		}
 	})
@@ -64,30 +69,128 @@
 		for i := range 20 {
 			leader.renew(frontNode(fmt.Sprintf("f%d", i), 3), nil)
 		}
-		Consistently(second, "20ms").ShouldNot(Receive())
+		Eventually(f.clock.waiting).Should(Equal(3))
+		Expect(second).NotTo(Receive())
 		f.advance(100 * time.Millisecond)
 		Eventually(second).Should(Receive(&got))
 		Expect(got.answer.GetMembershipDelta().GetUpserted()).To(HaveLen(20), "all of them in one answer")
 	})
 
-	It("of leases that end at one time is told in two answers", func() {
-		known := caughtUp()
-		first := ask(known, 30_000, false)
-		for range 4 {
-			f.advance(time.Second)
-			leader.renew(watcher, nil)
+	Context("of leases that end at one time", func() {
+		var known *protocol.ControlVersions
+		var held *protocol.MembershipView
+		BeforeEach(func() {
+			known = caughtUp()
+			held = leader.machine.View().Membership
+			Expect(held.GetNodes()).To(HaveLen(1 + burst))
+		})
+		// approachEnd stops one tick before the leases of all but the watcher end.
+		approachEnd := func() {
+			GinkgoHelper()
+			for range 4 {
+				f.advance(time.Second)
+				leader.renew(watcher, nil)
+			}
+			f.advance(200 * time.Millisecond)
+			Expect(leader.names()).To(HaveLen(1 + burst))
 		}
-		f.advance(300 * time.Millisecond)
-		Expect(leader.names()).To(Equal([]string{"watcher"}))
-		told := answered(first)
-		known.Membership = told.GetMembershipDelta().GetVersion() + told.GetMembership().GetVersion()
-		second := ask(known, 30_000, false)
-		f.advance(100 * time.Millisecond)
-		left := leader.machine.View().Membership.GetVersion()
-		if known.GetMembership() < left {
-			known.Membership = answered(second).GetMembership().GetVersion()
+		// endBehindGate ends the leases while no removal reaches the log.
+		endBehindGate := func() *proposalGate {
+			GinkgoHelper()
+			approachEnd()
+			gate := leader.shutGate()
+			f.clock.step(50 * time.Millisecond)
+			Eventually(gate.waiting).Should(Equal(burst))
+			return gate
+		}
+		// letThrough lets removals reach the log and waits until it has them.
+		letThrough := func(gate *proposalGate, count int) {
+			GinkgoHelper()
+			left := len(leader.names()) - count
+			gate.let(count)
+			Eventually(leader.names).Should(HaveLen(left))
+		}
+		// take applies an answer, which holds the whole membership or what changed.
+		take := func(answer *protocol.PollControlResponse) {
+			GinkgoHelper()
+			if delta := answer.GetMembershipDelta(); delta != nil {
+				Expect(answer.GetMembership()).To(BeNil())
+				applied, err := views.ApplyMembership(held, delta)
+				Expect(err).NotTo(HaveOccurred())
+				held = applied
+			} else {
+				Expect(answer.GetMembership()).NotTo(BeNil())
+				held = answer.GetMembership()
+			}
+			known.Membership = held.GetVersion()
+		}
+		// expectCurrent checks that the watcher holds the membership that the leader holds, and how many nodes are in it.
+		expectCurrent := func(nodes int) {
+			GinkgoHelper()
+			Expect(held.GetNodes()).To(HaveLen(nodes))
+			Expect(proto.Equal(held, leader.machine.View().Membership)).To(BeTrue())
 		}
-		Expect(known.GetMembership()).To(Equal(left))
+		// takeHeldBack takes the answer of a poll that is held back until the coalescing interval has passed.
+		takeHeldBack := func(outcome <-chan polled) {
+			GinkgoHelper()
+			Eventually(f.clock.waiting).Should(Equal(3))
+			Expect(outcome).NotTo(Receive())
+			f.advance(core.DefaultCoalesce)
+			take(answered(outcome))
+		}
+
+		It("is told in two answers", func() {
+			first := ask(known, 30_000, false)
+			Eventually(f.clock.waiting).Should(Equal(2))
+			approachEnd()
+			f.advance(100 * time.Millisecond)
+			Expect(leader.names()).To(Equal([]string{"watcher"}))
+			take(answered(first))
+			if len(held.GetNodes()) > 1 {
+				takeHeldBack(ask(known, 30_000, false))
+			}
+			expectCurrent(1)
+		})
+
+		It("wakes a poll at the first of them, and the others are told in one answer", func() {
+			first := ask(known, 30_000, false)
+			Eventually(f.clock.waiting).Should(Equal(2))
+			gate := endBehindGate()
+			Expect(first).NotTo(Receive())
+			letThrough(gate, 1)
+			take(answered(first))
+			expectCurrent(burst)
+			second := ask(known, 30_000, false)
+			letThrough(gate, burst-1)
+			takeHeldBack(second)
+			expectCurrent(1)
+		})
+
+		DescribeTable("is told in two answers however many of them the first has", func(count int) {
+			gate := endBehindGate()
+			letThrough(gate, count)
+			take(answered(ask(known, 30_000, false)))
+			expectCurrent(1 + burst - count)
+			second := ask(known, 30_000, false)
+			letThrough(gate, burst-count)
+			takeHeldBack(second)
+			expectCurrent(1)
+		},
+			Entry("one", 1),
+			Entry("half", burst/2),
+			Entry("all but five", burst-5),
+			Entry("all but one", burst-1),
+		)
+
+		It("is told in one answer that has all of them", func() {
+			letThrough(endBehindGate(), burst)
+			take(answered(ask(known, 30_000, false)))
+			expectCurrent(1)
+			second := ask(known, 1000, false)
+			Eventually(f.clock.waiting).Should(Equal(2))
+			f.advance(time.Second)
+			Expect(proto.Equal(answered(second), &protocol.PollControlResponse{})).To(BeTrue())
+		})
 	})
 
 	It("holds back no fresh poll and none that asks again for what was sent", func() {
@@ -118,7 +221,7 @@
 		answer, err := leader.poll(watcher, known, 10_000)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.GetMembershipDelta()).To(BeNil())
-		Expect(answer.GetMembership().GetNodes()).To(HaveLen(41))
+		Expect(answer.GetMembership().GetNodes()).To(HaveLen(1 + burst))
 	})
 
 	It("is told whole to a node whose version is older than the leader's history", func() {
@@ -128,6 +231,6 @@
 		leader.renew(frontNode("f2", 2), nil)
 		var got polled
 		Eventually(ask(known, 10_000, false)).Should(Receive(&got))
-		Expect(got.answer.GetMembership().GetNodes()).To(HaveLen(41))
+		Expect(got.answer.GetMembership().GetNodes()).To(HaveLen(1 + burst))
 	})
 })
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -106,6 +106,8 @@
 	reachable map[string]*protocol.CoreMember
 	// dropProposals makes Propose lose the command itself.
 	dropProposals bool
+	// gate, if any, holds back proposals before they reach the log.
+	gate *proposalGate
 }
 
 func newFleet(size int, configure func(*core.Options)) *fleet {
@@ -177,11 +179,12 @@
 func (m *member) leads() bool { return m.fleet.leader == m }
 
 func (m *member) Propose(ctx context.Context, command []byte) ([]byte, uint64, error) {
-	m.fleet.mutex.Lock()
-	defer m.fleet.mutex.Unlock()
 	if err := ctx.Err(); err != nil {
 		return nil, 0, err
 	}
+	m.proposalGate().pass()
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
 	if !m.leads() {
 		return nil, 0, &replica.NotLeaderError{}
 	}
@@ -202,6 +205,12 @@
 	return result, m.fleet.index, nil
 }
 
+func (m *member) proposalGate() *proposalGate {
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
+	return m.gate
+}
+
 func (m *member) Barrier(context.Context) error {
 	if !m.IsLeader() {
 		return &replica.NotLeaderError{}
--- /dev/null
+++ b/internal/core/gate_test.go
@@ -0,0 +1,48 @@
+package core_test
+
+import (
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+)
+
+// proposalGate holds the proposals of a member back, so that a spec decides how
+// many of those that are made at one time are in the log. It heeds no context:
+// the bound of a proposal is wall-clock time, which must not decide a spec.
+type proposalGate struct {
+	held    atomic.Int64
+	permits chan struct{}
+	opened  chan struct{}
+}
+
+// shutGate holds back all proposals that a member makes from now on. The gate
+// opens for good when the spec ends.
+func (m *member) shutGate() *proposalGate {
+	gate := &proposalGate{permits: make(chan struct{}), opened: make(chan struct{})}
+	m.fleet.set(func() { m.gate = gate })
+	DeferCleanup(func() { close(gate.opened) })
+	return gate
+}
+
+// pass returns once the proposal is let through.
+func (g *proposalGate) pass() {
+	if g == nil {
+		return
+	}
+	g.held.Add(1)
+	defer g.held.Add(-1)
+	select {
+	case <-g.permits:
+	case <-g.opened:
+	}
+}
+
+// let lets that many of the proposals that are held back through.
+func (g *proposalGate) let(count int) {
+	for range count {
+		g.permits <- struct{}{}
+	}
+}
+
+// waiting counts the proposals that are held back.
+func (g *proposalGate) waiting() int { return int(g.held.Load()) }
