Run the tests of the ledger client's choices in virtual time

Cause: TestDo and seven tests beside it asked a client with the usual wait of 80 ms before it asks another replica too (or one of 1 ms, with a bound of 1 s on the whole), by the wall clock. A test process that stands still for that long asks more replicas than the test expects.

Excluded: a fault of the client; asking another replica after that wait is what it is for.

The tests run in synctest bubbles, as those of outages do. The bound on an operation beside a silent replica was 1 s; it is now exactly the wait before another one is asked.

Conclusion: the machine's speed decides no verdict of this package any more.

--- a/internal/ledgerclient/client_test.go
+++ b/internal/ledgerclient/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,17 @@
 	RequestId: "r", Session: "s", Epoch: 3, Ceiling: 10,
 }}}
 
+// inVirtualTime runs a test in a bubble of virtual time, so that how fast the machine is decides neither whether
+// another replica is asked as well nor whether an attempt ends.
+func inVirtualTime(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		// Attempts outlive their operations; they end by themselves.
+		defer pass(ledgerclient.DefaultAttemptTimeout)
+		test(t)
+	})
+}
+
 func TestDo(t *testing.T) {
 	notSent := &wire.NotSentError{Cause: errors.New("refused")}
 	broken := &wire.BrokenError{Cause: errors.New("reset")}
@@ -109,77 +121,85 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			caller := &scripted{answers: story.script}
-			view := viewOf(7, story.live...)
-			client := ledgerclient.New(caller, func() *corelink.View { return view }, ledgerclient.Options{
-				Wait: func(context.Context, time.Duration) {},
-			})
-			result, err := client.Do(t.Context(), reserve)
-			if story.wantError != "" {
-				if !failure.Is(err, story.wantError) {
-					t.Fatalf("got %v", err)
+			inVirtualTime(t, func(t *testing.T) {
+				caller := &scripted{answers: story.script}
+				view := viewOf(7, story.live...)
+				client := ledgerclient.New(caller, func() *corelink.View { return view }, ledgerclient.Options{
+					Wait: func(context.Context, time.Duration) {},
+				})
+				result, err := client.Do(t.Context(), reserve)
+				if story.wantError != "" {
+					if !failure.Is(err, story.wantError) {
+						t.Fatalf("got %v", err)
+					}
+				} else if err != nil || result.GetStatus() != story.want {
+					t.Fatalf("got %v, %v", result, err)
 				}
-			} else if err != nil || result.GetStatus() != story.want {
-				t.Fatalf("got %v, %v", result, err)
-			}
-			if !slices.Equal(caller.addresses, story.addresses) {
-				t.Errorf("asked %v", caller.addresses)
-			}
-			last := caller.sent[len(caller.sent)-1]
-			if last.GetPlacementEpoch() != 7 {
-				t.Errorf("named placement epoch %d", last.GetPlacementEpoch())
-			}
-			if released := last.GetReleaseTurn(); (released != nil) != story.released || story.released && released.GetRequestId() != "r" {
-				t.Errorf("sent %v last", last)
-			}
-			if reserve.GetPlacementEpoch() != 0 {
-				t.Error("the caller's operation was written to")
-			}
+				if !slices.Equal(caller.addresses, story.addresses) {
+					t.Errorf("asked %v", caller.addresses)
+				}
+				last := caller.sent[len(caller.sent)-1]
+				if last.GetPlacementEpoch() != 7 {
+					t.Errorf("named placement epoch %d", last.GetPlacementEpoch())
+				}
+				if released := last.GetReleaseTurn(); (released != nil) != story.released || story.released && released.GetRequestId() != "r" {
+					t.Errorf("sent %v last", last)
+				}
+				if reserve.GetPlacementEpoch() != 0 {
+					t.Error("the caller's operation was written to")
+				}
+			})
 		})
 	}
 }
 
 func TestDoTriesAReplicaThatDidNotAnswerLast(t *testing.T) {
-	caller := &scripted{answers: []func() (*protocol.LedgerResult, error){
-		fails(&wire.BrokenError{Cause: errors.New("reset")}), answers(ok),
-	}}
-	view := viewOf(7, "a", "b", "c")
-	client := ledgerclient.New(caller, func() *corelink.View { return view }, ledgerclient.Options{
-		Wait: func(context.Context, time.Duration) {},
-	})
-	for range 2 {
-		if result, err := client.Do(t.Context(), reserve); err != nil || result.GetStatus() != ok {
-			t.Fatalf("got %v, %v", result, err)
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &scripted{answers: []func() (*protocol.LedgerResult, error){
+			fails(&wire.BrokenError{Cause: errors.New("reset")}), answers(ok),
+		}}
+		view := viewOf(7, "a", "b", "c")
+		client := ledgerclient.New(caller, func() *corelink.View { return view }, ledgerclient.Options{
+			Wait: func(context.Context, time.Duration) {},
+		})
+		for range 2 {
+			if result, err := client.Do(t.Context(), reserve); err != nil || result.GetStatus() != ok {
+				t.Fatalf("got %v, %v", result, err)
+			}
 		}
-	}
-	if want := []string{"at-a", "at-b", "at-b"}; !slices.Equal(caller.addresses, want) {
-		t.Fatalf("asked %v, wanted %v", caller.addresses, want)
-	}
+		if want := []string{"at-a", "at-b", "at-b"}; !slices.Equal(caller.addresses, want) {
+			t.Fatalf("asked %v, wanted %v", caller.addresses, want)
+		}
+	})
 }
 
 func TestDoWaitsForANewerPlacement(t *testing.T) {
-	view := viewOf(7, "a", "b", "c")
-	caller := &scripted{answers: []func() (*protocol.LedgerResult, error){
-		answers(protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT), answers(ok),
-	}}
-	client := ledgerclient.New(caller, func() *corelink.View { return view }, ledgerclient.Options{
-		Wait: func(context.Context, time.Duration) { view = viewOf(8, "a", "b", "c") },
+	inVirtualTime(t, func(t *testing.T) {
+		view := viewOf(7, "a", "b", "c")
+		caller := &scripted{answers: []func() (*protocol.LedgerResult, error){
+			answers(protocol.LedgerStatus_LEDGER_WRONG_PLACEMENT), answers(ok),
+		}}
+		client := ledgerclient.New(caller, func() *corelink.View { return view }, ledgerclient.Options{
+			Wait: func(context.Context, time.Duration) { view = viewOf(8, "a", "b", "c") },
+		})
+		if result, err := client.Do(t.Context(), reserve); err != nil || result.GetStatus() != ok {
+			t.Fatalf("got %v, %v", result, err)
+		}
+		if epoch := caller.sent[1].GetPlacementEpoch(); epoch != 8 {
+			t.Fatalf("tried again under epoch %d", epoch)
+		}
 	})
-	if result, err := client.Do(t.Context(), reserve); err != nil || result.GetStatus() != ok {
-		t.Fatalf("got %v, %v", result, err)
-	}
-	if epoch := caller.sent[1].GetPlacementEpoch(); epoch != 8 {
-		t.Fatalf("tried again under epoch %d", epoch)
-	}
 }
 
 func TestDoEndsWithItsContext(t *testing.T) {
-	view := viewOf(7)
-	ctx, cancel := context.WithCancel(t.Context())
-	client := ledgerclient.New(&scripted{}, func() *corelink.View { return view }, ledgerclient.Options{
-		Wait: func(context.Context, time.Duration) { cancel() },
+	inVirtualTime(t, func(t *testing.T) {
+		view := viewOf(7)
+		ctx, cancel := context.WithCancel(t.Context())
+		client := ledgerclient.New(&scripted{}, func() *corelink.View { return view }, ledgerclient.Options{
+			Wait: func(context.Context, time.Duration) { cancel() },
+		})
+		if result, err := client.Do(ctx, reserve); err != nil || result.GetStatus() != unavailable {
+			t.Fatalf("got %v, %v", result, err)
+		}
 	})
-	if result, err := client.Do(ctx, reserve); err != nil || result.GetStatus() != unavailable {
-		t.Fatalf("got %v, %v", result, err)
-	}
 }
--- a/internal/ledgerclient/race_test.go
+++ b/internal/ledgerclient/race_test.go
@@ -57,51 +57,58 @@
 }
 
 func TestASilentReplicaHoldsNothingUp(t *testing.T) {
-	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
-	client := clientOf(caller, time.Millisecond)
-	began := time.Now()
-	result, err := client.Do(t.Context(), reserve)
-	if err != nil || result.GetStatus() != ok {
-		t.Fatalf("got %v, %v", result, err)
-	}
-	if took := time.Since(began); took >= ledgerclient.DefaultAttemptTimeout {
-		t.Fatalf("took %v", took)
-	}
-}
-
-func TestASilentReplicaBecomesASuspect(t *testing.T) {
-	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
-	client := clientOf(caller, time.Millisecond)
-	for ends := time.Now().Add(20 * time.Second); ; {
-		before := caller.count("at-a")
-		if result, err := client.Do(t.Context(), reserve); err != nil || result.GetStatus() != ok {
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
+		const hedgeAfter = time.Millisecond
+		client := clientOf(caller, hedgeAfter)
+		began := time.Now()
+		result, err := client.Do(t.Context(), reserve)
+		if err != nil || result.GetStatus() != ok {
 			t.Fatalf("got %v, %v", result, err)
 		}
-		if caller.count("at-a") == before {
-			return
+		if took := time.Since(began); took != hedgeAfter {
+			t.Fatalf("took %v", took)
 		}
-		if time.Now().After(ends) {
-			t.Fatal("the silent replica is asked first for ever")
+	})
+}
+
+func TestASilentReplicaBecomesASuspect(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
+		client := clientOf(caller, time.Millisecond)
+		for ends := time.Now().Add(20 * time.Second); ; {
+			before := caller.count("at-a")
+			if result, err := client.Do(t.Context(), reserve); err != nil || result.GetStatus() != ok {
+				t.Fatalf("got %v, %v", result, err)
+			}
+			if caller.count("at-a") == before {
+				return
+			}
+			if time.Now().After(ends) {
+				t.Fatal("the silent replica is asked first for ever")
+			}
 		}
-	}
+	})
 }
 
 func TestARefusalBesideASilentReplicaIsConfirmed(t *testing.T) {
-	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
-		if operation.GetReserveTurn() != nil {
-			return &protocol.LedgerResult{Status: held, Epoch: 4}
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+			if operation.GetReserveTurn() != nil {
+				return &protocol.LedgerResult{Status: held, Epoch: 4}
+			}
+			return &protocol.LedgerResult{Status: ok}
+		}}
+		result, err := clientOf(caller, time.Millisecond).Do(t.Context(), reserve)
+		if err != nil || result.GetStatus() != held {
+			t.Fatalf("got %v, %v", result, err)
 		}
-		return &protocol.LedgerResult{Status: ok}
-	}}
-	result, err := clientOf(caller, time.Millisecond).Do(t.Context(), reserve)
-	if err != nil || result.GetStatus() != held {
-		t.Fatalf("got %v, %v", result, err)
-	}
-	caller.mutex.Lock()
-	defer caller.mutex.Unlock()
-	if release := caller.sent[len(caller.sent)-1].GetReleaseTurn(); release.GetRequestId() != "r" || release.GetEpoch() != 3 {
-		t.Fatalf("sent %v last", caller.sent[len(caller.sent)-1])
-	}
+		caller.mutex.Lock()
+		defer caller.mutex.Unlock()
+		if release := caller.sent[len(caller.sent)-1].GetReleaseTurn(); release.GetRequestId() != "r" || release.GetEpoch() != 3 {
+			t.Fatalf("sent %v last", caller.sent[len(caller.sent)-1])
+		}
+	})
 }
 
 var claimingReserve = &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_ReserveTurn{ReserveTurn: &protocol.ReserveTurn{
@@ -109,74 +116,80 @@
 }}}
 
 func TestARefusedReservationWithAClaimGetsATombstoneThatNoClaimPasses(t *testing.T) {
-	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
-		switch operation.GetBody().(type) {
-		case *protocol.LedgerOperation_ReserveTurn:
-			return &protocol.LedgerResult{Status: held, Epoch: 4}
-		case *protocol.LedgerOperation_ReleaseTurn:
-			return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_FENCED, Epoch: 5}
-		default:
-			return &protocol.LedgerResult{Status: ok}
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+			switch operation.GetBody().(type) {
+			case *protocol.LedgerOperation_ReserveTurn:
+				return &protocol.LedgerResult{Status: held, Epoch: 4}
+			case *protocol.LedgerOperation_ReleaseTurn:
+				return &protocol.LedgerResult{Status: protocol.LedgerStatus_LEDGER_FENCED, Epoch: 5}
+			default:
+				return &protocol.LedgerResult{Status: ok}
+			}
+		}}
+		result, err := clientOf(caller, time.Millisecond).Do(t.Context(), claimingReserve)
+		if err != nil || result.GetStatus() != held {
+			t.Fatalf("got %v, %v", result, err)
 		}
-	}}
-	result, err := clientOf(caller, time.Millisecond).Do(t.Context(), claimingReserve)
-	if err != nil || result.GetStatus() != held {
-		t.Fatalf("got %v, %v", result, err)
-	}
-	caller.mutex.Lock()
-	defer caller.mutex.Unlock()
-	released, refused := false, false
-	for _, operation := range caller.sent {
-		released = released || operation.GetReleaseTurn().GetEpoch() == 4
-		refused = refused || operation.GetRefuseRequest().GetRequestId() == "r"
-	}
-	if !released || !refused {
-		t.Fatalf("sent %v", caller.sent)
-	}
+		caller.mutex.Lock()
+		defer caller.mutex.Unlock()
+		released, refused := false, false
+		for _, operation := range caller.sent {
+			released = released || operation.GetReleaseTurn().GetEpoch() == 4
+			refused = refused || operation.GetRefuseRequest().GetRequestId() == "r"
+		}
+		if !released || !refused {
+			t.Fatalf("sent %v", caller.sent)
+		}
+	})
 }
 
 func TestTurnsOfOtherProgramsAreKeptAsLongAsOneThatContinuesThem(t *testing.T) {
-	caller := &partlyFrozen{answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
-		if operation.GetProlongTurns() != nil && operation.GetProgram() == "older" {
-			return &protocol.LedgerResult{Status: ok, Turns: []*protocol.Turn{{Program: "older", PreviousProgram: "oldest", PreviousTurn: "t0"}}}
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &partlyFrozen{answer: func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+			if operation.GetProlongTurns() != nil && operation.GetProgram() == "older" {
+				return &protocol.LedgerResult{Status: ok, Turns: []*protocol.Turn{{Program: "older", PreviousProgram: "oldest", PreviousTurn: "t0"}}}
+			}
+			if operation.GetProlongTurns() != nil {
+				return &protocol.LedgerResult{Status: ok, Turns: []*protocol.Turn{{Program: operation.GetProgram()}}}
+			}
+			return &protocol.LedgerResult{Status: ok}
+		}}
+		settle := &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: &protocol.SettleTurn{
+			Turn: &protocol.Turn{Program: "p", PreviousProgram: "older", PreviousTurn: "t1", KeepUntilMillis: 99},
+		}}}
+		if result, err := clientOf(caller, time.Minute).Do(t.Context(), settle); err != nil || result.GetStatus() != ok {
+			t.Fatalf("got %v, %v", result, err)
 		}
-		if operation.GetProlongTurns() != nil {
-			return &protocol.LedgerResult{Status: ok, Turns: []*protocol.Turn{{Program: operation.GetProgram()}}}
+		var programs []string
+		for _, operation := range caller.sent {
+			programs = append(programs, operation.GetProgram())
+			if prolong := operation.GetProlongTurns(); prolong != nil && prolong.GetKeepUntilMillis() != 99 {
+				t.Errorf("prolonged until %d", prolong.GetKeepUntilMillis())
+			}
 		}
-		return &protocol.LedgerResult{Status: ok}
-	}}
-	settle := &protocol.LedgerOperation{Program: "p", Body: &protocol.LedgerOperation_SettleTurn{SettleTurn: &protocol.SettleTurn{
-		Turn: &protocol.Turn{Program: "p", PreviousProgram: "older", PreviousTurn: "t1", KeepUntilMillis: 99},
-	}}}
-	if result, err := clientOf(caller, time.Minute).Do(t.Context(), settle); err != nil || result.GetStatus() != ok {
-		t.Fatalf("got %v, %v", result, err)
-	}
-	var programs []string
-	for _, operation := range caller.sent {
-		programs = append(programs, operation.GetProgram())
-		if prolong := operation.GetProlongTurns(); prolong != nil && prolong.GetKeepUntilMillis() != 99 {
-			t.Errorf("prolonged until %d", prolong.GetKeepUntilMillis())
+		if len(programs) != 3 || programs[0] != "older" || programs[1] != "oldest" || programs[2] != "p" {
+			t.Fatalf("asked %v", programs)
 		}
-	}
-	if len(programs) != 3 || programs[0] != "older" || programs[1] != "oldest" || programs[2] != "p" {
-		t.Fatalf("asked %v", programs)
-	}
+	})
 }
 
 func TestACallerWithLittleTimeSuspectsNobody(t *testing.T) {
-	caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
-	client := clientOf(caller, time.Minute)
-	for range 2 {
-		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-		result, err := client.Do(ctx, reserve)
-		cancel()
-		if err != nil || result.GetStatus() != unavailable {
-			t.Fatalf("got %v, %v", result, err)
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &partlyFrozen{frozen: map[string]bool{"at-a": true}, answer: always(ok)}
+		client := clientOf(caller, time.Minute)
+		for range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+			result, err := client.Do(ctx, reserve)
+			cancel()
+			if err != nil || result.GetStatus() != unavailable {
+				t.Fatalf("got %v, %v", result, err)
+			}
 		}
-	}
-	if asked := caller.count("at-a"); asked != 2 {
-		t.Fatalf("asked the first replica %d times of 2", asked)
-	}
+		if asked := caller.count("at-a"); asked != 2 {
+			t.Fatalf("asked the first replica %d times of 2", asked)
+		}
+	})
 }
 
 // outOfTime answers at one address that the time is over, a moment before the caller's own timer says so.
@@ -191,17 +204,19 @@
 }
 
 func TestAnAttemptThatEndsWithItsCallerIsTheLastOne(t *testing.T) {
-	caller := &outOfTime{partlyFrozen{answer: always(ok)}}
-	client := clientOf(caller, time.Minute)
-	for range 2 {
-		ctx, cancel := context.WithTimeout(t.Context(), ledgerclient.DefaultAttemptTimeout/2)
-		result, err := client.Do(ctx, reserve)
-		cancel()
-		if err != nil || result.GetStatus() != unavailable {
-			t.Fatalf("got %v, %v", result, err)
+	inVirtualTime(t, func(t *testing.T) {
+		caller := &outOfTime{partlyFrozen{answer: always(ok)}}
+		client := clientOf(caller, time.Minute)
+		for range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), ledgerclient.DefaultAttemptTimeout/2)
+			result, err := client.Do(ctx, reserve)
+			cancel()
+			if err != nil || result.GetStatus() != unavailable {
+				t.Fatalf("got %v, %v", result, err)
+			}
 		}
-	}
-	if asked := caller.count("at-a"); asked != 2 {
-		t.Fatalf("asked the first replica %d times of 2", asked)
-	}
+		if asked := caller.count("at-a"); asked != 2 {
+			t.Fatalf("asked the first replica %d times of 2", asked)
+		}
+	})
 }
