Take the ports of the daemon's tests from the daemon, not from a guess

Cause: "is live, is not ready and refuses requests until the plane has started" and the spec of the profiler looked for a free port, closed it and gave it to the daemon. Another process, or the daemon's own port 0, can take it in between. The first failed so once in a run of the package with GOMAXPROCS=2 ("Timed out after 20.000s ... to be closed"); its output of then does not name the port.

Excluded: slowness; the other 29 specs of that run took 4 s together. With the port taken on purpose the spec fails in the same way, after 20.003 s.

The daemon binds port 0 and the plane reads the address that was bound. The profiler's address was told nowhere: the daemon logs it now, and the spec reads it there. It failed before that line was there. A start that does not come now shows the daemon's log. The wait for goroutines that are just ending has the usual 30 s in place of 5, here and in the operator's tests.

After: the package passes once (go test ./internal/daemon). Not run again many times. Conclusion: no test of these packages guesses a port.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -29,7 +29,7 @@
 
 	BeforeEach(func() {
 		known := goleak.IgnoreCurrent()
-		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }, "5s").Should(Succeed()) })
+		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }).Should(Succeed()) })
 		folder = GinkgoT().TempDir()
 		key = filepath.Join(folder, "cluster.key")
 		Expect(os.WriteFile(key, []byte(clusterKey+"\n"), 0o600)).To(Succeed())
@@ -143,13 +143,13 @@
 	Describe("given a plane that takes long to start", func() {
 		It("is live, is not ready and refuses requests until the plane has started", func() {
 			entered, release := make(chan struct{}), make(chan struct{})
-			address := freeAddress()
 			running := launch(&fakePlane{onStart: func(context.Context) error {
 				close(entered)
 				<-release
 				return nil
-			}}, arguments("--http-address", address)...)
-			Eventually(entered, "20s").Should(BeClosed())
+			}}, arguments()...)
+			Eventually(entered, "20s").Should(BeClosed(), running.errors.String)
+			address := running.plane.process.Self.GetHttpAddress()
 			status, _ := get(address, "/livez")
 			Expect(status).To(Equal(http.StatusOK))
 			status, body := get(address, "/readyz")
@@ -311,10 +311,11 @@
 
 	Describe("given an address for the profiler", func() {
 		It("serves it there and nowhere else", func() {
-			debug := freeAddress()
-			running := launch(&fakePlane{}, arguments("--debug-address", debug)...)
+			running := launch(&fakePlane{}, arguments("--debug-address", "127.0.0.1:0")...)
 			process := running.process()
-			status, _ := get(debug, "/debug/pprof/cmdline")
+			said := regexp.MustCompile(`profiler.* address=(127\.0\.0\.1:\d+)`).FindStringSubmatch(running.errors.String())
+			Expect(said).To(HaveLen(2), running.errors.String)
+			status, _ := get(said[1], "/debug/pprof/cmdline")
 			Expect(status).To(Equal(http.StatusOK))
 			status, _ = get(process.Self.GetHttpAddress(), "/debug/pprof/cmdline")
 			Expect(status).To(Equal(http.StatusNotFound))
@@ -322,11 +323,3 @@
 		})
 	})
 })
-
-// freeAddress gives a loopback address that was free a moment ago.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
-}
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -55,6 +55,8 @@
 	events  []string
 	onStart func(context.Context) error
 	drain   daemon.DrainHook
+	// process is set before onStart is called.
+	process *daemon.Process
 }
 
 func (p *fakePlane) record(event string) {
@@ -73,6 +75,7 @@
 	return fx.Module("fake",
 		fx.Provide(func(process *daemon.Process) wire.Handler { return echoHandler{process} }),
 		fx.Invoke(func(lifecycle fx.Lifecycle, process *daemon.Process, engine *gin.Engine, _ wire.Caller) {
+			p.process = process
 			engine.POST("/echo", func(c *gin.Context) {
 				if _, err := io.Copy(io.Discard, c.Request.Body); err != nil {
 					c.Status(http.StatusBadRequest)
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -18,7 +18,7 @@
 
 	BeforeEach(func() {
 		known := goleak.IgnoreCurrent()
-		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }, "5s").Should(Succeed()) })
+		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }).Should(Succeed()) })
 		folder = GinkgoT().TempDir()
 		file = filepath.Join(folder, "settings.json")
 	})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -178,6 +178,7 @@
 		i.debug = newDebugServer(i.logger)
 		i.debugDone = make(chan error, 1)
 		serve(i.debug, i.listeners.debug, i.debugDone)
+		i.logger.Info("the profiler is served", "address", i.listeners.debug.Addr())
 	}
 	reason := i.start(environment)
 	if reason == nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -39,7 +39,7 @@
 
 	BeforeEach(func() {
 		known := goleak.IgnoreCurrent()
-		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }, "5s").Should(Succeed()) })
+		DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }).Should(Succeed()) })
 		leader, follower = newFakeProcess(), newFakeProcess()
 		DeferCleanup(leader.server.Close)
 		DeferCleanup(follower.server.Close)
