Let a class that starves catch up with more urgent ones without passing them

Cause: a class that gets a slot less than 0.35 times as often as all weighed four times as much, whatever that did to a more urgent class. When 100 probes a second had starved beside 20 interactive requests, and a burst of 60 interactive requests and 30 probes came with 30 urgent ones, probes were served 0.208 and interactive requests 0.107.

The raised weight is bounded by the one with which the class gets slots as often, by what it asks for, as the worst served more urgent class, and is never below the ordinary weight. While no class starves nothing changes.

Tried and dropped: a share of what was served within the last second as the bound.

TestNoClassIsServedLessThanAQuarterAsOftenAsAll passes unchanged. `go test ./internal/limit ./internal/schedule/... ./internal/sim/servingsuite`: passes.

Conclusion: in steady overload the order of classes holds also while one catches up.

--- a/internal/limit/expectation.go
+++ b/internal/limit/expectation.go
@@ -69,14 +69,18 @@
 	return q.slots
 }
 
-// rivalsOf are the other classes with what they ask for: those that wait, within
-// the wait that is allowed, and those that come meanwhile.
+// asked is how many slots a second a class asks for: those that wait, within the wait that is allowed, and those that
+// come meanwhile.
+func (q *Queue) asked(class *classQueue, now time.Time) float64 {
+	return class.demand.now(now) + float64(class.count)/(waitShare*q.maxWait.Seconds())
+}
+
+// rivalsOf are the other classes with what they ask for.
 func (q *Queue) rivalsOf(class *classQueue, now time.Time) []rival {
 	var rivals []rival
 	for _, other := range q.classes {
 		if other != class {
-			asked := other.demand.now(now) + float64(other.count)/(waitShare*q.maxWait.Seconds())
-			rivals = append(rivals, rival{weight: q.weight(other, now), perSecond: asked})
+			rivals = append(rivals, rival{weight: q.weight(other, now), perSecond: q.asked(other, now)})
 		}
 	}
 	return rivals
--- a/internal/limit/serviceshare.go
+++ b/internal/limit/serviceshare.go
@@ -56,13 +56,28 @@
 	weight := classWeights[class.class]
 	switch {
 	case q.starves(class, now):
-		return weight * correction
+		return min(weight*correction, max(weight, q.parity(class, now)))
 	case q.overtakes(class, now):
 		return weight / correction
 	}
 	return weight
 }
 
+// parity is the weight with which a class gets slots as often, by what it asks for, as the worst served of the more
+// urgent classes. A class that starves gets no more, so that it catches up without passing them in a burst of theirs.
+func (q *Queue) parity(class *classQueue, now time.Time) float64 {
+	own, least := q.asked(class, now), math.Inf(1)
+	for _, urgent := range q.classes {
+		if urgent == class {
+			break
+		}
+		if asked := q.asked(urgent, now); asked > 0 {
+			least = min(least, q.weight(urgent, now)*own/asked)
+		}
+	}
+	return least
+}
+
 // starves reports whether a class gets a slot much more rarely than all do.
 func (q *Queue) starves(class *classQueue, now time.Time) bool {
 	return class.service.share(now) < starvingShare*q.all.share(now)
