--- /dev/null
+++ b/internal/trainingstep/version.go
@@ -0,0 +1,100 @@
+package trainingstep
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Announcement is what one ready server of a group announces: the version of
+// the weights that each of its models has. Zero is no version.
+type Announcement map[string]uint64
+
+// ModelOf gives the model of a group whose routes name none: the one that most
+// servers announce with a version; among equals the first by name. It is empty
+// when no server announces a version.
+func ModelOf(announcements []Announcement) string {
+	counts := make(map[string]int)
+	for _, announced := range announcements {
+		for model, version := range announced {
+			if version > 0 {
+				counts[model]++
+			}
+		}
+	}
+	chosen := ""
+	for model, count := range counts {
+		if chosen == "" || count > counts[chosen] || count == counts[chosen] && model < chosen {
+			chosen = model
+		}
+	}
+	return chosen
+}
+
+// Propose gives the version to pin for a step that has none: the highest one
+// that at least half of the servers announce for the model; when there is none,
+// the one that most announce, the higher of equals. Zero says that no server announces any.
+func Propose(model string, announcements []Announcement) uint64 {
+	counts := make(map[uint64]int)
+	for _, announced := range announcements {
+		if version := announced[model]; version > 0 {
+			counts[version]++
+		}
+	}
+	versions := make([]uint64, 0, len(counts))
+	for version := range counts {
+		versions = append(versions, version)
+	}
+	if len(versions) == 0 {
+		return 0
+	}
+	slices.SortFunc(versions, func(a, b uint64) int { return cmp.Compare(b, a) })
+	for _, version := range versions {
+		if 2*counts[version] >= len(announcements) {
+			return version
+		}
+	}
+	return slices.MaxFunc(versions, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
+	})
+}
+
+// UnknownVersion stands for an answer or event that names no version that can be read.
+const UnknownVersion uint64 = 0
+
+// ParseVersions reads the versions that the head of an answer names: numbers
+// with commas between them, in one header or several. One that is no number
+// stands as UnknownVersion, and a head that names none gives UnknownVersion alone.
+func ParseVersions(values []string) []uint64 {
+	var versions []uint64
+	for _, value := range values {
+		for part := range strings.SplitSeq(value, ",") {
+			versions = append(versions, parseVersion(part))
+		}
+	}
+	if len(versions) == 0 {
+		return []uint64{UnknownVersion}
+	}
+	return versions
+}
+
+func parseVersion(text string) uint64 {
+	version, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+	if err != nil {
+		return UnknownVersion
+	}
+	return version
+}
+
+// VersionOfEvent reads the version that an event of a stream names in its first
+// line, behind the header's name in lower case and a colon. It reports false
+// for an event that names none. Blank lines before an event do not count.
+func VersionOfEvent(event []byte, header string) (version uint64, named bool) {
+	line, _, _ := strings.Cut(strings.TrimLeft(string(event), "\r\n"), "\n")
+	name, value, found := strings.Cut(line, ":")
+	if !found || name != strings.ToLower(header) {
+		return UnknownVersion, false
+	}
+	return parseVersion(value), true
+}
--- /dev/null
+++ b/internal/trainingstep/version_test.go
@@ -0,0 +1,129 @@
+package trainingstep_test
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rosestand/rosestand/internal/trainingstep"
+)
+
+const (
+	model  = "advisor"
+	header = "Rosestand-Weights"
+)
+
+// announced gives one announcement of the model for each version.
+func announced(versions ...uint64) []trainingstep.Announcement {
+	var all []trainingstep.Announcement
+	for _, version := range versions {
+		all = append(all, trainingstep.Announcement{model: version})
+	}
+	return all
+}
+
+func TestTheVersionProposedIsTheHighestThatHalfAnnounce(t *testing.T) {
+	cases := map[string]struct {
+		announcements []trainingstep.Announcement
+		want          uint64
+	}{
+		"one version":                        {announced(4, 4, 4), 4},
+		"half has moved on":                  {announced(4, 5, 4, 5), 5},
+		"less than half has moved on":        {announced(4, 4, 4, 5, 5), 4},
+		"a roll-back to a lower version":     {announced(9, 4, 4), 4},
+		"no half: most announce it":          {announced(3, 4, 4, 5, 6), 4},
+		"no half: the higher of equals":      {announced(3, 4, 5, 6), 6},
+		"servers without a version count":    {announced(7, 0, 0, 3, 3), 3},
+		"one server of many names a version": {announced(0, 0, 0, 8), 8},
+		"no server names a version":          {announced(0, 0), 0},
+		"no server":                          {nil, 0},
+	}
+	for name, c := range cases {
+		if got := trainingstep.Propose(model, c.announcements); got != c.want {
+			t.Errorf("%s: proposed %d, not %d", name, got, c.want)
+		}
+	}
+}
+
+func TestAnotherModelsVersionIsNotProposed(t *testing.T) {
+	servers := []trainingstep.Announcement{{"judge": 9}, {"judge": 9}, {model: 2, "judge": 9}}
+	if got := trainingstep.Propose(model, servers); got != 2 {
+		t.Fatalf("proposed %d", got)
+	}
+}
+
+func TestTheModelOfAGroupIsTheOneThatMostServersAnnounce(t *testing.T) {
+	cases := map[string]struct {
+		announcements []trainingstep.Announcement
+		want          string
+	}{
+		"one model":               {announced(3, 4), model},
+		"most":                    {[]trainingstep.Announcement{{"z": 1, "a": 1}, {"z": 1}}, "z"},
+		"equals by name":          {[]trainingstep.Announcement{{"z": 1, "a": 1}, {"z": 1, "a": 2}}, "a"},
+		"without a version: none": {[]trainingstep.Announcement{{"z": 0}}, ""},
+	}
+	for name, c := range cases {
+		if got := trainingstep.ModelOf(c.announcements); got != c.want {
+			t.Errorf("%s: %q, not %q", name, got, c.want)
+		}
+	}
+}
+
+func TestVersionsOfAHead(t *testing.T) {
+	cases := map[string]struct {
+		values []string
+		want   []uint64
+	}{
+		"one":         {[]string{"7"}, []uint64{7}},
+		"several":     {[]string{"7, 8", "9"}, []uint64{7, 8, 9}},
+		"none":        {nil, []uint64{0}},
+		"empty":       {[]string{""}, []uint64{0}},
+		"no number":   {[]string{"7,x"}, []uint64{7, 0}},
+		"a minus":     {[]string{"-7"}, []uint64{0}},
+		"a long text": {[]string{strings.Repeat("9", 40)}, []uint64{0}},
+	}
+	for name, c := range cases {
+		if got := trainingstep.ParseVersions(c.values); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, not %v", name, got, c.want)
+		}
+	}
+}
+
+func TestVersionOfAnEvent(t *testing.T) {
+	cases := map[string]struct {
+		event string
+		want  uint64
+		named bool
+	}{
+		"named":                  {"rosestand-weights: 4\ndata: a\n\n", 4, true},
+		"without a space":        {"rosestand-weights:4\r\ndata: a\r\n\r\n", 4, true},
+		"after a blank line":     {"\nrosestand-weights: 4\ndata: a\n\n", 4, true},
+		"no number":              {"rosestand-weights: x\ndata: a\n\n", 0, true},
+		"in a later line":        {"data: a\nrosestand-weights: 4\n\n", 0, false},
+		"in upper case":          {"Rosestand-Weights: 4\ndata: a\n\n", 0, false},
+		"a field of its own":     {"rosestand-weights-2: 4\ndata: a\n\n", 0, false},
+		"data that speaks of it": {"data: rosestand-weights: 4\n\n", 0, false},
+		"nothing":                {"", 0, false},
+	}
+	for name, c := range cases {
+		got, named := trainingstep.VersionOfEvent([]byte(c.event), header)
+		if got != c.want || named != c.named {
+			t.Errorf("%s: %d %t", name, got, named)
+		}
+	}
+}
+
+func TestNamesOfSteps(t *testing.T) {
+	for _, good := range []string{"a", "run-7/step:0012", "A.b_C", strings.Repeat("x", trainingstep.MaxNameBytes)} {
+		if err := trainingstep.CheckName(good); err != nil {
+			t.Errorf("%q: %v", good, err)
+		}
+	}
+	for _, bad := range []string{"", " ", "a b", "a\x00", "a\n", "ä", "a,b", strings.Repeat("x", trainingstep.MaxNameBytes+1)} {
+		var refused *trainingstep.NameError
+		if err := trainingstep.CheckName(bad); !errors.As(err, &refused) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
