Keep a turn of a training step to one version of the weights

What: the machine of a turn learns the version pinned for the turn's step before it asks for a slot, names it to the ledger with its reservation, and compares it with what the server names in its answer before it passes a piece on. Another version, or none, ends the turn as step_version_changed (ran, charged); a stream that has begun is broken off. The versions go into SettleTurn and ReleaseTurn. A generation that is not kept ends only once the ledger counts it. A server that says that it has other weights costs no retry and is no fault.

Why: a trainer must be able to trace each generation that it was given whole to the step's version, also when a server takes new weights between the choice and the end of the answer.

How shown: stories and a property over drawn servers and ledgers in internal/turn/trainingstep_test.go; with the comparison taken out TestAnAnswerOfAnotherVersionIsNotPassedOn and TestNoTurnOfAStepMixesVersionsWhateverHappens fail.

--- a/internal/failure/codes.go
+++ b/internal/failure/codes.go
@@ -55,6 +55,12 @@
 	AnswerMismatch    Code = "answer_mismatch"
 	LedgerUnavailable Code = "ledger_unavailable"
 	StaleView         Code = "stale_view"
+	// StepMismatch: the program generates for another training step or for none, or the step is of another model.
+	StepMismatch Code = "step_mismatch"
+	// StepVersionUnavailable: no server has the version of the weights that is pinned for the training step.
+	StepVersionUnavailable Code = "step_version_unavailable"
+	// StepVersionChanged: a server answered with other weights than those pinned for the training step.
+	StepVersionChanged Code = "step_version_changed"
 )
 
 // Codes of the control plane.
@@ -93,6 +99,7 @@
 	NoAuthority: http.StatusServiceUnavailable, Fenced: http.StatusConflict,
 	SlowReader: http.StatusRequestTimeout, AnswerMismatch: http.StatusBadGateway,
 	LedgerUnavailable: http.StatusServiceUnavailable, StaleView: http.StatusServiceUnavailable,
+	StepMismatch: http.StatusConflict, StepVersionUnavailable: http.StatusServiceUnavailable, StepVersionChanged: http.StatusBadGateway,
 	NotLeader: http.StatusMisdirectedRequest, NoLeader: http.StatusServiceUnavailable,
 	VersionTaken: http.StatusConflict, WrongBase: http.StatusConflict,
 	InvalidBundle: http.StatusUnprocessableEntity, InvalidOrder: http.StatusUnprocessableEntity,
--- a/internal/turn/command.go
+++ b/internal/turn/command.go
@@ -13,13 +13,16 @@
 // begin something. The other commands end or report something and are carried out.
 func Interruptible(command Command) bool {
 	switch command.(type) {
-	case Claim, ReadHistory, Admit, Reserve, Choose, Issue, AskRetry, BeginCall, IssueCall:
+	case ResolveStep, Claim, ReadHistory, Admit, Reserve, Choose, Issue, AskRetry, BeginCall, IssueCall:
 		return true
 	default:
 		return false
 	}
 }
 
+// ResolveStep asks for the version of the weights that is pinned for a training step; answered by StepResolved or StepNotResolved.
+type ResolveStep struct{ Step string }
+
 // Claim asks for the session's epoch; answered by Claimed.
 type Claim struct{ Operation *protocol.ClaimSession }
 
@@ -88,6 +91,7 @@
 // Finish ends the machine.
 type Finish struct{}
 
+func (ResolveStep) command()   {}
 func (Claim) command()         {}
 func (ReadHistory) command()   {}
 func (Admit) command()         {}
--- a/internal/turn/emit.go
+++ b/internal/turn/emit.go
@@ -36,8 +36,11 @@
 	}}})
 }
 
-// emitEnd gives the readers a server's whole answer when there is one, else the failure.
+// emitEnd gives the readers a server's whole answer when there is one, or the end of a generation that is recorded, else the failure.
 func (m *Machine) emitEnd(f *protocol.Failure) Command {
+	if m.step.recording {
+		return m.emitCompleted()
+	}
 	if m.answered == nil {
 		return m.emitFailed(f)
 	}
@@ -90,6 +93,12 @@
 			failure.WithPath("previous_response_id")).Failure
 	case protocol.LedgerStatus_LEDGER_TURN_MISSING:
 		return failure.New(failure.TurnMissing, notRun, "the turn is not kept").Failure
+	case protocol.LedgerStatus_LEDGER_STEP_MISMATCH:
+		return failure.New(failure.StepMismatch, notRun, "the program generates for another training step or for none, or the step is of another model",
+			failure.WithPath(stepPath)).Failure
+	case protocol.LedgerStatus_LEDGER_STEP_UNKNOWN:
+		return failure.New(failure.StepVersionUnavailable, notRun, "the training step has no version",
+			failure.WithPath(stepPath), failure.WithRetryAfter(stepRetry)).Failure
 	case protocol.LedgerStatus_LEDGER_FENCED:
 		return failure.New(failure.Fenced, notRun, "another front node owns the session",
 			failure.WithRetryAfter(busyRetry)).Failure
--- a/internal/turn/ending.go
+++ b/internal/turn/ending.go
@@ -145,7 +145,8 @@
 	m.release = &protocol.ReleaseTurn{
 		RequestId: request.GetRequestId(), Session: request.GetSession(), Epoch: m.epoch, Tokens: tokens,
 	}
-	if m.isHTTP() && !m.ended {
+	m.traceRelease()
+	if m.isHTTP() && !m.ended && !m.step.recording {
 		// A first send that was given up needs no proof by the ledger: nobody else may run it.
 		return append(m.leave(), m.emitEnd(f), Release{Operation: m.release})
 	}
@@ -163,6 +164,9 @@
 }
 
 func (m *Machine) releaseAnswered(result *protocol.LedgerResult, now time.Time) []Command {
+	if isRefused(result.GetStatus()) {
+		m.step.recording = false
+	}
 	switch result.GetStatus() {
 	case protocol.LedgerStatus_LEDGER_OK:
 		return m.end(m.failure)
@@ -189,6 +193,7 @@
 func (m *Machine) releaseUnavailable(now time.Time) []Command {
 	waited := now.Sub(m.operationBegan)
 	if waited >= answerWindow && !m.ended {
+		m.giveUpRecording()
 		return first(m.pauseAgain(), m.emitFailed(m.unproved()))
 	}
 	return m.pauseAgain()
--- a/internal/turn/event.go
+++ b/internal/turn/event.go
@@ -12,6 +12,12 @@
 // Begun starts the machine.
 type Begun struct{}
 
+// StepResolved carries the version of the weights that is pinned for the turn's training step.
+type StepResolved struct{ WeightVersion uint64 }
+
+// StepNotResolved says why the turn's training step has no version here.
+type StepNotResolved struct{ Failure *protocol.Failure }
+
 // Claimed carries the ledger's answer to Claim.
 type Claimed struct{ Result *protocol.LedgerResult }
 
@@ -48,13 +54,23 @@
 	// server's stream, byte for byte, and its data, which is nil when the event has none.
 	Event []byte
 	Data  []byte
+	// WeightVersions are the versions of the weights that the event names, in turns of training steps only.
+	WeightVersions []uint64
 }
 
 // Head says that a server began to answer a turn of an HTTP route with a stream.
-type Head struct{ Answer *protocol.HttpAnswer }
+type Head struct {
+	Answer *protocol.HttpAnswer
+	// WeightVersions are the versions that the head names, in turns of training steps only.
+	WeightVersions []uint64
+}
 
 // AnsweredWhole says that a server answered a turn of an HTTP route with something else than a stream.
-type AnsweredWhole struct{ Answer *protocol.HttpAnswer }
+type AnsweredWhole struct {
+	Answer *protocol.HttpAnswer
+	// WeightVersions are as in Head.
+	WeightVersions []uint64
+}
 
 // BackEndDone says that the back end finished its answer.
 type BackEndDone struct {
@@ -67,7 +83,7 @@
 // BackEndFault says how an attempt at a back end went wrong.
 type BackEndFault int
 
-// Faults of an attempt. Only the first two surely did not run.
+// Faults of an attempt. Only the first two and FaultWrongVersion surely did not run.
 const (
 	// FaultNotSent is a failed connect: the back end never saw the request.
 	FaultNotSent BackEndFault = iota + 1
@@ -81,11 +97,18 @@
 	FaultFenced
 	// FaultRejected is an answer of the 4xx kind: the back end did not accept the request.
 	FaultRejected
+	// FaultWrongVersion says that the back end has other weights than the turn's training step needs: it did not run the request.
+	FaultWrongVersion
 )
 
+// SurelyDidNotRun reports whether an attempt that failed so was not run.
+func (f BackEndFault) SurelyDidNotRun() bool {
+	return f == FaultNotSent || f == FaultRefused || f == FaultWrongVersion
+}
+
 // String names the fault for explanations.
 func (f BackEndFault) String() string {
-	names := [...]string{"none", "not sent", "refused", "broken", "mismatched answer", "fenced", "rejected"}
+	names := [...]string{"none", "not sent", "refused", "broken", "mismatched answer", "fenced", "rejected", "other weights"}
 	if f < 0 || int(f) >= len(names) {
 		return "unknown"
 	}
@@ -144,23 +167,25 @@
 // StopBefore is the stop that goes before a command, which is not carried out then.
 func StopBefore(reason StopReason) Stopped { return Stopped{Reason: reason, WithoutEffect: true} }
 
-func (Begun) event()         {}
-func (Claimed) event()       {}
-func (HistoryRead) event()   {}
-func (Admitted) event()      {}
-func (NotAdmitted) event()   {}
-func (Reserved) event()      {}
-func (Chosen) event()        {}
-func (NotChosen) event()     {}
-func (Token) event()         {}
-func (Head) event()          {}
-func (AnsweredWhole) event() {}
-func (BackEndDone) event()   {}
-func (BackEndFailed) event() {}
-func (RetryDecided) event()  {}
-func (Settled) event()       {}
-func (Released) event()      {}
-func (Refused) event()       {}
-func (KeptRead) event()      {}
-func (Waited) event()        {}
-func (Stopped) event()       {}
+func (Begun) event()           {}
+func (StepResolved) event()    {}
+func (StepNotResolved) event() {}
+func (Claimed) event()         {}
+func (HistoryRead) event()     {}
+func (Admitted) event()        {}
+func (NotAdmitted) event()     {}
+func (Reserved) event()        {}
+func (Chosen) event()          {}
+func (NotChosen) event()       {}
+func (Token) event()           {}
+func (Head) event()            {}
+func (AnsweredWhole) event()   {}
+func (BackEndDone) event()     {}
+func (BackEndFailed) event()   {}
+func (RetryDecided) event()    {}
+func (Settled) event()         {}
+func (Released) event()        {}
+func (Refused) event()         {}
+func (KeptRead) event()        {}
+func (Waited) event()          {}
+func (Stopped) event()         {}
--- a/internal/turn/httpturn.go
+++ b/internal/turn/httpturn.go
@@ -33,7 +33,10 @@
 	if request.GetHttp() == nil {
 		return true
 	}
-	return request.GetProgram() != "" && (request.GetHttp().GetStateful() || request.GetProgramBudget() > 0)
+	if request.GetProgram() == "" {
+		return false
+	}
+	return request.GetHttp().GetStateful() || request.GetProgramBudget() > 0 || request.GetTrainingStep() != ""
 }
 
 func (m *Machine) admittedHTTP() []Command {
@@ -55,7 +58,7 @@
 	request := m.parameters.Request
 	return Reserve{Operation: &protocol.ReserveTurn{
 		RequestId: request.GetRequestId(), Session: request.GetSession(), Ceiling: m.parameters.Ceiling,
-		PreviousTurn: request.GetPreviousTurn(), Fork: true,
+		PreviousTurn: request.GetPreviousTurn(), Fork: true, TrainingStep: m.stepReference(),
 		Claim: &protocol.ClaimSession{
 			Session: request.GetSession(), Owner: m.parameters.Owner, OwnerIncarnation: m.parameters.Incarnation,
 			Tenant: request.GetTenant(), Budget: m.parameters.Budget,
@@ -65,10 +68,13 @@
 }
 
 // head passes the head of the answer on before the first event.
-func (m *Machine) head(head Head) []Command {
+func (m *Machine) head(head Head, now time.Time) []Command {
 	if m.sequence > 0 {
 		return nil
 	}
+	if !m.keepsVersion(head.WeightVersions) {
+		return m.versionChanged(now)
+	}
 	command := m.emitCreated().(Emit)
 	command.Event.GetCreated().Head = head.Answer
 	return []Command{command}
@@ -76,14 +82,20 @@
 
 // answeredWhole ends a turn that the server answered with a status of its own. It may have run.
 func (m *Machine) answeredWhole(answer AnsweredWhole, now time.Time) []Command {
-	m.answered = answer.Answer
 	m.ranEver = true
+	if m.isOfStep() && !m.takesWhole(answer) {
+		return m.versionChanged(now)
+	}
+	m.answered = answer.Answer
 	f := failure.New(failure.BackEndFailed, protocol.Outcome_RAN, "the server answered without a stream").Failure
 	return m.charge(f, now)
 }
 
 // finishedUnkept ends a turn that nobody continues: its answer does not wait for the charge.
 func (m *Machine) finishedUnkept(now time.Time) []Command {
+	if m.isOfStep() {
+		return m.recordGeneration(now)
+	}
 	completed := m.emitCompleted()
 	if !m.IsLedgered() {
 		m.state = stateDone
--- a/internal/turn/machine.go
+++ b/internal/turn/machine.go
@@ -48,6 +48,7 @@
 
 const (
 	stateNew state = iota
+	stateResolving
 	stateClaiming
 	stateReading
 	stateAdmitting
@@ -73,7 +74,9 @@
 	// previousProgram is set when the turn continued belongs to another program.
 	previousProgram string
 	admitted        bool
-	reserved        bool
+	// step is what a turn of a training step keeps to.
+	step     stepProgress
+	reserved bool
 	// ranEver is true once an attempt may have run.
 	ranEver bool
 
@@ -125,6 +128,8 @@
 	switch m.state {
 	case stateNew:
 		return m.begin(event)
+	case stateResolving:
+		return m.stepResolved(event, now)
 	case stateClaiming:
 		return m.claimed(event, now)
 	case stateReading:
@@ -155,6 +160,13 @@
 	if _, begun := event.(Begun); !begun {
 		return nil
 	}
+	if m.isOfStep() {
+		return m.resolveStep()
+	}
+	return m.admit()
+}
+
+func (m *Machine) admit() []Command {
 	m.state = stateAdmitting
 	return []Command{Admit{}}
 }
--- a/internal/turn/machine_test.go
+++ b/internal/turn/machine_test.go
@@ -59,6 +59,8 @@
 
 func commandName(command turn.Command) string {
 	switch command.(type) {
+	case turn.ResolveStep:
+		return "resolve"
 	case turn.Claim:
 		return "claim"
 	case turn.ReadHistory:
--- a/internal/turn/stream.go
+++ b/internal/turn/stream.go
@@ -10,7 +10,7 @@
 func (m *Machine) issued(event Event, now time.Time) []Command {
 	switch answer := event.(type) {
 	case Head:
-		return m.head(answer)
+		return m.head(answer, now)
 	case AnsweredWhole:
 		return m.answeredWhole(answer, now)
 	case Token:
@@ -24,6 +24,9 @@
 }
 
 func (m *Machine) token(token Token, now time.Time) []Command {
+	if len(token.WeightVersions) > 0 && !m.keepsVersion(token.WeightVersions) {
+		return m.versionChanged(now)
+	}
 	if m.tokens+uint64(token.Tokens) > m.maxTokens {
 		// Nothing beyond the reservation is ever passed on.
 		f := failure.New(failure.BackEndFailed, protocol.Outcome_RAN, "the back end sent more tokens than it was allowed").Failure
@@ -61,7 +64,7 @@
 	}
 	m.settle = &protocol.SettleTurn{
 		RequestId: request.GetRequestId(), Session: request.GetSession(), Epoch: m.epoch,
-		Tokens: m.passed, Turn: m.keptTurn(now),
+		Tokens: m.passed, Turn: m.keptTurn(now), WeightVersions: m.step.seen,
 	}
 	m.state = stateSettling
 	m.operationBegan, m.pause = now, firstPause
@@ -107,11 +110,14 @@
 		if m.passed > m.parameters.Ceiling/restartShare {
 			return m.giveUp(now)
 		}
-	case FaultNotSent, FaultRefused:
+	case FaultNotSent, FaultRefused, FaultWrongVersion:
 	}
 	if m.tries >= m.parameters.Attempts {
 		return m.giveUp(now)
 	}
+	if fault.Fault == FaultWrongVersion {
+		return m.chooseAnother()
+	}
 	m.state = stateAskingRetry
 	return []Command{AskRetry{}}
 }
@@ -136,6 +142,8 @@
 		code = failure.AnswerMismatch
 	case FaultFenced:
 		code = failure.Fenced
+	case FaultWrongVersion:
+		code, wait = failure.StepVersionUnavailable, stepRetry
 	case FaultRejected, FaultBroken:
 	}
 	return failure.New(code, outcome, fault.Detail, failure.WithRetryAfter(wait)).Failure
@@ -158,6 +166,11 @@
 	if !decided.Granted {
 		return m.giveUp(now)
 	}
+	return m.chooseAnother()
+}
+
+// chooseAnother asks for a back end that has not failed this turn.
+func (m *Machine) chooseAnother() []Command {
 	m.state = stateChoosing
 	return []Command{Choose{Avoid: append([]string(nil), m.avoid...)}}
 }
@@ -185,7 +198,7 @@
 func (m *Machine) stop(event Stopped, now time.Time) []Command {
 	f := stopFailure(event.Reason)
 	switch m.state {
-	case stateNew, stateClaiming, stateReading, stateAdmitting:
+	case stateNew, stateResolving, stateClaiming, stateReading, stateAdmitting:
 		return m.stopUnreserved(f, event.Reason, now)
 	case stateReserving:
 		if event.WithoutEffect {
@@ -203,6 +216,7 @@
 		}
 	case stateReleasing:
 		if event.Reason == StopAuthority {
+			m.step.recording = false
 			return first(m.end(m.unproved()), ForgetSession{})
 		}
 	case stateRefusing, stateReadingKept, stateDone:
--- /dev/null
+++ b/internal/turn/trainingstep_test.go
@@ -0,0 +1,321 @@
+package turn_test
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+const (
+	stepName      = "run-1/step-2"
+	pinnedVersion = 7
+	otherVersion  = 8
+)
+
+// newStepScript is the script of a turn of a training step.
+func newStepScript(stateful bool) *script {
+	request := httpRequest(stateful, 0, "")
+	request.TrainingStep = stepName
+	return newScript(request).on("resolve", turn.StepResolved{WeightVersion: pinnedVersion})
+}
+
+// headOf is the head of a stream that names versions.
+func headOf(versions ...uint64) turn.Head {
+	return turn.Head{Answer: &protocol.HttpAnswer{Status: 200}, WeightVersions: versions}
+}
+
+// eventOf is an event that names versions.
+func eventOf(data string, versions ...uint64) turn.Token {
+	event := routedEvent(data)
+	event.WeightVersions = versions
+	return event
+}
+
+// deltas are the events of the server's stream that were passed on.
+func (s *script) deltas() int {
+	passed := 0
+	for _, event := range s.events {
+		if event.GetDelta() != nil {
+			passed++
+		}
+	}
+	return passed
+}
+
+func (s *script) reserved() *protocol.ReserveTurn {
+	for _, command := range s.commands {
+		if reserve, isReserve := command.(turn.Reserve); isReserve {
+			return reserve.Operation
+		}
+	}
+	return nil
+}
+
+// names are the commands that ask for something, in order.
+func (s *script) names() []string {
+	var names []string
+	for _, command := range s.commands {
+		if name := commandName(command); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func TestATurnOfAStepLearnsItsVersionFirstAndTellsTheLedger(t *testing.T) {
+	s := newStepScript(false).on("issue", headOf(pinnedVersion), eventOf("a"), eventOf("b", pinnedVersion), routedDone).run()
+	if want := []string{"resolve", "admit", "reserve", "choose", "issue", "release"}; !slices.Equal(s.names(), want) {
+		t.Fatalf("commands %v", s.names())
+	}
+	reference := s.reserved().GetTrainingStep()
+	if reference.GetStep() != stepName || reference.GetWeightVersion() != pinnedVersion {
+		t.Fatalf("reserved for %v", reference)
+	}
+	if s.last().GetCompleted() == nil || s.deltas() != 2 {
+		t.Fatalf("ended with %v", s.last())
+	}
+	released := s.released()
+	if !released.GetCompleted() || released.GetTokens() != 2 || !slices.Equal(released.GetWeightVersions(), []uint64{pinnedVersion}) {
+		t.Fatalf("released %v", released)
+	}
+}
+
+func TestAKeptTurnOfAStepIsSettledWithItsVersions(t *testing.T) {
+	s := newStepScript(true).on("issue", headOf(pinnedVersion), eventOf("a"), routedDone).run()
+	for _, command := range s.commands {
+		if settle, isSettle := command.(turn.Settle); isSettle {
+			if !slices.Equal(settle.Operation.GetWeightVersions(), []uint64{pinnedVersion}) {
+				t.Fatalf("settled %v", settle.Operation)
+			}
+			return
+		}
+	}
+	t.Fatal("never settled")
+}
+
+func TestATurnOfNoStepResolvesNothingAndNamesNoVersions(t *testing.T) {
+	s := newScript(httpRequest(false, 9, "")).on("issue", headOf(), routedEvent("a"), routedDone).run()
+	if s.count("resolve") != 0 || s.reserved().GetTrainingStep() != nil {
+		t.Fatalf("commands %v", s.names())
+	}
+	if released := s.released(); released.GetCompleted() || len(released.GetWeightVersions()) != 0 {
+		t.Fatalf("released %v", released)
+	}
+}
+
+func TestAStepWithoutAVersionEndsItsTurnBeforeAnythingElse(t *testing.T) {
+	refused := failure.New(failure.StepVersionUnavailable, protocol.Outcome_NOT_RUN, "none").Failure
+	s := newStepScript(true).on("resolve", turn.StepNotResolved{Failure: refused}).run()
+	wantFailure(t, s, failure.StepVersionUnavailable, protocol.Outcome_NOT_RUN)
+	if want := []string{"resolve"}; !slices.Equal(s.names(), want) {
+		t.Fatalf("commands %v", s.names())
+	}
+}
+
+func TestAProgramOfAnotherStepIsRefused(t *testing.T) {
+	mismatch := turn.Reserved{Result: status(protocol.LedgerStatus_LEDGER_STEP_MISMATCH)}
+	s := newStepScript(false).on("reserve", mismatch).run()
+	wantFailure(t, s, failure.StepMismatch, protocol.Outcome_NOT_RUN)
+	if s.count("issue") != 0 || s.last().GetFailed().GetStatus() != 409 {
+		t.Fatalf("ended with %v", s.last())
+	}
+}
+
+func TestAnAnswerOfAnotherVersionIsNotPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		pieces []turn.Event
+		passed int
+		seen   []uint64
+	}{
+		"in its head":               {[]turn.Event{headOf(otherVersion)}, 0, []uint64{otherVersion}},
+		"in a head of two":          {[]turn.Event{headOf(pinnedVersion, otherVersion)}, 0, []uint64{pinnedVersion, otherVersion}},
+		"that its head leaves open": {[]turn.Event{headOf()}, 0, nil},
+		"that cannot be read":       {[]turn.Event{headOf(0)}, 0, []uint64{0}},
+		"in its midst": {
+			[]turn.Event{headOf(pinnedVersion), eventOf("a"), eventOf("b", otherVersion)}, 1, []uint64{pinnedVersion, otherVersion},
+		},
+		"in a whole answer": {
+			[]turn.Event{turn.AnsweredWhole{Answer: &protocol.HttpAnswer{Status: 200}, WeightVersions: []uint64{otherVersion}}}, 0, []uint64{otherVersion},
+		},
+	} {
+		for _, stateful := range []bool{true, false} {
+			s := newStepScript(stateful).on("issue", c.pieces...).run()
+			wantFailure(t, s, failure.StepVersionChanged, protocol.Outcome_RAN)
+			released := s.released()
+			if s.deltas() != c.passed || s.count("settle") != 0 || s.count("issue") != 1 {
+				t.Errorf("%s: passed %d, commands %v", name, s.deltas(), s.names())
+			}
+			if released.GetCompleted() || released.GetTokens() == 0 || !slices.Equal(released.GetWeightVersions(), c.seen) {
+				t.Errorf("%s: released %v", name, released)
+			}
+		}
+	}
+}
+
+func TestAnErrorOfAServerIsPassedOnWhateverItNames(t *testing.T) {
+	s := newStepScript(false).on("issue", routedBusy).run()
+	if string(s.last().GetAnswered().GetBody()) != "busy" || s.released().GetCompleted() {
+		t.Fatalf("ended with %v, released %v", s.last(), s.released())
+	}
+}
+
+func TestAServerWithOtherWeightsCostsNoRetry(t *testing.T) {
+	moved := turn.BackEndFailed{Fault: turn.FaultWrongVersion, Detail: "421"}
+	s := newStepScript(false).on("choose", turn.Chosen{BackEnd: "b1"}, turn.Chosen{BackEnd: "b2"}).on("issue", moved).run()
+	if s.count("issue") != 2 || s.count("retry") != 0 || s.count("release") != 0 {
+		t.Fatalf("commands %v", s.names())
+	}
+	none := turn.NotChosen{Failure: failure.New(failure.StepVersionUnavailable, protocol.Outcome_NOT_RUN, "none").Failure}
+	s = newStepScript(false).on("choose", turn.Chosen{BackEnd: "b1"}, none).on("issue", moved).run()
+	wantFailure(t, s, failure.StepVersionUnavailable, protocol.Outcome_NOT_RUN)
+	if s.released().GetTokens() != 0 || len(s.released().GetWeightVersions()) != 0 || s.last().GetFailed().GetRetryAfterMillis() == 0 {
+		t.Fatalf("ended with %v, released %v", s.last(), s.released())
+	}
+}
+
+func TestAGenerationThatTheLedgerDoesNotRecordNeverLooksWhole(t *testing.T) {
+	for _, refusal := range []protocol.LedgerStatus{
+		protocol.LedgerStatus_LEDGER_UNAVAILABLE, protocol.LedgerStatus_LEDGER_FENCED, protocol.LedgerStatus_LEDGER_NOT_RESERVED,
+		protocol.LedgerStatus_LEDGER_ALREADY_FINISHED,
+	} {
+		answers := []turn.Event{turn.Released{Result: status(refusal)}}
+		if refusal == protocol.LedgerStatus_LEDGER_UNAVAILABLE {
+			for range 20 {
+				answers = append(answers, answers[0])
+			}
+			answers = append(answers, turn.Released{Result: ok})
+		}
+		s := newStepScript(false).on("issue", headOf(pinnedVersion), eventOf("a"), routedDone).on("release", answers...).run()
+		if f := s.last().GetFailed(); f.GetOutcome() != protocol.Outcome_RAN || !s.machine.Done() {
+			t.Errorf("%v: ended with %v", refusal, s.last())
+		}
+	}
+}
+
+// stepObserver checks what the caller and the ledger see of a turn of a step.
+type stepObserver struct {
+	t        *rapid.T
+	named    []uint64
+	foreign  bool
+	recorded bool
+	terminal *protocol.TurnEvent
+}
+
+// piece notes what a server sent next.
+func (o *stepObserver) piece(versions []uint64, needed bool) {
+	o.named = append(o.named, versions...)
+	o.foreign = o.foreign || needed && len(versions) == 0 ||
+		slices.ContainsFunc(versions, func(version uint64) bool { return version != pinnedVersion })
+}
+
+func (o *stepObserver) command(command turn.Command) {
+	switch command := command.(type) {
+	case turn.Emit:
+		if o.foreign && (command.Event.GetDelta() != nil || command.Event.GetCompleted() != nil) {
+			o.t.Fatalf("%v passed on after another version was named", command.Event)
+		}
+		if command.Event.GetCompleted() != nil && !o.recorded {
+			o.t.Fatal("completed before the ledger counted it")
+		}
+		if command.Event.GetCompleted() != nil || command.Event.GetFailed() != nil {
+			o.terminal = command.Event
+		}
+	case turn.Settle:
+		o.traced(command.Operation.GetWeightVersions())
+	case turn.Release:
+		if command.Operation.GetTokens() > 0 {
+			o.traced(command.Operation.GetWeightVersions())
+		}
+		if command.Operation.GetCompleted() && o.foreign {
+			o.t.Fatal("counted as completed although another version was named")
+		}
+	}
+}
+
+// traced checks that the ledger hears of each version that was named.
+func (o *stepObserver) traced(versions []uint64) {
+	if want := slices.Compact(slices.Clone(o.named)); !slices.Equal(versions, want) {
+		o.t.Fatalf("the ledger heard %v, the server named %v", versions, want)
+	}
+}
+
+func TestNoTurnOfAStepMixesVersionsWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStepScript(rapid.Bool().Draw(t, "stateful"))
+		o := &stepObserver{t: t}
+		versions := rapid.SliceOfN(rapid.SampledFrom([]uint64{pinnedVersion, pinnedVersion, pinnedVersion, otherVersion, 0}), 0, 1)
+		pending := s.machine.Apply(turn.Begun{}, s.now)
+		streaming, begun := false, false
+		for step := 0; !s.machine.Done() || len(pending) > 0; step++ {
+			if step > 2000 {
+				t.Fatal("the turn never ends")
+			}
+			var event turn.Event
+			switch {
+			case len(pending) > 0:
+				command := pending[0]
+				pending = pending[1:]
+				o.command(command)
+				switch command.(type) {
+				case turn.Issue:
+					streaming, begun = true, false
+					continue
+				case turn.StopBackEnd:
+					streaming = false
+					continue
+				case turn.ResolveStep:
+					event = turn.StepResolved{WeightVersion: pinnedVersion}
+				default:
+					event = drawAnswer(t, command)
+				}
+			case streaming && !begun:
+				begun = true
+				named := versions.Draw(t, "head")
+				o.piece(named, true)
+				event = headOf(named...)
+			case streaming:
+				event = drawStepPiece(t, o, versions)
+				streaming = !isEnd(event)
+			}
+			if event == nil {
+				continue
+			}
+			switch event := event.(type) {
+			case turn.Settled:
+				o.recorded = o.recorded || event.Result.GetStatus() == protocol.LedgerStatus_LEDGER_OK ||
+					event.Result.GetFinished().GetOutcome() == protocol.RequestOutcome_OUTCOME_SETTLED
+			case turn.Released:
+				o.recorded = o.recorded || event.Result.GetStatus() == protocol.LedgerStatus_LEDGER_OK
+			}
+			pending = append(pending, s.machine.Apply(event, s.now)...)
+			s.now = s.now.Add(answerStep)
+		}
+		if o.foreign && o.terminal.GetFailed() == nil {
+			t.Fatalf("another version was named and the turn ended with %v", o.terminal)
+		}
+	})
+}
+
+// answerStep is the virtual time between two events.
+const answerStep = 10_000_000
+
+// drawStepPiece draws what the server of a turn of a step sends after its head.
+func drawStepPiece(t *rapid.T, o *stepObserver, versions *rapid.Generator[[]uint64]) turn.Event {
+	switch rapid.IntRange(0, 5).Draw(t, "piece") {
+	case 0:
+		return turn.BackEndFailed{Fault: turn.FaultBroken, Detail: "drawn"}
+	case 1:
+		return drawStop(t)
+	case 2:
+		return routedDone
+	default:
+		named := versions.Draw(t, "event")
+		o.piece(named, false)
+		return eventOf("x", named...)
+	}
+}
