Keep a training step's generations on one weight version in the ledger

What was missing: a training step's rollouts run in many programs on many front nodes, and nothing fixed which version of the weights they run on, nor said afterwards on which they ran.

How: the register of a step is a program record under a reserved name (ledger.TrainingStepProgram), which no other operation may use. PinTrainingStep sets its version; the first one wins and never changes, another model is refused. A look without an owner renews nothing.

ReserveTurn.training_step makes a program a member with its first admitted turn. Turns of another step or version, turns without a step in a member, and steps named by a program that ran turns without one are refused (LEDGER_STEP_MISMATCH), before the session is claimed. SettleTurn and ReleaseTurn count each generation once: as completed only when every version that the server named is the pinned one, else as discarded under each version that differs, or under 0 when none was named. What a lost owner left open is discarded under 0. A member's release that names versions or is completed ran, also without tokens. At most 32 versions are counted apart.

--- a/internal/ledger/finished.go
+++ b/internal/ledger/finished.go
@@ -218,6 +218,21 @@
 	return nil
 }
 
+// hasRunRequest reports whether the record knows a request that was run.
+func hasRunRequest(record *protocol.ProgramRecord) bool {
+	for _, finished := range record.GetFinished() {
+		if finished.GetOutcome() != protocol.RequestOutcome_OUTCOME_NOT_RUN {
+			return true
+		}
+	}
+	for entry := range packedRequests(record.GetFinishedPacked()) {
+		if protocol.RequestOutcome(entry.flags&outcomeBits) != protocol.RequestOutcome_OUTCOME_NOT_RUN {
+			return true
+		}
+	}
+	return false
+}
+
 // keepsFinishedTurn reports whether a finished request of the record has the turn.
 func keepsFinishedTurn(record *protocol.ProgramRecord, turn string) bool {
 	for _, finished := range record.GetFinished() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -44,9 +44,12 @@
 
 // IsRead reports whether the operation changes nothing.
 func IsRead(operation *protocol.LedgerOperation) bool {
-	switch operation.GetBody().(type) {
-	case *protocol.LedgerOperation_ReadProgram, *protocol.LedgerOperation_ReadTurns, *protocol.LedgerOperation_FindTurn:
+	switch body := operation.GetBody().(type) {
+	case *protocol.LedgerOperation_ReadProgram, *protocol.LedgerOperation_ReadTurns, *protocol.LedgerOperation_FindTurn,
+		*protocol.LedgerOperation_TraceTrainingStep:
 		return true
+	case *protocol.LedgerOperation_PinTrainingStep:
+		return isPinRead(body.PinTrainingStep)
 	default:
 		return false
 	}
--- a/internal/ledger/program.go
+++ b/internal/ledger/program.go
@@ -30,6 +30,8 @@
 		return refuseRequest(record, operation.GetProgram(), body.RefuseRequest, now)
 	case *protocol.LedgerOperation_ReadProgram:
 		return nil, readProgram(record)
+	case *protocol.LedgerOperation_PinTrainingStep:
+		return pinTrainingStep(record, operation.GetProgram(), body.PinTrainingStep, now)
 	default:
 		return nil, Answer(protocol.LedgerStatus_LEDGER_STATUS_UNSPECIFIED)
 	}
@@ -93,7 +95,8 @@
 	return changed.ProgramRecord, claimResult(changed.ProgramRecord, claimed)
 }
 
-// chargeOpenReservations charges what a lost owner may have passed on: the whole ceiling.
+// chargeOpenReservations charges what a lost owner may have passed on: the whole
+// ceiling. A generation for a training step counts as discarded, since nobody knows what became of it.
 func chargeOpenReservations(changed *draft, session string) {
 	var open []*protocol.Reservation
 	for _, reservation := range changed.Reservations {
@@ -108,6 +111,7 @@
 			Outcome:   protocol.RequestOutcome_OUTCOME_CHARGED,
 			Tokens:    reservation.GetCeiling(),
 		}, 0)
+		changed.countGeneration(nil, false)
 	}
 }
 
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -26,6 +26,8 @@
 		Reservations:    slices.Clone(record.GetReservations()),
 		FinishedPacked:  keptPacked(record, now.UnixMilli()),
 		UpdatedAtMillis: now.UnixMilli(),
+		TrainingStepPin: record.GetTrainingStepPin(),
+		TrainingStep:    record.GetTrainingStep(),
 	}
 	return &draft{ProgramRecord: copied, now: now}
 }
--- /dev/null
+++ b/internal/ledger/trainingstep.go
@@ -0,0 +1,268 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// trainingStepPrefix begins the program names that are reserved for the registers of training steps.
+	trainingStepPrefix = "rosestand/training-step/"
+	// MaximumTrainingStepBytes bounds the name of a training step.
+	MaximumTrainingStepBytes = 256
+	// MaximumWeightVersions bounds the weight versions that one settled or released turn names.
+	MaximumWeightVersions = 16
+	// maximumGenerationCounts bounds the versions that a membership counts apart, so that servers that name
+	// ever new versions cannot grow the record. Generations on further versions are counted under UnknownWeightVersion.
+	maximumGenerationCounts = 32
+	// UnknownWeightVersion is the version under which generations are counted whose server named none.
+	UnknownWeightVersion = 0
+	// PinRenewal is how old a pin's record is at most when an owner asks for it. An older one is written anew, so
+	// that its keeping time counts from there. An owner that remembers a pin must ask again before PinKeepingTime less PinRenewal is over.
+	PinRenewal = time.Hour
+	// PinKeepingTime is how long a pin is kept at least after an owner asked for it, also when the step names a shorter time.
+	PinKeepingTime = KeepingTime
+)
+
+// TrainingStepProgram gives the reserved program name under which the register of a training step is kept.
+func TrainingStepProgram(step string) string { return trainingStepPrefix + step }
+
+// isReservedProgram reports whether the name may be used for training steps only.
+func isReservedProgram(program string) bool { return strings.HasPrefix(program, trainingStepPrefix) }
+
+// pinTrainingStep fixes the weight version of a step. The first version proposed wins and never changes.
+func pinTrainingStep(record *protocol.ProgramRecord, program string, pin *protocol.PinTrainingStep, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+	pinned := record.GetTrainingStepPin()
+	switch {
+	case pinned == nil && pin.GetWeightVersion() == 0:
+		return nil, Answer(protocol.LedgerStatus_LEDGER_STEP_UNKNOWN)
+	case pinned == nil:
+		return firstPin(program, pin, now)
+	case pin.GetModel() != "" && pin.GetModel() != pinned.GetModel():
+		return nil, pinResult(protocol.LedgerStatus_LEDGER_STEP_MISMATCH, pinned)
+	default:
+		return renewedPin(record, pin, now), pinResult(protocol.LedgerStatus_LEDGER_OK, pinned)
+	}
+}
+
+func pinResult(status protocol.LedgerStatus, pinned *protocol.TrainingStepPin) *protocol.LedgerResult {
+	return &protocol.LedgerResult{Status: status, TrainingStepPin: pinned}
+}
+
+func firstPin(program string, pin *protocol.PinTrainingStep, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
+	changed := newDraft(program, nil, now)
+	changed.KeepingMillis = pinKeepingMillis(pin)
+	changed.TrainingStepPin = &protocol.TrainingStepPin{
+		Step:           pin.GetStep(),
+		Model:          pin.GetModel(),
+		WeightVersion:  pin.GetWeightVersion(),
+		PinnedBy:       pin.GetOwner(),
+		PinnedAtMillis: now.UnixMilli(),
+	}
+	return changed.ProgramRecord, pinResult(protocol.LedgerStatus_LEDGER_OK, changed.TrainingStepPin)
+}
+
+// renewedPin gives the record with a later end of its keeping time, or nil when
+// it was renewed lately. A request without an owner only looks and renews nothing.
+func renewedPin(record *protocol.ProgramRecord, pin *protocol.PinTrainingStep, now time.Time) *protocol.ProgramRecord {
+	if pin.GetOwner() == "" {
+		return nil
+	}
+	isFresh := now.UnixMilli() < record.GetUpdatedAtMillis()+PinRenewal.Milliseconds()
+	if isFresh && pinKeepingMillis(pin) <= record.GetKeepingMillis() {
+		return nil
+	}
+	changed := newDraft(record.GetProgram(), record, now)
+	changed.KeepingMillis = max(record.GetKeepingMillis(), pinKeepingMillis(pin))
+	return changed.ProgramRecord
+}
+
+// pinKeepingMillis gives the keeping time of a pin. It is never a short one: a pin that was forgotten
+// while its step still generates could be set again, to another version.
+func pinKeepingMillis(pin *protocol.PinTrainingStep) int64 {
+	return max(pin.GetKeepingMillis(), PinKeepingTime.Milliseconds())
+}
+
+// isPinRead reports whether the request can change nothing, not even the keeping time of the pin.
+func isPinRead(pin *protocol.PinTrainingStep) bool {
+	return pin.GetWeightVersion() == 0 && pin.GetOwner() == ""
+}
+
+// belongsToStep tells whether a program may generate for the step named, or for
+// none when reference is nil. A member generates for its step alone; a program
+// that ran turns without a step is of none.
+func belongsToStep(record *protocol.ProgramRecord, reference *protocol.TrainingStepReference) bool {
+	membership := record.GetTrainingStep()
+	switch {
+	case reference == nil:
+		return membership == nil
+	case membership == nil:
+		return !hasRun(record)
+	default:
+		return membership.GetStep() == reference.GetStep() && membership.GetWeightVersion() == reference.GetWeightVersion()
+	}
+}
+
+// hasRun reports whether a turn of the program may have run.
+func hasRun(record *protocol.ProgramRecord) bool {
+	if record.GetSettled() > 0 || len(record.GetReservations()) > 0 {
+		return true
+	}
+	for _, session := range record.GetSessions() {
+		if session.GetTurns() > 0 {
+			return true
+		}
+	}
+	return hasRunRequest(record)
+}
+
+// stepMismatch refuses a turn. Of the program it shows only for which step it generates.
+func stepMismatch(record *protocol.ProgramRecord) *protocol.LedgerResult {
+	return &protocol.LedgerResult{
+		Status:  protocol.LedgerStatus_LEDGER_STEP_MISMATCH,
+		Program: &protocol.ProgramRecord{Program: record.GetProgram(), TrainingStep: record.GetTrainingStep()},
+	}
+}
+
+// join makes the program a member of the step unless it is one.
+func (d *draft) join(reference *protocol.TrainingStepReference) {
+	if reference == nil || d.TrainingStep != nil {
+		return
+	}
+	d.TrainingStep = &protocol.TrainingStepMembership{Step: reference.GetStep(), WeightVersion: reference.GetWeightVersion()}
+}
+
+// countGeneration counts a generation of a member by the versions that its
+// server named: as completed when it reached its caller whole and all of them are
+// the one pinned, else as discarded under each version that differs, or under the pinned one when none does.
+func (d *draft) countGeneration(versions []uint64, completed bool) {
+	if d.TrainingStep == nil {
+		return
+	}
+	pinned := d.TrainingStep.GetWeightVersion()
+	if len(versions) == 0 {
+		versions = []uint64{UnknownWeightVersion}
+	}
+	differing := differingVersions(versions, pinned)
+	switch {
+	case len(differing) > 0:
+		for _, version := range differing {
+			d.addToCount(version, func(count *protocol.GenerationCount) { count.Discarded++ })
+		}
+	case completed:
+		d.addToCount(pinned, func(count *protocol.GenerationCount) { count.Completed++ })
+	default:
+		d.addToCount(pinned, func(count *protocol.GenerationCount) { count.Discarded++ })
+	}
+}
+
+// differingVersions gives each version but the pinned one once, lowest first.
+func differingVersions(versions []uint64, pinned uint64) []uint64 {
+	differing := slices.DeleteFunc(slices.Clone(versions), func(version uint64) bool { return version == pinned })
+	slices.Sort(differing)
+	return slices.Compact(differing)
+}
+
+// addToCount changes a copy of the count of one version; the membership of the record before stays as it is.
+func (d *draft) addToCount(version uint64, add func(*protocol.GenerationCount)) {
+	counts := slices.Clone(d.TrainingStep.GetGenerations())
+	place, found := findCount(counts, version)
+	if !found && len(counts) >= maximumGenerationCounts && version != d.TrainingStep.GetWeightVersion() {
+		version = UnknownWeightVersion
+		place, found = findCount(counts, version)
+	}
+	changed := &protocol.GenerationCount{WeightVersion: version}
+	if found {
+		changed.Completed = counts[place].GetCompleted()
+		changed.Discarded = counts[place].GetDiscarded()
+		counts[place] = changed
+	} else {
+		counts = slices.Insert(counts, place, changed)
+	}
+	add(changed)
+	d.TrainingStep = &protocol.TrainingStepMembership{
+		Step:          d.TrainingStep.GetStep(),
+		WeightVersion: d.TrainingStep.GetWeightVersion(),
+		Generations:   counts,
+	}
+}
+
+// findCount gives the place of a version, or the place where it belongs.
+func findCount(counts []*protocol.GenerationCount, version uint64) (place int, found bool) {
+	return slices.BinarySearchFunc(counts, version, func(count *protocol.GenerationCount, version uint64) int {
+		return cmp.Compare(count.GetWeightVersion(), version)
+	})
+}
+
+// CountedGenerations gives how many generations a membership counts. It never falls, and rises
+// with each change of the counts, so of two records of one program the higher one is the later.
+func CountedGenerations(membership *protocol.TrainingStepMembership) uint64 {
+	var counted uint64
+	for _, count := range membership.GetGenerations() {
+		counted = addWithoutOverflow(counted, addWithoutOverflow(count.GetCompleted(), count.GetDiscarded()))
+	}
+	return counted
+}
+
+func validatePin(program string, pin *protocol.PinTrainingStep) error {
+	if err := checkStep("pin_training_step.step", pin.GetStep()); err != nil {
+		return err
+	}
+	if err := checkStepProgram(program, pin.GetStep()); err != nil {
+		return err
+	}
+	if pin.GetWeightVersion() == 0 {
+		return nil
+	}
+	return checkIdentifiers(
+		"pin_training_step.model", pin.GetModel(),
+		"pin_training_step.owner", pin.GetOwner())
+}
+
+func validateTrace(program string, trace *protocol.TraceTrainingStep) error {
+	if err := checkStep("trace_training_step.step", trace.GetStep()); err != nil {
+		return err
+	}
+	return checkStepProgram(program, trace.GetStep())
+}
+
+func validateReference(reference *protocol.TrainingStepReference) error {
+	if reference == nil {
+		return nil
+	}
+	if err := checkStep("reserve_turn.training_step.step", reference.GetStep()); err != nil {
+		return err
+	}
+	if reference.GetWeightVersion() == 0 {
+		return &InvalidOperationError{Path: "reserve_turn.training_step.weight_version", Reason: "missing"}
+	}
+	return nil
+}
+
+func checkStepProgram(program, step string) error {
+	if program != TrainingStepProgram(step) {
+		return &InvalidOperationError{Path: "program", Reason: "is not the register of the training step"}
+	}
+	return nil
+}
+
+func checkStep(path, step string) error {
+	if step == "" {
+		return &InvalidOperationError{Path: path, Reason: "missing"}
+	}
+	if len(step) > MaximumTrainingStepBytes {
+		return &InvalidOperationError{Path: path, Reason: "longer than the name of a training step may be"}
+	}
+	return nil
+}
+
+func checkWeightVersions(path string, versions []uint64) error {
+	if len(versions) > MaximumWeightVersions {
+		return &InvalidOperationError{Path: path, Reason: "more versions than a turn may name"}
+	}
+	return nil
+}
--- a/internal/ledger/turn.go
+++ b/internal/ledger/turn.go
@@ -8,9 +8,13 @@
 
 // reserveTurn admits a turn while settled tokens and held ceilings are below
 // the budget, so a program exceeds its budget by one turn at most. With a claim
-// the session is claimed first; the claim stands also when the turn is refused.
+// the session is claimed first; the claim stands also when the turn is refused,
+// unless the program does not belong to the turn's training step.
 func reserveTurn(record *protocol.ProgramRecord, program string, reserve *protocol.ReserveTurn, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
 	if finished := Finished(record, reserve.GetRequestId()); finished != nil {
+		if !belongsToStep(record, reserve.GetTrainingStep()) {
+			return nil, stepMismatch(record)
+		}
 		return nil, finishedResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, finished)
 	}
 	if reserve.GetClaim() == nil {
@@ -20,6 +24,9 @@
 	if claim.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
 		return nil, claim
 	}
+	if !belongsToStep(record, reserve.GetTrainingStep()) {
+		return nil, stepMismatch(record)
+	}
 	if claimed == nil {
 		return reserveUnder(record, reserve, claim.GetEpoch(), now)
 	}
@@ -39,6 +46,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if !belongsToStep(record, reserve.GetTrainingStep()) {
+		return nil, stepMismatch(record)
+	}
 	wanted := &protocol.Reservation{
 		RequestId:    reserve.GetRequestId(),
 		Session:      reserve.GetSession(),
@@ -65,6 +75,7 @@
 	}
 	changed := newDraft(record.GetProgram(), record, now)
 	changed.Reservations = append(changed.Reservations, wanted)
+	changed.join(reserve.GetTrainingStep())
 	return changed.ProgramRecord, reservedResult(session)
 }
 
@@ -152,6 +163,7 @@
 		TurnId:    turn.GetId(),
 		Tokens:    min(settle.GetTokens(), open.GetCeiling()),
 	}, turn.GetKeepUntilMillis())
+	changed.countGeneration(settle.GetWeightVersions(), true)
 	changed.putSession(&protocol.SessionRecord{
 		Session:          session.GetSession(),
 		Epoch:            session.GetEpoch(),
@@ -163,12 +175,13 @@
 	return changed.ProgramRecord, finishedResult(protocol.LedgerStatus_LEDGER_OK, finished)
 }
 
-// releaseTurn ends a request without a kept turn. Released without tokens, the
+// releaseTurn ends a request without a kept turn. Released as not run, the
 // request is marked as not run even when its reservation has not arrived, so
 // that a late copy of the reservation is refused.
 func releaseTurn(record *protocol.ProgramRecord, release *protocol.ReleaseTurn, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
 	outcome := protocol.RequestOutcome_OUTCOME_NOT_RUN
-	if release.GetTokens() > 0 {
+	ran := hasRunBefore(record, release)
+	if ran {
 		outcome = protocol.RequestOutcome_OUTCOME_CHARGED
 	}
 	if finished := Finished(record, release.GetRequestId()); finished != nil {
@@ -185,7 +198,7 @@
 	if open != nil && open.GetSession() != release.GetSession() {
 		return nil, withProgram(protocol.LedgerStatus_LEDGER_NOT_RESERVED, nil, session)
 	}
-	if open == nil && release.GetTokens() > 0 {
+	if open == nil && ran {
 		return nil, withProgram(protocol.LedgerStatus_LEDGER_NOT_RESERVED, nil, session)
 	}
 	changed := newDraft(record.GetProgram(), record, now)
@@ -195,9 +208,21 @@
 		Outcome:   outcome,
 		Tokens:    min(release.GetTokens(), open.GetCeiling()),
 	}, 0)
+	if ran {
+		changed.countGeneration(release.GetWeightVersions(), release.GetCompleted())
+	}
 	return changed.ProgramRecord, finishedResult(protocol.LedgerStatus_LEDGER_OK, finished)
 }
 
+// hasRunBefore tells whether a turn ran before it was released. Tokens show it;
+// a generation for a training step is also shown by the versions that its server named, and by its end.
+func hasRunBefore(record *protocol.ProgramRecord, release *protocol.ReleaseTurn) bool {
+	if release.GetTokens() > 0 {
+		return true
+	}
+	return record.GetTrainingStep() != nil && (release.GetCompleted() || len(release.GetWeightVersions()) > 0)
+}
+
 // refuseRequest writes the tombstone that must stand before a request is
 // refused by someone who does not know whether it ran. A program need not be
 // open for it: a first turn can be refused too.
--- a/internal/ledger/validate.go
+++ b/internal/ledger/validate.go
@@ -12,6 +12,15 @@
 		return err
 	}
 	switch body := operation.GetBody().(type) {
+	case *protocol.LedgerOperation_PinTrainingStep:
+		return validatePin(operation.GetProgram(), body.PinTrainingStep)
+	case *protocol.LedgerOperation_TraceTrainingStep:
+		return validateTrace(operation.GetProgram(), body.TraceTrainingStep)
+	}
+	if isReservedProgram(operation.GetProgram()) {
+		return &InvalidOperationError{Path: "program", Reason: "is reserved for training steps"}
+	}
+	switch body := operation.GetBody().(type) {
 	case *protocol.LedgerOperation_OpenProgram:
 		return checkIdentifier("open_program.tenant", body.OpenProgram.GetTenant())
 	case *protocol.LedgerOperation_ClaimSession:
@@ -23,9 +32,7 @@
 	case *protocol.LedgerOperation_SettleTurn:
 		return validateSettle(operation.GetProgram(), body.SettleTurn)
 	case *protocol.LedgerOperation_ReleaseTurn:
-		return checkIdentifiers(
-			"release_turn.request_id", body.ReleaseTurn.GetRequestId(),
-			"release_turn.session", body.ReleaseTurn.GetSession())
+		return validateRelease(body.ReleaseTurn)
 	case *protocol.LedgerOperation_RefuseRequest:
 		return checkIdentifier("refuse_request.request_id", body.RefuseRequest.GetRequestId())
 	case *protocol.LedgerOperation_ReadProgram:
@@ -57,6 +64,9 @@
 	); err != nil {
 		return err
 	}
+	if err := validateReference(reserve.GetTrainingStep()); err != nil {
+		return err
+	}
 	claim := reserve.GetClaim()
 	switch {
 	case claim == nil:
@@ -85,8 +95,18 @@
 	case turn.GetRequestId() != settle.GetRequestId():
 		return &InvalidOperationError{Path: "settle_turn.turn.request_id", Reason: "is of another request"}
 	default:
-		return nil
+		return checkWeightVersions("settle_turn.weight_versions", settle.GetWeightVersions())
+	}
+}
+
+func validateRelease(release *protocol.ReleaseTurn) error {
+	if err := checkIdentifiers(
+		"release_turn.request_id", release.GetRequestId(),
+		"release_turn.session", release.GetSession(),
+	); err != nil {
+		return err
 	}
+	return checkWeightVersions("release_turn.weight_versions", release.GetWeightVersions())
 }
 
 // checkIdentifiers takes pairs of path and value.
