Run each training step on one version of the weights at all front nodes

What: a turn of a streaming route may name its training step (Rosestand-Training-Step; the platform's dialect has no name for it and takes the product's). Only servers that announce the version are candidates; the request carries the version, so that a server that has moved on refuses it with 421, which is no fault, costs no retry, and keeps the server out of that version's candidates for 5 s. None left: 503 step_version_unavailable at once, with Retry-After. A bad name, two names, or no program: 400. A program of another step: 409 step_mismatch. The pin shows in explain. A stateless turn of a step goes through the ledger too, without a bound when it names no budget.

Found on the way: the ingress copies a turn's request field by field and left the new one out; a test now compares all fields. The turn machine imported net/http for one constant, which the purity test refuses; mended.

Why: some servers have older weights while others have moved on, and a step's programs spread over all front nodes.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -28,6 +28,8 @@
 	PromptParts string
 	// PreviousTurn is the request id of the turn that this one continues.
 	PreviousTurn string
+	// TrainingStep names the training step that a turn generates for.
+	TrainingStep string
 	// Affinity is the same for all requests that concern the same object.
 	Affinity string
 	// LastEventID is the id of the last event that a caller of a resumable stream has seen.
@@ -99,6 +101,7 @@
 		TokenUsage:      "Rosestand-Tokens",
 		PromptParts:     "Rosestand-Prompt-Parts",
 		PreviousTurn:    "Rosestand-Continues",
+		TrainingStep:    "Rosestand-Training-Step",
 		Affinity:        "Rosestand-Affinity",
 		LastEventID:     "Last-Event-Id",
 		TargetServer:    "Rosestand-Server",
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -36,6 +36,9 @@
 
 	mutex   sync.Mutex
 	outlier schedule.Outlier
+	// refusedVersion is the version of the weights that the server last said it has not, believed until refusedUntil.
+	refusedVersion uint64
+	refusedUntil   time.Time
 }
 
 func (b *backEnd) id() string { return b.description.Load().GetId() }
@@ -51,7 +54,7 @@
 		return schedule.OutcomeUnreachable
 	case turn.FaultBroken, turn.FaultMismatch:
 		return schedule.OutcomeFault
-	case turn.FaultRefused, turn.FaultFenced, turn.FaultRejected:
+	case turn.FaultRefused, turn.FaultFenced, turn.FaultRejected, turn.FaultWrongVersion:
 	}
 	return schedule.OutcomeNotExecuted
 }
@@ -229,6 +232,8 @@
 	// prompt and output are those of a turn of an HTTP route.
 	prompt promptcache.Prompt
 	output uint64
+	// pin is set for a turn of a training step.
+	pin *stepPin
 }
 
 // serversOf finds the servers of a group that serve a model or tool, or all of them when none is named.
@@ -248,9 +253,18 @@
 		Front: p.front, Zone: p.zone, Region: p.region, ZoneLocalFirst: group.GetZoneLocalFirst(),
 		AffinityKey: p.affinity, Last: p.last, Avoid: p.avoid, Sequence: p.sequence,
 	}
-	found := candidates(b.serversOf(p.key), group, now)
+	servers := b.serversOf(p.key)
+	var others []*backEnd
+	if p.pin != nil {
+		servers, others = p.pin.divide(servers, now)
+	}
+	found := candidates(servers, group, now)
 	models.complete(&request, p.key.group, p.prompt, found, now)
 	request.OutputTokens = p.output
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return schedule.Choose(request, found, random)
+	decision := schedule.Choose(request, found, random)
+	for _, server := range others {
+		decision.Scores = append(decision.Scores, schedule.Score{ID: server.id(), Reason: schedule.ReasonOtherVersion})
+	}
+	return decision
 }
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -44,7 +44,7 @@
 // surelyDidNotRun reports whether a failed attempt did not run: nothing was sent, or the server refused it.
 func surelyDidNotRun(err error) bool {
 	var failed *backEndError
-	return errors.As(err, &failed) && (failed.fault == turn.FaultNotSent || failed.fault == turn.FaultRefused)
+	return errors.As(err, &failed) && failed.fault.SurelyDidNotRun()
 }
 
 // outcome says what the attempt tells of the server's health.
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -100,3 +100,9 @@
 
 // StartWaiters is how many requests wait for the first bundle.
 func (s *Service) StartWaiters() int { return int(s.startWaiters.Load()) }
+
+// RefusedVersionLife is how long a server's word that it has not a version goes before its announcement.
+const RefusedVersionLife = refusedVersionLife
+
+// ShallowCopy gives a request whose own fields may be changed.
+func ShallowCopy(request *protocol.TurnRequest) *protocol.TurnRequest { return shallowCopy(request) }
--- a/internal/front/httpissue.go
+++ b/internal/front/httpissue.go
@@ -33,6 +33,8 @@
 	http      *protocol.HttpRequest
 	body      []byte
 	deadline  time.Time
+	// pin is set for a turn of a training step: the server must have that version.
+	pin *stepPin
 }
 
 // send issues a request once. The answer is one that the server gave to this very request.
@@ -54,6 +56,9 @@
 		return nil, &backEndError{fault: fault, detail: err.Error(), blameless: fault == turn.FaultNotSent && ctx.Err() != nil}
 	}
 	if fault := c.faultOf(response, request.requestID); fault != nil {
+		if request.pin != nil && response.Status == http.StatusMisdirectedRequest && fault.fault == turn.FaultRefused {
+			fault.fault = turn.FaultWrongVersion
+		}
 		return nil, fault
 	}
 	return response, nil
@@ -63,11 +68,14 @@
 func (c *routeClient) headers(request routedRequest, server string, left int64) []*protocol.HttpHeader {
 	own := []*protocol.HttpHeader{{Name: c.dialect.TimeLeft, Value: strconv.FormatInt(left, 10)}}
 	if c.dialect.ServerRank != "" && request.http.GetKind() == protocol.HttpRouteKind_HTTP_STREAMING {
-		own = append(own, &protocol.HttpHeader{Name: c.dialect.ServerRank, Value: serverRank(request.http.GetRank())})
+		own = append(own, &protocol.HttpHeader{Name: c.dialect.ServerRank, Value: request.serverRank()})
 	}
 	if c.dialect.TargetServer != "" {
 		own = append(own, &protocol.HttpHeader{Name: c.dialect.TargetServer, Value: server})
 	}
+	if request.pin != nil && c.dialect.ExpectedWeights != "" {
+		own = append(own, &protocol.HttpHeader{Name: c.dialect.ExpectedWeights, Value: strconv.FormatUint(request.pin.version, 10)})
+	}
 	given := request.http.GetHeaders()
 	headers := make([]*protocol.HttpHeader, 0, len(given)+len(own))
 	for _, header := range given {
@@ -87,6 +95,14 @@
 	lastServerRank  = 9
 )
 
+// serverRank is the rank that a request has at its server: generations of training steps go last.
+func (r *routedRequest) serverRank() string {
+	if r.pin != nil {
+		return strconv.Itoa(lastServerRank)
+	}
+	return serverRank(r.http.GetRank())
+}
+
 // serverRank maps a route's rank to one that servers know.
 func serverRank(rank uint32) string {
 	return strconv.Itoa(int(min(firstServerRank+rankStep*rank, lastServerRank)))
--- a/internal/front/httpstream.go
+++ b/internal/front/httpstream.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/serverconn"
+	"github.com/rosestand/rosestand/internal/trainingstep"
 	"github.com/rosestand/rosestand/internal/turn"
 )
 
@@ -34,7 +35,9 @@
 	reader      *bufio.Reader
 	eventTokens uint32
 	headGiven   bool
-	done        turn.BackEndDone
+	// versionHeader names the versions of the weights; it is set where they are read, in turns of training steps.
+	versionHeader string
+	done          turn.BackEndDone
 }
 
 func newHTTPStream(response *serverconn.Response, eventTokens uint32) *httpStream {
@@ -60,6 +63,9 @@
 		// A block of comments alone brings no tokens.
 		token.Tokens = s.eventTokens
 	}
+	if s.versionHeader != "" {
+		token.WeightVersions = s.versionsOf(event)
+	}
 	s.done.OutputTokens += uint64(token.Tokens)
 	return token, nil
 }
@@ -67,14 +73,31 @@
 func (s *httpStream) head() (turn.Event, error) {
 	answer := &protocol.HttpAnswer{Status: uint32(s.response.Status), Headers: endToEndHeaders(s.response.Header)}
 	if s.response.Status == http.StatusOK && strings.HasPrefix(s.response.Header.Get("Content-Type"), eventStreamType) {
-		return turn.Head{Answer: answer}, nil
+		return turn.Head{Answer: answer, WeightVersions: s.headVersions()}, nil
 	}
 	body, err := s.response.ReadAll(maxToolAnswerBytes)
 	if err != nil {
 		return nil, &backEndError{fault: turn.FaultBroken, detail: err.Error()}
 	}
 	answer.Body = body
-	return turn.AnsweredWhole{Answer: answer}, nil
+	return turn.AnsweredWhole{Answer: answer, WeightVersions: s.headVersions()}, nil
+}
+
+// headVersions are the versions of the weights that the answer's head names.
+func (s *httpStream) headVersions() []uint64 {
+	if s.versionHeader == "" {
+		return nil
+	}
+	return trainingstep.ParseVersions(s.response.Header.Values(s.versionHeader))
+}
+
+// versionsOf is the version that an event names, if it names one.
+func (s *httpStream) versionsOf(event []byte) []uint64 {
+	version, named := trainingstep.VersionOfEvent(event, s.versionHeader)
+	if !named {
+		return nil
+	}
+	return []uint64{version}
 }
 
 // partialEventError says that a stream ended inside an event.
--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -59,7 +59,7 @@
 	run.freed = true
 	run.machine = turn.New(turn.Parameters{
 		Request: request, TurnID: live.turnID, Owner: s.name, Incarnation: grant.Incarnation(),
-		Budget: request.GetProgramBudget(), Ceiling: routedCeiling(request),
+		Budget: routedBudget(request), Ceiling: routedCeiling(request),
 		KeepFor:       time.Duration(routed.GetKeepMillis()) * time.Millisecond,
 		BundleVersion: routed.GetBundleVersion(), Attempts: routedSends,
 	})
@@ -85,14 +85,18 @@
 	r.sent = r.service.models.sent(r.route.GetGroup(), r.server.id(), promptOf(r.request.GetHttp()), r.issuedAt)
 	response, err := r.service.routes.send(r.ctx, routedRequest{
 		server: r.server, requestID: r.request.GetRequestId(), http: r.request.GetHttp(),
-		body: joinItems(command.Items), deadline: r.deadline,
+		body: joinItems(command.Items), deadline: r.deadline, pin: r.pin,
 	})
 	if err != nil {
 		r.server.inFlight.Add(-1)
 		r.endSent(false)
 		return r.issueFailed(err)
 	}
-	r.generation = newHTTPStream(response, r.request.GetHttp().GetEventTokens())
+	stream := newHTTPStream(response, r.request.GetHttp().GetEventTokens())
+	if r.pin != nil {
+		stream.versionHeader = r.service.routes.dialect.WeightVersions
+	}
+	r.generation = stream
 	return nil
 }
 
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -178,7 +178,7 @@
 		MaxOutputTokens: request.GetMaxOutputTokens(), Priority: request.GetPriority(), TimeLeftMillis: request.GetTimeLeftMillis(),
 		ProgramBudget: request.GetProgramBudget(), Ingress: request.GetIngress(), Nonce: request.GetNonce(),
 		LookupViewVersion: request.GetLookupViewVersion(), FirstSend: request.GetFirstSend(), Background: request.GetBackground(),
-		LastAttempt: request.GetLastAttempt(), Http: request.GetHttp(),
+		LastAttempt: request.GetLastAttempt(), Http: request.GetHttp(), TrainingStep: request.GetTrainingStep(),
 	}
 }
 
--- a/internal/front/memoryledger_test.go
+++ b/internal/front/memoryledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -110,6 +111,13 @@
 	return result
 }
 
+// kinds counts the operations so far by kind.
+func (l *memoryLedger) kinds() map[string]int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return maps.Clone(l.seen)
+}
+
 // turn gives a kept turn, or nil.
 func (l *memoryLedger) turn(id string) *protocol.Turn {
 	l.mutex.Lock()
--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -57,9 +57,11 @@
 	session string
 	// previous is the request id of the turn continued.
 	previous string
-	budget   uint64
-	most     uint32
-	left     time.Duration
+	// step is the training step that a turn generates for.
+	step   string
+	budget uint64
+	most   uint32
+	left   time.Duration
 }
 
 // takeIn finds the route and reads the request within the bounds of the bundle in force.
@@ -126,6 +128,9 @@
 	if route.GetStateful() && taken.program == "" {
 		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "a turn of this route must name its program", failure.WithPath("program"))
 	}
+	if err := a.readStep(taken, header, route); err != nil {
+		return nil, err
+	}
 	taken.left = a.timeFor(header, route) - waited
 	if taken.left <= 0 {
 		return nil, failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the caller's time is over")
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -26,7 +26,7 @@
 	request := &protocol.TurnRequest{
 		RequestId: taken.id, Tenant: routedTenant, Program: taken.program, Session: taken.session, MaxOutputTokens: taken.most,
 		TimeLeftMillis: uint32(taken.left.Milliseconds()), ProgramBudget: taken.budget, Ingress: a.service.name,
-		FirstSend: true, Http: taken.http,
+		FirstSend: true, Http: taken.http, TrainingStep: taken.step,
 	}
 	request.Input = []*protocol.Item{{Data: taken.http.GetBody()}}
 	taken.http.Body = nil
@@ -179,7 +179,7 @@
 	}
 	switch code {
 	case failure.BudgetSpent, failure.TurnMissing, failure.UnknownRoute, failure.HeaderTooLarge,
-		failure.BodyTooLarge, failure.InvalidBody, failure.InvalidField:
+		failure.BodyTooLarge, failure.InvalidBody, failure.InvalidField, failure.StepMismatch:
 		return code.Status()
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -69,6 +69,7 @@
 	client       *backEndClient
 	routes       *routeClient
 	models       *groupModels
+	pins         *stepPins
 	admission    *admission
 	sessions     *sessions
 	explanations *explanations
@@ -102,6 +103,7 @@
 		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout),
 		routes:    newRouteClient(options.Dialect, options.Clock),
 		models:    newGroupModels(),
+		pins:      newStepPins(options.Clock),
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
 		explanations: newExplanations(options.Clock, options.Self.GetName()),
 		stopped:      make(chan struct{}),
--- /dev/null
+++ b/internal/front/steprig_test.go
@@ -0,0 +1,147 @@
+package front_test
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	stepModel = "advisor"
+	stepName  = "run-1/step-7"
+)
+
+// weightsServer is a server of HTTP routes whose weights change under it, as a roll-out does.
+type weightsServer struct {
+	*standIn
+	weights atomic.Uint64
+	// ran counts the generations that it did not refuse.
+	ran atomic.Int32
+}
+
+// weightsServer adds a server that announces and has a version. It refuses requests that expect another one.
+func (r *rig) weightsServer(id string, version uint64) *weightsServer {
+	return r.weightsServerWith(id, version, func(server *weightsServer, writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(words.WeightVersions, strconv.FormatUint(server.weights.Load(), 10))
+		turnServer(writer, request)
+	})
+}
+
+// weightsServerWith adds a server with an answer of its own to what it does not refuse.
+func (r *rig) weightsServerWith(id string, version uint64, answer func(*weightsServer, http.ResponseWriter, *http.Request)) *weightsServer {
+	server := &weightsServer{}
+	server.weights.Store(version)
+	server.standIn = r.server(id, func(writer http.ResponseWriter, request *http.Request) {
+		expected := request.Header.Get(words.ExpectedWeights)
+		if expected != "" && expected != strconv.FormatUint(server.weights.Load(), 10) {
+			refuseWith(http.StatusMisdirectedRequest, "")(writer, request)
+			return
+		}
+		server.ran.Add(1)
+		answer(server, writer, request)
+	})
+	r.announceWeights(id, version)
+	return server
+}
+
+// announceWeights changes the version that a server announces.
+func (r *rig) announceWeights(id string, version uint64) {
+	r.changeServer(id, func(server *protocol.BackEnd) {
+		server.Models = []string{stepModel}
+		server.ModelVersions = map[string]uint64{stepModel: version}
+	})
+}
+
+// stepTurn is a generation of the step, in a program of its own.
+func stepTurn(id string) routed {
+	return stepTurnOf(stepName, id)
+}
+
+func stepTurnOf(step, id string) routed {
+	return routed{target: turnPath, body: "input", headers: with(words.RequestID, id, words.Program, "p-"+id,
+		words.TokenUsage, "10,8", words.TrainingStep, step)}
+}
+
+// onStream makes a turn one of the route that keeps nothing.
+func onStream(sent routed) routed {
+	sent.target = streamPath
+	return sent
+}
+
+// generate sends a generation that must be answered whole.
+func (n *node) generate(sent routed) routedAnswer {
+	GinkgoHelper()
+	got := n.route(sent)
+	Expect(got.status).To(Equal(http.StatusOK), got.body)
+	Expect(got.broken).NotTo(HaveOccurred())
+	return got
+}
+
+// expectUnavailable checks an answer that says that the step's version is nowhere.
+func expectUnavailable(got routedAnswer) {
+	GinkgoHelper()
+	Expect(got.status).To(Equal(http.StatusServiceUnavailable), got.body)
+	Expect(got.body).To(HavePrefix("step_version_unavailable: "))
+	Expect(got.header).To(HaveKeyWithValue("Retry-After", []string{"1.000"}))
+}
+
+// tracedRequest is what the ledger heard at the end of a request.
+type tracedRequest struct {
+	versions  []uint64
+	completed bool
+	tokens    uint64
+}
+
+// generations are those of a program of a step on one version.
+type generations struct{ version, completed, discarded uint64 }
+
+// generations gives what the ledger counted for a program.
+func (l *memoryLedger) generations(program string) []generations {
+	var counted []generations
+	for _, each := range l.program(program).GetTrainingStep().GetGenerations() {
+		counted = append(counted, generations{each.GetWeightVersion(), each.GetCompleted(), each.GetDiscarded()})
+	}
+	return counted
+}
+
+// traceLedger notes what the ledger hears of each request's end.
+func (r *rig) traceLedger() func(id string) tracedRequest {
+	operations := make(chan *protocol.LedgerOperation, 4096)
+	r.ledger.intercept = func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+		operations <- operation
+		return nil
+	}
+	traced := make(map[string]tracedRequest)
+	return func(id string) tracedRequest {
+		for len(operations) > 0 {
+			operation := <-operations
+			if settle := operation.GetSettleTurn(); settle != nil {
+				traced[settle.GetRequestId()] = tracedRequest{versions: settle.GetWeightVersions(), completed: true, tokens: settle.GetTokens()}
+			}
+			if release := operation.GetReleaseTurn(); release != nil {
+				traced[release.GetRequestId()] = tracedRequest{
+					versions: release.GetWeightVersions(), completed: release.GetCompleted(), tokens: release.GetTokens(),
+				}
+			}
+		}
+		return traced[id]
+	}
+}
+
+// streamNaming streams a head that names a version, then these blocks.
+func streamNaming(writer http.ResponseWriter, request *http.Request, version string, blocks ...string) {
+	if version != "" {
+		writer.Header().Set(words.WeightVersions, version)
+	}
+	streamHead(writer, request)
+	for _, block := range blocks {
+		_, _ = io.WriteString(writer, block)
+		writer.(http.Flusher).Flush()
+	}
+}
--- /dev/null
+++ b/internal/front/stepturn.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/trainingstep"
+	"github.com/rosestand/rosestand/internal/turn"
+)
+
+const (
+	trainingStepPath = "training_step"
+	// refusedVersionLife is how long a server's word that it has not a version goes before its announcement, which
+	// may be older than the word.
+	refusedVersionLife = 5 * time.Second
+	// unboundedBudget stands for the budget of a program of a training step that is told none.
+	unboundedBudget = math.MaxInt64
+)
+
+// readStep reads the training step of a turn. Calls belong to none, whatever their headers say.
+func (a *routeAPI) readStep(taken *takenRequest, header http.Header, route *protocol.HttpRoute) error {
+	if a.dialect.TrainingStep == "" || route.GetKind() != protocol.HttpRouteKind_HTTP_STREAMING {
+		return nil
+	}
+	values := header[a.dialect.TrainingStep]
+	if len(values) == 0 {
+		return nil
+	}
+	if len(values) > 1 {
+		return invalidField(trainingStepPath, "must be named once")
+	}
+	if err := trainingstep.CheckName(values[0]); err != nil {
+		return invalidField(trainingStepPath, err.Error())
+	}
+	if taken.program == "" {
+		return failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "a turn of a training step must name its program", failure.WithPath("program"))
+	}
+	taken.step = values[0]
+	return nil
+}
+
+// routedBudget is the budget that a turn opens its program with.
+func routedBudget(request *protocol.TurnRequest) uint64 {
+	if request.GetTrainingStep() != "" && request.GetProgramBudget() == 0 {
+		return unboundedBudget
+	}
+	return request.GetProgramBudget()
+}
+
+// resolveStep finds the version of the turn's step, and ends the turn at once when no server has it.
+func (r *turnRun) resolveStep(step string) turn.Event {
+	pin, refused := r.service.resolveStep(r.ctx, step, r.route.GetGroup())
+	if refused != nil {
+		r.explanation.step("training step refused", step+": "+refused.GetMessage())
+		return turn.StepNotResolved{Failure: refused}
+	}
+	r.pin = pin
+	r.explanation.step("training step", fmt.Sprintf("%s, pinned to version %d of model %s", step, pin.version, pin.model))
+	if !r.service.backEnds.Load().hasVersion(r.route.GetGroup(), pin, r.now()) {
+		return turn.StepNotResolved{Failure: r.versionUnavailable().Failure}
+	}
+	return turn.StepResolved{WeightVersion: pin.version}
+}
+
+func (r *turnRun) versionUnavailable() turn.NotChosen {
+	r.explanation.step("no back end", fmt.Sprintf("version %d", r.pin.version))
+	return turn.NotChosen{Failure: versionUnavailable(
+		fmt.Sprintf("no server of group %s has version %d of model %s", r.route.GetGroup(), r.pin.version, r.pin.model))}
+}
+
+// announcements are what the ready servers of a group say of their weights.
+func (b *backEnds) announcements(group string) []trainingstep.Announcement {
+	var all []trainingstep.Announcement
+	for _, server := range b.byGroup[group] {
+		if !server.draining.Load() {
+			all = append(all, server.description.Load().GetModelVersions())
+		}
+	}
+	return all
+}
+
+// hasVersion reports whether a ready server of a group has the version of a pin.
+func (b *backEnds) hasVersion(group string, pin *stepPin, now time.Time) bool {
+	return slices.ContainsFunc(b.byGroup[group], func(server *backEnd) bool {
+		return !server.draining.Load() && pin.isAt(server, now)
+	})
+}
+
+// isAt reports whether a server has the pinned version, as far as is known.
+func (p *stepPin) isAt(server *backEnd, now time.Time) bool {
+	return server.description.Load().GetModelVersions()[p.model] == p.version && !server.hasRefused(p.version, now)
+}
+
+// divide parts the servers that have the pinned version from the others.
+func (p *stepPin) divide(servers []*backEnd, now time.Time) (having, others []*backEnd) {
+	for _, server := range servers {
+		if p.isAt(server, now) {
+			having = append(having, server)
+		} else {
+			others = append(others, server)
+		}
+	}
+	return having, others
+}
+
+// refuseVersion notes that the server said that it has not a version.
+func (b *backEnd) refuseVersion(version uint64, now time.Time) {
+	b.mutex.Lock()
+	b.refusedVersion, b.refusedUntil = version, now.Add(refusedVersionLife)
+	b.mutex.Unlock()
+}
+
+func (b *backEnd) hasRefused(version uint64, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.refusedVersion == version && now.Before(b.refusedUntil)
+}
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -26,6 +26,8 @@
 	incarnation uint64
 	deadline    time.Time
 	machine     *turn.Machine
+	// pin is the version that a turn of a training step keeps to; nil for other turns.
+	pin         *stepPin
 	explanation *explanation
 
 	began      time.Time
@@ -158,6 +160,9 @@
 		fault = &backEndError{fault: turn.FaultBroken, detail: err.Error()}
 	}
 	r.server.record(fault.outcome(), r.now())
+	if fault.fault == turn.FaultWrongVersion {
+		r.server.refuseVersion(r.pin.version, r.now())
+	}
 	if fault.fault == turn.FaultRefused {
 		r.service.admission.record(r.route.GetGroup(), limit.Sample{Refused: true})
 	}
@@ -179,6 +184,8 @@
 
 func (r *turnRun) execute(command turn.Command) turn.Event {
 	switch command := command.(type) {
+	case turn.ResolveStep:
+		return r.resolveStep(command.Step)
 	case turn.Claim:
 		return turn.Claimed{Result: r.claim(command.Operation)}
 	case turn.ReadHistory:
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -104,8 +104,12 @@
 func (r *turnRun) choose(avoid []string) turn.Event {
 	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), name: r.route.GetModel()}, r.key, avoid)
 	wanted.prompt, wanted.output = promptOf(r.request.GetHttp()), uint64(r.request.GetMaxOutputTokens())
+	wanted.pin = r.pin
 	server, decision := r.service.choose(wanted)
 	r.explanation.decided(decision)
+	if server == nil && r.pin != nil {
+		return r.versionUnavailable()
+	}
 	if r.arm.shadow != nil && r.request.GetHttp() == nil {
 		r.service.chooseShadow(r.arm.shadow, wanted, r.request.GetTenant(), r.route, r.explanation)
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -149,6 +149,8 @@
 	ReasonLower      = "lower in the order"
 	ReasonFull       = "no free slot"
 	ReasonNotSampled = "not sampled"
+	// ReasonOtherVersion is for turns of training steps.
+	ReasonOtherVersion = "has not the training step's version of the weights"
 )
 
 // Choose places one request. Random is used by power of two choices only.
--- a/internal/turn/trainingstep.go
+++ b/internal/turn/trainingstep.go
@@ -1,11 +1,11 @@
 package turn
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -17,6 +17,8 @@
 
 const (
 	stepPath = "training_step"
+	// statusOK is the HTTP status of an answer that is no error.
+	statusOK = 200
 	// stepRetry is told when no server has the step's version: a server is started or given its weights in some seconds.
 	stepRetry = time.Second
 )
@@ -66,19 +68,26 @@
 	if !m.isOfStep() {
 		return true
 	}
+	m.noteVersions(named)
+	isOther := func(version uint64) bool { return version != m.step.pinned }
+	return len(named) > 0 && !slices.ContainsFunc(named, isOther)
+}
+
+// noteVersions remembers what the server named, as much as the ledger takes.
+func (m *Machine) noteVersions(named []uint64) {
 	for _, version := range named {
-		if count := len(m.step.seen); count == 0 || m.step.seen[count-1] != version {
+		count := len(m.step.seen)
+		if count < ledger.MaximumWeightVersions && (count == 0 || m.step.seen[count-1] != version) {
 			m.step.seen = append(m.step.seen, version)
 		}
 	}
-	isOther := func(version uint64) bool { return version != m.step.pinned }
-	return len(named) > 0 && !slices.ContainsFunc(named, isOther)
 }
 
 // takesWhole reports whether an answer that is no stream may be passed on. One
 // that reports an error is no generation, whatever it names.
 func (m *Machine) takesWhole(answer AnsweredWhole) bool {
-	if answer.Answer.GetStatus() != http.StatusOK {
+	if answer.Answer.GetStatus() != statusOK {
+		m.noteVersions(answer.WeightVersions)
 		return true
 	}
 	m.step.whole = m.keepsVersion(answer.WeightVersions)
--- a/internal/turn/trainingstep_test.go
+++ b/internal/turn/trainingstep_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/turn"
 )
@@ -164,6 +165,18 @@
 	}
 }
 
+func TestTheLedgerHearsOfNoMoreVersionsThanItTakes(t *testing.T) {
+	var named []uint64
+	for version := range uint64(100) {
+		named = append(named, pinnedVersion, version+100)
+	}
+	s := newStepScript(false).on("issue", headOf(named...)).run()
+	wantFailure(t, s, failure.StepVersionChanged, protocol.Outcome_RAN)
+	if heard := s.released().GetWeightVersions(); len(heard) != ledger.MaximumWeightVersions || !slices.Contains(heard, 100) {
+		t.Fatalf("heard %v", heard)
+	}
+}
+
 func TestAServerWithOtherWeightsCostsNoRetry(t *testing.T) {
 	moved := turn.BackEndFailed{Fault: turn.FaultWrongVersion, Detail: "421"}
 	s := newStepScript(false).on("choose", turn.Chosen{BackEnd: "b1"}, turn.Chosen{BackEnd: "b2"}).on("issue", moved).run()
