Decide where and when generations of training steps run beside live requests

What: two rules without I/O. A choice of server by the tokens outstanding for each slot (prompts still to read and output still to come of the front node's own generations, other requests at the mean size, less what is cached), in internal/schedule. A gate and places in internal/trainingstep: generations of a step go in order behind live requests of every class, take three quarters of a server's slots at most and a quarter while live requests are there, and one goes on after 2 s however busy the fleet is. Nothing uses them yet.

Why: requests are no measure of work where a long probe is many short exchanges, and a flood of generations must not cost live sessions their deadlines.

A property of the gate: each ticket is decided once, none waits for ever, and while live requests wait at most one runs that was let in meanwhile.

--- /dev/null
+++ b/internal/schedule/outstanding.go
@@ -0,0 +1,74 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+)
+
+// StepWork is set for a generation of a training step, which goes to the server
+// with the least work outstanding. Requests are no measure of that: a long
+// probe is many times the work of a short exchange.
+type StepWork struct {
+	// PromptTokens is the length of the prompt, and OutputTokens the most that is generated.
+	PromptTokens uint64
+	OutputTokens uint64
+}
+
+// leastOutstanding takes the candidate that would have the least work for each
+// of its slots with the request: what the front node's own generations of
+// steps have still to read and to generate there, the other requests that are
+// known to be there, and the request without what the server has cached. Servers
+// whose places for steps are taken come last; ties go by the request's own order.
+func (d *Decision) leastOutstanding(request Request, candidates []*Candidate) {
+	unit := tokensOfRequest(request.Step, candidates)
+	order := rank(request.AffinityKey, candidates)
+	slices.SortStableFunc(order, func(a, b *Candidate) int {
+		if byPlace := compareFull(a, b); byPlace != 0 {
+			return byPlace
+		}
+		return cmp.Compare(a.workWith(request.Step, unit), b.workWith(request.Step, unit))
+	})
+	d.take(order[0], order[0].workWith(request.Step, unit))
+	for _, candidate := range order[1:] {
+		reason := ReasonLower
+		if candidate.hasNoStepPlace() {
+			reason = ReasonNoStepPlace
+		}
+		d.pass(candidate, candidate.workWith(request.Step, unit), reason)
+	}
+}
+
+// compareFull puts servers with a place before those without.
+func compareFull(a, b *Candidate) int {
+	switch {
+	case a.hasNoStepPlace() == b.hasNoStepPlace():
+		return 0
+	case a.hasNoStepPlace():
+		return 1
+	default:
+		return -1
+	}
+}
+
+func (c *Candidate) hasNoStepPlace() bool { return c.Steps >= c.StepPlaces }
+
+// tokensOfRequest is what a request of which nothing is known counts for: the
+// mean of the generations under way, or the request at hand when there is none.
+func tokensOfRequest(work *StepWork, candidates []*Candidate) float64 {
+	tokens, steps := 0.0, 0.0
+	for _, candidate := range candidates {
+		tokens += float64(candidate.StepTokens)
+		steps += float64(candidate.Steps)
+	}
+	if steps == 0 {
+		return float64(work.PromptTokens + work.OutputTokens)
+	}
+	return tokens / steps
+}
+
+// workWith is the work outstanding for each slot, in tokens, with the request at the server.
+func (c *Candidate) workWith(work *StepWork, unit float64) float64 {
+	others := max(0, c.requests()-float64(c.Steps))
+	own := work.OutputTokens + work.PromptTokens - min(work.PromptTokens, c.CachedTokens)
+	return (float64(c.StepTokens) + others*unit + float64(own)) / candidateSlots(c)
+}
--- a/internal/schedule/policies.go
+++ b/internal/schedule/policies.go
@@ -14,6 +14,10 @@
 
 // place runs the policy; candidates is never empty.
 func (d *Decision) place(request Request, candidates []*Candidate, random *rand.Rand) {
+	if request.Step != nil {
+		d.leastOutstanding(request, candidates)
+		return
+	}
 	switch request.Algorithm {
 	case protocol.SchedulingAlgorithm_LEAST_LOADED:
 		d.leastLoaded(request, candidates)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -64,6 +64,14 @@
 	CacheTokens uint64
 	// Slowness is the factor by which the server is slower than its group; zero means 1.
 	Slowness float64
+
+	// The rest matters to generations of training steps alone.
+
+	// Steps counts this front node's own generations of steps at the server, and StepPlaces how many it may have there.
+	Steps      uint32
+	StepPlaces uint32
+	// StepTokens is what those have still to read of their prompts and may still generate.
+	StepTokens uint64
 }
 
 // Load is the relative load: requests at the server by its capacity and weight.
@@ -118,6 +126,8 @@
 	OutputTokens uint64
 	// Profile is what the group's servers take for their work.
 	Profile Profile
+	// Step is set for a generation of a training step, whatever the algorithm.
+	Step *StepWork
 }
 
 // Score is one candidate's place in a decision.
@@ -149,7 +159,8 @@
 	ReasonLower      = "lower in the order"
 	ReasonFull       = "no free slot"
 	ReasonNotSampled = "not sampled"
-	// ReasonOtherVersion is for turns of training steps.
+	// ReasonNoStepPlace and ReasonOtherVersion are for turns of training steps.
+	ReasonNoStepPlace  = "no place for a training step"
 	ReasonOtherVersion = "has not the training step's version of the weights"
 )
 
--- /dev/null
+++ b/internal/trainingstep/gate_test.go
@@ -0,0 +1,152 @@
+package trainingstep_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosestand/rosestand/internal/trainingstep"
+)
+
+var start = time.Unix(1000, 0)
+
+// idsOf are the tickets with a verdict, in order.
+func idsOf(decisions []trainingstep.Decision, verdict trainingstep.Verdict) []uint64 {
+	var ids []uint64
+	for _, decision := range decisions {
+		if decision.Verdict == verdict {
+			ids = append(ids, decision.ID)
+		}
+	}
+	return ids
+}
+
+func TestAGateLetsInWhatTheServersTakeInOrder(t *testing.T) {
+	gate, room := &trainingstep.Gate{}, trainingstep.Room{Places: 2}
+	var ran []uint64
+	for id := range uint64(4) {
+		ran = append(ran, idsOf(gate.Enter(trainingstep.Ticket{ID: id}, room, start), trainingstep.Run)...)
+	}
+	if !slices.Equal(ran, []uint64{0, 1}) {
+		t.Fatalf("ran %v", ran)
+	}
+	if next := idsOf(gate.Leave(room, start), trainingstep.Run); !slices.Equal(next, []uint64{2}) {
+		t.Fatalf("then %v", next)
+	}
+}
+
+func TestLiveRequestsGoFirstAndAStepGoesOnAllTheSame(t *testing.T) {
+	gate, busy := &trainingstep.Gate{}, trainingstep.Room{Places: 8, LiveWaits: true}
+	for id := range uint64(3) {
+		if decisions := gate.Enter(trainingstep.Ticket{ID: id}, busy, start); len(decisions) > 0 {
+			t.Fatalf("%v before a live request that waits", decisions)
+		}
+	}
+	if wake := gate.NextWake(); !wake.Equal(start.Add(trainingstep.Patience)) {
+		t.Fatalf("wakes at %v", wake)
+	}
+	now := start.Add(trainingstep.Patience)
+	if ran := idsOf(gate.Dispatch(busy, now), trainingstep.Run); !slices.Equal(ran, []uint64{0}) {
+		t.Fatalf("ran %v", ran)
+	}
+	if ran := gate.Dispatch(busy, now.Add(time.Second)); len(ran) > 0 {
+		t.Fatalf("%v beside one that runs", ran)
+	}
+	if ran := idsOf(gate.Leave(busy, now.Add(time.Second)), trainingstep.Run); !slices.Equal(ran, []uint64{1}) {
+		t.Fatalf("then %v", ran)
+	}
+	late := idsOf(gate.Dispatch(busy, start.Add(trainingstep.MaxWait)), trainingstep.RefuseLate)
+	if !slices.Equal(late, []uint64{2}) {
+		t.Fatalf("late %v", late)
+	}
+}
+
+func TestAGateRefusesWhatItCannotHold(t *testing.T) {
+	gate, none := &trainingstep.Gate{}, trainingstep.Room{}
+	for id := range uint64(trainingstep.MaxWaiting) {
+		if decisions := gate.Enter(trainingstep.Ticket{ID: id}, none, start); len(decisions) > 0 {
+			t.Fatalf("decided %v", decisions)
+		}
+	}
+	full := gate.Enter(trainingstep.Ticket{ID: trainingstep.MaxWaiting}, none, start)
+	if !slices.Equal(idsOf(full, trainingstep.RefuseFull), []uint64{trainingstep.MaxWaiting}) {
+		t.Fatalf("decided %v", full)
+	}
+	if !gate.Cancel(0) || gate.Cancel(0) || gate.Waiting() != trainingstep.MaxWaiting-1 {
+		t.Fatal("a cancelled ticket waits on")
+	}
+}
+
+func TestEachTicketIsDecidedOnceAndNoneWaitsForEver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gate, now, next := &trainingstep.Gate{}, start, uint64(0)
+		entered, decided, running := map[uint64]time.Time{}, map[uint64]bool{}, 0
+		take := func(decisions []trainingstep.Decision) {
+			for _, decision := range decisions {
+				if decided[decision.ID] {
+					t.Fatalf("ticket %d was decided twice", decision.ID)
+				}
+				decided[decision.ID] = true
+				if decision.Verdict == trainingstep.Run {
+					running++
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			room := trainingstep.Room{Places: rapid.IntRange(0, 3).Draw(t, "places"), LiveWaits: rapid.Bool().Draw(t, "live")}
+			before := running
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				entered[next] = now
+				take(gate.Enter(trainingstep.Ticket{ID: next}, room, now))
+				next++
+			case 2:
+				if running > 0 {
+					running--
+					before--
+					take(gate.Leave(room, now))
+				}
+			default:
+				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "passed")) * time.Millisecond)
+				take(gate.Dispatch(room, now))
+			}
+			if most := max(before, room.Places, 1); running > most {
+				t.Fatalf("%d run where %d may", running, most)
+			}
+			if room.LiveWaits && running > max(before, 1) {
+				t.Fatalf("%d let in while live requests wait", running-before)
+			}
+		}
+		take(gate.Dispatch(trainingstep.Room{}, now.Add(trainingstep.MaxWait)))
+		if len(decided) != len(entered) {
+			t.Fatalf("%d of %d decided", len(decided), len(entered))
+		}
+	})
+}
+
+func TestPlacesLeaveLiveRequestsTheirSlots(t *testing.T) {
+	cases := map[string]struct {
+		server trainingstep.ServerPlaces
+		fronts int
+		waits  bool
+		want   int
+	}{
+		"an idle server":                   {trainingstep.ServerPlaces{Slots: 16}, 1, false, 12},
+		"live requests run there":          {trainingstep.ServerPlaces{Slots: 16, Requests: 2, Live: 2}, 1, false, 4},
+		"live requests wait":               {trainingstep.ServerPlaces{Slots: 16}, 1, true, 4},
+		"other front nodes":                {trainingstep.ServerPlaces{Slots: 16}, 3, false, 4},
+		"many other front nodes":           {trainingstep.ServerPlaces{Slots: 16}, 330, false, 1},
+		"others fill it":                   {trainingstep.ServerPlaces{Slots: 16, Requests: 12}, 330, false, 0},
+		"others leave one place":           {trainingstep.ServerPlaces{Slots: 16, Requests: 11}, 1, false, 1},
+		"own generations are not others":   {trainingstep.ServerPlaces{Slots: 16, Requests: 12, Steps: 12}, 1, false, 12},
+		"unknown slots stand for 8":        {trainingstep.ServerPlaces{}, 1, false, 6},
+		"a small server still takes a one": {trainingstep.ServerPlaces{Slots: 2}, 1, true, 1},
+	}
+	for name, c := range cases {
+		if got := trainingstep.Places(c.server, c.fronts, c.waits); got != c.want {
+			t.Errorf("%s: %d, not %d", name, got, c.want)
+		}
+	}
+}
