Spread generations of training steps by work and keep live turns their slots

What: generations of steps wait at a gate of their own for each version instead of in the queues of live requests: they take up to three quarters of a server's slots, a quarter while a live turn of this front node is there, and none while a live turn waits, but one goes on after 2 s. They go to the server with the fewest tokens outstanding for each slot, with rank 9. They take nothing from the retry budget of live requests, and their latency, refusals and ends teach neither the concurrency limit nor the models of a group nor the arms of a roll-out. Counters of pins, refusals by code and generations by outcome.

Why: a flood of generations must not cost live sessions their turn deadlines, nor long probes pile up at one server.

Found on the way: a generation counted as a live request between its end at the server and the end of its stream, which closed the gate until the next look (half a second); work and request now end together. Reports include own generations, so that others are counted against what was there at the report.

How shown: stories in internal/front/stepbalance_test.go: 20 live turns answered without the clock moving while 40 generations fill their 12 places, a quarter beside a live turn, live turns that wait first, refusals with Retry-After, the spread by work.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -35,6 +35,8 @@
 	waiting  map[uint64]chan limit.Decision
 	nextID   uint64
 	alarmSet time.Time
+	// steps lets generations of training steps in, behind the requests of the lanes.
+	steps *stepGates
 }
 
 func newAdmission(clock Clock) *admission {
@@ -45,6 +47,7 @@
 		retries:  limit.NewRetryBudget(0),
 		tenants:  make(map[string]*tenantBuckets),
 		waiting:  make(map[uint64]chan limit.Decision),
+		steps:    newStepGates(),
 	}
 }
 
@@ -66,6 +69,7 @@
 		for _, group := range a.groups() {
 			a.deliver(a.lanes[group].bound(ceilings[group]))
 		}
+		a.dispatchSteps("")
 	})
 }
 
@@ -123,6 +127,7 @@
 func (a *admission) leave(group string) {
 	a.post(func() {
 		a.deliver(a.lane(group).queue.Leave(a.clock.Now()))
+		a.dispatchSteps(group)
 	})
 }
 
@@ -212,7 +217,7 @@
 }
 
 func (a *admission) nextExpiry() time.Time {
-	var next time.Time
+	next := a.nextStepWake()
 	for _, held := range a.lanes {
 		if expiry := held.queue.NextExpiry(); !expiry.IsZero() && (next.IsZero() || expiry.Before(next)) {
 			next = expiry
@@ -226,6 +231,7 @@
 	for _, group := range a.groups() {
 		a.deliver(a.lanes[group].queue.Expire(a.clock.Now()))
 	}
+	a.dispatchSteps("")
 	a.setAlarm()
 }
 
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -34,6 +34,9 @@
 	// reportedAt is when the load was last reported, in Unix nanoseconds.
 	reportedAt atomic.Int64
 
+	// steps is what generations of training steps are there.
+	steps stepLoad
+
 	mutex   sync.Mutex
 	outlier schedule.Outlier
 	// refusedVersion is the version of the weights that the server last said it has not, believed until refusedUntil.
@@ -89,6 +92,7 @@
 		return
 	}
 	b.reportedAt.Store(now.UnixNano())
+	b.steps.atReport.Store(b.steps.count.Load())
 	for part := range strings.SplitSeq(header, ",") {
 		name, text, found := strings.Cut(strings.TrimSpace(part), "=")
 		if !found {
@@ -111,6 +115,7 @@
 
 // take takes in a load that was asked for.
 func (b *backEnd) take(report dialect.Report, now time.Time) {
+	b.steps.atReport.Store(b.steps.count.Load())
 	b.running.Store(report.Running)
 	b.queued.Store(report.Queued)
 	b.cacheUsed.Store(report.CacheUsed)
@@ -232,8 +237,8 @@
 	// prompt and output are those of a turn of an HTTP route.
 	prompt promptcache.Prompt
 	output uint64
-	// pin is set for a turn of a training step.
-	pin *stepPin
+	// step is set for a turn of a training step.
+	step *stepPlacement
 }
 
 // serversOf finds the servers of a group that serve a model or tool, or all of them when none is named.
@@ -255,12 +260,17 @@
 	}
 	servers := b.serversOf(p.key)
 	var others []*backEnd
-	if p.pin != nil {
-		servers, others = p.pin.divide(servers, now)
+	if p.step != nil {
+		servers, others = p.step.pin.divide(servers, now)
 	}
 	found := candidates(servers, group, now)
 	models.complete(&request, p.key.group, p.prompt, found, now)
 	request.OutputTokens = p.output
+	if p.step != nil {
+		request.Step = &p.step.work
+		used := schedule.Subset(p.front, policy.GetSubsetSize(), found)
+		b.completeSteps(found, frontsAt(p.step.fronts, len(used), len(found)))
+	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	decision := schedule.Choose(request, found, random)
 	for _, server := range others {
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -106,3 +106,15 @@
 
 // ShallowCopy gives a request whose own fields may be changed.
 func ShallowCopy(request *protocol.TurnRequest) *protocol.TurnRequest { return shallowCopy(request) }
+
+// WaitingLive is how many live requests wait for a slot of a group, and WaitingSteps how many generations of steps wait.
+func WaitingLive(service *Service, group string) (waiting int) {
+	service.admission.ask(func() { waiting = service.admission.lane(group).queue.WaitingInAll() })
+	return waiting
+}
+
+// WaitingSteps is how many generations of training steps wait for a place.
+func WaitingSteps(service *Service) (waiting int) {
+	service.admission.ask(func() { waiting = len(service.admission.steps.waiting) })
+	return waiting
+}
--- a/internal/front/groupmodels.go
+++ b/internal/front/groupmodels.go
@@ -147,6 +147,16 @@
 	return issued
 }
 
+// sentStep notes that the prompt of a generation of a training step goes to a server, and gives how much of it is cached there.
+func (m *groupModels) sentStep(group, server string, prompt promptcache.Prompt, now time.Time) (cached uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	model := m.group(group)
+	cached = model.cache.Cached(server, prompt)
+	model.cache.Sent(server, prompt, now)
+	return cached
+}
+
 // firstToken notes that the server has begun to generate.
 func (t *sentTurn) firstToken(now time.Time) {
 	m := t.models
--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -81,15 +81,13 @@
 func (r *turnRun) issueHTTP(command turn.Issue) turn.Event {
 	r.issuedAt = r.now()
 	r.explanation.step("issued", command.BackEnd)
-	r.server.inFlight.Add(1)
-	r.sent = r.service.models.sent(r.route.GetGroup(), r.server.id(), promptOf(r.request.GetHttp()), r.issuedAt)
+	r.noteSent(command.MaxTokens)
 	response, err := r.service.routes.send(r.ctx, routedRequest{
 		server: r.server, requestID: r.request.GetRequestId(), http: r.request.GetHttp(),
 		body: joinItems(command.Items), deadline: r.deadline, pin: r.pin,
 	})
 	if err != nil {
-		r.server.inFlight.Add(-1)
-		r.endSent(false)
+		r.leaveServer()
 		return r.issueFailed(err)
 	}
 	stream := newHTTPStream(response, r.request.GetHttp().GetEventTokens())
@@ -100,6 +98,19 @@
 	return nil
 }
 
+// noteSent tells the group's model that the turn goes to its server. A generation of a step counts by itself.
+func (r *turnRun) noteSent(mostTokens uint64) {
+	group, prompt := r.route.GetGroup(), promptOf(r.request.GetHttp())
+	if r.pin == nil {
+		r.server.inFlight.Add(1)
+		r.sent = r.service.models.sent(group, r.server.id(), prompt, r.issuedAt)
+		return
+	}
+	cached := r.service.models.sentStep(group, r.server.id(), prompt, r.issuedAt)
+	toRead := promptTokens(r.request.GetHttp(), prompt)
+	r.work = r.server.beginStep(toRead-min(toRead, cached), mostTokens)
+}
+
 // joinItems puts the bytes of a conversation together, oldest first.
 func joinItems(items []*protocol.Item) []byte {
 	size := 0
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -15,6 +15,10 @@
 	heartbeats    prometheus.Counter
 	shadowDiffers prometheus.Counter
 	loadSamples   *prometheus.CounterVec
+	// Counters of training steps.
+	stepPins        prometheus.Counter
+	stepRefusals    *prometheus.CounterVec
+	stepGenerations *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -39,6 +43,12 @@
 		shadowDiffers: prometheus.NewCounter(counter("shadow_differs_total", "Decisions on which the shadow bundle chose otherwise.")),
 	}
 	m.loadSamples = prometheus.NewCounterVec(counter("load_samples_total", "Load reports asked of back ends, by result."), []string{"result"})
+	m.stepPins = prometheus.NewCounter(counter("training_step_pins_total", "Pins of training steps that the ledger gave."))
+	m.stepRefusals = prometheus.NewCounterVec(counter("training_step_refusals_total",
+		"Generations of training steps that were refused as owner and not run, by code."), []string{"code"})
+	m.stepGenerations = prometheus.NewCounterVec(counter("training_step_generations_total",
+		"Generations of training steps that ran or may have run as owner: completed, or by code of the failure."), []string{"outcome"})
+	registerer.MustRegister(m.stepPins, m.stepRefusals, m.stepGenerations)
 	registerer.MustRegister(m.turns, m.calls, m.events, m.forwarded, m.retries, m.attemptFaults, m.firstToken,
 		m.inProgress, m.heartbeats, m.shadowDiffers, m.loadSamples)
 	return m
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,6 +111,7 @@
 		startedAt:    options.Clock.Now(),
 		hasBundle:    make(chan struct{}),
 	}
+	s.admission.steps.places = s.stepPlaces
 	s.heartbeats = newHeartbeats(options.Link, options.Clock, s.metrics)
 	s.viewChanged(options.Link.View())
 	options.Link.Subscribe(s.viewChanged)
@@ -149,6 +151,9 @@
 	return s.policies.Load().active.Group(group).GetEngine().GetCacheTokens()
 }
 
+// frontNodes is the number of front nodes of the fleet.
+func (s *Service) frontNodes() int { return int(math.Round(1 / *s.share.Load())) }
+
 func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
 func countFronts(view *protocol.MembershipView) int {
--- /dev/null
+++ b/internal/front/stepbalance_test.go
@@ -0,0 +1,215 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/trainingstep"
+)
+
+// longTimeoutMillis is the time-out of routes in stories in which something waits.
+const longTimeoutMillis = 60_000
+
+// heldServer answers live turns at once and holds generations of steps until the story lets them go.
+type heldServer struct {
+	*weightsServer
+	// holdLive is set to hold live turns too.
+	holdLive atomic.Bool
+
+	mutex sync.Mutex
+	held  []chan struct{}
+	// open lets all go that come.
+	open bool
+}
+
+func (r *rig) heldServer(id string, version uint64) *heldServer {
+	server := &heldServer{}
+	server.weightsServer = r.weightsServerWith(id, version, func(_ *weightsServer, writer http.ResponseWriter, request *http.Request) {
+		if server.holdLive.Load() || request.Header.Get(words.ExpectedWeights) != "" {
+			<-server.hold()
+		}
+		writer.Header().Set(words.WeightVersions, fmt.Sprint(version))
+		turnServer(writer, request)
+	})
+	DeferCleanup(server.openUp)
+	return server
+}
+
+func (s *heldServer) hold() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	until := make(chan struct{})
+	if s.open {
+		close(until)
+		return until
+	}
+	s.held = append(s.held, until)
+	return until
+}
+
+// steps counts the generations that are held.
+func (s *heldServer) steps() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.held)
+}
+
+// openUp lets all go, also those that come later.
+func (s *heldServer) openUp() {
+	s.mutex.Lock()
+	s.open = true
+	s.mutex.Unlock()
+	s.release(s.steps())
+}
+
+// release lets some generations go, the oldest first.
+func (s *heldServer) release(count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for range count {
+		close(s.held[0])
+		s.held = s.held[1:]
+	}
+}
+
+var _ = Describe("generations of a training step and live turns", func() {
+	var r *rig
+	var f1 *node
+
+	BeforeEach(func() {
+		r = newRouteRig()
+		r.changeBundle(func(active *protocol.Bundle) {
+			for _, route := range active.HttpRoutes {
+				route.TimeoutMillis = longTimeoutMillis
+			}
+		})
+		f1 = r.front("f1")
+		// Opened first, so that it is closed after the servers let all go.
+		f1.routeServer()
+	})
+
+	// flood sends generations that wait for their end.
+	flood := func(count int) []<-chan routedAnswer {
+		var answers []<-chan routedAnswer
+		for number := range count {
+			answers = append(answers, f1.routeAside(stepTurn(fmt.Sprint("flood", number))))
+		}
+		return answers
+	}
+
+	It("share a server so that live turns find a slot at once, and all generations run in the end", func() {
+		server := r.heldServer("s1", 4)
+		answers := flood(40)
+		Eventually(server.steps).Should(Equal(12), "three quarters of 16 slots")
+		Consistently(server.steps, "20ms").Should(Equal(12))
+		for number := range 20 {
+			id := fmt.Sprint("live", number)
+			f1.take(routedTurn{id: id, program: id, session: id, input: "x"})
+		}
+		for ran := 12; ran < 40; ran += 4 {
+			server.release(4)
+			Eventually(server.steps).Should(Equal(12))
+		}
+		server.release(12)
+		for _, answered := range answers {
+			Expect((<-answered).broken).NotTo(HaveOccurred())
+		}
+	})
+
+	It("share it so that a quarter is left to generations while live turns run", func() {
+		server := r.heldServer("s1", 4)
+		server.holdLive.Store(true)
+		live := f1.routeAside(routedTurn{id: "live", input: "x"}.sent())
+		Eventually(server.steps).Should(Equal(1))
+		flood(20)
+		Eventually(server.steps).Should(Equal(1 + 4))
+		Consistently(server.steps, "20ms").Should(Equal(1 + 4))
+		server.release(1)
+		Expect((<-live).broken).NotTo(HaveOccurred())
+		Eventually(func() int {
+			// A front node looks at its servers anew twice a second.
+			r.clock.advance(10 * time.Millisecond)
+			return server.steps()
+		}).Should(Equal(12), "once the live turn is over")
+	})
+
+	It("that wait for a slot go first, and a step goes on all the same", func() {
+		server := r.heldServer("s1", 4)
+		r.changeBundle(func(active *protocol.Bundle) {
+			active.Limits = &protocol.LimitPolicy{MaxConcurrent: 1, MaxQueued: 8, MaxQueueMillis: longTimeoutMillis}
+		})
+		begun, end := make(chan string, 2), make(chan struct{})
+		r.drainServer("s1")
+		r.server("s2", func(writer http.ResponseWriter, request *http.Request) {
+			begun <- request.Header.Get(words.RequestID)
+			<-end
+			turnServer(writer, request)
+		})
+		first := f1.routeAside(routedTurn{id: "live1", program: "p1", session: "c1", input: "x"}.sent())
+		Eventually(begun).Should(Receive(Equal("live1")))
+		second := f1.routeAside(routedTurn{id: "live2", program: "p2", session: "c2", input: "x"}.sent())
+		Eventually(func() int { return f1.waitingLive(routeGroup) }).Should(Equal(1))
+		r.changeServer("s1", func(server *protocol.BackEnd) { server.State = protocol.BackEndState_READY })
+		flood(5)
+		Consistently(server.steps, "20ms").Should(BeZero(), "a live turn waits")
+		r.clock.advance(trainingstep.Patience)
+		Eventually(server.steps).Should(Equal(1), "a step goes on")
+		Consistently(server.steps, "20ms").Should(Equal(1))
+		close(end)
+		Expect((<-first).broken).NotTo(HaveOccurred())
+		Expect((<-second).broken).NotTo(HaveOccurred())
+		Eventually(server.steps).Should(Equal(5))
+	})
+
+	It("are refused with the time to come back when no place becomes free", func() {
+		server := r.heldServer("s1", 4)
+		flood(12)
+		Eventually(server.steps).Should(Equal(12))
+		late := f1.routeAside(stepTurn("late"))
+		Eventually(func() int { return f1.waitingSteps() }).Should(Equal(1))
+		r.clock.advance(trainingstep.MaxWait)
+		got := <-late
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.body).To(HavePrefix("overloaded: "))
+		Expect(got.header).To(HaveKeyWithValue("Retry-After", []string{"1.000"}))
+	})
+
+	It("of which a caller leaves hold no place", func() {
+		server := r.heldServer("s1", 4)
+		flood(12)
+		Eventually(server.steps).Should(Equal(12))
+		sent := stepTurn("short")
+		sent.headers.Set(words.TimeLeft, "500")
+		left := f1.routeAside(sent)
+		Eventually(func() int { return f1.waitingSteps() }).Should(Equal(1))
+		r.clock.advance(500 * time.Millisecond)
+		Expect((<-left).status).To(Equal(http.StatusServiceUnavailable))
+		f1.routeAside(stepTurn("next"))
+		server.release(1)
+		Eventually(server.steps).Should(Equal(12))
+	})
+
+	It("are spread by the work that is outstanding, not by count", func() {
+		servers := []*heldServer{r.heldServer("s1", 4), r.heldServer("s2", 4)}
+		long := stepTurn("long")
+		long.headers.Set(words.TokenUsage, "6000,4000")
+		f1.routeAside(long)
+		Eventually(func() int { return servers[0].steps() + servers[1].steps() }).Should(Equal(1))
+		with, without := servers[0], servers[1]
+		if with.steps() == 0 {
+			with, without = without, with
+		}
+		for number := range 8 {
+			f1.routeAside(stepTurn(fmt.Sprint("short", number)))
+			Eventually(without.steps).Should(Equal(number + 1))
+		}
+		Expect(with.steps()).To(Equal(1))
+	})
+})
--- a/internal/front/steppins.go
+++ b/internal/front/steppins.go
@@ -135,6 +135,7 @@
 	case protocol.LedgerStatus_LEDGER_OK, protocol.LedgerStatus_LEDGER_STEP_MISMATCH:
 		// A step of another model may be one of the group's models all the same.
 		if pin := result.GetTrainingStepPin(); pin != nil {
+			s.metrics.stepPins.Inc()
 			return &stepPin{step: step, model: pin.GetModel(), version: pin.GetWeightVersion()}, nil
 		}
 		return nil, stepMismatch()
--- a/internal/front/steprig_test.go
+++ b/internal/front/steprig_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/rosestand/rosestand/internal/front"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -145,3 +146,8 @@
 		writer.(http.Flusher).Flush()
 	}
 }
+
+// waitingLive and waitingSteps are how many requests wait at a front node.
+func (n *node) waitingLive(group string) int { return front.WaitingLive(n.service, group) }
+
+func (n *node) waitingSteps() int { return front.WaitingSteps(n.service) }
--- a/internal/front/stepturn.go
+++ b/internal/front/stepturn.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/promptcache"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/schedule"
 	"github.com/rosestand/rosestand/internal/trainingstep"
 	"github.com/rosestand/rosestand/internal/turn"
 )
@@ -73,6 +75,41 @@
 		fmt.Sprintf("no server of group %s has version %d of model %s", r.route.GetGroup(), r.pin.version, r.pin.model))}
 }
 
+func (r *turnRun) isOfStep() bool { return r.request.GetTrainingStep() != "" }
+
+// stepGate names the servers that the turn may run at.
+func (r *turnRun) stepGate() stepGateKey {
+	return stepGateKey{group: r.route.GetGroup(), model: r.pin.model, version: r.pin.version}
+}
+
+// stepPlacement is what the choice of a server needs to know of a generation of a step; nil for other turns.
+func (r *turnRun) stepPlacement(prompt promptcache.Prompt) *stepPlacement {
+	if r.pin == nil {
+		return nil
+	}
+	return &stepPlacement{
+		pin: r.pin, fronts: r.service.frontNodes(),
+		work: schedule.StepWork{PromptTokens: promptTokens(r.request.GetHttp(), prompt), OutputTokens: routedCeiling(r.request)},
+	}
+}
+
+// countEnd counts the last event of a turn.
+func (r *turnRun) countEnd(event *protocol.TurnEvent) {
+	if !r.isOfStep() {
+		r.counters.finished(r.tokens, event.GetFailed())
+		return
+	}
+	f := event.GetFailed()
+	switch {
+	case f == nil:
+		r.service.metrics.stepGenerations.WithLabelValues("completed").Inc()
+	case f.GetOutcome() == protocol.Outcome_NOT_RUN:
+		r.service.metrics.stepRefusals.WithLabelValues(f.GetCode()).Inc()
+	default:
+		r.service.metrics.stepGenerations.WithLabelValues(f.GetCode()).Inc()
+	}
+}
+
 // announcements are what the ready servers of a group say of their weights.
 func (b *backEnds) announcements(group string) []trainingstep.Announcement {
 	var all []trainingstep.Announcement
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -34,7 +34,9 @@
 	history    []*protocol.Item
 	generation answerStream
 	// sent is the turn at its server as the group's model sees it; nil for turns of no HTTP route.
-	sent       *sentTurn
+	sent *sentTurn
+	// work is a generation of a training step at its server; nil for other turns.
+	work       *stepWork
 	server     *backEnd
 	issuedAt   time.Time
 	firstToken bool
@@ -123,7 +125,13 @@
 // noteTokens tells the group's model of the output that came.
 func (r *turnRun) noteTokens(event turn.Event) {
 	token, isToken := event.(turn.Token)
-	if r.sent == nil || !isToken {
+	if !isToken {
+		return
+	}
+	if r.work != nil {
+		r.work.generated(token.Tokens)
+	}
+	if r.sent == nil {
 		return
 	}
 	if r.sent.tokens == 0 {
@@ -134,6 +142,10 @@
 
 // endSent tells the group's model that the attempt is over.
 func (r *turnRun) endSent(whole bool) {
+	if r.work != nil {
+		r.work.end()
+		r.work = nil
+	}
 	if r.sent == nil {
 		return
 	}
@@ -147,11 +159,15 @@
 		return
 	}
 	r.firstToken = true
+	r.explanation.step("first token", r.server.id())
+	if r.isOfStep() {
+		// Steps wait behind live requests: their latency says nothing of how those are served.
+		return
+	}
 	now := r.now()
 	r.counters.firstToken(now.Sub(r.began))
 	r.service.metrics.firstToken.Observe(now.Sub(r.began).Seconds())
 	r.service.admission.record(r.route.GetGroup(), limit.Sample{Latency: now.Sub(r.issuedAt)})
-	r.explanation.step("first token", r.server.id())
 }
 
 func (r *turnRun) attemptFailed(err error) turn.Event {
@@ -163,7 +179,7 @@
 	if fault.fault == turn.FaultWrongVersion {
 		r.server.refuseVersion(r.pin.version, r.now())
 	}
-	if fault.fault == turn.FaultRefused {
+	if fault.fault == turn.FaultRefused && !r.isOfStep() {
 		r.service.admission.record(r.route.GetGroup(), limit.Sample{Refused: true})
 	}
 	r.service.metrics.attemptFaults.WithLabelValues(fault.fault.String()).Inc()
@@ -173,13 +189,21 @@
 }
 
 func (r *turnRun) closeGeneration() {
-	r.endSent(false)
 	if r.generation == nil {
+		r.endSent(false)
 		return
 	}
 	r.generation.close()
 	r.generation = nil
-	r.server.inFlight.Add(-1)
+	r.leaveServer()
+}
+
+// leaveServer notes that the attempt holds no slot of its server any more. A generation of a step left with its work.
+func (r *turnRun) leaveServer() {
+	r.endSent(false)
+	if r.pin == nil {
+		r.server.inFlight.Add(-1)
+	}
 }
 
 func (r *turnRun) execute(command turn.Command) turn.Event {
@@ -193,7 +217,7 @@
 	case turn.Admit:
 		return r.admit()
 	case turn.Leave:
-		r.service.admission.leave(r.route.GetGroup())
+		r.leave()
 	case turn.Reserve:
 		return r.reserve(command)
 	case turn.Choose:
@@ -233,7 +257,7 @@
 		r.explanation.step("completed", event.GetCompleted().GetTurnId())
 	}
 	if isTerminal(event) {
-		r.counters.finished(r.tokens, event.GetFailed())
+		r.countEnd(event)
 		if r.machine.Done() {
 			r.freeSession()
 		}
--- a/internal/front/turnsteps.go
+++ b/internal/front/turnsteps.go
@@ -44,7 +44,7 @@
 		r.explanation.step("not admitted", refused.GetMessage())
 		return turn.NotAdmitted{Failure: refused}
 	}
-	refused := r.service.admission.enter(r.ctx, r.route.GetGroup(), r.ticket())
+	refused := r.enter()
 	if refused != nil {
 		r.explanation.step("not admitted", refused.GetMessage())
 		return turn.NotAdmitted{Failure: refused}
@@ -53,6 +53,23 @@
 	return turn.Admitted{}
 }
 
+// enter waits for a slot, or for a place of a training step.
+func (r *turnRun) enter() *protocol.Failure {
+	if r.pin != nil {
+		return r.service.admission.enterStep(r.ctx, r.stepGate(), r.deadline)
+	}
+	return r.service.admission.enter(r.ctx, r.route.GetGroup(), r.ticket())
+}
+
+// leave gives back what enter gave.
+func (r *turnRun) leave() {
+	if r.pin != nil {
+		r.service.admission.leaveStep(r.stepGate())
+		return
+	}
+	r.service.admission.leave(r.route.GetGroup())
+}
+
 // refuseUnreachable refuses a turn that needs the ledger while that is out of reach.
 func (r *turnRun) refuseUnreachable() *protocol.Failure {
 	if !r.machine.IsLedgered() {
@@ -104,7 +121,7 @@
 func (r *turnRun) choose(avoid []string) turn.Event {
 	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), name: r.route.GetModel()}, r.key, avoid)
 	wanted.prompt, wanted.output = promptOf(r.request.GetHttp()), uint64(r.request.GetMaxOutputTokens())
-	wanted.pin = r.pin
+	wanted.step = r.stepPlacement(wanted.prompt)
 	server, decision := r.service.choose(wanted)
 	r.explanation.decided(decision)
 	if server == nil && r.pin != nil {
@@ -147,7 +164,8 @@
 }
 
 func (r *turnRun) askRetry() turn.Event {
-	granted := r.service.admission.retry()
+	// Steps take nothing out of the budget of live requests; how often they are sent is bounded for each turn.
+	granted := r.pin != nil || r.service.admission.retry()
 	if granted {
 		r.service.metrics.retries.Inc()
 	}
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -158,6 +158,15 @@
 // Waiting is the number of tickets that wait in a class.
 func (q *Queue) Waiting(class protocol.Priority) int { return q.class(class).count }
 
+// WaitingInAll is the number of tickets that wait in all classes.
+func (q *Queue) WaitingInAll() int {
+	total := 0
+	for _, class := range q.classes {
+		total += class.count
+	}
+	return total
+}
+
 func (q *Queue) class(class protocol.Priority) *classQueue {
 	for _, candidate := range q.classes {
 		if candidate.class == class {
--- a/internal/schedule/outstanding.go
+++ b/internal/schedule/outstanding.go
@@ -68,7 +68,6 @@
 
 // workWith is the work outstanding for each slot, in tokens, with the request at the server.
 func (c *Candidate) workWith(work *StepWork, unit float64) float64 {
-	others := max(0, c.requests()-float64(c.Steps))
 	own := work.OutputTokens + work.PromptTokens - min(work.PromptTokens, c.CachedTokens)
-	return (float64(c.StepTokens) + others*unit + float64(own)) / candidateSlots(c)
+	return (float64(c.StepTokens) + float64(c.Others())*unit + float64(own)) / candidateSlots(c)
 }
--- a/internal/schedule/outstanding_test.go
+++ b/internal/schedule/outstanding_test.go
@@ -178,6 +178,10 @@
 			func(c *schedule.Candidate) { c.Running = 3 },
 			func(c *schedule.Candidate) { c.InFlight, c.Steps, c.StepTokens = 1, 1, 100 }, "s2",
 		},
+		"own generations in a report": {
+			func(c *schedule.Candidate) { c.Running, c.StepsAtReport, c.StepTokens = 5, 5, 100 },
+			func(c *schedule.Candidate) { c.InFlight, c.Steps, c.StepTokens = 1, 1, 300 }, "s1",
+		},
 		"twice the slots": {
 			func(c *schedule.Candidate) { c.InFlight, c.Steps, c.StepTokens = 1, 1, 1000 },
 			func(c *schedule.Candidate) { c.Capacity, c.InFlight, c.Steps, c.StepTokens = 64, 1, 1, 2000 }, "s2",
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -70,6 +70,8 @@
 	// Steps counts this front node's own generations of steps at the server, and StepPlaces how many it may have there.
 	Steps      uint32
 	StepPlaces uint32
+	// StepsAtReport is Steps as it was when the load was reported.
+	StepsAtReport uint32
 	// StepTokens is what those have still to read of their prompts and may still generate.
 	StepTokens uint64
 }
@@ -88,6 +90,13 @@
 	return float64(max(c.InFlight, c.Running+c.Queued))
 }
 
+// Others counts the requests at the server that are no generations of this front node's training steps.
+func (c *Candidate) Others() uint32 {
+	own := c.InFlight - min(c.InFlight, c.Steps)
+	reported := c.Running + c.Queued
+	return max(own, reported-min(reported, c.StepsAtReport))
+}
+
 // othersWaiting is how many requests of other front nodes are taken to have no first token yet.
 func (c *Candidate) othersWaiting() float64 {
 	if c.ReportAge <= 0 {
--- a/internal/trainingstep/gate.go
+++ b/internal/trainingstep/gate.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// MaxWaiting bounds the generations that wait at one gate, and MaxWait how long each waits.
+	// MaxWaiting bounds the generations that wait at one gate.
 	MaxWaiting = 1024
-	MaxWait    = 10 * time.Second
+	// MaxWait bounds how long a generation waits at a gate.
+	MaxWait = 10 * time.Second
 	// Patience is how long a generation waits behind live requests while none of its version runs from here. Then
 	// one is let in all the same, so that a step goes on however busy the fleet is.
 	Patience = 2 * time.Second
--- a/internal/trainingstep/gate_test.go
+++ b/internal/trainingstep/gate_test.go
@@ -134,13 +134,12 @@
 		want   int
 	}{
 		"an idle server":                   {trainingstep.ServerPlaces{Slots: 16}, 1, false, 12},
-		"live requests run there":          {trainingstep.ServerPlaces{Slots: 16, Requests: 2, Live: 2}, 1, false, 4},
+		"live requests run there":          {trainingstep.ServerPlaces{Slots: 16, Others: 2, Live: 2}, 1, false, 4},
 		"live requests wait":               {trainingstep.ServerPlaces{Slots: 16}, 1, true, 4},
 		"other front nodes":                {trainingstep.ServerPlaces{Slots: 16}, 3, false, 4},
 		"many other front nodes":           {trainingstep.ServerPlaces{Slots: 16}, 330, false, 1},
-		"others fill it":                   {trainingstep.ServerPlaces{Slots: 16, Requests: 12}, 330, false, 0},
-		"others leave one place":           {trainingstep.ServerPlaces{Slots: 16, Requests: 11}, 1, false, 1},
-		"own generations are not others":   {trainingstep.ServerPlaces{Slots: 16, Requests: 12, Steps: 12}, 1, false, 12},
+		"others fill it":                   {trainingstep.ServerPlaces{Slots: 16, Others: 12}, 330, false, 0},
+		"others leave one place":           {trainingstep.ServerPlaces{Slots: 16, Others: 11}, 1, false, 1},
 		"unknown slots stand for 8":        {trainingstep.ServerPlaces{}, 1, false, 6},
 		"a small server still takes a one": {trainingstep.ServerPlaces{Slots: 2}, 1, true, 1},
 	}
--- a/internal/trainingstep/places.go
+++ b/internal/trainingstep/places.go
@@ -16,9 +16,8 @@
 type ServerPlaces struct {
 	// Slots is the number of requests that the server runs at once; zero is unknown.
 	Slots uint32
-	// Requests counts all that is at the server, as far as is known, and Steps the generations of this front node among them.
-	Requests uint32
-	Steps    uint32
+	// Others counts what is at the server, as far as is known, beside the generations of this front node.
+	Others uint32
 	// Live counts the live requests of this front node at the server.
 	Live uint32
 }
@@ -36,6 +35,5 @@
 		share = LiveShare
 	}
 	own := max(1, int(share*slots/float64(max(frontNodes, 1))))
-	others := int(server.Requests) - int(server.Steps)
-	return max(0, min(own, int(math.Floor(IdleShare*slots))-others))
+	return max(0, min(own, int(math.Floor(IdleShare*slots))-int(server.Others)))
 }
