Route training steps in the ledger's client

What was missing: a trace reads many programs from all stores, longer than the one second that a try may take and the 160 ms after which a silent replica becomes a suspect; and a reservation refused for its step could still be admitted by a late copy of it, for instance once the turn that stood against it was released as not run.

LEDGER_STEP_MISMATCH after a try with an unknown end is confirmed by a tombstone that names no epoch, since the refusal claimed no session.

--- a/internal/ledgerclient/attempt.go
+++ b/internal/ledgerclient/attempt.go
@@ -31,7 +31,8 @@
 // attempt asks one replica, also when its caller has the answer of another one meanwhile. One that is silent for too long is tried last for a while.
 func (c *Client) attempt(ctx context.Context, to target, operation *protocol.LedgerOperation) attemptAnswer {
 	began := time.Now()
-	ends := began.Add(c.options.AttemptTimeout)
+	patience := c.patienceFor(operation)
+	ends := began.Add(patience.attempt)
 	callerEnds, bounded := ctx.Deadline()
 	endsWithCaller := bounded && callerEnds.Before(ends)
 	if endsWithCaller {
@@ -39,8 +40,8 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), ends)
 	defer cancel()
-	silence := time.AfterFunc(silenceOf(c.options.HedgeAfter), func() {
-		if !c.hedges.heardSince(to.address, began) {
+	silence := time.AfterFunc(silenceOf(patience.hedge), func() {
+		if patience.suspect && !c.hedges.heardSince(to.address, began) {
 			c.suspects.add(to.address)
 		}
 	})
--- a/internal/ledgerclient/client.go
+++ b/internal/ledgerclient/client.go
@@ -139,6 +139,9 @@
 	if err != nil || !doubtful || !isRefusedReservation(operation.GetReserveTurn(), result) {
 		return result, err
 	}
+	if result.GetStatus() == protocol.LedgerStatus_LEDGER_STEP_MISMATCH {
+		return c.confirmMismatch(ctx, operation, result, options)
+	}
 	return c.confirmRefusal(ctx, operation, result, options)
 }
 
@@ -147,7 +150,7 @@
 func isRefusedReservation(reserve *protocol.ReserveTurn, result *protocol.LedgerResult) bool {
 	switch result.GetStatus() {
 	case protocol.LedgerStatus_LEDGER_BUDGET_SPENT, protocol.LedgerStatus_LEDGER_BUDGET_HELD,
-		protocol.LedgerStatus_LEDGER_WRONG_CONTINUATION:
+		protocol.LedgerStatus_LEDGER_WRONG_CONTINUATION, protocol.LedgerStatus_LEDGER_STEP_MISMATCH:
 		return reserve != nil
 	case protocol.LedgerStatus_LEDGER_ALREADY_RESERVED:
 		return reserve != nil && !holdsReservation(result.GetProgram(), reserve.GetRequestId())
@@ -176,12 +179,7 @@
 	released, _, err := c.run(ctx, releaseOf(operation.GetProgram(), reserve, refusal.GetEpoch()), options)
 	if err == nil && released.GetStatus() == protocol.LedgerStatus_LEDGER_FENCED && reserve.GetClaim() != nil {
 		// A late copy would claim the session once more, so the epoch does not keep it out.
-		released, _, err = c.run(ctx, &protocol.LedgerOperation{
-			Program: operation.GetProgram(),
-			Body: &protocol.LedgerOperation_RefuseRequest{RefuseRequest: &protocol.RefuseRequest{
-				RequestId: reserve.GetRequestId(), Session: reserve.GetSession(),
-			}},
-		}, options)
+		released, _, err = c.run(ctx, refusalOf(operation.GetProgram(), reserve), options)
 	}
 	if err != nil {
 		return nil, err
@@ -194,6 +192,34 @@
 	}
 }
 
+// confirmMismatch marks a request as not run that was refused since its program does not belong to the step. The
+// refusal claimed no session, so that no epoch is known. A request that ended before stays refused.
+func (c *Client) confirmMismatch(ctx context.Context, operation *protocol.LedgerOperation, refusal *protocol.LedgerResult,
+	options raceOptions,
+) (*protocol.LedgerResult, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+	defer cancel()
+	refused, _, err := c.run(ctx, refusalOf(operation.GetProgram(), operation.GetReserveTurn()), options)
+	switch {
+	case err != nil:
+		return nil, err
+	case refused.GetStatus() == protocol.LedgerStatus_LEDGER_OK, refused.GetStatus() == protocol.LedgerStatus_LEDGER_ALREADY_FINISHED:
+		return refusal, nil
+	default:
+		return refused, nil
+	}
+}
+
+// refusalOf marks the request of a reservation as not run, whatever the epoch of its session.
+func refusalOf(program string, reserve *protocol.ReserveTurn) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{
+		Program: program,
+		Body: &protocol.LedgerOperation_RefuseRequest{RefuseRequest: &protocol.RefuseRequest{
+			RequestId: reserve.GetRequestId(), Session: reserve.GetSession(),
+		}},
+	}
+}
+
 // prolongForeignChain keeps the turns of other programs that a turn continues as long as the
 // turn itself. That some are gone is no reason not to settle a turn that has run.
 func (c *Client) prolongForeignChain(ctx context.Context, operation *protocol.LedgerOperation, options raceOptions) (protocol.LedgerStatus, error) {
--- a/internal/ledgerclient/race.go
+++ b/internal/ledgerclient/race.go
@@ -149,7 +149,7 @@
 	began := time.Now()
 	for {
 		inFlight := r.inFlight
-		step, answer := r.listen(ctx, r.client.options.HedgeAfter)
+		step, answer := r.listen(ctx, r.client.patienceFor(r.operation).hedge)
 		if step != stepNext || r.inFlight < inFlight || ctx.Err() != nil || r.isHopeless() || r.mayRelay() {
 			return step, answer
 		}
