Trace a training step over all stores

What was missing: nothing could say on which weight version all generations of a training step ran.

How: TraceTrainingStep asks every store for the programs of the step, and is available only when a majority of each shard answered under the placement in force. Each program named is then read from a majority, as ReadProgram does, by way of the store that usually proposes for it; the pin last. The scan of a store goes page by page, each a command of its own in the mailbox of the shard's owner.

Weighed: an index by step would cost each accepted value and each member's memory, also for programs without a step. Merging by the highest count of generations needs no reads, but shows what was never chosen: a settle accepted by one store alone counts as many as the claim that charged the turn after. So counts come from the registers.

The word of stores by shard, which FindTurn kept for itself, is one type now.

--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -61,6 +61,15 @@
 
 func (e *PeerNotLiveError) Error() string { return "store not reachable now: " + e.Store }
 
+// UnreadProgramError says that no replica of a program's shard could read its record from a majority.
+type UnreadProgramError struct {
+	Program string
+}
+
+func (e *UnreadProgramError) Error() string {
+	return "record not read from a majority: program " + e.Program
+}
+
 // StoppedError says that the store was stopped while something waited for it.
 type StoppedError struct{}
 
--- a/internal/store/findturn.go
+++ b/internal/store/findturn.go
@@ -85,9 +85,9 @@
 	if here.GetTurn() != nil {
 		return foundTurn(here.GetTurn()), nil
 	}
-	search := &turnSearch{topology: current, lacking: map[uint32]map[string]bool{}}
-	search.add(s.options.Self.GetName(), here)
-	return s.askAll(ctx, find, search), nil
+	lacking := newCoverage(current)
+	lacking.add(s.options.Self.GetName(), here.GetShards(), here.GetPlacementEpoch())
+	return s.askAll(ctx, find, lacking), nil
 }
 
 func foundTurn(turn *protocol.Turn) *protocol.LedgerResult {
@@ -100,30 +100,30 @@
 }
 
 // askAll asks the other stores at once. The first that has the turn is believed.
-func (s *Store) askAll(ctx context.Context, find *protocol.FindTurn, search *turnSearch) *protocol.LedgerResult {
+func (s *Store) askAll(ctx context.Context, find *protocol.FindTurn, lacking *coverage) *protocol.LedgerResult {
 	request := &protocol.Request{Body: &protocol.Request_FindTurn{FindTurn: &protocol.FindTurnRequest{TurnId: find.GetTurnId()}}}
-	others := search.topology.members(s.options.Self.GetName())
+	others := lacking.topology.members(s.options.Self.GetName())
 	answers := make(chan findAnswer, len(others))
 	for _, store := range others {
 		s.peers.send(store, request, func(response *protocol.Response, _ error) {
 			answers <- findAnswer{store: store, answer: response.GetFindTurn()}
 		})
 	}
-	if turn := s.hear(ctx, search, answers, len(others)); turn != nil {
+	if turn := s.hear(ctx, lacking, answers, len(others)); turn != nil {
 		return foundTurn(turn)
 	}
-	if search.isMissing() && s.watch.current.Load().epoch == search.topology.epoch {
+	if lacking.isComplete() && s.watch.current.Load().epoch == lacking.topology.epoch {
 		return ledger.Answer(protocol.LedgerStatus_LEDGER_TURN_MISSING)
 	}
 	return ledger.Answer(protocol.LedgerStatus_LEDGER_UNAVAILABLE)
 }
 
 // hear takes answers in until one has the turn, all are there or the time is over.
-func (s *Store) hear(ctx context.Context, search *turnSearch, answers <-chan findAnswer, count int) *protocol.Turn {
+func (s *Store) hear(ctx context.Context, lacking *coverage, answers <-chan findAnswer, count int) *protocol.Turn {
 	var late lateAnswers
 	defer late.end()
 	for range count {
-		if search.isMissing() {
+		if lacking.isComplete() {
 			late.begin(s.options.Clock)
 		}
 		select {
@@ -131,7 +131,7 @@
 			if turn := heard.answer.GetTurn(); turn != nil {
 				return turn
 			}
-			search.add(heard.store, heard.answer)
+			lacking.add(heard.store, heard.answer.GetShards(), heard.answer.GetPlacementEpoch())
 		case <-late.over:
 			return nil
 		case <-ctx.Done():
@@ -142,31 +142,3 @@
 	}
 	return nil
 }
-
-// turnSearch collects which stores lack a turn, by shard, under one placement.
-type turnSearch struct {
-	topology *topology
-	lacking  map[uint32]map[string]bool
-}
-
-func (t *turnSearch) add(store string, answer *protocol.FindTurnResponse) {
-	if answer == nil || answer.GetPlacementEpoch() != t.topology.epoch {
-		return
-	}
-	for _, shard := range answer.GetShards() {
-		if t.lacking[shard] == nil {
-			t.lacking[shard] = map[string]bool{}
-		}
-		t.lacking[shard][store] = true
-	}
-}
-
-func (t *turnSearch) isMissing() bool {
-	for _, view := range t.topology.shards {
-		lacking := t.lacking[view.Shard]
-		if !view.Quorum.Reached(func(store string) bool { return lacking[store] }) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/store/handler.go
+++ b/internal/store/handler.go
@@ -38,6 +38,8 @@
 		return s.serveFetchTurns(body.FetchTurns)
 	case *protocol.Request_FindTurn:
 		return s.serveFindTurn(body.FindTurn)
+	case *protocol.Request_ListTrainingStep:
+		return s.serveListTrainingStep(body.ListTrainingStep)
 	case *protocol.Request_FetchShard:
 		return s.serveFetchShard(body.FetchShard)
 	case *protocol.Request_ShardDigest:
--- a/internal/store/hashtree.go
+++ b/internal/store/hashtree.go
@@ -99,6 +99,15 @@
 	return true
 }
 
+// leafAt gives the entries of the leaf of a place, which must not be written to, and the first place
+// behind that leaf; zero behind the last one. Leaves are only ever split, so a scan that goes on from there misses no
+// entry that stays.
+func (t *hashTree[K, V]) leafAt(place uint64) (entries map[K]V, next uint64) {
+	node, depth := t.leaf(place)
+	width := placeBits - depth
+	return node.entries, (place>>width + 1) << width
+}
+
 // after gives the entries behind a key in order. The tree must not change meanwhile.
 func (t *hashTree[K, V]) after(key K) iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) { t.root.visitAfter(key, 0, true, yield) }
--- a/internal/store/hashtree_test.go
+++ b/internal/store/hashtree_test.go
@@ -125,3 +125,32 @@
 		}
 	}
 }
+
+func TestAScanByLeavesSeesEveryEntryThatStays(t *testing.T) {
+	const stays, comes = 5_000, 20_000
+	var tree hashTree[registerKey, int]
+	keyOfNumber := func(number int) registerKey { return registerKey{program: fmt.Sprint(number)} }
+	for number := range stays {
+		tree.put(keyOfNumber(number), number)
+	}
+	seen := map[int]int{}
+	added := stays
+	for place, last := uint64(0), false; !last; {
+		entries, next := tree.leafAt(place)
+		if len(entries) > largestLeaf {
+			t.Fatalf("a leaf holds %d entries", len(entries))
+		}
+		for _, number := range entries {
+			seen[number]++
+		}
+		for end := min(added+1_000, stays+comes); added < end; added++ {
+			tree.put(keyOfNumber(added), added)
+		}
+		place, last = next, next == 0
+	}
+	for number := range stays {
+		if seen[number] != 1 {
+			t.Fatalf("entry %d was seen %d times", number, seen[number])
+		}
+	}
+}
--- a/internal/store/ledger.go
+++ b/internal/store/ledger.go
@@ -39,6 +39,8 @@
 		return s.readTurns(ctx, shard, message.GetProgram(), body.ReadTurns)
 	case *protocol.LedgerOperation_ProlongTurns:
 		return s.prolongTurns(ctx, shard, message.GetProgram(), body.ProlongTurns)
+	case *protocol.LedgerOperation_TraceTrainingStep:
+		return s.traceTrainingStep(ctx, shard, message)
 	default:
 		return s.propose(ctx, shard, message)
 	}
--- /dev/null
+++ b/internal/store/steptrace_test.go
@@ -0,0 +1,368 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	stepUnknown  = protocol.LedgerStatus_LEDGER_STEP_UNKNOWN
+	stepMismatch = protocol.LedgerStatus_LEDGER_STEP_MISMATCH
+	// theStep and pinnedVersion are those of the stories' rollouts.
+	theStep       = "step-17"
+	pinnedVersion = 4
+)
+
+func pinOf(version uint64, owner string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{
+		Program: ledger.TrainingStepProgram(theStep),
+		Body: &protocol.LedgerOperation_PinTrainingStep{PinTrainingStep: &protocol.PinTrainingStep{
+			Step: theStep, Model: "m", WeightVersion: version, Owner: owner,
+		}},
+	}
+}
+
+func traceOf(step string) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{
+		Program: ledger.TrainingStepProgram(step),
+		Body:    &protocol.LedgerOperation_TraceTrainingStep{TraceTrainingStep: &protocol.TraceTrainingStep{Step: step}},
+	}
+}
+
+// generate runs one turn of a rollout on the versions.
+func (p *program) generate(versions ...uint64) {
+	GinkgoHelper()
+	Expect(p.fleet.do(p.reserveForStep()).GetStatus()).To(Equal(ok))
+	settle := p.settle()
+	settle.GetSettleTurn().WeightVersions = versions
+	Expect(p.fleet.do(settle).GetStatus()).To(Equal(ok))
+	p.turns = append(p.turns, settle.GetSettleTurn().GetTurn().GetId())
+}
+
+func (p *program) reserveForStep() *protocol.LedgerOperation {
+	reserve := p.reserve()
+	reserve.GetReserveTurn().TrainingStep = &protocol.TrainingStepReference{Step: theStep, WeightVersion: pinnedVersion}
+	return reserve
+}
+
+// release ends the turn reserved last as given to its caller whole on a version.
+func (p *program) release(version uint64) *protocol.LedgerOperation {
+	return &protocol.LedgerOperation{Program: p.name, Body: &protocol.LedgerOperation_ReleaseTurn{ReleaseTurn: &protocol.ReleaseTurn{
+		RequestId: fmt.Sprintf("%s-r%d", p.name, p.requests), Session: p.name, Epoch: p.epoch,
+		Tokens: 7, WeightVersions: []uint64{version}, Completed: true,
+	}}}
+}
+
+// rollouts pins the step and runs programs for it in every shard, the first of which also had a turn on another version.
+func (f *fleet) rollouts(names ...string) {
+	GinkgoHelper()
+	Expect(f.do(pinOf(pinnedVersion, "front-1")).GetStatus()).To(Equal(ok))
+	for place, name := range names {
+		p := f.program(name)
+		p.generate(pinnedVersion)
+		p.generate(pinnedVersion)
+		if place == 0 {
+			p.generate(pinnedVersion, 5)
+		}
+	}
+	f.program("live").takeTurn()
+}
+
+func generations(text string) *protocol.TrainingStepMembership {
+	GinkgoHelper()
+	membership := &protocol.TrainingStepMembership{}
+	Expect(prototext.Unmarshal([]byte(text), membership)).To(Succeed())
+	membership.Step, membership.WeightVersion = theStep, pinnedVersion
+	return membership
+}
+
+const twoCompleted = `generations { weight_version: 4 completed: 2 }`
+
+// expectTrace compares a trace with the rollouts of these names.
+func expectTrace(result *protocol.LedgerResult, names ...string) {
+	GinkgoHelper()
+	Expect(result.GetStatus()).To(Equal(ok))
+	pinned := result.GetTrainingStepTrace().GetPin()
+	Expect(pinned.GetStep()).To(Equal(theStep))
+	Expect(pinned.GetModel()).To(Equal("m"))
+	Expect(pinned.GetWeightVersion()).To(BeEquivalentTo(pinnedVersion))
+	Expect(pinned.GetPinnedBy()).To(Equal("front-1"))
+	Expect(pinned.GetPinnedAtMillis()).To(BeNumerically(">", 0))
+	programs := result.GetTrainingStepTrace().GetPrograms()
+	Expect(programs).To(HaveLen(len(names)))
+	for place, traced := range programs {
+		wanted := generations(twoCompleted)
+		if place == 0 {
+			wanted = generations(twoCompleted + `generations { weight_version: 5 discarded: 1 }`)
+		}
+		Expect(traced.GetProgram()).To(Equal(names[place]))
+		Expect(traced.GetTenant()).To(Equal("tenant"))
+		Expect(proto.Equal(traced.GetMembership(), wanted)).To(BeTrue(), "%v", traced)
+	}
+}
+
+// rolloutNames lie in all shards of the fleet.
+var rolloutNames = []string{"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"}
+
+var _ = Describe("the rollouts", func() {
+	It("lie in all shards", func() {
+		shards := map[uint32]bool{}
+		for _, name := range rolloutNames {
+			shards[ledger.ShardOf(name, shardCount)] = true
+		}
+		Expect(shards).To(HaveLen(shardCount))
+	})
+})
+
+var _ = Describe("a training step", func() {
+	It("given two front nodes that pin it at once by way of different stores, then one version wins everywhere", func() {
+		f := newFleet("a", "b", "c")
+		f.until(f.inForce)
+		for round := range 5 {
+			step := fmt.Sprintf("step-%d", round)
+			pinAs := func(version uint64, owner string) *protocol.LedgerOperation {
+				operation := pinOf(version, owner)
+				operation.Program = ledger.TrainingStepProgram(step)
+				operation.GetPinTrainingStep().Step = step
+				operation.PlacementEpoch = f.epochOf(operation)
+				return operation
+			}
+			others := make(chan *protocol.LedgerResult, 1)
+			first := f.await(func() (*protocol.LedgerResult, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				go func() {
+					response, _ := (&network{fleet: f}).Call(ctx, "b", &protocol.Request{Body: &protocol.Request_Ledger{Ledger: pinAs(5, "front-2")}})
+					others <- response.GetLedger()
+				}()
+				response, err := (&network{fleet: f}).Call(ctx, "a", &protocol.Request{Body: &protocol.Request_Ledger{Ledger: pinAs(4, "front-1")}})
+				others <- <-others
+				return response.GetLedger(), err
+			})
+			second := <-others
+			Expect(first.GetStatus()).To(Equal(ok))
+			Expect(second.GetStatus()).To(Equal(ok))
+			Expect(proto.Equal(first.GetTrainingStepPin(), second.GetTrainingStepPin())).To(BeTrue(), "%v and %v", first, second)
+			for _, name := range f.names {
+				again := f.ask(name, patience, pinAs(6, "front-3"))
+				Expect(proto.Equal(again.GetTrainingStepPin(), first.GetTrainingStepPin())).To(BeTrue(), "%v and %v", again, first)
+			}
+		}
+	})
+
+	It("given a pin, when every store loses power, then it stands", func() {
+		f := newFleet("a", "b", "c")
+		pinned := f.do(pinOf(pinnedVersion, "front-1"))
+		f.loseAllPower()
+		again := f.do(pinOf(5, "front-2"))
+		Expect(again.GetStatus()).To(Equal(ok))
+		Expect(proto.Equal(again.GetTrainingStepPin(), pinned.GetTrainingStepPin())).To(BeTrue())
+	})
+
+	It("is unknown without a pin, to reads and traces", func() {
+		f := newFleet("a", "b", "c")
+		Expect(f.do(pinOf(0, "front-1")).GetStatus()).To(Equal(stepUnknown))
+		Expect(f.do(traceOf(theStep)).GetStatus()).To(Equal(stepUnknown))
+	})
+
+	It("keeps turns of other steps and of none out of its programs", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		p := &program{fleet: f, name: "p1", requests: 100}
+		p.claim("front-2", 1)
+		Expect(f.do(p.reserve()).GetStatus()).To(Equal(stepMismatch))
+		live := &program{fleet: f, name: "live", requests: 100}
+		live.claim("front-2", 1)
+		Expect(f.do(live.reserveForStep()).GetStatus()).To(Equal(stepMismatch))
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+	})
+})
+
+// loseAllPower stops all stores without a sync and starts them again.
+func (f *fleet) loseAllPower() {
+	for _, name := range f.names {
+		f.stopOne(name, true)
+	}
+	for _, name := range f.names {
+		f.restart(name)
+	}
+	f.until(f.inForce)
+}
+
+var _ = Describe("a trace of a training step", func() {
+	It("shows the pin and every program with its counts, whichever store is asked", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		for _, name := range f.names {
+			expectTrace(f.ask(name, patience, traceOf(theStep)), rolloutNames...)
+		}
+		Expect(f.do(traceOf("step-18")).GetStatus()).To(Equal(stepUnknown))
+	})
+
+	It("is the same after every store lost power", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		f.loseAllPower()
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+	})
+
+	It("is the same from snapshots", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		busy := f.program("busy")
+		for _, name := range f.names {
+			f.writeSnapshot(name, busy)
+		}
+		f.loseAllPower()
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+	})
+
+	It("is the same after two disks were lost and rebuilt, from these stores alone", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		for _, name := range []string{"a", "b"} {
+			f.loseDisk(name)
+			f.until(f.whole)
+		}
+		f.until(f.inForce)
+		f.stopOne("c", true)
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+	})
+
+	It("counts no store whose disk was lost until it is rebuilt", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		f.setCut("c", true)
+		f.stopOne("a", true)
+		f.restartEmpty("a")
+		f.until(func() bool { return f.inForceBut("c") })
+		Expect(f.ask("b", shortTime, traceOf(theStep)).GetStatus()).To(Equal(unavailable))
+		f.setCut("c", false)
+		f.until(f.whole)
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+	})
+
+	It("is whole with a minority away", func() {
+		for _, away := range []string{"a", "b", "c"} {
+			f := newFleet("a", "b", "c")
+			f.rollouts(rolloutNames...)
+			f.setCut(away, true)
+			expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+		}
+	})
+
+	It("is whole with a minority that says nothing", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		f.freeze("a")
+		defer f.thaw("a")
+		expectTrace(f.ask("b", patience, traceOf(theStep)), rolloutNames...)
+	})
+
+	It("is unavailable with a majority away, never shorter", func() {
+		f := newFleet("a", "b", "c")
+		f.rollouts(rolloutNames...)
+		f.setCut("b", true)
+		f.setCut("c", true)
+		Expect(f.ask("a", shortTime, traceOf(theStep)).GetStatus()).To(Equal(unavailable))
+		f.setCut("b", false)
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+	})
+
+	It("is unavailable when one shard alone lacks a majority", func() {
+		f := newFleet("a", "b", "c", "d")
+		f.rollouts(rolloutNames...)
+		moved := (ledger.ShardOf(ledger.TrainingStepProgram(theStep), shardCount) + 1) % shardCount
+		f.move(moved, "a", "d")
+		f.until(f.whole)
+		f.until(f.inForce)
+		// Programs of the shard that moved are read by way of the stores that hold it.
+		expectTrace(f.ask("a", patience, traceOf(theStep)), rolloutNames...)
+		f.setCut("d", true)
+		expectTrace(f.ask("a", patience, traceOf(theStep)), rolloutNames...)
+		f.setCut("c", true)
+		Expect(f.ask("a", shortTime, traceOf(theStep)).GetStatus()).To(Equal(unavailable))
+		Expect(f.ask("b", patience, pinOf(0, "")).GetStatus()).To(Equal(ok))
+	})
+
+	It("is unavailable, never shorter, when all that is heard of one shard is a replica that was away", func() {
+		f := newFleet("a", "b", "c", "d", "e", "f")
+		moved := (ledger.ShardOf(ledger.TrainingStepProgram(theStep), shardCount) + 1) % shardCount
+		for from, to := range map[string]string{"a": "d", "b": "e", "c": "f"} {
+			f.move(moved, from, to)
+			f.until(f.whole)
+		}
+		f.until(f.inForce)
+		f.setCut("f", true)
+		f.rollouts(rolloutNames...)
+		f.setCut("d", true)
+		f.setCut("e", true)
+		Expect(f.ask("a", patience, traceOf(theStep)).GetStatus()).To(Equal(unavailable))
+		f.setCut("f", false)
+		Expect(f.ask("a", patience, traceOf(theStep)).GetStatus()).To(Equal(unavailable))
+		f.setCut("e", false)
+		expectTrace(f.ask("a", patience, traceOf(theStep)), rolloutNames...)
+	})
+
+	It("is whole while shards move", func() {
+		f := newFleet("a", "b", "c", "d")
+		f.rollouts(rolloutNames...)
+		for shard := range uint32(shardCount) {
+			f.move(shard, "a", "d")
+		}
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+		f.until(f.whole)
+		expectTrace(f.do(traceOf(theStep)), rolloutNames...)
+	})
+
+	It("shows no completed generation that a store accepted alone and a claim charged after", func() {
+		f := newFleet("a", "b", "c")
+		f.until(f.inForce)
+		Expect(f.do(pinOf(pinnedVersion, "front-1")).GetStatus()).To(Equal(ok))
+		p := f.program("p")
+		Expect(f.ask("a", patience, p.reserveForStep()).GetStatus()).To(Equal(ok))
+		f.setCut("a", true)
+		Expect(f.askDirectly("a", shortTime, p.release(pinnedVersion)).GetStatus()).To(Equal(unavailable))
+		successor := &program{fleet: f, name: "p"}
+		successor.claim("front-2", 1)
+		f.clock.advance(20 * time.Second)
+		f.setCut("a", false)
+		for _, name := range f.names {
+			traced := f.ask(name, patience, traceOf(theStep)).GetTrainingStepTrace().GetPrograms()
+			Expect(traced).To(HaveLen(1))
+			Expect(proto.Equal(traced[0].GetMembership(), generations(`generations { discarded: 1 }`))).To(BeTrue(), "%v", traced)
+		}
+	})
+
+	It("never takes back what it showed of a change that a store accepted alone", func() {
+		f := newFleet("a", "b", "c")
+		f.until(f.inForce)
+		Expect(f.do(pinOf(pinnedVersion, "front-1")).GetStatus()).To(Equal(ok))
+		p := f.program("p")
+		Expect(f.ask("a", patience, p.reserveForStep()).GetStatus()).To(Equal(ok))
+		f.setCut("a", true)
+		Expect(f.askDirectly("a", shortTime, p.release(pinnedVersion)).GetStatus()).To(Equal(unavailable))
+		f.clock.advance(20 * time.Second)
+		f.setCut("a", false)
+		first := f.ask("c", patience, traceOf(theStep)).GetTrainingStepTrace().GetPrograms()
+		Expect(first).To(HaveLen(1))
+		counted := ledger.CountedGenerations(first[0].GetMembership())
+		f.setCut("a", true)
+		second := f.ask("b", patience, traceOf(theStep)).GetTrainingStepTrace().GetPrograms()
+		Expect(second).To(HaveLen(1))
+		Expect(ledger.CountedGenerations(second[0].GetMembership())).To(BeNumerically(">=", counted))
+		f.setCut("a", false)
+		Expect(f.do(p.release(pinnedVersion)).GetStatus()).To(Equal(ok))
+		last := f.do(traceOf(theStep)).GetTrainingStepTrace().GetPrograms()
+		Expect(proto.Equal(last[0].GetMembership(), generations(`generations { weight_version: 4 completed: 1 }`))).To(BeTrue(), "%v", last)
+	})
+})
