Let operators trace a training step to its weight version

What was missing: operators had no way to read a trace, and a caller's program under a name that the ledger keeps for training steps was answered as if the ledger were away.

How: a front node answers GET /v1/training-steps/{step} with the trace as the ledger gives it, 404 for a step it does not know, and 503 rather than a part of it. `rosestand steps trace STEP` shows step, model, pinned version, by whom and when, the counts of each program, and last whether every completed generation ran on the pinned version; it exits with 8 when not, with -o json too. POST /v1/responses, tool calls and reads refuse reserved program names with 400.

--- a/internal/front/api_test.go
+++ b/internal/front/api_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosestand/rosestand/internal/corelink"
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -52,6 +53,7 @@
 		Entry("unknown priority", `{"model":"m","program":"p","input":"x","priority":"now"}`, "invalid_field", "priority"),
 		Entry("too long a timeout", `{"model":"m","program":"p","input":"x","timeout_millis":600001}`, "invalid_field", "timeout_millis"),
 		Entry("too long a program", `{"model":"m","program":"`+strings.Repeat("p", 129)+`","input":"x"}`, "invalid_field", "program"),
+		Entry("a program of the ledger's own", `{"model":"m","program":"`+ledger.TrainingStepProgram("17")+`","input":"x"}`, "invalid_field", "program"),
 		Entry("unknown model", `{"model":"m","program":"p","input":"x"}`, "unknown_model", "model"),
 		Entry("too large", `{"model":"`+strings.Repeat("m", 1<<20)+`"}`, "body_too_large", ""),
 	)
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -33,6 +33,7 @@
 	engine.GET("/v1/responses/:id", a.getResponse)
 	engine.POST("/v1/tools/:tool/calls", a.postCall)
 	engine.GET("/v1/explain/:id", a.getExplanation)
+	engine.GET("/v1/training-steps/*step", a.getTrainingStep)
 	engine.POST("/v1/backends/heartbeat", a.postHeartbeat)
 	engine.POST("/v1/backends/:id/drain", a.postDrain)
 }
--- a/internal/front/httpread.go
+++ b/internal/front/httpread.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/turn"
 )
@@ -30,6 +31,9 @@
 	if query.program == "" {
 		return query, missingField("program")
 	}
+	if ledger.IsReservedProgram(query.program) {
+		return query, reservedProgram()
+	}
 	if text := c.Query("stream"); text != "" {
 		stream, err := strconv.ParseBool(text)
 		if err != nil {
--- a/internal/front/requests.go
+++ b/internal/front/requests.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -103,6 +104,8 @@
 		return missingField("program")
 	case len(program) > maxIdentifierBytes:
 		return tooLong("program")
+	case ledger.IsReservedProgram(program):
+		return reservedProgram()
 	case len(conversation) > maxIdentifierBytes:
 		return tooLong("conversation")
 	case timeoutMillis > mostTimeoutMillis:
@@ -114,6 +117,11 @@
 	return nil
 }
 
+// reservedProgram refuses a name that the ledger keeps for training steps.
+func reservedProgram() error {
+	return invalidField("program", "is a name that the ledger keeps for itself")
+}
+
 func tooLong(path string) error {
 	return invalidField(path, fmt.Sprintf("must be at most %d bytes long", maxIdentifierBytes))
 }
--- a/internal/front/turns_test.go
+++ b/internal/front/turns_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/corelink"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -116,6 +117,13 @@
 			Expect(read.errorCode()).To(Equal("unknown_program"))
 		})
 
+		It("is not looked for under a name of the ledger's own", func() {
+			read := f1.do(http.MethodGet, "/v1/responses/turn_x?program="+ledger.TrainingStepProgram("17"), "", nil)
+			Expect(read.errorCode()).To(Equal("invalid_field"))
+			Expect(read.at("error", "path")).To(Equal("program"))
+			Expect(r.ledger.seen).To(BeEmpty())
+		})
+
 		It("explains its path", func() {
 			f1.turn(turnBody("s1", ""), headers{"Idempotency-Key": "k1"})
 			got := f1.do(http.MethodGet, "/v1/explain/k1", "", nil)
--- a/internal/ledger/trainingstep.go
+++ b/internal/ledger/trainingstep.go
@@ -31,8 +31,8 @@
 // TrainingStepProgram gives the reserved program name under which the register of a training step is kept.
 func TrainingStepProgram(step string) string { return trainingStepPrefix + step }
 
-// isReservedProgram reports whether the name may be used for training steps only.
-func isReservedProgram(program string) bool { return strings.HasPrefix(program, trainingStepPrefix) }
+// IsReservedProgram reports whether the name may be used for registers of training steps only.
+func IsReservedProgram(program string) bool { return strings.HasPrefix(program, trainingStepPrefix) }
 
 // pinTrainingStep fixes the weight version of a step. The first version proposed wins and never changes.
 func pinTrainingStep(record *protocol.ProgramRecord, program string, pin *protocol.PinTrainingStep, now time.Time) (*protocol.ProgramRecord, *protocol.LedgerResult) {
--- a/internal/ledger/validate.go
+++ b/internal/ledger/validate.go
@@ -17,7 +17,7 @@
 	case *protocol.LedgerOperation_TraceTrainingStep:
 		return validateTrace(operation.GetProgram(), body.TraceTrainingStep)
 	}
-	if isReservedProgram(operation.GetProgram()) {
+	if IsReservedProgram(operation.GetProgram()) {
 		return &InvalidOperationError{Path: "program", Reason: "is reserved for training steps"}
 	}
 	switch body := operation.GetBody().(type) {
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -34,6 +34,7 @@
   5  no process took the request in time; it was not run
   6  an order was sent and its answer lost; run it again with the --order shown
   7  what was named does not exist
+  8  a training step does not trace to a single version of the weights
 
 Environment: ROSESTAND_CORE, ROSESTAND_TOKEN_FILE and ROSESTAND_FRONT stand in
 for --core, --token-file and --front.`
@@ -102,7 +103,7 @@
 	flags.DurationVar(&s.timeout, "timeout", defaultTimeout, "longest time for one request with all its attempts")
 	root.AddCommand(
 		s.bundleCommand(), s.nodesCommand(), s.storesCommand(), s.backEndsCommand(), s.coreCommand(),
-		s.explainCommand(), s.versionCommand(),
+		s.explainCommand(), s.stepsCommand(), s.versionCommand(),
 	)
 	return root
 }
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -28,6 +28,8 @@
 	ExitUnknown = 6
 	// ExitNotFound says that what was named does not exist.
 	ExitNotFound = 7
+	// ExitNotTraced says that a training step does not trace to a single version of the weights.
+	ExitNotTraced = 8
 )
 
 // ExitCode gives the exit code for the error of a command.
@@ -38,6 +40,7 @@
 	var unreachable *UnreachableError
 	var unknown *UnknownOutcomeError
 	var missing *NotFoundError
+	var untraced *NotTracedError
 	switch {
 	case err == nil:
 		return ExitDone
@@ -51,6 +54,8 @@
 		return refused.exitCode()
 	case errors.As(err, &missing):
 		return ExitNotFound
+	case errors.As(err, &untraced):
+		return ExitNotTraced
 	default:
 		return ExitFailure
 	}
@@ -184,6 +189,16 @@
 
 func (e *NotFoundError) Error() string { return e.What + " was not found" }
 
+// NotTracedError says that a training step does not trace to a single version of the weights.
+type NotTracedError struct {
+	Step   string
+	Reason string
+}
+
+func (e *NotTracedError) Error() string {
+	return fmt.Sprintf("training step %s does not trace to a single version: %s", e.Step, e.Reason)
+}
+
 // WaitError says that a change did not come to its end in time; it goes on without the client.
 type WaitError struct {
 	What  string
--- /dev/null
+++ b/internal/operator/steps.go
@@ -0,0 +1,137 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rosestand/rosestand/internal/ledger"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const trainingStepsPath = "/v1/training-steps/"
+
+func (s *shell) stepsCommand() *cobra.Command {
+	return groupCommand("steps", "training steps and the versions of the weights they ran on", s.traceStepCommand())
+}
+
+func (s *shell) traceStepCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "trace STEP",
+		Short: "show on which version of the weights a training step ran",
+		Long: "trace asks a front node, which reads the step's pin and all its programs from the ledger. " +
+			"It exits with 8 unless every completed generation ran on the pinned version. " +
+			"Without --front the front nodes are taken from the core.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			step := arguments[0]
+			if step == "" || len(step) > ledger.MaximumTrainingStepBytes {
+				return &UsageError{Reason: fmt.Sprintf("STEP must have 1 to %d bytes", ledger.MaximumTrainingStepBytes)}
+			}
+			answer, err := s.askFronts(command.Context(), frontQuestion{
+				path:    trainingStepsPath + url.PathEscape(step),
+				subject: "training step " + step,
+			})
+			if err != nil {
+				return err
+			}
+			return s.showTrace(step, answer)
+		},
+	}
+	s.addFrontFlag(command)
+	return command
+}
+
+// showTrace prints a trace and returns a *NotTracedError when it shows more than one version, or none.
+func (s *shell) showTrace(step string, answer []byte) error {
+	trace := &protocol.TrainingStepTrace{}
+	if err := decodeProto(answer, trace); err != nil {
+		return err
+	}
+	verdict := judgeTrace(step, trace)
+	err := s.print(answer, func(writer io.Writer) error { return renderTrace(writer, step, trace, verdict) })
+	if err != nil {
+		return err
+	}
+	return verdict
+}
+
+// judgeTrace returns a *NotTracedError unless every completed generation of the step ran on its pinned version.
+func judgeTrace(step string, trace *protocol.TrainingStepTrace) error {
+	pinned := trace.GetPin().GetWeightVersion()
+	if pinned == 0 {
+		return &NotTracedError{Step: step, Reason: "no version is pinned"}
+	}
+	for _, program := range trace.GetPrograms() {
+		if member := program.GetMembership(); member.GetWeightVersion() != pinned {
+			return &NotTracedError{Step: step, Reason: fmt.Sprintf("program %s generates on version %d, pinned is %d",
+				program.GetProgram(), member.GetWeightVersion(), pinned)}
+		}
+		for _, count := range program.GetMembership().GetGenerations() {
+			if count.GetCompleted() > 0 && count.GetWeightVersion() != pinned {
+				return &NotTracedError{Step: step, Reason: fmt.Sprintf("program %s completed %d generations on version %s, pinned is %d",
+					program.GetProgram(), count.GetCompleted(), versionName(count.GetWeightVersion()), pinned)}
+			}
+		}
+	}
+	return nil
+}
+
+func renderTrace(writer io.Writer, step string, trace *protocol.TrainingStepTrace, verdict error) error {
+	pin := trace.GetPin()
+	facts := newGrid("fact", "value")
+	facts.add("step", step)
+	facts.add("model", pin.GetModel())
+	facts.add("pinned version", pin.GetWeightVersion())
+	facts.add("pinned by", pin.GetPinnedBy())
+	facts.add("pinned at", time.UnixMilli(pin.GetPinnedAtMillis()).UTC().Format(time.RFC3339))
+	if err := facts.print(writer); err != nil {
+		return err
+	}
+	var completed uint64
+	programs := newGrid("program", "tenant", "completed", "discarded")
+	for _, program := range trace.GetPrograms() {
+		counts := program.GetMembership().GetGenerations()
+		programs.add(program.GetProgram(), program.GetTenant(),
+			countsByVersion(counts, (*protocol.GenerationCount).GetCompleted), countsByVersion(counts, (*protocol.GenerationCount).GetDiscarded))
+		for _, count := range counts {
+			completed += count.GetCompleted()
+		}
+	}
+	if err := programs.print(writer); err != nil {
+		return err
+	}
+	if verdict != nil {
+		_, err := fmt.Fprintln(writer, verdict)
+		return err
+	}
+	_, err := fmt.Fprintf(writer, "training step %s traces to a single version: all %d completed generations of %d programs ran on version %d\n",
+		step, completed, len(trace.GetPrograms()), pin.GetWeightVersion())
+	return err
+}
+
+// countsByVersion lists the counts that are not zero, such as "12 on 4, 1 on 5".
+func countsByVersion(counts []*protocol.GenerationCount, of func(*protocol.GenerationCount) uint64) string {
+	var parts []string
+	for _, count := range counts {
+		if of(count) > 0 {
+			parts = append(parts, fmt.Sprintf("%d on %s", of(count), versionName(count.GetWeightVersion())))
+		}
+	}
+	if len(parts) == 0 {
+		return "0"
+	}
+	return strings.Join(parts, ", ")
+}
+
+// versionName names a version of the weights in tables.
+func versionName(version uint64) string {
+	if version == ledger.UnknownWeightVersion {
+		return "unknown"
+	}
+	return fmt.Sprint(version)
+}
