--- a/internal/store/storebench/bench_test.go
+++ b/internal/store/storebench/bench_test.go
@@ -104,3 +104,20 @@
 		}
 	}
 }
+
+// BenchmarkTrainingSteps reports what pins and traces take beside 9,000 programs of no step.
+func BenchmarkTrainingSteps(b *testing.B) {
+	for _, members := range []int{100, 1_000} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			for b.Loop() {
+				costs, err := storebench.MeasureTrainingSteps(b.Context(), b.TempDir(), members, 9_000, 20)
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, cost := range costs {
+					b.Log(cost)
+				}
+			}
+		})
+	}
+}
