--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -12,6 +12,7 @@
 	"github.com/rosestand/rosestand/internal/bundle"
 	"github.com/rosestand/rosestand/internal/dialect"
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -125,6 +126,9 @@
 	if taken.program == "" {
 		taken.program = taken.session
 	}
+	if ledger.IsReservedProgram(taken.program) {
+		return nil, reservedProgram()
+	}
 	if route.GetStateful() && taken.program == "" {
 		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "a turn of this route must name its program", failure.WithPath("program"))
 	}
--- a/internal/front/steps_test.go
+++ b/internal/front/steps_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosestand/rosestand/internal/front"
+	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -226,6 +227,9 @@
 		alone := onStream(stepTurn("a"))
 		alone.headers.Del(words.Program)
 		Expect(f1.route(alone).status).To(Equal(http.StatusBadRequest))
+		register := stepTurn("a")
+		register.headers.Set(words.Program, ledger.TrainingStepProgram(stepName))
+		Expect(f1.route(register).status).To(Equal(http.StatusBadRequest), "the register of a step is no program")
 		Expect(server.requests()).To(BeEmpty())
 	})
 
