Keep a piece of output as small as it was before training steps

Cause: each piece of a stream carried a list of versions, which put it into the next larger size class: 16 bytes a token on the ordinary path, 647,223 to 650,453 bytes a turn of 200 tokens (go test ./internal/front -run xxx -bench BenchmarkTurns -benchtime 3000x -benchmem).

Change: an event names one version at most; the number and its mark fit into the padding and the old class.

After: 110,296 to 110,340 bytes and 1,296 allocations a turn of 20 tokens against 110,224 to 110,300 and 1,296 before training steps, 647,131 against 647,090 of 200 (the same with -bench BenchmarkTurns/20 -benchtime 4000x -count 3). Processor time 812 to 928 against 823 to 973 us a turn of 20 tokens: no difference beyond what runs differ by on this shared machine. Turns of HTTP routes have no benchmark of this kind.

go test ./internal/front ./internal/turn passes once, golangci-lint is clean on them.

--- a/internal/front/httpstream.go
+++ b/internal/front/httpstream.go
@@ -64,7 +64,7 @@
 		token.Tokens = s.eventTokens
 	}
 	if s.versionHeader != "" {
-		token.WeightVersions = s.versionsOf(event)
+		token.WeightVersion, token.NamesVersion = trainingstep.VersionOfEvent(event, s.versionHeader)
 	}
 	s.done.OutputTokens += uint64(token.Tokens)
 	return token, nil
@@ -91,15 +91,6 @@
 	return trainingstep.ParseVersions(s.response.Header.Values(s.versionHeader))
 }
 
-// versionsOf is the version that an event names, if it names one.
-func (s *httpStream) versionsOf(event []byte) []uint64 {
-	version, named := trainingstep.VersionOfEvent(event, s.versionHeader)
-	if !named {
-		return nil
-	}
-	return []uint64{version}
-}
-
 // partialEventError says that a stream ended inside an event.
 type partialEventError struct{}
 
--- a/internal/turn/event.go
+++ b/internal/turn/event.go
@@ -50,12 +50,14 @@
 type Token struct {
 	Text   string
 	Tokens uint32
+	// NamesVersion is true when the event names WeightVersion, in turns of training steps only.
+	NamesVersion bool
 	// Event and Data are set for a turn of an HTTP route: one whole event of the
 	// server's stream, byte for byte, and its data, which is nil when the event has none.
 	Event []byte
 	Data  []byte
-	// WeightVersions are the versions of the weights that the event names, in turns of training steps only.
-	WeightVersions []uint64
+	// WeightVersion is the version of the weights that the event names.
+	WeightVersion uint64
 }
 
 // Head says that a server began to answer a turn of an HTTP route with a stream.
--- a/internal/turn/stream.go
+++ b/internal/turn/stream.go
@@ -24,7 +24,7 @@
 }
 
 func (m *Machine) token(token Token, now time.Time) []Command {
-	if len(token.WeightVersions) > 0 && !m.keepsVersion(token.WeightVersions) {
+	if token.NamesVersion && !m.keepsVersion([]uint64{token.WeightVersion}) {
 		return m.versionChanged(now)
 	}
 	if m.tokens+uint64(token.Tokens) > m.maxTokens {
--- a/internal/turn/trainingstep_test.go
+++ b/internal/turn/trainingstep_test.go
@@ -30,10 +30,12 @@
 	return turn.Head{Answer: &protocol.HttpAnswer{Status: 200}, WeightVersions: versions}
 }
 
-// eventOf is an event that names versions.
+// eventOf is an event that names a version, or none.
 func eventOf(data string, versions ...uint64) turn.Token {
 	event := routedEvent(data)
-	event.WeightVersions = versions
+	if len(versions) > 0 {
+		event.WeightVersion, event.NamesVersion = versions[0], true
+	}
 	return event
 }
 
