--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -34,8 +34,14 @@
 	// reportedAt is when the load was last reported, in Unix nanoseconds.
 	reportedAt atomic.Int64
 
+	// steps is what generations of training steps are there.
+	steps stepLoad
+
 	mutex   sync.Mutex
 	outlier schedule.Outlier
+	// refusedVersion is the version of the weights that the server last said it has not, believed until refusedUntil.
+	refusedVersion uint64
+	refusedUntil   time.Time
 }
 
 func (b *backEnd) id() string { return b.description.Load().GetId() }
@@ -51,7 +57,7 @@
 		return schedule.OutcomeUnreachable
 	case turn.FaultBroken, turn.FaultMismatch:
 		return schedule.OutcomeFault
-	case turn.FaultRefused, turn.FaultFenced, turn.FaultRejected:
+	case turn.FaultRefused, turn.FaultFenced, turn.FaultRejected, turn.FaultWrongVersion:
 	}
 	return schedule.OutcomeNotExecuted
 }
@@ -86,6 +92,7 @@
 		return
 	}
 	b.reportedAt.Store(now.UnixNano())
+	b.steps.atReport.Store(b.steps.count.Load())
 	for part := range strings.SplitSeq(header, ",") {
 		name, text, found := strings.Cut(strings.TrimSpace(part), "=")
 		if !found {
@@ -108,6 +115,7 @@
 
 // take takes in a load that was asked for.
 func (b *backEnd) take(report dialect.Report, now time.Time) {
+	b.steps.atReport.Store(b.steps.count.Load())
 	b.running.Store(report.Running)
 	b.queued.Store(report.Queued)
 	b.cacheUsed.Store(report.CacheUsed)
@@ -229,6 +237,8 @@
 	// prompt and output are those of a turn of an HTTP route.
 	prompt promptcache.Prompt
 	output uint64
+	// step is set for a turn of a training step.
+	step *stepPlacement
 }
 
 // serversOf finds the servers of a group that serve a model or tool, or all of them when none is named.
@@ -248,9 +258,23 @@
 		Front: p.front, Zone: p.zone, Region: p.region, ZoneLocalFirst: group.GetZoneLocalFirst(),
 		AffinityKey: p.affinity, Last: p.last, Avoid: p.avoid, Sequence: p.sequence,
 	}
-	found := candidates(b.serversOf(p.key), group, now)
+	servers := b.serversOf(p.key)
+	var others []*backEnd
+	if p.step != nil {
+		servers, others = p.step.pin.divide(servers, now)
+	}
+	found := candidates(servers, group, now)
 	models.complete(&request, p.key.group, p.prompt, found, now)
 	request.OutputTokens = p.output
+	if p.step != nil {
+		request.Step = &p.step.work
+		used := schedule.Subset(p.front, policy.GetSubsetSize(), found)
+		b.completeSteps(found, frontsAt(p.step.fronts, len(used), len(found)))
+	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return schedule.Choose(request, found, random)
+	decision := schedule.Choose(request, found, random)
+	for _, server := range others {
+		decision.Scores = append(decision.Scores, schedule.Score{ID: server.id(), Reason: schedule.ReasonOtherVersion})
+	}
+	return decision
 }
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,7 @@
 	client       *backEndClient
 	routes       *routeClient
 	models       *groupModels
+	pins         *stepPins
 	admission    *admission
 	sessions     *sessions
 	explanations *explanations
@@ -102,12 +104,14 @@
 		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout),
 		routes:    newRouteClient(options.Dialect, options.Clock),
 		models:    newGroupModels(),
+		pins:      newStepPins(options.Clock),
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
 		explanations: newExplanations(options.Clock, options.Self.GetName()),
 		stopped:      make(chan struct{}),
 		startedAt:    options.Clock.Now(),
 		hasBundle:    make(chan struct{}),
 	}
+	s.admission.steps.places = s.stepPlaces
 	s.heartbeats = newHeartbeats(options.Link, options.Clock, s.metrics)
 	s.viewChanged(options.Link.View())
 	options.Link.Subscribe(s.viewChanged)
@@ -147,6 +151,9 @@
 	return s.policies.Load().active.Group(group).GetEngine().GetCacheTokens()
 }
 
+// frontNodes is the number of front nodes of the fleet.
+func (s *Service) frontNodes() int { return int(math.Round(1 / *s.share.Load())) }
+
 func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
 func countFronts(view *protocol.MembershipView) int {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -64,6 +64,16 @@
 	CacheTokens uint64
 	// Slowness is the factor by which the server is slower than its group; zero means 1.
 	Slowness float64
+
+	// The rest matters to generations of training steps alone.
+
+	// Steps counts this front node's own generations of steps at the server, and StepPlaces how many it may have there.
+	Steps      uint32
+	StepPlaces uint32
+	// StepsAtReport is Steps as it was when the load was reported.
+	StepsAtReport uint32
+	// StepTokens is what those have still to read of their prompts and may still generate.
+	StepTokens uint64
 }
 
 // Load is the relative load: requests at the server by its capacity and weight.
@@ -80,6 +90,13 @@
 	return float64(max(c.InFlight, c.Running+c.Queued))
 }
 
+// Others counts the requests at the server that are no generations of this front node's training steps.
+func (c *Candidate) Others() uint32 {
+	own := c.InFlight - min(c.InFlight, c.Steps)
+	reported := c.Running + c.Queued
+	return max(own, reported-min(reported, c.StepsAtReport))
+}
+
 // othersWaiting is how many requests of other front nodes are taken to have no first token yet.
 func (c *Candidate) othersWaiting() float64 {
 	if c.ReportAge <= 0 {
@@ -118,6 +135,8 @@
 	OutputTokens uint64
 	// Profile is what the group's servers take for their work.
 	Profile Profile
+	// Step is set for a generation of a training step, whatever the algorithm.
+	Step *StepWork
 }
 
 // Score is one candidate's place in a decision.
@@ -149,6 +168,9 @@
 	ReasonLower      = "lower in the order"
 	ReasonFull       = "no free slot"
 	ReasonNotSampled = "not sampled"
+	// ReasonNoStepPlace and ReasonOtherVersion are for turns of training steps.
+	ReasonNoStepPlace  = "no place for a training step"
+	ReasonOtherVersion = "has not the training step's version of the weights"
 )
 
 // Choose places one request. Random is used by power of two choices only.
