Answer requests that reach a draining front node over a connection at rest

Cause: http.Server.SetKeepAlivesEnabled(false) closes the connections at rest at once. A request that was on its way over one of them was lost without an answer. A caller can't tell that from a request that ran, and may not send it again when it must not run twice. Excluded: requests under way at the stop; the log of the front node says that none was. How: the listener sets Connection: close on answers whose head goes out during the drain, in place of the server's setting. Connections at rest stay open for the 2.5 s in which callers notice, and are closed by Shutdown. Test: 'answers a request that comes over a connection at rest, and closes that afterwards'; before the change it failed with an unexpected EOF. The former story of draining passes unchanged. Not proved: a request that comes just as Shutdown closes a connection at rest 2.5 s later is still lost.

--- /dev/null
+++ b/internal/front/drainrig_test.go
@@ -0,0 +1,72 @@
+package front_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/front"
+)
+
+// drainingListener is a front node's own listener for callers of HTTP routes.
+type drainingListener struct{ *front.RouteListener }
+
+func newDrainingListener(r *rig, n *node) *drainingListener {
+	listener := front.NewRouteListener("127.0.0.1:0", front.NewRouteHandler(n.service, words), r.clock)
+	Expect(listener.Start()).To(Succeed())
+	DeferCleanup(listener.Stop)
+	return &drainingListener{listener}
+}
+
+// kept is an answer's body and whether its connection closes after it.
+type kept struct {
+	body    string
+	closing bool
+}
+
+// call sends a request over a connection that may be kept.
+func (l *drainingListener) call(target string) kept {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequest(http.MethodGet, "http://"+l.Address()+target, nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = routeHost
+	response, err := transport.RoundTrip(request)
+	Expect(err).NotTo(HaveOccurred())
+	return kept{body: readRouted(response).body, closing: response.Close}
+}
+
+// keptConnection is one connection of a caller, which stays open between requests.
+type keptConnection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (l *drainingListener) connect() *keptConnection {
+	connection, err := net.Dial("tcp", l.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(connection.Close)
+	return &keptConnection{Conn: connection, reader: bufio.NewReader(connection)}
+}
+
+// call sends a request and reads its answer.
+func (c *keptConnection) call(target string) kept {
+	GinkgoHelper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+routeHost+target, nil)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(request.Write(c)).To(Succeed())
+	response, err := http.ReadResponse(c.reader, request)
+	Expect(err).NotTo(HaveOccurred())
+	return kept{body: readRouted(response).body, closing: response.Close}
+}
+
+// ended reports whether the front node has closed the connection; it waits until something comes.
+func (c *keptConnection) ended() bool {
+	_, err := c.reader.ReadByte()
+	return errors.Is(err, io.EOF)
+}
--- a/internal/front/routeingress_test.go
+++ b/internal/front/routeingress_test.go
@@ -294,4 +294,17 @@
 		_, err := http.Get("http://" + listener.Address() + repeatablePath)
 		Expect(err).To(HaveOccurred())
 	})
+
+	It("answers a request that comes over a connection at rest, and closes that afterwards", func() {
+		r := newRouteRig()
+		f1 := r.front("f1")
+		r.server("s1", answerWith(http.StatusOK, "quick"))
+		listener := newDrainingListener(r, f1)
+		connection := listener.connect()
+		Expect(connection.call(repeatablePath)).To(Equal(kept{body: "quick"}))
+
+		listener.BeginDrain()
+		Expect(connection.call(repeatablePath)).To(Equal(kept{body: "quick", closing: true}), "it was sent before its caller could know")
+		Expect(connection.ended()).To(BeTrue())
+	})
 })
--- a/internal/front/routelistener.go
+++ b/internal/front/routelistener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -23,16 +24,27 @@
 	address string
 	server  *http.Server
 	done    chan error
+	// draining is set once callers are to go to other front nodes.
+	draining atomic.Bool
 	// bound is the address in use once the listener is open.
 	bound net.Addr
 }
 
 func newRouteListener(address string, handler http.Handler, logger *log.Logger) *routeListener {
-	return &routeListener{address: address, done: make(chan error, 1), server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: routedHeaderTimeout, IdleTimeout: routedIdleTimeout,
+	l := &routeListener{address: address, done: make(chan error, 1)}
+	l.server = &http.Server{
+		Handler: l.closing(handler), ReadHeaderTimeout: routedHeaderTimeout, IdleTimeout: routedIdleTimeout,
 		MaxHeaderBytes: 2 * defaultRoutedHeaderBytes,
 		ErrorLog:       logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}}
+	}
+	return l
+}
+
+// closing makes answers that begin during a drain the last ones of their connections.
+func (l *routeListener) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		handler.ServeHTTP(&closingWriter{ResponseWriter: writer, draining: &l.draining}, request)
+	})
 }
 
 // start opens the listener; without an address there is nothing to do.
@@ -56,12 +68,13 @@
 	return nil
 }
 
-// beginDrain lets callers go to other front nodes; the channel tells when all must have noticed.
+// beginDrain lets callers go to other front nodes; the channel tells when all must have noticed. Connections at rest
+// stay open until then: a request may be on its way on each, and would be lost without an answer.
 func (l *routeListener) beginDrain(clock Clock) <-chan time.Time {
 	if l.address == "" {
 		return nil
 	}
-	l.server.SetKeepAlivesEnabled(false)
+	l.draining.Store(true)
 	return clock.After(drainLinger)
 }
 
--- a/internal/front/routerig_test.go
+++ b/internal/front/routerig_test.go
@@ -371,31 +371,3 @@
 	Eventually(n.service.UnderWay).Should(BeZero())
 	Expect(n.service.Drain(context.Background())).To(Succeed())
 }
-
-// drainingListener is a front node's own listener for callers of HTTP routes.
-type drainingListener struct{ *front.RouteListener }
-
-func newDrainingListener(r *rig, n *node) *drainingListener {
-	listener := front.NewRouteListener("127.0.0.1:0", front.NewRouteHandler(n.service, words), r.clock)
-	Expect(listener.Start()).To(Succeed())
-	DeferCleanup(listener.Stop)
-	return &drainingListener{listener}
-}
-
-// kept is an answer's body and whether its connection closes after it.
-type kept struct {
-	body    string
-	closing bool
-}
-
-// call sends a request over a connection that may be kept.
-func (l *drainingListener) call(target string) kept {
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
-	request, err := http.NewRequest(http.MethodGet, "http://"+l.Address()+target, nil)
-	Expect(err).NotTo(HaveOccurred())
-	request.Host = routeHost
-	response, err := transport.RoundTrip(request)
-	Expect(err).NotTo(HaveOccurred())
-	return kept{body: readRouted(response).body, closing: response.Close}
-}
