--- a/internal/front/clock_test.go
+++ b/internal/front/clock_test.go
@@ -9,6 +9,12 @@
 	"github.com/rosestand/rosestand/internal/front"
 )
 
+// firstLedgerPause and longestLedgerPause are what a turn waits until it asks the ledger again.
+const (
+	firstLedgerPause   = 50 * time.Millisecond
+	longestLedgerPause = 2 * time.Second
+)
+
 // manualClock moves only when a story says so.
 type manualClock struct {
 	mutex  sync.Mutex
@@ -133,3 +139,16 @@
 		}
 	}
 }
+
+// passPauses lets the time pass for which a turn waits until it asks the ledger again. No time passes while none waits.
+func (c *manualClock) passPauses() {
+	for wait := firstLedgerPause; wait < longestLedgerPause; wait *= 2 {
+		if c.isSet(wait) {
+			c.advance(wait)
+			return
+		}
+	}
+	if c.isSet(longestLedgerPause) {
+		c.advance(longestLedgerPause)
+	}
+}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -76,13 +76,16 @@
 }
 
 // front adds a front node.
-func (r *rig) front(name string) *node {
+func (r *rig) front(name string) *node { return r.frontWith(name, r.ledger) }
+
+// frontWith adds a front node with a ledger of its own.
+func (r *rig) frontWith(name string, ledger front.Ledger) *node {
 	n := &node{
 		link:      &fakeLink{view: r.view},
 		ownership: &fakeOwnership{self: name, owners: map[string]string{}, forgotten: map[string]int{}, incarnation: 1},
 	}
 	n.service = front.New(front.Options{
-		Self: &protocol.Node{Name: name, Zone: "z1"}, Link: n.link, Ledger: r.ledger, Ownership: n.ownership,
+		Self: &protocol.Node{Name: name, Zone: "z1"}, Link: n.link, Ledger: ledger, Ownership: n.ownership,
 		Caller: r.network, Clock: r.clock, Logger: log.New(io.Discard), StallTimeout: r.stall,
 	})
 	Expect(n.service.Start(context.Background())).To(Succeed())
