Keep the goroutines of a process that does not stop in its log

Cause: one of two runs of make run-platform DURATION=20s (two processors, load average 27 to 46) ended with 'edge-z3-1-front did not stop within the grace'. The front node's log says 'stopped' 2.8 s after the order, so all it had to tear down was down; the 8 s that it had passed, or it ended with an error, and nothing told which. The cause is not found. Test: TestProcessThatDoesNotStopLeavesItsGoroutinesInItsLog.

--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -176,13 +176,29 @@
 	}
 }
 
+// dumpAndKill has the process write its goroutines down before it is killed.
+func (p *Process) dumpAndKill() error {
+	if err := p.Signal(syscall.SIGQUIT); err != nil {
+		return err
+	}
+	select {
+	case <-p.exited:
+		return nil
+	case <-time.After(dumpWait):
+		return p.Kill()
+	}
+}
+
 // StillRunningError says that a killed process did not go.
 type StillRunningError struct{ Name string }
 
 func (e *StillRunningError) Error() string { return e.Name + " is still running after it was killed" }
 
-// Stop asks the process to end, waits for the grace and then kills it. Gentle
-// reports whether it ended by itself and with exit code 0.
+// dumpWait is how long a process may take to write its goroutines down.
+const dumpWait = time.Second
+
+// Stop asks the process to end, waits for the grace and then kills it, after it has written its goroutines
+// into its log. Gentle reports whether it ended by itself and with exit code 0.
 func (p *Process) Stop(grace time.Duration) (gentle bool, err error) {
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return false, err
@@ -193,6 +209,6 @@
 	case <-p.exited:
 		return p.result == nil, nil
 	case <-timer.C:
-		return false, p.Kill()
+		return false, p.dumpAndKill()
 	}
 }
--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -3,20 +3,30 @@
 import (
 	"errors"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rosestand/rosestand/internal/lab/process"
 )
 
+// readyText is what a stubborn process writes once it ignores SIGTERM.
+const readyText = "ready"
+
 // TestMain lets the test binary stand in for a program of the rig.
 func TestMain(m *testing.M) {
 	switch os.Getenv("PROCESS_TEST_ROLE") {
 	case "wait":
 		var block chan struct{}
 		<-block
+	case "stubborn":
+		signal.Ignore(syscall.SIGTERM)
+		_, _ = os.Stdout.WriteString(readyText)
+		select {}
 	case "fail":
 		os.Exit(7)
 	}
@@ -79,6 +89,26 @@
 	}
 }
 
+func TestProcessThatDoesNotStopLeavesItsGoroutinesInItsLog(t *testing.T) {
+	p := start(t, "stubborn")
+	log := func() string {
+		written, err := os.ReadFile(p.Spec().LogFile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(written)
+	}
+	for began := time.Now(); !strings.Contains(log(), readyText) && time.Since(began) < usageBound; {
+		runtime.Gosched()
+	}
+	if gentle, err := p.Stop(10 * time.Millisecond); err != nil || gentle || p.Running() {
+		t.Fatalf("gentle %v, running %v, %v", gentle, p.Running(), err)
+	}
+	if !strings.Contains(log(), "SIGQUIT") || !strings.Contains(log(), "goroutine ") {
+		t.Errorf("log %q", log())
+	}
+}
+
 func TestEndUnaskedIsAnError(t *testing.T) {
 	p := start(t, "fail")
 	<-p.Exited()
