Let front nodes share what they see of servers

A front node ejects a server after five faults in a row, but 76 front nodes send each of 23 tool servers 35 calls a second together, half a call each: none ever sees five, and each loses its own calls. Calls to a hanging server that end with their caller's deadline did not even count as faults.

Front nodes now tell the core's leader what they saw, once a second while they have traffic and within 200 ms when it was bad, and hear which servers to avoid. The leader decides in memory (internal/serverhealth, pure): four faults of two front nodes and three in ten of all outcomes within 3 s, or requests overdue at two front nodes while nobody got an answer for 0.7 s; for 3 s at first, of all zones or of the one whose front nodes alone saw it. Half of a group stays in use, as before.

Tests: internal/serverhealth, internal/core/outcomes_test.go, internal/front/shareoutcomes_test.go (the first fails without the sharing: the third front node meets the broken server).

--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -54,6 +54,9 @@
 	case *protocol.Request_ReportArms:
 		err := s.reportArms(ctx, body.ReportArms)
 		return &protocol.Response{Body: &protocol.Response_ReportArms{ReportArms: &protocol.ReportArmsResponse{}}}, err
+	case *protocol.Request_ShareOutcomes:
+		shared, err := s.shareOutcomes(ctx, body.ShareOutcomes)
+		return &protocol.Response{Body: &protocol.Response_ShareOutcomes{ShareOutcomes: shared}}, err
 	case *protocol.Request_Propose:
 		result, _, err := s.consensus.Propose(ctx, body.Propose.GetCommand())
 		if err != nil {
--- /dev/null
+++ b/internal/core/outcomes_test.go
@@ -0,0 +1,53 @@
+package core_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var _ = Describe("what front nodes see of back ends", func() {
+	var f *fleet
+	BeforeEach(func() { f = newFleet(2, nil) })
+	share := func(m *member, node string, faults uint32) (*protocol.ShareOutcomesResponse, error) {
+		answer, err := m.call(&protocol.Request{Body: &protocol.Request_ShareOutcomes{ShareOutcomes: &protocol.ShareOutcomesRequest{
+			Node: node, Zone: "z1", Outcomes: []*protocol.BackEndOutcomes{{Id: "s1", Incarnation: 3, Faults: faults}},
+		}}})
+		return answer.GetShareOutcomes(), err
+	}
+
+	It("is put together by the leader and told to whoever asks next", func() {
+		leader := f.lead(f.members[0])
+		answer, err := share(leader, "f1", 2)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetSuspects()).To(BeEmpty())
+		answer, err = share(leader, "f2", 2)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetSuspects()).To(HaveLen(1))
+		Expect(answer.GetSuspects()[0].GetId()).To(Equal("s1"))
+		Expect(answer.GetSuspects()[0].GetIncarnation()).To(BeEquivalentTo(3))
+		Expect(answer.GetSuspects()[0].GetLeftMillis()).To(BeNumerically(">", 1000))
+		f.advance(20 * time.Second)
+		answer, err = share(leader, "f3", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetSuspects()).To(BeEmpty(), "it is tried again")
+	})
+
+	It("is refused by a member that does not lead, which promises nothing", func() {
+		f.lead(f.members[0])
+		_, err := share(f.members[1], "f1", 2)
+		Expect(failure.Is(err, failure.NotLeader)).To(BeTrue())
+	})
+
+	It("is refused when it is too much at once", func() {
+		leader := f.lead(f.members[0])
+		_, err := leader.call(&protocol.Request{Body: &protocol.Request_ShareOutcomes{ShareOutcomes: &protocol.ShareOutcomesRequest{
+			Node: "f1", Outcomes: make([]*protocol.BackEndOutcomes, 5000),
+		}}})
+		Expect(failure.Is(err, failure.InvalidField)).To(BeTrue())
+	})
+})
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosestand/rosestand/internal/core/replica"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/serverhealth"
 )
 
 const (
@@ -55,6 +56,8 @@
 	drains      []*drain
 	arms        *armTable
 	reconciler  *reconciler
+	// serverHealth is what front nodes saw of back ends; a new leader begins without it.
+	serverHealth serverhealth.Board
 	// underWay counts the tasks that work began and whose end the owner has not seen.
 	underWay int
 }
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -42,6 +42,9 @@
 	// refusedVersion is the version of the weights that the server last said it has not, believed until refusedUntil.
 	refusedVersion uint64
 	refusedUntil   time.Time
+
+	// outcomes is what is shared with other front nodes.
+	outcomes serverOutcomes
 }
 
 func (b *backEnd) id() string { return b.description.Load().GetId() }
@@ -67,6 +70,7 @@
 	b.mutex.Lock()
 	b.outlier.Observe(outcome, now)
 	b.mutex.Unlock()
+	b.outcomes.count(outcome)
 }
 
 // health is what is known of a server's faults.
@@ -78,12 +82,25 @@
 }
 
 func (b *backEnd) health(now time.Time) health {
+	suspectUntil := b.outcomes.suspected()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return health{
+	known := health{
 		ejected: b.outlier.Ejected(now), share: b.outlier.Share(now),
-		until: b.outlier.Until(), unreachable: b.outlier.Unreachable(),
+		until: b.outlier.Until(), unreachable: b.outlier.Unreachable() && b.outlier.Ejected(now),
+	}
+	if now.Before(suspectUntil) {
+		known.ejected = true
+		known.until = laterOf(known.until, suspectUntil)
+	}
+	return known
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // report takes in the load that rides on an answer: "running=1,queued=0,capacity=16".
@@ -205,7 +222,7 @@
 		}
 		snapshot = append(snapshot, schedule.Candidate{
 			ID: description.GetId(), Zone: description.GetZone(), Region: description.GetRegion(), Draining: server.draining.Load(), Ejected: known.ejected,
-			EjectedUntil: known.until, Unreachable: known.unreachable && known.ejected,
+			EjectedUntil: known.until, Unreachable: known.unreachable,
 			ReportAge: age, UsedTokens: server.cacheUsed.Load(), CacheTokens: server.cacheTotal.Load(),
 			Capacity: capacity, InFlight: uint32(max(server.inFlight.Load(), 0)),
 			Running: running, Queued: queued,
--- a/internal/front/clock_test.go
+++ b/internal/front/clock_test.go
@@ -107,6 +107,18 @@
 	return c.isAnySet(func(set time.Duration) bool { return set == wait })
 }
 
+// countSet is how many alarms were set to ring after just that time.
+func (c *manualClock) countSet(wait time.Duration) (set int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, held := range c.alarms {
+		if held.wait == wait {
+			set++
+		}
+	}
+	return set
+}
+
 // awaitsSample reports whether a front node waits until it asks the next server for its load.
 func (c *manualClock) awaitsSample() bool {
 	return c.isAnySet(func(set time.Duration) bool {
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -113,6 +113,10 @@
 	ArmReportInterval   = armReportInterval
 	SampleInterval      = sampleInterval
 	SampleTimeout       = sampleTimeout
+	ShareTick           = shareTick
+	ShareInterval       = shareInterval
+	// AnswerWithin is far above the time in which the rig's routes should be answered.
+	AnswerWithin = time.Second
 )
 
 // RefusedVersionLife is how long a server's word that it has not a version goes before its announcement.
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -18,6 +18,8 @@
 	subscribers []func(*corelink.View)
 	core        func(*protocol.Request) (*protocol.Response, error)
 	draining    atomic.Bool
+	// shared, if any, answers reports of what was seen of servers; without it no server is suspect.
+	shared func(*protocol.ShareOutcomesRequest) (*protocol.ShareOutcomesResponse, error)
 }
 
 func (l *fakeLink) View() *corelink.View {
@@ -48,8 +50,16 @@
 
 func (l *fakeLink) CallCore(_ context.Context, request *protocol.Request) (*protocol.Response, error) {
 	l.mutex.Lock()
-	answer := l.core
+	answer, shared := l.core, l.shared
 	l.mutex.Unlock()
+	if report := request.GetShareOutcomes(); report != nil {
+		response := &protocol.ShareOutcomesResponse{}
+		var err error
+		if shared != nil {
+			response, err = shared(report)
+		}
+		return &protocol.Response{Body: &protocol.Response_ShareOutcomes{ShareOutcomes: response}}, err
+	}
 	return answer(request)
 }
 
--- a/internal/front/httpturn.go
+++ b/internal/front/httpturn.go
@@ -103,6 +103,7 @@
 	group, prompt := r.route.GetGroup(), promptOf(r.request.GetHttp())
 	if r.pin == nil {
 		r.server.inFlight.Add(1)
+		r.awaited = r.server.outcomes.await(answerWithin(r.request.GetHttp(), turnPatienceFactor), r.issuedAt)
 		r.sent = r.service.models.sent(group, r.server.id(), prompt, r.issuedAt)
 		return
 	}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -10,11 +10,13 @@
 	forwarded     prometheus.Counter
 	retries       prometheus.Counter
 	attemptFaults *prometheus.CounterVec
-	firstToken    prometheus.Histogram
-	inProgress    prometheus.Gauge
-	heartbeats    prometheus.Counter
-	shadowDiffers prometheus.Counter
-	loadSamples   *prometheus.CounterVec
+	// sharedSuspects counts servers that became suspect here.
+	sharedSuspects prometheus.Counter
+	firstToken     prometheus.Histogram
+	inProgress     prometheus.Gauge
+	heartbeats     prometheus.Counter
+	shadowDiffers  prometheus.Counter
+	loadSamples    *prometheus.CounterVec
 	// Counters of training steps.
 	stepPins        prometheus.Counter
 	stepRefusals    *prometheus.CounterVec
@@ -48,6 +50,8 @@
 		"Generations of training steps that were refused as owner and not run, by code."), []string{"code"})
 	m.stepGenerations = prometheus.NewCounterVec(counter("training_step_generations_total",
 		"Generations of training steps that ran or may have run as owner: completed, or by code of the failure."), []string{"outcome"})
+	m.sharedSuspects = prometheus.NewCounter(counter("shared_suspects_total", "Servers avoided for a while by what all front nodes saw together."))
+	registerer.MustRegister(m.sharedSuspects)
 	registerer.MustRegister(m.stepPins, m.stepRefusals, m.stepGenerations)
 	registerer.MustRegister(m.turns, m.calls, m.events, m.forwarded, m.retries, m.attemptFaults, m.firstToken,
 		m.inProgress, m.heartbeats, m.shadowDiffers, m.loadSamples)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -172,6 +172,7 @@
 	s.workers.Go(func() { s.reportArms(ctx) })
 	s.workers.Go(func() { s.heartbeats.run(ctx) })
 	s.workers.Go(func() { s.watchLoad(ctx) })
+	s.workers.Go(func() { s.shareOutcomes(ctx) })
 	return nil
 }
 
--- /dev/null
+++ b/internal/front/shareoutcomes_test.go
@@ -0,0 +1,163 @@
+package front_test
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/front"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/serverhealth"
+)
+
+// sharedBoard is what the core's leader does with reports of several front nodes.
+type sharedBoard struct {
+	clock *manualClock
+
+	mutex    sync.Mutex
+	board    serverhealth.Board
+	reported map[string]uint32
+	// lost lets reports arrive and their answers get lost.
+	lost bool
+}
+
+var errAnswerLost = errors.New("the answer was lost")
+
+func (s *sharedBoard) share(report *protocol.ShareOutcomesRequest) (*protocol.ShareOutcomesResponse, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.lost {
+		return nil, errAnswerLost
+	}
+	taken := serverhealth.Report{Node: report.GetNode(), Zone: report.GetZone()}
+	for _, seen := range report.GetOutcomes() {
+		s.reported[report.GetNode()] += seen.GetAnswered() + seen.GetFaults()
+		taken.Outcomes = append(taken.Outcomes, serverhealth.Outcomes{
+			Server: seen.GetId(), Incarnation: seen.GetIncarnation(),
+			Answered: seen.GetAnswered(), Faults: seen.GetFaults(), Overdue: seen.GetOverdue(),
+		})
+	}
+	s.board.Take(taken, s.clock.Now())
+	answer := &protocol.ShareOutcomesResponse{}
+	for _, suspect := range s.board.Suspects(report.GetZone(), s.clock.Now()) {
+		answer.Suspects = append(answer.Suspects, &protocol.SuspectBackEnd{
+			Id: suspect.Server, Incarnation: suspect.Incarnation, LeftMillis: uint32(suspect.Left / time.Millisecond),
+		})
+	}
+	return answer, nil
+}
+
+func (s *sharedBoard) told(node string) uint32 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reported[node]
+}
+
+var _ = Describe("what front nodes see of servers together", func() {
+	var r *rig
+	var board *sharedBoard
+	BeforeEach(func() {
+		r = newRouteRig()
+		board = &sharedBoard{clock: r.clock, reported: map[string]uint32{}}
+	})
+	sharing := func(name string) *node {
+		f := r.front(name)
+		f.link.mutex.Lock()
+		f.link.shared = board.share
+		f.link.mutex.Unlock()
+		return f
+	}
+	// tell lets all front nodes report once.
+	tell := func(nodes ...*node) {
+		GinkgoHelper()
+		for range 2 {
+			Eventually(r.clock.countSet).WithArguments(front.ShareTick).Should(Equal(len(nodes)))
+			r.clock.advance(front.ShareTick)
+		}
+		Eventually(r.clock.countSet).WithArguments(front.ShareTick).Should(Equal(len(nodes)))
+	}
+
+	It("keeps a front node off a server whose faults only others saw", func() {
+		broken := r.server("broken", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		f1, f2, f3 := sharing("f1"), sharing("f2"), sharing("f3")
+		for range 2 {
+			f1.route(routed{target: nonRepeatablePath})
+			f2.route(routed{target: nonRepeatablePath})
+		}
+		Expect(count(broken)).To(Equal(4))
+		tell(f1, f2, f3)
+		// f3 learns of it with its own first report.
+		good := r.server("good", answerWith(http.StatusOK, "ok"))
+		Expect(f3.route(routed{target: repeatablePath}).status).To(Equal(http.StatusOK))
+		r.clock.advance(front.ShareInterval)
+		tell(f1, f2, f3)
+		before := count(broken)
+		for range 20 {
+			Expect(f3.route(routed{target: nonRepeatablePath}).status).To(Equal(http.StatusOK))
+		}
+		Expect(count(broken)).To(Equal(before))
+		Expect(count(good)).To(BeNumerically(">=", 20))
+	})
+
+	It("notices a server that answers nothing before the first request has failed", func() {
+		r.server("silent", func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+		f1, f2 := sharing("f1"), sharing("f2")
+		var waiting []<-chan routedAnswer
+		for range 2 {
+			waiting = append(waiting, f1.routeAside(routed{target: nonRepeatablePath}), f2.routeAside(routed{target: nonRepeatablePath}))
+		}
+		Eventually(func() int64 { return f1.service.UnderWay() + f2.service.UnderWay() }).Should(BeEquivalentTo(4))
+		r.server("good", answerWith(http.StatusOK, "ok"))
+		r.clock.advance(front.AnswerWithin)
+		tell(f1, f2)
+		for range 20 {
+			Expect(f1.route(routed{target: nonRepeatablePath}).status).To(Equal(http.StatusOK))
+		}
+		r.clock.advance(routeTimeoutMillis * time.Millisecond)
+		for _, answered := range waiting {
+			Eventually(answered).Should(Receive())
+		}
+	})
+
+	It("tells again what the leader may not have got", func() {
+		r.server("good", answerWith(http.StatusOK, "ok"))
+		f1 := sharing("f1")
+		board.mutex.Lock()
+		board.lost = true
+		board.mutex.Unlock()
+		for range 3 {
+			Expect(f1.route(routed{target: nonRepeatablePath}).status).To(Equal(http.StatusOK))
+		}
+		r.clock.advance(front.ShareInterval)
+		tell(f1)
+		Expect(board.told("f1")).To(BeZero())
+		board.mutex.Lock()
+		board.lost = false
+		board.mutex.Unlock()
+		r.clock.advance(front.ShareInterval)
+		tell(f1)
+		Expect(board.told("f1")).To(BeEquivalentTo(3))
+	})
+
+	It("tells nothing without traffic", func() {
+		r.server("good", answerWith(http.StatusOK, "ok"))
+		f1 := sharing("f1")
+		asked := atomic.Int32{}
+		f1.link.mutex.Lock()
+		f1.link.shared = func(*protocol.ShareOutcomesRequest) (*protocol.ShareOutcomesResponse, error) {
+			asked.Add(1)
+			return &protocol.ShareOutcomesResponse{}, nil
+		}
+		f1.link.mutex.Unlock()
+		for range 10 {
+			r.clock.advance(front.ShareInterval)
+			tell(f1)
+		}
+		Expect(asked.Load()).To(BeZero())
+	})
+})
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -38,6 +38,8 @@
 	// patienceFactor is the multiple of its latency objective that an attempt of a repeatable call may take.
 	patienceFactor = 2
 	leastPatience  = 200 * time.Millisecond
+	// turnPatienceFactor is the multiple of its latency objective in which the first event of a turn should come.
+	turnPatienceFactor = 4
 )
 
 // runCall runs a tool call as owner of its session and returns its answer. The
@@ -278,7 +280,9 @@
 	r.explanation.step("issued", command.BackEnd)
 	issuedAt := r.now()
 	r.server.inFlight.Add(1)
+	awaited := r.server.outcomes.await(answerWithin(r.request.GetHttp(), patienceFactor), issuedAt)
 	event, err := r.send(command)
+	awaited.end(err == nil, r.now())
 	r.server.inFlight.Add(-1)
 	if err == nil {
 		r.server.record(schedule.OutcomeAnswered, r.now())
@@ -313,7 +317,7 @@
 		return r.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	limit := max(patienceFactor*millis(routed.GetLatencyObjectiveMillis()), leastPatience)
+	limit := answerWithin(routed, patienceFactor)
 	expired := r.service.clock.After(limit)
 	go func() {
 		select {
@@ -325,6 +329,15 @@
 	return ctx, cancel
 }
 
+// answerWithin is the time in which a request of an HTTP route should show a sign of its answer: a multiple of the
+// route's latency objective. It is zero where no objective is known.
+func answerWithin(routed *protocol.HttpRequest, factor time.Duration) time.Duration {
+	if routed == nil {
+		return 0
+	}
+	return max(factor*millis(routed.GetLatencyObjectiveMillis()), leastPatience)
+}
+
 // hasAlternative reports whether the group has a server that was not asked yet.
 func (r *callRun) hasAlternative() bool {
 	ready := uint32(0)
--- a/internal/front/turnrun.go
+++ b/internal/front/turnrun.go
@@ -36,7 +36,9 @@
 	// sent is the turn at its server as the group's model sees it; nil for turns of no HTTP route.
 	sent *sentTurn
 	// work is a generation of a training step at its server; nil for other turns.
-	work       *stepWork
+	work *stepWork
+	// awaited is the wait for the first event of a live turn of an HTTP route.
+	awaited    *awaitedAnswer
 	server     *backEnd
 	issuedAt   time.Time
 	firstToken bool
@@ -108,6 +110,7 @@
 	if err != nil {
 		return r.attemptFailed(err)
 	}
+	r.awaited.end(true, r.now())
 	switch event.(type) {
 	case turn.Token:
 		r.noteFirstToken()
@@ -200,6 +203,7 @@
 
 // leaveServer notes that the attempt holds no slot of its server any more. A generation of a step left with its work.
 func (r *turnRun) leaveServer() {
+	r.awaited.end(false, r.now())
 	r.endSent(false)
 	if r.pin == nil {
 		r.server.inFlight.Add(-1)
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -16,7 +16,7 @@
 // Packages lists the decision packages, relative to the module's root.
 var Packages = []string{
 	"internal/ring", "internal/directory", "internal/lease", "internal/turn", "internal/schedule", "internal/promptcache", "internal/limit",
-	"internal/ledger", "internal/register", "internal/consensus", "internal/controlstate", "internal/bundle", "internal/views", "internal/trainingstep",
+	"internal/ledger", "internal/register", "internal/consensus", "internal/controlstate", "internal/bundle", "internal/views", "internal/trainingstep", "internal/serverhealth",
 }
 
 var forbiddenImports = []string{"net", "os", "syscall", "context", "sync", "runtime", "unsafe"}
