Give the specs of kept chains a keeping time that no wait can use up

Cause: "is kept as a whole as long as its last turn" failed once in 15 runs of the package on a busy machine: its second turn got LEDGER_UNKNOWN_PROGRAM though the program is kept for 2 hours. The program had expired: the spec itself let more than 2 hours pass. It waits until all three stores hold the first turn and then jumps 110 minutes. A store that does not answer the keep within the 100 ms (wall clock) of the fleet's peer timeout gets the turn by the scrub only, 10 minutes later by the fleet's clock, and fleet.until moves that clock 50 ms a look.

Excluded: a fault of expiry, by reading. A replica that missed the last change forgets earlier than the others, but answers "nothing accepted", below any ballot, so a majority with it still gives the newer value and a read with it goes on as a change. Two such replicas cannot be, since a majority accepted the last change. A promise is kept at least 3 minutes from its ballot's time, beyond the deadline of an operation. keptUntil is cleared at every put; the ledger judges by the record's own last change. Turns expire by the end they name, prolonged along their chain, and are said to be missing by a majority of the placement only.

A second weakness, seen under load: the wait for "missing" made a read for each 50 ms of the fleet's clock, while stores collect once a minute. A look now gives a second, and all stores, not one, are to hold no turn afterwards.

The specs keep their proportions: keepFor is 30 days instead of 2 hours, each jump the same share of it (11/12, 10/12, 8/12, 5/12, 2/12 for 110, 100, 80, 50 and 20 minutes), so what a wait may take is 60 hours, not 10 minutes. A new spec cuts a store during the first turn, so that only the scrub brings it.

Conclusion: the product was right. Not proved: that repairs of expired turns by reads through several stores, each of which collects at its own moment, end while the reads go on.

--- a/internal/store/keeping_test.go
+++ b/internal/store/keeping_test.go
@@ -11,9 +11,13 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
-// keepFor is long, since the clock of a fleet runs fast while something is awaited; briefly is the shortest time.
 const (
-	keepFor = 2 * time.Hour
+	// keepFor is far more than can pass on the clock of a fleet while something is awaited: fleet.until moves it
+	// 50 ms a look, so a turn that only the scrub brings to a store costs ten minutes, and a slow wait hours.
+	keepFor = 30 * 24 * time.Hour
+	// keepingTwelfth is the unit of the jumps within keepFor, and the least that they leave to what is awaited.
+	keepingTwelfth = keepFor / 12
+	// briefly is the shortest keeping time.
 	briefly = 2 * time.Minute
 )
 
@@ -64,25 +68,45 @@
 		p := f.keptProgram("p", keepFor)
 		p.takeTurn()
 		f.allHold(1)
-		f.clock.advance(110 * time.Minute)
+		f.clock.advance(11 * keepingTwelfth)
 		p.takeTurn()
 		f.allHold(2)
-		f.clock.advance(100 * time.Minute)
+		f.clock.advance(10 * keepingTwelfth)
 		f.pass(2 * time.Minute)
 		p.expectKept()
 		Expect(f.turnsHeld()).To(HaveEach(BeEquivalentTo(2)))
-		f.clock.advance(20 * time.Minute)
-		f.until(func() bool { return f.do(p.readTurns(p.last())).GetStatus() == missing })
-		f.until(func() bool { return f.members["a"].store.Status().GetTurns() == 0 })
+		f.clock.advance(2 * keepingTwelfth)
+		f.until(func() bool {
+			// A look costs a read, so each is given more time than until gives.
+			f.clock.advance(time.Second)
+			return f.do(p.readTurns(p.last())).GetStatus() == missing
+		})
+		f.allHold(0)
+	})
+
+	It("is kept as a whole by a store that only the scrub brings the first turn", func() {
+		f := newFleet("a", "b", "c")
+		p := f.keptProgram("p", keepFor)
+		f.setCut("c", true)
+		p.takeTurn()
+		f.setCut("c", false)
+		f.allHold(1)
+		f.clock.advance(11 * keepingTwelfth)
+		p.takeTurn()
+		f.allHold(2)
+		f.clock.advance(10 * keepingTwelfth)
+		f.pass(2 * time.Minute)
+		f.setCut("a", true)
+		p.expectKept()
 	})
 
 	It("is kept as a whole also when all stores lose power meanwhile", func() {
 		f := newFleet("a", "b", "c")
 		p := f.keptProgram("p", keepFor)
 		p.takeTurn()
-		f.clock.advance(110 * time.Minute)
+		f.clock.advance(11 * keepingTwelfth)
 		p.takeTurn()
-		f.clock.advance(80 * time.Minute)
+		f.clock.advance(8 * keepingTwelfth)
 		f.pass(2 * time.Minute)
 		for _, name := range f.names {
 			f.stopOne(name, true)
@@ -101,10 +125,10 @@
 		p.takeTurn()
 		p.takeTurn()
 		f.setCut("c", false)
-		f.clock.advance(110 * time.Minute)
+		f.clock.advance(11 * keepingTwelfth)
 		p.takeTurn()
 		f.until(func() bool { return f.members["c"].store.Status().GetTurns() == 3 })
-		f.clock.advance(100 * time.Minute)
+		f.clock.advance(10 * keepingTwelfth)
 		f.pass(2 * time.Minute)
 		f.setCut("a", true)
 		p.expectKept()
@@ -114,9 +138,9 @@
 		f := newFleet("a", "b", "c")
 		p := f.keptProgram("p", keepFor)
 		p.takeTurn()
-		f.clock.advance(110 * time.Minute)
+		f.clock.advance(11 * keepingTwelfth)
 		p.takeTurn()
-		f.clock.advance(50 * time.Minute)
+		f.clock.advance(5 * keepingTwelfth)
 		f.loseDisk("c")
 		f.until(f.whole)
 		f.loseDisk("b")
@@ -130,12 +154,12 @@
 		older := f.keptProgram("older", keepFor)
 		older.takeTurn()
 		older.takeTurn()
-		f.clock.advance(110 * time.Minute)
+		f.clock.advance(11 * keepingTwelfth)
 		later := &program{fleet: f, name: "later", keepFor: keepFor, previousProgram: "older", previousTurn: older.last()}
 		later.claim("front-2", 1)
 		later.takeTurn()
 		later.takeTurn()
-		f.clock.advance(100 * time.Minute)
+		f.clock.advance(10 * keepingTwelfth)
 		f.pass(2 * time.Minute)
 		later.expectKept()
 		read := f.do(later.readTurns(later.last()))
