Prolong a copy of a kept turn

Cause, by reading: the page of a chain that is prolonged holds the turns that the read before may still be handing to a replica that lacks them, on the group's goroutine; setting the end of the keeping time on them was a write beside that read. A copy is changed now. Excluded: nothing; it was not seen in a run, and the race detector was not run on it. The package's tests pass.

--- a/internal/store/chain.go
+++ b/internal/store/chain.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosestand/rosestand/internal/ledger"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/register"
@@ -122,9 +124,11 @@
 			statuses <- protocol.LedgerStatus_LEDGER_OK
 			continue
 		}
-		turn.KeepUntilMillis = untilMillis
+		// The page's own turn may be on its way to a replica that lacks it.
+		prolonged := proto.CloneOf(turn)
+		prolonged.KeepUntilMillis = untilMillis
 		g.mailbox.post(func() {
-			g.keepOnMajority(shard, turn, deadline, func(status protocol.LedgerStatus) { statuses <- status })
+			g.keepOnMajority(shard, prolonged, deadline, func(status protocol.LedgerStatus) { statuses <- status })
 		})
 	}
 	answer := protocol.LedgerStatus_LEDGER_OK
