Count the internal protocol's bytes by what they are for

Cause: the limits on what control may cost a node (12 KB a second) could not be held against a node that also carries traffic: its counters told bytes of all kinds in one sum.

Each side now counts the bytes of its frames as control, consensus, directory, ledger, traffic or other, sent and received, and exports them by those labels.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -50,6 +50,12 @@
 			Help: "Frames sent over the internal protocol.",
 		}, func() float64 { return float64(counters.SentFrames.Load()) }),
 	}
+	for _, purpose := range wire.Purposes {
+		exported = append(exported,
+			purposeCounter("rosestand_wire_sent_purpose_bytes_total", "Bytes of frames sent, by what they are for.", side, purpose, &counters.SentFor),
+			purposeCounter("rosestand_wire_received_purpose_bytes_total", "Bytes of frames received, by what they are for.", side, purpose, &counters.ReceivedFor),
+		)
+	}
 	for _, collector := range exported {
 		if err := registry.Register(collector); err != nil {
 			return err
@@ -58,6 +64,17 @@
 	return nil
 }
 
+// bytesByPurpose are the bytes of frames by what they are for.
+type bytesByPurpose interface {
+	Of(purpose wire.Purpose) uint64
+}
+
+func purposeCounter(name, help, side string, purpose wire.Purpose, bytes bytesByPurpose) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: name, Help: help, ConstLabels: prometheus.Labels{"side": side, "purpose": purpose.String()},
+	}, func() float64 { return float64(bytes.Of(purpose)) })
+}
+
 func oneIf(condition bool) float64 {
 	if condition {
 		return 1
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -102,7 +102,7 @@
 
 // read delivers frames until the connection ends, and returns why it did.
 func (c *clientConnection) read() error {
-	reader := frameReader{reader: c.reader}
+	reader := frameReader{reader: c.reader, counters: c.writer.counters}
 	for {
 		frame := &protocol.Frame{}
 		if err := reader.read(MaxFrameBytes, frame); err != nil {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -42,8 +42,10 @@
 // frameReader reads the messages of one connection, with one buffer for all small ones.
 type frameReader struct {
 	reader *bufio.Reader
-	prefix [lengthBytes]byte
-	spare  []byte
+	// counters, if any, count the frames read.
+	counters *Counters
+	prefix   [lengthBytes]byte
+	spare    []byte
 }
 
 // read reads the next message. Decoding copies what the message keeps.
@@ -62,6 +64,9 @@
 	if err := proto.Unmarshal(body, message); err != nil {
 		return &FrameError{Reason: err.Error()}
 	}
+	if frame, isFrame := message.(*protocol.Frame); isFrame && r.counters != nil {
+		r.counters.ReceivedFor.add(frame, lengthBytes+int(size))
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/wire/purposebytes_test.go
@@ -0,0 +1,44 @@
+package wire_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
+)
+
+// echoPoll answers polls and lookups with empty answers of their kind.
+type echoPoll struct{}
+
+func (echoPoll) Serve(_ context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+	if request.GetPollControl() != nil {
+		return send(&protocol.Response{Body: &protocol.Response_PollControl{PollControl: &protocol.PollControlResponse{}}})
+	}
+	return send(&protocol.Response{Body: &protocol.Response_LookupSession{LookupSession: &protocol.LookupSessionResponse{}}})
+}
+
+func TestBytesAreCountedByWhatTheyAreFor(t *testing.T) {
+	address, _ := startServer(t, echoPoll{})
+	pool := startPool(t, testKey)
+	requests := []*protocol.Request{
+		{Body: &protocol.Request_PollControl{PollControl: &protocol.PollControlRequest{Node: "front-1"}}},
+		{Body: &protocol.Request_LookupSession{LookupSession: &protocol.LookupSessionRequest{Session: "s"}}},
+	}
+	for _, request := range requests {
+		if _, err := pool.Call(t.Context(), address, request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, purpose := range wire.Purposes {
+		wanted := purpose == wire.PurposeControl || purpose == wire.PurposeDirectory
+		if sent := pool.Counters().SentFor.Of(purpose); (sent > 0) != wanted {
+			t.Errorf("%d bytes sent for %s", sent, purpose)
+		}
+	}
+	for _, purpose := range []wire.Purpose{wire.PurposeControl, wire.PurposeDirectory} {
+		if pool.Counters().ReceivedFor.Of(purpose) == 0 {
+			t.Errorf("nothing received for %s", purpose)
+		}
+	}
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -195,7 +195,7 @@
 }
 
 func (c *servedConnection) read(reader *bufio.Reader) {
-	frames := frameReader{reader: reader}
+	frames := frameReader{reader: reader, counters: c.writer.counters}
 	var refreshed time.Time
 	for {
 		if now := time.Now(); now.Sub(refreshed) > deadlineRefresh {
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
+	"github.com/rosestand/rosestand/internal/protocol"
 )
 
 // Counters count the traffic of a pool or server, in bytes and frames.
@@ -14,6 +16,9 @@
 	SentBytes     atomic.Uint64
 	ReceivedBytes atomic.Uint64
 	SentFrames    atomic.Uint64
+	// SentFor and ReceivedFor are the bytes of frames by their purpose; sent ones count when they are queued.
+	SentFor     purposeBytes
+	ReceivedFor purposeBytes
 	// Panics counts handlers that panicked; a pool has none.
 	Panics atomic.Uint64
 }
@@ -52,6 +57,9 @@
 	if err != nil {
 		return err
 	}
+	if frame, isFrame := message.(*protocol.Frame); isFrame {
+		w.counters.SentFor.add(frame, len(extended)-len(w.pending))
+	}
 	w.pending = extended
 	w.counters.SentFrames.Add(1)
 	select {
