Tell front nodes at once which servers all of them take for faulty

The leader counted an answer from when it was told, up to a second late, so a server that had just fallen silent passed for answering; and a front node that saw nothing itself heard of a suspect with its next report, up to another second later.

Excluded: the thresholds of faults (hanging calls show no fault before their deadline); the report tick of 200 ms.

Reports carry the age of the newest sign of an answer, the first event of a stream among them; silence is 0.5 s in place of 0.7 s; a front node waits at the leader for the next suspect and no longer asks every 400 ms.

Calls under way when a server falls silent are lost as before.

--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -57,6 +57,9 @@
 	case *protocol.Request_ShareOutcomes:
 		shared, err := s.shareOutcomes(ctx, body.ShareOutcomes)
 		return &protocol.Response{Body: &protocol.Response_ShareOutcomes{ShareOutcomes: shared}}, err
+	case *protocol.Request_WatchSuspects:
+		watched, err := s.watchSuspects(ctx, body.WatchSuspects)
+		return &protocol.Response{Body: &protocol.Response_WatchSuspects{WatchSuspects: watched}}, err
 	case *protocol.Request_Propose:
 		result, _, err := s.consensus.Propose(ctx, body.Propose.GetCommand())
 		if err != nil {
--- a/internal/core/outcomes.go
+++ b/internal/core/outcomes.go
@@ -26,21 +26,80 @@
 		report.Outcomes = append(report.Outcomes, serverhealth.Outcomes{
 			Server: seen.GetId(), Incarnation: seen.GetIncarnation(),
 			Answered: seen.GetAnswered(), Faults: seen.GetFaults(), Overdue: seen.GetOverdue(),
+			Heard: seen.SignAgeMillis != nil, SignAge: time.Duration(seen.GetSignAgeMillis()) * time.Millisecond,
 		})
 	}
 	var suspects []serverhealth.Suspect
 	asked := s.owner.ask(ctx, func(now time.Time) {
-		s.owner.serverHealth.Take(report, now)
+		s.owner.takeOutcomes(report, now)
 		suspects = s.owner.serverHealth.Suspects(request.GetZone(), now)
 	})
 	if !asked {
 		return nil, contextFailure(ctx)
 	}
-	answer := &protocol.ShareOutcomesResponse{}
+	return &protocol.ShareOutcomesResponse{Suspects: describeSuspects(suspects)}, nil
+}
+
+// takeOutcomes adds a report and wakes those who watch for suspects when it made one.
+func (o *owner) takeOutcomes(report serverhealth.Report, now time.Time) {
+	former := o.serverHealth.Version()
+	o.serverHealth.Take(report, now)
+	if o.serverHealth.Version() == former {
+		return
+	}
+	close(o.suspectsChanged)
+	o.suspectsChanged = make(chan struct{})
+}
+
+// watchSuspects answers as soon as there are suspects of another version than the one known, or without any when the time
+// asked for is over.
+func (s *Service) watchSuspects(ctx context.Context, request *protocol.WatchSuspectsRequest) (*protocol.WatchSuspectsResponse, error) {
+	leadership := s.owner.leading.Load()
+	if leadership == nil || !s.consensus.IsLeader() {
+		return nil, notLeaderFailure()
+	}
+	timer := s.clock.NewTimer(min(time.Duration(request.GetWaitMillis())*time.Millisecond, maxPollWait))
+	defer timer.Stop()
+	for {
+		answer, changed, err := s.newSuspects(ctx, request)
+		if answer != nil || err != nil {
+			return answer, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C():
+			return &protocol.WatchSuspectsResponse{Version: request.GetKnown()}, nil
+		case <-leadership.lost:
+			return nil, notLeaderFailure()
+		case <-ctx.Done():
+			return nil, contextFailure(ctx)
+		}
+	}
+}
+
+// newSuspects gives the suspects if their version is not the one known, else what is closed at the next change.
+func (s *Service) newSuspects(ctx context.Context, request *protocol.WatchSuspectsRequest) (*protocol.WatchSuspectsResponse, <-chan struct{}, error) {
+	var answer *protocol.WatchSuspectsResponse
+	var changed <-chan struct{}
+	asked := s.owner.ask(ctx, func(now time.Time) {
+		changed = s.owner.suspectsChanged
+		if version := s.owner.serverHealth.Version(); version != request.GetKnown() {
+			suspects := s.owner.serverHealth.Suspects(request.GetZone(), now)
+			answer = &protocol.WatchSuspectsResponse{Version: version, Suspects: describeSuspects(suspects)}
+		}
+	})
+	if !asked {
+		return nil, nil, contextFailure(ctx)
+	}
+	return answer, changed, nil
+}
+
+func describeSuspects(suspects []serverhealth.Suspect) []*protocol.SuspectBackEnd {
+	described := make([]*protocol.SuspectBackEnd, 0, len(suspects))
 	for _, suspect := range suspects {
-		answer.Suspects = append(answer.Suspects, &protocol.SuspectBackEnd{
+		described = append(described, &protocol.SuspectBackEnd{
 			Id: suspect.Server, Incarnation: suspect.Incarnation, LeftMillis: uint32(suspect.Left / time.Millisecond),
 		})
 	}
-	return answer, nil
+	return described
 }
--- a/internal/core/outcomes_test.go
+++ b/internal/core/outcomes_test.go
@@ -50,4 +50,45 @@
 		}}})
 		Expect(failure.Is(err, failure.InvalidField)).To(BeTrue())
 	})
+
+	watch := func(m *member, known uint64, wait time.Duration) <-chan *protocol.WatchSuspectsResponse {
+		answered := make(chan *protocol.WatchSuspectsResponse, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer, err := m.call(&protocol.Request{Body: &protocol.Request_WatchSuspects{WatchSuspects: &protocol.WatchSuspectsRequest{
+				Zone: "z2", Known: known, WaitMillis: uint32(wait / time.Millisecond),
+			}}})
+			Expect(err).NotTo(HaveOccurred())
+			answered <- answer.GetWatchSuspects()
+		}()
+		return answered
+	}
+
+	It("tells those who watch at once when one more is suspect", func() {
+		leader := f.lead(f.members[0])
+		watched := watch(leader, 0, time.Minute)
+		_, err := share(leader, "f1", 2)
+		Expect(err).NotTo(HaveOccurred())
+		Consistently(watched, "20ms").ShouldNot(Receive(), "one front node alone makes nothing suspect")
+		_, err = share(leader, "f2", 2)
+		Expect(err).NotTo(HaveOccurred())
+		var answer *protocol.WatchSuspectsResponse
+		Eventually(watched, "30s").Should(Receive(&answer))
+		Expect(answer.GetSuspects()).To(HaveLen(1))
+		Expect(answer.GetSuspects()[0].GetId()).To(Equal("s1"))
+
+		watched = watch(leader, answer.GetVersion(), 300*time.Millisecond)
+		Consistently(watched, "20ms").ShouldNot(Receive(), "the version is known")
+		known := answer.GetVersion()
+		f.advance(time.Second)
+		Eventually(watched, "30s").Should(Receive(&answer))
+		Expect(answer.GetSuspects()).To(BeEmpty())
+		Expect(answer.GetVersion()).To(Equal(known))
+	})
+
+	It("lets nobody watch a member that does not lead", func() {
+		f.lead(f.members[0])
+		_, err := f.members[1].call(&protocol.Request{Body: &protocol.Request_WatchSuspects{WatchSuspects: &protocol.WatchSuspectsRequest{}}})
+		Expect(failure.Is(err, failure.NotLeader)).To(BeTrue())
+	})
 })
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -58,6 +58,8 @@
 	reconciler  *reconciler
 	// serverHealth is what front nodes saw of back ends; a new leader begins without it.
 	serverHealth serverhealth.Board
+	// suspectsChanged is closed and replaced when another back end became suspect.
+	suspectsChanged chan struct{}
 	// underWay counts the tasks that work began and whose end the owner has not seen.
 	underWay int
 }
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -70,7 +70,7 @@
 	b.mutex.Lock()
 	b.outlier.Observe(outcome, now)
 	b.mutex.Unlock()
-	b.outcomes.count(outcome)
+	b.outcomes.count(outcome, now)
 }
 
 // health is what is known of a server's faults.
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -20,6 +20,8 @@
 	draining    atomic.Bool
 	// shared, if any, answers reports of what was seen of servers; without it no server is suspect.
 	shared func(*protocol.ShareOutcomesRequest) (*protocol.ShareOutcomesResponse, error)
+	// watched, if any, answers who watches for suspects; without it there never are new ones.
+	watched func(context.Context, *protocol.WatchSuspectsRequest) (*protocol.WatchSuspectsResponse, error)
 }
 
 func (l *fakeLink) View() *corelink.View {
@@ -48,10 +50,18 @@
 	return &protocol.LocateCoreResponse{LeaderAddress: "core"}
 }
 
-func (l *fakeLink) CallCore(_ context.Context, request *protocol.Request) (*protocol.Response, error) {
+func (l *fakeLink) CallCore(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
 	l.mutex.Lock()
-	answer, shared := l.core, l.shared
+	answer, shared, watched := l.core, l.shared, l.watched
 	l.mutex.Unlock()
+	if watch := request.GetWatchSuspects(); watch != nil {
+		if watched == nil {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		response, err := watched(ctx, watch)
+		return &protocol.Response{Body: &protocol.Response_WatchSuspects{WatchSuspects: response}}, err
+	}
 	if report := request.GetShareOutcomes(); report != nil {
 		response := &protocol.ShareOutcomesResponse{}
 		var err error
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -43,6 +43,8 @@
 	// loads are the reports that servers give; loadAsked counts how often they were asked.
 	loads     map[string]string
 	loadAsked map[string]int
+	// watched, if any, answers front nodes added later that watch for suspects.
+	watched func(context.Context, *protocol.WatchSuspectsRequest) (*protocol.WatchSuspectsResponse, error)
 }
 
 type node struct {
@@ -81,7 +83,7 @@
 // frontWith adds a front node with a ledger of its own.
 func (r *rig) frontWith(name string, ledger front.Ledger) *node {
 	n := &node{
-		link:      &fakeLink{view: r.view},
+		link:      &fakeLink{view: r.view, watched: r.watched},
 		ownership: &fakeOwnership{self: name, owners: map[string]string{}, forgotten: map[string]int{}, incarnation: 1},
 	}
 	n.service = front.New(front.Options{
--- a/internal/front/serveroutcomes.go
+++ b/internal/front/serveroutcomes.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/schedule"
 )
 
@@ -14,6 +15,9 @@
 	faults   uint32
 	// waiting are the requests without a first sign of an answer.
 	waiting map[*awaitedAnswer]struct{}
+	// heard is set when a sign of an answer came since the last report, the newest one at heardAt.
+	heard   bool
+	heardAt time.Time
 	// suspectUntil is until when all front nodes together take the server for faulty.
 	suspectUntil time.Time
 }
@@ -50,18 +54,22 @@
 		return
 	}
 	delete(a.outcomes.waiting, a)
-	if !answered && now.After(a.dueAt) {
+	switch {
+	case answered:
+		a.outcomes.heard, a.outcomes.heardAt = true, now
+	case now.After(a.dueAt):
 		a.outcomes.faults++
 	}
 }
 
 // count takes the outcome of one attempt.
-func (o *serverOutcomes) count(outcome schedule.Outcome) {
+func (o *serverOutcomes) count(outcome schedule.Outcome, now time.Time) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	switch outcome {
 	case schedule.OutcomeAnswered:
 		o.answered++
+		o.heard, o.heardAt = true, now
 	case schedule.OutcomeFault, schedule.OutcomeUnreachable:
 		o.faults++
 	case schedule.OutcomeNotExecuted:
@@ -71,10 +79,24 @@
 // outcomeCounts are the numbers of one report.
 type outcomeCounts struct {
 	answered, faults, overdue uint32
+	// heardAt is when the newest sign of an answer came since the last report; zero when none did.
+	heardAt time.Time
 }
 
 func (c outcomeCounts) isEmpty() bool { return c == outcomeCounts{} }
 
+// describe is what the core's leader is told of the server.
+func (c outcomeCounts) describe(id string, incarnation uint64, now time.Time) *protocol.BackEndOutcomes {
+	outcomes := &protocol.BackEndOutcomes{
+		Id: id, Incarnation: incarnation, Answered: c.answered, Faults: c.faults, Overdue: c.overdue,
+	}
+	if !c.heardAt.IsZero() {
+		age := uint32(max(now.Sub(c.heardAt), 0) / time.Millisecond)
+		outcomes.SignAgeMillis = &age
+	}
+	return outcomes
+}
+
 // isBad reports whether there is something that the others should hear at once.
 func (c outcomeCounts) isBad() bool { return c.faults > 0 || c.overdue > 0 }
 
@@ -83,6 +105,9 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	counts := outcomeCounts{answered: o.answered, faults: o.faults}
+	if o.heard {
+		counts.heardAt = o.heardAt
+	}
 	for awaited := range o.waiting {
 		if now.After(awaited.dueAt) {
 			counts.overdue++
@@ -97,6 +122,9 @@
 	defer o.mutex.Unlock()
 	o.answered -= counts.answered
 	o.faults -= counts.faults
+	if o.heardAt.Equal(counts.heardAt) {
+		o.heard = false
+	}
 }
 
 // suspect has the server avoided until a time.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -173,6 +173,7 @@
 	s.workers.Go(func() { s.heartbeats.run(ctx) })
 	s.workers.Go(func() { s.watchLoad(ctx) })
 	s.workers.Go(func() { s.shareOutcomes(ctx) })
+	s.workers.Go(func() { s.watchSuspects(ctx) })
 	return nil
 }
 
--- a/internal/front/shareoutcomes.go
+++ b/internal/front/shareoutcomes.go
@@ -12,17 +12,19 @@
 	shareTick = 200 * time.Millisecond
 	// shareInterval is the time between reports while nothing bad was seen.
 	shareInterval = time.Second
-	// suspectInterval is the time between reports while servers are suspect, so that the front node hears soon of others.
-	suspectInterval = 400 * time.Millisecond
-	shareTimeout    = time.Second
+	shareTimeout  = time.Second
+	// suspectsWait is how long the leader may hold the question for new suspects back, suspectsSlack what the front node
+	// waits beyond that, and suspectsRetry the time until it asks again after a failure.
+	suspectsWait  = 10 * time.Second
+	suspectsSlack = time.Second
+	suspectsRetry = 500 * time.Millisecond
 )
 
 // outcomeSharing tells the core's leader what this front node sees of servers and avoids those that all front nodes
 // together take for faulty. Only its own goroutine uses it.
 type outcomeSharing struct {
-	service    *Service
-	sharedAt   time.Time
-	suspecting bool
+	service  *Service
+	sharedAt time.Time
 }
 
 func (s *Service) shareOutcomes(ctx context.Context) {
@@ -51,10 +53,7 @@
 		}
 		bad = bad || counts.isBad()
 		counted[server] = counts
-		report.Outcomes = append(report.Outcomes, &protocol.BackEndOutcomes{
-			Id: id, Incarnation: server.description.Load().GetIncarnation(),
-			Answered: counts.answered, Faults: counts.faults, Overdue: counts.overdue,
-		})
+		report.Outcomes = append(report.Outcomes, counts.describe(id, server.description.Load().GetIncarnation(), now))
 	}
 	if !o.isDue(len(counted) > 0, bad, now) {
 		return
@@ -65,7 +64,7 @@
 
 func (o *outcomeSharing) isDue(some, bad bool, now time.Time) bool {
 	waited := now.Sub(o.sharedAt)
-	return bad || o.suspecting && waited >= suspectInterval || some && waited >= shareInterval
+	return bad || some && waited >= shareInterval
 }
 
 // send reports and takes in which servers are suspect. Numbers that the leader may not have got are told again.
@@ -74,25 +73,51 @@
 	defer cancel()
 	response, err := o.service.link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_ShareOutcomes{ShareOutcomes: report}})
 	if err != nil {
-		o.suspecting = false
 		return
 	}
 	for server, counts := range counted {
 		server.outcomes.told(counts)
 	}
-	o.avoid(response.GetShareOutcomes().GetSuspects())
+	o.service.avoidSuspects(response.GetShareOutcomes().GetSuspects())
 }
 
-func (o *outcomeSharing) avoid(suspects []*protocol.SuspectBackEnd) {
-	servers, now := o.service.backEnds.Load(), o.service.clock.Now()
-	o.suspecting = len(suspects) > 0
+// watchSuspects has the core's leader tell at once which servers all front nodes together take for faulty, so that one
+// which has seen nothing itself avoids them too.
+func (s *Service) watchSuspects(ctx context.Context) {
+	known := uint64(0)
+	for ctx.Err() == nil {
+		answer, err := s.askSuspects(ctx, known)
+		if err == nil {
+			known = answer.GetVersion()
+			s.avoidSuspects(answer.GetSuspects())
+			continue
+		}
+		select {
+		case <-s.clock.After(suspectsRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Service) askSuspects(ctx context.Context, known uint64) (*protocol.WatchSuspectsResponse, error) {
+	ctx, cancel := s.clock.WithTimeout(ctx, suspectsWait+suspectsSlack)
+	defer cancel()
+	response, err := s.link.CallCore(ctx, &protocol.Request{Body: &protocol.Request_WatchSuspects{WatchSuspects: &protocol.WatchSuspectsRequest{
+		Zone: s.zone, Known: known, WaitMillis: uint32(suspectsWait / time.Millisecond),
+	}}})
+	return response.GetWatchSuspects(), err
+}
+
+// avoidSuspects has the servers named avoided for the time that each is held suspect.
+func (s *Service) avoidSuspects(suspects []*protocol.SuspectBackEnd) {
+	servers, now := s.backEnds.Load(), s.clock.Now()
 	for _, suspect := range suspects {
 		server := servers.byID[suspect.GetId()]
 		if server == nil || server.description.Load().GetIncarnation() != suspect.GetIncarnation() {
 			continue
 		}
 		if !now.Before(server.outcomes.suspected()) {
-			o.service.metrics.sharedSuspects.Inc()
+			s.metrics.sharedSuspects.Inc()
 		}
 		server.outcomes.suspect(now.Add(millis(suspect.GetLeftMillis())))
 	}
--- a/internal/front/shareoutcomes_test.go
+++ b/internal/front/shareoutcomes_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"sync"
@@ -40,6 +41,7 @@
 		taken.Outcomes = append(taken.Outcomes, serverhealth.Outcomes{
 			Server: seen.GetId(), Incarnation: seen.GetIncarnation(),
 			Answered: seen.GetAnswered(), Faults: seen.GetFaults(), Overdue: seen.GetOverdue(),
+			Heard: seen.SignAgeMillis != nil, SignAge: time.Duration(seen.GetSignAgeMillis()) * time.Millisecond,
 		})
 	}
 	s.board.Take(taken, s.clock.Now())
@@ -104,6 +106,37 @@
 		Expect(count(good)).To(BeNumerically(">=", 20))
 	})
 
+	It("avoids at once a server that the leader takes for suspect, without traffic of its own", func() {
+		suspect := r.server("suspect", answerWith(http.StatusOK, "ok"))
+		good := r.server("good", answerWith(http.StatusOK, "ok"))
+		told := make(chan *protocol.WatchSuspectsResponse)
+		asked := make(chan uint64)
+		r.watched = func(ctx context.Context, request *protocol.WatchSuspectsRequest) (*protocol.WatchSuspectsResponse, error) {
+			select {
+			case asked <- request.GetKnown():
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			select {
+			case answer := <-told:
+				return answer, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		f1 := r.front("f1")
+		Eventually(asked).Should(Receive(BeZero()))
+		told <- &protocol.WatchSuspectsResponse{Version: 7, Suspects: []*protocol.SuspectBackEnd{{
+			Id: "suspect", Incarnation: 1, LeftMillis: 3000,
+		}}}
+		Eventually(asked).Should(Receive(BeEquivalentTo(7)), "it watches on from the version told")
+		for range 20 {
+			Expect(f1.route(routed{target: nonRepeatablePath}).status).To(Equal(http.StatusOK))
+		}
+		Expect(count(suspect)).To(BeZero())
+		Expect(count(good)).To(Equal(20))
+	})
+
 	It("notices a server that answers nothing before the first request has failed", func() {
 		r.server("silent", func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
 		f1, f2 := sharing("f1"), sharing("f2")
--- a/internal/serverhealth/board.go
+++ b/internal/serverhealth/board.go
@@ -28,7 +28,7 @@
 	longestHold  = 12 * time.Second
 	forgiveAfter = 10 * time.Second
 	// silence is how long a server must not have answered anybody until requests that wait for too long make it suspect.
-	silence = 700 * time.Millisecond
+	silence = 500 * time.Millisecond
 	// idleLife is how long a server is remembered that nobody reports.
 	idleLife = time.Minute
 	// everywhere is the scope of reporters of all zones.
@@ -43,6 +43,10 @@
 	// Answered counts whole answers, Faults broken, garbled and missing ones and connections that could not be made.
 	Answered uint32
 	Faults   uint32
+	// Heard is set when there was a sign of an answer, such as the first event of a stream; it came SignAge before the report.
+	// Whole answers are such signs too.
+	Heard   bool
+	SignAge time.Duration
 	// Overdue is how many requests wait for their answer right now for longer than they should.
 	Overdue uint32
 }
@@ -64,6 +68,7 @@
 // Board collects reports. Its zero value is empty and ready.
 type Board struct {
 	servers map[string]*server
+	version uint64
 }
 
 // Take adds a report. Reports must come in the order of their times.
@@ -77,13 +82,21 @@
 			held = newServer(outcomes.Incarnation)
 			b.servers[outcomes.Server] = held
 		}
-		if outcomes.Incarnation == held.incarnation {
-			held.take(report, outcomes, now)
+		if outcomes.Incarnation == held.incarnation && held.take(report, outcomes, now) {
+			b.raiseVersion(now)
 		}
 	}
 	b.sweep(now)
 }
 
+// Version grows with each server that becomes suspect; zero means that none ever was.
+func (b *Board) Version() uint64 { return b.version }
+
+// raiseVersion begins at the time, so that boards of two processes hardly ever have a version in common.
+func (b *Board) raiseVersion(now time.Time) {
+	b.version = max(b.version+1, uint64(now.UnixMicro()))
+}
+
 // Suspects lists the servers that front nodes of a zone should avoid, by name.
 func (b *Board) Suspects(zone string, now time.Time) []Suspect {
 	var suspects []Suspect
--- a/internal/serverhealth/board_test.go
+++ b/internal/serverhealth/board_test.go
@@ -149,3 +149,40 @@
 		t.Errorf("%d servers are remembered", len(s.board.servers))
 	}
 }
+
+func TestAnAnswerReportedLateCountsFromWhenItCame(t *testing.T) {
+	s := newStory(t)
+	s.report("f1", "z1", Outcomes{Answered: 5, SignAge: silence})
+	s.report("f2", "z2", Outcomes{Overdue: 2})
+	s.report("f3", "z2", Outcomes{Overdue: 2})
+	s.expect("z1", true, "the answers told a moment ago are older than the silence")
+}
+
+func TestTheFirstEventsOfStreamsAreSignsOfAnswers(t *testing.T) {
+	s := newStory(t)
+	s.report("f1", "z1", Outcomes{Heard: true, SignAge: silence / 2})
+	s.report("f2", "z2", Outcomes{Overdue: 2})
+	s.report("f3", "z2", Outcomes{Overdue: 2})
+	s.expect("z1", false, "a stream began at it a moment ago")
+}
+
+func TestTheVersionGrowsWithEachSuspect(t *testing.T) {
+	s := newStory(t)
+	fail := func(server string) {
+		s.report("f1", "z1", Outcomes{Server: server, Faults: 2})
+		s.report("f2", "z2", Outcomes{Server: server, Faults: 2})
+	}
+	if s.board.Version() != 0 {
+		t.Errorf("version %d before any suspect", s.board.Version())
+	}
+	fail("s1")
+	first := s.board.Version()
+	fail("s1")
+	if s.board.Version() != first || first == 0 {
+		t.Errorf("version %d, then %d while the same server is suspect", first, s.board.Version())
+	}
+	fail("s2")
+	if s.board.Version() <= first {
+		t.Errorf("version %d after another suspect, %d before", s.board.Version(), first)
+	}
+}
--- a/internal/serverhealth/server.go
+++ b/internal/serverhealth/server.go
@@ -4,7 +4,10 @@
 
 // observation is what one front node reported of a server at one time.
 type observation struct {
-	at               time.Time
+	at time.Time
+	// heard is set when there was a sign of an answer, the newest one at heardAt.
+	heard            bool
+	heardAt          time.Time
 	node, zone       string
 	answered, faults uint32
 }
@@ -38,23 +41,28 @@
 	return &server{incarnation: incarnation, waiting: map[string]overdue{}, verdicts: map[string]*verdict{}}
 }
 
-func (s *server) take(report Report, outcomes Outcomes, now time.Time) {
+// take adds what one front node saw and reports whether the server became suspect by it.
+func (s *server) take(report Report, outcomes Outcomes, now time.Time) bool {
 	s.reportedAt = now
 	s.forget(now)
-	if outcomes.Answered > 0 || outcomes.Faults > 0 {
+	heard := outcomes.Heard || outcomes.Answered > 0
+	if heard || outcomes.Faults > 0 {
 		s.observations = append(s.observations, observation{
-			at: now, node: report.Node, zone: report.Zone, answered: outcomes.Answered, faults: outcomes.Faults,
+			at: now, heard: heard, heardAt: now.Add(-outcomes.SignAge), node: report.Node, zone: report.Zone,
+			answered: outcomes.Answered, faults: outcomes.Faults,
 		})
 	}
 	delete(s.waiting, report.Node)
 	if outcomes.Overdue > 0 {
 		s.waiting[report.Node] = overdue{at: now, zone: report.Zone, count: outcomes.Overdue}
 	}
+	became := false
 	for _, scope := range []string{everywhere, report.Zone} {
-		if s.sum(scope, now).isFaulty() {
-			s.suspect(scope, now)
+		if s.sum(scope, now).isFaulty() && s.suspect(scope, now) {
+			became = true
 		}
 	}
+	return became
 }
 
 // forget drops what is too old to count.
@@ -71,15 +79,15 @@
 	}
 }
 
-// suspect has the server avoided from now on, unless it is avoided already.
-func (s *server) suspect(scope string, now time.Time) {
+// suspect has the server avoided from now on; it reports false when it is avoided already.
+func (s *server) suspect(scope string, now time.Time) bool {
 	held := s.verdicts[scope]
 	switch {
 	case held == nil:
 		held = &verdict{hold: firstHold}
 		s.verdicts[scope] = held
 	case now.Before(held.until):
-		return
+		return false
 	case now.Sub(held.until) > forgiveAfter:
 		held.hold = firstHold
 	default:
@@ -90,6 +98,7 @@
 		// What was seen counts once: when the server is tried again, it is judged by new outcomes.
 		s.observations, s.waiting = nil, map[string]overdue{}
 	}
+	return true
 }
 
 func (s *server) suspectUntil(zone string) time.Time {
@@ -105,7 +114,7 @@
 // evidence is what the front nodes of one scope saw together.
 type evidence struct {
 	answered, faults, overdue        uint32
-	answeredLately                   bool
+	heardLately                      bool
 	faultReporters, overdueReporters map[string]bool
 }
 
@@ -116,7 +125,7 @@
 			continue
 		}
 		total.answered += seen.answered
-		total.answeredLately = total.answeredLately || seen.answered > 0 && now.Sub(seen.at) < silence
+		total.heardLately = total.heardLately || seen.heard && now.Sub(seen.heardAt) < silence
 		total.faults += seen.faults
 		if seen.faults > 0 {
 			total.faultReporters[seen.node] = true
@@ -137,6 +146,6 @@
 	if e.faults >= leastFaults && len(e.faultReporters) >= leastReporters {
 		return float64(e.faults) >= faultShare*float64(e.faults+e.answered)
 	}
-	silent := !e.answeredLately && len(e.overdueReporters) >= leastReporters
+	silent := !e.heardLately && len(e.overdueReporters) >= leastReporters
 	return silent && e.overdue+e.faults >= leastFaults
 }
