Take a back end's heartbeat at any core member

Cause: every heartbeat went to the leader, one connection and one request a back end, while followers redirected.

A member that does not lead acknowledges by itself what changes nothing, and sends the leader one batch every 200 ms; the leader counts each lease from when the member heard the heartbeat, and says which back ends it holds otherwise. News, drains and whatever the leader does not know go to it before they are acknowledged. A member that the leader has not answered for a second refuses. The answer to a heartbeat names a member that does not lead, chosen by hash, in the back end's zone first.

--- a/internal/controlstate/deltas.go
+++ b/internal/controlstate/deltas.go
@@ -20,3 +20,9 @@
 func (v *View) PlacementDelta(known, checksum uint64) *protocol.PlacementDelta {
 	return views.PlacementDelta(v.Placement, known, checksum)
 }
+
+// BackEndsChangedSince lists the ids of back ends that changed, came or went after a version of the back-end view; it reports
+// false when that is not remembered any more.
+func (v *View) BackEndsChangedSince(version uint64) (ids map[string]bool, known bool) {
+	return v.backEndHistory.Since(version)
+}
--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -26,10 +26,21 @@
 // changed. The sequence rises with every call of an incarnation: a call with a lower one than was seen before changes nothing,
 // nor does one of a back end that was removed. A back end that was draining stays so. With the state DRAINING it returns nil
 // only once every front node whose lease runs has a view in force that says so, which takes a lease of a front node at most.
+//
+// Any member takes it. One that does not lead acknowledges by itself what changes nothing and gives the leader the rest; it
+// fails with Unavailable while it does not reach the leader.
 func (s *Service) AnnounceBackEnd(ctx context.Context, announced *protocol.BackEnd, sequence uint64) error {
 	if announced.GetId() == "" {
 		return failure.New(failure.MissingField, protocol.Outcome_NOT_RUN, "must be set", failure.WithPath("id"))
 	}
+	if s.caller == nil || s.owner.leads() {
+		return s.announceAtLeader(ctx, announced, sequence)
+	}
+	return s.announceAtMember(ctx, announced, sequence)
+}
+
+// announceAtLeader takes an announcement in, whichever member it came by; it fails with NotLeader at another one.
+func (s *Service) announceAtLeader(ctx context.Context, announced *protocol.BackEnd, sequence uint64) error {
 	outcome, err := s.noteAnnouncement(ctx, announced, sequence)
 	if err != nil {
 		return err
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -9,7 +9,7 @@
 )
 
 // The methods in this file and in announce.go are the control plane's interface for adapters in
-// the same process. Each is answered by the leader; at another member it fails
+// the same process. Each but AnnounceBackEnd is answered by the leader; at another member it fails
 // so that IsNotLeader holds, and LeaderHTTPAddress says where to ask. Errors are
 // of type *failure.Error; one with the outcome UNKNOWN may or may not have taken
 // effect, and the same call may be made again at any member.
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -109,10 +109,19 @@
 	reachable map[string]*protocol.CoreMember
 	// dropProposals makes Propose lose the command itself.
 	dropProposals bool
+	// lagging holds back what is committed from this member's machine.
+	lagging bool
+	backlog []logEntry
 	// gate, if any, holds back proposals before they reach the log.
 	gate *proposalGate
 }
 
+// logEntry is one committed command.
+type logEntry struct {
+	index   uint64
+	command []byte
+}
+
 func newFleet(size int, configure func(*core.Options)) *fleet {
 	known := goleak.IgnoreCurrent()
 	f := &fleet{clock: newClock()}
@@ -198,6 +207,10 @@
 	m.fleet.index++
 	var result []byte
 	for _, other := range m.fleet.members {
+		if other.lagging {
+			other.backlog = append(other.backlog, logEntry{index: m.fleet.index, command: command})
+			continue
+		}
 		applied := other.machine.Apply(m.fleet.index, command)
 		if other == m {
 			result = applied
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -45,6 +45,12 @@
 		err := s.relayHeartbeats(ctx, body.RelayHeartbeats.GetHeartbeats())
 		relayed := &protocol.RelayHeartbeatsResponse{IntervalSeconds: heartbeatIntervalSeconds}
 		return &protocol.Response{Body: &protocol.Response_RelayHeartbeats{RelayHeartbeats: relayed}}, err
+	case *protocol.Request_AnnounceBackEnd:
+		err := s.announceAtLeader(ctx, body.AnnounceBackEnd.GetBackEnd(), body.AnnounceBackEnd.GetSequence())
+		return &protocol.Response{Body: &protocol.Response_AnnounceBackEnd{AnnounceBackEnd: &protocol.AnnounceBackEndResponse{}}}, err
+	case *protocol.Request_RenewBackEnds:
+		renewed, err := s.renewBackEnds(ctx, body.RenewBackEnds)
+		return &protocol.Response{Body: &protocol.Response_RenewBackEnds{RenewBackEnds: renewed}}, err
 	case *protocol.Request_DrainBackEnd:
 		drained, err := s.serveDrain(ctx, body.DrainBackEnd)
 		return &protocol.Response{Body: &protocol.Response_DrainBackEnd{DrainBackEnd: drained}}, err
--- /dev/null
+++ b/internal/core/heartbeataddress_test.go
@@ -0,0 +1,103 @@
+package core_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var _ = Describe("the address that a back end is told to send its heartbeats to", func() {
+	const backEnds = 3000
+	var f *fleet
+	var net *network
+	var leader *member
+	BeforeEach(func() {
+		f, net = newConnectedFleet(4, nil)
+		leader = f.lead(f.members[0])
+		f.advance(100 * time.Millisecond)
+	})
+	// named gives the address for each of many back ends of no zone of the core, as one member names it.
+	named := func(by *member) map[string]string {
+		addresses := map[string]string{}
+		for number := range backEnds {
+			id := fmt.Sprint("server-", number)
+			addresses[id] = by.service.HeartbeatAddress(&protocol.BackEnd{Id: id, Zone: "elsewhere"})
+		}
+		return addresses
+	}
+	counts := func(addresses map[string]string) map[string]int {
+		counted := map[string]int{}
+		for _, address := range addresses {
+			counted[address]++
+		}
+		return counted
+	}
+	httpAddress := func(index int) string { return f.members[index].core.GetHttpAddress() }
+
+	It("spreads them over the members that do not lead, and all members name the same", func() {
+		addresses := named(leader)
+		counted := counts(addresses)
+		Expect(counted).To(HaveLen(3))
+		Expect(counted).NotTo(HaveKey(httpAddress(0)))
+		for address, count := range counted {
+			Expect(count).To(BeNumerically("~", backEnds/3, backEnds/30), address)
+		}
+		f.advance(time.Second)
+		for _, by := range f.members {
+			Expect(named(by)).To(Equal(addresses), by.core.GetName())
+		}
+	})
+
+	It("is in the back end's zone, else in its region, while a member there is up", func() {
+		f.members[3].core.Region = "south"
+		for number := range 100 {
+			near := &protocol.BackEnd{Id: fmt.Sprint(number), Zone: "zone-c"}
+			Expect(leader.service.HeartbeatAddress(near)).To(Equal(httpAddress(2)))
+			sameRegion := &protocol.BackEnd{Id: fmt.Sprint(number), Zone: "elsewhere", Region: "south"}
+			Expect(leader.service.HeartbeatAddress(sameRegion)).To(Equal(httpAddress(3)))
+			leaders := &protocol.BackEnd{Id: fmt.Sprint(number), Zone: "zone-a"}
+			Expect(leader.service.HeartbeatAddress(leaders)).NotTo(Equal(httpAddress(0)))
+		}
+	})
+
+	It("moves away from a member that is gone, and of the others none moves", func() {
+		before := named(leader)
+		net.setCut(f.members[2], true)
+		f.advance(relayLapse)
+		for _, by := range []*member{leader, f.members[1], f.members[3]} {
+			after := named(by)
+			Expect(counts(after)).NotTo(HaveKey(httpAddress(2)))
+			for id, address := range before {
+				if address != httpAddress(2) {
+					Expect(after[id]).To(Equal(address))
+				}
+			}
+		}
+		By("bringing it back")
+		net.setCut(f.members[2], false)
+		f.advance(2 * relayInterval)
+		Expect(named(leader)).To(Equal(before))
+		Expect(named(f.members[1])).To(Equal(before))
+	})
+
+	It("is never one that is not known, and none while the leader is alone", func() {
+		f, net = newConnectedFleet(2, nil)
+		f.members[1].core.HttpAddress = ""
+		leader = f.lead(f.members[0])
+		f.advance(time.Second)
+		Expect(counts(named(leader))).To(Equal(map[string]int{"": backEnds}))
+	})
+
+	It("follows the leader: a new one names the former one too", func() {
+		next := f.lead(f.members[1])
+		f.advance(relayInterval)
+		counted := counts(named(next))
+		Expect(counted).To(HaveLen(3))
+		Expect(counted).To(HaveKey(httpAddress(0)))
+		Expect(counted).NotTo(HaveKey(httpAddress(1)))
+	})
+})
--- /dev/null
+++ b/internal/core/heartbeatrelay.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+const (
+	// relayInterval is the time between two batches of heartbeats to the leader.
+	relayInterval = 200 * time.Millisecond
+	// relayTimeout bounds one batch, below the election timeout.
+	relayTimeout = 500 * time.Millisecond
+	// maxRelayAge is the longest time since the last confirmed batch was sent in which a member acknowledges heartbeats.
+	maxRelayAge = time.Second
+	// leaseShareOfRelayAge is the part of a short back-end lease that the relay's age may take.
+	leaseShareOfRelayAge = 4
+)
+
+// heartbeatRelay holds the heartbeats that a member which does not lead has acknowledged until the leader has them. It is
+// part of the owner and knows no clock.
+type heartbeatRelay struct {
+	// lease is the length of a back end's lease: an older heartbeat is of no use to the leader.
+	lease  time.Duration
+	maxAge time.Duration
+	// waiting are the newest heartbeats, by back end, that no batch carried yet.
+	waiting map[string]heardBackEnd
+	// escalated are the back ends whose next heartbeat goes to the leader, which does not hold them as this member does.
+	escalated map[string]bool
+	// leader is the member that batches go to, zero while none is known.
+	leader uint64
+	// confirmed is when the last batch that this leader answered was sent.
+	confirmed time.Time
+	nextBatch time.Time
+	sending   bool
+}
+
+// heardBackEnd is one heartbeat that this member acknowledged.
+type heardBackEnd struct {
+	id                    string
+	incarnation, sequence uint64
+	// viewVersion is that of the back-end view that the heartbeat was compared with.
+	viewVersion uint64
+	heard       time.Time
+}
+
+func newHeartbeatRelay(lease time.Duration) *heartbeatRelay {
+	relay := &heartbeatRelay{lease: lease, maxAge: min(maxRelayAge, lease/leaseShareOfRelayAge)}
+	relay.reset()
+	return relay
+}
+
+// reset forgets everything, as at the beginning of this member's own leadership, which gives all back ends a whole lease.
+func (r *heartbeatRelay) reset() {
+	r.waiting, r.escalated = map[string]heardBackEnd{}, map[string]bool{}
+	r.observeLeader(0)
+}
+
+// observeLeader notes which member leads; what another one confirmed does not count, and a new one gets a batch at once.
+func (r *heartbeatRelay) observeLeader(leader uint64) {
+	if r.leader != leader {
+		r.leader, r.confirmed, r.nextBatch = leader, time.Time{}, time.Time{}
+	}
+}
+
+// reaches reports whether the leader answered a batch that was sent a short while ago.
+func (r *heartbeatRelay) reaches(leader uint64, now time.Time) bool {
+	return leader == r.leader && !r.confirmed.IsZero() && now.Sub(r.confirmed) <= r.maxAge
+}
+
+// hear keeps a heartbeat for the next batch unless a later one of the back end waits already.
+func (r *heartbeatRelay) hear(heartbeat heardBackEnd) {
+	if last, known := r.waiting[heartbeat.id]; known && !heartbeat.follows(last) {
+		return
+	}
+	r.waiting[heartbeat.id] = heartbeat
+}
+
+// follows reports whether a heartbeat takes the place of another one of its back end.
+func (h heardBackEnd) follows(other heardBackEnd) bool {
+	if h.incarnation != other.incarnation {
+		return h.incarnation > other.incarnation
+	}
+	return h.sequence >= other.sequence && !h.heard.Before(other.heard)
+}
+
+// beginBatch takes out the heartbeats of the next batch, oldest first; due is false while none is to be sent.
+func (r *heartbeatRelay) beginBatch(now time.Time) (batch []heardBackEnd, due bool) {
+	if r.sending || now.Before(r.nextBatch) {
+		return nil, false
+	}
+	for id, heartbeat := range r.waiting {
+		if now.Sub(heartbeat.heard) >= r.lease {
+			delete(r.waiting, id)
+			continue
+		}
+		batch = append(batch, heartbeat)
+	}
+	slices.SortFunc(batch, func(a, b heardBackEnd) int {
+		return cmp.Or(a.heard.Compare(b.heard), cmp.Compare(a.id, b.id))
+	})
+	batch = batch[:min(len(batch), maxHeartbeats)]
+	for _, heartbeat := range batch {
+		delete(r.waiting, heartbeat.id)
+	}
+	r.sending, r.nextBatch = true, now.Add(relayInterval)
+	return batch, true
+}
+
+// confirm takes in the leader's answer to a batch that was sent at a time.
+func (r *heartbeatRelay) confirm(leader uint64, sent time.Time, unknown []string) {
+	r.sending = false
+	if leader == r.leader {
+		r.confirmed = sent
+	}
+	for _, id := range unknown {
+		r.escalated[id] = true
+	}
+}
+
+// putBack keeps the heartbeats of a batch that was not answered for the next one.
+func (r *heartbeatRelay) putBack(batch []heardBackEnd) {
+	r.sending = false
+	for _, heartbeat := range batch {
+		r.hear(heartbeat)
+	}
+}
+
+// sweep forgets the escalation of back ends that left the view: their announcements are news in any case.
+func (r *heartbeatRelay) sweep(present func(id string) bool) {
+	for id := range r.escalated {
+		if !present(id) {
+			delete(r.escalated, id)
+		}
+	}
+}
+
+// encodeBatch writes a batch with the age that each heartbeat has at a time.
+func encodeBatch(member uint64, batch []heardBackEnd, now time.Time) *protocol.RenewBackEndsRequest {
+	encoded := &protocol.RenewBackEndsRequest{Member: member, Heard: make([]*protocol.HeardBackEnd, len(batch))}
+	for i, heartbeat := range batch {
+		encoded.Heard[i] = &protocol.HeardBackEnd{
+			Id: heartbeat.id, Incarnation: heartbeat.incarnation, Sequence: heartbeat.sequence,
+			AgeMillis: uint32(ageMillis(now.Sub(heartbeat.heard))), BackEndsVersion: heartbeat.viewVersion,
+		}
+	}
+	return encoded
+}
+
+// ageMillis rounds an age up, so that no lease gets longer by rounding.
+func ageMillis(age time.Duration) int64 {
+	return (max(age, 0) + time.Millisecond - 1).Milliseconds()
+}
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -44,13 +44,16 @@
 // extend gives everyone a whole length from now, after this process itself was stalled.
 func (t *leaseTable) extend(now time.Time) { t.floor = now.Add(t.length) }
 
-// renew counts a lease from now; it reports false when the lease is being ended.
-func (t *leaseTable) renew(key string, incarnation uint64, now time.Time) bool {
+// renew counts a lease from the time at which its holder was heard, and never shortens it; it reports false when the lease is
+// being ended.
+func (t *leaseTable) renew(key string, incarnation uint64, heard time.Time) bool {
 	entry := t.entry(key, incarnation)
 	if entry.ending {
 		return false
 	}
-	entry.expires = now.Add(t.length)
+	if ends := heard.Add(t.length); ends.After(entry.expires) {
+		entry.expires = ends
+	}
 	return true
 }
 
--- /dev/null
+++ b/internal/core/memberheartbeats.go
@@ -0,0 +1,144 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+// heartbeatOutcome is what a member that does not lead makes of a heartbeat.
+type heartbeatOutcome int
+
+const (
+	// heartbeatWithoutLeader came while no leader is known.
+	heartbeatWithoutLeader heartbeatOutcome = iota
+	// heartbeatCutOff came while the leader does not answer this member.
+	heartbeatCutOff
+	// heartbeatAcknowledged changes nothing; the leader learns of it with the next batch.
+	heartbeatAcknowledged
+	// heartbeatForwarded must be acknowledged by the leader.
+	heartbeatForwarded
+)
+
+// announceAtMember takes an announcement in at a member that does not lead.
+func (s *Service) announceAtMember(ctx context.Context, announced *protocol.BackEnd, sequence uint64) error {
+	outcome := heartbeatWithoutLeader
+	leaderAddress := ""
+	asked := s.owner.ask(ctx, func(now time.Time) {
+		leader := s.owner.otherLeader()
+		leaderAddress = leader.GetAddress()
+		outcome = s.owner.takeHeartbeat(leader, announced, sequence, now)
+	})
+	if !asked {
+		return contextFailure(ctx)
+	}
+	retry := failure.WithRetryAfter(retryWait)
+	switch outcome {
+	case heartbeatAcknowledged:
+		s.metrics.backEndLeases.WithLabelValues("relayed").Inc()
+		return nil
+	case heartbeatForwarded:
+		return s.forwardAnnouncement(ctx, leaderAddress, announced, sequence)
+	case heartbeatCutOff:
+		s.metrics.backEndLeases.WithLabelValues("cut_off").Inc()
+		return failure.New(failure.Unavailable, protocol.Outcome_NOT_RUN, "this core process does not reach the leader", retry)
+	default:
+		return failure.New(failure.NoLeader, protocol.Outcome_NOT_RUN, "the core has no leader at present", retry)
+	}
+}
+
+// otherLeader is the leader as far as this member knows; nil when there is none, or this member is it.
+func (o *owner) otherLeader() *protocol.CoreMember {
+	leader := o.consensus.Leader()
+	if leader == nil || leader.GetAddress() == "" || leader.GetId() == o.consensus.Status().GetId() {
+		return nil
+	}
+	return leader
+}
+
+// takeHeartbeat decides about a heartbeat and keeps it for the next batch when it changes nothing. A drain is acknowledged by
+// the leader alone, which knows what front nodes have in force.
+func (o *owner) takeHeartbeat(leader *protocol.CoreMember, announced *protocol.BackEnd, sequence uint64, now time.Time) heartbeatOutcome {
+	view := o.machine.View()
+	id, incarnation := announced.GetId(), announced.GetIncarnation()
+	switch {
+	case leader == nil:
+		return heartbeatWithoutLeader
+	case !o.relay.reaches(leader.GetId(), now):
+		return heartbeatCutOff
+	case announced.GetState() == protocol.BackEndState_DRAINING:
+		return heartbeatForwarded
+	case view.Outdated(id, incarnation, sequence):
+		return heartbeatAcknowledged
+	case o.relay.escalated[id] || !view.Holds(announced):
+		return heartbeatForwarded
+	}
+	o.relay.hear(heardBackEnd{
+		id: id, incarnation: incarnation, sequence: sequence, viewVersion: view.BackEnds.GetVersion(), heard: now,
+	})
+	return heartbeatAcknowledged
+}
+
+// forwardAnnouncement has the leader acknowledge an announcement.
+func (s *Service) forwardAnnouncement(ctx context.Context, leaderAddress string, announced *protocol.BackEnd, sequence uint64) error {
+	bounded, cancel := context.WithTimeout(ctx, s.lease+2*leaseMargin+proposeTimeout)
+	defer cancel()
+	_, err := s.caller.Call(bounded, leaderAddress, &protocol.Request{Body: &protocol.Request_AnnounceBackEnd{
+		AnnounceBackEnd: &protocol.AnnounceBackEndRequest{BackEnd: announced, Sequence: sequence},
+	}})
+	if err != nil {
+		s.metrics.backEndLeases.WithLabelValues("forward_failed").Inc()
+		return forwardFailure(err)
+	}
+	s.metrics.backEndLeases.WithLabelValues("forwarded").Inc()
+	s.owner.ask(ctx, func(time.Time) { delete(s.owner.relay.escalated, announced.GetId()) })
+	return nil
+}
+
+// forwardFailure keeps the leader's own refusal; anything else leaves open whether the leader took the announcement in.
+func forwardFailure(err error) error {
+	var refused *failure.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return failure.New(failure.Unavailable, protocol.Outcome_UNKNOWN, "the leader did not answer: "+err.Error(), failure.WithRetryAfter(retryWait))
+}
+
+// relayHeartbeats sends the leader the next batch when it is due, also an empty one: it shows that the leader is reached.
+func (o *owner) relayHeartbeats(now time.Time) {
+	if o.caller == nil {
+		return
+	}
+	leader := o.otherLeader()
+	o.relay.observeLeader(leader.GetId())
+	if leader == nil {
+		return
+	}
+	batch, due := o.relay.beginBatch(now)
+	if !due {
+		return
+	}
+	request := encodeBatch(o.consensus.Status().GetId(), batch, now)
+	var answer *protocol.RenewBackEndsResponse
+	o.work(func(ctx context.Context) error {
+		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
+		defer cancel()
+		response, err := o.caller.Call(bounded, leader.GetAddress(), &protocol.Request{Body: &protocol.Request_RenewBackEnds{RenewBackEnds: request}})
+		answer = response.GetRenewBackEnds()
+		return err
+	}, func(_ time.Time, err error) {
+		if err != nil {
+			o.metrics.heartbeatBatches.WithLabelValues("failed").Inc()
+			o.relay.putBack(batch)
+			return
+		}
+		o.metrics.heartbeatBatches.WithLabelValues("confirmed").Inc()
+		o.relay.confirm(leader.GetId(), now, answer.GetUnknown())
+		o.relay.sweep(func(id string) bool { return o.machine.View().BackEnd(id) != nil })
+		o.nameMembers(answer.GetMembers())
+	})
+}
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -8,43 +8,46 @@
 	orders        *prometheus.CounterVec
 	leases        *prometheus.CounterVec
 	backEndLeases *prometheus.CounterVec
-	polls         *prometheus.CounterVec
-	pollSections  *prometheus.CounterVec
-	pollBytes     *prometheus.CounterVec
-	coalesced     prometheus.Counter
-	drains        *prometheus.CounterVec
-	reconciled    *prometheus.CounterVec
-	guards        prometheus.Counter
-	requests      *prometheus.CounterVec
-	versions      *prometheus.GaugeVec
-	ordersKept    prometheus.Gauge
-	nodes         prometheus.Gauge
-	backEnds      prometheus.Gauge
-	leading       prometheus.Gauge
+	// heartbeatBatches counts at both ends.
+	heartbeatBatches *prometheus.CounterVec
+	polls            *prometheus.CounterVec
+	pollSections     *prometheus.CounterVec
+	pollBytes        *prometheus.CounterVec
+	coalesced        prometheus.Counter
+	drains           *prometheus.CounterVec
+	reconciled       *prometheus.CounterVec
+	guards           prometheus.Counter
+	requests         *prometheus.CounterVec
+	versions         *prometheus.GaugeVec
+	ordersKept       prometheus.Gauge
+	nodes            prometheus.Gauge
+	backEnds         prometheus.Gauge
+	leading          prometheus.Gauge
 }
 
 // newMetrics makes the metrics and registers them where a registerer is given.
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	m := &metrics{
-		orders:        counters("orders_total", "Orders of operators by kind and result code.", "kind", "result"),
-		leases:        counters("leases_total", "Leases of nodes by event.", "event"),
-		backEndLeases: counters("back_end_leases_total", "Heartbeats and expiries of back ends by event.", "event"),
-		polls:         counters("polls_total", "Polls of nodes by how they ended.", "result"),
-		pollSections:  counters("poll_sections_total", "Sections sent to nodes by kind.", "section"),
-		pollBytes:     counters("poll_bytes_total", "Bytes of the sections sent to nodes by kind, before framing.", "section"),
-		coalesced:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: "polls_coalesced_total", Help: "Answers held back for the coalescing interval."}),
-		drains:        counters("drains_total", "Drains of back ends by how they ended.", "result"),
-		reconciled:    counters("reconciled_total", "Commands of the reconciler by result.", "result"),
-		requests:      counters("http_requests_total", "Requests of operators by result code.", "result"),
-		guards:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: "guard_withdrawals_total", Help: "Candidates withdrawn by the guard of their roll-out."}),
-		versions:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: "section_version", Help: "Version of each section at the leader."}, []string{"section"}),
-		ordersKept:    gauge("orders_remembered", "Orders whose first result is remembered."),
-		nodes:         gauge("nodes", "Nodes in the membership view."),
-		backEnds:      gauge("back_ends", "Back ends in the view."),
-		leading:       gauge("leading", "1 while this process leads."),
+		orders:           counters("orders_total", "Orders of operators by kind and result code.", "kind", "result"),
+		leases:           counters("leases_total", "Leases of nodes by event.", "event"),
+		backEndLeases:    counters("back_end_leases_total", "Heartbeats and expiries of back ends by event.", "event"),
+		heartbeatBatches: counters("heartbeat_batches_total", "Batches of heartbeats between core members by what became of them.", "result"),
+		polls:            counters("polls_total", "Polls of nodes by how they ended.", "result"),
+		pollSections:     counters("poll_sections_total", "Sections sent to nodes by kind.", "section"),
+		pollBytes:        counters("poll_bytes_total", "Bytes of the sections sent to nodes by kind, before framing.", "section"),
+		coalesced:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: "polls_coalesced_total", Help: "Answers held back for the coalescing interval."}),
+		drains:           counters("drains_total", "Drains of back ends by how they ended.", "result"),
+		reconciled:       counters("reconciled_total", "Commands of the reconciler by result.", "result"),
+		requests:         counters("http_requests_total", "Requests of operators by result code.", "result"),
+		guards:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: "guard_withdrawals_total", Help: "Candidates withdrawn by the guard of their roll-out."}),
+		versions:         prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: "section_version", Help: "Version of each section at the leader."}, []string{"section"}),
+		ordersKept:       gauge("orders_remembered", "Orders whose first result is remembered."),
+		nodes:            gauge("nodes", "Nodes in the membership view."),
+		backEnds:         gauge("back_ends", "Back ends in the view."),
+		leading:          gauge("leading", "1 while this process leads."),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.orders, m.leases, m.backEndLeases, m.polls, m.pollSections, m.pollBytes, m.coalesced, m.drains,
+		registerer.MustRegister(m.orders, m.leases, m.backEndLeases, m.heartbeatBatches, m.polls, m.pollSections, m.pollBytes, m.coalesced, m.drains,
 			m.reconciled, m.requests, m.guards, m.versions, m.ordersKept, m.nodes, m.backEnds, m.leading)
 	}
 	return m
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -68,7 +68,7 @@
 
 func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
-func newService(settings *protocol.CoreSettings, machine *Machine, consensus *replica.Replica,
+func newService(settings *protocol.CoreSettings, machine *Machine, consensus *replica.Replica, caller wire.Caller,
 	logger *log.Logger, registerer prometheus.Registerer,
 ) (*Service, error) {
 	keys, err := bundle.ParseKeys(settings.GetSignOffKeys())
@@ -85,6 +85,7 @@
 		Consensus:    consensus,
 		Machine:      machine,
 		Clock:        replica.SystemClock{},
+		Caller:       caller,
 		Lease:        millis(settings.GetLeaseMillis()),
 		ShardCount:   settings.GetShardCount(),
 		ReplicaCount: settings.GetReplicaCount(),
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -11,6 +11,7 @@
 	"github.com/rosestand/rosestand/internal/core/replica"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/serverhealth"
+	"github.com/rosestand/rosestand/internal/wire"
 )
 
 const (
@@ -33,14 +34,17 @@
 
 // owner is the goroutine that owns what a leader keeps in memory: leases of
 // nodes and back ends, drains that wait, sums of roll-out arms and the state of
-// the reconciler. It works through a queue of commands and a tick.
+// the reconciler; and what another member keeps: heartbeats on their way to the
+// leader. It works through a queue of commands and a tick.
 type owner struct {
 	clock     replica.Clock
 	consensus Consensus
-	machine   *Machine
-	proposer  *proposer
-	logger    *log.Logger
-	metrics   *metrics
+	// caller reaches the other core members; it may be nil.
+	caller   wire.Caller
+	machine  *Machine
+	proposer *proposer
+	logger   *log.Logger
+	metrics  *metrics
 
 	queue   chan func(now time.Time)
 	ctx     context.Context
@@ -53,11 +57,15 @@
 	nodes       *leaseTable
 	backEnds    *leaseTable
 	announced   *announcedTable
+	relay       *heartbeatRelay
+	relaying    *relayingTable
 	drains      []*drain
 	arms        *armTable
 	reconciler  *reconciler
 	// serverHealth is what front nodes saw of back ends; a new leader begins without it.
 	serverHealth serverhealth.Board
+	// heartbeatMembers are the members that can be named to back ends.
+	heartbeatMembers atomic.Pointer[[]*protocol.CoreMember]
 	// underWay counts the tasks that work began and whose end the owner has not seen.
 	underWay int
 }
@@ -153,6 +161,9 @@
 	o.nodes.reset(now)
 	o.backEnds.reset(now)
 	o.announced.reset()
+	o.relay.reset()
+	o.relaying.reset()
+	o.heartbeatMembers.Store(nil)
 	o.arms.reset()
 	o.reconciler.reset()
 	o.leading.Store(&leadership{since: now, lost: make(chan struct{})})
@@ -181,6 +192,7 @@
 	stalled := now.Sub(o.lastTick) > stallLimit
 	o.lastTick = now
 	if !o.leads() {
+		o.relayHeartbeats(now)
 		return
 	}
 	if stalled {
@@ -189,6 +201,7 @@
 	}
 	o.sweepLeases()
 	o.announced.sweep(now)
+	o.observeRelaying(now)
 	o.endNodeLeases(now)
 	o.endBackEndLeases(now)
 	o.checkDrains(now)
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -13,6 +13,7 @@
 	"github.com/rosestand/rosestand/internal/core/replica"
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/wire"
 )
 
 // Defaults of the options.
@@ -29,6 +30,8 @@
 	Consensus Consensus
 	Machine   *Machine
 	Clock     replica.Clock
+	// Caller reaches the other core members; without it a member that does not lead takes no heartbeats.
+	Caller wire.Caller
 	// Lease is the length of a node's lease.
 	Lease        time.Duration
 	ShardCount   uint32
@@ -54,6 +57,7 @@
 	consensus Consensus
 	machine   *Machine
 	clock     replica.Clock
+	caller    wire.Caller
 	lease     time.Duration
 	proposer  *proposer
 	owner     *owner
@@ -92,6 +96,7 @@
 		consensus: options.Consensus,
 		machine:   options.Machine,
 		clock:     options.Clock,
+		caller:    options.Caller,
 		lease:     options.Lease,
 		proposer:  &proposer{consensus: options.Consensus, clock: options.Clock},
 		pacing:    newPacing(options.Coalesce),
@@ -107,6 +112,7 @@
 	service.owner = &owner{
 		clock:     options.Clock,
 		consensus: options.Consensus,
+		caller:    options.Caller,
 		machine:   options.Machine,
 		proposer:  service.proposer,
 		logger:    service.logger,
@@ -115,6 +121,8 @@
 		nodes:     newLeaseTable(options.Lease + leaseMargin),
 		backEnds:  newLeaseTable(options.BackEndLease),
 		announced: newAnnouncedTable(),
+		relay:     newHeartbeatRelay(options.BackEndLease),
+		relaying:  newRelayingTable(),
 		arms:      newArmTable(),
 		reconciler: &reconciler{
 			firstKeys:    options.FirstKeys,
--- a/internal/views/history.go
+++ b/internal/views/history.go
@@ -48,9 +48,9 @@
 	return History{floor: h.floor, changes: h.changes[:len(h.changes):len(h.changes)]}
 }
 
-// since lists the names that changed after a version, each once, and reports
+// Since lists the names that changed after a version, each once, and reports
 // false when the history does not reach back so far.
-func (h *History) since(version uint64) (map[string]bool, bool) {
+func (h *History) Since(version uint64) (map[string]bool, bool) {
 	if version < h.floor {
 		return nil, false
 	}
--- a/internal/views/make.go
+++ b/internal/views/make.go
@@ -11,7 +11,7 @@
 // MembershipDelta leads from the known version to the view; checksum is that of
 // the view. It is nil when the history does not reach back or the whole is no larger.
 func MembershipDelta(view *protocol.MembershipView, history *History, known, checksum uint64) *protocol.MembershipDelta {
-	names, reaches := history.since(known)
+	names, reaches := history.Since(known)
 	if !reaches || known == 0 || known >= view.GetVersion() {
 		return nil
 	}
@@ -22,7 +22,7 @@
 
 // BackEndDelta is what MembershipDelta is, of back ends.
 func BackEndDelta(view *protocol.BackEndView, history *History, known, checksum uint64) *protocol.BackEndDelta {
-	names, reaches := history.since(known)
+	names, reaches := history.Since(known)
 	if !reaches || known == 0 || known >= view.GetVersion() {
 		return nil
 	}
