Refuse to empty the last store of a region or zone that shards need

Cause: the order to empty a store counted only how many stores are left. With stores in three regions the last one of a region could be emptied, after which two replicas of a shard share a region and the loss of that one stops the shard.

The order now carries keep_spread: it is refused as too_few_stores when the store is the last one of its zone or region and the replicas of a shard can stand in distinct ones with it only. The adapter's order always carries it, the operators' unless the body says {"keep_spread":false}. A field of the command, as for the first placement: orders in logs of earlier versions lack it and replay to the answer that they had.

Weighed: where a store stands that is away is not known to the control state. It counts as a zone of its own, so that a restart refuses no order at a site of four zones; it does not count as a region, or the last store of one region could be emptied while another is cut off.

Excluded: refusals where the spread is out of reach anyway (two regions, fewer zones than replicas). One of four stores in four zones may go, and seven of ten stores in five zones.

--- a/internal/controlstate/stores.go
+++ b/internal/controlstate/stores.go
@@ -16,10 +16,16 @@
 	case findNode(s.membership, store).GetKind() != protocol.NodeKind_STORE && !holdsShard(s.placement, store):
 		return refuse(codeNotFound, fmt.Sprintf("there is no store %q", store), fault("store", "is unknown"))
 	}
-	if kept := s.storesKept(store); kept < int(command.GetStoresToKeep()) {
-		return refuse(TooFewStores, fmt.Sprintf("without %q there would be %d stores, %d are needed", store, kept, command.GetStoresToKeep()),
+	kept := s.storesKept(store)
+	if len(kept) < int(command.GetStoresToKeep()) {
+		return refuse(TooFewStores, fmt.Sprintf("without %q there would be %d stores, %d are needed", store, len(kept), command.GetStoresToKeep()),
 			fault("store", "is needed"))
 	}
+	if command.GetKeepSpread() {
+		if refusal := s.refuseLostSpread(store, kept); refusal != nil {
+			return refusal
+		}
+	}
 	placement := s.editPlacement(index)
 	placement.Emptying = append(placement.Emptying, store)
 	slices.Sort(placement.Emptying)
@@ -28,9 +34,9 @@
 	return accept(index)
 }
 
-// storesKept counts the stores that may hold shards once a store is empty: those
+// storesKept names the stores that may hold shards once a store is empty: those
 // present and those that are away for now but still named by a shard.
-func (s *State) storesKept(leaving string) int {
+func (s *State) storesKept(leaving string) map[string]bool {
 	kept := map[string]bool{}
 	for _, node := range s.membership.GetNodes() {
 		if node.GetKind() == protocol.NodeKind_STORE {
@@ -46,7 +52,7 @@
 		delete(kept, store)
 	}
 	delete(kept, leaving)
-	return len(kept)
+	return kept
 }
 
 // finishEmptying acknowledges as empty each store that no shard names any more, once every shard has its full set of replicas.
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosestand/rosestand/internal/controlstate"
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
@@ -101,10 +103,10 @@
 }
 
 // EmptyStore orders that all shards leave a store. An order given again changes nothing. Failures: IsUnknownStore,
-// IsTooFewStores when fewer stores would be left than a shard has replicas, IsNotLeader.
+// IsTooFewStores when fewer stores would be left than a shard has replicas, or too few zones or regions with one, IsNotLeader.
 func (s *Service) EmptyStore(ctx context.Context, store string) error {
 	_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_EmptyStore{
-		EmptyStore: &protocol.EmptyStoreCommand{Store: store, StoresToKeep: s.replicaCount},
+		EmptyStore: &protocol.EmptyStoreCommand{Store: store, StoresToKeep: s.replicaCount, KeepSpread: proto.Bool(true)},
 	}})
 	return err
 }
--- a/internal/core/http_test.go
+++ b/internal/core/http_test.go
@@ -188,6 +188,17 @@
 		Expect(send(f.members[1], "GET", "/v1/core?local=true", "", nil).Code).To(Equal(http.StatusOK))
 	})
 
+	It("empties the last store of a zone that shards need only when the order gives the spread up", func() {
+		for i, zone := range []string{"z0", "z0", "z1", "z2"} {
+			leader.renew(storeNode(fmt.Sprintf("s%d", i), zone), nil)
+		}
+		f.advance(1500 * time.Millisecond)
+		refused := send(leader, "POST", "/v1/stores/s2/empty", "o1", nil)
+		Expect(refused.Code).To(Equal(http.StatusConflict))
+		Expect(refused.Body.String()).To(ContainSubstring("too_few_stores"))
+		Expect(send(leader, "POST", "/v1/stores/s2/empty", "o2", `{"keep_spread":false}`).Code).To(Equal(http.StatusOK))
+	})
+
 	It("shows nodes with what they have in force, back ends and stores, and empties a store", func() {
 		leader.renew(frontNode("f1", 1), leader.machine.View().Versions())
 		leader.heartbeat(modelServer("m1"))
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -133,6 +133,9 @@
 		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "the body names another store than the path", failure.WithPath("store"))
 	}
 	command.Store = request.arguments[0]
+	if command.KeepSpread == nil {
+		command.KeepSpread = proto.Bool(true)
+	}
 	return s.order(ctx, "empty_store", request, &protocol.Command{Body: &protocol.Command_EmptyStore{EmptyStore: command}})
 }
 
