Answer requests that reach a daemon just as it closes its connections

Cause: http.Server.Shutdown closes every connection in state idle. A connection stays in that state until the whole head of its next request was read, so a request whose first bytes had been read, or had arrived, was cut off, and its caller could not know whether it ran.

internal/httpdrain tracks a server's connections. At the end of a drain the listener is closed, and then each connection as soon as it rests: one over which bytes came has 2.5 s for the rest of the head and is answered whole; one over which nothing came, also not within a last look of 1 ms, is closed by 408 with Connection: close (RFC 9110, section 15.5.9), its write side shut, and read until its caller has closed it too, for 0.5 s at most. So a request that crosses the close is answered as not run, and never runs. Used by the listener for callers of HTTP routes and by the daemons' HTTP ports. A connection that was opened and never used holds a stop up no more; Shutdown waits up to 5 s for it.

Weighed: to shut the write side and go on reading tells the caller of a crossing request nothing, since no answer can follow. To go on answering for longer only moves the moment. 503 was tried on paper: Go's client logs an unasked 503 on a resting connection and does not repeat a request that may be repeated, while it takes 408 for the end of the connection. 408 counts as a refusal with the users' platform as 503 does.

Not closed: a connection that the kernel holds and the listener has not accepted when it is closed is reset, as before. A caller that sends its next request before it has the answer to the last one, and less than a head of it, is not told apart.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/httpdrain"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -147,22 +148,24 @@
 	return newHTTPServer(mux, logger)
 }
 
-// serve runs a server in the background; done gets its result.
-func serve(server *http.Server, listener net.Listener, done chan<- error) {
-	go func() {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		done <- err
-	}()
+// servedHTTP is a server that runs in the background.
+type servedHTTP struct {
+	server *httpdrain.Server
+	// done gets the result of serving.
+	done chan error
+}
+
+func serve(server *http.Server, listener net.Listener) *servedHTTP {
+	served := &servedHTTP{server: httpdrain.New(server, listener), done: make(chan error, 1)}
+	go func() { served.done <- served.server.Serve() }()
+	return served
 }
 
-// shutDown ends a server, by force when its requests outlast the context.
-func shutDown(ctx context.Context, server *http.Server, done <-chan error) error {
-	err := server.Shutdown(ctx)
+// shutDown ends the server, by force when its requests outlast the context.
+func (s *servedHTTP) shutDown(ctx context.Context) error {
+	err := s.server.Drain(ctx)
 	if err != nil {
-		err = errors.CombineErrors(server.Close(), nil)
+		err = s.server.Close()
 	}
-	return errors.CombineErrors(err, <-done)
+	return errors.CombineErrors(err, <-s.done)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -42,11 +42,11 @@
 	started atomic.Bool
 	running bool
 
-	http      *http.Server
-	httpDone  chan error
-	debug     *http.Server
-	debugDone chan error
-	server    *wire.Server
+	http   *http.Server
+	served *servedHTTP
+	// debug serves the profiler; nil without an address for it.
+	debug  *servedHTTP
+	server *wire.Server
 }
 
 // run opens what the process needs, starts the plane and stops it when asked to.
@@ -172,12 +172,9 @@
 // live serves the probes, starts the plane, serves the internal protocol and waits for the end.
 func (i *instance) live(environment Environment) error {
 	i.process.Readiness.Set(conditionStarted, "the process is starting")
-	i.httpDone = make(chan error, 1)
-	serve(i.http, i.listeners.http, i.httpDone)
+	i.served = serve(i.http, i.listeners.http)
 	if i.listeners.debug != nil {
-		i.debug = newDebugServer(i.logger)
-		i.debugDone = make(chan error, 1)
-		serve(i.debug, i.listeners.debug, i.debugDone)
+		i.debug = serve(newDebugServer(i.logger), i.listeners.debug)
 		i.logger.Info("the profiler is served", "address", i.listeners.debug.Addr())
 	}
 	reason := i.start(environment)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -55,15 +55,16 @@
 
 // tearDown ends the parts of the process in the order in which they depend on each other.
 func (i *instance) tearDown(ctx context.Context) error {
+	i.served.server.BeginDrain()
 	failed := i.drain(ctx)
-	failed = errors.CombineErrors(failed, staged("stop HTTP", shutDown(ctx, i.http, i.httpDone)))
+	failed = errors.CombineErrors(failed, staged("stop HTTP", i.served.shutDown(ctx)))
 	if i.running {
 		failed = errors.CombineErrors(failed, staged("stop plane", i.app.Stop(ctx)))
 	}
 	i.server.Close()
 	i.pool.Close()
 	if i.debug != nil {
-		failed = errors.CombineErrors(failed, staged("stop profiler", shutDown(ctx, i.debug, i.debugDone)))
+		failed = errors.CombineErrors(failed, staged("stop profiler", i.debug.shutDown(ctx)))
 	}
 	return failed
 }
--- a/internal/front/routelistener.go
+++ b/internal/front/routelistener.go
@@ -4,11 +4,12 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+
+	"github.com/rosestand/rosestand/internal/httpdrain"
 )
 
 const (
@@ -24,8 +25,8 @@
 	address string
 	server  *http.Server
 	done    chan error
-	// draining is set once callers are to go to other front nodes.
-	draining atomic.Bool
+	// drainer ends the server; nil until the listener is open.
+	drainer *httpdrain.Server
 	// bound is the address in use once the listener is open.
 	bound net.Addr
 }
@@ -33,20 +34,13 @@
 func newRouteListener(address string, handler http.Handler, logger *log.Logger) *routeListener {
 	l := &routeListener{address: address, done: make(chan error, 1)}
 	l.server = &http.Server{
-		Handler: l.closing(handler), ReadHeaderTimeout: routedHeaderTimeout, IdleTimeout: routedIdleTimeout,
+		Handler: handler, ReadHeaderTimeout: routedHeaderTimeout, IdleTimeout: routedIdleTimeout,
 		MaxHeaderBytes: 2 * defaultRoutedHeaderBytes,
 		ErrorLog:       logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return l
 }
 
-// closing makes answers that begin during a drain the last ones of their connections.
-func (l *routeListener) closing(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		handler.ServeHTTP(&closingWriter{ResponseWriter: writer, draining: &l.draining}, request)
-	})
-}
-
 // start opens the listener; without an address there is nothing to do.
 func (l *routeListener) start() error {
 	if l.address == "" {
@@ -58,13 +52,8 @@
 		return errors.Wrap(err, "listen for callers of HTTP routes")
 	}
 	l.bound = listener.Addr()
-	go func() {
-		err := l.server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		l.done <- err
-	}()
+	l.drainer = httpdrain.New(l.server, listener)
+	go func() { l.done <- l.drainer.Serve() }()
 	return nil
 }
 
@@ -74,11 +63,11 @@
 	if l.address == "" {
 		return nil
 	}
-	l.draining.Store(true)
+	l.drainer.BeginDrain()
 	return clock.After(drainLinger)
 }
 
-// drain returns when all requests that were read are answered, or with the context's error.
+// drain returns when all requests that have begun to arrive are answered, or with the context's error.
 func (l *routeListener) drain(ctx context.Context, noticed <-chan time.Time) error {
 	if l.address == "" {
 		return nil
@@ -87,7 +76,7 @@
 	case <-noticed:
 	case <-ctx.Done():
 	}
-	return l.server.Shutdown(ctx)
+	return l.drainer.Drain(ctx)
 }
 
 // stop ends what is left.
--- /dev/null
+++ b/internal/httpdrain/server_test.go
@@ -0,0 +1,270 @@
+package httpdrain_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/httpdrain"
+)
+
+// atOnce is the time that a drain takes for its last looks when nothing is left to wait for.
+const atOnce = 10 * time.Millisecond
+
+// pipeListener hands out connections in memory.
+type pipeListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+	closeOnce   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.connections:
+		return connection, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pipeRig is a server over connections in memory, in virtual time.
+type pipeRig struct {
+	t       *testing.T
+	server  *httpdrain.Server
+	pipes   *pipeListener
+	served  chan error
+	drained chan error
+}
+
+func newPipeRig(t *testing.T, handler http.HandlerFunc) *pipeRig {
+	r := &pipeRig{
+		t: t, pipes: &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})},
+		served: make(chan error, 1), drained: make(chan error, 1),
+	}
+	r.server = httpdrain.New(&http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}, r.pipes)
+	go func() { r.served <- r.server.Serve() }()
+	return r
+}
+
+// pipeCaller is the caller's end of a connection.
+type pipeCaller struct {
+	net.Conn
+	t      *testing.T
+	reader *bufio.Reader
+}
+
+func (r *pipeRig) connect() *pipeCaller {
+	ours, theirs := net.Pipe()
+	r.pipes.connections <- theirs
+	return &pipeCaller{Conn: ours, t: r.t, reader: bufio.NewReader(ours)}
+}
+
+func (c *pipeCaller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatalf("sending %q: %v", text, err)
+	}
+}
+
+// receive reads one answer.
+func (c *pipeCaller) receive() (status int, body string) {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.t.Fatalf("no whole answer: %v", err)
+	}
+	return response.StatusCode, string(content)
+}
+
+// ended fails unless the other side has closed the connection and sends nothing more.
+func (c *pipeCaller) ended() {
+	c.t.Helper()
+	if rest, err := io.ReadAll(c.reader); err != nil || len(rest) > 0 {
+		c.t.Errorf("%q, %v before the end", rest, err)
+	}
+}
+
+func (r *pipeRig) beginDrain() {
+	go func() { r.drained <- r.server.Drain(context.Background()) }()
+}
+
+// drain passes over the look at what has just arrived.
+func (r *pipeRig) drain() {
+	synctest.Wait()
+	r.beginDrain()
+	time.Sleep(2 * time.Millisecond)
+	synctest.Wait()
+}
+
+// finish fails unless the drain ends within a time.
+func (r *pipeRig) finish(within time.Duration) {
+	r.t.Helper()
+	begun := time.Now()
+	if err := errors.Join(<-r.drained, <-r.served); err != nil {
+		r.t.Error(err)
+	}
+	if took := time.Since(begun); took > within {
+		r.t.Errorf("the drain took %v more", took)
+	}
+	if err := r.server.Close(); err != nil {
+		r.t.Error(err)
+	}
+}
+
+func echo(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(writer, request.Body)
+}
+
+// post is a request whose body is its text; head is how much of it comes before the body.
+func post(body string) (request string, head int) {
+	start := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
+	return start + body, len(start)
+}
+
+func TestARequestThatHasBegunWhenConnectionsAreClosedIsAnsweredWhole(t *testing.T) {
+	request, head := post("whole")
+	for name, arrived := range map[string]int{"its first byte": 1, "three bytes": 3, "half of its head": head / 2, "its head": head} {
+		for _, served := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, served before: %v", name, served), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newPipeRig(t, echo)
+					caller := r.connect()
+					if served {
+						caller.send(request)
+						caller.receive()
+					}
+					caller.send(request[:arrived])
+					synctest.Wait()
+					r.beginDrain()
+					time.Sleep(time.Second)
+					caller.send(request[arrived:])
+					if status, body := caller.receive(); status != http.StatusOK || body != "whole" {
+						t.Errorf("%d %q", status, body)
+					}
+					caller.ended()
+					r.finish(atOnce)
+				})
+			})
+		}
+	}
+}
+
+func TestARequestThatCrossesTheEndOfItsConnectionIsAnsweredAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ran := false
+		r := newPipeRig(t, func(http.ResponseWriter, *http.Request) { ran = true })
+		caller := r.connect()
+		r.drain()
+		sent := make(chan error, 1)
+		go func() {
+			request, _ := post("late")
+			_, err := io.WriteString(caller, request)
+			sent <- err
+		}()
+		if status, body := caller.receive(); status != http.StatusRequestTimeout || body != "" {
+			t.Errorf("%d %q", status, body)
+		}
+		if err := <-sent; err != nil {
+			t.Error(err)
+		}
+		_ = caller.Close()
+		r.finish(atOnce)
+		if ran {
+			t.Error("it ran")
+		}
+	})
+}
+
+func TestARequestThatComesJustBeforeItsConnectionIsClosedIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newPipeRig(t, echo)
+		caller := r.connect()
+		synctest.Wait()
+		r.beginDrain()
+		// The look at what has arrived goes on for a millisecond.
+		time.Sleep(500 * time.Microsecond)
+		request, _ := post("in time")
+		caller.send(request)
+		if status, body := caller.receive(); status != http.StatusOK || body != "in time" {
+			t.Errorf("%d %q", status, body)
+		}
+		caller.ended()
+		r.finish(atOnce)
+	})
+}
+
+func TestConnectionsAtRestAreClosedInTime(t *testing.T) {
+	for name, test := range map[string]struct {
+		act    func(*pipeCaller)
+		within time.Duration
+	}{
+		"their callers close them":      {func(c *pipeCaller) { c.receive(); _ = c.Close() }, atOnce},
+		"their callers read, and stay":  {func(c *pipeCaller) { c.receive() }, 600 * time.Millisecond},
+		"their callers do nothing":      {func(*pipeCaller) {}, 600 * time.Millisecond},
+		"half a head comes and no more": {func(c *pipeCaller) { c.send("POST / HT"); c.receive() }, 2600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newPipeRig(t, echo)
+				callers := []*pipeCaller{r.connect(), r.connect()}
+				request, _ := post("before")
+				callers[0].send(request)
+				callers[0].receive()
+				synctest.Wait()
+				r.beginDrain()
+				for _, caller := range callers {
+					go test.act(caller)
+				}
+				r.finish(test.within)
+			})
+		})
+	}
+}
+
+func TestAnAnswerUnderWayIsWholeBeforeItsConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		r := newPipeRig(t, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(writer).Flush()
+			<-release
+			_, _ = io.WriteString(writer, "slow")
+		})
+		caller := r.connect()
+		request, _ := post("")
+		caller.send(request)
+		answer, err := http.ReadResponse(caller.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.drain()
+		close(release)
+		if content, err := io.ReadAll(answer.Body); err != nil || string(content) != "slow" {
+			t.Errorf("%q %v", content, err)
+		}
+		if status, _ := caller.receive(); status != http.StatusRequestTimeout {
+			t.Errorf("%d: the head did not say that the connection closes", status)
+		}
+		_ = caller.Close()
+		r.finish(atOnce)
+	})
+}
