Break off a generation whose session is lost before it is counted

Cause: a stream of a training step that is not kept ends once the ledger has acknowledged its release. When another owner claimed the session first, the claim charged the open reservation and counted the generation as discarded, and the release was acknowledged all the same, since a charge has the same outcome. So a caller could have a generation whole that the trace counts as discarded, against the rule that what its caller has whole is in the trace.

A completed release of a finished request is acknowledged only while its session is under the epoch of the release, and the request was of that session. Else the answer is LEDGER_ALREADY_FINISHED, which front nodes of earlier versions take for not recorded as well. A program without a step is answered as before.

Weighed: a third count, "outcome unknown", would leave the trainer to guess about generations whose callers have them whole. A mark in the finished request that a claim charged it would tell both cases apart, but stores of earlier versions take an unknown flag for damage. Price of the way chosen: a release that was counted, whose answer was lost, and whose session was claimed before it was sent again, breaks its caller's stream off; the record counts it as completed, as it may already when the ledger is away.

Left: an answer of status 200 that is no stream is passed on before it is counted, as before.

Tests: two stories in internal/ledger TestGenerationsAreCountedByTheVersionsThatServersNamed; TestAnyOrderOfOperationsKeepsAStepOnOneVersion now also releases whole, also after the loss of a session, and compares what owners heard with what is counted; front spec `whose session is lost before it is recorded never looks whole`. All three failed before the change.

--- a/internal/front/steps_test.go
+++ b/internal/front/steps_test.go
@@ -216,6 +216,26 @@
 		)
 	})
 
+	It("whose session is lost before it is recorded never looks whole", func() {
+		r.weightsServer("s1", 4)
+		r.ledger.intercept = func(operation *protocol.LedgerOperation) *protocol.LedgerResult {
+			if released := operation.GetReleaseTurn(); released.GetCompleted() {
+				_, err := r.ledger.Do(context.Background(), &protocol.LedgerOperation{
+					Program: operation.GetProgram(),
+					Body: &protocol.LedgerOperation_ClaimSession{ClaimSession: &protocol.ClaimSession{
+						Session: released.GetSession(), Owner: "f9", OwnerIncarnation: 1,
+					}},
+				})
+				Expect(err).NotTo(HaveOccurred())
+			}
+			return nil
+		}
+		got := f1.route(onStream(stepTurn("a")))
+		Expect(got.broken).To(HaveOccurred())
+		r.settled(f1)
+		Expect(r.ledger.generations("p-a")).To(Equal([]generations{{discarded: 1}}))
+	})
+
 	It("is refused at once when its step has no proper name, or it names no program", func() {
 		server := r.weightsServer("s1", 4)
 		for _, name := range []string{"a b", "", strings.Repeat("x", 129), "a\tb"} {
--- a/internal/ledger/trainingstep_property_test.go
+++ b/internal/ledger/trainingstep_property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,10 @@
 	known map[string]*protocol.TrainingStepPin
 	pins  map[string]*protocol.TrainingStepPin
 	turns int
+	// completions are the requests whose owner heard that their generation was counted as completed.
+	completions map[string]map[string]bool
+	// differently are those that were also released in another way, so that it is open what was counted.
+	differently map[string]bool
 }
 
 func (f *stepFleet) apply(t *rapid.T, operation *protocol.LedgerOperation) *protocol.LedgerResult {
@@ -45,12 +50,39 @@
 			t.Fatalf("%v was not idempotent: %v then %v", operation, result, repeated)
 		}
 	}
+	f.noteCompletion(t, operation, result)
 	if f.sent = append(f.sent, operation); len(f.sent) > 30 {
 		f.sent = f.sent[1:]
 	}
 	return result
 }
 
+// noteCompletion fails when an owner hears that a generation was completed which the ledger did not count as that.
+func (f *stepFleet) noteCompletion(t *rapid.T, operation *protocol.LedgerOperation, result *protocol.LedgerResult) {
+	released, program := operation.GetReleaseTurn(), operation.GetProgram()
+	member := f.records[program].GetTrainingStep()
+	if released == nil || member == nil {
+		return
+	}
+	pinned := member.GetWeightVersion()
+	isOther := func(version uint64) bool { return version != pinned }
+	request := program + "/" + released.GetRequestId()
+	if !released.GetCompleted() || len(released.GetWeightVersions()) == 0 || slices.ContainsFunc(released.GetWeightVersions(), isOther) {
+		f.differently[request] = true
+		delete(f.completions[program], request)
+		return
+	}
+	if result.GetStatus() == ok && !f.differently[request] {
+		if f.completions[program] == nil {
+			f.completions[program] = map[string]bool{}
+		}
+		f.completions[program][request] = true
+	}
+	if counted := countOf(member, pinned).GetCompleted(); uint64(len(f.completions[program])) > counted {
+		t.Fatalf("%v was answered %v: %v are completed, counted are %d", operation, result, f.completions[program], counted)
+	}
+}
+
 // check compares a record with the one before and with the pins.
 func (f *stepFleet) check(t *rapid.T, operation *protocol.LedgerOperation, before, after *protocol.ProgramRecord) {
 	if pinned := after.GetTrainingStepPin(); pinned != nil {
@@ -123,6 +155,7 @@
 		f := &stepFleet{
 			records: map[string]*protocol.ProgramRecord{}, now: time.Unix(1_000_000, 0),
 			known: map[string]*protocol.TrainingStepPin{}, pins: map[string]*protocol.TrainingStepPin{},
+			completions: map[string]map[string]bool{}, differently: map[string]bool{},
 		}
 		program := rapid.SampledFrom([]string{"p", "q"})
 		session := rapid.SampledFrom([]string{"s1", "s2"})
@@ -210,6 +243,24 @@
 				operation.Program = within
 				f.apply(t, operation)
 			},
+			"release whole": func(t *rapid.T) {
+				within := program.Draw(t, "program")
+				open := openOf(t, within)
+				operation := release(open.GetRequestId(), open.GetSession(), open.GetEpoch(), 2)
+				operation.Program = within
+				f.apply(t, releasedFrom(operation, true, f.records[within].GetTrainingStep().GetWeightVersion()))
+			},
+			"lose a session, then release whole": func(t *rapid.T) {
+				within := program.Draw(t, "program")
+				open := openOf(t, within)
+				claimed := claim(open.GetSession(), owner.Draw(t, "owner"), 1)
+				claimed.Program = within
+				claimed.GetClaimSession().Budget = propertyBudgetOfSteps
+				f.apply(t, claimed)
+				operation := release(open.GetRequestId(), open.GetSession(), open.GetEpoch(), 2)
+				operation.Program = within
+				f.apply(t, releasedFrom(operation, true, f.records[within].GetTrainingStep().GetWeightVersion()))
+			},
 			"claim": func(t *rapid.T) {
 				operation := claim(session.Draw(t, "session"), owner.Draw(t, "owner"), 1)
 				operation.Program = program.Draw(t, "program")
--- a/internal/ledger/trainingstep_test.go
+++ b/internal/ledger/trainingstep_test.go
@@ -270,6 +270,19 @@
 			reserved,
 			{do: releasedFrom(release("r2", "s", 1, 0), true, 4), want: notReserved, check: counted(t, member)},
 		},
+		"released whole after its session was claimed": {
+			reserved,
+			{do: claim("s", "b", 1), want: ok, check: counted(t, member+`generations { discarded: 1 }`)},
+			{do: releasedFrom(release("r", "s", 1, 4), true, 4), want: alreadyFinished, check: counted(t, member+`generations { discarded: 1 }`)},
+			{do: releasedFrom(release("r", "s", 1, 4), false, 4), want: ok, check: finishedAs(outcomeCharged, 10)},
+		},
+		"released whole, and again after its session was claimed": {
+			reserved,
+			{do: releasedFrom(release("r", "s", 1, 4), true, 4), want: ok, check: counted(t, member+`generations { weight_version: 4 completed: 1 }`)},
+			{do: releasedFrom(release("r", "s", 1, 4), true, 4), want: ok, check: finishedAs(outcomeCharged, 4)},
+			{do: claim("s", "b", 1), want: ok, check: counted(t, member+`generations { weight_version: 4 completed: 1 }`)},
+			{do: releasedFrom(release("r", "s", 1, 4), true, 4), want: alreadyFinished, check: counted(t, member+`generations { weight_version: 4 completed: 1 }`)},
+		},
 		"left open by a lost owner": {
 			reserved,
 			{do: generating("17", 4, fork(reserve("r2", "s", 1, 10, ""))), want: ok},
--- a/internal/ledger/turn.go
+++ b/internal/ledger/turn.go
@@ -185,7 +185,7 @@
 		outcome = protocol.RequestOutcome_OUTCOME_CHARGED
 	}
 	if finished := Finished(record, release.GetRequestId()); finished != nil {
-		if finished.GetOutcome() == outcome {
+		if finished.GetOutcome() == outcome && !lostCompletion(record, finished, release) {
 			return nil, finishedResult(protocol.LedgerStatus_LEDGER_OK, finished)
 		}
 		return nil, finishedResult(protocol.LedgerStatus_LEDGER_ALREADY_FINISHED, finished)
@@ -214,6 +214,16 @@
 	return changed.ProgramRecord, finishedResult(protocol.LedgerStatus_LEDGER_OK, finished)
 }
 
+// lostCompletion tells whether a finished generation may have been counted as discarded, though its owner
+// says that it is complete: its session was claimed anew since then, and a claim charges and counts what it finds open. The owner must not
+// take it for counted, or its caller would have a generation whole that no trace shows.
+func lostCompletion(record *protocol.ProgramRecord, finished *protocol.FinishedRequest, release *protocol.ReleaseTurn) bool {
+	if record.GetTrainingStep() == nil || !release.GetCompleted() {
+		return false
+	}
+	return finished.GetSession() != release.GetSession() || findSession(record, release.GetSession()).GetEpoch() != release.GetEpoch()
+}
+
 // hasRunBefore tells whether a turn ran before it was released. Tokens show it;
 // a generation for a training step is also shown by the versions that its server named, and by its end.
 func hasRunBefore(record *protocol.ProgramRecord, release *protocol.ReleaseTurn) bool {
