--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosestand/rosestand/internal/controlstate"
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
 // The methods in this file and in announce.go are the control plane's interface for adapters in
-// the same process. Each is answered by the leader; at another member it fails
+// the same process. Each but AnnounceBackEnd is answered by the leader; at another member it fails
 // so that IsNotLeader holds, and LeaderHTTPAddress says where to ask. Errors are
 // of type *failure.Error; one with the outcome UNKNOWN may or may not have taken
 // effect, and the same call may be made again at any member.
@@ -101,10 +103,10 @@
 }
 
 // EmptyStore orders that all shards leave a store. An order given again changes nothing. Failures: IsUnknownStore,
-// IsTooFewStores when fewer stores would be left than a shard has replicas, IsNotLeader.
+// IsTooFewStores when fewer stores would be left than a shard has replicas, or too few zones or regions with one, IsNotLeader.
 func (s *Service) EmptyStore(ctx context.Context, store string) error {
 	_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_EmptyStore{
-		EmptyStore: &protocol.EmptyStoreCommand{Store: store, StoresToKeep: s.replicaCount},
+		EmptyStore: &protocol.EmptyStoreCommand{Store: store, StoresToKeep: s.replicaCount, KeepSpread: proto.Bool(true)},
 	}})
 	return err
 }
