Describe failures and drive runs in one place each

The JSON of a failure stood in the daemon, the core and the front node, the reading of a bundle under its version in two orders of the core, and the goroutines of a run in turns and tool calls.

--- a/internal/core/answers.go
+++ b/internal/core/answers.go
@@ -30,13 +30,9 @@
 }
 
 type errorDetail struct {
-	Code             string          `json:"code"`
-	Message          string          `json:"message"`
-	Path             string          `json:"path,omitempty"`
-	Outcome          string          `json:"outcome"`
-	RetryAfterMillis uint32          `json:"retry_after_millis,omitempty"`
-	Faults           []faultBody     `json:"faults,omitempty"`
-	Winner           json.RawMessage `json:"winner,omitempty"`
+	failure.Detail
+	Faults []faultBody     `json:"faults,omitempty"`
+	Winner json.RawMessage `json:"winner,omitempty"`
 }
 
 type faultBody struct {
@@ -44,12 +40,6 @@
 	Message string `json:"message"`
 }
 
-var outcomeNames = map[protocol.Outcome]string{
-	protocol.Outcome_NOT_RUN: "not_run",
-	protocol.Outcome_UNKNOWN: "unknown",
-	protocol.Outcome_RAN:     "ran",
-}
-
 // encode writes a protobuf message as JSON with the field names of the .proto files.
 func encode(message proto.Message) (json.RawMessage, error) {
 	encoded, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(message)
@@ -137,17 +127,13 @@
 		return describeMalformed(malformed)
 	}
 	problem := failure.From(err)
-	return errorDetail{
-		Code: problem.GetCode(), Message: problem.GetMessage(), Path: problem.GetPath(),
-		Outcome: outcomeNames[problem.GetOutcome()], RetryAfterMillis: problem.GetRetryAfterMillis(),
-	}, int(problem.GetStatus())
+	return errorDetail{Detail: failure.DetailOf(problem)}, int(problem.GetStatus())
 }
 
 func describeRefusal(refusal *protocol.Refusal) (errorDetail, int) {
 	detail := errorDetail{
-		Code: refusal.GetCode(), Message: refusal.GetMessage(),
-		Outcome: outcomeNames[protocol.Outcome_NOT_RUN],
-		Faults:  faultBodies(refusal.GetFaults()),
+		Detail: failure.Detail{Code: refusal.GetCode(), Message: refusal.GetMessage(), Outcome: failure.OutcomeName(protocol.Outcome_NOT_RUN)},
+		Faults: faultBodies(refusal.GetFaults()),
 	}
 	if len(detail.Faults) > 0 {
 		detail.Path = detail.Faults[0].Path
@@ -166,9 +152,11 @@
 		code = failure.UnknownField
 	}
 	return errorDetail{
-		Code: string(code), Message: malformed.Error(), Path: malformed.Faults[0].GetPath(),
-		Outcome: outcomeNames[protocol.Outcome_NOT_RUN],
-		Faults:  faultBodies(malformed.Faults),
+		Detail: failure.Detail{
+			Code: string(code), Message: malformed.Error(), Path: malformed.Faults[0].GetPath(),
+			Outcome: failure.OutcomeName(protocol.Outcome_NOT_RUN),
+		},
+		Faults: faultBodies(malformed.Faults),
 	}, code.Status()
 }
 
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -63,7 +63,8 @@
 	return version, nil
 }
 
-func (s *Service) putBundle(ctx context.Context, request *operatorRequest) (*answer, error) {
+// readBundle reads a bundle from the body. Its version is that of the path, which the body may repeat.
+func readBundle(request *operatorRequest) (*protocol.Bundle, error) {
 	version, err := versionOf(request.arguments[0])
 	if err != nil {
 		return nil, err
@@ -72,10 +73,26 @@
 	if err := readBody(request, submitted); err != nil {
 		return nil, err
 	}
-	if named := submitted.GetVersion(); named != 0 && named != version {
-		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "the body names another version than the path", failure.WithPath("version"))
+	if err := checkVersion(submitted.GetVersion(), version); err != nil {
+		return nil, err
 	}
 	submitted.Version = version
+	return submitted, nil
+}
+
+// checkVersion refuses a body that names another version than the path; zero names none.
+func checkVersion(named, version uint64) error {
+	if named == 0 || named == version {
+		return nil
+	}
+	return failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "the body names another version than the path", failure.WithPath("version"))
+}
+
+func (s *Service) putBundle(ctx context.Context, request *operatorRequest) (*answer, error) {
+	submitted, err := readBundle(request)
+	if err != nil {
+		return nil, err
+	}
 	return s.order(ctx, "put_bundle", request, &protocol.Command{
 		Body: &protocol.Command_PutBundle{PutBundle: &protocol.PutBundleCommand{Bundle: submitted}},
 	})
@@ -90,8 +107,8 @@
 	if err := readBody(request, sign); err != nil {
 		return nil, err
 	}
-	if named := sign.GetVersion(); named != 0 && named != version {
-		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "the body names another version than the path", failure.WithPath("version"))
+	if err := checkVersion(sign.GetVersion(), version); err != nil {
+		return nil, err
 	}
 	for path, value := range map[string]string{"key_name": sign.GetKeyName(), "signature": sign.GetSignature()} {
 		if value == "" {
--- a/internal/core/releases.go
+++ b/internal/core/releases.go
@@ -22,22 +22,14 @@
 	if !s.trustOperators {
 		return nil, untrustedFailure()
 	}
-	version, err := versionOf(request.arguments[0])
-	if err != nil {
-		return nil, err
-	}
 	expected, err := numberOf(request, baseParameter, 0)
 	if err != nil {
 		return nil, err
 	}
-	submitted := &protocol.Bundle{}
-	if err := readBody(request, submitted); err != nil {
+	submitted, err := readBundle(request)
+	if err != nil {
 		return nil, err
 	}
-	if named := submitted.GetVersion(); named != 0 && named != version {
-		return nil, failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "the body names another version than the path", failure.WithPath("version"))
-	}
-	submitted.Version = version
 	return s.order(ctx, "release_bundle", request, releaseCommand(submitted, expected))
 }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -35,32 +35,12 @@
 
 // errorBody is the JSON body of every failure.
 type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Code             string `json:"code"`
-	Message          string `json:"message"`
-	Path             string `json:"path,omitempty"`
-	Outcome          string `json:"outcome"`
-	RetryAfterMillis uint32 `json:"retry_after_millis,omitempty"`
-}
-
-var outcomeNames = map[protocol.Outcome]string{
-	protocol.Outcome_NOT_RUN: "not_run",
-	protocol.Outcome_UNKNOWN: "unknown",
-	protocol.Outcome_RAN:     "ran",
+	Error failure.Detail `json:"error"`
 }
 
 // WriteFailure answers a request with a failure, with Retry-After in whole seconds when another try makes sense.
 func WriteFailure(writer http.ResponseWriter, problem *protocol.Failure) {
-	body, err := json.Marshal(errorBody{Error: errorDetail{
-		Code:             problem.GetCode(),
-		Message:          problem.GetMessage(),
-		Path:             problem.GetPath(),
-		Outcome:          outcomeNames[problem.GetOutcome()],
-		RetryAfterMillis: problem.GetRetryAfterMillis(),
-	}})
+	body, err := json.Marshal(errorBody{Error: failure.DetailOf(problem)})
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
--- a/internal/front/owner.go
+++ b/internal/front/owner.go
@@ -90,24 +90,43 @@
 
 // startRun drives a turn on a goroutine of its own. It ends the turn at its deadline.
 func (s *Service) startRun(run *turnRun, cancel context.CancelCauseFunc) {
-	expired := s.clock.After(run.deadline.Sub(s.clock.Now()))
+	s.drive(drivenRun{run: run.run, end: run.grant.End, left: run.deadline.Sub(s.clock.Now()), cancel: cancel})
+}
+
+// drivenRun is a turn or a tool call that its owner drives.
+type drivenRun struct {
+	run func()
+	// end gives the session's grant back.
+	end func()
+	// left is the time after which it is ended.
+	left time.Duration
+	// callerGone is closed when its caller has left; nil goes on without the caller.
+	callerGone <-chan struct{}
+	cancel     context.CancelCauseFunc
+}
+
+// drive runs it on a goroutine of its own and cancels it when it may not go on.
+func (s *Service) drive(driven drivenRun) {
+	expired := s.clock.After(driven.left)
 	finished := make(chan struct{})
 	s.runs.Go(func() {
 		select {
 		case <-expired:
-			cancel(errDeadline)
+			driven.cancel(errDeadline)
+		case <-driven.callerGone:
+			driven.cancel(errCallerGone)
 		case <-s.stopped:
-			cancel(errAuthority)
+			driven.cancel(errAuthority)
 		case <-finished:
 		}
 	})
 	s.beginRun()
 	s.runs.Go(func() {
 		defer s.endRun()
-		run.run()
+		driven.run()
 		close(finished)
-		cancel(nil)
-		run.grant.End()
+		driven.cancel(nil)
+		driven.end()
 	})
 }
 
--- a/internal/front/sse.go
+++ b/internal/front/sse.go
@@ -54,7 +54,7 @@
 
 type failedEvent struct {
 	eventHeader
-	Error errorDetail `json:"error"`
+	Error failure.Detail `json:"error"`
 }
 
 // send writes one event. A failure before anything was written is not written:
@@ -78,7 +78,7 @@
 		data = responseEvent{eventHeader: header, Response: e.view.completed(body.Completed)}
 	case *protocol.TurnEvent_Failed:
 		header.Type = eventFailed
-		data = failedEvent{eventHeader: header, Error: detailOf(body.Failed)}
+		data = failedEvent{eventHeader: header, Error: failure.DetailOf(body.Failed)}
 	}
 	return e.write(header, data)
 }
@@ -126,26 +126,5 @@
 // fail ends a stream that has begun with a typed event.
 func (e *eventStream) fail(f *protocol.Failure) {
 	header := eventHeader{Type: eventFailed, SequenceNumber: e.last.sequence + 1, Attempt: max(e.last.attempt, 1)}
-	_ = e.write(header, failedEvent{eventHeader: header, Error: detailOf(f)})
-}
-
-// errorDetail is the JSON of a failure.
-type errorDetail struct {
-	Code             string `json:"code"`
-	Message          string `json:"message"`
-	Path             string `json:"path,omitempty"`
-	Outcome          string `json:"outcome"`
-	RetryAfterMillis uint32 `json:"retry_after_millis,omitempty"`
-}
-
-var outcomeNames = map[protocol.Outcome]string{
-	protocol.Outcome_OUTCOME_UNSPECIFIED: "unknown", protocol.Outcome_NOT_RUN: "not_run",
-	protocol.Outcome_UNKNOWN: "unknown", protocol.Outcome_RAN: "ran",
-}
-
-func detailOf(f *protocol.Failure) errorDetail {
-	return errorDetail{
-		Code: f.GetCode(), Message: f.GetMessage(), Path: f.GetPath(),
-		Outcome: outcomeNames[f.GetOutcome()], RetryAfterMillis: f.GetRetryAfterMillis(),
-	}
+	_ = e.write(header, failedEvent{eventHeader: header, Error: failure.DetailOf(f)})
 }
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -118,27 +118,7 @@
 }
 
 func (s *Service) startCall(run *callRun, caller context.Context, left time.Duration, cancel context.CancelCauseFunc) {
-	expired := s.clock.After(left)
-	finished := make(chan struct{})
-	s.runs.Go(func() {
-		select {
-		case <-expired:
-			cancel(errDeadline)
-		case <-caller.Done():
-			cancel(errCallerGone)
-		case <-s.stopped:
-			cancel(errAuthority)
-		case <-finished:
-		}
-	})
-	s.beginRun()
-	s.runs.Go(func() {
-		defer s.endRun()
-		run.run()
-		close(finished)
-		cancel(nil)
-		run.grant.End()
-	})
+	s.drive(drivenRun{run: run.run, end: run.grant.End, left: left, callerGone: caller.Done(), cancel: cancel})
 }
 
 func (r *callRun) run() {
