Let a training step name its model

Cause: in a server group of several models the step's model was the one that most servers announce, and a caller could not choose another.

A turn names it in Rosestand-Training-Model. The first pin fixes it with the version; a turn that names another model is refused as step_mismatch, one that names none takes the step's. The header comes from the dialect; the platform's, which names no training steps, takes the product's word as for the step itself. Weighed: a model in the route would need a field of the bundle and a route for each model.

Tests: three specs in internal/front `of a group with several models`, which failed before. Checks of names are those of steps; their message now says "the name" of both.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -30,6 +30,8 @@
 	PreviousTurn string
 	// TrainingStep names the training step that a turn generates for.
 	TrainingStep string
+	// TrainingModel names the model of that step, where the servers of a route have several.
+	TrainingModel string
 	// Affinity is the same for all requests that concern the same object.
 	Affinity string
 	// LastEventID is the id of the last event that a caller of a resumable stream has seen.
@@ -102,6 +104,7 @@
 		PromptParts:     "Rosestand-Prompt-Parts",
 		PreviousTurn:    "Rosestand-Continues",
 		TrainingStep:    "Rosestand-Training-Step",
+		TrainingModel:   "Rosestand-Training-Model",
 		Affinity:        "Rosestand-Affinity",
 		LastEventID:     "Last-Event-Id",
 		TargetServer:    "Rosestand-Server",
--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -58,7 +58,9 @@
 	// previous is the request id of the turn continued.
 	previous string
 	// step is the training step that a turn generates for.
-	step   string
+	step string
+	// model is the model that the step is named with; empty leaves the choice to the group.
+	model  string
 	budget uint64
 	most   uint32
 	left   time.Duration
--- a/internal/front/routestream.go
+++ b/internal/front/routestream.go
@@ -26,7 +26,7 @@
 	request := &protocol.TurnRequest{
 		RequestId: taken.id, Tenant: routedTenant, Program: taken.program, Session: taken.session, MaxOutputTokens: taken.most,
 		TimeLeftMillis: uint32(taken.left.Milliseconds()), ProgramBudget: taken.budget, Ingress: a.service.name,
-		FirstSend: true, Http: taken.http, TrainingStep: taken.step,
+		FirstSend: true, Http: taken.http, TrainingStep: taken.step, Model: taken.model,
 	}
 	request.Input = []*protocol.Item{{Data: taken.http.GetBody()}}
 	taken.http.Body = nil
--- a/internal/front/steppins.go
+++ b/internal/front/steppins.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -30,6 +31,12 @@
 	version uint64
 }
 
+// stepChoice is a step with the model that its turn names; without one the group's choice is taken.
+type stepChoice struct {
+	step  string
+	model string
+}
+
 // pinEntry is a pin in the cache, or one that is being asked for.
 type pinEntry struct {
 	// known is closed once pin or refused is set.
@@ -44,17 +51,17 @@
 type stepPins struct {
 	clock   Clock
 	mutex   sync.Mutex
-	entries map[string]*pinEntry
-	// order holds the steps from the one asked for first.
-	order []string
+	entries map[stepChoice]*pinEntry
+	// order holds the choices from the one asked for first.
+	order []stepChoice
 }
 
 func newStepPins(clock Clock) *stepPins {
-	return &stepPins{clock: clock, entries: make(map[string]*pinEntry)}
+	return &stepPins{clock: clock, entries: make(map[stepChoice]*pinEntry)}
 }
 
 // entry finds the entry of a step, or makes one, which the caller must then resolve.
-func (p *stepPins) entry(step string) (found *pinEntry, made bool) {
+func (p *stepPins) entry(step stepChoice) (found *pinEntry, made bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := p.clock.Now()
@@ -72,7 +79,7 @@
 }
 
 // resolved gives all who wait the outcome. A refusal is not remembered.
-func (p *stepPins) resolved(step string, entry *pinEntry, pin *stepPin, refused *protocol.Failure) {
+func (p *stepPins) resolved(step stepChoice, entry *pinEntry, pin *stepPin, refused *protocol.Failure) {
 	entry.pin, entry.refused = pin, refused
 	close(entry.known)
 	if refused == nil {
@@ -86,7 +93,7 @@
 }
 
 // remove needs the mutex.
-func (p *stepPins) remove(step string) {
+func (p *stepPins) remove(step stepChoice) {
 	if p.entries[step] == nil {
 		return
 	}
@@ -97,7 +104,7 @@
 
 // resolveStep finds the version that is pinned for a step, or pins one. The
 // servers of the group say which version is proposed.
-func (s *Service) resolveStep(ctx context.Context, step, group string) (*stepPin, *protocol.Failure) {
+func (s *Service) resolveStep(ctx context.Context, step stepChoice, group string) (*stepPin, *protocol.Failure) {
 	entry, made := s.pins.entry(step)
 	if made {
 		pin, refused := s.pinStep(ctx, step, group)
@@ -115,30 +122,31 @@
 }
 
 // pinStep asks the ledger for the pin of a step and proposes one.
-func (s *Service) pinStep(ctx context.Context, step, group string) (*stepPin, *protocol.Failure) {
+func (s *Service) pinStep(ctx context.Context, step stepChoice, group string) (*stepPin, *protocol.Failure) {
 	announcements := s.backEnds.Load().announcements(group)
-	model := trainingstep.ModelOf(announcements)
+	model := cmp.Or(step.model, trainingstep.ModelOf(announcements))
 	proposed := trainingstep.Propose(model, announcements)
 	if proposed == 0 {
 		return nil, versionUnavailable(fmt.Sprintf("no server of group %s announces the version of its weights", group))
 	}
-	program := ledger.TrainingStepProgram(step)
+	program := ledger.TrainingStepProgram(step.step)
 	if refused := s.refuseUnreachable(program); refused != nil {
 		return nil, refused
 	}
 	result := s.ledgerDo(ctx, &protocol.LedgerOperation{Program: program, Body: &protocol.LedgerOperation_PinTrainingStep{
 		PinTrainingStep: &protocol.PinTrainingStep{
-			Step: step, Model: model, WeightVersion: proposed, Owner: s.name, KeepingMillis: pinKeeping.Milliseconds(),
+			Step: step.step, Model: model, WeightVersion: proposed, Owner: s.name, KeepingMillis: pinKeeping.Milliseconds(),
 		},
 	}})
 	switch result.GetStatus() {
 	case protocol.LedgerStatus_LEDGER_OK, protocol.LedgerStatus_LEDGER_STEP_MISMATCH:
 		// A step of another model may be one of the group's models all the same.
-		if pin := result.GetTrainingStepPin(); pin != nil {
-			s.metrics.stepPins.Inc()
-			return &stepPin{step: step, model: pin.GetModel(), version: pin.GetWeightVersion()}, nil
+		pin := result.GetTrainingStepPin()
+		if pin == nil || step.model != "" && step.model != pin.GetModel() {
+			return nil, stepMismatch()
 		}
-		return nil, stepMismatch()
+		s.metrics.stepPins.Inc()
+		return &stepPin{step: step.step, model: pin.GetModel(), version: pin.GetWeightVersion()}, nil
 	default:
 		return nil, unreachableFailure()
 	}
--- a/internal/front/steprig_test.go
+++ b/internal/front/steprig_test.go
@@ -75,6 +75,12 @@
 	return sent
 }
 
+// onModel names the model of a generation.
+func onModel(model string, sent routed) routed {
+	sent.headers.Set(words.TrainingModel, model)
+	return sent
+}
+
 // generate sends a generation that must be answered whole.
 func (n *node) generate(sent routed) routedAnswer {
 	GinkgoHelper()
--- a/internal/front/steps_test.go
+++ b/internal/front/steps_test.go
@@ -173,6 +173,44 @@
 		})
 	})
 
+	Describe("of a group with several models", func() {
+		var own, judge *weightsServer
+
+		BeforeEach(func() {
+			own, judge = r.weightsServer("s1", 4), r.weightsServer("s2", 7)
+			r.changeServer("s2", func(server *protocol.BackEnd) { server.ModelVersions = map[string]uint64{"judge": 7} })
+		})
+
+		It("runs on the model that its first turn names, at every front node", func() {
+			for at, n := range []*node{f1, f2} {
+				n.generate(onModel("judge", stepTurnOf("run-1/judged", fmt.Sprint("j", at))))
+				n.generate(onModel(stepModel, stepTurnOf("run-1/own", fmt.Sprint("o", at))))
+				n.generate(stepTurnOf("run-1/judged", fmt.Sprint("k", at)))
+			}
+			Expect(judge.ran.Load()).To(BeEquivalentTo(4))
+			Expect(own.ran.Load()).To(BeEquivalentTo(2))
+			Expect(r.ledger.generations("p-k1")).To(Equal([]generations{{version: 7, completed: 1}}))
+		})
+
+		It("is refused when it names another model than that of its step", func() {
+			f1.generate(onModel("judge", stepTurn("a")))
+			for at, n := range []*node{f1, f2} {
+				got := n.route(onModel(stepModel, stepTurn(fmt.Sprint("b", at))))
+				Expect(got.status).To(Equal(http.StatusConflict), got.body)
+				Expect(got.body).To(HavePrefix("step_mismatch: "))
+			}
+			Expect(own.requests()).To(BeEmpty())
+		})
+
+		It("is refused while no server has the model that it names, and pins nothing", func() {
+			expectUnavailable(f1.route(onModel("critic", stepTurn("a"))))
+			Expect(r.ledger.count("PinTrainingStep")).To(BeZero())
+			for _, name := range []string{"", "a b"} {
+				Expect(f1.route(onModel(name, stepTurn("b"+name))).status).To(Equal(http.StatusBadRequest), name)
+			}
+		})
+	})
+
 	Describe("whose server takes other weights", func() {
 		var traced func(string) tracedRequest
 
--- a/internal/front/stepturn.go
+++ b/internal/front/stepturn.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	trainingStepPath = "training_step"
+	trainingStepPath  = "training_step"
+	trainingModelPath = "training_model"
 	// refusedVersionLife is how long a server's word that it has not a version goes before its announcement, which
 	// may be older than the word.
 	refusedVersionLife = 5 * time.Second
@@ -29,23 +30,36 @@
 	if a.dialect.TrainingStep == "" || route.GetKind() != protocol.HttpRouteKind_HTTP_STREAMING {
 		return nil
 	}
-	values := header[a.dialect.TrainingStep]
-	if len(values) == 0 {
-		return nil
-	}
-	if len(values) > 1 {
-		return invalidField(trainingStepPath, "must be named once")
+	step, err := readName(header, a.dialect.TrainingStep, trainingStepPath)
+	if err != nil || step == "" {
+		return err
 	}
-	if err := trainingstep.CheckName(values[0]); err != nil {
-		return invalidField(trainingStepPath, err.Error())
+	model, err := readName(header, a.dialect.TrainingModel, trainingModelPath)
+	if err != nil {
+		return err
 	}
 	if taken.program == "" {
 		return failure.New(failure.InvalidField, protocol.Outcome_NOT_RUN, "a turn of a training step must name its program", failure.WithPath("program"))
 	}
-	taken.step = values[0]
+	taken.step, taken.model = step, model
 	return nil
 }
 
+// readName reads a name that a header may give once; it is empty without the header.
+func readName(header http.Header, name, path string) (string, error) {
+	values := header[name]
+	if name == "" || len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", invalidField(path, "must be named once")
+	}
+	if err := trainingstep.CheckName(values[0]); err != nil {
+		return "", invalidField(path, err.Error())
+	}
+	return values[0], nil
+}
+
 // routedBudget is the budget that a turn opens its program with.
 func routedBudget(request *protocol.TurnRequest) uint64 {
 	if request.GetTrainingStep() != "" && request.GetProgramBudget() == 0 {
@@ -56,7 +70,7 @@
 
 // resolveStep finds the version of the turn's step, and ends the turn at once when no server has it.
 func (r *turnRun) resolveStep(step string) turn.Event {
-	pin, refused := r.service.resolveStep(r.ctx, step, r.route.GetGroup())
+	pin, refused := r.service.resolveStep(r.ctx, stepChoice{step: step, model: r.request.GetModel()}, r.route.GetGroup())
 	if refused != nil {
 		r.explanation.step("training step refused", step+": "+refused.GetMessage())
 		return turn.StepNotResolved{Failure: refused}
--- a/internal/trainingstep/name.go
+++ b/internal/trainingstep/name.go
@@ -2,15 +2,15 @@
 
 import "fmt"
 
-// MaxNameBytes bounds the name of a step.
+// MaxNameBytes bounds the name of a step and of its model.
 const MaxNameBytes = 128
 
-// NameError says why a text names no training step.
+// NameError says why a text names no training step and no model of one.
 type NameError struct{ Reason string }
 
-func (e *NameError) Error() string { return "a training step's name " + e.Reason }
+func (e *NameError) Error() string { return "the name " + e.Reason }
 
-// CheckName reports whether a text may name a training step: 1 to MaxNameBytes
+// CheckName reports whether a text may name a training step or its model: 1 to MaxNameBytes
 // letters and digits of ASCII and the characters . _ - : and /. The error is a *NameError.
 func CheckName(name string) error {
 	if name == "" {
