--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -28,6 +28,8 @@
 		fx.Supply(settings),
 		fx.Provide(
 			NewMachine,
+			func() storage.Filesystem { return storage.OSFilesystem{} },
+			func() replica.Clock { return replica.SystemClock{} },
 			newReplica,
 			newService,
 			func(service *Service) wire.Handler { return service },
@@ -37,7 +39,7 @@
 }
 
 func newReplica(settings *protocol.CoreSettings, machine *Machine, process *daemon.Process, caller wire.Caller,
-	logger *log.Logger, registerer prometheus.Registerer,
+	filesystem storage.Filesystem, clock replica.Clock, logger *log.Logger, registerer prometheus.Registerer,
 ) (*replica.Replica, error) {
 	self := process.Self
 	built, err := replica.New(replica.Options{
@@ -52,7 +54,8 @@
 		ReplaceVoterAfter: millis(settings.GetReplaceVoterMillis()),
 		SnapshotEntries:   uint64(settings.GetSnapshotEntries()),
 		Folder:            filepath.Join(settings.GetNode().GetDataFolder(), dataSubfolder),
-		Filesystem:        storage.OSFilesystem{},
+		Filesystem:        filesystem,
+		Clock:             clock,
 		Caller:            caller,
 		Machine:           machine,
 		Logger:            logger,
@@ -68,7 +71,7 @@
 
 func millis(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
-func newService(settings *protocol.CoreSettings, machine *Machine, consensus *replica.Replica,
+func newService(settings *protocol.CoreSettings, machine *Machine, consensus *replica.Replica, clock replica.Clock,
 	logger *log.Logger, registerer prometheus.Registerer,
 ) (*Service, error) {
 	keys, err := bundle.ParseKeys(settings.GetSignOffKeys())
@@ -84,7 +87,7 @@
 	return New(Options{
 		Consensus:    consensus,
 		Machine:      machine,
-		Clock:        replica.SystemClock{},
+		Clock:        clock,
 		Lease:        millis(settings.GetLeaseMillis()),
 		ShardCount:   settings.GetShardCount(),
 		ReplicaCount: settings.GetReplicaCount(),
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// Failures gives the error that Fail was told first. One receiver gets it.
+func (p *Process) Failures() <-chan error { return p.failures }
+
 // beginDrain makes the process unready and returns the hooks to run.
 func (p *Process) beginDrain() []namedHook {
 	p.mutex.Lock()
--- a/internal/front/backendclient.go
+++ b/internal/front/backendclient.go
@@ -52,19 +52,25 @@
 
 // newBackEndClient makes a client that gives a model server up after a silence
 // of stallTimeout. A tool may be silent for as long as its caller waits.
-func newBackEndClient(clock Clock, stallTimeout time.Duration) *backEndClient {
+func newBackEndClient(clock Clock, stallTimeout time.Duration, dial dialFunc) *backEndClient {
 	if stallTimeout == 0 {
 		stallTimeout = DefaultStallTimeout
 	}
-	return &backEndClient{clock: clock, models: newHTTPClient(stallTimeout), tools: newHTTPClient(0)}
+	return &backEndClient{clock: clock, models: newHTTPClient(stallTimeout, dial), tools: newHTTPClient(0, dial)}
 }
 
-func newHTTPClient(stallTimeout time.Duration) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+// newHTTPClient makes a client that connects by dial; nil stands for TCP.
+func newHTTPClient(stallTimeout time.Duration, dial dialFunc) *http.Client {
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				connection, err := dialer.DialContext(ctx, network, address)
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				connection, err := dial(ctx, address)
 				if err != nil || stallTimeout == 0 {
 					return connection, err
 				}
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -29,7 +29,7 @@
 
 // NewRouteListener makes a listener that is not open yet.
 func NewRouteListener(address string, handler http.Handler, clock Clock) *RouteListener {
-	return &RouteListener{listener: newRouteListener(address, handler, log.New(io.Discard)), clock: clock}
+	return &RouteListener{listener: newRouteListener(address, handler, Sockets{}, log.New(io.Discard)), clock: clock}
 }
 
 // Start opens the listener.
@@ -78,7 +78,7 @@
 // OutcomeOfExpired is what a send whose deadline has passed tells of its server's health.
 func OutcomeOfExpired(clock Clock) schedule.Outcome {
 	server := (&backEnds{}).keep(&protocol.BackEnd{Id: "s1", Address: "127.0.0.1:1"})
-	client := newRouteClient(dialect.Default(), clock)
+	client := newRouteClient(dialect.Default(), clock, nil)
 	defer client.close()
 	_, err := client.send(context.Background(), routedRequest{
 		server: server, requestID: "r1", http: &protocol.HttpRequest{}, deadline: clock.Now(),
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -27,7 +27,7 @@
 // routes on the engine, and starts and stops all of them with the process.
 func Module(settings *protocol.FrontSettings) fx.Option {
 	return fx.Module("front",
-		fx.Supply(settings, dialect.Default()),
+		fx.Supply(settings, dialect.Default(), Sockets{}),
 		fx.Provide(
 			provideLink,
 			provideOwnership,
@@ -79,12 +79,12 @@
 }
 
 func provideService(process *daemon.Process, link *corelink.Link, ledger *ledgerclient.Client, manager *ownership.Manager,
-	caller wire.Caller, words dialect.Dialect, logger *log.Logger, registerer prometheus.Registerer,
+	caller wire.Caller, words dialect.Dialect, sockets Sockets, logger *log.Logger, registerer prometheus.Registerer,
 ) *Service {
 	return New(Options{
 		Self: process.Self, Link: link, Ledger: ledger, Ownership: grantingManager{manager}, Caller: caller,
-		Dialect: words,
-		Logger:  logger, Registerer: registerer,
+		Dialect: words, DialBackEnd: sockets.Dial,
+		Logger: logger, Registerer: registerer,
 	})
 }
 
@@ -101,11 +101,11 @@
 }
 
 func run(lifecycle fx.Lifecycle, settings *protocol.FrontSettings, service *Service, manager *ownership.Manager,
-	link *corelink.Link, process *daemon.Process, engine *gin.Engine, words dialect.Dialect, logger *log.Logger,
+	link *corelink.Link, process *daemon.Process, engine *gin.Engine, words dialect.Dialect, sockets Sockets, logger *log.Logger,
 ) {
 	service.Register(engine, settings.GetMaxBodyBytes())
 	process.Readiness.AddCheck(readyCondition, service.notReady)
-	listener := newRouteListener(settings.GetTrafficAddress(), &routeAPI{service: service, dialect: words}, logger)
+	listener := newRouteListener(settings.GetTrafficAddress(), &routeAPI{service: service, dialect: words}, sockets, logger)
 	process.OnDrain("front", func(ctx context.Context) error {
 		taken := listener.beginDrain(service.clock)
 		drained := service.Drain(ctx)
--- a/internal/front/httpissue.go
+++ b/internal/front/httpissue.go
@@ -22,8 +22,9 @@
 	clock   Clock
 }
 
-func newRouteClient(words dialect.Dialect, clock Clock) *routeClient {
-	return &routeClient{dialect: words, clock: clock, pool: serverconn.New(serverconn.Options{Now: clock.Now})}
+// newRouteClient makes a client that connects by dial; nil stands for TCP.
+func newRouteClient(words dialect.Dialect, clock Clock, dial dialFunc) *routeClient {
+	return &routeClient{dialect: words, clock: clock, pool: serverconn.New(serverconn.Options{Now: clock.Now, Dial: dial})}
 }
 
 // routedRequest is one send of a request to one server.
--- a/internal/front/routelistener.go
+++ b/internal/front/routelistener.go
@@ -22,6 +22,7 @@
 // routeListener serves the callers of HTTP routes on an address of their own.
 type routeListener struct {
 	address string
+	sockets Sockets
 	server  *http.Server
 	done    chan error
 	// draining is set once callers are to go to other front nodes.
@@ -30,8 +31,8 @@
 	bound net.Addr
 }
 
-func newRouteListener(address string, handler http.Handler, logger *log.Logger) *routeListener {
-	l := &routeListener{address: address, done: make(chan error, 1)}
+func newRouteListener(address string, handler http.Handler, sockets Sockets, logger *log.Logger) *routeListener {
+	l := &routeListener{address: address, sockets: sockets, done: make(chan error, 1)}
 	l.server = &http.Server{
 		Handler: l.closing(handler), ReadHeaderTimeout: routedHeaderTimeout, IdleTimeout: routedIdleTimeout,
 		MaxHeaderBytes: 2 * defaultRoutedHeaderBytes,
@@ -53,7 +54,7 @@
 		l.done <- nil
 		return nil
 	}
-	listener, err := net.Listen("tcp", l.address)
+	listener, err := l.sockets.listen(l.address)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers of HTTP routes")
 	}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +36,10 @@
 	Dialect dialect.Dialect
 	// StallTimeout is how long a model server may be silent; zero means DefaultStallTimeout.
 	StallTimeout time.Duration
-	Logger       *log.Logger
-	Registerer   prometheus.Registerer
+	// DialBackEnd opens a connection to a back end; nil stands for TCP.
+	DialBackEnd func(ctx context.Context, address string) (net.Conn, error)
+	Logger      *log.Logger
+	Registerer  prometheus.Registerer
 }
 
 // Service is the front plane of one process.
@@ -101,8 +104,8 @@
 	s := &Service{
 		name: options.Self.GetName(), zone: options.Self.GetZone(), region: options.Self.GetRegion(), link: options.Link, ledger: options.Ledger,
 		ownership: options.Ownership, caller: options.Caller, clock: options.Clock, logger: options.Logger,
-		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout),
-		routes:    newRouteClient(options.Dialect, options.Clock),
+		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout, options.DialBackEnd),
+		routes:    newRouteClient(options.Dialect, options.Clock, options.DialBackEnd),
 		models:    newGroupModels(),
 		pins:      newStepPins(options.Clock),
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
--- /dev/null
+++ b/internal/front/sockets.go
@@ -0,0 +1,24 @@
+package front
+
+import (
+	"context"
+	"net"
+)
+
+// dialFunc opens a connection to a back end.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Sockets open what a front node has beside its connections to peers. A nil function stands for TCP.
+type Sockets struct {
+	// Dial opens a connection to a back end.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Listen opens the address for callers of HTTP routes.
+	Listen func(address string) (net.Listener, error)
+}
+
+func (s Sockets) listen(address string) (net.Listener, error) {
+	if s.Listen == nil {
+		return net.Listen("tcp", address)
+	}
+	return s.Listen(address)
+}
--- a/internal/store/fx.go
+++ b/internal/store/fx.go
@@ -32,6 +32,7 @@
 		fx.Supply(settings),
 		fx.Provide(
 			provideOpener,
+			func() Clock { return systemClock{} },
 			provideFolder,
 			provideIdentity,
 			provideLink,
@@ -87,12 +88,13 @@
 
 func provideStore(
 	settings *protocol.StoreSettings, self identity, folder *Folder, open FolderOpener, caller wire.Caller, link *corelink.Link,
-	logger *log.Logger, registerer prometheus.Registerer, process *daemon.Process,
+	clock Clock, logger *log.Logger, registerer prometheus.Registerer, process *daemon.Process,
 ) (*Supervisor, error) {
 	return NewSupervisor(Options{
 		Self:       proto.CloneOf(self.node),
 		Caller:     caller,
 		Core:       link,
+		Clock:      clock,
 		Settings:   settings,
 		Logger:     logger,
 		Registerer: registerer,
