--- a/internal/lab/memnet/connection.go
+++ b/internal/lab/memnet/connection.go
@@ -138,7 +138,7 @@
 		return 0, c.failed("read", os.ErrDeadlineExceeded), 0
 	}
 	next := time.Time{}
-	if c.network.passes(c.peer.local, c.local) || c.peer.lostPower {
+	if c.network.passes(c.peer.local, c.local) || c.peer.lostPower || c.network.closed {
 		switch {
 		case len(c.received) > 0 && !now.Before(c.received[0].arrives):
 			return c.takeFirst(buffer), nil, 0
@@ -162,6 +162,18 @@
 	return 0, nil, next.Sub(now)
 }
 
+// HasUnread reports whether bytes, or the end of the connection, have arrived and were not read. It is what a look into the
+// buffer of a socket tells.
+func (c *connection) HasUnread() bool {
+	c.network.mutex.Lock()
+	defer c.network.mutex.Unlock()
+	now := time.Now()
+	if !c.network.passes(c.peer.local, c.local) && !c.peer.lostPower {
+		return false
+	}
+	return len(c.received) > 0 && !now.Before(c.received[0].arrives) || c.ended != nil && !now.Before(c.endArrives)
+}
+
 func (c *connection) takeFirst(buffer []byte) int {
 	first := &c.received[0]
 	count := copy(buffer, first.data)
--- a/internal/lab/memnet/memnet_test.go
+++ b/internal/lab/memnet/memnet_test.go
@@ -165,6 +165,43 @@
 	})
 }
 
+func TestWhatRestsUnreadIsTold(t *testing.T) {
+	type unreadTeller interface{ HasUnread() bool }
+	linked(t, func(t *testing.T, network *memnet.Network, near, far net.Conn) {
+		tells := func(wanted bool) {
+			t.Helper()
+			if near.(unreadTeller).HasUnread() != wanted {
+				t.Errorf("has unread: %t", !wanted)
+			}
+		}
+		send(t, far, "x")
+		tells(false)
+		time.Sleep(latency)
+		tells(true)
+		expect(t, near, "x")
+		tells(false)
+		network.Isolate(callerHost, true, true)
+		_ = far.Close()
+		time.Sleep(latency)
+		tells(false)
+		network.HealAll()
+		tells(true)
+	})
+}
+
+func TestAClosedNetworkEndsWhatIsLeft(t *testing.T) {
+	linked(t, func(t *testing.T, network *memnet.Network, near, _ net.Conn) {
+		network.LosePower(serverHost)
+		network.Close()
+		expectEnd(t, near, syscall.ECONNRESET)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := network.Dialer(callerHost)(ctx, address); err == nil {
+			t.Error("a closed network connects")
+		}
+	})
+}
+
 func TestHTTPRunsOverTheNetwork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New(rand.New(rand.NewPCG(1, 1)), memnet.Latency{Least: latency, Most: 2 * latency})
--- a/internal/lab/memnet/network.go
+++ b/internal/lab/memnet/network.go
@@ -32,6 +32,8 @@
 	// dark hosts have no power.
 	dark     map[string]bool
 	nextPort int
+	// closed is set once nobody can connect any more.
+	closed bool
 }
 
 // firstPort is the first port that is given to who asks for any.
@@ -127,6 +129,19 @@
 	})
 }
 
+// Close ends every connection and listener.
+func (n *Network) Close() {
+	n.change(func() {
+		n.closed = true
+		for _, each := range n.listeners {
+			n.closeListener(each)
+		}
+		for c := range n.connections {
+			c.endByReset()
+		}
+	})
+}
+
 // endAll closes the listeners of a host and ends its connections; the mutex is held.
 func (n *Network) endAll(host string, end func(*connection)) {
 	for _, each := range n.listeners {
@@ -162,7 +177,7 @@
 	}
 	for {
 		n.mutex.Lock()
-		reached := n.passes(from, hostOf(address)) && n.passes(hostOf(address), from)
+		reached := n.closed || n.passes(from, hostOf(address)) && n.passes(hostOf(address), from)
 		wait := n.delay() + n.delay()
 		n.mutex.Unlock()
 		if !reached {
@@ -193,7 +208,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	accepting := n.listeners[address]
-	if accepting == nil {
+	if accepting == nil || n.closed {
 		return nil, false
 	}
 	n.nextPort++
--- a/internal/serverconn/connection.go
+++ b/internal/serverconn/connection.go
@@ -53,6 +53,9 @@
 	return count, err
 }
 
+// unreadTeller is a connection that is no socket and tells itself whether something has arrived that was not read.
+type unreadTeller interface{ HasUnread() bool }
+
 func (c *connection) close() { _ = c.Close() }
 
 // isClean reports whether nothing has arrived on a resting connection: neither
@@ -61,6 +64,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if simulated, isSimulated := c.Conn.(unreadTeller); isSimulated {
+		return !simulated.HasUnread()
+	}
 	raw, isSocket := c.Conn.(syscall.Conn)
 	if !isSocket {
 		return true
