--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rosestand/rosestand/internal/protocol"
 )
 
@@ -97,6 +99,18 @@
 // Failures gives the error that Fail was told first. One receiver gets it.
 func (p *Process) Failures() <-chan error { return p.failures }
 
+// Drain makes the process unready and runs the hooks of OnDrain one after another, as long as the context lasts.
+func (p *Process) Drain(ctx context.Context) error {
+	var failed error
+	for _, hook := range p.beginDrain() {
+		if ctx.Err() != nil {
+			return failed
+		}
+		failed = errors.CombineErrors(failed, staged("drain "+hook.name, hook.drain(ctx)))
+	}
+	return failed
+}
+
 // beginDrain makes the process unready and returns the hooks to run.
 func (p *Process) beginDrain() []namedHook {
 	p.mutex.Lock()
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -69,18 +69,11 @@
 }
 
 func (i *instance) drain(ctx context.Context) error {
-	hooks := i.process.beginDrain()
 	if !i.running {
+		i.process.beginDrain()
 		return nil
 	}
-	var failed error
-	for _, hook := range hooks {
-		if ctx.Err() != nil {
-			return failed
-		}
-		failed = errors.CombineErrors(failed, staged("drain "+hook.name, hook.drain(ctx)))
-	}
-	return failed
+	return i.process.Drain(ctx)
 }
 
 func staged(stage string, err error) error {
