Let a core machine join although another one's machine has no power

cause: a core process that has no place in the core asks all the others at once, then those that they name, and then asks for its place, all within half an election timeout. A machine without power answers nothing, so that asking it used the whole time up: with the platform's election timeout of 300 ms (150 ms for all) against a connect timeout of 300 ms, no process could join, and no replaced voter could come back, for as long as one address that it knows was dark. Each step has its own time now. conclusion: a joining process takes up to 1.5 election timeouts for an attempt while an address is dark, half of one before. not proved: addresses that are slow and not dark.

--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -135,6 +135,8 @@
 	cut      map[string]bool
 	// deaf machines get nothing, mute ones send nothing that arrives.
 	deaf, mute map[string]bool
+	// dark addresses are those of machines without power: who asks them hears nothing, not even a refusal.
+	dark map[string]bool
 	// latency is the time that a message takes one way.
 	latency time.Duration
 	// syncTime is the time that the sync of a file takes.
@@ -148,7 +150,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
 			t: t, machines: map[string]*machine{}, cut: map[string]bool{},
-			deaf: map[string]bool{}, mute: map[string]bool{},
+			deaf: map[string]bool{}, mute: map[string]bool{}, dark: map[string]bool{},
 			options: Options{SnapshotEntries: 50, SnapshotChunkBytes: 512},
 		}
 		defer f.stopAll()
@@ -420,8 +422,12 @@
 	if m != nil && c.fleet.arrives(c.from, address) {
 		target = m.replica
 	}
-	answered := c.fleet.arrives(address, c.from)
+	answered, dark := c.fleet.arrives(address, c.from), c.fleet.dark[address]
 	c.fleet.mutex.Unlock()
+	if dark {
+		<-ctx.Done()
+		return nil, &wire.NotSentError{Address: address, Cause: ctx.Err()}
+	}
 	if target == nil {
 		return nil, &wire.NotSentError{Address: address, Cause: errUnreachable}
 	}
--- a/internal/core/replica/joining.go
+++ b/internal/core/replica/joining.go
@@ -47,18 +47,16 @@
 	if view.clusterID != "" && !silent && !moved {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
 	if moved && view.status.Role == consensus.Leader {
 		_ = r.do(ctx, func() { r.owner.admit(r.self, false, make(chan proposalResult, 1)) })
 		return
 	}
-	survey := r.survey(ctx, view)
+	survey := r.survey(ctx, view, patience)
 	r.learnAddresses(ctx, survey, view.clusterID)
 	address, found := survey.clusterMember(view.clusterID, r.self)
 	switch {
 	case found:
-		r.join(ctx, address)
+		r.join(ctx, address, patience)
 	case view.clusterID == "" && r.mayFound(survey):
 		_ = r.do(ctx, r.owner.found)
 	}
@@ -80,7 +78,9 @@
 }
 
 // join asks a member to be let in; the leader then sends the log.
-func (r *Replica) join(ctx context.Context, address string) {
+func (r *Replica) join(ctx context.Context, address string, patience time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	request := &protocol.Request{Body: &protocol.Request_JoinCore{JoinCore: &protocol.JoinCoreRequest{Member: r.self}}}
 	if _, err := r.options.Caller.Call(ctx, address, request); err != nil {
 		r.metrics.joinFailures.Inc()
@@ -123,8 +123,9 @@
 	located  map[string]*protocol.LocateCoreResponse
 }
 
-// survey asks founders, seeds and known members, and then the core processes they name.
-func (r *Replica) survey(ctx context.Context, view *view) *survey {
+// survey asks founders, seeds and known members, and then the core processes they name, each of both for as long as it has
+// patience: a machine without power uses up the time of those asked beside it, and must not use up that of what follows.
+func (r *Replica) survey(ctx context.Context, view *view, patience time.Duration) *survey {
 	result := &survey{
 		statuses: map[string]*protocol.CoreStatusResponse{}, located: map[string]*protocol.LocateCoreResponse{},
 	}
@@ -133,13 +134,15 @@
 		addresses = append(addresses, member.GetAddress())
 	}
 	asked := map[string]bool{r.self.GetAddress(): true, "": true}
-	r.ask(ctx, result, addresses, asked)
-	r.ask(ctx, result, result.named(), asked)
+	r.ask(ctx, result, addresses, asked, patience)
+	r.ask(ctx, result, result.named(), asked, patience)
 	return result
 }
 
-// ask asks each address that was not asked yet, all at once.
-func (r *Replica) ask(ctx context.Context, result *survey, addresses []string, asked map[string]bool) {
+// ask asks each address that was not asked yet, all at once, and waits for the answers as long as it has patience.
+func (r *Replica) ask(ctx context.Context, result *survey, addresses []string, asked map[string]bool, patience time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	var running sync.WaitGroup
 	for _, address := range addresses {
 		if asked[address] {
