--- a/internal/core/replica/harness_test.go
+++ b/internal/core/replica/harness_test.go
@@ -17,6 +17,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosestand/rosestand/internal/lab/simclock"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/storage"
 	"github.com/rosestand/rosestand/internal/storage/simdisk"
@@ -77,50 +78,26 @@
 	replica *Replica
 	state   *journal
 	fatal   chan error
-	clock   *freezableClock
+	clock   freezableClock
 	// syncTime is the time that the sync of a file takes from the next start on; zero stands for that of the fleet.
 	syncTime time.Duration
 }
 
-// freezableClock stands for the processor of a machine: whoever asks it for the time while the machine is frozen goes on when it
-// wakes. The owner of a replica asks before all that it does.
-type freezableClock struct {
-	SystemClock
-	mutex sync.Mutex
-	// woken is closed when the machine wakes; nil while it is not frozen.
-	woken chan struct{}
-}
+// freezableClock is the clock of a machine that can be frozen. The owner of a replica asks it before all that it does.
+type freezableClock struct{ *simclock.Clock }
 
-func (c *freezableClock) Now() time.Time {
-	c.mutex.Lock()
-	woken := c.woken
-	c.mutex.Unlock()
-	if woken != nil {
-		<-woken
-	}
-	return c.SystemClock.Now()
-}
-
-func (c *freezableClock) frozen() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.woken != nil
-}
+// NewTimer implements Clock.
+func (freezableClock) NewTimer(after time.Duration) Timer { return SystemClock{}.NewTimer(after) }
 
 // freeze stops a machine; nothing reaches it or leaves it until it wakes.
 func (m *machine) freeze() {
-	m.clock.mutex.Lock()
-	m.clock.woken = make(chan struct{})
-	m.clock.mutex.Unlock()
+	m.clock.Freeze()
 	m.fleet.setCut(m.address, true)
 }
 
 func (m *machine) wake() {
 	m.fleet.setCut(m.address, false)
-	m.clock.mutex.Lock()
-	defer m.clock.mutex.Unlock()
-	close(m.clock.woken)
-	m.clock.woken = nil
+	m.clock.Wake()
 }
 
 // fleet is a network of machines in one process and in virtual time.
@@ -204,7 +181,7 @@
 		options.Folder, options.Filesystem = "core", slowFilesystem{Filesystem: m.disk, syncTime: cmp.Or(m.syncTime, f.syncTime)}
 	}
 	options.Caller = &caller{fleet: f, from: m.address}
-	state, fatal, clock := &journal{}, make(chan error, 1), &freezableClock{}
+	state, fatal, clock := &journal{}, make(chan error, 1), freezableClock{&simclock.Clock{}}
 	options.Clock = clock
 	options.Machine = state
 	options.Random = rand.New(rand.NewPCG(f.started, 11))
@@ -336,7 +313,7 @@
 	f.t.Helper()
 	var leader *machine
 	for _, m := range f.running() {
-		if m.clock.frozen() || !m.replica.IsLeader() {
+		if m.clock.IsFrozen() || !m.replica.IsLeader() {
 			continue
 		}
 		if leader != nil {
@@ -381,7 +358,7 @@
 func (f *fleet) describe() {
 	f.t.Helper()
 	for _, m := range f.running() {
-		if !m.clock.frozen() {
+		if !m.clock.IsFrozen() {
 			f.t.Logf("%s: %v", m.name, m.replica.Status())
 		}
 	}
@@ -402,7 +379,7 @@
 
 func (f *fleet) stopAll() {
 	for _, m := range f.running() {
-		if m.clock.frozen() {
+		if m.clock.IsFrozen() {
 			m.wake()
 		}
 		m.halt()
--- a/internal/lab/memnet/connection.go
+++ b/internal/lab/memnet/connection.go
@@ -6,6 +6,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // segment is what one write sent.
@@ -28,8 +30,8 @@
 	// closed is set once this side is closed or its process gone.
 	closed bool
 	// lostPower is set when this side's host lost power.
-	lostPower               bool
-	readDeadline, writeTime time.Time
+	lostPower                   bool
+	readDeadline, writeDeadline time.Time
 	// changed is closed and replaced when a reader should look again.
 	changed chan struct{}
 }
@@ -109,7 +111,7 @@
 func (c *connection) Read(buffer []byte) (int, error) {
 	for {
 		c.network.mutex.Lock()
-		count, err, wait := c.look(buffer)
+		count, wait, err := c.look(buffer)
 		changed := c.changed
 		c.network.mutex.Unlock()
 		if count > 0 || err != nil || len(buffer) == 0 {
@@ -129,26 +131,26 @@
 }
 
 // look takes what has arrived, or says when to look again (zero: when something changes); the mutex is held.
-func (c *connection) look(buffer []byte) (count int, err error, wait time.Duration) { //nolint:revive // the wait belongs to no result
+func (c *connection) look(buffer []byte) (count int, wait time.Duration, err error) {
 	now := time.Now()
 	if c.closed {
-		return 0, c.failed("read", net.ErrClosed), 0
+		return 0, 0, c.failed("read", net.ErrClosed)
 	}
 	if !c.readDeadline.IsZero() && !now.Before(c.readDeadline) {
-		return 0, c.failed("read", os.ErrDeadlineExceeded), 0
+		return 0, 0, c.failed("read", os.ErrDeadlineExceeded)
 	}
 	next := time.Time{}
 	if c.network.passes(c.peer.local, c.local) || c.peer.lostPower || c.network.closed {
 		switch {
 		case len(c.received) > 0 && !now.Before(c.received[0].arrives):
-			return c.takeFirst(buffer), nil, 0
+			return c.takeFirst(buffer), 0, nil
 		case len(c.received) > 0:
 			next = c.received[0].arrives
 		case c.ended != nil && !now.Before(c.endArrives):
-			if c.ended == io.EOF {
-				return 0, io.EOF, 0
+			if errors.Is(c.ended, io.EOF) {
+				return 0, 0, io.EOF
 			}
-			return 0, c.failed("read", c.ended), 0
+			return 0, 0, c.failed("read", c.ended)
 		case c.ended != nil:
 			next = c.endArrives
 		}
@@ -157,9 +159,9 @@
 		next = c.readDeadline
 	}
 	if next.IsZero() {
-		return 0, nil, 0
+		return 0, 0, nil
 	}
-	return 0, nil, next.Sub(now)
+	return 0, next.Sub(now), nil
 }
 
 // HasUnread reports whether bytes, or the end of the connection, have arrived and were not read. It is what a look into the
@@ -191,9 +193,9 @@
 	switch {
 	case c.closed:
 		return 0, c.failed("write", net.ErrClosed)
-	case !c.writeTime.IsZero() && !time.Now().Before(c.writeTime):
+	case !c.writeDeadline.IsZero() && !time.Now().Before(c.writeDeadline):
 		return 0, c.failed("write", os.ErrDeadlineExceeded)
-	case c.ended == syscall.ECONNRESET && !time.Now().Before(c.endArrives):
+	case errors.Is(c.ended, syscall.ECONNRESET) && !time.Now().Before(c.endArrives):
 		return 0, c.failed("write", syscall.ECONNRESET)
 	}
 	switch {
@@ -234,7 +236,7 @@
 
 // SetDeadline implements net.Conn.
 func (c *connection) SetDeadline(at time.Time) error {
-	return c.setDeadlines(func() { c.readDeadline, c.writeTime = at, at })
+	return c.setDeadlines(func() { c.readDeadline, c.writeDeadline = at, at })
 }
 
 // SetReadDeadline implements net.Conn.
@@ -244,7 +246,7 @@
 
 // SetWriteDeadline implements net.Conn.
 func (c *connection) SetWriteDeadline(at time.Time) error {
-	return c.setDeadlines(func() { c.writeTime = at })
+	return c.setDeadlines(func() { c.writeDeadline = at })
 }
 
 func (c *connection) setDeadlines(set func()) error {
--- a/internal/lab/memnet/network.go
+++ b/internal/lab/memnet/network.go
@@ -27,7 +27,7 @@
 	// connections are those that no side has closed.
 	connections map[*connection]struct{}
 	cut         map[link]bool
-	// isolated hosts reach and hear nobody, deaf ones hear nobody, mute ones reach nobody.
+	// deaf hosts hear nobody, mute ones reach nobody.
 	deaf, mute map[string]bool
 	// dark hosts have no power.
 	dark     map[string]bool
--- /dev/null
+++ b/internal/lab/simclock/simclock_test.go
@@ -0,0 +1,34 @@
+package simclock_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/lab/simclock"
+)
+
+func TestAFrozenClockAnswersWhenItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var clock simclock.Clock
+		began := time.Now()
+		if told := clock.Now(); !told.Equal(began) || clock.IsFrozen() {
+			t.Errorf("told %s, must be %s", told, began)
+		}
+		clock.Freeze()
+		ran := make(chan time.Time, 1)
+		clock.AfterFunc(time.Second, func() { ran <- time.Now() })
+		stop := clock.AfterFunc(time.Second, func() { t.Error("ran although it was stopped") })
+		stop()
+		time.AfterFunc(time.Minute, clock.Wake)
+		if told := clock.Now(); told.Sub(began) != time.Minute {
+			t.Errorf("answered after %s", told.Sub(began))
+		}
+		if at := <-ran; at.Sub(began) != time.Minute {
+			t.Errorf("a timer ran after %s", at.Sub(began))
+		}
+		if clock.IsFrozen() {
+			t.Error("is frozen still")
+		}
+	})
+}
