--- /dev/null
+++ b/internal/serverconn/memory_test.go
@@ -0,0 +1,56 @@
+package serverconn_test
+
+import (
+	"bufio"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosestand/rosestand/internal/lab/memnet"
+	"github.com/rosestand/rosestand/internal/serverconn"
+)
+
+// answerOnce answers one request and closes the connection, which it had not announced.
+func answerOnce(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func TestAConnectionInMemoryThatEndedIsNotUsedAgain(t *testing.T) {
+	const address = "10.0.0.2:80"
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(rand.New(rand.NewPCG(1, 1)), memnet.Latency{Least: time.Millisecond, Most: 2 * time.Millisecond})
+		listener, err := network.Listen(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for connection, err := listener.Accept(); err == nil; connection, err = listener.Accept() {
+				go answerOnce(connection)
+			}
+		}()
+		pool := serverconn.New(serverconn.Options{Dial: network.Dialer("10.0.0.1")})
+		for range 3 {
+			response, err := pool.Do(t.Context(), address, &serverconn.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := response.ReadAll(10); err != nil || string(body) != "ok" {
+				t.Errorf("read %q, %v", body, err)
+			}
+			response.Close()
+			time.Sleep(time.Second)
+		}
+		if pool.Opened() != 3 {
+			t.Errorf("%d connections, must be 3", pool.Opened())
+		}
+		pool.Close()
+		network.Close()
+	})
+}
