--- a/internal/front/routelistener.go
+++ b/internal/front/routelistener.go
@@ -23,6 +23,7 @@
 // routeListener serves the callers of HTTP routes on an address of their own.
 type routeListener struct {
 	address string
+	sockets Sockets
 	server  *http.Server
 	done    chan error
 	// drainer ends the server; nil until the listener is open.
@@ -31,8 +32,8 @@
 	bound net.Addr
 }
 
-func newRouteListener(address string, handler http.Handler, logger *log.Logger) *routeListener {
-	l := &routeListener{address: address, done: make(chan error, 1)}
+func newRouteListener(address string, handler http.Handler, sockets Sockets, logger *log.Logger) *routeListener {
+	l := &routeListener{address: address, sockets: sockets, done: make(chan error, 1)}
 	l.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: routedHeaderTimeout, IdleTimeout: routedIdleTimeout,
 		MaxHeaderBytes: 2 * defaultRoutedHeaderBytes,
@@ -47,7 +48,7 @@
 		l.done <- nil
 		return nil
 	}
-	listener, err := net.Listen("tcp", l.address)
+	listener, err := l.sockets.listen(l.address)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers of HTTP routes")
 	}
