Take an adapter's order to empty the last store of a zone

The users' platform refuses only where too few machines would be left, and bears losses of machines, not of zones; a proper order of its operator must be acknowledged.

Excluded: the number of stores left, which is checked as before.

The adapter's order no longer insists on the spread; the operators' interface does, and has a word to give it up.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/rosestand/rosestand/internal/controlstate"
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
@@ -103,10 +101,12 @@
 }
 
 // EmptyStore orders that all shards leave a store. An order given again changes nothing. Failures: IsUnknownStore,
-// IsTooFewStores when fewer stores would be left than a shard has replicas, or too few zones or regions with one, IsNotLeader.
+// IsTooFewStores when fewer stores would be left than a shard has replicas, IsNotLeader. It does not insist on the spread
+// of the replicas, as the operators' interface does: who gives the order by an adapter decides about its machines, and has no word to
+// give the spread up with.
 func (s *Service) EmptyStore(ctx context.Context, store string) error {
 	_, err := s.accepted(ctx, &protocol.Command{Body: &protocol.Command_EmptyStore{
-		EmptyStore: &protocol.EmptyStoreCommand{Store: store, StoresToKeep: s.replicaCount, KeepSpread: proto.Bool(true)},
+		EmptyStore: &protocol.EmptyStoreCommand{Store: store, StoresToKeep: s.replicaCount},
 	}})
 	return err
 }
