--- /dev/null
+++ b/internal/httpdrain/loopback_test.go
@@ -0,0 +1,76 @@
+package httpdrain_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/rosestand/rosestand/internal/httpdrain"
+)
+
+// newLoopbackServer serves echo on a port of loopback.
+func newLoopbackServer(t *testing.T) (server *httpdrain.Server, address string, served <-chan error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server = httpdrain.New(&http.Server{Handler: http.HandlerFunc(echo)}, listener)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve() }()
+	t.Cleanup(func() { _ = server.Close() })
+	return server, listener.Addr().String(), ended
+}
+
+func TestACallerReadsTheEndOfItsConnectionThoughItSendsMore(t *testing.T) {
+	server, address, served := newLoopbackServer(t)
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	caller := &pipeCaller{Conn: connection, t: t, reader: bufio.NewReader(connection)}
+	request, _ := post("before")
+	caller.send(request)
+	if status, body := caller.receive(); status != http.StatusOK || body != "before" {
+		t.Fatalf("%d %q", status, body)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- server.Drain(context.Background()) }()
+	if _, err := caller.reader.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	// The server's side is shut, and a request on its way must not reset the connection before its caller has read that.
+	caller.send(request)
+	if status, _ := caller.receive(); status != http.StatusRequestTimeout {
+		t.Errorf("%d", status)
+	}
+	caller.ended()
+	_ = connection.Close()
+	if err := errors.Join(<-drained, <-served); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAClientTakesTheEndOfItsConnectionForThat(t *testing.T) {
+	server, address, served := newLoopbackServer(t)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	answer, err := client.Get("http://" + address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	if err := errors.Join(server.Drain(context.Background()), <-served); err != nil {
+		t.Error(err)
+	}
+	if answer, err := client.Get("http://" + address); err == nil {
+		_ = answer.Body.Close()
+		t.Errorf("answered %d by a server that has ended", answer.StatusCode)
+	}
+}
