Bound the runs of a repeatable call over all its owners

Cause: an ingress whose call may be repeated brings it to another owner when the first was lost, and that one had all attempts of the route anew: a call with max_attempts 3 could run at up to six servers.

Excluded: calls that nobody took, which use nothing; calls that may not be repeated, which go to one owner.

Each owner gets a share (runs_allowed): another front node all but one, so that an owner after it still has one; what a lost owner has used is not known and counts as its whole share. A route that allows one run is not brought to a second owner after the first may have run it: its caller hears 502 and may try again itself.

--- a/internal/front/ingresscall.go
+++ b/internal/front/ingresscall.go
@@ -36,8 +36,9 @@
 		lastTry = deadline
 	}
 	backoff := firstBackoff
+	runs := newRunAllowance(request)
 	for {
-		owner, response, err := s.callOwner(ctx, request, deadline, explanation)
+		owner, response, err := s.callOwner(ctx, request, runs, deadline, explanation)
 		if err == nil {
 			if f := response.GetFailure(); f == nil || !isNotTakenFailure(f) {
 				return response, nil
@@ -48,7 +49,7 @@
 			return nil, ctx.Err()
 		}
 		explanation.step("not answered", err.Error())
-		if !callMayTryAgain(err, nonRepeatable) || !s.clock.Now().Add(backoff).Before(lastTry) {
+		if runs.isSpent() || !callMayTryAgain(err, nonRepeatable) || !s.clock.Now().Add(backoff).Before(lastTry) {
 			return s.refuseCall(ctx, request, nonRepeatable, proto.CloneOf(failureOf(err)))
 		}
 		s.noteLost(request.GetSession(), owner, err)
@@ -71,7 +72,9 @@
 	return !nonRepeatable && mayTryAgain(err)
 }
 
-func (s *Service) callOwner(ctx context.Context, request *protocol.ToolCallRequest, deadline time.Time, explanation *explanation) (directory.Owner, *protocol.ToolCallResponse, error) {
+func (s *Service) callOwner(
+	ctx context.Context, request *protocol.ToolCallRequest, runs *runAllowance, deadline time.Time, explanation *explanation,
+) (directory.Owner, *protocol.ToolCallResponse, error) {
 	owner, err := s.ownerOf(ctx, request.GetSession(), request.GetProgram())
 	if err != nil {
 		return owner, nil, err
@@ -88,12 +91,13 @@
 		RequestId: request.GetRequestId(), Tenant: request.GetTenant(), Program: request.GetProgram(), Session: request.GetSession(),
 		Tool: request.GetTool(), Arguments: request.GetArguments(), ProgramBudget: request.GetProgramBudget(),
 		Ingress: request.GetIngress(), Nonce: request.GetNonce(), Priority: request.GetPriority(),
-		FirstSend: request.GetFirstSend(), Http: request.GetHttp(), TimeLeftMillis: left,
+		FirstSend: request.GetFirstSend(), Http: request.GetHttp(), TimeLeftMillis: left, RunsAllowed: runs.share(owner.Local),
 	}
 	if owner.Local {
 		response, err := s.runCall(ctx, sent)
 		if err != nil && failure.From(err).GetOutcome() != protocol.Outcome_NOT_RUN {
 			request.FirstSend = false
+			runs.spend(sent.GetRunsAllowed())
 		}
 		return owner, response, err
 	}
@@ -101,6 +105,7 @@
 	response, err := s.caller.Call(ctx, owner.Address, &protocol.Request{Body: &protocol.Request_ToolCall{ToolCall: sent}})
 	if !isUntaken(response.GetToolCall(), err) {
 		request.FirstSend = false
+		runs.spend(sent.GetRunsAllowed())
 	}
 	return owner, response.GetToolCall(), err
 }
--- a/internal/front/routeingress_test.go
+++ b/internal/front/routeingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -146,6 +147,37 @@
 		Expect(answerOf(answered).status).To(Equal(http.StatusOK))
 	})
 
+	DescribeTable("is run by no more servers than the route allows, also when its owner is lost", func(allowed uint32, status int) {
+		r.changeBundle(func(active *protocol.Bundle) {
+			for _, route := range active.HttpRoutes {
+				route.MaxAttempts = allowed
+			}
+		})
+		arrived := make(chan struct{}, 16)
+		answersLost := func(http.ResponseWriter, *http.Request) {
+			arrived <- struct{}{}
+			panic(http.ErrAbortHandler)
+		}
+		var servers []*standIn
+		for at := range 6 {
+			servers = append(servers, r.server(fmt.Sprintf("s%d", at), answersLost))
+		}
+		lost := make(chan struct{})
+		r.network.cut["f2"], r.network.cutWhen["f2"] = 0, lost
+		answered := f1.routeAside(ownedRead)
+		<-arrived
+		close(lost)
+		Expect(answerOf(answered).status).To(Equal(status))
+		r.settled(f1)
+		r.settled(f2)
+		Expect(count(servers...)).To(BeNumerically("<=", int(allowed)))
+	},
+		Entry("one: nobody else may run it", uint32(1), http.StatusBadGateway),
+		Entry("two", uint32(2), http.StatusBadGateway),
+		Entry("three", uint32(3), http.StatusBadGateway),
+		Entry("four", uint32(4), http.StatusBadGateway),
+	)
+
 	Describe("and is lost after taking it", func() {
 		var server *standIn
 		var reserving, refused chan struct{}
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -114,6 +114,9 @@
 	if request.GetHttp() == nil {
 		return 0
 	}
+	if request.GetRunsAllowed() > 0 {
+		return request.GetRunsAllowed()
+	}
 	return max(request.GetHttp().GetMaxAttempts(), 1)
 }
 
@@ -293,7 +296,7 @@
 // another server: its answer may be lost, and then nothing would ever come.
 func (r *callRun) patience(routed *protocol.HttpRequest) (context.Context, context.CancelFunc) {
 	repeatable := routed.GetKind() == protocol.HttpRouteKind_HTTP_REPEATABLE
-	if !repeatable || r.sends >= routed.GetMaxAttempts() || !r.hasAlternative() {
+	if !repeatable || r.sends >= callRuns(r.request) || !r.hasAlternative() {
 		return r.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
