Let operators of the simulated regions keep the spread of replicas

The state suite's operators emptied stores of regions whatever spread was lost. They now give the order as operators and adapters do, so that the refusal of the last store of a region is played too.

--- a/internal/sim/statesuite/mutation_test.go
+++ b/internal/sim/statesuite/mutation_test.go
@@ -36,7 +36,10 @@
 	}
 	regions = statesuite.Options{Shape: statesuite.ShapeRegions}
 	// onlyZoneFaults cuts and takes away regions and zones of a fleet that has met no more than the restart of everything.
-	onlyZoneFaults = statesuite.Options{Shape: statesuite.ShapeRegions, Kinds: []sim.FaultKind{sim.FaultLoss}, FaultCount: 1, LongestFault: 300 * time.Millisecond}
+	// Its operators give the spread of replicas up, as they did when its seeds were found.
+	onlyZoneFaults = statesuite.Options{
+		Shape: statesuite.ShapeRegions, Kinds: []sim.FaultKind{sim.FaultLoss}, FaultCount: 1, LongestFault: 300 * time.Millisecond, GiveUpSpread: true,
+	}
 	// onlyRestart has nothing but the restart of everything beside one harmless fault.
 	onlyRestart = statesuite.Options{Kinds: []sim.FaultKind{sim.FaultLoss}, FaultCount: 1, LongestFault: 300 * time.Millisecond}
 	// secondCoreLosses lets a member that lags be all that is left of the log.
--- a/internal/sim/statesuite/operatorstores.go
+++ b/internal/sim/statesuite/operatorstores.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosestand/rosestand/internal/controlstate"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/sim"
@@ -29,7 +31,11 @@
 			return
 		}
 		store := stores[o.environment.Random().IntN(len(stores))]
-		o.order("empty", &protocol.Command{Body: &protocol.Command_EmptyStore{EmptyStore: &protocol.EmptyStoreCommand{Store: store}}}, next)
+		empty := &protocol.EmptyStoreCommand{Store: store}
+		if len(o.suite.shape.regions) > 0 {
+			empty.KeepSpread = proto.Bool(!o.suite.options.GiveUpSpread)
+		}
+		o.order("empty", &protocol.Command{Body: &protocol.Command_EmptyStore{EmptyStore: empty}}, next)
 	})
 }
 
--- a/internal/sim/statesuite/options.go
+++ b/internal/sim/statesuite/options.go
@@ -107,6 +107,8 @@
 	Roles []Role
 	// LongestFault bounds how long a generated fault lasts; default 4 s, which is the most.
 	LongestFault time.Duration
+	// GiveUpSpread has operators empty stores of regions whatever spread of the replicas is lost with them.
+	GiveUpSpread bool
 	// Plain leaves out the losses right after a repair and the restart of everything, which else join the generated faults.
 	Plain bool
 	// Shape is the fleet; the default is ShapeZones.
