Mend a spec of heartbeats that failed when its first look came late

The count is now emptied first. It fails still when the code waits for the batch to the former leader.

--- a/internal/core/heartbeats_test.go
+++ b/internal/core/heartbeats_test.go
@@ -131,6 +131,7 @@
 		release := net.hold(leader)
 		DeferCleanup(release)
 		net.setCut(other, true)
+		net.arrivedAt(leader)
 		f.clock.step(relayInterval)
 		Eventually(func() int { return net.arrivedAt(leader).requests }).Should(Equal(1), "the follower's batch")
 		net.setCut(other, false)
