Let virtual time pass in tests by the idiom that the others use

No test sleeps: those that pass the time of a synctest bubble wait on time.After, as internal/corelink does.

--- a/internal/httpdrain/server_test.go
+++ b/internal/httpdrain/server_test.go
@@ -111,7 +111,7 @@
 func (r *pipeRig) drain() {
 	synctest.Wait()
 	r.beginDrain()
-	time.Sleep(2 * time.Millisecond)
+	<-time.After(2 * time.Millisecond)
 	synctest.Wait()
 }
 
@@ -155,7 +155,7 @@
 					caller.send(request[:arrived])
 					synctest.Wait()
 					r.beginDrain()
-					time.Sleep(time.Second)
+					<-time.After(time.Second)
 					caller.send(request[arrived:])
 					if status, body := caller.receive(); status != http.StatusOK || body != "whole" {
 						t.Errorf("%d %q", status, body)
@@ -201,7 +201,7 @@
 		synctest.Wait()
 		r.beginDrain()
 		// The look at what has arrived goes on for a millisecond.
-		time.Sleep(500 * time.Microsecond)
+		<-time.After(500 * time.Microsecond)
 		request, _ := post("in time")
 		caller.send(request)
 		if status, body := caller.receive(); status != http.StatusOK || body != "in time" {
--- a/internal/lab/memnet/memnet_test.go
+++ b/internal/lab/memnet/memnet_test.go
@@ -176,13 +176,13 @@
 		}
 		send(t, far, "x")
 		tells(false)
-		time.Sleep(latency)
+		<-time.After(latency)
 		tells(true)
 		expect(t, near, "x")
 		tells(false)
 		network.Isolate(callerHost, true, true)
 		_ = far.Close()
-		time.Sleep(latency)
+		<-time.After(latency)
 		tells(false)
 		network.HealAll()
 		tells(true)
@@ -230,7 +230,7 @@
 		client.CloseIdleConnections()
 		_ = server.Close()
 		// A server looks for a second whether its connections are still in use.
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 	})
 }
 
--- a/internal/serverconn/memory_test.go
+++ b/internal/serverconn/memory_test.go
@@ -45,7 +45,7 @@
 				t.Errorf("read %q, %v", body, err)
 			}
 			response.Close()
-			time.Sleep(time.Second)
+			<-time.After(time.Second)
 		}
 		if pool.Opened() != 3 {
 			t.Errorf("%d connections, must be 3", pool.Opened())
