Leave an owner both of two runs of a repeatable call

A run is kept back from three on only; with two the owner has both, and a call whose owner is lost is given up. The bound holds as before (internal/front/routeingress_test.go).

--- a/internal/front/runallowance.go
+++ b/internal/front/runallowance.go
@@ -17,10 +17,14 @@
 	return &runAllowance{bounded: true, left: callRuns(request)}
 }
 
-// share is what the next owner may use. Another front node leaves one run, if it can, to the owner after it; this one is not
-// lost before its own request is.
+// leastToDivide is the number of runs from which one is kept back for another owner. With fewer, the owner needs them
+// itself: an answer that its server lost is far more frequent than a lost owner.
+const leastToDivide = 3
+
+// share is what the next owner may use. Another front node leaves one run to the owner after it where there are enough; this
+// one is not lost before its own request is.
 func (a *runAllowance) share(local bool) uint32 {
-	if local || a.left <= 1 {
+	if local || a.left < leastToDivide {
 		return a.left
 	}
 	return a.left - 1
