Send ledger operations to the store of the own zone first

change: a front node tries the live replica of its own zone, then of its own region, then the others in the order of the placement; rebuilt ones last. Proposers meet only where front nodes of several zones serve one program, which costs a prepare round.

test: TestDoAsksTheReplicaOfTheOwnZoneFirst, which failed before.

--- a/internal/ledgerclient/targets.go
+++ b/internal/ledgerclient/targets.go
@@ -1,6 +1,7 @@
 package ledgerclient
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosestand/rosestand/internal/corelink"
@@ -16,7 +17,7 @@
 }
 
 // targets gives the live replicas for an operation in the order in which they are tried. All
-// fronts agree on the order, so that one store proposes for a program. While none of them answers
+// fronts of a zone agree on the order, so that mostly one store proposes for a program. While none of them answers
 // this front node, other front nodes come first, unless replicas are to be asked directly.
 func (c *Client) targets(operation *protocol.LedgerOperation, directly bool) []target {
 	view := c.view()
@@ -63,25 +64,44 @@
 	return nil
 }
 
-// liveReplicas gives the addresses of the current replicas that have a lease,
-// those that are rebuilt last.
+// Ranks of replicas, in the order in which they are tried.
+const (
+	inOwnZone = iota
+	inOwnRegion
+	elsewhere
+	isRebuilding
+)
+
+// liveReplicas gives the addresses of the current replicas that have a lease:
+// those of the own zone and the own region first, whose way is short and whose bytes cross no zone, and those that are
+// rebuilt last.
 func (c *Client) liveReplicas(view *corelink.View, shard *protocol.ShardPlacement) []string {
-	addresses := map[string]string{}
+	stores := map[string]*protocol.Node{}
 	for _, node := range view.Membership.GetNodes() {
 		if node.GetKind() == protocol.NodeKind_STORE {
-			addresses[node.GetName()] = node.GetAddress()
+			stores[node.GetName()] = node
 		}
 	}
-	var live, rebuilding []string
+	var byRank [isRebuilding + 1][]string
 	for _, replica := range shard.GetCurrent() {
-		address, known := addresses[replica.GetStore()]
-		switch {
-		case !known:
-		case replica.GetState() == protocol.ReplicaState_REPLICA_REBUILDING:
-			rebuilding = append(rebuilding, address)
-		default:
-			live = append(live, address)
+		if store := stores[replica.GetStore()]; store != nil {
+			rank := c.rankOf(replica, store)
+			byRank[rank] = append(byRank[rank], store.GetAddress())
 		}
 	}
-	return append(live, rebuilding...)
+	return slices.Concat(byRank[:]...)
+}
+
+func (c *Client) rankOf(replica *protocol.Replica, store *protocol.Node) int {
+	self := c.options.Self
+	switch {
+	case replica.GetState() == protocol.ReplicaState_REPLICA_REBUILDING:
+		return isRebuilding
+	case self.GetZone() != "" && self.GetZone() == store.GetZone():
+		return inOwnZone
+	case self.GetRegion() != "" && self.GetRegion() == store.GetRegion():
+		return inOwnRegion
+	default:
+		return elsewhere
+	}
 }
