Place calls of sticky routes by the object that they concern

cause: the platform names the object of a request (an affinity key), and servers of sticky routes work faster for one that they have seen; calls were placed by their program, so that two calls about one object met at a server by chance. A call that may not be repeated and is under way at a machine that goes is lost, so the time that it takes decides how many are lost.

change: on a sticky route the call's object takes the place of the program in the draw of the first server; its load and its slowness weigh as before.

test: internal/front/routeaffinity_test.go, of which the first story failed before.

--- /dev/null
+++ b/internal/front/routeaffinity_test.go
@@ -0,0 +1,57 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rosestand/rosestand/internal/protocol"
+)
+
+var _ = Describe("calls about the same object", func() {
+	const (
+		servers = 8
+		calls   = 24
+	)
+
+	// serversAsked counts the servers that calls of as many programs go to; object names what each call is about.
+	serversAsked := func(isSticky bool, object func(call int) string) int {
+		r := newRouteRig()
+		node := r.front("f1")
+		r.changeBundle(func(active *protocol.Bundle) {
+			active.Scheduling.Algorithm = protocol.SchedulingAlgorithm_EXPECTED_FIRST_TOKEN
+			for _, route := range active.GetHttpRoutes() {
+				route.Sticky = isSticky
+			}
+		})
+		var stands []*standIn
+		for number := range servers {
+			stands = append(stands, r.server(fmt.Sprintf("s%d", number), answerWith(http.StatusOK, "ok")))
+		}
+		for call := range calls {
+			headers := with(words.Program, fmt.Sprintf("p%d", call), words.Affinity, object(call))
+			Expect(node.route(routed{target: nonRepeatablePath, headers: headers}).status).To(Equal(http.StatusOK))
+		}
+		asked := 0
+		for _, stand := range stands {
+			if len(stand.requests()) > 0 {
+				asked++
+			}
+		}
+		return asked
+	}
+
+	It("given a sticky route, then they go to one server, whichever program they belong to", func() {
+		Expect(serversAsked(true, func(int) string { return "meter-7" })).To(Equal(1))
+	})
+
+	It("given a sticky route and many objects, then they spread over the servers", func() {
+		Expect(serversAsked(true, func(call int) string { return fmt.Sprintf("meter-%d", call) })).To(BeNumerically(">", servers/2))
+	})
+
+	It("given a route that is not sticky, then programs spread over the servers", func() {
+		Expect(serversAsked(false, func(int) string { return "meter-7" })).To(BeNumerically(">", servers/2))
+	})
+})
--- a/internal/front/routeapi.go
+++ b/internal/front/routeapi.go
@@ -149,7 +149,7 @@
 		Host: request.Host, Headers: endToEndHeaders(header, a.dialect.TimeLeft, a.dialect.TargetServer), Body: body,
 		MaxAttempts: max(route.GetMaxAttempts(), 1), Rank: route.GetRank(), LatencyObjectiveMillis: route.GetLatencyObjectiveMillis(),
 		Stateful: route.GetStateful(), Resumable: route.GetResumable(), KeepMillis: route.GetKeepMillis(),
-		BundleVersion: index.Bundle().GetVersion(), Affinity: header.Get(a.dialect.Affinity),
+		BundleVersion: index.Bundle().GetVersion(), Affinity: a.objectOf(header, route),
 		PromptParts: promptParts(header.Get(a.dialect.PromptParts)), PromptTokens: prompt,
 		ProgramTimeLeftMillis: uint32(min(headerNumber(header, a.dialect.ProgramTimeLeft), mostTimeoutMillis)),
 		EventTokens:           index.Group(group).GetEngine().GetEventTokens(),
@@ -157,6 +157,14 @@
 	return taken, nil
 }
 
+// objectOf names the object that a request concerns, where servers of the route work faster for one that they have seen.
+func (a *routeAPI) objectOf(header http.Header, route *protocol.HttpRoute) string {
+	if !route.GetSticky() {
+		return ""
+	}
+	return header.Get(a.dialect.Affinity)
+}
+
 func firstOf(preferred, other string) string {
 	if preferred != "" {
 		return preferred
--- a/internal/front/toolrun.go
+++ b/internal/front/toolrun.go
@@ -246,6 +246,8 @@
 
 func (r *callRun) choose(avoid []string) turn.Event {
 	wanted := r.service.placementOf(r.arm.Index, groupKey{group: r.route.GetGroup(), tool: true, name: r.route.GetTool()}, r.key, avoid)
+	// A server works faster for an object that it has seen, whichever program asks.
+	wanted.affinity = firstOf(r.request.GetHttp().GetAffinity(), wanted.affinity)
 	server, decision := r.service.choose(wanted)
 	r.explanation.decided(decision)
 	if r.arm.shadow != nil && r.request.GetHttp() == nil {
