Read the load that servers tell with their answers

cause: some platforms' servers add their load to every answer (requests running, waiting, slots). It was not read on HTTP routes, so a front node knew of other front nodes' calls at a tool server nothing, and of those at a model server what a sample told every second.

change: the header is part of the dialect. An answer's load counts as a report; for placing a call, what others had there is forgotten with the time constant that reports have already (0.4 s). A server that tells its load is sampled after a second without an answer, and every 5 s for the state of its memory, which reports alone tell. Servers that do not tell it are treated as before.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -4,7 +4,12 @@
 // Forms are the same under every dialect; docs/API-ROUTES.md tells them.
 package dialect
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+)
 
 // Dialect is a set of header names. All names are in canonical form. An empty
 // name means that the dialect has no such header.
@@ -55,6 +60,9 @@
 	// WeightVersions is the version of the weights that an answer was generated with.
 	WeightVersions string
 
+	// ServerLoad is on answers of servers that tell their load with each; DecodeLoad reads it.
+	ServerLoad string
+
 	// ReportPath is the path of a server's report of its load; empty when it has none.
 	ReportPath string
 	// DecodeReport reads the body of a report; nil means that no report is asked for.
@@ -63,12 +71,17 @@
 	ToolsReport bool
 }
 
-// Report is a server's own word on its load.
-type Report struct {
+// Load is a server's own word on the requests that it has.
+type Load struct {
 	Running uint32
 	Queued  uint32
 	// Capacity is the number of requests that the server runs at once; zero leaves it as announced.
 	Capacity uint32
+}
+
+// Report is a server's load with the state of its memory.
+type Report struct {
+	Load
 	// CacheUsed and CacheTotal are tokens of the KV cache: what can't give way, and all there is.
 	CacheUsed  uint64
 	CacheTotal uint64
@@ -88,9 +101,37 @@
 	if err := json.Unmarshal(body, &report); err != nil {
 		return Report{}, err
 	}
-	return Report(report), nil
+	return Report{
+		Load:      Load{Running: report.Running, Queued: report.Queued, Capacity: report.Capacity},
+		CacheUsed: report.CacheUsed, CacheTotal: report.CacheTotal,
+	}, nil
 }
 
+// DecodeLoad reads the value of ServerLoad: "running=1,queued=0,capacity=16", of which any may be absent, or the three
+// numbers alone in that order. It is false when the value tells nothing.
+func DecodeLoad(value string) (Load, bool) {
+	var load Load
+	known := false
+	fields := []*uint32{&load.Running, &load.Queued, &load.Capacity}
+	for place, part := range strings.Split(value, ",") {
+		name, text, isNamed := strings.Cut(strings.TrimSpace(part), "=")
+		if !isNamed {
+			text = name
+		} else {
+			place = slices.Index(loadNames, name)
+		}
+		number, err := strconv.ParseUint(text, 10, 32)
+		if err != nil || place < 0 || place >= len(fields) {
+			continue
+		}
+		*fields[place], known = uint32(number), true
+	}
+	return load, known
+}
+
+// loadNames are the words of a load, in the order of its numbers.
+var loadNames = []string{"running", "queued", "capacity"}
+
 // Default gives the product's own names.
 func Default() Dialect {
 	return Dialect{
@@ -113,6 +154,7 @@
 		Signature:       "Rosestand-Proof",
 		NotExecuted:     "Rosestand-Not-Run",
 		WeightVersions:  "Rosestand-Weights",
+		ServerLoad:      "Rosestand-Load",
 		ReportPath:      "/load",
 		DecodeReport:    decodeReport,
 		ToolsReport:     true,
--- a/internal/front/backendclient.go
+++ b/internal/front/backendclient.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosestand/rosestand/internal/dialect"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/turn"
 )
@@ -159,7 +160,9 @@
 		}
 		return nil, &backEndError{fault: fault, detail: err.Error()}
 	}
-	request.server.report(response.Header.Get(headerLoad), c.clock.Now())
+	if load, told := dialect.DecodeLoad(response.Header.Get(headerLoad)); told {
+		request.server.takeLoad(load, c.clock.Now())
+	}
 	if echoed := response.Header.Get(headerNonce); echoed != "" && echoed != request.nonce {
 		_ = response.Body.Close()
 		return nil, &backEndError{fault: turn.FaultMismatch, detail: "the answer carries another request's nonce"}
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,8 +30,13 @@
 	cacheUsed   atomic.Uint64
 	cacheTotal  atomic.Uint64
 	draining    atomic.Bool
-	// reportedAt is when the load was last reported, in Unix nanoseconds.
+	// reportedAt is when the load was last reported, and sampledAt when it was last asked for, in Unix nanoseconds.
 	reportedAt atomic.Int64
+	sampledAt  atomic.Int64
+	// ownAtReport is inFlight as it was when the load was last reported.
+	ownAtReport atomic.Int32
+	// tellsLoad is true once an answer told the server's load.
+	tellsLoad atomic.Bool
 
 	// steps is what generations of training steps are there.
 	steps stepLoad
@@ -103,44 +107,34 @@
 	return b
 }
 
-// report takes in the load that rides on an answer: "running=1,queued=0,capacity=16".
-func (b *backEnd) report(header string, now time.Time) {
-	if header == "" {
-		return
-	}
-	b.reportedAt.Store(now.UnixNano())
+// takeLoad takes in the load that rides on an answer.
+func (b *backEnd) takeLoad(load dialect.Load, now time.Time) {
 	b.steps.atReport.Store(b.steps.count.Load())
-	for part := range strings.SplitSeq(header, ",") {
-		name, text, found := strings.Cut(strings.TrimSpace(part), "=")
-		if !found {
-			continue
-		}
-		number, err := strconv.ParseUint(text, 10, 32)
-		if err != nil {
-			continue
-		}
-		switch name {
-		case "running":
-			b.running.Store(uint32(number))
-		case "queued":
-			b.queued.Store(uint32(number))
-		case "capacity":
-			b.capacity.Store(uint32(number))
-		}
+	b.ownAtReport.Store(b.inFlight.Load())
+	b.running.Store(load.Running)
+	b.queued.Store(load.Queued)
+	if load.Capacity > 0 {
+		b.capacity.Store(load.Capacity)
 	}
+	b.reportedAt.Store(now.UnixNano())
 }
 
 // take takes in a load that was asked for.
 func (b *backEnd) take(report dialect.Report, now time.Time) {
-	b.steps.atReport.Store(b.steps.count.Load())
-	b.running.Store(report.Running)
-	b.queued.Store(report.Queued)
 	b.cacheUsed.Store(report.CacheUsed)
 	b.cacheTotal.Store(report.CacheTotal)
-	if report.Capacity > 0 {
-		b.capacity.Store(report.Capacity)
+	b.sampledAt.Store(now.UnixNano())
+	b.takeLoad(report.Load, now)
+}
+
+// isFresh reports whether a sample of the server would tell little: it told its load a moment ago. One that tells it
+// with its answers is believed for longer, and asked for the state of its memory now and then.
+func (b *backEnd) isFresh(now time.Time) bool {
+	age, sampleAge := now.UnixNano()-b.reportedAt.Load(), now.UnixNano()-b.sampledAt.Load()
+	if !b.tellsLoad.Load() {
+		return age < int64(freshReport)
 	}
-	b.reportedAt.Store(now.UnixNano())
+	return age < int64(freshAnswer) && sampleAge < int64(freshMemory)
 }
 
 // reported is the load that the server last told. An old report counts for
@@ -225,7 +219,7 @@
 			EjectedUntil: known.until, Unreachable: known.unreachable,
 			ReportAge: age, UsedTokens: server.cacheUsed.Load(), CacheTokens: server.cacheTotal.Load(),
 			Capacity: capacity, InFlight: uint32(max(server.inFlight.Load(), 0)),
-			Running: running, Queued: queued,
+			Running: running, Queued: queued, OwnAtReport: uint32(max(server.ownAtReport.Load(), 0)),
 			Weight: zoneWeight(group, description.GetZone()) * known.share,
 		})
 	}
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -78,7 +78,7 @@
 // OutcomeOfExpired is what a send whose deadline has passed tells of its server's health.
 func OutcomeOfExpired(clock Clock) schedule.Outcome {
 	server := (&backEnds{}).keep(&protocol.BackEnd{Id: "s1", Address: "127.0.0.1:1"})
-	client := newRouteClient(dialect.Default(), clock, nil)
+	client := newRouteClient(dialect.Default(), clock, newGroupModels(), nil)
 	defer client.close()
 	_, err := client.send(context.Background(), routedRequest{
 		server: server, requestID: "r1", http: &protocol.HttpRequest{}, deadline: clock.Now(),
@@ -98,6 +98,15 @@
 	return routedTicket(routed, "", time.Time{}, time.Time{}).MaxExpectedWait
 }
 
+// IsFresh tells whether a server that was heard and sampled some time ago is not asked for its load.
+func IsFresh(tellsLoad bool, heardAgo, sampledAgo time.Duration) bool {
+	server, now := &backEnd{}, time.Unix(1000, 0)
+	server.tellsLoad.Store(tellsLoad)
+	server.reportedAt.Store(now.Add(-heardAgo).UnixNano())
+	server.sampledAt.Store(now.Add(-sampledAgo).UnixNano())
+	return server.isFresh(now)
+}
+
 // StartWaiters is how many requests wait for the first bundle.
 func (s *Service) StartWaiters() int { return int(s.startWaiters.Load()) }
 
--- a/internal/front/groupmodels.go
+++ b/internal/front/groupmodels.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// toldLoad notes that a server told its load with an answer.
+func (m *groupModels) toldLoad(group, server string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	held := m.group(group).server(server)
+	held.waitingAtReport = held.waiting
+}
+
 // complete adds to a decision what is known of its prompt and of the candidates.
 func (m *groupModels) complete(request *schedule.Request, group string, prompt promptcache.Prompt, candidates []schedule.Candidate, now time.Time) {
 	m.mutex.Lock()
--- a/internal/front/httpissue.go
+++ b/internal/front/httpissue.go
@@ -20,11 +20,13 @@
 	dialect dialect.Dialect
 	pool    *serverconn.Pool
 	clock   Clock
+	// models hear of the loads that servers tell.
+	models *groupModels
 }
 
 // newRouteClient makes a client that connects by dial; nil stands for TCP.
-func newRouteClient(words dialect.Dialect, clock Clock, dial dialFunc) *routeClient {
-	return &routeClient{dialect: words, clock: clock, pool: serverconn.New(serverconn.Options{Now: clock.Now, Dial: dial})}
+func newRouteClient(words dialect.Dialect, clock Clock, models *groupModels, dial dialFunc) *routeClient {
+	return &routeClient{dialect: words, clock: clock, models: models, pool: serverconn.New(serverconn.Options{Now: clock.Now, Dial: dial})}
 }
 
 // routedRequest is one send of a request to one server.
@@ -56,7 +58,11 @@
 		}
 		return nil, &backEndError{fault: fault, detail: err.Error(), blameless: fault == turn.FaultNotSent && ctx.Err() != nil}
 	}
-	if fault := c.faultOf(response, request.requestID); fault != nil {
+	fault := c.faultOf(response, request.requestID)
+	if fault == nil || fault.fault == turn.FaultRefused {
+		c.noteLoad(request.server, response.Header)
+	}
+	if fault != nil {
 		if request.pin != nil && response.Status == http.StatusMisdirectedRequest && fault.fault == turn.FaultRefused {
 			fault.fault = turn.FaultWrongVersion
 		}
@@ -65,6 +71,20 @@
 	return response, nil
 }
 
+// noteLoad takes in the load that a server tells with an answer to a request of ours.
+func (c *routeClient) noteLoad(server *backEnd, header http.Header) {
+	if c.dialect.ServerLoad == "" {
+		return
+	}
+	load, told := dialect.DecodeLoad(header.Get(c.dialect.ServerLoad))
+	if !told {
+		return
+	}
+	server.tellsLoad.Store(true)
+	server.takeLoad(load, c.clock.Now())
+	c.models.toldLoad(server.description.Load().GetGroup(), server.id())
+}
+
 // headers are those of the caller with those of the front node, whose words stand in place of the caller's.
 func (c *routeClient) headers(request routedRequest, server string, left int64) []*protocol.HttpHeader {
 	own := []*protocol.HttpHeader{{Name: c.dialect.TimeLeft, Value: strconv.FormatInt(left, 10)}}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -101,12 +101,13 @@
 	if options.Registerer == nil {
 		options.Registerer = prometheus.NewRegistry()
 	}
+	models := newGroupModels()
 	s := &Service{
 		name: options.Self.GetName(), zone: options.Self.GetZone(), region: options.Self.GetRegion(), link: options.Link, ledger: options.Ledger,
 		ownership: options.Ownership, caller: options.Caller, clock: options.Clock, logger: options.Logger,
 		metrics: newMetrics(options.Registerer), client: newBackEndClient(options.Clock, options.StallTimeout, options.DialBackEnd),
-		routes:    newRouteClient(options.Dialect, options.Clock, options.DialBackEnd),
-		models:    newGroupModels(),
+		routes:    newRouteClient(options.Dialect, options.Clock, models, options.DialBackEnd),
+		models:    models,
 		pins:      newStepPins(options.Clock),
 		admission: newAdmission(options.Clock), sessions: newSessions(options.Clock),
 		explanations: newExplanations(options.Clock, options.Self.GetName()),
--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -22,8 +22,11 @@
 	// fleetSampleInterval bounds the samples of all front nodes together: it is the least mean time between two.
 	fleetSampleInterval = 50 * time.Millisecond
 	sampleTimeout       = 500 * time.Millisecond
-	// sampleAge is how old a report must be to be worth a sample.
-	sampleAge      = 250 * time.Millisecond
+	// freshReport is how old a report must be to be worth a sample. freshAnswer and freshMemory stand in its place for
+	// servers that tell their load with their answers: for the load, and for what only a sample tells.
+	freshReport    = 250 * time.Millisecond
+	freshAnswer    = time.Second
+	freshMemory    = 5 * time.Second
 	maxSampleBytes = 4 << 10
 	// overCommit is how many requests may be under way for one that the servers
 	// work on: the rest are on their way, at the ledger or next in line.
@@ -57,8 +60,7 @@
 	if other := used[rand.IntN(len(used))]; other.reportedAt.Load() < chosen.reportedAt.Load() {
 		chosen = other
 	}
-	now := s.clock.Now()
-	if now.UnixNano()-chosen.reportedAt.Load() < int64(sampleAge) {
+	if chosen.isFresh(s.clock.Now()) {
 		return
 	}
 	result := "ok"
--- a/internal/schedule/firsttoken.go
+++ b/internal/schedule/firsttoken.go
@@ -131,7 +131,7 @@
 func (r *Request) callCost(candidate *Candidate) time.Duration {
 	slowness := math.Pow(cmp.Or(candidate.Slowness, 1), callSlownessPower)
 	draw := float64(rankHash(r.AffinityKey, candidate)>>11+1) / (1 << 53)
-	return scale(r.Profile.ServiceTime, slowness/candidate.Weight*(callLoadWeight*candidate.requests()-math.Log(draw)))
+	return scale(r.Profile.ServiceTime, slowness/candidate.Weight*(callLoadWeight*candidate.requestsNow()-math.Log(draw)))
 }
 
 // expectedWait is the expected time to the first token.
--- a/internal/schedule/firsttoken_test.go
+++ b/internal/schedule/firsttoken_test.go
@@ -230,6 +230,30 @@
 	}
 }
 
+func TestACallAvoidsWhatOthersHadAtAServerForAWhile(t *testing.T) {
+	avoided, returned := 0, 0
+	for program := range 50 {
+		candidates := engines(3)
+		request := call(fmt.Sprint("program", program))
+		first := homeOf(t, request, candidates)
+		busy := &candidates[first]
+		busy.Running, busy.OwnAtReport, busy.ReportAge = 6, 1, time.Millisecond
+		if homeOf(t, request, candidates) != first {
+			avoided++
+		}
+		busy.ReportAge = 1900 * time.Millisecond
+		if homeOf(t, request, candidates) == first {
+			returned++
+		}
+		// What this front node had there at the time of the report says nothing of others.
+		busy.Running, busy.OwnAtReport, busy.ReportAge = 6, 6, time.Millisecond
+		expectChosen(t, request, candidates, first)
+	}
+	if avoided < 40 || returned < 40 {
+		t.Fatalf("of 50 programs %d went elsewhere at once, and %d came back when the report was old", avoided, returned)
+	}
+}
+
 func TestAmongFullServersTheShortestQueueIsTaken(t *testing.T) {
 	candidates := engines(3)
 	for at := range candidates {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -37,9 +37,10 @@
 	Capacity uint32
 	// InFlight counts this front node's own requests at the server.
 	InFlight uint32
-	// Running and Queued are what the server last reported.
-	Running uint32
-	Queued  uint32
+	// Running and Queued are what the server last reported, and OwnAtReport is InFlight as it was then.
+	Running     uint32
+	Queued      uint32
+	OwnAtReport uint32
 	// Weight scales the share of traffic: the zone's weight times the slow return after an ejection. Zero takes none.
 	Weight float64
 	// EjectedUntil orders the ejected ones when too many of a group are: who comes back first is used first.
@@ -90,6 +91,17 @@
 	return float64(max(c.InFlight, c.Running+c.Queued))
 }
 
+// requestsNow counts what is taken to be at the server by now: this front node's own requests, and of those that others
+// had there at the time of the report what is left of them.
+func (c *Candidate) requestsNow() float64 {
+	own, reported := float64(c.InFlight), c.Running+c.Queued
+	if c.ReportAge <= 0 {
+		return own
+	}
+	others := float64(reported - min(reported, c.OwnAtReport))
+	return own + others*math.Exp(-c.ReportAge.Seconds()/reportMemory.Seconds())
+}
+
 // Others counts the requests at the server that are no generations of this front node's training steps.
 func (c *Candidate) Others() uint32 {
 	own := c.InFlight - min(c.InFlight, c.Steps)
