--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -279,7 +279,7 @@
 	request.OutputTokens = p.output
 	if p.step != nil {
 		request.Step = &p.step.work
-		used := schedule.Subset(p.front, policy.GetSubsetSize(), found)
+		used := schedule.Subset(p.front, p.zone, policy.GetSubsetSize(), found)
 		b.completeSteps(found, frontsAt(p.step.fronts, len(used), len(found)))
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/front/stepload.go
+++ b/internal/front/stepload.go
@@ -96,7 +96,7 @@
 	servers, index := s.backEnds.Load(), s.policies.Load().active
 	having, _ := key.pin().divide(servers.byGroup[key.group], now)
 	all := candidates(having, index.Group(key.group), now)
-	used := schedule.Subset(s.name, index.Bundle().GetScheduling().GetSubsetSize(), all)
+	used := schedule.Subset(s.name, s.zone, index.Bundle().GetScheduling().GetSubsetSize(), all)
 	fronts := frontsAt(s.frontNodes(), len(used), len(all))
 	servers.completeSteps(used, fronts)
 	places, ejectedPlaces := 0, 0
--- a/internal/front/watchload.go
+++ b/internal/front/watchload.go
@@ -98,7 +98,7 @@
 	size := index.Bundle().GetScheduling().GetSubsetSize()
 	subsets := make(map[string][]schedule.Candidate)
 	for group, servers := range s.backEnds.Load().byGroup {
-		subsets[group] = schedule.Subset(s.name, size, candidates(servers, index.Group(group), now))
+		subsets[group] = schedule.Subset(s.name, s.zone, size, candidates(servers, index.Group(group), now))
 	}
 	return subsets
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -21,6 +21,8 @@
 	DefaultSubsetSize = 16
 
 	defaultCapacity = 8
+	// ownZoneRest is the part of a subset, one in so many, that is left to other zones.
+	ownZoneRest = 4
 	// fullLoad is the relative load at which a server has no free slot.
 	fullLoad = 1.0
 )
@@ -250,8 +252,8 @@
 
 func subsetSize(size uint32) int { return int(cmp.Or(size, DefaultSubsetSize)) }
 
-// Subset gives the candidates of a group that a front node uses, as Choose does.
-func Subset(front string, size uint32, group []Candidate) []Candidate {
+// Subset gives the candidates of a group that a front node of a zone uses, as Choose does.
+func Subset(front, zone string, size uint32, group []Candidate) []Candidate {
 	if len(group) <= subsetSize(size) {
 		return group
 	}
@@ -260,12 +262,24 @@
 		pointers = append(pointers, &group[at])
 	}
 	kept := make([]Candidate, 0, subsetSize(size))
-	for _, candidate := range rank(front, pointers)[:subsetSize(size)] {
+	for _, candidate := range rankForFront(front, zone, subsetSize(size), pointers)[:subsetSize(size)] {
 		kept = append(kept, *candidate)
 	}
 	return kept
 }
 
+// rankForFront orders a group for a front node: servers of its own zone come first, whose bytes cross no zone, until
+// they are three quarters of the subset. The rest is for the time when the own zone is full or ill.
+func rankForFront(front, zone string, size int, group []*Candidate) []*Candidate {
+	ranked := rank(front, group)
+	if zone == "" {
+		return ranked
+	}
+	own, others := divide(ranked, func(c *Candidate) bool { return c.Zone == zone })
+	first := min(len(own), size-size/ownZoneRest)
+	return slices.Concat(own[:first], others, own[first:])
+}
+
 // subset keeps the part of a large group that this front node uses, the same
 // one as long as the group does not change. The session's last server stays in.
 func (d *Decision) subset(request Request, usable []*Candidate) []*Candidate {
@@ -273,7 +287,7 @@
 	if len(usable) <= size {
 		return usable
 	}
-	ranked := rank(request.Front, usable)
+	ranked := rankForFront(request.Front, request.Zone, size, usable)
 	kept := ranked[:size]
 	for _, candidate := range ranked[size:] {
 		if candidate.ID == request.Last {
