--- a/internal/lab/command/report.go
+++ b/internal/lab/command/report.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/mattn/go-isatty"
 	"github.com/spf13/cobra"
@@ -22,10 +24,13 @@
 func newReport(e *environment) *cobra.Command {
 	var options reportOptions
 	command := &cobra.Command{
-		Use:   "report FILE",
-		Short: "Draw the report of a day that a bench has played: outcomes and times over time, disruptions, kinds of requests",
-		Args:  cobra.ExactArgs(1),
+		Use:   "report FILE [FILE ...]",
+		Short: "Draw the report of a day that a bench has played: outcomes and times over time, disruptions, kinds of requests; or compare several",
+		Args:  cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, arguments []string) error {
+			if len(arguments) > 1 {
+				return e.compareReports(arguments)
+			}
 			return e.report(arguments[0], options)
 		},
 	}
@@ -50,6 +55,21 @@
 	return day.SaveFigure(options.output)
 }
 
+// compareReports prints a row a day.
+func (e *environment) compareReports(paths []string) error {
+	var days []dayreport.Named
+	for _, path := range paths {
+		day, err := dayreport.Read(path)
+		if err != nil {
+			return err
+		}
+		name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+		days = append(days, dayreport.Named{Name: name, Report: day})
+	}
+	dayreport.PrintComparison(e.output, days)
+	return nil
+}
+
 // isTerminal reports whether colors are understood where the output goes.
 func isTerminal(output io.Writer) bool {
 	file, isFile := output.(*os.File)
--- a/internal/lab/dayreport/terminal.go
+++ b/internal/lab/dayreport/terminal.go
@@ -36,6 +36,7 @@
 // Print writes the tables and charts of a day.
 func (r *Report) Print(output io.Writer, terminal Terminal) {
 	r.printScore(output)
+	r.printAccount(output)
 	printCounts(output, "Requests by kind", r.Kinds, r.All)
 	printCounts(output, "Requests by zone of the callers", r.Zones, r.All)
 	r.printChart(output, terminal, r.served())
