--- a/internal/schedule/firsttoken.go
+++ b/internal/schedule/firsttoken.go
@@ -34,9 +34,6 @@
 	// is placed.
 	callSlownessPower = 2
 	callLoadWeight    = 4
-	// otherZoneRequests is how many requests a server of another zone counts as having more when a request without a
-	// prompt is placed: less than one, so that a call leaves the zone once each server there has one.
-	otherZoneRequests = 0.5
 	// reportMemory is the time constant with which what others had waiting at the time of a report is forgotten.
 	reportMemory = 400 * time.Millisecond
 )
@@ -134,11 +131,7 @@
 func (r *Request) callCost(candidate *Candidate) time.Duration {
 	slowness := math.Pow(cmp.Or(candidate.Slowness, 1), callSlownessPower)
 	draw := float64(rankHash(r.AffinityKey, candidate)>>11+1) / (1 << 53)
-	requests := candidate.requestsNow()
-	if r.Zone != "" && candidate.Zone != r.Zone {
-		requests += otherZoneRequests
-	}
-	return scale(r.Profile.ServiceTime, slowness/candidate.Weight*(callLoadWeight*requests-math.Log(draw)))
+	return scale(r.Profile.ServiceTime, slowness/candidate.Weight*(callLoadWeight*candidate.requestsNow()-math.Log(draw)))
 }
 
 // expectedWait is the expected time to the first token.
