Play the scheduling model without each of its mechanisms by one command

The model gains loads on answers, zones, and a mechanism that is switched off. Laboratory only: no daemon contains it.

--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -109,7 +109,7 @@
 	flags.StringVar(&e.folder, "folder", "run", "folder in which each run gets one of its own")
 	flags.StringVar(&e.profile, "cpu-profile", "", "file that takes a processor profile of the laboratory itself")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return e.startProfile() }
-	root.AddCommand(newBackEnds(e), newRun(e), newRunPlatform(e), newFleet(e), newAudit(e), newChaos(e), newKillOne(e), newExperiment(e), newBench(e), newBurst(e), newScale(e), newReport(e), simcommand.New())
+	root.AddCommand(newBackEnds(e), newRun(e), newRunPlatform(e), newFleet(e), newAudit(e), newChaos(e), newKillOne(e), newExperiment(e), newBench(e), newBurst(e), newScale(e), newReport(e), newAblate(e), simcommand.New())
 	return root
 }
 
--- a/internal/schedule/schedulesim/fleet.go
+++ b/internal/schedule/schedulesim/fleet.go
@@ -1,6 +1,7 @@
 package schedulesim
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -29,6 +30,12 @@
 	SamplesPerSecond float64
 	// Digests is how often front nodes tell each other what servers read; zero is never.
 	Digests time.Duration
+	// LoadOnAnswers has servers tell their load with the head of each answer.
+	LoadOnAnswers bool
+	// Zones is how many zones servers and front nodes are spread over; zero is four.
+	Zones int
+	// Without is the mechanism that is switched off; empty is none.
+	Without Mechanism
 	// Bursts, Release and Slow are what goes on beside.
 	Burst   Burst
 	Release Release
@@ -97,7 +104,7 @@
 	all      []*engine
 }
 
-const zones = 4
+const defaultZones = 4
 
 // Play runs the fleet.
 func Play(options Options) *Result {
@@ -105,6 +112,7 @@
 		options: options, timeline: &timeline{}, planned: rand.New(rand.NewPCG(options.Seed, 1)),
 		result: &Result{kinds: make(map[string][2]int), readBefore: make(map[uint64]bool), ByKind: make(map[string]float64)},
 	}
+	zones := cmp.Or(options.Zones, defaultZones)
 	for at := range options.Servers {
 		f.addEngine(fmt.Sprintf("server-%02d", at), fmt.Sprintf("zone-%d", at%zones))
 	}
@@ -146,9 +154,12 @@
 		f.nextProgram(&f.options.Programs[at], at == 0)
 	}
 	for at, front := range f.fronts {
+		if f.options.lacks(LoadSamples) {
+			break
+		}
 		f.every(time.Duration(float64(time.Second)/f.options.SamplesPerSecond), time.Duration(at)*time.Millisecond, front.sample)
 	}
-	if f.options.Digests > 0 {
+	if f.options.Digests > 0 && !f.options.lacks(Digests) {
 		f.every(f.options.Digests, 0, f.exchangeDigests)
 	}
 	f.setSlow()
--- a/internal/schedule/schedulesim/front.go
+++ b/internal/schedule/schedulesim/front.go
@@ -83,6 +83,17 @@
 	})
 }
 
+// hearLoad takes in the load that a server tells with the head of an answer.
+func (f *front) hearLoad(state *serverState) {
+	if !f.fleet.options.LoadOnAnswers || f.fleet.options.lacks(AnswerLoads) {
+		return
+	}
+	running, queued := state.engine.running()
+	state.report = report{
+		at: f.fleet.timeline.now, known: true, running: running, queued: queued, used: state.report.used, waiting: state.waiting,
+	}
+}
+
 // factor is the server's slowness, from its answers and from those that it still owes.
 func (s *serverState) factor(profile schedule.Profile, timeline *timeline) float64 {
 	if len(s.issued) == 0 {
@@ -122,6 +133,7 @@
 			candidate.UsedTokens, candidate.ReportAge = state.report.used, age
 			candidate.WaitingAtReport = state.report.waiting
 		}
+		f.fleet.options.hide(&candidate)
 		candidates = append(candidates, candidate)
 	}
 	return candidates
@@ -135,6 +147,7 @@
 		AffinityKey: l.program.name, Last: l.last, Avoid: avoid, Sequence: f.sequence,
 		PromptTokens: prompt.Tokens(), SharedTokens: f.cache.Shared(prompt), OutputTokens: output, Profile: f.profile.Profile(),
 	}
+	f.fleet.options.switchOff(&request)
 	return f.servers[schedule.Choose(request, f.candidates(prompt), f.random).Chosen]
 }
 
@@ -155,6 +168,7 @@
 	first := time.Duration(0)
 	firstSeen := func() {
 		state.began(own, issued)
+		f.hearLoad(state)
 		first = timeline.now
 		state.slowness.Observe(f.profile.Profile().FirstToken(own+ahead), first-issued, timeline.clock())
 		f.profile.ObserveFirstToken(own, ahead, first-issued)
