Send ledger changes to all replicas, and operations to the first store, as before

With a majority first a change lies on three of five replicas, so that two lost disks leave one copy, where all five had it mostly.

excluded: nothing yet.

--- a/internal/ledgerclient/targets.go
+++ b/internal/ledgerclient/targets.go
@@ -1,7 +1,6 @@
 package ledgerclient
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rosestand/rosestand/internal/corelink"
@@ -17,7 +16,7 @@
 }
 
 // targets gives the live replicas for an operation in the order in which they are tried. All
-// fronts of a zone agree on the order, so that mostly one store proposes for a program. While none of them answers
+// fronts agree on the order, so that one store proposes for a program. While none of them answers
 // this front node, other front nodes come first, unless replicas are to be asked directly.
 func (c *Client) targets(operation *protocol.LedgerOperation, directly bool) []target {
 	view := c.view()
@@ -64,44 +63,25 @@
 	return nil
 }
 
-// Ranks of replicas, in the order in which they are tried.
-const (
-	inOwnZone = iota
-	inOwnRegion
-	elsewhere
-	isRebuilding
-)
-
-// liveReplicas gives the addresses of the current replicas that have a lease:
-// those of the own zone and the own region first, whose way is short and whose bytes cross no zone, and those that are
-// rebuilt last.
+// liveReplicas gives the addresses of the current replicas that have a lease,
+// those that are rebuilt last.
 func (c *Client) liveReplicas(view *corelink.View, shard *protocol.ShardPlacement) []string {
-	stores := map[string]*protocol.Node{}
+	addresses := map[string]string{}
 	for _, node := range view.Membership.GetNodes() {
 		if node.GetKind() == protocol.NodeKind_STORE {
-			stores[node.GetName()] = node
+			addresses[node.GetName()] = node.GetAddress()
 		}
 	}
-	var byRank [isRebuilding + 1][]string
+	var live, rebuilding []string
 	for _, replica := range shard.GetCurrent() {
-		if store := stores[replica.GetStore()]; store != nil {
-			rank := c.rankOf(replica, store)
-			byRank[rank] = append(byRank[rank], store.GetAddress())
+		address, known := addresses[replica.GetStore()]
+		switch {
+		case !known:
+		case replica.GetState() == protocol.ReplicaState_REPLICA_REBUILDING:
+			rebuilding = append(rebuilding, address)
+		default:
+			live = append(live, address)
 		}
 	}
-	return slices.Concat(byRank[:]...)
-}
-
-func (c *Client) rankOf(replica *protocol.Replica, store *protocol.Node) int {
-	self := c.options.Self
-	switch {
-	case replica.GetState() == protocol.ReplicaState_REPLICA_REBUILDING:
-		return isRebuilding
-	case self.GetZone() != "" && self.GetZone() == store.GetZone():
-		return inOwnZone
-	case self.GetRegion() != "" && self.GetRegion() == store.GetRegion():
-		return inOwnRegion
-	default:
-		return elsewhere
-	}
+	return append(live, rebuilding...)
 }
--- a/internal/register/quorum.go
+++ b/internal/register/quorum.go
@@ -43,26 +43,6 @@
 	return majority(q.Current, holds) && (len(q.Next) == 0 || majority(q.Next, holds))
 }
 
-// Least gives the fewest stores, taken in order of preference, that make a
-// majority of each set. Members that the preference does not name come last.
-func (q Quorum) Least(preference []string) []string {
-	var least []string
-	isTaken := func(store string) bool { return slices.Contains(least, store) }
-	for _, store := range slices.Concat(preference, q.Members()) {
-		if q.Reached(isTaken) {
-			break
-		}
-		if !isTaken(store) && q.includes(store) {
-			least = append(least, store)
-		}
-	}
-	return least
-}
-
-func (q Quorum) includes(store string) bool {
-	return slices.Contains(q.Current, store) || slices.Contains(q.Next, store)
-}
-
 // Lost reports whether no majority is possible any more once these stores failed.
 func (q Quorum) Lost(failed func(store string) bool) bool {
 	return !q.Reached(func(store string) bool { return !failed(store) })
--- a/internal/store/keep.go
+++ b/internal/store/keep.go
@@ -15,13 +15,11 @@
 	turn     *protocol.Turn
 	deadline time.Time
 	round    int
-	// asked are the replicas that the round was sent to.
-	asked   []string
-	kept    []string
-	failed  []string
-	done    func(protocol.LedgerStatus)
-	ended   bool
-	resting bool
+	kept     []string
+	failed   []string
+	done     func(protocol.LedgerStatus)
+	ended    bool
+	resting  bool
 }
 
 // keepOnMajority calls done on the group's goroutine: LEDGER_OK once the turn
@@ -31,57 +29,20 @@
 	k.start()
 }
 
-// start asks as few replicas as make a majority; the others follow when one of them fails or is silent. Later rounds
-// and those of a shard that moves ask all.
 func (k *keep) start() {
 	k.round++
 	k.resting = false
-	k.asked = k.asked[:0]
 	k.failed = k.failed[:0]
-	members := k.shard.Quorum.Members()
-	if k.round > 1 || len(k.shard.Quorum.Next) > 0 {
-		k.ask(members)
-		return
-	}
-	k.ask(k.shard.Quorum.Least(k.group.store.peers.preference(members)))
-	k.widenLater()
-}
-
-// widenLater asks the replicas that the round has spared when the others do not answer in the usual time.
-func (k *keep) widenLater() {
-	round := k.round
-	k.group.after(k.group.store.peers.patience(k.asked), func() {
-		if k.ended || k.resting || k.round != round {
-			return
-		}
-		k.group.store.noteSlow(k.unanswered())
-		k.ask(k.shard.Quorum.Members())
-	})
-}
-
-// unanswered names the replicas that have not answered while others were not asked.
-func (k *keep) unanswered() []string {
-	if len(k.asked) == len(k.shard.Quorum.Members()) {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(k.asked), func(store string) bool {
-		return slices.Contains(k.kept, store) || slices.Contains(k.failed, store)
-	})
-}
-
-// ask sends the turn to the replicas that the round has not been sent to, and that do not hold it.
-func (k *keep) ask(stores []string) {
 	round := k.round
-	for _, store := range stores {
-		if slices.Contains(k.kept, store) || slices.Contains(k.asked, store) {
+	for _, store := range k.shard.Quorum.Members() {
+		if slices.Contains(k.kept, store) {
 			continue
 		}
-		k.asked = append(k.asked, store)
 		if store == k.group.store.options.Self.GetName() {
 			k.group.keepWithChain(k.shard.Shard, k.turn, func(kept bool) { k.answered(store, round, kept && k.inForce()) })
 			continue
 		}
-		k.askPeer(store, round)
+		k.ask(store, round)
 	}
 }
 
@@ -91,7 +52,7 @@
 	return k.group.table(k.shard.Shard).view.Refusal(k.shard.Epoch) == notRefused
 }
 
-func (k *keep) askPeer(store string, round int) {
+func (k *keep) ask(store string, round int) {
 	request := &protocol.Request{Body: &protocol.Request_KeepTurn{KeepTurn: &protocol.KeepTurnRequest{
 		Shard: k.shard.Shard, PlacementEpoch: k.shard.Epoch, Turn: k.turn,
 	}}}
@@ -105,10 +66,9 @@
 	if k.ended {
 		return
 	}
-	isFailure := !kept && round == k.round
 	if kept {
 		k.kept = append(k.kept, store)
-	} else if isFailure {
+	} else if round == k.round {
 		k.failed = append(k.failed, store)
 	}
 	switch {
@@ -117,8 +77,6 @@
 	case k.resting:
 	case k.shard.Quorum.Lost(func(s string) bool { return slices.Contains(k.failed, s) }):
 		k.retryLater()
-	case isFailure:
-		k.ask(k.shard.Quorum.Members())
 	}
 }
 
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -12,7 +12,6 @@
 	batched     prometheus.Counter
 	preempted   prometheus.Counter
 	unavailable prometheus.Counter
-	widened     prometheus.Counter
 	results     *prometheus.CounterVec
 	syncs       *prometheus.CounterVec
 	synced      *prometheus.CounterVec
@@ -66,7 +65,6 @@
 		batched:     counter("batched_operations_total", "Ledger operations that went into register changes."),
 		preempted:   counter("register_preempted_total", "Rounds lost against another proposer."),
 		unavailable: counter("register_unavailable_total", "Rounds without a majority."),
-		widened:     counter("rounds_widened_total", "Rounds that asked further replicas because the first ones did not answer in the usual time."),
 		results:     labelled("ledger_results_total", "Ledger operations answered.", "status"),
 		syncs:       labelled("syncs_total", "Syncs of a log.", "log"),
 		synced:      labelled("synced_requests_total", "Requests made durable by syncs.", "log"),
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -36,9 +36,6 @@
 	held    int
 	calls   int
 	waiting []peerRequest
-	// usual is the usual time of an answer, and slowUntil is until when the store is asked last.
-	usual     time.Duration
-	slowUntil time.Time
 }
 
 type peerRequest struct {
@@ -55,7 +52,11 @@
 func (p *peers) send(store string, request *protocol.Request, done func(*protocol.Response, error)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	to := p.lane(store)
+	to := p.lanes[store]
+	if to == nil {
+		to = &lane{}
+		p.lanes[store] = to
+	}
 	if p.closed || to.held >= defaultPeerCalls {
 		go done(nil, &PeerNotLiveError{Store: store})
 		return
@@ -76,16 +77,6 @@
 	}
 }
 
-// lane needs the mutex.
-func (p *peers) lane(store string) *lane {
-	to := p.lanes[store]
-	if to == nil {
-		to = &lane{}
-		p.lanes[store] = to
-	}
-	return to
-}
-
 // isBatchable holds for requests that are answered from memory or after one sync.
 func isBatchable(request *protocol.Request) bool {
 	switch request.GetBody().(type) {
@@ -155,9 +146,7 @@
 	ctx, cancel := context.WithTimeout(p.store.ctx, timeout)
 	defer cancel()
 	if len(batch) == 1 {
-		response, err := p.call(ctx, store, batch[0].message)
-		p.noteAnswers(store, batch)
-		batch[0].done(response, err)
+		batch[0].done(p.call(ctx, store, batch[0].message))
 		return
 	}
 	request := &protocol.RequestBatch{Requests: make([]*protocol.Request, len(batch))}
@@ -165,7 +154,6 @@
 		request.Requests[place] = one.message
 	}
 	response, err := p.call(ctx, store, &protocol.Request{Body: &protocol.Request_StoreBatch{StoreBatch: request}})
-	p.noteAnswers(store, batch)
 	answers := response.GetStoreBatch().GetResponses()
 	if err == nil && len(answers) != len(batch) {
 		err = &AnswerError{Store: store}
@@ -179,15 +167,6 @@
 	}
 }
 
-// noteAnswers takes in how long requests waited that a round asks of a majority.
-func (p *peers) noteAnswers(store string, batch []peerRequest) {
-	for _, one := range batch {
-		if isBatchable(one.message) {
-			p.noteAnswer(store, time.Since(one.since))
-		}
-	}
-}
-
 // call makes a request and waits for its answer.
 func (p *peers) call(ctx context.Context, store string, request *protocol.Request) (*protocol.Response, error) {
 	address := p.store.watch.current.Load().addresses[store]
--- a/internal/store/proposal.go
+++ b/internal/store/proposal.go
@@ -76,8 +76,6 @@
 		Ballots:  p.group.ballots,
 		Function: p.function(),
 		Head:     p.head(),
-
-		Preference: p.group.store.peers.preference(p.shard.Quorum.Members()),
 	})
 	p.send(p.change.Start())
 }
@@ -185,28 +183,9 @@
 			p.sendToPeer(change, message)
 		}
 	}
-	if len(messages) > 0 {
-		p.widenLater(change)
-	}
 	p.advance(change)
 }
 
-// widenLater asks the replicas that the round has spared when the others do not answer in the usual time.
-func (p *proposal) widenLater(change *register.Change) {
-	unanswered := change.Unanswered()
-	if len(unanswered) == 0 {
-		return
-	}
-	round := change.Round()
-	p.group.after(p.group.store.peers.patience(unanswered), func() {
-		if p.change != change || change.Round() != round {
-			return
-		}
-		p.group.store.noteSlow(change.Unanswered())
-		p.send(change.Widen())
-	})
-}
-
 func (p *proposal) sendLocally(change *register.Change, message register.Message) {
 	if message.Prepare != nil {
 		p.group.prepare(message.Prepare, func(answer *protocol.PrepareResponse) {
@@ -232,7 +211,8 @@
 			case err == nil && response.GetAccept() != nil:
 				p.accepted(change, message, response.GetAccept())
 			default:
-				p.failed(change, message)
+				change.Failed(message.Store, message.Round)
+				p.advance(change)
 			}
 		})
 	})
@@ -245,13 +225,6 @@
 	p.send(change.Prepared(message.Store, message.Round, answer))
 }
 
-func (p *proposal) failed(change *register.Change, message register.Message) {
-	if p.change != change {
-		return
-	}
-	p.send(change.Failed(message.Store, message.Round))
-}
-
 func (p *proposal) accepted(change *register.Change, message register.Message, answer *protocol.AcceptResponse) {
 	if p.change != change {
 		return
