--- a/internal/lab/ablation/ablation_test.go
+++ b/internal/lab/ablation/ablation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -85,3 +86,15 @@
 		}
 	}
 }
+
+func TestShippedFilesAreSound(t *testing.T) {
+	paths, err := filepath.Glob("../../../experiments/ablation/*.json")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("files %v, %v", paths, err)
+	}
+	for _, path := range paths {
+		if _, err := ablation.Load(path); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
