--- a/review/harness/turnindex.go
+++ b/review/harness/turnindex.go
@@ -119,7 +119,7 @@
 	if len(s.fleet.unexpected) > 0 {
 		s.record.add("note    processes that ended by themselves: %v", s.fleet.unexpected)
 	}
-	fmt.Printf("fleet %d: %d turns answered whole less than RetentionS before were answered 404 or 410\n", s.number, broken)
+	fmt.Printf("fleet %d: %d turns answered whole within the retention were answered 404 or 410\n", s.number, broken)
 	if broken > 0 {
 		return exitBroken
 	}
