Start no process of a case once its end has begun

Cause: when one deployment of a case breaks, all are ended, and another one could start a store meanwhile, which stayed behind.

Change: the fleet of the stand-ins starts nothing after the end has begun; the report says so.

--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -33,6 +33,8 @@
 	ended          map[string]chan struct{}
 	// intended has the processes that the test itself ended.
 	intended map[string]bool
+	// closed is true once all processes are to end; none is started from then on.
+	closed bool
 	// unexpected are the processes that ended by themselves.
 	unexpected []string
 }
@@ -128,11 +130,16 @@
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["settings variable"] + "=" + path}
 	command.Stdout, command.Stderr, command.Dir = log, log, folder
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	done := make(chan struct{})
+	f.mutex.Lock()
+	if f.closed {
+		f.mutex.Unlock()
+		return os.ErrClosed
+	}
 	if err := command.Start(); err != nil {
+		f.mutex.Unlock()
 		return err
 	}
-	done := make(chan struct{})
-	f.mutex.Lock()
 	f.processes[id], f.ended[id], f.intended[id] = command, done, false
 	f.mutex.Unlock()
 	go func() {
@@ -176,6 +183,7 @@
 // stopAll ends all processes.
 func (f *fleet) stopAll() {
 	f.mutex.Lock()
+	f.closed = true
 	var ids []string
 	for id := range f.processes {
 		ids = append(ids, id)
