Stop a process on the simulated disk at any of its operations

The simulated disk now stops a process at a given operation (StopAfter): that operation and all later ones fail, a write may be performed in part. A directory is an entry like a file: it is durable only once its parent is synced. Filesystem has Mkdir in place of MkdirAll, so that storage.MkdirAll runs the same operations on the simulated disk and on the operating system's; its behaviour is unchanged.

--- a/internal/controlplane/replica/logstore/store.go
+++ b/internal/controlplane/replica/logstore/store.go
@@ -41,7 +41,7 @@
 // those of package storage.
 func Open(filesystem storage.Filesystem, folder string) (*Store, error) {
 	path := filepath.Join(folder, logFolder)
-	if err := filesystem.MkdirAll(path); err != nil {
+	if err := storage.MkdirAll(filesystem, path); err != nil {
 		return nil, err
 	}
 	snapshots := filepath.Join(folder, snapshotFolder)
--- a/internal/controlplane/replica/stored_data_test.go
+++ b/internal/controlplane/replica/stored_data_test.go
@@ -49,7 +49,7 @@
 		must(t, err)
 		copied := filepath.Join("core", relative)
 		if entry.IsDir() {
-			return disk.MkdirAll(copied)
+			return storage.MkdirAll(disk, copied)
 		}
 		content, err := os.ReadFile(path)
 		must(t, err)
--- a/internal/process/daemon/space_test.go
+++ b/internal/process/daemon/space_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/rosestand/rosestand/internal/storage"
 	"github.com/rosestand/rosestand/internal/storage/simdisk"
 )
 
@@ -20,7 +21,7 @@
 func startOnFullDisk(t *testing.T) (disk *simdisk.Disk, signals chan os.Signal, results chan bool) {
 	t.Helper()
 	disk = simdisk.New(rand.New(rand.NewPCG(1, 1)))
-	if err := disk.MkdirAll("data"); err != nil {
+	if err := storage.MkdirAll(disk, "data"); err != nil {
 		t.Fatal(err)
 	}
 	disk.SetCapacity(minStartSpaceBytes - 1)
--- a/internal/state/store/datafolder/folder.go
+++ b/internal/state/store/datafolder/folder.go
@@ -130,7 +130,7 @@
 
 // requireFiles returns a *storage.CorruptError when the folder of a log that was in use is empty.
 func requireFiles(filesystem storage.Filesystem, path string, fresh bool) error {
-	if err := filesystem.MkdirAll(path); err != nil {
+	if err := storage.MkdirAll(filesystem, path); err != nil {
 		return err
 	}
 	entries, err := filesystem.List(path)
--- a/internal/state/store/stored_data_test.go
+++ b/internal/state/store/stored_data_test.go
@@ -268,7 +268,7 @@
 		if path == damaged {
 			content[offset] ^= 0xff
 		}
-		requireNoError(t, disk.MkdirAll(filepath.Dir(copied)))
+		requireNoError(t, storage.MkdirAll(disk, filepath.Dir(copied)))
 		file, err := disk.Create(copied)
 		requireNoError(t, err)
 		_, err = file.WriteAt(content, 0)
--- a/internal/storage/directory_lock.go
+++ b/internal/storage/directory_lock.go
@@ -15,7 +15,7 @@
 // LockDir creates the data directory at path if it does not exist and takes an exclusive advisory lock on it. The lock
 // is released by Close and when the process exits. LockDir returns *DirLockedError when another process holds the lock.
 func LockDir(path string) (io.Closer, error) {
-	if err := (OSFilesystem{}).MkdirAll(path); err != nil {
+	if err := MkdirAll(OSFilesystem{}, path); err != nil {
 		return nil, err
 	}
 	file, err := os.OpenFile(filepath.Join(path, LockFileName), os.O_RDWR|os.O_CREATE, fileMode)
--- a/internal/storage/filesystem.go
+++ b/internal/storage/filesystem.go
@@ -2,13 +2,14 @@
 
 import "io"
 
-// Filesystem is the set of file system operations that the storage code uses. Creating, renaming or removing a file
-// becomes durable only with SyncDir of its directory, and file content only with Sync of the file. Errors for files
-// that do not exist match fs.ErrNotExist, and errors for a full disk match syscall.ENOSPC. Implementations must be safe
-// for concurrent use.
+// Filesystem is the set of file system operations that the storage code uses. Creating, renaming or removing a file or
+// directory becomes durable only with SyncDir of its parent, and file content only with Sync of the file. Errors for
+// files that do not exist match fs.ErrNotExist, and errors for a full disk match syscall.ENOSPC. Implementations must
+// be safe for concurrent use.
 type Filesystem interface {
-	// MkdirAll durably creates a directory and its missing parents. It succeeds if the directory exists.
-	MkdirAll(path string) error
+	// Mkdir creates a directory. The error matches fs.ErrExist if the path exists, and fs.ErrNotExist if its parent does
+	// not.
+	Mkdir(path string) error
 	// List returns the entries of a directory, sorted by name.
 	List(dir string) ([]Entry, error)
 	// Create opens a file for reading and writing; it creates the file if it does not exist and truncates it otherwise.
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -38,7 +38,7 @@
 
 // OpenIdentityWith is like OpenIdentity but generates StorageIDs with newStorageID, for deterministic simulations.
 func OpenIdentityWith(filesystem Filesystem, dir string, newStorageID func() string) (Identity, error) {
-	if err := filesystem.MkdirAll(dir); err != nil {
+	if err := MkdirAll(filesystem, dir); err != nil {
 		return Identity{}, err
 	}
 	identity, exists, err := readIdentity(filesystem, dir)
--- a/internal/storage/log_recovery.go
+++ b/internal/storage/log_recovery.go
@@ -31,7 +31,7 @@
 func OpenLog(filesystem Filesystem, dir string, options LogOptions) (*Log, error) {
 	log := &Log{filesystem: filesystem, dir: dir, options: options.withDefaults()}
 	log.sealed = sync.NewCond(&log.mutex)
-	if err := filesystem.MkdirAll(dir); err != nil {
+	if err := MkdirAll(filesystem, dir); err != nil {
 		return nil, err
 	}
 	numbers, err := listNumbered(filesystem, dir, segmentSuffix)
--- a/internal/storage/os_filesystem.go
+++ b/internal/storage/os_filesystem.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
@@ -19,21 +18,9 @@
 
 var _ Filesystem = OSFilesystem{}
 
-// MkdirAll creates a directory and its missing parents, and syncs the parent of each directory that it creates.
-func (f OSFilesystem) MkdirAll(path string) error {
-	if info, err := os.Stat(path); err == nil && info.IsDir() {
-		return nil
-	}
-	parent := filepath.Dir(path)
-	if parent != path {
-		if err := f.MkdirAll(parent); err != nil {
-			return err
-		}
-	}
-	if err := os.Mkdir(path, dirMode); err != nil && !errors.Is(err, os.ErrExist) {
-		return errors.WithStack(err)
-	}
-	return f.SyncDir(parent)
+// Mkdir creates a directory.
+func (OSFilesystem) Mkdir(path string) error {
+	return errors.WithStack(os.Mkdir(path, dirMode))
 }
 
 // List returns the entries of a directory, sorted by name.
--- a/internal/storage/simdisk/disk.go
+++ b/internal/storage/simdisk/disk.go
@@ -23,6 +23,12 @@
 // Error implements error.
 func (e *StaleHandleError) Error() string { return "simdisk: stale handle of " + e.Path }
 
+// StoppedError reports an operation of a process that StopAfter has stopped.
+type StoppedError struct{ Path string }
+
+// Error implements error.
+func (e *StoppedError) Error() string { return "simdisk: the process is stopped at " + e.Path }
+
 // SyncFailedError is an injected sync failure.
 type SyncFailedError struct{ Path string }
 
@@ -50,7 +56,7 @@
 	mutex  sync.Mutex
 	random *rand.Rand
 
-	dirs  map[string]bool
+	// names are the entries of all directories by their paths.
 	names map[string]*inode
 	// durableNames are the synced directory entries; nameChanges are the changes made to them since, in order.
 	durableNames map[string]*inode
@@ -64,7 +70,11 @@
 	syncsToFail int
 	syncsToPass int
 	// resumed is closed when stalled syncs resume. It is nil while syncs are not stalled.
-	resumed    chan struct{}
+	resumed chan struct{}
+	// operations counts the operations that change the disk or sync it; stopAt, unless zero, is the count at which the
+	// process is stopped.
+	operations int
+	stopAt     int
 	storageIDs int
 	counters   Counters
 }
@@ -86,8 +96,36 @@
 	return disk
 }
 
+// Clone returns a copy of the disk whose later faults random decides. It has no open handles, and is not stopped.
+func (d *Disk) Clone(random *rand.Rand) *Disk {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	clones := map[*inode]*inode{nil: nil}
+	clone := func(node *inode) *inode {
+		if _, exists := clones[node]; !exists {
+			clones[node] = node.clone()
+		}
+		return clones[node]
+	}
+	copied := &Disk{
+		random: random, names: map[string]*inode{}, durableNames: map[string]*inode{}, operations: d.operations,
+		capacity: d.capacity, syncsToFail: d.syncsToFail, syncsToPass: d.syncsToPass, storageIDs: d.storageIDs,
+		counters: d.counters,
+	}
+	for path, node := range d.names {
+		copied.names[path] = clone(node)
+	}
+	for path, node := range d.durableNames {
+		copied.durableNames[path] = clone(node)
+	}
+	for _, change := range d.nameChanges {
+		change.node = clone(change.node)
+		copied.nameChanges = append(copied.nameChanges, change)
+	}
+	return copied
+}
+
 func (d *Disk) erase() {
-	d.dirs = map[string]bool{"/": true, ".": true}
 	d.names = map[string]*inode{}
 	d.durableNames = map[string]*inode{}
 	d.nameChanges = nil
@@ -102,13 +140,30 @@
 	return fmt.Sprintf("disk-%016x-%d", d.random.Uint64(), d.storageIDs)
 }
 
-// MkdirAll durably creates a directory and its parents.
-func (d *Disk) MkdirAll(path string) error {
+// isDir reports whether a path is a directory. The roots of absolute and of relative paths always exist.
+func (d *Disk) isDir(path string) bool {
+	if path == "/" || path == "." {
+		return true
+	}
+	node, exists := d.names[path]
+	return exists && node.isDir
+}
+
+// Mkdir creates a directory.
+func (d *Disk) Mkdir(path string) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for path = filepath.Clean(path); !d.dirs[path]; path = filepath.Dir(path) {
-		d.dirs[path] = true
+	path = filepath.Clean(path)
+	if err := d.beginOperation(path); err != nil {
+		return err
+	}
+	if _, exists := d.names[path]; exists || d.isDir(path) {
+		return &fs.PathError{Op: "mkdir", Path: path, Err: syscall.EEXIST}
 	}
+	if !d.isDir(filepath.Dir(path)) {
+		return notExist("mkdir", path)
+	}
+	d.changeName(nameChange{path: path, node: &inode{isDir: true}})
 	return nil
 }
 
@@ -117,18 +172,16 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	dir = filepath.Clean(dir)
-	if !d.dirs[dir] {
+	if d.isStopped() {
+		return nil, &StoppedError{Path: dir}
+	}
+	if !d.isDir(dir) {
 		return nil, notExist("list", dir)
 	}
 	var entries []storage.Entry
-	for path := range d.names {
+	for path, node := range d.names {
 		if filepath.Dir(path) == dir {
-			entries = append(entries, storage.Entry{Name: filepath.Base(path)})
-		}
-	}
-	for path := range d.dirs {
-		if filepath.Dir(path) == dir && path != dir {
-			entries = append(entries, storage.Entry{Name: filepath.Base(path), IsDir: true})
+			entries = append(entries, storage.Entry{Name: filepath.Base(path), IsDir: node.isDir})
 		}
 	}
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Name < entries[j].Name })
@@ -140,10 +193,16 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	path = filepath.Clean(path)
-	if !d.dirs[filepath.Dir(path)] {
+	if err := d.beginOperation(path); err != nil {
+		return nil, err
+	}
+	if !d.isDir(filepath.Dir(path)) {
 		return nil, notExist("create", path)
 	}
 	node, exists := d.names[path]
+	if exists && node.isDir {
+		return nil, &fs.PathError{Op: "create", Path: path, Err: syscall.EISDIR}
+	}
 	if exists {
 		node.truncate(0)
 	} else {
@@ -158,10 +217,16 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	path = filepath.Clean(path)
+	if d.isStopped() {
+		return nil, &StoppedError{Path: path}
+	}
 	node, exists := d.names[path]
 	if !exists {
 		return nil, notExist("open", path)
 	}
+	if node.isDir {
+		return nil, &fs.PathError{Op: "open", Path: path, Err: syscall.EISDIR}
+	}
 	return d.handle(path, node), nil
 }
 
@@ -171,6 +236,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	from, to = filepath.Clean(from), filepath.Clean(to)
+	if err := d.beginOperation(from); err != nil {
+		return err
+	}
 	node, exists := d.names[from]
 	if !exists {
 		return notExist("rename", from)
@@ -184,6 +252,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	path = filepath.Clean(path)
+	if err := d.beginOperation(path); err != nil {
+		return err
+	}
 	if _, exists := d.names[path]; !exists {
 		return notExist("remove", path)
 	}
@@ -197,7 +268,10 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	path = filepath.Clean(path)
-	if !d.dirs[path] {
+	if err := d.beginOperation(path); err != nil {
+		return err
+	}
+	if !d.isDir(path) {
 		return notExist("sync", path)
 	}
 	if d.syncFails() {
@@ -271,8 +345,8 @@
 	defer d.mutex.Unlock()
 	prefix := strings.TrimSuffix(filepath.Clean(dir), "/") + "/"
 	var paths []string
-	for path := range d.names {
-		if strings.HasPrefix(path, prefix) {
+	for path, node := range d.names {
+		if !node.isDir && strings.HasPrefix(path, prefix) {
 			paths = append(paths, path)
 		}
 	}
--- a/internal/storage/simdisk/faults.go
+++ b/internal/storage/simdisk/faults.go
@@ -9,15 +9,60 @@
 func (d *Disk) Kill() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.endProcess()
+}
+
+// endProcess makes all open handles stale. The next process on the disk is not stopped.
+func (d *Disk) endProcess() {
 	d.generation++
+	d.stopAt = 0
+}
+
+// StopAfter lets the process on the disk perform a number of further operations that change or sync the disk. At the
+// next one it is stopped: that operation and all later ones fail with a *StoppedError and have no effect, except that a
+// write may be performed in part. Kill, LosePower and Lose lift the stop.
+func (d *Disk) StopAfter(operations int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.stopAt = d.operations + operations + 1
+}
+
+// Operations returns how many operations that change or sync the disk have been performed.
+func (d *Disk) Operations() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.operations
+}
+
+// IsStopped reports whether the process was stopped at an operation by StopAfter.
+func (d *Disk) IsStopped() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.isStopped()
+}
+
+// isStopped implements IsStopped. The caller holds the mutex.
+func (d *Disk) isStopped() bool { return d.stopAt > 0 && d.operations >= d.stopAt }
+
+// beginOperation counts an operation that changes or syncs the disk, and returns an error if the process is stopped at
+// it or was stopped before. The caller holds the mutex.
+func (d *Disk) beginOperation(path string) error {
+	if !d.isStopped() {
+		d.operations++
+	}
+	if d.isStopped() {
+		return &StoppedError{Path: path}
+	}
+	return nil
 }
 
 // LosePower simulates a loss of power: all open handles become stale and unsynced changes are lost, except a random
-// prefix of the directory changes and random sectors of each file, some of them torn.
+// prefix of the directory changes and random sectors of each file, some of them torn. A directory whose own entry was
+// not synced is lost with everything in it.
 func (d *Disk) LosePower() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.generation++
+	d.endProcess()
 	d.counters.PowerLosses++
 	persisted := d.random.IntN(len(d.nameChanges) + 1)
 	for _, change := range d.nameChanges[:persisted] {
@@ -27,6 +72,11 @@
 	d.names = map[string]*inode{}
 	reverted := map[*inode]bool{}
 	for _, path := range sortedNames(d.durableNames) {
+		// Paths are sorted, so a directory comes before its entries.
+		if !d.isDir(filepath.Dir(path)) {
+			delete(d.durableNames, path)
+			continue
+		}
 		node := d.durableNames[path]
 		d.names[path] = node
 		if !reverted[node] {
@@ -97,6 +147,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.erase()
+	d.stopAt = 0
 	d.counters.DiskLosses++
 	d.syncsToFail, d.syncsToPass = 0, 0
 }
--- a/internal/storage/simdisk/file.go
+++ b/internal/storage/simdisk/file.go
@@ -2,11 +2,15 @@
 
 import (
 	"io"
+	"maps"
+	"slices"
 	"syscall"
 )
 
-// inode is the content of a file. The disk's mutex guards it.
+// inode is a directory or the content of a file. The disk's mutex guards it.
 type inode struct {
+	// isDir is true for a directory, which has no content.
+	isDir bool
 	// content is the written content, which reads return; durable is the content on the disk.
 	content []byte
 	durable []byte
@@ -14,6 +18,12 @@
 	dirty map[int]bool
 }
 
+func (n *inode) clone() *inode {
+	return &inode{
+		isDir: n.isDir, content: slices.Clone(n.content), durable: slices.Clone(n.durable), dirty: maps.Clone(n.dirty),
+	}
+}
+
 func (n *inode) write(data []byte, offset int64) {
 	end := int(offset) + len(data)
 	if end > len(n.content) {
@@ -70,15 +80,26 @@
 }
 
 // lock locks the disk's mutex, which the caller must unlock even after an error. It returns an error for a stale
-// handle.
+// handle, and when the process is stopped.
 func (h *handle) lock() error {
 	h.disk.mutex.Lock()
 	if h.closed || h.generation != h.disk.generation {
 		return &StaleHandleError{Path: h.path}
 	}
+	if h.disk.isStopped() {
+		return &StoppedError{Path: h.path}
+	}
 	return nil
 }
 
+// lockForOperation is lock for an operation that StopAfter counts.
+func (h *handle) lockForOperation() error {
+	if err := h.lock(); err != nil {
+		return err
+	}
+	return h.disk.beginOperation(h.path)
+}
+
 // ReadAt reads written content, whether it is synced or not.
 func (h *handle) ReadAt(data []byte, offset int64) (int, error) {
 	err := h.lock()
@@ -96,13 +117,19 @@
 	return count, nil
 }
 
-// WriteAt writes data at offset. On a full disk it writes as many bytes as fit and returns ENOSPC.
+// WriteAt writes data at offset. On a full disk it writes as many bytes as fit and returns ENOSPC. If the process is
+// stopped at this operation, it writes a random prefix of data.
 func (h *handle) WriteAt(data []byte, offset int64) (int, error) {
 	err := h.lock()
 	defer h.disk.mutex.Unlock()
 	if err != nil {
 		return 0, err
 	}
+	if err := h.disk.beginOperation(h.path); err != nil {
+		written := h.disk.random.IntN(len(data) + 1)
+		h.node.write(data[:written], offset)
+		return written, err
+	}
 	growth := offset + int64(len(data)) - int64(len(h.node.content))
 	if h.disk.capacity > 0 && growth > 0 && h.disk.used()+growth > h.disk.capacity {
 		freeBytes := max(h.disk.capacity-h.disk.used(), 0)
@@ -124,7 +151,7 @@
 
 // Truncate sets the length.
 func (h *handle) Truncate(size int64) error {
-	err := h.lock()
+	err := h.lockForOperation()
 	defer h.disk.mutex.Unlock()
 	if err == nil {
 		h.node.truncate(size)
@@ -136,7 +163,7 @@
 // and marks all of them clean, as operating systems do, so that the next sync succeeds without writing the rest.
 func (h *handle) Sync() error {
 	h.disk.waitWhileStalled()
-	err := h.lock()
+	err := h.lockForOperation()
 	defer h.disk.mutex.Unlock()
 	if err != nil {
 		return err
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -30,7 +30,7 @@
 // the snapshot is durable; after a *FailedError the newest snapshot is either the previous one or this one, and
 // complete in both cases.
 func SaveSnapshot(filesystem Filesystem, dir string, number uint64, write func(io.Writer) error) error {
-	if err := filesystem.MkdirAll(dir); err != nil {
+	if err := MkdirAll(filesystem, dir); err != nil {
 		return err
 	}
 	path := filepath.Join(dir, snapshotName(number))
@@ -113,7 +113,7 @@
 func LoadNewestSnapshot(
 	filesystem Filesystem, dir string, read func(number uint64, content io.Reader) error,
 ) (number uint64, exists bool, err error) {
-	if err := filesystem.MkdirAll(dir); err != nil {
+	if err := MkdirAll(filesystem, dir); err != nil {
 		return 0, false, err
 	}
 	numbers, err := listNumbered(filesystem, dir, snapshotSuffix)
@@ -131,7 +131,7 @@
 // RemoveUnfinishedSnapshots deletes the temporary files that a crash left behind. It must not run while a snapshot is
 // being saved, because it would delete that one's temporary file, too.
 func RemoveUnfinishedSnapshots(filesystem Filesystem, dir string) error {
-	if err := filesystem.MkdirAll(dir); err != nil {
+	if err := MkdirAll(filesystem, dir); err != nil {
 		return err
 	}
 	entries, err := filesystem.List(dir)
--- a/internal/storage/stall_test.go
+++ b/internal/storage/stall_test.go
@@ -69,7 +69,7 @@
 
 	It("given sufficient or insufficient free space, when checked, then reports which and leaves no file", func() {
 		disk := newDisk(23)
-		Expect(disk.MkdirAll(dir)).To(Succeed())
+		Expect(storage.MkdirAll(disk, dir)).To(Succeed())
 		disk.SetCapacity(100 << 10)
 		Expect(storage.CheckFreeSpace(disk, dir, 90<<10)).To(Succeed())
 		err := storage.CheckFreeSpace(disk, dir, 110<<10)
