--- a/internal/controlplane/replica/logstore/store.go
+++ b/internal/controlplane/replica/logstore/store.go
@@ -40,15 +40,14 @@
 // Open opens the log in the folder, creates it if there is none, and removes unfinished snapshots. Errors are
 // those of package storage.
 func Open(filesystem storage.Filesystem, folder string) (*Store, error) {
-	path := filepath.Join(folder, logFolder)
-	if err := storage.MkdirAll(filesystem, path); err != nil {
+	snapshots := filepath.Join(folder, snapshotFolder)
+	if err := storage.MkdirAll(filesystem, snapshots); err != nil {
 		return nil, err
 	}
-	snapshots := filepath.Join(folder, snapshotFolder)
 	if err := storage.RemoveUnfinishedSnapshots(filesystem, snapshots); err != nil {
 		return nil, err
 	}
-	log, err := storage.OpenLog(filesystem, path, storage.LogOptions{})
+	log, err := storage.OpenLog(filesystem, filepath.Join(folder, logFolder), storage.LogOptions{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -108,15 +108,15 @@
 
 // LoadNewestSnapshot verifies the snapshot with the highest number and passes its content to read. It returns
 // *CorruptError when that snapshot is damaged; it does not fall back to an older one, because the log segments that
-// followed that one may have been removed. In a directory without snapshots, exists is false. LoadNewestSnapshot
+// followed that one may have been removed. In a directory that is absent or has no snapshots, exists is false. LoadNewestSnapshot
 // modifies no file, so another goroutine may save a snapshot at the same time.
 func LoadNewestSnapshot(
 	filesystem Filesystem, dir string, read func(number uint64, content io.Reader) error,
 ) (number uint64, exists bool, err error) {
-	if err := MkdirAll(filesystem, dir); err != nil {
-		return 0, false, err
-	}
 	numbers, err := listNumbered(filesystem, dir, snapshotSuffix)
+	if isNotExist(err) {
+		return 0, false, nil
+	}
 	if err != nil || len(numbers) == 0 {
 		return 0, false, err
 	}
@@ -131,10 +131,10 @@
 // RemoveUnfinishedSnapshots deletes the temporary files that a crash left behind. It must not run while a snapshot is
 // being saved, because it would delete that one's temporary file, too.
 func RemoveUnfinishedSnapshots(filesystem Filesystem, dir string) error {
-	if err := MkdirAll(filesystem, dir); err != nil {
-		return err
-	}
 	entries, err := filesystem.List(dir)
+	if isNotExist(err) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
