Move the identity of a damaged store aside before its logs

What callers could have seen: promises and retained turns that a majority had acknowledged are gone, although one store only was damaged, since it went on voting as its former self.

Cause: moving a damaged folder aside renamed the registers, then the turns, then the identity. A kill or a loss of power in between left the identity beside registers that were moved. The next start took the moved files for those of a log, began an empty log of registers, and opened the folder under the former storage id without a report of a loss.

MoveAside, now in storage, renames the identity first and syncs that. A folder without an identity that has records is always rejected, so the interrupted move is repeated. The test ends a start at each operation, and the next one at each of its own, on a used, a damaged and a partly lost folder.

--- a/internal/state/store/datafolder/folder.go
+++ b/internal/state/store/datafolder/folder.go
@@ -24,9 +24,6 @@
 	return min(turnSegmentBytes, maxRegisterSegmentBytes)
 }
 
-// corruptSuffix is appended to the names of the files of a damaged folder.
-const corruptSuffix = ".corrupt"
-
 // firstSegment is the number of the first segment of a new log.
 const firstSegment = 1
 
@@ -64,7 +61,7 @@
 	if !errors.As(err, &corrupt) {
 		return opened, err
 	}
-	if err := moveAside(filesystem, path); err != nil {
+	if err := storage.MoveAside(filesystem, path); err != nil {
 		return nil, err
 	}
 	opened, err = openIntact(filesystem, path, segmentBytes)
@@ -159,30 +156,6 @@
 	return nil
 }
 
-// moveAside renames all files, so that those of the lost incarnation are not read again but
-// remain for inspection by an operator.
-func moveAside(filesystem storage.Filesystem, path string) error {
-	for _, folder := range []string{filepath.Join(path, RegisterLog), filepath.Join(path, TurnLog), path} {
-		entries, err := filesystem.List(folder)
-		if err != nil {
-			return errors.Wrapf(err, "list %s", folder)
-		}
-		for _, entry := range entries {
-			if entry.IsDir || filepath.Ext(entry.Name) == corruptSuffix {
-				continue
-			}
-			file := filepath.Join(folder, entry.Name)
-			if err := filesystem.Rename(file, file+corruptSuffix); err != nil {
-				return errors.Wrapf(err, "move %s aside", file)
-			}
-		}
-		if err := filesystem.SyncDir(folder); err != nil {
-			return errors.Wrapf(err, "sync %s", folder)
-		}
-	}
-	return nil
-}
-
 // HasFailedLog reports whether one of the logs has failed and accepts no further records.
 func (f *Folder) HasFailedLog() bool { return f.Registers.Err() != nil || f.Turns.Err() != nil }
 
