Create the logs of a data folder before its identity

Cause: the first start wrote the identity and then made the folders of the logs and their first segments. From the identity the next start took the folder for one that was in use, so the absent logs were a loss, and moving them aside listed a folder that had never been made.

OpenIdentity is given the names of the logs. Without an identity it creates them, empty and durable, and writes the identity last; an interrupted first start is repeated as the first one. With an identity each log must have a segment. So absent logs are always a loss, also beside files that were moved aside after an earlier one, which had counted as content; then the folder is moved aside and begins under a new storage id. Folders that an older version left with an identity alone are repaired that way.

The state suite opens its disks with the same options, so its starts write in the order of the product's.

--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -70,8 +70,8 @@
 // committed after the snapshot are applied from Start on.
 func New(options Options) (*Replica, error) {
 	options = options.withDefaults()
-	identity, err := storage.OpenIdentityWith(options.Filesystem, options.Folder, func() string {
-		return randomName(options.Random)
+	identity, err := storage.OpenIdentity(options.Filesystem, options.Folder, storage.IdentityOptions{
+		NewStorageID: func() string { return randomName(options.Random) },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/process/daemon/folder.go
+++ b/internal/process/daemon/folder.go
@@ -39,7 +39,7 @@
 	if !waitForSpace(path) {
 		return nil, errors.CombineErrors(&stoppedBeforeStartError{}, lock.Close())
 	}
-	identity, err := storage.OpenIdentity(storage.OSFilesystem{}, path)
+	identity, err := storage.OpenIdentity(storage.OSFilesystem{}, path, storage.IdentityOptions{})
 	if err != nil {
 		return nil, &DataFolderError{Path: path, Cause: errors.CombineErrors(err, lock.Close())}
 	}
--- a/internal/state/store/datafolder/folder.go
+++ b/internal/state/store/datafolder/folder.go
@@ -72,9 +72,14 @@
 	return opened, nil
 }
 
+func logNames() []string { return []string{RegisterLog, TurnLog} }
+
+// IdentityOptions returns the options with which the identity of a store's folder is opened.
+func IdentityOptions() storage.IdentityOptions { return storage.IdentityOptions{Logs: logNames()} }
+
 // openIntact returns a *storage.CorruptError when the folder is damaged.
 func openIntact(filesystem storage.Filesystem, path string, segmentBytes int64) (*Folder, error) {
-	identity, err := storage.OpenIdentity(filesystem, path)
+	identity, err := storage.OpenIdentity(filesystem, path, IdentityOptions())
 	if err != nil {
 		return nil, err
 	}
@@ -83,8 +88,8 @@
 		StorageID: identity.StorageID,
 		Starts:    identity.Starts,
 	}
-	for _, log := range []string{RegisterLog, TurnLog} {
-		if err := prepareLog(filesystem, filepath.Join(path, log), identity.Fresh); err != nil {
+	for _, log := range logNames() {
+		if err := storage.RemoveUnfinishedSnapshots(filesystem, filepath.Join(path, log)); err != nil {
 			return nil, err
 		}
 	}
@@ -97,14 +102,6 @@
 	return folder, nil
 }
 
-// prepareLog checks the folder of a log and removes the files of interrupted snapshots.
-func prepareLog(filesystem storage.Filesystem, path string, fresh bool) error {
-	if err := requireFiles(filesystem, path, fresh); err != nil {
-		return err
-	}
-	return storage.RemoveUnfinishedSnapshots(filesystem, path)
-}
-
 func (f *Folder) openRegisters(turnSegmentBytes int64) error {
 	options := storage.LogOptions{SegmentBytes: RegisterSegmentBytes(turnSegmentBytes)}
 	opened, err := storage.OpenLog(f.filesystem, f.registerPath(), options)
@@ -125,21 +122,6 @@
 	return err
 }
 
-// requireFiles returns a *storage.CorruptError when the folder of a log that was in use is empty.
-func requireFiles(filesystem storage.Filesystem, path string, fresh bool) error {
-	if err := storage.MkdirAll(filesystem, path); err != nil {
-		return err
-	}
-	entries, err := filesystem.List(path)
-	if err != nil {
-		return err
-	}
-	if len(entries) == 0 && !fresh {
-		return &storage.CorruptError{Path: path, Reason: "the log is absent"}
-	}
-	return nil
-}
-
 // requireSnapshot returns a *storage.CorruptError when the newest snapshot of the registers is
 // damaged, or when the log does not start at or before it.
 func (f *Folder) requireSnapshot() error {
--- a/internal/state/store/datafolder/interrupted_start_test.go
+++ b/internal/state/store/datafolder/interrupted_start_test.go
@@ -98,20 +98,42 @@
 	}
 }
 
-// Guards against a store that a kill or a loss of power at any operation of its start keeps from ever starting again, or
-// lets start as the incarnation whose registers it has lost.
+// prepareTwice is prepareUsed with another damage after the store has started on the first one.
+func prepareTwice(first, second func(disk *simdisk.Disk)) func(*simdisk.Disk, func()) {
+	return func(disk *simdisk.Disk, run func()) {
+		prepareUsed(first)(disk, run)
+		prepareUsed(second)(disk, run)
+	}
+}
+
+// prepareWithoutLogs leaves the identity of a store and none of its logs, as an interrupted first start of an older
+// version did.
+func prepareWithoutLogs(disk *simdisk.Disk, _ func()) {
+	if _, err := storage.OpenIdentity(disk, folderPath, storage.IdentityOptions{}); err != nil {
+		panic(err)
+	}
+}
+
+// Guards against a store that a kill or a loss of power at any operation of its start keeps from ever starting again,
+// or lets start as the incarnation whose registers it has lost.
 func TestAnInterruptedStartOfAStoreIsFollowedByOneThatStartsAndForgetsNothing(t *testing.T) {
 	registers, turns := path.Join(folderPath, datafolder.RegisterLog), path.Join(folderPath, datafolder.TurnLog)
+	damageRegisters := func(disk *simdisk.Disk) {
+		disk.Damage(path.Join(registers, "0000000000000001.log"), 40, 1)
+	}
+	loseRegisters := func(disk *simdisk.Disk) { remove(disk, registers, ".log") }
+	loseTurns := func(disk *simdisk.Disk) { remove(disk, turns, ".log") }
 	for name, scenario := range map[string]interruptedstart.Scenario{
-		"used disk":  {Prepare: prepareUsed(nil)},
-		"registers damaged": {Damaged: true, Prepare: prepareUsed(func(disk *simdisk.Disk) {
-			disk.Damage(path.Join(registers, "0000000000000001.log"), 40, 1)
-		})},
-		"registers lost": {Damaged: true, Prepare: prepareUsed(func(disk *simdisk.Disk) { remove(disk, registers, ".log") })},
-		"turns lost":     {Damaged: true, Prepare: prepareUsed(func(disk *simdisk.Disk) { remove(disk, turns, ".log") })},
+		"empty disk":                  {},
+		"used disk":                   {Prepare: prepareUsed(nil)},
+		"logs that were never made":   {Damaged: true, Prepare: prepareWithoutLogs},
+		"registers damaged":           {Damaged: true, Prepare: prepareUsed(damageRegisters)},
+		"registers lost":              {Damaged: true, Prepare: prepareUsed(loseRegisters)},
+		"turns lost":                  {Damaged: true, Prepare: prepareUsed(loseTurns)},
+		"registers lost after damage": {Damaged: true, Prepare: prepareTwice(damageRegisters, loseRegisters)},
 		"both logs lost": {Damaged: true, Prepare: prepareUsed(func(disk *simdisk.Disk) {
-			remove(disk, registers, ".log")
-			remove(disk, turns, ".log")
+			loseRegisters(disk)
+			loseTurns(disk)
 		})},
 		"identity lost": {Damaged: true, Prepare: prepareUsed(func(disk *simdisk.Disk) {
 			remove(disk, folderPath, "identity")
--- a/internal/state/store/stored_data_test.go
+++ b/internal/state/store/stored_data_test.go
@@ -176,14 +176,10 @@
 func writeStored(t *testing.T, path string) {
 	t.Helper()
 	filesystem := storage.OSFilesystem{}
-	_, err := storage.OpenIdentityWith(filesystem, path, func() string { return storedStorageID })
+	options := datafolder.IdentityOptions()
+	options.NewStorageID = func() string { return storedStorageID }
+	_, err := storage.OpenIdentity(filesystem, path, options)
 	requireNoError(t, err)
-	// A folder that already has an identity must have its logs.
-	for _, name := range []string{datafolder.RegisterLog, datafolder.TurnLog} {
-		emptyLog, err := storage.OpenLog(filesystem, filepath.Join(path, name), storage.LogOptions{})
-		requireNoError(t, err)
-		requireNoError(t, emptyLog.Close())
-	}
 	opened, folder := openStored(t, filesystem, path)
 	opened.Start()
 	writeAndWait := func(shard uint32, write func(g *owner.Group, done func())) {
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -29,30 +29,75 @@
 	Starts uint64
 }
 
-// OpenIdentity reads the identity of a data directory and increments its start counter. For a directory without log
-// segments and snapshots it creates an identity with a random StorageID. It returns *CorruptError when the identity
-// file is damaged, or when it is missing from a directory that contains data.
-func OpenIdentity(filesystem Filesystem, dir string) (Identity, error) {
-	return OpenIdentityWith(filesystem, dir, uuid.NewString)
+// IdentityOptions configures OpenIdentity. The zero value is for a directory without logs.
+type IdentityOptions struct {
+	// Logs are the names of the subdirectories that contain a log each.
+	Logs []string
+	// NewStorageID generates StorageIDs; nil selects random ones.
+	NewStorageID func() string
 }
 
-// OpenIdentityWith is like OpenIdentity but generates StorageIDs with newStorageID, for deterministic simulations.
-func OpenIdentityWith(filesystem Filesystem, dir string, newStorageID func() string) (Identity, error) {
+// OpenIdentity reads the identity of a data directory and increments its start counter. In a directory without identity
+// and without records it creates the logs, empty, and then an identity with a new StorageID.
+//
+// The identity is written last: a directory that has one has all of its logs, and a start that was interrupted before
+// is repeated as the first one. So a log that is absent beside an identity is always a loss. OpenIdentity returns
+// *CorruptError in that case, and when the identity file is damaged or missing from a directory that contains records.
+func OpenIdentity(filesystem Filesystem, dir string, options IdentityOptions) (Identity, error) {
 	if err := MkdirAll(filesystem, dir); err != nil {
 		return Identity{}, err
 	}
 	identity, exists, err := readIdentity(filesystem, dir)
+	switch {
+	case err != nil:
+		return Identity{}, err
+	case exists:
+		err = requireLogs(filesystem, dir, options.Logs)
+	default:
+		identity, err = newIdentity(filesystem, dir, options)
+	}
 	if err != nil {
 		return Identity{}, err
 	}
-	if !exists {
-		if err := requireNoData(filesystem, dir, true); err != nil {
+	identity.Starts++
+	return identity, writeIdentity(filesystem, dir, identity)
+}
+
+// newIdentity creates the logs of a directory without records and returns an identity that is not written yet.
+func newIdentity(filesystem Filesystem, dir string, options IdentityOptions) (Identity, error) {
+	if err := requireNoRecords(filesystem, dir, true); err != nil {
+		return Identity{}, err
+	}
+	for _, name := range options.Logs {
+		// OpenLog also repairs a log whose creation was interrupted, and makes it durable.
+		log, err := OpenLog(filesystem, filepath.Join(dir, name), LogOptions{})
+		if err != nil {
+			return Identity{}, err
+		}
+		if err := log.Close(); err != nil {
 			return Identity{}, err
 		}
-		identity = Identity{StorageID: newStorageID(), Fresh: true}
 	}
-	identity.Starts++
-	return identity, writeIdentity(filesystem, dir, identity)
+	newStorageID := options.NewStorageID
+	if newStorageID == nil {
+		newStorageID = uuid.NewString
+	}
+	return Identity{StorageID: newStorageID(), Fresh: true}, nil
+}
+
+// requireLogs returns *CorruptError when one of the logs has no segment.
+func requireLogs(filesystem Filesystem, dir string, logs []string) error {
+	for _, name := range logs {
+		path := filepath.Join(dir, name)
+		segments, err := listNumbered(filesystem, path, segmentSuffix)
+		if err != nil && !isNotExist(err) {
+			return err
+		}
+		if len(segments) == 0 {
+			return &CorruptError{Path: path, Reason: "log is absent, but its directory has an identity"}
+		}
+	}
+	return nil
 }
 
 func readIdentity(filesystem Filesystem, dir string) (identity Identity, exists bool, err error) {
@@ -128,9 +173,9 @@
 	return nil
 }
 
-// requireNoData returns *CorruptError when the directory contains segments or snapshots. With descend it checks the
-// direct subdirectories, too.
-func requireNoData(filesystem Filesystem, dir string, descend bool) error {
+// requireNoRecords returns *CorruptError when the directory contains snapshots or segments, except for a first segment
+// without records, which a start creates before the identity. With descend it checks the direct subdirectories, too.
+func requireNoRecords(filesystem Filesystem, dir string, descend bool) error {
 	entries, err := filesystem.List(dir)
 	if err != nil {
 		return err
@@ -138,13 +183,30 @@
 	for _, entry := range entries {
 		path := filepath.Join(dir, entry.Name)
 		if entry.IsDir && descend {
-			if err := requireNoData(filesystem, path, false); err != nil {
+			if err := requireNoRecords(filesystem, path, false); err != nil {
+				return err
+			}
+		}
+		hasRecords := strings.HasSuffix(entry.Name, segmentSuffix) || strings.HasSuffix(entry.Name, snapshotSuffix)
+		if entry.Name == segmentName(firstSegment) {
+			if hasRecords, err = isLongerThanHeader(filesystem, path); err != nil {
 				return err
 			}
 		}
-		if strings.HasSuffix(entry.Name, segmentSuffix) || strings.HasSuffix(entry.Name, snapshotSuffix) {
+		if hasRecords {
 			return &CorruptError{Path: path, Reason: "directory contains data but no identity file"}
 		}
 	}
 	return nil
 }
+
+// isLongerThanHeader reports whether a segment has more than its header, of which an interrupted start may have written
+// a part.
+func isLongerThanHeader(filesystem Filesystem, path string) (bool, error) {
+	file, err := filesystem.Open(path)
+	if err != nil {
+		return false, err
+	}
+	size, err := file.Size()
+	return size > segmentHeaderBytes, errors.CombineErrors(err, file.Close())
+}
--- a/internal/storage/log_recovery.go
+++ b/internal/storage/log_recovery.go
@@ -16,6 +16,8 @@
 	segmentSuffix = ".log"
 	// numberDigits is the number of hexadecimal digits in a file name, padded with zeros so that names sort by number.
 	numberDigits = 16
+	// firstSegment is the number of the first segment of a new log.
+	firstSegment = 1
 )
 
 // numberedFileName returns the file name of a segment or snapshot. listNumbered is its inverse.
@@ -91,7 +93,7 @@
 }
 
 func (l *Log) createFirstSegment() error {
-	created, err := l.createSegment(1, 0)
+	created, err := l.createSegment(firstSegment, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/storage/simdisk/disk.go
+++ b/internal/storage/simdisk/disk.go
@@ -132,7 +132,7 @@
 	d.generation++
 }
 
-// NewStorageID returns a StorageID for storage.OpenIdentityWith that is deterministic for the seed.
+// NewStorageID returns a StorageID for storage.IdentityOptions that is deterministic for the seed.
 func (d *Disk) NewStorageID() string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -108,8 +108,8 @@
 
 // LoadNewestSnapshot verifies the snapshot with the highest number and passes its content to read. It returns
 // *CorruptError when that snapshot is damaged; it does not fall back to an older one, because the log segments that
-// followed that one may have been removed. In a directory that is absent or has no snapshots, exists is false. LoadNewestSnapshot
-// modifies no file, so another goroutine may save a snapshot at the same time.
+// followed that one may have been removed. In a directory that is absent or has no snapshots, exists is false.
+// LoadNewestSnapshot modifies no file, so another goroutine may save a snapshot at the same time.
 func LoadNewestSnapshot(
 	filesystem Filesystem, dir string, read func(number uint64, content io.Reader) error,
 ) (number uint64, exists bool, err error) {
--- a/internal/storage/snapshot_test.go
+++ b/internal/storage/snapshot_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rosestand/rosestand/internal/storage"
+	"github.com/rosestand/rosestand/internal/storage/simdisk"
 )
 
 func saveSnapshot(filesystem storage.Filesystem, number uint64, content string) error {
@@ -130,12 +131,12 @@
 
 	It("given restarts with losses of power, then keeps its StorageID and counts the starts", func() {
 		disk := newDisk(3)
-		first, err := storage.OpenIdentity(disk, dataDir)
+		first, err := storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(first.Fresh).To(BeTrue())
 		for start := uint64(2); start < 20; start++ {
 			disk.LosePower()
-			reopened, err := storage.OpenIdentity(disk, dataDir)
+			reopened, err := storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(reopened).To(Equal(storage.Identity{StorageID: first.StorageID, Starts: start}))
 		}
@@ -143,27 +144,67 @@
 
 	It("given a lost disk, then is fresh and has a new StorageID", func() {
 		disk := newDisk(3)
-		first, err := storage.OpenIdentity(disk, dataDir)
+		first, err := storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{})
 		Expect(err).NotTo(HaveOccurred())
 		disk.Lose()
-		second, err := storage.OpenIdentity(disk, dataDir)
+		second, err := storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(second.Fresh).To(BeTrue())
 		Expect(second.StorageID).NotTo(Equal(first.StorageID))
 	})
 
-	It("given a log without an identity file or a damaged identity file, then returns a CorruptError", func() {
+	It("given an empty log without an identity file, which an interrupted start leaves, then is fresh", func() {
 		disk := newDisk(3)
 		openLog(disk, storage.LogOptions{})
+		created, err := storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{Logs: []string{"log", "other"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(created.Fresh).To(BeTrue())
+		Expect(disk.Files(dataDir)).To(ContainElements("/data/log/0000000000000001.log", "/data/other/0000000000000001.log"))
+	})
+
+	It("given an identity file without one of the logs, then returns a CorruptError", func() {
+		for _, absent := range []string{"log", "other"} {
+			disk := newDisk(3)
+			options := storage.IdentityOptions{Logs: []string{"log", "other"}}
+			_, err := storage.OpenIdentity(disk, dataDir, options)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(disk.Remove("/data/" + absent + "/0000000000000001.log")).To(Succeed())
+			var corrupt *storage.CorruptError
+			for range 2 {
+				_, err = storage.OpenIdentity(disk, dataDir, options)
+				Expect(errors.As(err, &corrupt)).To(BeTrue(), absent)
+			}
+		}
+	})
+
+	It("given records without an identity file or a damaged identity file, then returns a CorruptError", func() {
 		var corrupt *storage.CorruptError
-		_, err := storage.OpenIdentity(disk, dataDir)
-		Expect(errors.As(err, &corrupt)).To(BeTrue())
+		for name, fill := range map[string]func(*simdisk.Disk){
+			"a record": func(disk *simdisk.Disk) {
+				log := openLog(disk, storage.LogOptions{})
+				writeRecords(log, 0, 1)
+				Expect(log.Sync()).To(Succeed())
+			},
+			"a second segment": func(disk *simdisk.Disk) {
+				_, err := openLog(disk, storage.LogOptions{}).Rotate()
+				Expect(err).NotTo(HaveOccurred())
+			},
+			"a snapshot": func(disk *simdisk.Disk) {
+				write := func(writer io.Writer) error { return nil }
+				Expect(storage.SaveSnapshot(disk, dir, 1, write)).To(Succeed())
+			},
+		} {
+			disk := newDisk(3)
+			fill(disk)
+			_, err := storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{Logs: []string{"log"}})
+			Expect(errors.As(err, &corrupt)).To(BeTrue(), name)
+		}
 
-		disk.Lose()
-		_, err = storage.OpenIdentity(disk, dataDir)
+		disk := newDisk(3)
+		_, err := storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{})
 		Expect(err).NotTo(HaveOccurred())
 		for offset := int64(0); disk.Damage("/data/identity", offset, 2); offset++ {
-			_, err = storage.OpenIdentity(disk, dataDir)
+			_, err = storage.OpenIdentity(disk, dataDir, storage.IdentityOptions{})
 			Expect(errors.As(err, &corrupt)).To(BeTrue(), "byte %d", offset)
 			disk.Damage("/data/identity", offset, 2)
 		}
--- a/internal/testing/interruptedstart/history.go
+++ b/internal/testing/interruptedstart/history.go
@@ -20,8 +20,6 @@
 type history struct {
 	scenario Scenario
 	disk     *simdisk.Disk
-	// isPrepared is true once the starts of Scenario.Prepare have run.
-	isPrepared bool
 	// interruptions are those that were applied so far.
 	interruptions []interruption
 	// acknowledged are the records that were durable, by their incarnations, and starts the numbers in use.
@@ -102,8 +100,7 @@
 			h.reportf("start %d is of incarnation %q and forgets its %s", h.records, started.Incarnation, record)
 		}
 	}
-	mayLose := h.scenario.Damaged && h.isPrepared
-	if started.Lost != nil && !mayLose {
+	if started.Lost != nil && !h.scenario.Damaged {
 		h.reportf("start %d reports a loss, though nothing is lost: %v", h.records, started.Lost)
 	}
 }
--- a/internal/testing/interruptedstart/interruptedstart.go
+++ b/internal/testing/interruptedstart/interruptedstart.go
@@ -58,7 +58,6 @@
 			prepared.disk.Kill()
 		})
 	}
-	prepared.isPrepared = true
 	return prepared
 }
 
--- a/internal/testing/sim/statesuite/core_disk.go
+++ b/internal/testing/sim/statesuite/core_disk.go
@@ -15,7 +15,8 @@
 
 const (
 	dataFolder     = "/data"
-	logFolder      = "/data/log"
+	logName        = "log"
+	logFolder      = dataFolder + "/" + logName
 	snapshotFolder = "/data/snapshots"
 	segmentBytes   = 16 << 10
 )
@@ -29,8 +30,13 @@
 	id         uint64
 }
 
+// identityOptions configures the data folder of a core member or a store.
+func identityOptions(disk *simdisk.Disk) storage.IdentityOptions {
+	return storage.IdentityOptions{Logs: []string{logName}, NewStorageID: disk.NewStorageID}
+}
+
 func openCoreDisk(filesystem *simdisk.Disk) (*coreDisk, error) {
-	identity, err := storage.OpenIdentityWith(filesystem, dataFolder, filesystem.NewStorageID)
+	identity, err := storage.OpenIdentity(filesystem, dataFolder, identityOptions(filesystem))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testing/sim/statesuite/store_process.go
+++ b/internal/testing/sim/statesuite/store_process.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	disk := p.environment.Disk()
-	identity, err := storage.OpenIdentityWith(disk, dataFolder, disk.NewStorageID)
+	identity, err := storage.OpenIdentity(disk, dataFolder, identityOptions(disk))
 	if err != nil {
 		return p.suite.checkStartFailure(p.environment, err)
 	}
