End calls to a frozen machine with their context in the core's tests

Trace: the test's in-memory call served a request on the caller's goroutine; the target was frozen before it read its clock, so the caller, whose process was killed then, waited for a machine that the test wakes only after that. A connection ends with its context; so does the call now.

The test is about five voters and now waits until every machine's configuration has them. What is checked after that is unchanged.

--- a/internal/controlplane/replica/caller_test.go
+++ b/internal/controlplane/replica/caller_test.go
@@ -47,7 +47,7 @@
 	if err := c.delay(ctx); err != nil {
 		return nil, err
 	}
-	answer, err := target.ServeWire(ctx, &copied)
+	answer, err := serve(ctx, target, &copied)
 	if err := c.delay(ctx); err != nil {
 		return nil, err
 	}
@@ -58,6 +58,26 @@
 	return answer, err
 }
 
+// serve passes a request to a replica and waits for the answer until the context ends, as a connection does. A frozen
+// machine serves the request once it wakes, when the caller may be gone.
+func serve(ctx context.Context, target *Replica, request *protocol.Request) (*protocol.Response, error) {
+	type answer struct {
+		response *protocol.Response
+		err      error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		response, err := target.ServeWire(ctx, request)
+		answers <- answer{response: response, err: err}
+	}()
+	select {
+	case answered := <-answers:
+		return answered.response, answered.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // delay waits for the one-way latency of the fleet.
 func (c *caller) delay(ctx context.Context) error {
 	if c.fleet.latency == 0 {
--- a/internal/controlplane/replica/double_faults_test.go
+++ b/internal/controlplane/replica/double_faults_test.go
@@ -64,10 +64,16 @@
 	f.seeds = []string{f.machine(1).address, f.machine(2).address, f.machine(3).address}
 	f.machine(4).start()
 	f.machine(5).start()
-	d.eventually("there are five voters", d.isHealthy)
+	d.eventually("there are five voters", func() bool { return d.isHealthy() && d.allCountVoters() })
 	return d
 }
 
+// allCountVoters reports whether the newest configuration of every machine has all voters. The leader's own may have
+// reached nobody else yet, and is then lost with the leader.
+func (d *sequentialFaults) allCountVoters() bool {
+	return !slices.ContainsFunc(d.running(), func(m *machine) bool { return len(m.voters()) != d.voters })
+}
+
 // injectTwoLosses injects two losses at once. In one case of four all other machines are killed during them and
 // keep their disks.
 func (d *sequentialFaults) injectTwoLosses() {
