Reject the identity of a core member whose log is lost

What callers could have seen: a bundle or order that was acknowledged is gone, or two leaders in one term, after one core member had lost its log but not its identity, for instance by a loss of power after an interrupted first start.

Cause: a core member read its identity and created the log if there was none, without asking whether the identity was new. So it began with an empty log under the id with which it had voted. The same held when a running member opened its log again after a failed disk.

The core's identity names its log, as a store's names its logs: the log is created before the identity, and opening a log never creates it.

--- a/internal/controlplane/replica/logstore/store.go
+++ b/internal/controlplane/replica/logstore/store.go
@@ -15,6 +15,7 @@
 	"io"
 	"path/filepath"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosestand/rosestand/internal/controlplane/consensus"
@@ -37,8 +38,30 @@
 	snapshots  string
 }
 
-// Open opens the log in the folder, creates it if there is none, and removes unfinished snapshots. Errors are
-// those of package storage.
+// OpenIdentity opens the identity of the folder, and creates the log with it. newStorageID generates the storage id of
+// a new folder.
+//
+// A folder of which nothing but the identity is left gets a new identity, and lost is the loss: the member may have
+// voted, so it must never vote under its former id, but it can join as another member. Any other loss of data is
+// returned as a *storage.CorruptError.
+func OpenIdentity(
+	filesystem storage.Filesystem, folder string, newStorageID func() string,
+) (identity storage.Identity, lost, err error) {
+	options := storage.IdentityOptions{Logs: []string{logFolder}, NewStorageID: newStorageID}
+	identity, err = storage.OpenIdentity(filesystem, folder, options)
+	var corrupt *storage.CorruptError
+	if !errors.As(err, &corrupt) || !corrupt.NoDataLeft {
+		return identity, nil, err
+	}
+	if err := storage.MoveAside(filesystem, folder); err != nil {
+		return storage.Identity{}, nil, err
+	}
+	identity, err = storage.OpenIdentity(filesystem, folder, options)
+	return identity, corrupt, err
+}
+
+// Open opens the log in the folder, which OpenIdentity has created, and removes unfinished snapshots. Errors are those
+// of package storage.
 func Open(filesystem storage.Filesystem, folder string) (*Store, error) {
 	snapshots := filepath.Join(folder, snapshotFolder)
 	if err := storage.MkdirAll(filesystem, snapshots); err != nil {
@@ -47,7 +70,7 @@
 	if err := storage.RemoveUnfinishedSnapshots(filesystem, snapshots); err != nil {
 		return nil, err
 	}
-	log, err := storage.OpenLog(filesystem, filepath.Join(folder, logFolder), storage.LogOptions{})
+	log, err := storage.OpenLog(filesystem, filepath.Join(folder, logFolder), storage.LogOptions{MustExist: true})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlplane/replica/logstore/stored_data_test.go
+++ b/internal/controlplane/replica/logstore/stored_data_test.go
@@ -124,9 +124,7 @@
 	filesystem := storage.OSFilesystem{}
 	write := func(name string, fill func(*Store)) {
 		folder := filepath.Join(root, name)
-		_, err := storage.OpenIdentity(filesystem, folder, storage.IdentityOptions{
-			NewStorageID: func() string { return storedStorageID },
-		})
+		_, _, err := OpenIdentity(filesystem, folder, func() string { return storedStorageID })
 		must(t, err)
 		opened, err := Open(filesystem, folder)
 		must(t, err)
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -16,7 +16,6 @@
 	"github.com/rosestand/rosestand/internal/controlplane/replica/logstore"
 	"github.com/rosestand/rosestand/internal/controlplane/replica/transport"
 	"github.com/rosestand/rosestand/internal/protocol"
-	"github.com/rosestand/rosestand/internal/storage"
 )
 
 // Capacities of the queues to the owner goroutine.
@@ -70,8 +69,8 @@
 // committed after the snapshot are applied from Start on.
 func New(options Options) (*Replica, error) {
 	options = options.withDefaults()
-	identity, err := storage.OpenIdentity(options.Filesystem, options.Folder, storage.IdentityOptions{
-		NewStorageID: func() string { return randomName(options.Random) },
+	identity, lost, err := logstore.OpenIdentity(options.Filesystem, options.Folder, func() string {
+		return randomName(options.Random)
 	})
 	if err != nil {
 		return nil, err
@@ -95,6 +94,9 @@
 	}
 	replica.SetSeeds(options.Seeds)
 	replica.self.Id, replica.self.Voter = memberID(identity.StorageID), false
+	if lost != nil {
+		replica.logWarning("log lost, member to join under a new id", "error", lost, "id", replica.self.GetId())
+	}
 	if err := replica.recoverState(); err != nil {
 		_ = store.Close()
 		return nil, err
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -14,6 +14,9 @@
 	// Offset is the byte offset at which the corruption begins.
 	Offset int64
 	Reason string
+	// NoDataLeft is true when an identity is all that a directory has: nothing in it can be read any more, and MoveAside
+	// makes it a new one.
+	NoDataLeft bool
 }
 
 // Error implements error.
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -93,8 +93,16 @@
 		if err != nil && !isNotExist(err) {
 			return err
 		}
-		if len(segments) == 0 {
-			return &CorruptError{Path: path, Reason: "log is absent, but its directory has an identity"}
+		if len(segments) > 0 {
+			continue
+		}
+		var remaining *CorruptError
+		err = requireNoRecords(filesystem, dir, true)
+		if err != nil && !errors.As(err, &remaining) {
+			return err
+		}
+		return &CorruptError{
+			Path: path, Reason: "log is absent, but its directory has an identity", NoDataLeft: remaining == nil,
 		}
 	}
 	return nil
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -43,6 +43,8 @@
 	// are synced, so OpenLog checks only their headers and lengths and need not read the complete log. Read still
 	// verifies each record.
 	VerifiedBefore uint64
+	// MustExist makes OpenLog return *CorruptError when the log has no segment, in place of creating the first one.
+	MustExist bool
 }
 
 func (o LogOptions) withDefaults() LogOptions {
--- a/internal/storage/log_recovery.go
+++ b/internal/storage/log_recovery.go
@@ -27,9 +27,10 @@
 
 func segmentName(number uint64) string { return numberedFileName(number, segmentSuffix) }
 
-// OpenLog opens the log in a directory and creates the directory if it does not exist. It truncates a torn write at the
-// end of the log, which affects only records that were never synced, and returns *CorruptError when a durable record is
-// damaged or a segment is missing. It syncs the remaining records, so every record that can be replayed is durable.
+// OpenLog opens the log in a directory. It creates the log if it does not exist, unless MustExist is set. It truncates
+// a torn write at the end of the log, which affects only records that were never synced, and returns *CorruptError when
+// a durable record is damaged or a segment is missing. It syncs the remaining records, so every record that can be
+// replayed is durable.
 func OpenLog(filesystem Filesystem, dir string, options LogOptions) (*Log, error) {
 	log := &Log{filesystem: filesystem, dir: dir, options: options.withDefaults()}
 	log.sealed = sync.NewCond(&log.mutex)
@@ -79,6 +80,9 @@
 			return err
 		}
 	}
+	if len(l.segments) == 0 && l.options.MustExist {
+		return &CorruptError{Path: l.dir, Reason: "log is absent"}
+	}
 	if len(l.segments) == 0 {
 		return l.createFirstSegment()
 	}
