Write a daemon's incarnation through the storage file system

The daemon wrote its incarnation with its own copy of the code that replaces the identity file, on the operating system's files only, so no test could stop it in between. Both use storage.ReplaceFile now.

internal/testing/surface failed since the logs are created before the identity, as the state suite's path of its log was no longer a literal; it is again.

--- a/internal/process/daemon/folder.go
+++ b/internal/process/daemon/folder.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"os"
+	"io/fs"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -16,7 +16,8 @@
 
 const (
 	incarnationFile = "incarnation"
-	incarnationMode = 0o600
+	// maxIncarnationBytes is longer than any decimal number of 64 bits with white space round it.
+	maxIncarnationBytes = 64
 )
 
 // dataFolder is the locked data folder of a process, or the zero value if the process has none.
@@ -56,26 +57,26 @@
 // nextIncarnation returns the wall clock in Unix milliseconds, or one more than the
 // last incarnation that the folder records if the clock is not past it, and records
 // the result in the folder.
-func nextIncarnation(folder string, now time.Time) (uint64, error) {
+func nextIncarnation(filesystem storage.Filesystem, folder string, now time.Time) (uint64, error) {
 	incarnation := uint64(now.UnixMilli())
 	if folder == "" {
 		return incarnation, nil
 	}
 	path := filepath.Join(folder, incarnationFile)
-	last, err := readIncarnation(path)
+	last, err := readIncarnation(filesystem, path)
 	if err != nil {
 		return 0, &DataFolderError{Path: path, Cause: err}
 	}
 	incarnation = max(incarnation, last+1)
-	if err := writeIncarnation(folder, path, incarnation); err != nil {
+	if err := storage.ReplaceFile(filesystem, path, fmt.Appendf(nil, "%d\n", incarnation)); err != nil {
 		return 0, &DataFolderError{Path: path, Cause: err}
 	}
 	return incarnation, nil
 }
 
-func readIncarnation(path string) (uint64, error) {
-	content, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
+func readIncarnation(filesystem storage.Filesystem, path string) (uint64, error) {
+	content, err := storage.ReadFile(filesystem, path, maxIncarnationBytes)
+	if errors.Is(err, fs.ErrNotExist) {
 		return 0, nil
 	}
 	if err != nil {
@@ -84,22 +85,3 @@
 	last, err := strconv.ParseUint(strings.TrimSpace(string(content)), 10, 64)
 	return last, errors.Wrap(err, "read incarnation")
 }
-
-func writeIncarnation(folder, path string, incarnation uint64) error {
-	temporary := path + ".tmp"
-	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, incarnationMode)
-	if err != nil {
-		return errors.Wrap(err, "write incarnation")
-	}
-	_, err = fmt.Fprintf(file, "%d\n", incarnation)
-	if err == nil {
-		err = file.Sync()
-	}
-	if err = errors.CombineErrors(err, file.Close()); err != nil {
-		return errors.Wrap(err, "write incarnation")
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		return errors.Wrap(err, "write incarnation")
-	}
-	return (storage.OSFilesystem{}).SyncDir(folder)
-}
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -104,7 +104,7 @@
 // newProcess returns the process with its next incarnation and its resolved addresses.
 func (i *instance) newProcess(kind protocol.NodeKind) (*Process, error) {
 	startedAt := time.Now()
-	incarnation, err := nextIncarnation(i.settings.GetDataFolder(), startedAt)
+	incarnation, err := nextIncarnation(storage.OSFilesystem{}, i.settings.GetDataFolder(), startedAt)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -110,17 +110,13 @@
 
 func readIdentity(filesystem Filesystem, dir string) (identity Identity, exists bool, err error) {
 	path := filepath.Join(dir, identityName)
-	file, err := filesystem.Open(path)
+	content, err := ReadFile(filesystem, path, maxIdentityBytes)
 	if isNotExist(err) {
 		return Identity{}, false, nil
 	}
 	if err != nil {
 		return Identity{}, false, err
 	}
-	content, err := readUpTo(file, maxIdentityBytes)
-	if err = errors.CombineErrors(err, file.Close()); err != nil {
-		return Identity{}, false, err
-	}
 	identity, valid := parseIdentity(string(content))
 	if !valid {
 		return Identity{}, false, &CorruptError{Path: path, Reason: "identity file has an invalid format or checksum"}
@@ -128,19 +124,6 @@
 	return identity, true, nil
 }
 
-func readUpTo(file File, maxBytes int64) ([]byte, error) {
-	size, err := file.Size()
-	if err != nil {
-		return nil, err
-	}
-	content := make([]byte, min(size, maxBytes))
-	if len(content) == 0 {
-		return content, nil
-	}
-	_, err = file.ReadAt(content, 0)
-	return content, errors.WithStack(err)
-}
-
 func parseIdentity(content string) (Identity, bool) {
 	var identity Identity
 	var sum uint32
@@ -155,30 +138,8 @@
 	return body + fmt.Sprintf("crc %08x\n", checksum([]byte(body)))
 }
 
-// writeIdentity replaces the identity file atomically by a rename, so that a crash leaves either the old or the new
-// one.
 func writeIdentity(filesystem Filesystem, dir string, identity Identity) error {
-	path := filepath.Join(dir, identityName)
-	temporary := path + temporarySuffix
-	file, err := filesystem.Create(temporary)
-	if err != nil {
-		return &FailedError{Operation: "create", Path: temporary, Cause: err}
-	}
-	_, err = file.WriteAt([]byte(formatIdentity(identity)), 0)
-	if err == nil {
-		err = file.Sync()
-	}
-	err = errors.CombineErrors(err, file.Close())
-	if err == nil {
-		err = filesystem.Rename(temporary, path)
-	}
-	if err == nil {
-		err = filesystem.SyncDir(dir)
-	}
-	if err != nil {
-		return &FailedError{Operation: "write", Path: path, Cause: err}
-	}
-	return nil
+	return ReplaceFile(filesystem, filepath.Join(dir, identityName), []byte(formatIdentity(identity)))
 }
 
 // requireNoRecords returns *CorruptError when the directory contains snapshots or segments, except for a first segment
--- a/internal/testing/sim/statesuite/core_disk.go
+++ b/internal/testing/sim/statesuite/core_disk.go
@@ -16,7 +16,7 @@
 const (
 	dataFolder     = "/data"
 	logName        = "log"
-	logFolder      = dataFolder + "/" + logName
+	logFolder      = "/data/log"
 	snapshotFolder = "/data/snapshots"
 	segmentBytes   = 16 << 10
 )
