--- a/internal/controlplane/replica/interrupted_start_test.go
+++ b/internal/controlplane/replica/interrupted_start_test.go
@@ -17,12 +17,38 @@
 )
 
 const (
-	interruptedFolder = "data/core"
-	interruptedTerm   = 3
+	interruptedFolder  = "data/core"
+	interruptedCluster = "cluster"
+	formerTerm         = 2
+	interruptedTerm    = 3
+	// receivedIndex is the last entry of the snapshot that a member receives.
+	receivedIndex = 4
 )
 
 // startCoreMember opens a core member, reads its log, and appends a record with a vote.
 func startCoreMember(disk *simdisk.Disk, record string) (*interruptedstart.Started, error) {
+	return startMember(disk, func(member *Replica) error {
+		if err := foundIfEmpty(member); err != nil {
+			return err
+		}
+		return appendWithVote(member, record)
+	})
+}
+
+// startReceivingMember is startCoreMember of a member that receives a snapshot first. Before it, the member has a
+// number of entries of a former term, which the snapshot replaces.
+func startReceivingMember(formerEntries int) interruptedstart.Start {
+	return func(disk *simdisk.Disk, record string) (*interruptedstart.Started, error) {
+		return startMember(disk, func(member *Replica) error {
+			if err := receiveSnapshot(member, formerEntries); err != nil {
+				return err
+			}
+			return appendWithVote(member, record)
+		})
+	}
+}
+
+func startMember(disk *simdisk.Disk, write func(member *Replica) error) (*interruptedstart.Started, error) {
 	operations := uint64(disk.Operations())
 	member, err := New(Options{
 		Self:   &protocol.CoreMember{Name: "core-1", Address: "127.0.0.1:7001"},
@@ -33,11 +59,11 @@
 		return nil, err
 	}
 	started, err := recoverRecords(member)
-	if err == nil {
-		started.Starts = operations
-		err = appendWithVote(member, record)
+	if err != nil {
+		return nil, errors.Join(err, member.store.Close())
 	}
-	return started, errors.Join(err, member.store.Close())
+	started.Starts = operations
+	return started, errors.Join(write(member), member.store.Close())
 }
 
 // recoverRecords returns what a member remembers. A record counts only if the vote that was stored with it does.
@@ -56,22 +82,55 @@
 	return started, nil
 }
 
-// appendWithVote durably founds a cluster, unless the member has one, and appends an entry and a vote.
+// foundIfEmpty durably founds a cluster, unless the member has one.
+func foundIfEmpty(member *Replica) error {
+	recovered, err := member.store.Recover()
+	if err != nil || recovered.ClusterID != "" {
+		return err
+	}
+	_, err = member.store.Found(interruptedCluster, member.self)
+	return err
+}
+
+// receiveSnapshot writes what a member that joins a cluster writes, in the order of installSnapshot, unless it has a
+// snapshot.
+func receiveSnapshot(member *Replica, formerEntries int) error {
+	recovered, err := member.store.Recover()
+	if err != nil || recovered.Initial.Snapshot != nil {
+		return err
+	}
+	if err := member.store.SaveClusterID(interruptedCluster); err != nil {
+		return err
+	}
+	former := consensus.Ready{HardState: &protocol.HardState{Term: formerTerm}, MustSync: true}
+	for index := len(recovered.Initial.Entries) + 1; index <= formerEntries; index++ {
+		former.Entries = append(former.Entries, &protocol.Entry{
+			Index: uint64(index), Term: formerTerm, Kind: protocol.EntryKind_ENTRY_COMMAND,
+		})
+	}
+	if err := member.store.Save(former); err != nil {
+		return err
+	}
+	metadata := &protocol.SnapshotMetadata{
+		Index: receivedIndex, Term: interruptedTerm,
+		Configuration: &protocol.CoreConfiguration{Members: []*protocol.CoreMember{member.self}},
+	}
+	if err := member.store.SaveSnapshot(metadata, nil); err != nil {
+		return err
+	}
+	return member.store.Compact(interruptedCluster, metadata, nil, former.HardState)
+}
+
+// appendWithVote durably appends an entry and a vote.
 func appendWithVote(member *Replica, record string) error {
 	recovered, err := member.store.Recover()
 	if err != nil {
 		return err
 	}
-	entries := len(recovered.Initial.Entries)
-	if recovered.ClusterID == "" {
-		if _, err := member.store.Found("cluster", member.self); err != nil {
-			return err
-		}
-		entries = 1
-	}
+	last := recovered.Initial.Snapshot.GetIndex() + uint64(len(recovered.Initial.Entries))
 	return member.store.Save(consensus.Ready{
 		Entries: []*protocol.Entry{{
-			Index: uint64(entries) + 1, Term: interruptedTerm, Kind: protocol.EntryKind_ENTRY_COMMAND, Data: []byte(record),
+			Index: last + 1, Term: interruptedTerm, Kind: protocol.EntryKind_ENTRY_COMMAND, Data: []byte(record),
 		}},
 		HardState: &protocol.HardState{Term: interruptedTerm, VotedFor: member.ID()},
 		MustSync:  true,
@@ -146,3 +205,12 @@
 		})
 	}
 }
+
+// Guards against a core member that ends at every start, or forgets entries that it has acknowledged, since it was
+// stopped when a snapshot that it had received was durable and its log was not compacted to it.
+func TestACoreMemberThatWasInterruptedWhileItReceivedASnapshotForgetsNothing(t *testing.T) {
+	for _, formerEntries := range []int{0, receivedIndex + 2} {
+		runs := interruptedstart.Test(t, interruptedstart.Scenario{Start: startReceivingMember(formerEntries)}, 1)
+		t.Logf("%d runs with %d former entries", runs, formerEntries)
+	}
+}
--- a/internal/controlplane/replica/logstore/records.go
+++ b/internal/controlplane/replica/logstore/records.go
@@ -21,6 +21,9 @@
 }
 
 func hardStateRecord(hardState *protocol.HardState) *protocol.CoreRecord {
+	if hardState == nil {
+		hardState = &protocol.HardState{}
+	}
 	return &protocol.CoreRecord{Body: &protocol.CoreRecord_HardState{HardState: hardState}}
 }
 
--- a/internal/controlplane/replica/logstore/recovery.go
+++ b/internal/controlplane/replica/logstore/recovery.go
@@ -21,12 +21,16 @@
 
 // Recover reads the newest snapshot and replays the log. Errors: *CorruptStateError, those of
 // package storage.
+//
+// A member may have been stopped after a snapshot was durable and before the log was compacted to it. Recover then
+// compacts the log: entries after the snapshot must not be appended behind entries that the snapshot replaces, since a
+// later replay could neither join them nor tell them apart.
 func (s *Store) Recover() (RecoveredState, error) {
 	snapshot, snapshotState, err := s.LoadSnapshot()
 	if err != nil {
 		return RecoveredState{}, err
 	}
-	state, err := s.replay()
+	state, err := s.replay(snapshot)
 	if err != nil {
 		return RecoveredState{}, err
 	}
@@ -36,6 +40,11 @@
 	if snapshot != nil {
 		state.applyCompacted(snapshot)
 	}
+	if snapshot.GetIndex() > state.compactedIndex {
+		if err := s.Compact(state.clusterID, snapshot, state.entries, state.hardState); err != nil {
+			return RecoveredState{}, err
+		}
+	}
 	return RecoveredState{
 		ClusterID:     state.clusterID,
 		Initial:       consensus.InitialState{HardState: state.hardState, Snapshot: snapshot, Entries: state.entries},
@@ -43,8 +52,8 @@
 	}, nil
 }
 
-func (s *Store) replay() (*replayedLog, error) {
-	state := &replayedLog{}
+func (s *Store) replay(snapshot *protocol.SnapshotMetadata) (*replayedLog, error) {
+	state := &replayedLog{snapshot: snapshot}
 	err := s.log.Replay(storage.Position{}, func(_ storage.Position, data []byte) error {
 		record := &protocol.CoreRecord{}
 		if err := proto.Unmarshal(data, record); err != nil {
@@ -57,11 +66,15 @@
 
 // replayedLog is the state after the records replayed so far.
 type replayedLog struct {
+	// snapshot is the newest durable snapshot, or nil.
+	snapshot  *protocol.SnapshotMetadata
 	clusterID string
 	hardState *protocol.HardState
 	entries   []*protocol.Entry
 	// baseIndex and baseTerm are the index and the term of the entry before the first one in entries.
 	baseIndex, baseTerm uint64
+	// compactedIndex is the index of the snapshot to which the log was last compacted.
+	compactedIndex uint64
 }
 
 func (s *replayedLog) applyRecord(record *protocol.CoreRecord) error {
@@ -74,6 +87,7 @@
 		s.clusterID = body.ClusterId
 	case *protocol.CoreRecord_Compacted:
 		s.applyCompacted(body.Compacted)
+		s.compactedIndex = body.Compacted.GetIndex()
 	case *protocol.CoreRecord_Founding:
 		return s.applyFounding(body.Founding)
 	default:
@@ -86,8 +100,14 @@
 
 // applyEntry appends an entry, replacing any entries at its index and above. An entry that the log already has is
 // a copy written by Compact, and replaces nothing.
+//
+// A gap that the newest snapshot covers is none: older versions appended entries after a snapshot although the log was
+// not compacted to it.
 func (s *replayedLog) applyEntry(entry *protocol.Entry) error {
 	index := entry.GetIndex()
+	if index > s.lastIndex()+1 && index <= s.snapshot.GetIndex()+1 {
+		s.applyCompacted(s.snapshot)
+	}
 	switch {
 	case index <= s.baseIndex:
 		return nil
--- a/internal/controlplane/replica/logstore/recovery_test.go
+++ b/internal/controlplane/replica/logstore/recovery_test.go
@@ -1,7 +1,9 @@
 package logstore
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -58,3 +60,48 @@
 		t.Error("replaying a log whose first entry has index 2 returned no error")
 	}
 }
+
+// Guards against a member that ends at every start on a log to which an older version appended entries after a snapshot
+// without a record that the log was compacted to it.
+func TestReplayJoinsEntriesOverAGapThatTheSnapshotCovers(t *testing.T) {
+	entry := func(index, term uint64) *protocol.CoreRecord {
+		return entryRecords([]*protocol.Entry{{Index: index, Term: term}})[0]
+	}
+	for name, tt := range map[string]struct {
+		snapshot *protocol.SnapshotMetadata
+		records  []*protocol.CoreRecord
+		want     []uint64
+	}{
+		"the snapshot ends before the gap does": {
+			&protocol.SnapshotMetadata{Index: 7, Term: 3}, []*protocol.CoreRecord{entry(1, 1), entry(9, 3)}, nil,
+		},
+		"the snapshot ends with the gap": {
+			&protocol.SnapshotMetadata{Index: 7, Term: 3},
+			[]*protocol.CoreRecord{entry(1, 1), entry(8, 3), entry(9, 3)},
+			[]uint64{8, 9},
+		},
+		"a later snapshot": {
+			&protocol.SnapshotMetadata{Index: 8, Term: 3},
+			[]*protocol.CoreRecord{entry(1, 1), entry(7, 3), entry(9, 3)},
+			[]uint64{9},
+		},
+	} {
+		state, err := &replayedLog{snapshot: tt.snapshot}, error(nil)
+		for _, record := range tt.records {
+			err = errors.Join(err, state.applyRecord(record))
+		}
+		if tt.want == nil {
+			if err == nil {
+				t.Errorf("%s: replayed without an error", name)
+			}
+			continue
+		}
+		var indexes []uint64
+		for _, recovered := range state.entries {
+			indexes = append(indexes, recovered.GetIndex())
+		}
+		if err != nil || !slices.Equal(indexes, tt.want) {
+			t.Errorf("%s: recovered entries %v and the error %v, want %v", name, indexes, err, tt.want)
+		}
+	}
+}
