Test the fleet before crowds of clients that don't behave

Cause: clients that send heads of very many lines, bodies that stop short of their end or many large turns end a process: nothing accounts for the memory that all requests of a process hold together.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build run run-platform fleet test lint bench chaos scale fuzz generate tools gopls clean
+.PHONY: build run run-platform fleet test crowd lint bench chaos scale fuzz generate tools gopls clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -29,6 +29,10 @@
 test:
 	$(GO) test ./...
 
+# Real processes before crowds of misbehaving clients, one test at a time; not part of test.
+crowd:
+	scripts/crowd-tests
+
 lint: tools
 	test -z "$$($(TOOLS)/gofumpt -l cmd internal platform)" || { $(TOOLS)/gofumpt -d cmd internal platform; exit 1; }
 	$(TOOLS)/golangci-lint run ./...
