Account for the memory that the requests of a process hold

Callers lost a process: crowds that send heads of very many lines, heads over the limit, or many bodies that stop short of their end took a front node from 33 MiB to 198 to 904 MiB (the core to 558). Each input was bounded by itself, nothing bounded their sum; a routed body had no time limit, and the limits on heads, their time and idle connections of the bundle were checked only after the cost, or never.

Change: a process has one budget, 40 % of its memory limit. Heads (their bytes and lines as they arrive, before they are parsed) and bodies are accounted for; who finds no room waits, and clients without progress for a second give way. A quarter is reserved for small requests. A refusal for want of memory is 503, a body that could never fit 413, a head over max_header_bytes 431, one that is late 408. header_timeout_millis and idle_timeout_millis are in force, also on open connections, but never against bytes that had arrived while the process was frozen. A routed body has the time that its caller waits. Connections are limited to a part of the descriptors; the one that rests longest makes place. The settings memory_limit_bytes and max_open_files come from the platform's limits; the collector of the Go runtime keeps to the former.

--- a/internal/controlplane/core/operators/orders.go
+++ b/internal/controlplane/core/operators/orders.go
@@ -53,6 +53,8 @@
 	case errors.As(err, &tooLarge):
 		return failure.New(failure.BodyTooLarge, protocol.Outcome_NOT_RUN,
 			fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
+	case errors.HasType(err, (*failure.Error)(nil)):
+		return err
 	case err != nil:
 		return failure.New(failure.InvalidBody, protocol.Outcome_NOT_RUN, "the body cannot be read: "+err.Error())
 	case len(bytes.TrimSpace(content)) == 0:
--- a/internal/dataplane/front/export_test.go
+++ b/internal/dataplane/front/export_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rosestand/rosestand/internal/transport/httpguard"
+
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
@@ -33,7 +35,10 @@
 
 // NewRouteListener returns a listener that is not open yet.
 func NewRouteListener(address string, handler http.Handler, clock Clock) *RouteListener {
-	return &RouteListener{listener: newRouteListener(address, handler, Sockets{}, log.New(io.Discard)), clock: clock}
+	limits := httpguard.Limits{HeaderTimeout: defaultRoutedHeaderTimeout, IdleTimeout: defaultRoutedIdleTimeout}
+	guard := httpguard.Options{Limits: func() httpguard.Limits { return limits }}
+	listener := newRouteListener(address, handler, Sockets{}, guard, log.New(io.Discard))
+	return &RouteListener{listener: listener, clock: clock}
 }
 
 // Start opens the listener.
--- a/internal/dataplane/front/fx.go
+++ b/internal/dataplane/front/fx.go
@@ -16,6 +16,7 @@
 	"github.com/rosestand/rosestand/internal/process/daemon"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/state/ledgerclient"
+	"github.com/rosestand/rosestand/internal/transport/httpguard"
 	"github.com/rosestand/rosestand/internal/transport/wire"
 )
 
@@ -110,8 +111,11 @@
 ) {
 	service.Register(engine, settings.GetMaxBodyBytes())
 	process.Readiness.AddCheck(readyCondition, service.notReady)
+	guard := httpguard.Options{
+		Budget: process.Memory, Limits: service.callerLimits, MaxOpen: process.MaxTrafficConnections(),
+	}
 	listener := newRouteListener(settings.GetTrafficAddress(), &routeAPI{service: service, dialect: routeDialect}, sockets,
-		logger)
+		guard, logger)
 	process.OnDrain("front", func(ctx context.Context) error {
 		noticed := listener.beginDrain(service.clock)
 		drained := service.Drain(ctx)
--- a/internal/dataplane/front/route_api.go
+++ b/internal/dataplane/front/route_api.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/state/ledger"
+	"github.com/rosestand/rosestand/internal/transport/httpguard"
 )
 
 const (
@@ -35,7 +37,7 @@
 // ServeHTTP implements http.Handler: it forwards one request to its session's owner and a server's answer
 // back, both unchanged.
 func (a *routeAPI) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	accepted, err := a.accept(request)
+	accepted, err := a.accept(writer, request)
 	if err != nil {
 		writeRoutedFailure(writer, failure.From(err))
 		return
@@ -70,7 +72,7 @@
 }
 
 // accept finds the route and reads the request within the bounds of the bundle in force.
-func (a *routeAPI) accept(request *http.Request) (*acceptedRequest, error) {
+func (a *routeAPI) accept(writer http.ResponseWriter, request *http.Request) (*acceptedRequest, error) {
 	index, waited := a.awaitBundle(request)
 	if index.Bundle() == nil {
 		return nil, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no bundle is in force yet",
@@ -85,11 +87,48 @@
 	if headerBytes(request.Header) > cmp.Or(uint64(limits.GetMaxHeaderBytes()), defaultRoutedHeaderBytes) {
 		return nil, failure.New(failure.HeaderTooLarge, protocol.Outcome_NOT_RUN, "the header is too large")
 	}
-	body, err := callerapi.ReadBody(request, int64(cmp.Or(limits.GetMaxBodyBytes(), defaultRoutedBodyBytes)))
+	deadline := a.service.clock.Now().Add(a.requestTimeout(request.Header, route) - waited)
+	maxBytes := int64(cmp.Or(limits.GetMaxBodyBytes(), defaultRoutedBodyBytes))
+	body, err := a.readBody(writer, request, maxBytes, deadline)
 	if err != nil {
 		return nil, err
 	}
-	return a.read(request, index, route, body, waited)
+	return a.read(request, index, route, body, deadline)
+}
+
+// readBody reads the body until the request's deadline. A request whose body does not arrive in time was not run.
+func (a *routeAPI) readBody(
+	writer http.ResponseWriter, request *http.Request, maxBytes int64, deadline time.Time,
+) ([]byte, error) {
+	if request.Body == nil || request.Body == http.NoBody {
+		return nil, nil
+	}
+	ctx, cancel := a.service.clock.WithTimeout(request.Context(), deadline.Sub(a.service.clock.Now()))
+	defer cancel()
+	controller := http.NewResponseController(writer)
+	stopWatching := context.AfterFunc(ctx, func() { _ = controller.SetReadDeadline(pastDeadline) })
+	httpguard.AccountBody(ctx, request)
+	body, err := callerapi.ReadBody(request, maxBytes)
+	inTime := stopWatching()
+	if err == nil {
+		if !inTime {
+			_ = controller.SetReadDeadline(time.Time{})
+		}
+		return body, nil
+	}
+	// What is left of the body is not read.
+	writer.Header().Set("Connection", "close")
+	if !inTime {
+		return nil, deadlinePassed()
+	}
+	return nil, err
+}
+
+// pastDeadline ends a read at once.
+var pastDeadline = time.Unix(1, 0)
+
+func deadlinePassed() error {
+	return failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the caller's time is over")
 }
 
 func headerBytes(header http.Header) uint64 {
@@ -102,9 +141,9 @@
 	return uint64(total)
 }
 
-// read parses the headers. The time that the request has waited already is taken off its time left.
+// read parses the headers.
 func (a *routeAPI) read(
-	request *http.Request, index *bundle.Index, route *protocol.HttpRoute, body []byte, waited time.Duration,
+	request *http.Request, index *bundle.Index, route *protocol.HttpRoute, body []byte, deadline time.Time,
 ) (*acceptedRequest, error) {
 	header := request.Header
 	accepted := &acceptedRequest{
@@ -135,9 +174,9 @@
 	if err := a.readStep(accepted, header, route); err != nil {
 		return nil, err
 	}
-	accepted.timeLeft = a.requestTimeout(header, route) - waited
+	accepted.timeLeft = deadline.Sub(a.service.clock.Now())
 	if accepted.timeLeft <= 0 {
-		return nil, failure.New(failure.DeadlineExceeded, protocol.Outcome_NOT_RUN, "the caller's time is over")
+		return nil, deadlinePassed()
 	}
 	accepted.budget = headerNumber(header, a.dialect.TokenBudget)
 	prompt, maxOutputTokens := tokenUsage(header.Get(a.dialect.TokenUsage))
--- a/internal/dataplane/front/route_listener.go
+++ b/internal/dataplane/front/route_listener.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -9,12 +10,15 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosestand/rosestand/internal/controlplane/bundle"
 	"github.com/rosestand/rosestand/internal/transport/httpdrain"
+	"github.com/rosestand/rosestand/internal/transport/httpguard"
 )
 
 const (
-	routedHeaderTimeout = 10 * time.Second
-	routedIdleTimeout   = 60 * time.Second
+	// defaultRoutedHeaderTimeout and defaultRoutedIdleTimeout apply unless the bundle sets others.
+	defaultRoutedHeaderTimeout = 10 * time.Second
+	defaultRoutedIdleTimeout   = 60 * time.Second
 	// drainLinger is how long a draining front node still accepts connections, until the load balancers have
 	// observed that it is not ready.
 	drainLinger = 2500 * time.Millisecond
@@ -24,19 +28,24 @@
 type routeListener struct {
 	address string
 	sockets Sockets
-	server  *http.Server
-	done    chan error
+	// guard holds the limits of the callers.
+	guard  httpguard.Options
+	server *http.Server
+	done   chan error
 	// drainer ends the server; nil until the listener is open.
 	drainer *httpdrain.Server
 	// bound is the address in use once the listener is open.
 	bound net.Addr
 }
 
-func newRouteListener(address string, handler http.Handler, sockets Sockets, logger *log.Logger) *routeListener {
-	l := &routeListener{address: address, sockets: sockets, done: make(chan error, 1)}
+func newRouteListener(
+	address string, handler http.Handler, sockets Sockets, guard httpguard.Options, logger *log.Logger,
+) *routeListener {
+	l := &routeListener{address: address, sockets: sockets, guard: guard, done: make(chan error, 1)}
 	l.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: routedHeaderTimeout, IdleTimeout: routedIdleTimeout,
-		MaxHeaderBytes: 2 * defaultRoutedHeaderBytes,
+		Handler: handler, ConnContext: httpguard.ConnContext,
+		// The guard keeps to the limits of the bundle in force, which are below this one.
+		MaxHeaderBytes: bundle.MaxHeaderBytes,
 		ErrorLog:       logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return l
@@ -53,7 +62,7 @@
 		return errors.Wrap(err, "listen for callers of HTTP routes")
 	}
 	l.bound = listener.Addr()
-	l.drainer = httpdrain.New(l.server, listener)
+	l.drainer = httpdrain.New(l.server, httpguard.NewListener(listener, l.guard))
 	go func() { l.done <- l.drainer.Serve() }()
 	return nil
 }
@@ -87,3 +96,13 @@
 	}
 	return errors.CombineErrors(l.server.Close(), <-l.done)
 }
+
+// callerLimits are the limits of the bundle in force on callers of HTTP routes.
+func (s *Service) callerLimits() httpguard.Limits {
+	limits := s.rollout.Policies().Active.Bundle().GetLimits()
+	return httpguard.Limits{
+		MaxHeadBytes:  int(cmp.Or(limits.GetMaxHeaderBytes(), defaultRoutedHeaderBytes)),
+		HeaderTimeout: cmp.Or(millis(limits.GetHeaderTimeoutMillis()), defaultRoutedHeaderTimeout),
+		IdleTimeout:   cmp.Or(millis(limits.GetIdleTimeoutMillis()), defaultRoutedIdleTimeout),
+	}
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -85,3 +85,12 @@
 	var typed *Error
 	return errors.As(err, &typed) && typed.Code() == code
 }
+
+// StatusOf returns the HTTP status of the Error that err wraps, and the other status if it wraps none.
+func StatusOf(err error, other int) int {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed.Code().Status()
+	}
+	return other
+}
--- a/internal/process/daemon/guard.go
+++ b/internal/process/daemon/guard.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/transport/httpguard"
 )
 
 const (
@@ -31,7 +33,11 @@
 // ServeHTTP implements http.Handler.
 func (g *requestGuard) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if request.Body != nil && request.Body != http.NoBody {
-		body := newTimedBody(request.Body, http.NewResponseController(writer))
+		arriving := request.Body
+		ctx, cancel := context.WithTimeout(request.Context(), bodyTimeout)
+		defer cancel()
+		httpguard.AccountBody(ctx, request)
+		body := newTimedBody(request.Body, arriving, http.NewResponseController(writer))
 		defer body.discardRest()
 		request.Body = http.MaxBytesReader(writer, body, g.maxBytes)
 	}
@@ -56,13 +62,15 @@
 // otherwise the deadline would cancel a request whose response takes long.
 type timedBody struct {
 	io.ReadCloser
+	// arriving is the body as it arrives, from which the rest is discarded without being accounted for.
+	arriving   io.Reader
 	controller *http.ResponseController
 	complete   bool
 }
 
-func newTimedBody(body io.ReadCloser, controller *http.ResponseController) *timedBody {
+func newTimedBody(body io.ReadCloser, arriving io.Reader, controller *http.ResponseController) *timedBody {
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return &timedBody{ReadCloser: body, controller: controller}
+	return &timedBody{ReadCloser: body, arriving: arriving, controller: controller}
 }
 
 // Read implements io.Reader; the first error, io.EOF included, clears the deadline.
@@ -85,6 +93,6 @@
 	}
 	_ = b.controller.Flush()
 	_ = b.controller.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.CopyN(io.Discard, b.ReadCloser, maxDiscardedBytes)
+	_, _ = io.CopyN(io.Discard, b.arriving, maxDiscardedBytes)
 	_ = b.controller.SetReadDeadline(time.Time{})
 }
--- a/internal/process/daemon/http.go
+++ b/internal/process/daemon/http.go
@@ -21,6 +21,7 @@
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/transport/httpdrain"
+	"github.com/rosestand/rosestand/internal/transport/httpguard"
 )
 
 const (
@@ -109,14 +110,22 @@
 
 func newHTTPServer(handler http.Handler, logger *log.Logger) *http.Server {
 	return &http.Server{
-		ErrorLog:          logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:       logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		Handler:        handler,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    httpguard.ConnContext,
 	}
 }
 
+// guardHTTP guards a listener of the process's own HTTP interface.
+func guardHTTP(listener net.Listener, process *Process) net.Listener {
+	limits := httpguard.Limits{MaxHeadBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return httpguard.NewListener(listener, httpguard.Options{
+		Budget: process.Memory, Limits: func() httpguard.Limits { return limits },
+		MaxOpen: process.MaxOpenFiles / httpFilesDivisor,
+	})
+}
+
 // newDebugServer returns a server for the profiler.
 func newDebugServer(logger *log.Logger) *http.Server {
 	mux := http.NewServeMux()
--- a/internal/process/daemon/process.go
+++ b/internal/process/daemon/process.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // DrainHook drains one component of a process before it stops. It returns when the
@@ -26,6 +27,10 @@
 	Readiness *Readiness
 	// Started is the start time of the process, with a monotonic clock reading.
 	Started time.Time
+	// Memory accounts for what requests hold together; nil sets no limit.
+	Memory *memorybudget.Budget
+	// MaxOpenFiles is how many descriptors the process may open; zero sets no limit.
+	MaxOpenFiles int
 	// FreshFolder is true if the data folder had no identity before this start.
 	FreshFolder bool
 
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -119,7 +119,11 @@
 		StorageId:   i.folder.identity.StorageID,
 	}, startedAt)
 	process.FreshFolder = i.folder.identity.Fresh
-	return process, nil
+	if process.Memory, err = limitMemory(i.settings); err != nil {
+		return nil, err
+	}
+	process.MaxOpenFiles, err = maxOpenFiles(i.settings)
+	return process, err
 }
 
 // assemble builds the dependency graph of the plane and the servers, without starting them.
@@ -127,6 +131,9 @@
 	i.registry = newRegistry(i.process)
 	i.engine = newEngine(i.logger, i.registry)
 	addMonitoringRoutes(i.engine, i.process, i.registry)
+	if err := registerMemoryMetrics(i.registry, i.process.Memory); err != nil {
+		return &StageError{Stage: "metrics", Cause: err}
+	}
 	i.pool = wire.NewPool(wire.PoolOptions{Key: i.key, Node: i.settings.GetName()})
 	if err := registerWireCounters(i.registry, "client", i.pool.Counters()); err != nil {
 		return &StageError{Stage: "metrics", Cause: err}
@@ -180,9 +187,9 @@
 // internal protocol, waits for a stop or a failure, and shuts the process down.
 func (i *instance) runUntilStopped(environment Environment) error {
 	i.process.Readiness.Set(conditionStarted, "the process is starting")
-	i.httpService = startHTTP(i.httpServer, i.listeners.http)
+	i.httpService = startHTTP(i.httpServer, guardHTTP(i.listeners.http, i.process))
 	if i.listeners.debug != nil {
-		i.debugService = startHTTP(newDebugServer(i.logger), i.listeners.debug)
+		i.debugService = startHTTP(newDebugServer(i.logger), guardHTTP(i.listeners.debug, i.process))
 		i.logger.Info("profiler started", "address", i.listeners.debug.Addr())
 	}
 	reason := i.start(environment)
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -37,6 +37,9 @@
 	maxScrubSeconds          = 7 * 86_400
 	maxLeaseRenewMillis      = 60_000
 	maxToleratedLosses       = (maxVoters - 1) / 2
+	minMemoryBytes           = 48 << 20
+	maxMemoryBytes           = 1 << 50
+	minOpenFiles             = 256
 )
 
 func checkNode(node *protocol.NodeSettings, check *checker) {
@@ -57,6 +60,12 @@
 	check.oneOf("node.log_level", node.GetLogLevel(), "debug", "info", "warn", "error")
 	check.oneOf("node.log_format", node.GetLogFormat(), "text", "json")
 	check.between("node.stop_grace_millis", uint64(node.GetStopGraceMillis()), 1, maxStopGraceMillis)
+	if limit := node.GetMemoryLimitBytes(); limit != 0 {
+		check.between("node.memory_limit_bytes", limit, minMemoryBytes, maxMemoryBytes)
+	}
+	if files := node.GetMaxOpenFiles(); files != 0 {
+		check.between("node.max_open_files", uint64(files), minOpenFiles, math.MaxUint32)
+	}
 	checkAdvertisedAddress(node.GetAdvertisedAddress(), check)
 	checkDebugAddress(node.GetDebugAddress(), check)
 }
--- a/internal/process/settings/help.go
+++ b/internal/process/settings/help.go
@@ -22,6 +22,8 @@
 	"trust_network":      "run without a cluster key: whoever reaches the internal port is trusted",
 	"seed_port":          "port that replaces the port of each seed and founder; 0 leaves them as they are",
 	"kill_after_millis":  "milliseconds from the first signal to the kill by the system; bounds stop_grace_millis",
+	"memory_limit_bytes": "resident memory in bytes that the process may use; 0: that of the machine",
+	"max_open_files":     "descriptors that the process may open; 0: the limit of the system",
 	"max_body_bytes":     withDefault("largest HTTP body in bytes", defaultMaxBodyBytes),
 	"virtual_places": withDefault(
 		"virtual nodes on the hash ring, the same on every front node", defaultVirtualNodes,
--- a/internal/transport/httpdrain/connection.go
+++ b/internal/transport/httpdrain/connection.go
@@ -73,6 +73,12 @@
 	return nil
 }
 
+// activityObserver is a wrapped connection that is told when a request begins to be served and when it is answered.
+type activityObserver interface{ SetActive(active bool) }
+
+// NetConn returns the wrapped connection.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	defer c.tracker.remove(c)
@@ -108,6 +114,9 @@
 // setActive records whether a request is being served. headerDeadline does not apply to its body, which has the time
 // that the server allows.
 func (c *connection) setActive(active bool) {
+	if observer, observes := c.Conn.(activityObserver); observes {
+		observer.SetActive(active)
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.active = active
