Account for what arrives at owners and stores

Callers lost front nodes and stores: many large turns that come in at several front nodes meet at one owner, and at the stores. A frame of up to 16 MiB was read for each of them, whatever was in memory already (owner 427 MiB of 102, store 508 and 516 of 124); chains of turns took front nodes to 259 MiB.

Change: frames from 4 KiB on are accounted for in the budget of the process until their request is served. One that finds no room is discarded and its request rejected as not run, without waiting: the connection carries pings and small requests of many callers. An ingress tries such a request again, a client of the ledger the next replica. An owner accounts for the conversation that a turn continues, and its cache of conversations is a part of the budget.

--- a/internal/dataplane/front/fx.go
+++ b/internal/dataplane/front/fx.go
@@ -88,7 +88,7 @@
 ) *Service {
 	return New(Options{
 		Self: process.Self, Link: link, Ledger: ledger, Ownership: grantingManager{manager}, Caller: caller,
-		Dialect: routeDialect, DialBackEnd: sockets.Dial,
+		Dialect: routeDialect, Memory: process.Memory, DialBackEnd: sockets.Dial,
 		Logger: logger, Registerer: registerer,
 	})
 }
--- a/internal/dataplane/front/http_turn.go
+++ b/internal/dataplane/front/http_turn.go
@@ -132,10 +132,13 @@
 // from the owner's cache, from the program's part of the ledger, or from another program's.
 func (r *turnRun) readHTTPHistory(lastTurn string) turn.Event {
 	if history := r.service.sessions.FindHistory(r.key, lastTurn); history.Known {
+		if !r.holdHistory(history.Items) {
+			return turn.HistoryRead{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE}
+		}
 		r.history = history.Items
 		return turn.HistoryRead{Items: history.Items, Tokens: history.Tokens, Status: protocol.LedgerStatus_LEDGER_OK}
 	}
-	conversation := r.service.ledgerOperations.ReadConversation(r.ctx, r.key.Program, lastTurn)
+	conversation := r.service.ledgerOperations.ReadConversation(r.ctx, r.key.Program, lastTurn, r.holdTurns)
 	r.explanation.RecordStep("history read", conversation.Status.String())
 	if conversation.Status != protocol.LedgerStatus_LEDGER_OK {
 		return turn.HistoryRead{Status: conversation.Status}
--- a/internal/dataplane/front/ledgerops/client.go
+++ b/internal/dataplane/front/ledgerops/client.go
@@ -102,9 +102,10 @@
 	return send(&protocol.Response{Body: &protocol.Response_Ledger{Ledger: result}})
 }
 
-// ReadTurns reads the turns of a conversation within one program up to lastTurn, oldest first.
+// ReadTurns reads the turns of a conversation within one program up to lastTurn, oldest first. hold is used as by
+// ReadConversation.
 func (c *Client) ReadTurns(
-	ctx context.Context, program, lastTurn string,
+	ctx context.Context, program, lastTurn string, hold func([]*protocol.Turn) bool,
 ) ([]*protocol.Turn, protocol.LedgerStatus) {
 	var turns []*protocol.Turn
 	for next := lastTurn; next != ""; {
@@ -116,6 +117,9 @@
 		if len(page) == 0 {
 			return nil, protocol.LedgerStatus_LEDGER_TURN_MISSING
 		}
+		if !hold(page) {
+			return nil, protocol.LedgerStatus_LEDGER_UNAVAILABLE
+		}
 		turns = append(turns, page...)
 		next = page[len(page)-1].GetPreviousTurn()
 	}
--- a/internal/dataplane/front/ledgerops/conversation.go
+++ b/internal/dataplane/front/ledgerops/conversation.go
@@ -18,8 +18,11 @@
 }
 
 // ReadConversation reads a conversation backwards from its last turn, across programs where a turn continues one of
-// another program. A turn that is missing in its program is looked up in all programs.
-func (c *Client) ReadConversation(ctx context.Context, program, lastTurn string) Conversation {
+// another program. A turn that is missing in its program is looked up in all programs. hold is given each page; the
+// status is LEDGER_UNAVAILABLE once it reports that there is no memory for one.
+func (c *Client) ReadConversation(
+	ctx context.Context, program, lastTurn string, hold func([]*protocol.Turn) bool,
+) Conversation {
 	conversation := Conversation{Program: program, Status: protocol.LedgerStatus_LEDGER_OK}
 	for next := lastTurn; next != ""; {
 		page, status := c.readPage(ctx, program, next)
@@ -30,6 +33,9 @@
 		if status != protocol.LedgerStatus_LEDGER_OK {
 			return Conversation{Status: status}
 		}
+		if !hold(page) {
+			return Conversation{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE}
+		}
 		if len(conversation.Turns) == 0 {
 			conversation.Program = page[0].GetProgram()
 		}
--- a/internal/dataplane/front/owner.go
+++ b/internal/dataplane/front/owner.go
@@ -78,7 +78,7 @@
 	return &turnRun{
 		ownedRun: s.newOwnedRun(ctx, request, grant, decided, route, deadline), request: request, live: live,
 		counters: s.rollout.Counters(decided.Candidate), began: s.clock.Now(),
-		incarnation: grant.Incarnation(),
+		incarnation: grant.Incarnation(), memory: s.memory.Open(),
 		machine: turn.New(turn.Parameters{
 			Request: request, TurnID: live.TurnID, Owner: s.name, Incarnation: grant.Incarnation(),
 			Budget:           decided.Budget(request.GetProgramBudget(), request.GetTenant()),
--- a/internal/dataplane/front/service.go
+++ b/internal/dataplane/front/service.go
@@ -24,6 +24,7 @@
 	"github.com/rosestand/rosestand/internal/dataplane/front/sessions"
 	"github.com/rosestand/rosestand/internal/dataplane/front/versionpin"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 	"github.com/rosestand/rosestand/internal/transport/wire"
 )
 
@@ -46,6 +47,8 @@
 	Dialect dialect.Dialect
 	// StallTimeout is how long a model server may be silent; zero means DefaultStallTimeout.
 	StallTimeout time.Duration
+	// Memory accounts for the conversations of turns that are run; nil sets no limit.
+	Memory *memorybudget.Budget
 	// DialBackEnd opens a connection to a back end; nil stands for TCP.
 	DialBackEnd func(ctx context.Context, address string) (net.Conn, error)
 	Logger      *log.Logger
@@ -90,6 +93,7 @@
 	explanations     *explain.Recorder
 	heartbeats       *heartbeat.Relay
 	outcomes         *outcomes.Sharer
+	memory           *memorybudget.Budget
 
 	// stopped is closed when the process abandons what is still in progress.
 	stopped  chan struct{}
@@ -127,10 +131,11 @@
 		backEndClient: issue.NewClient(options.Clock, options.StallTimeout, options.DialBackEnd),
 		routeClient:   issue.NewRouteClient(options.Dialect, options.Clock, models, options.DialBackEnd),
 		models:        models,
-		sessions:      sessions.NewCache(options.Clock),
+		sessions:      sessions.NewCache(options.Clock, historyCacheBytes(options.Memory)),
 		explanations:  explain.NewRecorder(options.Clock, options.Self.GetName()),
 		stopped:       make(chan struct{}),
 		startedAt:     options.Clock.Now(),
+		memory:        options.Memory,
 		hasBundle:     make(chan struct{}),
 	}
 	s.wireParts()
--- a/internal/dataplane/front/sessions/cache.go
+++ b/internal/dataplane/front/sessions/cache.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// maxHistoryBytes limits the estimated size of the cached sessions and their conversations.
-	maxHistoryBytes = 64 << 20
+	// DefaultMaxHistoryBytes limits the estimated size of the cached sessions and their conversations unless the cache is
+	// given another limit.
+	DefaultMaxHistoryBytes = 64 << 20
 	// maxRecentEvents limits the number of events retained for ended turns, whose readers may reconnect; recentTurnTTL
 	// limits how long they are retained.
 	maxRecentEvents = 100_000
@@ -55,14 +56,16 @@
 // Cache holds the sessions that this front node owns, and the logs of turns that are in progress or ended recently. The
 // loop's goroutine owns its tables; its methods are safe for concurrent use and do nothing once it is stopped.
 type Cache struct {
-	loop        *commandloop.Loop
-	clock       Clock
-	bySession   map[string]map[string]*sessionState
-	recency     *list.List
-	bytes       int
-	ended       map[string]*list.Element
-	endedOrder  *list.List
-	endedEvents int
+	loop  *commandloop.Loop
+	clock Clock
+	// maxHistoryBytes limits bytes.
+	maxHistoryBytes int
+	bySession       map[string]map[string]*sessionState
+	recency         *list.List
+	bytes           int
+	ended           map[string]*list.Element
+	endedOrder      *list.List
+	endedEvents     int
 }
 
 type endedTurn struct {
@@ -71,10 +74,10 @@
 	endedAt time.Time
 }
 
-// NewCache returns an empty cache and starts its goroutine, which Stop ends.
-func NewCache(clock Clock) *Cache {
+// NewCache returns an empty cache of at most so many bytes and starts its goroutine, which Stop ends.
+func NewCache(clock Clock, maxHistoryBytes int) *Cache {
 	return &Cache{
-		loop: commandloop.New(), clock: clock,
+		loop: commandloop.New(), clock: clock, maxHistoryBytes: maxHistoryBytes,
 		bySession: make(map[string]map[string]*sessionState), recency: list.New(),
 		ended: make(map[string]*list.Element), endedOrder: list.New(),
 	}
@@ -275,9 +278,9 @@
 	}
 }
 
-// evict drops the least recently used sessions without a turn in progress while the cache exceeds maxHistoryBytes.
+// evict drops the least recently used sessions without a turn in progress while the cache exceeds its limit.
 func (s *Cache) evict() {
-	for element := s.recency.Back(); element != nil && s.bytes > maxHistoryBytes; {
+	for element := s.recency.Back(); element != nil && s.bytes > s.maxHistoryBytes; {
 		state := element.Value.(*sessionState)
 		element = element.Prev()
 		if state.inProgress == nil {
--- a/internal/dataplane/front/turn_execute.go
+++ b/internal/dataplane/front/turn_execute.go
@@ -21,10 +21,13 @@
 		return r.readHTTPHistory(lastTurn)
 	}
 	if history := r.service.sessions.FindHistory(r.key, lastTurn); history.Known {
+		if !r.holdHistory(history.Items) {
+			return turn.HistoryRead{Status: protocol.LedgerStatus_LEDGER_UNAVAILABLE}
+		}
 		r.history = history.Items
 		return turn.HistoryRead{Items: history.Items, Tokens: history.Tokens, Status: protocol.LedgerStatus_LEDGER_OK}
 	}
-	turns, status := r.service.ledgerOperations.ReadTurns(r.ctx, r.key.Program, lastTurn)
+	turns, status := r.service.ledgerOperations.ReadTurns(r.ctx, r.key.Program, lastTurn, r.holdTurns)
 	r.explanation.RecordStep("history read", fmt.Sprintf("%s, %d turns", status, len(turns)))
 	if status != protocol.LedgerStatus_LEDGER_OK {
 		return turn.HistoryRead{Status: status}
--- a/internal/dataplane/front/turn_run.go
+++ b/internal/dataplane/front/turn_run.go
@@ -13,6 +13,7 @@
 	"github.com/rosestand/rosestand/internal/dataplane/schedule"
 	"github.com/rosestand/rosestand/internal/dataplane/turn"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // turnRun carries out the commands of one turn's machine at the owner.
@@ -23,6 +24,8 @@
 	counters    *rollout.Counters
 	incarnation uint64
 	machine     *turn.Machine
+	// memory accounts for the conversation that the turn continues.
+	memory *memorybudget.Account
 	// pin is the version for a turn of a training step; nil for other turns.
 	pin *backends.VersionPin
 
@@ -66,6 +69,7 @@
 	r.closeGeneration()
 	r.live.End()
 	r.freeSession()
+	r.memory.Release()
 }
 
 // issueFailed is the event of an attempt without an answer. A stop takes precedence over the failure that it
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -157,7 +157,7 @@
 		return &StageError{Stage: "assemble", Cause: err}
 	}
 	i.wireServer = wire.NewServer(i.listeners.internal, i.handler, wire.ServerOptions{
-		Key: i.key, OnRejected: i.countRejectedHandshakes(), OnPanic: i.reportPanic,
+		Key: i.key, Memory: i.process.Memory, OnRejected: i.countRejectedHandshakes(), OnPanic: i.reportPanic,
 	})
 	if err := registerWireCounters(i.registry, "server", i.wireServer.Counters()); err != nil {
 		return &StageError{Stage: "metrics", Cause: err}
--- a/internal/transport/wire/frame.go
+++ b/internal/transport/wire/frame.go
@@ -48,15 +48,29 @@
 	reusable []byte
 }
 
-// read reads the next message. Decoding copies the contents, so that the buffer can be reused.
+// read reads the next message.
 func (r *frameReader) read(limit uint32, message proto.Message) error {
-	if _, err := io.ReadFull(r.reader, r.prefix[:]); err != nil {
+	size, err := r.readSize(limit)
+	if err != nil {
 		return err
 	}
+	return r.readBody(size, message)
+}
+
+// readSize reads the length of the next message.
+func (r *frameReader) readSize(limit uint32) (uint32, error) {
+	if _, err := io.ReadFull(r.reader, r.prefix[:]); err != nil {
+		return 0, err
+	}
 	size := binary.BigEndian.Uint32(r.prefix[:])
 	if size > limit {
-		return &FrameError{Reason: "length over the limit"}
+		return 0, &FrameError{Reason: "length over the limit"}
 	}
+	return size, nil
+}
+
+// readBody reads a message of a length. Decoding copies the contents, so that the buffer can be reused.
+func (r *frameReader) readBody(size uint32, message proto.Message) error {
 	body := r.buffer(int(size))
 	if _, err := io.ReadFull(r.reader, body); err != nil {
 		return errors.Wrap(err, "truncated frame")
--- /dev/null
+++ b/internal/transport/wire/memory_test.go
@@ -0,0 +1,97 @@
+package wire_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rosestand/rosestand/internal/failure"
+	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
+	"github.com/rosestand/rosestand/internal/transport/wire"
+)
+
+// turnOfBytes is a request whose frame has a little more than so many bytes.
+func turnOfBytes(count int) *protocol.Request {
+	return &protocol.Request{Body: &protocol.Request_Turn{Turn: &protocol.TurnRequest{
+		Session: "s", Input: []*protocol.Item{{Data: make([]byte, count)}},
+	}}}
+}
+
+// startWithMemory starts a server whose requests may hold so many bytes.
+func startWithMemory(t *testing.T, handler wire.Handler, bytes int64) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	memory := memorybudget.New(bytes)
+	server := wire.NewServer(listener, handler, wire.ServerOptions{Key: testKey, Memory: memory})
+	server.Start()
+	t.Cleanup(server.Close)
+	t.Cleanup(func() {
+		server.Close()
+		if used := memory.Usage().UsedBytes; used != 0 {
+			t.Errorf("%d bytes are used after the end of the server", used)
+		}
+	})
+	return listener.Addr().String()
+}
+
+func answerEmpty(_ context.Context, _ *protocol.Request, send func(*protocol.Response) error) error {
+	return send(&protocol.Response{Body: &protocol.Response_LocateCore{LocateCore: &protocol.LocateCoreResponse{}}})
+}
+
+func TestRequestWithoutMemoryIsRejectedAsNotRun(t *testing.T) {
+	var served atomic.Int32
+	address := startWithMemory(t, handlerFunc(
+		func(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+			served.Add(1)
+			return answerEmpty(ctx, request, send)
+		}), 8<<20)
+	pool := startPool(t, testKey)
+	_, err := pool.Call(t.Context(), address, turnOfBytes(4<<20))
+	var rejected *failure.Error
+	if !errors.As(err, &rejected) || rejected.Code() != failure.NotReady ||
+		rejected.Failure.GetOutcome() != protocol.Outcome_NOT_RUN {
+		t.Errorf("got %v", err)
+	}
+	for _, bytes := range []int{10, 64 << 10, 1 << 20} {
+		if _, err := pool.Call(t.Context(), address, turnOfBytes(bytes)); err != nil {
+			t.Errorf("%d bytes on the same connection: %v", bytes, err)
+		}
+	}
+	if served.Load() != 3 {
+		t.Errorf("%d requests were served", served.Load())
+	}
+}
+
+func TestRequestHoldsMemoryUntilItIsServed(t *testing.T) {
+	release := make(chan struct{})
+	address := startWithMemory(t, handlerFunc(
+		func(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
+			<-release
+			return answerEmpty(ctx, request, send)
+		}), 8<<20)
+	pool := startPool(t, testKey)
+	const requests = 4
+	results := make(chan error, requests)
+	for range requests {
+		go func() {
+			_, err := pool.Call(t.Context(), address, turnOfBytes(1<<20))
+			results <- err
+		}()
+	}
+	// One finds room; the others are rejected while it is served.
+	for range requests - 1 {
+		if err := <-results; !failure.Is(err, failure.NotReady) {
+			t.Errorf("got %v", err)
+		}
+	}
+	close(release)
+	if err := <-results; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/transport/wire/server.go
+++ b/internal/transport/wire/server.go
@@ -14,12 +14,23 @@
 
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // serverIdleTimeout is how long a connection may be without requests and pings before it is closed; it is longer than
 // any pool's idle timeout.
 const serverIdleTimeout = 150 * time.Second
 
+const (
+	// accountedFrameBytes is the size from which a frame is accounted for.
+	accountedFrameBytes = 4 << 10
+	// frameCopies is how often a request may stand in memory at the same time: as its frame, decoded, and in the
+	// messages and records that its handler makes of it.
+	frameCopies = 4
+	// memoryRetryAfter is the wait that is advised to a peer whose request found no memory.
+	memoryRetryAfter = 100 * time.Millisecond
+)
+
 // acceptRetryInterval is the wait after a failed accept.
 const acceptRetryInterval = 50 * time.Millisecond
 
@@ -29,6 +40,8 @@
 	Key []byte
 	// OnRejected, if any, is called for each connection whose handshake failed.
 	OnRejected func(remote net.Addr, err error)
+	// Memory accounts for the requests that arrive; nil sets no limit.
+	Memory *memorybudget.Budget
 	// OnPanic, if any, is called for each handler that panicked, with its stack.
 	OnPanic func(recovered any, stack []byte)
 }
@@ -201,20 +214,54 @@
 				return
 			}
 		}
-		frame := &protocol.Frame{}
-		if err := frames.read(MaxFrameBytes, frame); err != nil {
-			return
-		}
-		if err := validateFrame(frame); err != nil {
+		if !c.serveNext(&frames) {
 			return
 		}
-		if !c.dispatch(frame) {
-			return
+	}
+}
+
+// serveNext reads one frame and dispatches it; it reports false when the connection has to end.
+func (c *servedConnection) serveNext(frames *frameReader) bool {
+	size, err := frames.readSize(MaxFrameBytes)
+	if err != nil {
+		return false
+	}
+	var account *memorybudget.Account
+	if size >= accountedFrameBytes {
+		account = c.server.options.Memory.Open()
+		if !account.TryGrow(frameCopies * int64(size)) {
+			return c.refuseFrame(frames.reader, size)
 		}
 	}
+	frame := &protocol.Frame{}
+	if frames.readBody(size, frame) != nil || validateFrame(frame) != nil {
+		account.Release()
+		return false
+	}
+	return c.dispatch(frame, account)
 }
 
-func (c *servedConnection) dispatch(frame *protocol.Frame) bool {
+// refuseFrame discards a frame for which there is no memory, and rejects the request in it as not run. It does not
+// wait: that would hold up the pings and the small requests on the connection.
+func (c *servedConnection) refuseFrame(reader *bufio.Reader, size uint32) bool {
+	id, isRequest := frameID(reader)
+	if _, err := reader.Discard(int(size)); err != nil {
+		return false
+	}
+	if !isRequest {
+		return true
+	}
+	c.server.counters.RefusedFrames.Add(1)
+	return c.end(id, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no memory for a request of this size",
+		failure.WithRetryAfter(memoryRetryAfter))) == nil
+}
+
+// dispatch handles a frame. The account holds its memory; nil if it is not accounted for.
+func (c *servedConnection) dispatch(frame *protocol.Frame, account *memorybudget.Account) bool {
+	if frame.GetKind() == protocol.FrameKind_FRAME_REQUEST {
+		return c.begin(frame, account)
+	}
+	defer account.Release()
 	switch frame.GetKind() {
 	case protocol.FrameKind_FRAME_PING:
 		return c.writer.write(frame) == nil
@@ -226,19 +273,20 @@
 			cancel()
 		}
 		return true
-	case protocol.FrameKind_FRAME_REQUEST:
-		return c.begin(frame)
 	default:
 		return false
 	}
 }
 
-func (c *servedConnection) begin(frame *protocol.Frame) bool {
+func (c *servedConnection) begin(frame *protocol.Frame, account *memorybudget.Account) bool {
 	id := frame.GetId()
 	c.mutex.Lock()
 	_, repeated := c.cancels[id]
 	full := len(c.cancels) >= maxConcurrentPerConnection
 	c.mutex.Unlock()
+	if repeated || full {
+		account.Release()
+	}
 	if repeated {
 		return false
 	}
@@ -252,7 +300,7 @@
 	c.cancels[id] = cancel
 	c.mutex.Unlock()
 	c.routines.Add(1)
-	go c.serve(ctx, cancel, id, frame.GetRequest())
+	go c.serve(servedRequest{ctx: ctx, cancel: cancel, id: id, request: frame.GetRequest(), account: account})
 	return true
 }
 
@@ -263,14 +311,25 @@
 	return context.WithCancel(c.ctx)
 }
 
-func (c *servedConnection) serve(ctx context.Context, cancel context.CancelFunc, id uint64, request *protocol.Request) {
+// servedRequest is a request that is being served.
+type servedRequest struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	id      uint64
+	request *protocol.Request
+	// account holds its memory; nil if it is not accounted for.
+	account *memorybudget.Account
+}
+
+func (c *servedConnection) serve(served servedRequest) {
 	defer c.routines.Done()
-	defer cancel()
-	err := c.handle(ctx, id, request)
+	defer served.account.Release()
+	defer served.cancel()
+	err := c.handle(served.ctx, served.id, served.request)
 	c.mutex.Lock()
-	delete(c.cancels, id)
+	delete(c.cancels, served.id)
 	c.mutex.Unlock()
-	_ = c.end(id, err)
+	_ = c.end(served.id, err)
 }
 
 // handle runs the handler. A panic ends only this exchange, with an internal
--- a/internal/transport/wire/writer.go
+++ b/internal/transport/wire/writer.go
@@ -19,6 +19,8 @@
 	// SentFor and ReceivedFor are the bytes of frames by their purpose; sent ones count when they are queued.
 	SentFor     purposeBytes
 	ReceivedFor purposeBytes
+	// RefusedFrames counts requests that found no memory; a pool has none.
+	RefusedFrames atomic.Uint64
 	// Panics counts handlers that panicked; a pool has none.
 	Panics atomic.Uint64
 }
