Account for the turns that a store reads

A large answer that a peer reads slowly stood in the queue of its connection after its request had ended.

Change: a store accounts for a turn before it reads it, by the length in the header of its record, until the answer was written; it rejects a read that finds no room as not run. The handler of a response from 64 KiB on returns when the response was written. A quarter instead of an eighth of the descriptors is for the process's own HTTP interface.

--- a/internal/process/daemon/memory.go
+++ b/internal/process/daemon/memory.go
@@ -22,7 +22,7 @@
 	// trafficFilesDivisor and httpFilesDivisor give the parts of the descriptors that callers of HTTP routes and clients
 	// of the process's own HTTP interface may use. The rest is for peers, servers and files.
 	trafficFilesDivisor = 2
-	httpFilesDivisor    = 8
+	httpFilesDivisor    = 4
 )
 
 // limitMemory makes the Go runtime collect garbage more often near the memory limit, and returns the budget of the
--- a/internal/state/store/fx.go
+++ b/internal/state/store/fx.go
@@ -101,6 +101,7 @@
 		Core:       link,
 		Clock:      clock,
 		Settings:   settings,
+		Memory:     process.Memory,
 		Logger:     logger,
 		Registerer: registerer,
 		Fatal:      process.Fail,
--- a/internal/state/store/ledger.go
+++ b/internal/state/store/ledger.go
@@ -11,13 +11,16 @@
 	"github.com/rosestand/rosestand/internal/state/ledger"
 	"github.com/rosestand/rosestand/internal/state/register"
 	"github.com/rosestand/rosestand/internal/state/store/proposer"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // retryAfter is the delay that callers are advised to wait when the store cannot serve them now.
 const retryAfter = 500 * time.Millisecond
 
 // serveLedger validates one operation and passes it to the proposer or the service that applies it.
-func (s *Store) serveLedger(ctx context.Context, message *protocol.LedgerOperation) (*protocol.LedgerResult, error) {
+func (s *Store) serveLedger(
+	ctx context.Context, message *protocol.LedgerOperation, account *memorybudget.Account,
+) (*protocol.LedgerResult, error) {
 	if err := ledger.Validate(message); err != nil {
 		var invalid *ledger.InvalidOperationError
 		errors.As(err, &invalid)
@@ -25,7 +28,7 @@
 			failure.WithPath(invalid.Path))
 	}
 	if body, ok := message.GetBody().(*protocol.LedgerOperation_FindTurn); ok {
-		return s.turns.Find(ctx, body.FindTurn)
+		return s.turns.Find(ctx, body.FindTurn, account)
 	}
 	shard := s.watch.Current().ShardOf(message.GetProgram())
 	if shard.Epoch == 0 || shard.Epoch == message.GetPlacementEpoch() && !shard.Role.Votes() {
@@ -37,9 +40,9 @@
 	}
 	switch body := message.GetBody().(type) {
 	case *protocol.LedgerOperation_ReadTurns:
-		return s.turns.ReadChain(ctx, shard, message.GetProgram(), body.ReadTurns)
+		return s.turns.ReadChain(ctx, shard, message.GetProgram(), body.ReadTurns, account)
 	case *protocol.LedgerOperation_ProlongTurns:
-		return s.turns.ExtendChain(ctx, shard, message.GetProgram(), body.ProlongTurns)
+		return s.turns.ExtendChain(ctx, shard, message.GetProgram(), body.ProlongTurns, account)
 	case *protocol.LedgerOperation_TraceTrainingStep:
 		return s.steps.Trace(ctx, shard, message)
 	default:
--- a/internal/state/store/options.go
+++ b/internal/state/store/options.go
@@ -11,6 +11,7 @@
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/state/store/datafolder"
 	"github.com/rosestand/rosestand/internal/state/store/lifecycle"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 	"github.com/rosestand/rosestand/internal/transport/wire"
 )
 
@@ -53,8 +54,10 @@
 	Groups int
 	// PeerTimeout bounds one request to another store.
 	PeerTimeout time.Duration
-	Logger      *log.Logger
-	Registerer  prometheus.Registerer
+	// Memory accounts for the turns in answers; nil sets no limit.
+	Memory     *memorybudget.Budget
+	Logger     *log.Logger
+	Registerer prometheus.Registerer
 	// Fatal is called with an error that the store cannot survive, such as a failed sync.
 	Fatal func(error)
 	// metrics are used in place of new ones when set: the stores of a Supervisor share them.
--- a/internal/state/store/replica_handler.go
+++ b/internal/state/store/replica_handler.go
@@ -9,6 +9,8 @@
 	"github.com/rosestand/rosestand/internal/state/store/lifecycle"
 	"github.com/rosestand/rosestand/internal/state/store/owner"
 	"github.com/rosestand/rosestand/internal/state/store/shardtable"
+	"github.com/rosestand/rosestand/internal/state/store/turnindex"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // notRejected is the refusal field of a response that is not a rejection.
@@ -87,7 +89,9 @@
 }
 
 // serveFetchShard returns one page of a shard of which this replica is complete.
-func (s *Store) serveFetchShard(request *protocol.FetchShardRequest) (*protocol.Response, error) {
+func (s *Store) serveFetchShard(
+	request *protocol.FetchShardRequest, account *memorybudget.Account,
+) (*protocol.Response, error) {
 	after, err := shardtable.DecodeCursor(request.GetAfter())
 	if err != nil {
 		return nil, err
@@ -98,7 +102,8 @@
 		return nil, err
 	}
 	if page.Answer.GetRefusal() == notRejected && after.InTurns {
-		if err := page.ReadTurns(s.turns.Read); err != nil {
+		read := func(entry turnindex.Entry) (*protocol.Turn, error) { return s.turns.Read(entry, account) }
+		if err := page.ReadTurns(read); err != nil {
 			return nil, s.turns.FailOnDamage(err)
 		}
 	}
--- a/internal/state/store/restart_test.go
+++ b/internal/state/store/restart_test.go
@@ -61,7 +61,7 @@
 	for _, group := range opened.groups {
 		for _, table := range group.Tables() {
 			for _, entry := range table.Turns.All() {
-				if _, err := opened.turns.Read(entry); err != nil {
+				if _, err := opened.turns.Read(entry, nil); err != nil {
 					damaged++
 					_ = opened.turns.FailOnDamage(err)
 				}
--- a/internal/state/store/stored_data_test.go
+++ b/internal/state/store/stored_data_test.go
@@ -312,7 +312,7 @@
 				// turn-3 continues it and is retained for longer.
 				want.KeepUntilMillis = storedMillis + 3*storedDay
 			}
-			got, err := opened.turns.Local(stored.shard, want.GetProgram(), want.GetId())
+			got, err := opened.turns.Local(stored.shard, want.GetProgram(), want.GetId(), nil)
 			requireNoError(t, err)
 			if !proto.Equal(got, want) {
 				t.Errorf("turn %s is %v, want %v", want.GetId(), got, want)
@@ -322,7 +322,7 @@
 	if total := opened.counts(); total.registers != uint64(len(expected)) || total.turns != uint64(turns) {
 		t.Errorf("%d registers and %d turns read, want %d and %d", total.registers, total.turns, len(expected), turns)
 	}
-	chain, err := opened.turns.LocalChain(1, "program-1", "turn-3", 0)
+	chain, err := opened.turns.LocalChain(1, "program-1", "turn-3", 0, nil)
 	requireNoError(t, err)
 	if len(chain) != 2 || chain[0].GetId() != "turn-3" || chain[1].GetId() != "turn-1" {
 		t.Errorf("the chain of turn-3 is %v, want turn-3 and turn-1", chain)
@@ -405,7 +405,7 @@
 		opened.Start()
 		rejected := 0
 		for _, stored := range covered {
-			_, err := opened.turns.Local(stored.shard, stored.turn.GetProgram(), stored.turn.GetId())
+			_, err := opened.turns.Local(stored.shard, stored.turn.GetProgram(), stored.turn.GetId(), nil)
 			if _, corrupt := errors.AsType[*storage.CorruptError](err); corrupt {
 				rejected++
 			}
--- a/internal/state/store/turns/chain.go
+++ b/internal/state/store/turns/chain.go
@@ -11,6 +11,7 @@
 	"github.com/rosestand/rosestand/internal/state/register"
 	"github.com/rosestand/rosestand/internal/state/store/lifecycle"
 	"github.com/rosestand/rosestand/internal/state/store/turnindex"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // fetchChain copies the predecessors of a turn from other replicas. It also succeeds when a
@@ -57,10 +58,11 @@
 // rest of the chain.
 func (s *Service) ExtendChain(
 	ctx context.Context, shard register.ShardView, program string, extend *protocol.ProlongTurns,
+	account *memorybudget.Account,
 ) (*protocol.LedgerResult, error) {
 	result := okResult()
 	for next := extend.GetLastTurn(); next != ""; {
-		page, err := s.ReadChain(ctx, shard, program, &protocol.ReadTurns{LastTurn: next})
+		page, err := s.ReadChain(ctx, shard, program, &protocol.ReadTurns{LastTurn: next}, account)
 		if err != nil || page.GetStatus() != protocol.LedgerStatus_LEDGER_OK {
 			return page, err
 		}
--- a/internal/state/store/turns/find.go
+++ b/internal/state/store/turns/find.go
@@ -8,6 +8,7 @@
 	"github.com/rosestand/rosestand/internal/state/store/owner"
 	"github.com/rosestand/rosestand/internal/state/store/placement"
 	"github.com/rosestand/rosestand/internal/state/store/turnindex"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // candidates is the result of the lookup of a turn id in one group.
@@ -30,11 +31,13 @@
 }
 
 // FindLocally looks up a turn in all shards of this store, under the current placement.
-func (s *Service) FindLocally(id string) (*protocol.FindTurnResponse, error) {
-	return s.findLocally(id, s.options.Placement.Current())
+func (s *Service) FindLocally(id string, account *memorybudget.Account) (*protocol.FindTurnResponse, error) {
+	return s.findLocally(id, s.options.Placement.Current(), account)
 }
 
-func (s *Service) findLocally(id string, current *placement.Topology) (*protocol.FindTurnResponse, error) {
+func (s *Service) findLocally(
+	id string, current *placement.Topology, account *memorybudget.Account,
+) (*protocol.FindTurnResponse, error) {
 	answer := &protocol.FindTurnResponse{PlacementEpoch: current.Epoch}
 	for _, g := range s.options.Groups {
 		found, err := owner.Call(g, func() candidates { return findCandidates(g, id, current) })
@@ -43,7 +46,7 @@
 		}
 		answer.Shards = append(answer.Shards, found.shards...)
 		for _, entry := range found.entries {
-			turn, err := s.Read(entry)
+			turn, err := s.Read(entry, account)
 			if err != nil {
 				return nil, s.FailOnDamage(err)
 			}
@@ -58,12 +61,14 @@
 
 // Find looks up a turn on all stores. The turn is missing when, in each shard, a majority of
 // the current placement lacks it.
-func (s *Service) Find(ctx context.Context, find *protocol.FindTurn) (*protocol.LedgerResult, error) {
+func (s *Service) Find(
+	ctx context.Context, find *protocol.FindTurn, account *memorybudget.Account,
+) (*protocol.LedgerResult, error) {
 	current := s.options.Placement.Current()
 	if len(current.Shards) == 0 {
 		return ledger.ResultWithStatus(protocol.LedgerStatus_LEDGER_UNAVAILABLE), nil
 	}
-	local, err := s.findLocally(find.GetTurnId(), current)
+	local, err := s.findLocally(find.GetTurnId(), current, account)
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +77,11 @@
 	}
 	coverage := placement.NewCoverage(current)
 	coverage.Add(s.options.Store, local.GetShards(), local.GetPlacementEpoch())
-	return s.findOnPeers(ctx, find, coverage), nil
+	result := s.findOnPeers(ctx, find, coverage)
+	if !holdTurns(account, result.GetTurns()...) {
+		return ledger.ResultWithStatus(protocol.LedgerStatus_LEDGER_UNAVAILABLE), nil
+	}
+	return result, nil
 }
 
 // findAnswer is the response of one store to the lookup of a turn; answer is nil if there is none.
--- a/internal/state/store/wire_handler.go
+++ b/internal/state/store/wire_handler.go
@@ -8,11 +8,14 @@
 	"github.com/rosestand/rosestand/internal/failure"
 	"github.com/rosestand/rosestand/internal/protocol"
 	"github.com/rosestand/rosestand/internal/state/store/lifecycle"
+	"github.com/rosestand/rosestand/internal/transport/memorybudget"
 )
 
 // Serve implements wire.Handler for all requests to a store.
 func (s *Store) Serve(ctx context.Context, request *protocol.Request, send func(*protocol.Response) error) error {
-	response, err := s.answer(ctx, request)
+	account := s.options.Memory.Open()
+	defer account.Release()
+	response, err := s.answer(ctx, request, account)
 	var stopped *lifecycle.StoppedError
 	if errors.As(err, &stopped) {
 		return failure.New(failure.Unavailable, protocol.Outcome_UNKNOWN, "the store stops",
@@ -24,10 +27,13 @@
 	return send(response)
 }
 
-func (s *Store) answer(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
+// answer answers a request. The account holds the memory of the turns in the answer.
+func (s *Store) answer(
+	ctx context.Context, request *protocol.Request, account *memorybudget.Account,
+) (*protocol.Response, error) {
 	switch body := request.GetBody().(type) {
 	case *protocol.Request_Ledger:
-		result, err := s.serveLedger(ctx, body.Ledger)
+		result, err := s.serveLedger(ctx, body.Ledger, account)
 		if err != nil {
 			return nil, err
 		}
@@ -37,13 +43,13 @@
 	case *protocol.Request_StoreBatch:
 		return s.serveBatch(ctx, body.StoreBatch)
 	case *protocol.Request_FetchTurns:
-		return s.serveFetchTurns(body.FetchTurns)
+		return s.serveFetchTurns(body.FetchTurns, account)
 	case *protocol.Request_FindTurn:
-		return s.serveFindTurn(body.FindTurn)
+		return s.serveFindTurn(body.FindTurn, account)
 	case *protocol.Request_ListTrainingStep:
 		return s.serveListTrainingStep(body.ListTrainingStep)
 	case *protocol.Request_FetchShard:
-		return s.serveFetchShard(body.FetchShard)
+		return s.serveFetchShard(body.FetchShard, account)
 	case *protocol.Request_ShardDigest:
 		return s.serveShardDigest(body.ShardDigest)
 	case *protocol.Request_StoreStatus:
@@ -55,16 +61,20 @@
 	}
 }
 
-func (s *Store) serveFetchTurns(request *protocol.FetchTurnsRequest) (*protocol.Response, error) {
-	answer, err := s.turns.ServeFetch(request)
+func (s *Store) serveFetchTurns(
+	request *protocol.FetchTurnsRequest, account *memorybudget.Account,
+) (*protocol.Response, error) {
+	answer, err := s.turns.ServeFetch(request, account)
 	if err != nil {
 		return nil, err
 	}
 	return &protocol.Response{Body: &protocol.Response_FetchTurns{FetchTurns: answer}}, nil
 }
 
-func (s *Store) serveFindTurn(request *protocol.FindTurnRequest) (*protocol.Response, error) {
-	answer, err := s.turns.FindLocally(request.GetTurnId())
+func (s *Store) serveFindTurn(
+	request *protocol.FindTurnRequest, account *memorybudget.Account,
+) (*protocol.Response, error) {
+	answer, err := s.turns.FindLocally(request.GetTurnId(), account)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/storage/log_reader.go
+++ b/internal/storage/log_reader.go
@@ -82,18 +82,10 @@
 // Read returns the record at a position, whether it is durable or not. It returns *PositionError for a position outside
 // the log and *CorruptError when the record is damaged.
 func (l *Log) Read(position Position) ([]byte, error) {
-	segment, size, err := l.locate(position)
+	segment, parsed, err := l.readHeader(position)
 	if err != nil {
 		return nil, err
 	}
-	var header [recordHeaderBytes]byte
-	if _, err := segment.file.ReadAt(header[:], position.Offset); err != nil {
-		return nil, errors.Wrapf(err, "read %s", segment.path)
-	}
-	parsed, valid := parseRecordHeader(position, header[:])
-	if !valid || position.Offset+recordHeaderBytes+int64(parsed.length) > size {
-		return nil, &CorruptError{Path: segment.path, Offset: position.Offset, Reason: "damaged record header"}
-	}
 	payload := make([]byte, parsed.length)
 	if _, err := segment.file.ReadAt(payload, position.Offset+recordHeaderBytes); err != nil {
 		return nil, errors.Wrapf(err, "read %s", segment.path)
@@ -104,6 +96,30 @@
 	return payload, nil
 }
 
+// RecordBytes returns the size of the record at a position without reading it.
+func (l *Log) RecordBytes(position Position) (int, error) {
+	_, parsed, err := l.readHeader(position)
+	return int(parsed.length), err
+}
+
+// readHeader reads the header of the record at a position and returns the segment that holds the record.
+func (l *Log) readHeader(position Position) (*segmentFile, recordHeader, error) {
+	segment, size, err := l.locate(position)
+	if err != nil {
+		return nil, recordHeader{}, err
+	}
+	var header [recordHeaderBytes]byte
+	if _, err := segment.file.ReadAt(header[:], position.Offset); err != nil {
+		return nil, recordHeader{}, errors.Wrapf(err, "read %s", segment.path)
+	}
+	parsed, valid := parseRecordHeader(position, header[:])
+	if !valid || position.Offset+recordHeaderBytes+int64(parsed.length) > size {
+		corrupt := &CorruptError{Path: segment.path, Offset: position.Offset, Reason: "damaged record header"}
+		return nil, recordHeader{}, corrupt
+	}
+	return segment, parsed, nil
+}
+
 // locate returns the segment of a position and the size of that segment. If the position is still in the buffer, it
 // flushes the buffer first, so that the record can be read from the file.
 func (l *Log) locate(position Position) (*segmentFile, int64, error) {
--- a/internal/storage/log_test.go
+++ b/internal/storage/log_test.go
@@ -54,8 +54,11 @@
 		position, err := log.Write([]byte("unsynced"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(log.Read(position)).To(Equal([]byte("unsynced")))
+		Expect(log.RecordBytes(position)).To(Equal(len("unsynced")))
 		_, err = log.Read(storage.Position{Segment: 9, Offset: 20})
 		Expect(err).To(BeAssignableToTypeOf(&storage.PositionError{}))
+		_, err = log.RecordBytes(storage.Position{Segment: 9, Offset: 20})
+		Expect(err).To(BeAssignableToTypeOf(&storage.PositionError{}))
 	})
 
 	It("given records of an invalid size, then rejects them and still accepts valid ones", func() {
--- a/internal/transport/wire/memory_test.go
+++ b/internal/transport/wire/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -95,3 +96,75 @@
 		t.Error(err)
 	}
 }
+
+// stoppedProxy passes a connection on to a server and stops reading from the server in the middle of a large answer.
+type stoppedProxy struct {
+	address string
+	stopped chan struct{}
+	resumed chan struct{}
+}
+
+func newStoppedProxy(t *testing.T, server string) *stoppedProxy {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	p := &stoppedProxy{
+		address: listener.Addr().String(), stopped: make(chan struct{}), resumed: make(chan struct{}),
+	}
+	go func() {
+		caller, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		callee, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server)
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.Copy(callee, caller)
+			_ = callee.Close()
+		}()
+		// The handshake and the beginning of the answer.
+		_, _ = io.CopyN(caller, callee, 16<<10)
+		close(p.stopped)
+		<-p.resumed
+		_, _ = io.Copy(caller, callee)
+		_ = caller.Close()
+	}()
+	return p
+}
+
+func (p *stoppedProxy) resume() { close(p.resumed) }
+
+func TestLargeAnswerHoldsItsHandlerUntilItWasWritten(t *testing.T) {
+	sent := make(chan struct{})
+	address := startWithMemory(t, handlerFunc(
+		func(_ context.Context, _ *protocol.Request, send func(*protocol.Response) error) error {
+			defer close(sent)
+			return send(&protocol.Response{Body: &protocol.Response_ToolCall{
+				ToolCall: &protocol.ToolCallResponse{Body: make([]byte, 15<<20)},
+			}})
+		}), 8<<20)
+	// A peer that proves the key and does not read.
+	proxy := newStoppedProxy(t, address)
+	pool := startPool(t, testKey)
+	calls := make(chan error, 1)
+	go func() {
+		_, err := pool.Call(t.Context(), proxy.address, turnOfBytes(10))
+		calls <- err
+	}()
+	<-proxy.stopped
+	select {
+	case <-sent:
+		t.Error("the handler returned before its answer was written")
+	default:
+	}
+	proxy.resume()
+	<-sent
+	if err := <-calls; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/transport/wire/server.go
+++ b/internal/transport/wire/server.go
@@ -24,6 +24,8 @@
 const (
 	// accountedFrameBytes is the size from which a frame is accounted for.
 	accountedFrameBytes = 4 << 10
+	// awaitedFrameBytes is the size from which a response is awaited until it was written.
+	awaitedFrameBytes = 64 << 10
 	// frameCopies is how often a request may stand in memory at the same time: as its frame, decoded, and in the
 	// messages and records that its handler makes of it.
 	frameCopies = 4
@@ -348,10 +350,20 @@
 		if err := ctx.Err(); err != nil {
 			return err
 		}
-		return c.writer.write(&protocol.Frame{Kind: protocol.FrameKind_FRAME_RESPONSE, Id: id, Response: response})
+		return c.respond(ctx, &protocol.Frame{Kind: protocol.FrameKind_FRAME_RESPONSE, Id: id, Response: response})
 	})
 }
 
+// respond queues the frame of a response. It returns only once a large one was written, so that its handler holds the
+// memory until then.
+func (c *servedConnection) respond(ctx context.Context, frame *protocol.Frame) error {
+	size, err := c.writer.writeSized(frame)
+	if err == nil && size >= awaitedFrameBytes {
+		c.writer.awaitWritten(ctx)
+	}
+	return err
+}
+
 func (c *servedConnection) end(id uint64, err error) error {
 	frame := &protocol.Frame{Kind: protocol.FrameKind_FRAME_END, Id: id}
 	if err != nil {
--- a/internal/transport/wire/writer.go
+++ b/internal/transport/wire/writer.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,11 @@
 	mutex    sync.Mutex
 	pending  []byte
 	reusable []byte
+	// queuedBytes and writtenBytes count what was queued and written since the beginning; written is closed at the next
+	// change of writtenBytes or cause, and nil unless somebody waits for it.
+	queuedBytes  uint64
+	writtenBytes uint64
+	written      chan struct{}
 	// cause is returned by every write once fail was called; nil until then.
 	cause  error
 	notify chan struct{}
@@ -48,28 +54,36 @@
 // write queues one frame. It fails if the connection is broken, or if the peer
 // reads so slowly that more than maxPendingBytes are queued.
 func (w *frameWriter) write(message proto.Message) error {
+	_, err := w.writeSized(message)
+	return err
+}
+
+// writeSized does the same and returns the size of the frame.
+func (w *frameWriter) writeSized(message proto.Message) (int, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.cause != nil {
-		return w.cause
+		return 0, w.cause
 	}
 	if len(w.pending) > maxPendingBytes {
-		return &FrameError{Reason: "peer reads too slowly"}
+		return 0, &FrameError{Reason: "peer reads too slowly"}
 	}
 	extended, err := appendFrame(w.pending, message)
 	if err != nil {
-		return err
+		return 0, err
 	}
+	size := len(extended) - len(w.pending)
 	if frame, isFrame := message.(*protocol.Frame); isFrame {
-		w.counters.SentFor.add(frame, len(extended)-len(w.pending))
+		w.counters.SentFor.add(frame, size)
 	}
+	w.queuedBytes += uint64(size)
 	w.pending = extended
 	w.counters.SentFrames.Add(1)
 	select {
 	case w.notify <- struct{}{}:
 	default:
 	}
-	return nil
+	return size, nil
 }
 
 // run writes until the connection fails or done is closed.
@@ -103,6 +117,7 @@
 			return err
 		}
 		w.counters.SentBytes.Add(uint64(len(batch)))
+		w.recordWritten(len(batch))
 	}
 	if cap(batch) > maxReusedBufferBytes {
 		return nil
@@ -113,11 +128,47 @@
 	return nil
 }
 
+func (w *frameWriter) recordWritten(count int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.writtenBytes += uint64(count)
+	w.wakeWaiters()
+}
+
+// wakeWaiters is called with the mutex held.
+func (w *frameWriter) wakeWaiters() {
+	if w.written != nil {
+		close(w.written)
+		w.written = nil
+	}
+}
+
+// awaitWritten waits until all that is queued now was written, the connection broke or the context ended.
+func (w *frameWriter) awaitWritten(ctx context.Context) {
+	w.mutex.Lock()
+	position := w.queuedBytes
+	for w.writtenBytes < position && w.cause == nil {
+		if w.written == nil {
+			w.written = make(chan struct{})
+		}
+		written := w.written
+		w.mutex.Unlock()
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return
+		}
+		w.mutex.Lock()
+	}
+	w.mutex.Unlock()
+}
+
 // fail makes every later write return err.
 func (w *frameWriter) fail(err error) {
 	w.mutex.Lock()
 	if w.cause == nil {
 		w.cause = err
+		w.wakeWaiters()
 	}
 	w.mutex.Unlock()
 }
