Account for the header fields of forwarded requests

Callers lost front nodes: a forwarded head of very many short lines takes many times its encoded size once an owner has decoded it, and a frame was accounted for by its size.

Change: a request that is forwarded is accounted for by its header fields as well; one that finds no room is rejected as not run.

--- a/internal/transport/wire/memory_test.go
+++ b/internal/transport/wire/memory_test.go
@@ -168,3 +168,24 @@
 		t.Error(err)
 	}
 }
+
+func TestManyHeaderFieldsNeedMoreMemoryThanTheirFrame(t *testing.T) {
+	address := startWithMemory(t, handlerFunc(answerEmpty), 1<<20)
+	pool := startPool(t, testKey)
+	call := func(fields int) error {
+		routed := &protocol.HttpRequest{Route: "r"}
+		for range fields {
+			routed.Headers = append(routed.Headers, &protocol.HttpHeader{Name: "a"})
+		}
+		_, err := pool.Call(t.Context(), address, &protocol.Request{Body: &protocol.Request_ToolCall{
+			ToolCall: &protocol.ToolCallRequest{Http: routed},
+		}})
+		return err
+	}
+	if err := call(4000); !failure.Is(err, failure.NotReady) {
+		t.Errorf("got %v", err)
+	}
+	if err := call(2000); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/transport/wire/server.go
+++ b/internal/transport/wire/server.go
@@ -29,6 +29,8 @@
 	// frameCopies is how often a request may stand in memory at the same time: as its frame, decoded, and in the
 	// messages and records that its handler makes of it.
 	frameCopies = 4
+	// headerFieldBytes is what a header field takes beside its encoding, decoded and in the request to a server.
+	headerFieldBytes = 256
 	// memoryRetryAfter is the wait that is advised to a peer whose request found no memory.
 	memoryRetryAfter = 100 * time.Millisecond
 )
@@ -240,9 +242,25 @@
 		account.Release()
 		return false
 	}
+	if !account.TryGrow(headerFieldBytes * int64(headerFields(frame.GetRequest()))) {
+		account.Release()
+		return c.rejectWithoutMemory(frame.GetId())
+	}
 	return c.dispatch(frame, account)
 }
 
+// headerFields returns how many header fields a forwarded request has. Short ones take many times their encoded size.
+func headerFields(request *protocol.Request) int {
+	switch body := request.GetBody().(type) {
+	case *protocol.Request_Turn:
+		return len(body.Turn.GetHttp().GetHeaders())
+	case *protocol.Request_ToolCall:
+		return len(body.ToolCall.GetHttp().GetHeaders())
+	default:
+		return 0
+	}
+}
+
 // refuseFrame discards a frame for which there is no memory, and rejects the request in it as not run. It does not
 // wait: that would hold up the pings and the small requests on the connection.
 func (c *servedConnection) refuseFrame(reader *bufio.Reader, size uint32) bool {
@@ -253,6 +271,11 @@
 	if !isRequest {
 		return true
 	}
+	return c.rejectWithoutMemory(id)
+}
+
+// rejectWithoutMemory rejects a request that finds no memory as not run.
+func (c *servedConnection) rejectWithoutMemory(id uint64) bool {
 	c.server.counters.RefusedFrames.Add(1)
 	return c.end(id, failure.New(failure.NotReady, protocol.Outcome_NOT_RUN, "no memory for a request of this size",
 		failure.WithRetryAfter(memoryRetryAfter))) == nil
